--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,63 @@
+import tseslint from 'typescript-eslint'
+
+// Dependencies point one way: a folder may import only from those named beside it.
+const lower = {
+  gauge: [],
+  telegraph: ['gauge'],
+  waybill: ['gauge'],
+  interlocking: ['gauge', 'telegraph', 'waybill'],
+  timetable: ['gauge', 'interlocking'],
+  sidings: ['gauge'],
+  signalbox: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings'],
+  turnout: ['gauge', 'telegraph', 'interlocking', 'sidings'],
+  lineman: ['gauge', 'telegraph', 'interlocking'],
+  springpaddle: ['gauge', 'sidings'],
+  testtrack: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings', 'signalbox', 'turnout', 'lineman'],
+}
+
+// One exported name a file; a type and a value may share that name.
+const oneExport = {
+  create(context) {
+    const names = new Set()
+    return {
+      ExportNamedDeclaration(node) {
+        if (node.declaration?.id) names.add(node.declaration.id.name)
+        for (const one of node.declaration?.declarations ?? []) names.add(one.id.name)
+        for (const one of node.specifiers) names.add(one.exported.name)
+        if (names.size > 1) context.report({ node, message: `one export a file: ${[...names].join(', ')}` })
+      },
+      ExportDefaultDeclaration(node) {
+        context.report({ node, message: 'exports are named' })
+      },
+    }
+  },
+}
+
+const folders = Object.keys(lower)
+export default tseslint.config(
+  { ignores: ['dist/**', 'tools/**', 'eslint.config.js'] },
+  ...tseslint.configs.recommendedTypeChecked,
+  {
+    files: ['src/**/*.ts'],
+    languageOptions: { parserOptions: { project: './tsconfig.json' } },
+    plugins: { house: { rules: { 'one-export': oneExport } } },
+    rules: {
+      'house/one-export': 'error',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/consistent-type-assertions': ['error', { assertionStyle: 'never' }],
+      '@typescript-eslint/no-non-null-assertion': 'error',
+      '@typescript-eslint/no-redeclare': 'off',
+      '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+    },
+  },
+  ...folders.map((folder) => ({
+    files: [`src/${folder}/**/*.ts`],
+    rules: {
+      'no-restricted-imports': ['error', {
+        patterns: folders
+          .filter((other) => other !== folder && !lower[folder].includes(other))
+          .map((other) => ({ group: [`../${other}/*`], message: `${folder} may not lean on ${other}` })),
+      }],
+    },
+  })),
+)
--- /dev/null
+++ b/src/gauge/Pace.ts
@@ -0,0 +1,50 @@
+/**
+ * All durations that the processes use, each as a ratio of a bound from the startup. This is the
+ * one file to read when a figure seems too long or too short. The licence is the pivot: a node that
+ * fell silent has surely stopped starting work one licence later, so a charter that waits for
+ * silent nodes is still acknowledged well inside its bound.
+ */
+import type { Bounds } from './Bounds.js'
+
+export interface Pace {
+  tickMs: number
+  heartbeatMs: number
+  electionMs: number
+  electionSpreadMs: number
+  diskStallMs: number
+  licenceMs: number
+  renewMs: number
+  adoptMs: number
+  hailMs: number
+  operateMs: number
+  platformMs: number
+  reportMs: number
+  reportStaleMs: number
+  dutyLicenceMs: number
+  orderMs: number
+  parentSilentMs: number
+  frozenMs: number
+}
+
+export function Pace(bounds: Bounds): Pace {
+  const licenceMs = 0.4 * bounds.charterMs
+  return {
+    tickMs: licenceMs / 32,
+    heartbeatMs: 0.01 * bounds.recoverMs,
+    electionMs: 0.06 * bounds.recoverMs,
+    electionSpreadMs: 0.06 * bounds.recoverMs,
+    diskStallMs: 0.09 * bounds.recoverMs,
+    licenceMs,
+    renewMs: licenceMs / 4,
+    adoptMs: 0.25 * bounds.charterMs,
+    hailMs: 0.02 * bounds.recoverMs,
+    operateMs: 0.75 * bounds.recoverMs,
+    platformMs: 0.15 * bounds.drainMs,
+    reportMs: 0.1 * bounds.drainMs,
+    reportStaleMs: 0.5 * bounds.drainMs,
+    dutyLicenceMs: 0.1 * bounds.recoverMs,
+    orderMs: 0.5 * bounds.recoverMs,
+    parentSilentMs: 0.3 * licenceMs,
+    frozenMs: 0.4 * licenceMs,
+  }
+}
--- /dev/null
+++ b/src/gauge/Report.ts
@@ -0,0 +1,17 @@
+/**
+ * What a model server says that it holds: which weights and adapters, in which state, how many
+ * streams use each, and the last order it took. `madeMs` is the server's own clock since its start.
+ */
+import { z } from 'zod'
+
+export const Report = z.object({
+  server: z.string(),
+  incarnation: z.string(),
+  madeMs: z.number(),
+  tenure: z.number().optional(),
+  models: z.array(z.object({ model: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), sizeMb: z.number(), flights: z.number() })),
+  adapters: z.array(z.object({ model: z.string(), adapter: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), flights: z.number() })),
+  order: z.object({ tenure: z.number(), number: z.number(), state: z.enum(['running', 'done', 'defect']) }).optional(),
+  parts: z.array(z.object({ model: z.string(), chain: z.string() })).default([]),
+})
+export type Report = z.infer<typeof Report>
--- /dev/null
+++ b/src/gauge/Startup.ts
@@ -0,0 +1,81 @@
+/**
+ * What a daemon is told at its start: its name, zone, addresses, seeds, folder and bounds. Read from
+ * a JSON file, then overridden by flags, then checked as a whole; every error is named by its path.
+ */
+import { readFileSync } from 'node:fs'
+import { Either, Left, Right } from 'purify-ts'
+import { z } from 'zod'
+import { Address } from './Address.js'
+import { Bounds } from './Bounds.js'
+import { proof } from './proof.js'
+import { deepStrictEqual, match, strictEqual } from 'node:assert'
+
+const Name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes')
+
+const common = {
+  name: Name,
+  zone: Name,
+  telegraph: Address,
+  bounds: Bounds.prefault({}),
+  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
+}
+
+const seeds = z.array(Address).min(1).max(9)
+const signalbox = z.strictObject({
+  ...common,
+  seeds,
+  operators: Address,
+  data: z.string().min(1),
+  seats: z.array(Name).min(1).max(9),
+  platform: Address.optional(),
+  rewriteBytes: z.number().int().min(4096).default(4_000_000),
+})
+const lineman = z.strictObject({ ...common, seeds, turnout: Address, health: Address.optional() })
+const turnout = z.strictObject({
+  ...common,
+  seat: Name,
+  lineman: Address,
+  callers: Address,
+  holdBytes: z.number().int().positive().default(64_000_000),
+})
+
+export const Startup = {
+  signalbox,
+  lineman,
+  turnout,
+
+  read<T>(schema: z.ZodType<T>, file: string | undefined, flags: Record<string, unknown>): Either<string[], T> {
+    let base: unknown = {}
+    if (file !== undefined) {
+      try {
+        base = JSON.parse(readFileSync(file, 'utf8'))
+      } catch (error) {
+        return Left([`${file}: ${error instanceof Error ? error.message : String(error)}`])
+      }
+    }
+    if (typeof base !== 'object' || base === null || Array.isArray(base)) return Left([`${file ?? 'startup'}: must be a JSON object`])
+    const given = Object.fromEntries(Object.entries(flags).filter(([, value]) => value !== undefined))
+    const read = schema.safeParse({ ...base, ...given })
+    if (read.success) return Right(read.data)
+    return Left(read.error.issues.map((issue) => `${issue.path.join('.') || 'startup'}: ${issue.message}`))
+  },
+}
+export interface Startup {
+  signalbox: z.infer<typeof signalbox>
+  lineman: z.infer<typeof lineman>
+  turnout: z.infer<typeof turnout>
+}
+
+proof(import.meta.url, {
+  'every error is named with its path, and nothing else is read': () => {
+    const read = Startup.read(Startup.lineman, undefined, { name: 'L 1', zone: 'a', telegraph: 'nowhere', seeds: ['127.0.0.1:1'], turnout: '127.0.0.1:2', bonds: {} })
+    strictEqual(read.isLeft(), true)
+    const errors = read.swap().orDefault([])
+    deepStrictEqual(errors.map((line) => line.split(':')[0]).sort(), ['name', 'startup', 'telegraph'])
+    match(errors.join(), /bonds/)
+  },
+  'flags go before the file, and bounds have their defaults': () => {
+    const read = Startup.read(Startup.lineman, undefined, { name: 'l-1', zone: 'a', telegraph: '127.0.0.1:1', seeds: ['127.0.0.1:1'], turnout: '127.0.0.1:2' })
+    strictEqual(read.map((startup) => startup.bounds.charterMs).orDefault(0), 2000)
+  },
+})
--- /dev/null
+++ b/src/interlocking/AgreementOut.ts
@@ -0,0 +1,16 @@
+/**
+ * What one step of the agreement asks of its surroundings. Writes happen in order, and what stands
+ * in `then` is sent only when that write and all before it are synced.
+ */
+import type { Message } from '../telegraph/Message.js'
+import type { Entry } from './Entry.js'
+
+export interface AgreementOut {
+  sends: { to: string; message: Message }[]
+  writes: { records: Uint8Array[]; rewrite: boolean; then: { to: string; message: Message }[] }[]
+  applied: Entry[]
+  adopted: { index: number; state: Uint8Array } | undefined
+  readable: string[]
+  lostReads: string[]
+  says: string[]
+}
--- /dev/null
+++ b/src/interlocking/Command.ts
@@ -0,0 +1,19 @@
+/**
+ * The changes that the agreed log orders. What a dispatcher orders carries its tenure, the index of
+ * the entry that gave it the duty; the register drops what comes under any other tenure.
+ */
+import { z } from 'zod'
+import { Codec } from '../telegraph/Codec.js'
+
+const kind = <K extends string, S extends z.ZodRawShape>(name: K, shape: S) => z.object({ kind: z.literal(name), ...shape })
+const options = [
+  kind('charter', { operation: z.string(), action: z.enum(['put', 'patch', 'rollback']), branch: z.string(), text: z.string(), ifMatch: z.number() }),
+  kind('platform', { servers: z.string() }),
+  kind('seat', { name: z.string(), role: z.string(), zone: z.string(), retired: z.boolean(), operation: z.string() }),
+  kind('duty', { duty: z.string(), vacancy: z.number(), holder: z.string(), address: z.string() }),
+  kind('vacate', { duty: z.string(), tenure: z.number() }),
+  kind('dispatch', { tenure: z.number(), rows: z.array(z.object({ key: z.string(), gone: z.boolean(), value: z.string() })) }),
+] as const
+
+export const Command = new Codec<Command>(z.discriminatedUnion('kind', options), options)
+export type Command = z.infer<(typeof options)[number]>
--- /dev/null
+++ b/src/interlocking/Copy.ts
@@ -0,0 +1,125 @@
+/**
+ * A copy of the shared table: the core's own, or one further down the relay tree. It takes over what
+ * is newer, gives what came since a stamp, and sums itself up in digests over ranges of keys, so that
+ * two copies at the same stamp find where they differ and the newer row mends the older.
+ */
+import { deepStrictEqual, notDeepStrictEqual, strictEqual } from 'node:assert'
+import { digest } from '../gauge/digest.js'
+import { proof } from '../gauge/proof.js'
+import type { Row } from './Row.js'
+
+const ranges = 16
+const modulus = 2 ** 48
+
+export class Copy {
+  stamp = 0
+  readonly #rows = new Map<string, Row>()
+  readonly #digests = Array.from({ length: ranges }, () => 0)
+
+  static range(key: string): number {
+    return digest(key) % ranges
+  }
+
+  get(key: string): string | undefined {
+    const row = this.#rows.get(key)
+    return row === undefined || row.gone ? undefined : row.value
+  }
+
+  stampOf(key: string): number {
+    return this.#rows.get(key)?.stamp ?? 0
+  }
+
+  /** The live rows under a prefix, as [rest of the key, value]. */
+  under(prefix: string): [string, string][] {
+    const found: [string, string][] = []
+    for (const row of this.#rows.values()) if (!row.gone && row.key.startsWith(prefix)) found.push([row.key.slice(prefix.length), row.value])
+    return found.sort(([a], [b]) => (a < b ? -1 : 1))
+  }
+
+  since(stamp: number): Row[] {
+    return [...this.#rows.values()].filter((row) => row.stamp > stamp)
+  }
+
+  inRange(range: number): Row[] {
+    return [...this.#rows.values()].filter((row) => Copy.range(row.key) === range)
+  }
+
+  get digests(): number[] {
+    return [...this.#digests]
+  }
+
+  /** Sets a row, unless the copy holds the same or a newer one. */
+  set(row: Row): boolean {
+    const old = this.#rows.get(row.key)
+    if (old !== undefined && old.stamp >= row.stamp) return false
+    if (old !== undefined) this.#fold(old, -1)
+    this.#rows.set(row.key, row)
+    this.#fold(row, 1)
+    if (row.stamp > this.stamp) this.stamp = row.stamp
+    return true
+  }
+
+  /** Takes over a delta that starts no later than this copy ends; gives the rows that changed. */
+  adopt(since: number, stamp: number, rows: readonly Row[]): Row[] {
+    if (since > this.stamp) return []
+    const changed = rows.filter((row) => this.set(row))
+    if (stamp > this.stamp) this.stamp = stamp
+    return changed
+  }
+
+  /** Takes over a whole range from a copy at the same stamp: rows that differ there are replaced. */
+  mend(range: number, rows: readonly Row[]): Row[] {
+    const theirs = new Map(rows.filter((row) => Copy.range(row.key) === range).map((row) => [row.key, row]))
+    const changed: Row[] = []
+    for (const row of theirs.values()) {
+      const old = this.#rows.get(row.key)
+      if (old?.stamp === row.stamp && old.gone === row.gone && old.value === row.value) continue
+      if (old !== undefined && old.stamp > row.stamp) continue
+      if (old !== undefined) this.#fold(old, -1)
+      this.#rows.set(row.key, row)
+      this.#fold(row, 1)
+      changed.push(row)
+    }
+    return changed
+  }
+
+  dump(): Row[] {
+    return [...this.#rows.values()]
+  }
+
+  #fold(row: Row, sign: number): void {
+    const range = Copy.range(row.key)
+    const sum = digest(`${row.key}\n${String(row.stamp)}\n${String(row.gone)}\n${row.value}`)
+    const mixed = ((this.#digests[range] ?? 0) + sign * (sum % modulus)) % modulus
+    this.#digests[range] = mixed < 0 ? mixed + modulus : mixed
+  }
+}
+
+proof(import.meta.url, {
+  'a copy follows by deltas, ignores gaps and doubles, and sums up alike': () => {
+    const core = new Copy()
+    const far = new Copy()
+    for (let stamp = 1; stamp <= 40; stamp++) core.set({ key: `k${String(stamp % 9)}`, stamp, gone: stamp % 5 === 0, value: String(stamp) })
+    strictEqual(far.adopt(7, core.stamp, core.since(7)).length, 0)
+    far.adopt(0, core.stamp, core.since(0))
+    far.adopt(0, core.stamp, core.since(0))
+    deepStrictEqual([far.stamp, far.digests, far.under('k')], [core.stamp, core.digests, core.under('k')])
+    core.set({ key: 'k1', stamp: 41, gone: false, value: 'x' })
+    strictEqual(far.adopt(40, 41, core.since(40)).length, 1)
+    deepStrictEqual(far.digests, core.digests)
+  },
+  'a damaged copy is found by its digests and mended': () => {
+    const core = new Copy()
+    const far = new Copy()
+    for (let stamp = 1; stamp <= 40; stamp++) {
+      core.set({ key: `k${String(stamp)}`, stamp, gone: false, value: 'right' })
+      if (stamp !== 17) far.set({ key: `k${String(stamp)}`, stamp, gone: false, value: stamp === 5 ? 'wrong' : 'right' })
+    }
+    notDeepStrictEqual(far.digests, core.digests)
+    far.digests.forEach((sum, range) => {
+      if (sum !== core.digests[range]) far.mend(range, core.inRange(range))
+    })
+    deepStrictEqual(far.digests, core.digests)
+    strictEqual(far.get('k5'), 'right')
+  },
+})
--- /dev/null
+++ b/src/interlocking/Register.ts
@@ -0,0 +1,187 @@
+/**
+ * What the agreed log adds up to: the shared table, the charter with the texts that made it, and the
+ * outcome of each operation. Applying is deterministic, so that every replica comes to the same
+ * state; whether a write is proper is judged here, in log order, and nowhere else.
+ */
+import { z } from 'zod'
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { Charter } from '../gauge/Charter.js'
+import { proof } from '../gauge/proof.js'
+import { Tree } from '../gauge/Tree.js'
+import { Command } from './Command.js'
+import { Copy } from './Copy.js'
+import { DutyRow } from './DutyRow.js'
+import { Outcome } from './Outcome.js'
+import { PlatformServer } from './PlatformServer.js'
+
+const Text = z.object({ stamp: z.number(), action: z.string(), branch: z.string(), operation: z.string(), text: z.string(), whole: z.string() })
+const State = z.object({
+  rows: z.array(z.object({ key: z.string(), stamp: z.number(), gone: z.boolean(), value: z.string() })),
+  stamp: z.number(),
+  texts: z.array(Text),
+  outcomes: z.array(z.tuple([z.string(), Outcome])),
+})
+const keptTexts = 128
+const keptOutcomes = 512
+
+export class Register {
+  readonly copy = new Copy()
+  #texts: z.infer<typeof Text>[] = []
+  readonly #outcomes = new Map<string, Outcome>()
+
+  static restore(state: Uint8Array): Register {
+    const read = State.parse(JSON.parse(Buffer.from(state).toString()))
+    const register = new Register()
+    register.copy.adopt(0, read.stamp, read.rows)
+    register.#texts = read.texts
+    for (const [operation, outcome] of read.outcomes) register.#outcomes.set(operation, outcome)
+    return register
+  }
+
+  save(): Uint8Array {
+    const state: z.infer<typeof State> = { rows: this.copy.dump(), stamp: this.copy.stamp, texts: this.#texts, outcomes: [...this.#outcomes] }
+    return Buffer.from(JSON.stringify(state))
+  }
+
+  get charterStamp(): number {
+    return this.copy.stampOf('charter')
+  }
+
+  get texts(): readonly z.infer<typeof Text>[] {
+    return this.#texts
+  }
+
+  outcome(operation: string): Outcome | undefined {
+    return this.#outcomes.get(operation)
+  }
+
+  duty(duty: string): { tenure: number; holder: string; address: string } | undefined {
+    const value = this.copy.get(`duty/${duty}`)
+    if (value === undefined) return undefined
+    return { ...DutyRow.parse(JSON.parse(value)), tenure: this.copy.stampOf(`duty/${duty}`) }
+  }
+
+  apply(index: number, bytes: Uint8Array): void {
+    const command = Command.decode(bytes)
+    if (command === undefined) throw new Error(`log entry ${String(index)} is no command this program knows`)
+    switch (command.kind) {
+      case 'charter': {
+        if (this.#outcomes.has(command.operation)) break
+        this.#settle(command.operation, this.#applyCharter(index, command))
+        break
+      }
+      case 'platform': this.#applyPlatform(index, command.servers); break
+      case 'seat': {
+        if (command.retired && this.copy.get(`seat/${command.name}`) === undefined) {
+          this.#settle(command.operation, { status: 404, stamp: 0, errors: [`seat ${command.name}: not known`] })
+          break
+        }
+        this.copy.set({ key: `seat/${command.name}`, stamp: index, gone: command.retired, value: JSON.stringify({ role: command.role, zone: command.zone, retired: command.retired }) })
+        if (command.operation !== '') this.#settle(command.operation, { status: 200, stamp: index, errors: [] })
+        break
+      }
+      case 'duty': {
+        const key = `duty/${command.duty}`
+        if (this.copy.get(key) !== undefined || this.copy.stampOf(key) !== command.vacancy) break
+        this.copy.set({ key, stamp: index, gone: false, value: JSON.stringify({ holder: command.holder, address: command.address }) })
+        break
+      }
+      case 'vacate': {
+        if (this.duty(command.duty)?.tenure === command.tenure) this.copy.set({ key: `duty/${command.duty}`, stamp: index, gone: true, value: '' })
+        break
+      }
+      case 'dispatch': {
+        if (this.duty('dispatcher')?.tenure !== command.tenure) break
+        for (const row of command.rows) this.copy.set({ ...row, stamp: index })
+        break
+      }
+    }
+  }
+
+  #settle(operation: string, outcome: Outcome): void {
+    this.#outcomes.set(operation, outcome)
+    const oldest = this.#outcomes.keys().next().value
+    if (this.#outcomes.size > keptOutcomes && oldest !== undefined) this.#outcomes.delete(oldest)
+  }
+
+  #applyCharter(index: number, command: Extract<Command, { kind: 'charter' }>): Outcome {
+    const stamp = this.charterStamp
+    if (command.ifMatch >= 0 && command.ifMatch !== stamp) return { status: 412, stamp, errors: [`the charter is at stamp ${String(stamp)}, not ${String(command.ifMatch)}`] }
+    const old = this.copy.get('charter')
+    const base = old === undefined ? undefined : Tree.read(old)
+    let text = command.text
+    if (command.action === 'rollback') {
+      const earlier = this.#texts.find((one) => one.stamp === Number(command.text))
+      if (earlier === undefined) return { status: 404, stamp, errors: [`stamp ${command.text} is not kept`] }
+      text = earlier.whole
+    }
+    const sent = Tree.read(text)
+    if (sent === undefined) return { status: 422, stamp, errors: ['charter: not JSON'] }
+    const path = command.branch === '' ? [] : command.branch.split('.')
+    const tree = command.action === 'patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
+    return Charter.check(tree).caseOf<Outcome>({
+      Left: (errors) => ({ status: 422, stamp, errors }),
+      Right: () => {
+        this.copy.set({ key: 'charter', stamp: index, gone: false, value: JSON.stringify(tree) })
+        const whole = command.action !== 'patch' && path.length === 0 ? text : `${JSON.stringify(tree, null, 2)}\n`
+        this.#texts.push({ stamp: index, action: command.action, branch: command.branch, operation: command.operation, text: command.text, whole })
+        if (this.#texts.length > keptTexts) this.#texts.shift()
+        return { status: 200, stamp: index, errors: [] }
+      },
+    })
+  }
+
+  #applyPlatform(index: number, servers: string): void {
+    const listed = new Map(z.array(PlatformServer).parse(JSON.parse(servers)).map((server) => [server.name, JSON.stringify(server)]))
+    for (const [name, value] of listed) {
+      if (this.copy.get(`server/${name}`) !== value) this.copy.set({ key: `server/${name}`, stamp: index, gone: false, value })
+    }
+    for (const [name] of this.copy.under('server/')) {
+      if (!listed.has(name)) this.copy.set({ key: `server/${name}`, stamp: index, gone: true, value: '' })
+    }
+  }
+}
+
+const tree = {
+  defaults: { dueMs: 1000, bodyLimitBytes: 10, retryRatio: 0.2, retryAllowance: 4, coldLimit: 2, warmMs: 0, serverLimit: 8, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+  partners: { g: { models: { one: { sizeMb: 1 } } }, c: {} },
+  fleet: { servers: { 'ms-1': { kind: 'model', roomMb: 10, places: 1 } }, storePaceMbPerS: 1, storeBurstMb: 9 },
+}
+proof(import.meta.url, {
+  'texts read back byte for byte, also after a view; races and repeats are judged in log order': () => {
+    const register = new Register()
+    const write = (index: number, operation: string, action: 'put' | 'patch' | 'rollback', branch: string, text: string, ifMatch = -1) => {
+      register.apply(index, Command.encode({ kind: 'charter', operation, action, branch, text, ifMatch }))
+      return register.outcome(operation)?.status
+    }
+    const text = ` ${JSON.stringify(tree, null, 3)}\n`
+    strictEqual(write(1, 'a', 'put', '', text), 200)
+    strictEqual(write(2, 'b', 'patch', 'partners.g', '{"models":{"one":{"sizeMb":2}}}', 1), 200)
+    strictEqual(write(3, 'c', 'patch', 'partners.c', '{"limits":{"dueMs":20}}', 1), 412)
+    strictEqual(write(4, 'd', 'put', 'partners.c', '{"fleet":{}}'), 422)
+    strictEqual(write(5, 'b', 'patch', 'partners.g', '{"models":{"one":{"sizeMb":3}}}'), 200)
+    strictEqual(write(6, 'e', 'put', '', 'no json'), 422)
+    strictEqual(register.charterStamp, 2)
+    const again = Register.restore(register.save())
+    deepStrictEqual(again.texts.map((one) => one.stamp), [1, 2])
+    strictEqual(again.texts[0]?.whole, text)
+    deepStrictEqual(again.copy.digests, register.copy.digests)
+    register.apply(7, Command.encode({ kind: 'charter', operation: 'f', action: 'rollback', branch: '', text: '1', ifMatch: -1 }))
+    strictEqual(register.texts.at(-1)?.whole, text)
+  },
+  'a duty is won once a vacancy, and another tenure writes nothing': () => {
+    const register = new Register()
+    const win = (index: number, vacancy: number, holder: string) => { register.apply(index, Command.encode({ kind: 'duty', duty: 'dispatcher', vacancy, holder, address: 'x' })) }
+    const dispatch = (index: number, tenure: number) => { register.apply(index, Command.encode({ kind: 'dispatch', tenure, rows: [{ key: 'order/s', gone: false, value: String(index) }] })) }
+    win(1, 0, 'a')
+    win(2, 0, 'b')
+    strictEqual(register.duty('dispatcher')?.holder, 'a')
+    dispatch(3, 1)
+    register.apply(4, Command.encode({ kind: 'vacate', duty: 'dispatcher', tenure: 1 }))
+    dispatch(5, 1)
+    win(6, 4, 'b')
+    dispatch(7, 1)
+    strictEqual(register.copy.get('order/s'), '3')
+    strictEqual(register.duty('dispatcher')?.tenure, 6)
+  },
+})
--- /dev/null
+++ b/src/interlocking/Roster.ts
@@ -0,0 +1,68 @@
+/**
+ * Whom a process knows of: learned from its seeds and from everyone that those know of. An address
+ * heard from its owner goes before hearsay; nothing learned is forgotten, so swapped seeds cut off
+ * nobody.
+ */
+import { deepStrictEqual } from 'node:assert'
+import { proof } from '../gauge/proof.js'
+import type { Role } from '../gauge/Role.js'
+
+interface Peer { name: string; address: string; role: Role; zone: string; identity: string; empty: boolean; heardMs: number }
+
+export class Roster {
+  readonly #self: string
+  readonly #seeds: readonly string[]
+  readonly #staleMs: number
+  readonly #peers = new Map<string, Peer>()
+
+  constructor(self: string, seeds: readonly string[], staleMs: number) {
+    this.#self = self
+    this.#seeds = seeds
+    this.#staleMs = staleMs
+  }
+
+  heard(peer: Omit<Peer, 'heardMs'>, nowMs: number): void {
+    if (peer.name !== this.#self) this.#peers.set(peer.name, { ...peer, heardMs: nowMs })
+  }
+
+  hearsay(known: readonly { name: string; address: string; role: Role; zone: string }[], nowMs: number): void {
+    for (const peer of known) {
+      const old = this.#peers.get(peer.name)
+      if (peer.name === this.#self || (old !== undefined && nowMs - old.heardMs <= this.#staleMs)) continue
+      this.#peers.set(peer.name, { ...peer, identity: old?.identity ?? '', empty: false, heardMs: old?.heardMs ?? -Infinity })
+    }
+  }
+
+  get(name: string): Peer | undefined {
+    return this.#peers.get(name)
+  }
+
+  addressOf(identity: string): string | undefined {
+    for (const peer of this.#peers.values()) if (peer.identity === identity) return peer.address
+    return undefined
+  }
+
+  of(role: Role): Peer[] {
+    return [...this.#peers.values()].filter((peer) => peer.role === role).sort((a, b) => (a.name < b.name ? -1 : 1))
+  }
+
+  get known(): { name: string; address: string; role: Role; zone: string }[] {
+    return [...this.#peers.values()].map(({ name, address, role, zone }) => ({ name, address, role, zone }))
+  }
+
+  /** Where to ask for the core: the seeds, and every signalbox ever learned of. */
+  get inquiries(): string[] {
+    return [...new Set([...this.#seeds, ...this.of('signalbox').map((peer) => peer.address)])]
+  }
+}
+
+proof(import.meta.url, {
+  'what the owner says goes before hearsay, until it is stale': () => {
+    const roster = new Roster('me', ['s1'], 100)
+    roster.heard({ name: 'box-a', address: '1', role: 'signalbox', zone: 'a', identity: 'i', empty: false }, 0)
+    roster.hearsay([{ name: 'box-a', address: '2', role: 'signalbox', zone: 'a' }, { name: 'me', address: '9', role: 'signalbox', zone: 'a' }], 50)
+    deepStrictEqual(roster.inquiries, ['s1', '1'])
+    roster.hearsay([{ name: 'box-a', address: '2', role: 'signalbox', zone: 'a' }], 150)
+    deepStrictEqual(roster.inquiries, ['s1', '2'])
+  },
+})
--- /dev/null
+++ b/src/interlocking/Sheet.ts
@@ -0,0 +1,18 @@
+/**
+ * The records that a core machine keeps on disk: its identity, its term and ballot, the entries of
+ * the log, and the view that stands for entries no longer kept. An entry at an index that was
+ * written before takes the place of the older one and of all after it.
+ */
+import { z } from 'zod'
+import { Bytes } from '../telegraph/Bytes.js'
+import { Codec } from '../telegraph/Codec.js'
+
+const options = [
+  z.object({ kind: z.literal('identity'), identity: z.string() }),
+  z.object({ kind: z.literal('term'), term: z.number(), ballot: z.string() }),
+  z.object({ kind: z.literal('entry'), index: z.number(), term: z.number(), type: z.enum(['noop', 'members', 'command']), bytes: Bytes }),
+  z.object({ kind: z.literal('view'), index: z.number(), term: z.number(), members: z.string(), state: Bytes }),
+] as const
+
+export const Sheet = new Codec<Sheet>(z.discriminatedUnion('kind', options), options)
+export type Sheet = z.infer<(typeof options)[number]>
--- /dev/null
+++ b/src/lineman/LinemanEffect.ts
@@ -0,0 +1,8 @@
+/**
+ * What a lineman's machine asks its tasks to do.
+ */
+import type { Message } from '../telegraph/Message.js'
+
+export type LinemanEffect =
+  | { kind: 'send'; toAddress: string; message: Message }
+  | { kind: 'say'; part: string; sentence: string }
--- /dev/null
+++ b/src/lineman/LinemanMachine.ts
@@ -0,0 +1,204 @@
+/**
+ * The agent beside a turnout as one pure machine. It finds the core, keeps the seat's licence, takes
+ * its place in the relay tree, and feeds its turnout. When the core is out of reach it asks the other
+ * seats: while a majority of them knows no newer charter, its turnout may go on.
+ */
+import type { Chance } from '../gauge/Chance.js'
+import { digest } from '../gauge/digest.js'
+import type { Pace } from '../gauge/Pace.js'
+import { Copy } from '../interlocking/Copy.js'
+import { DutyRow } from '../interlocking/DutyRow.js'
+import { Relay } from '../interlocking/Relay.js'
+import { Roster } from '../interlocking/Roster.js'
+import type { Message } from '../telegraph/Message.js'
+import type { LinemanEffect } from './LinemanEffect.js'
+import type { LinemanInput } from './LinemanInput.js'
+
+interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; turnout: string }
+const fanout = 3
+
+export class LinemanMachine {
+  readonly copy = new Copy()
+  readonly #plan: Plan
+  readonly #pace: Pace
+  readonly #roster: Roster
+  readonly #relay: Relay
+  readonly #session: string
+  readonly #nonce: number
+  #effects: LinemanEffect[] = []
+  #leaderAddress = ''
+  #peers: { name: string; address: string; zone: string }[] = []
+  #licenceUntilMs = -Infinity
+  #peerUntilMs = -Infinity
+  #peerReplies = new Map<string, { sentMs: number; stamp: number }>()
+  #parent = ''
+  #parentHeardMs = -Infinity
+  #shunned = new Map<string, number>()
+  #coreStamp = 0
+  #levelMs: number
+  #turnout = { stamp: 0, heardMs: -Infinity, permitUntilMs: -Infinity }
+  #hailAtMs = -Infinity
+  #renewAtMs = -Infinity
+  #followAtMs = -Infinity
+  #follows = 0
+
+  constructor(plan: Plan, pace: Pace, chance: Chance, nowMs: number) {
+    this.#plan = plan
+    this.#pace = pace
+    this.#roster = new Roster(plan.name, plan.seeds.filter((seed) => seed !== plan.address), 4 * pace.hailMs)
+    this.#relay = new Relay(pace.licenceMs)
+    this.#nonce = chance.below(1e9)
+    this.#session = this.#nonce.toString(36)
+    this.#levelMs = nowMs
+  }
+
+  current(nowMs: number): boolean {
+    return nowMs < this.#licenceUntilMs || nowMs < this.#peerUntilMs
+  }
+
+  step(input: LinemanInput, nowMs: number): LinemanEffect[] {
+    if (input.kind === 'tick') this.#tick(nowMs)
+    else this.#message(input.from, input.fromAddress, input.message, nowMs)
+    const effects = this.#effects
+    this.#effects = []
+    return effects
+  }
+
+  #send(toAddress: string, message: Message): void {
+    if (toAddress !== '' && toAddress !== this.#plan.address) this.#effects.push({ kind: 'send', toAddress, message })
+  }
+
+  #tick(nowMs: number): void {
+    if (nowMs >= this.#hailAtMs) {
+      this.#hailAtMs = nowMs + this.#pace.hailMs
+      const asked = this.#leaderAddress === '' || !this.current(nowMs) ? this.#roster.inquiries : [this.#leaderAddress, ...this.#roster.inquiries.slice(0, 2)]
+      for (const address of new Set(asked)) this.#send(address, { kind: 'hail', nonce: this.#nonce, role: 'lineman', zone: this.#plan.zone, identity: this.#session, known: [] })
+    }
+    if (nowMs >= this.#renewAtMs) {
+      this.#renewAtMs = nowMs + this.#pace.renewMs
+      this.#send(this.#leaderAddress, { kind: 'renew', seat: this.#plan.name, role: 'lineman', zone: this.#plan.zone, session: this.#session, sentMs: nowMs, adopted: this.#adopted(nowMs) })
+      if (nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
+    }
+    if (nowMs >= this.#followAtMs) this.#follow(nowMs)
+  }
+
+  /** What this seat as a whole works by: the turnout's stamp for as long as the turnout may be at work. */
+  #adopted(nowMs: number): number {
+    return nowMs < this.#turnout.permitUntilMs ? Math.min(this.copy.stamp, this.#turnout.stamp) : this.copy.stamp
+  }
+
+  #follow(nowMs: number): void {
+    this.#followAtMs = nowMs + this.#pace.renewMs / 2
+    if (this.copy.stamp >= this.#coreStamp) this.#levelMs = nowMs
+    const behind = nowMs - this.#levelMs > this.#pace.parentSilentMs
+    if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > this.#pace.parentSilentMs)) this.#shunned.set(this.#parent, nowMs + 2 * this.#pace.licenceMs)
+    const chosen = this.#chooseParent(nowMs)
+    if (chosen !== this.#parent) {
+      this.#parent = chosen
+      this.#parentHeardMs = nowMs
+      if (behind) this.#levelMs = nowMs
+    }
+    this.#follows += 1
+    this.#send(this.#parent, { kind: 'follow', seat: this.#plan.name, stamp: this.copy.stamp, sentMs: nowMs, digests: this.#follows % 8 === 0 ? this.copy.digests : [] })
+  }
+
+  /** The first of a zone follows the core, the others a seat above them in the zone's order; whoever was silent or stale is passed over for a while. */
+  #chooseParent(nowMs: number): string {
+    for (const [address, untilMs] of this.#shunned) if (nowMs > untilMs) this.#shunned.delete(address)
+    const zone = this.#peers.filter((peer) => peer.zone === this.#plan.zone).map((peer) => peer.name).sort()
+    const at = zone.indexOf(this.#plan.name)
+    const above = at > 0 ? this.#peers.find((peer) => peer.name === zone[Math.floor((at - 1) / fanout)])?.address : undefined
+    if (above !== undefined && !this.#shunned.has(above) && this.current(nowMs)) return above
+    const boxes = this.#roster.of('signalbox').sort((a, b) => Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) || digest(a.name + this.#plan.name) - digest(b.name + this.#plan.name))
+    const box = boxes.find((one) => !this.#shunned.has(one.address))
+    if (box !== undefined) return box.address
+    const others = this.#roster.of('lineman').filter((one) => !this.#shunned.has(one.address))
+    return others[0]?.address ?? boxes[0]?.address ?? ''
+  }
+
+  #askPeers(nowMs: number): void {
+    const stamp = this.copy.stampOf('charter')
+    for (const peer of this.#roster.of('lineman')) this.#send(peer.address, { kind: 'peerAsk', sentMs: nowMs, stamp })
+    const seats = this.copy.under('seat/').length
+    if (seats === 1 && stamp > 0) this.#peerUntilMs = nowMs + this.#pace.licenceMs
+  }
+
+  #peerTold(from: string, sentMs: number, stamp: number, fromAddress: string): void {
+    const own = this.copy.stampOf('charter')
+    this.#peerReplies.set(from, { sentMs, stamp })
+    if (stamp > own) {
+      this.#peerUntilMs = -Infinity
+      this.#send(fromAddress, { kind: 'follow', seat: this.#plan.name, stamp: this.copy.stamp, sentMs: 0, digests: [] })
+      return
+    }
+    const seats = this.copy.under('seat/').map(([name]) => name)
+    const replies = seats.filter((seat) => seat !== this.#plan.name).map((seat) => this.#peerReplies.get(seat)).filter((reply) => reply !== undefined && reply.stamp <= own)
+    const needed = Math.floor(seats.length / 2) + 1 - (seats.includes(this.#plan.name) ? 1 : 0)
+    const oldest = replies.map((reply) => reply?.sentMs ?? -Infinity).sort((a, b) => b - a)[needed - 1]
+    const newer = seats.some((seat) => (this.#peerReplies.get(seat)?.stamp ?? 0) > own)
+    if (oldest !== undefined && own > 0 && !newer) this.#peerUntilMs = Math.max(this.#peerUntilMs, oldest + this.#pace.licenceMs)
+  }
+
+  #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
+    switch (message.kind) {
+      case 'hail': {
+        this.#roster.hearsay(message.known, nowMs)
+        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'lineman', zone: this.#plan.zone, identity: this.#session, empty: false, leader: this.#leaderAddress, known: this.#roster.known })
+        break
+      }
+      case 'hailed': {
+        if (message.nonce !== this.#nonce) break
+        this.#roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty }, nowMs)
+        this.#roster.hearsay(message.known, nowMs)
+        if (message.role === 'signalbox' && message.leader !== '') this.#leaderAddress = message.leader
+        else if (message.leader !== '' && this.#leaderAddress === '') this.#leaderAddress = message.leader
+        break
+      }
+      case 'licence': {
+        this.#licenceUntilMs = Math.max(this.#licenceUntilMs, message.sentMs + message.forMs)
+        this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
+        this.#peers = message.peers
+        this.#roster.hearsay(message.peers, nowMs)
+        break
+      }
+      case 'peerAsk': this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') }); break
+      case 'peerTell': this.#peerTold(from, message.sentMs, message.stamp, fromAddress); break
+      case 'follow': this.#followed(fromAddress, message, nowMs); break
+      case 'news': {
+        if (fromAddress === this.#parent) this.#parentHeardMs = nowMs
+        this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
+        if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#spread(nowMs)
+        break
+      }
+      case 'mend': {
+        if (message.stamp !== this.copy.stamp) break
+        const changed = this.copy.mend(message.range, message.rows)
+        if (changed.length > 0) this.#effects.push({ kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` })
+        break
+      }
+      case 'tally': {
+        const duty = this.copy.get('duty/dispatcher')
+        const holder = duty === undefined ? undefined : this.#roster.get(DutyRow.parse(JSON.parse(duty)).holder)
+        if (holder !== undefined) this.#send(holder.address, { ...message, seat: this.#plan.name })
+        break
+      }
+      default:
+    }
+  }
+
+  #followed(fromAddress: string, follow: Extract<Message, { kind: 'follow' }>, nowMs: number): void {
+    if (fromAddress === this.#plan.turnout) {
+      this.#turnout.stamp = follow.stamp
+      this.#turnout.heardMs = nowMs
+    }
+    for (const send of this.#relay.followed(fromAddress, follow, this.copy, nowMs)) this.#send(send.toAddress, send.message)
+    if (fromAddress !== this.#plan.turnout) return
+    const forMs = Math.max(0, Math.max(this.#licenceUntilMs, this.#peerUntilMs) - nowMs)
+    this.#turnout.permitUntilMs = Math.max(this.#turnout.permitUntilMs, nowMs + forMs)
+    this.#send(fromAddress, { kind: 'permit', sentMs: follow.sentMs, forMs })
+  }
+
+  #spread(nowMs: number): void {
+    for (const send of this.#relay.push(this.copy, nowMs)) this.#send(send.toAddress, send.message)
+  }
+}
--- /dev/null
+++ b/src/lineman/LinemanTask.ts
@@ -0,0 +1,43 @@
+/**
+ * Owns the lineman's machine and its telegraph.
+ */
+import 'reflect-metadata'
+import { inject, singleton } from 'tsyringe'
+import { Chance } from '../gauge/Chance.js'
+import { clockMs } from '../gauge/clockMs.js'
+import { Logbook } from '../gauge/Logbook.js'
+import { Pace } from '../gauge/Pace.js'
+import type { Startup } from '../gauge/Startup.js'
+import type { Telegraph } from '../telegraph/Telegraph.js'
+import type { LinemanInput } from './LinemanInput.js'
+import { LinemanMachine } from './LinemanMachine.js'
+
+@singleton()
+export class LinemanTask {
+  readonly machine: LinemanMachine
+  readonly #logbook: Logbook
+  readonly #telegraph: Telegraph
+  readonly #ticker: NodeJS.Timeout
+
+  constructor(@inject('startup') startup: Startup['lineman'], @inject('logbook') logbook: Logbook, @inject('telegraph') telegraph: Telegraph) {
+    this.#logbook = logbook
+    this.#telegraph = telegraph
+    const pace = Pace(startup.bounds)
+    const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
+    this.machine = new LinemanMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, turnout: startup.turnout }, pace, chance, clockMs())
+    telegraph.hear((from, fromAddress, message) => { this.#step({ kind: 'message', from, fromAddress, message }) })
+    this.#ticker = setInterval(() => { this.#step({ kind: 'tick' }) }, pace.tickMs)
+  }
+
+  #step(input: LinemanInput): void {
+    for (const effect of this.machine.step(input, clockMs())) {
+      if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
+      else this.#logbook.say(effect.part, effect.sentence)
+    }
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#ticker)
+    await this.#telegraph.close()
+  }
+}
--- /dev/null
+++ b/src/lineman/main.ts
@@ -0,0 +1,24 @@
+#!/usr/bin/env node
+/**
+ * The agent that stands beside a turnout on its machine.
+ */
+import 'reflect-metadata'
+import { container } from 'tsyringe'
+import { startDaemon } from '../gauge/startDaemon.js'
+import { Startup } from '../gauge/Startup.js'
+import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
+import { LinemanTask } from './LinemanTask.js'
+
+const fields = {
+  name: "this machine's seat in the data plane", zone: 'its zone', telegraph: 'address for the other processes', seeds: 'addresses of other processes, comma-separated',
+  turnout: "the turnout's telegraph address on this machine", logLevel: 'how much to log',
+}
+
+await startDaemon('lineman', 'The agent beside a turnout.', Startup.lineman, fields, async (startup, logbook) => {
+  container.registerInstance('startup', startup)
+  container.registerInstance('logbook', logbook)
+  container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
+  const task = container.resolve(LinemanTask)
+  logbook.say('lineman', `Listens on ${startup.telegraph}.`)
+  return { stop: () => task.stop() }
+})
--- /dev/null
+++ b/src/sidings/ModelServerFormat.ts
@@ -0,0 +1,33 @@
+/**
+ * What model servers are asked and told besides requests: `GET /springpaddle/holds?tenure=N` gives a
+ * report and lets the server remember the newest tenure; `POST /springpaddle/orders` hands it an
+ * order, answered 202 when taken (again) and 409 when turned away. The order's end is in the reports.
+ */
+import { strictEqual } from 'node:assert'
+import { proof } from '../gauge/proof.js'
+import { Report } from '../gauge/Report.js'
+
+export const ModelServerFormat = {
+  holdsPath: (tenure: number) => `/springpaddle/holds?tenure=${String(tenure)}`,
+  ordersPath: '/springpaddle/orders',
+
+  report(body: string): Report | undefined {
+    try {
+      const read = Report.safeParse(JSON.parse(body))
+      return read.success ? read.data : undefined
+    } catch {
+      return undefined
+    }
+  },
+
+  reply(status: number): 'accepted' | 'turnedAway' | 'unknown' {
+    return status === 202 ? 'accepted' : status === 409 ? 'turnedAway' : 'unknown'
+  },
+}
+
+proof(import.meta.url, {
+  'a hostile report is no report': () => {
+    for (const wrong of ['', 'null', '{"server":"a"}', '{"server":"a","incarnation":"i","madeMs":"x","models":[],"adapters":[]}']) strictEqual(ModelServerFormat.report(wrong), undefined)
+    strictEqual(ModelServerFormat.report('{"server":"a","incarnation":"i","madeMs":1,"models":[],"adapters":[]}')?.madeMs, 1)
+  },
+})
--- /dev/null
+++ b/src/signalbox/Operation.ts
@@ -0,0 +1,15 @@
+/**
+ * What an operator may ask of the core. `operation` names a write, so that a repeated one is answered
+ * with the first outcome; `ifMatch` guards it by a stamp, -1 for no guard.
+ */
+import { z } from 'zod'
+
+export const Operation = z.object({
+  action: z.enum(['charter.put', 'charter.patch', 'charter.rollback', 'charter.get', 'charter.history', 'charter.leaves', 'outcome', 'nodes', 'servers', 'placement', 'seat.retire']),
+  branch: z.string(),
+  text: z.string(),
+  ifMatch: z.number(),
+  operation: z.string(),
+  waitMs: z.number(),
+})
+export type Operation = z.infer<typeof Operation>
--- /dev/null
+++ b/src/signalbox/SignalboxMachine.ts
@@ -0,0 +1,535 @@
+/**
+ * A core node as one pure machine: the agreement and what it adds up to, the roster, licences,
+ * ballots, the operators' desk and, while it holds the duty, the dispatcher. It is told what happened
+ * and returns what to send, write, answer and ask.
+ */
+import { Charter } from '../gauge/Charter.js'
+import type { Chance } from '../gauge/Chance.js'
+import type { Pace } from '../gauge/Pace.js'
+import { Tree } from '../gauge/Tree.js'
+import { Agreement } from '../interlocking/Agreement.js'
+import { Ballots } from '../interlocking/Ballots.js'
+import { Command } from '../interlocking/Command.js'
+import { Licences } from '../interlocking/Licences.js'
+import type { Outcome } from '../interlocking/Outcome.js'
+import { Register } from '../interlocking/Register.js'
+import { Relay } from '../interlocking/Relay.js'
+import { Roster } from '../interlocking/Roster.js'
+import { PlatformServer } from '../interlocking/PlatformServer.js'
+import type { Message } from '../telegraph/Message.js'
+import { Dispatcher } from '../timetable/Dispatcher.js'
+import { Operation } from './Operation.js'
+import type { SignalboxEffect } from './SignalboxEffect.js'
+import type { SignalboxInput } from './SignalboxInput.js'
+
+interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; seats: readonly string[]; rewriteBytes: number }
+interface Pending { operation: Operation; dueMs: number; askedMs: number; respondTo: string | undefined; proposed: boolean }
+const dispatcherDuty = 'dispatcher'
+
+export class SignalboxMachine {
+  readonly agreement: Agreement
+  register = new Register()
+  readonly roster: Roster
+  readonly #plan: Plan
+  readonly #pace: Pace
+  readonly #licences: Licences
+  readonly #ballots: Ballots
+  readonly #relay: Relay
+  readonly #pending = new Map<string, Pending>()
+  readonly #nonce: number
+  #dispatcher: Dispatcher | undefined
+  #dutySureMs = -Infinity
+  #dutyAskMs = -Infinity
+  #dutyHeardMs = new Map<number, number>()
+  #effects: SignalboxEffect[] = []
+  #leading = false
+  #leaderAddress = ''
+  #hailAtMs = -Infinity
+  #platformAtMs = -Infinity
+  #lastTickMs: number
+  #seatsAsked = new Map<string, number>()
+  #platformSeen = ''
+  #applied = 0
+  #logBytes = 0
+  #learnerSinceMs = new Map<string, number>()
+
+  constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
+    this.#plan = plan
+    this.#pace = pace
+    this.agreement = new Agreement(plan.name, pace, chance.fork(), disk, nowMs)
+    this.roster = new Roster(plan.name, plan.seeds.filter((seed) => seed !== plan.address), 4 * pace.hailMs)
+    this.#licences = new Licences(pace)
+    this.#ballots = new Ballots(plan.name, pace, chance.fork())
+    this.#relay = new Relay(pace.licenceMs)
+    this.#nonce = chance.below(1e9)
+    this.#lastTickMs = nowMs
+    this.#logBytes = disk.reduce((sum, record) => sum + record.length, 0)
+    this.#collect(nowMs)
+  }
+
+  get dispatcher(): Dispatcher | undefined {
+    return this.#dispatcher
+  }
+
+  /** What the constructor already asks for: the identity's first write. */
+  begin(): SignalboxEffect[] {
+    return this.#take()
+  }
+
+  step(input: SignalboxInput, nowMs: number): SignalboxEffect[] {
+    switch (input.kind) {
+      case 'tick': this.#tick(input.hour, nowMs); break
+      case 'message': this.#message(input.from, input.fromAddress, input.message, nowMs); break
+      case 'written': this.agreement.written(nowMs); break
+      case 'operate': this.#operate(input.id, input.operation, undefined, nowMs); break
+      case 'platform': this.#platform(input.servers, nowMs); break
+      case 'reported': this.#dispatcher?.reported(input.server, input.report, input.askedMs, nowMs); break
+      case 'replied': if (this.#dispatcher?.tenure === input.tenure) this.#dispatcher.replied(input.server, input.number, input.reply, nowMs); break
+    }
+    this.#collect(nowMs)
+    return this.#take()
+  }
+
+  #take(): SignalboxEffect[] {
+    const effects = this.#effects
+    this.#effects = []
+    return effects
+  }
+
+  #say(part: string, sentence: string): void {
+    this.#effects.push({ kind: 'say', part, sentence })
+  }
+
+  #send(toAddress: string | undefined, message: Message): void {
+    if (toAddress !== undefined && toAddress !== '') this.#effects.push({ kind: 'send', toAddress, message })
+  }
+
+  #addressOf(identity: string): string {
+    return this.roster.addressOf(identity) ?? this.agreement.members.find((one) => one.identity === identity)?.address ?? ''
+  }
+
+  /** Turns what the agreement asks for into effects, and applies what it committed. */
+  #collect(nowMs: number): void {
+    const out = this.agreement.take()
+    for (const sentence of out.says) this.#say('agreement', sentence)
+    for (const { to, message } of out.sends) this.#send(this.#addressOf(to), message)
+    for (const write of out.writes) {
+      const bytes = write.records.reduce((sum, record) => sum + record.length + 8, 0)
+      this.#logBytes = write.rewrite ? bytes : this.#logBytes + bytes
+      this.#effects.push({ kind: 'write', records: write.records, rewrite: write.rewrite, then: write.then.map(({ to, message }) => ({ toAddress: this.#addressOf(to), message })) })
+    }
+    if (out.adopted !== undefined) {
+      this.register = out.adopted.state.length === 0 ? new Register() : Register.restore(out.adopted.state)
+      this.#applied = out.adopted.index
+    }
+    for (const entry of out.applied) {
+      const before = this.register.charterStamp
+      if (entry.type === 'command') this.register.apply(entry.index, entry.bytes)
+      this.#applied = entry.index
+      if (this.register.charterStamp !== before) this.#licences.charterMade(this.register.charterStamp, nowMs)
+    }
+    if (out.applied.length > 0 || out.adopted !== undefined) {
+      this.#duty(nowMs)
+      for (const send of this.#relay.push(this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
+    }
+    for (const id of out.lostReads) {
+      const pending = this.#pending.get(id)
+      if (pending !== undefined) pending.proposed = false
+    }
+    for (const id of out.readable) this.#readNow(id, nowMs)
+    if (this.agreement.phase === 'leader' !== this.#leading) {
+      this.#leading = !this.#leading
+      if (this.#leading) {
+        this.#licences.begin(nowMs)
+        this.#licences.charterMade(this.register.charterStamp, nowMs)
+        this.#dutyHeardMs.clear()
+        this.#leaderAddress = this.#plan.address
+      }
+    } else if (this.agreement.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.agreement.leader)
+    if (this.agreement.leader === '' && !this.#leading) this.#leaderAddress = ''
+    this.#finishWrites(nowMs)
+    if (this.agreement.phase !== 'leader' === this.#leading) this.#collect(nowMs)
+  }
+
+  #tick(hour: number, nowMs: number): void {
+    const late = nowMs - this.#lastTickMs
+    this.#lastTickMs = nowMs
+    if (late > this.#pace.frozenMs) this.#say('signalbox', `Was frozen for ${String(Math.round(late))} ms; confirms its licence first.`)
+    this.agreement.tick(nowMs)
+    this.#collect(nowMs)
+    if (nowMs >= this.#hailAtMs) this.#hail(nowMs)
+    this.#found(nowMs)
+    if (this.#leading) this.#lead(nowMs)
+    this.#standForDuty(nowMs)
+    this.#dispatch(hour, nowMs)
+    if (this.#logBytes > this.#plan.rewriteBytes && this.#applied > 0) {
+      this.agreement.compact(this.#applied, this.register.save(), nowMs)
+      this.#logBytes = 0
+    }
+    for (const [id, pending] of this.#pending) {
+      if (nowMs >= pending.dueMs) this.#respond(id, 504, 0, JSON.stringify({ outcome: 'undecided', operation: pending.operation.operation }))
+      else if (!pending.proposed || nowMs - pending.askedMs > this.#pace.electionMs) this.#push(id, pending, nowMs)
+    }
+  }
+
+  #hail(nowMs: number): void {
+    this.#hailAtMs = nowMs + this.#pace.hailMs
+    const known = this.roster.known
+    for (const address of this.roster.inquiries) {
+      this.#send(address, { kind: 'hail', nonce: this.#nonce, role: 'signalbox', zone: this.#plan.zone, identity: this.agreement.identity, known })
+    }
+  }
+
+  /** Only the lowest of the configured seats founds, and only when all have said to this very start that they are empty. */
+  #found(nowMs: number): void {
+    const seats = [...this.#plan.seats].sort()
+    if (!this.agreement.empty || this.#plan.name !== seats[0]) return
+    const others = seats.slice(1).map((seat) => this.roster.get(seat))
+    if (!others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#pace.hailMs)) return
+    const members = [{ identity: this.agreement.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
+    for (const peer of others) if (peer !== undefined) members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
+    this.agreement.found(members, nowMs)
+  }
+
+  #lead(nowMs: number): void {
+    if (nowMs >= this.#platformAtMs) {
+      this.#platformAtMs = nowMs + this.#pace.platformMs
+      this.#effects.push({ kind: 'askPlatform' })
+    }
+    const duty = this.register.duty(dispatcherDuty)
+    if (duty !== undefined) {
+      const heardMs = this.#dutyHeardMs.get(duty.tenure)
+      if (heardMs === undefined) this.#dutyHeardMs.set(duty.tenure, nowMs)
+      else if (nowMs - heardMs > 1.1 * this.#pace.dutyLicenceMs) {
+        this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: duty.tenure }, nowMs)
+        this.#dutyHeardMs.set(duty.tenure, nowMs)
+      }
+    }
+    this.#seatReplicas(nowMs)
+  }
+
+  /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
+  #seatReplicas(nowMs: number): void {
+    if (!this.agreement.settled || this.agreement.changing) return
+    const members = [...this.agreement.members]
+    for (const seat of this.#plan.seats) {
+      const peer = this.roster.get(seat)
+      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > 4 * this.#pace.hailMs) continue
+      const own = members.find((one) => one.identity === peer.identity)
+      const old = members.find((one) => one.seat === seat && one.identity !== peer.identity)
+      if (own === undefined) {
+        if (old !== undefined && nowMs - this.agreement.heardMs(old.identity) < 2 * this.#pace.electionMs) continue
+        this.#say('agreement', `Takes ${seat} in as a learner under its new identity.`)
+        this.#learnerSinceMs.set(peer.identity, nowMs)
+        this.agreement.changeMembers([...members, { identity: peer.identity, seat, address: peer.address, voter: false }], nowMs)
+        return
+      }
+      if (own.voter || !this.agreement.caughtUp(own.identity)) continue
+      if (old !== undefined) {
+        this.#say('agreement', `Retires the identity that ${seat} lost.`)
+        this.agreement.changeMembers(members.filter((one) => one !== old), nowMs)
+      } else {
+        this.#say('agreement', `Gives ${seat} its vote under its new identity.`)
+        this.agreement.changeMembers(members.map((one) => (one === own ? { ...own, voter: true } : one)), nowMs)
+      }
+      return
+    }
+  }
+
+  #propose(command: Command, nowMs: number): void {
+    const bytes = Command.encode(command)
+    if (this.agreement.phase === 'leader') this.agreement.propose(bytes, nowMs)
+    else this.#send(this.#leaderAddress, { kind: 'propose', id: '', command: bytes })
+  }
+
+  #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
+    switch (message.kind) {
+      case 'hail': {
+        if (message.role === 'signalbox') this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: false }, nowMs)
+        this.roster.hearsay(message.known, nowMs)
+        const { identity, empty } = this.agreement
+        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'signalbox', zone: this.#plan.zone, identity, empty, leader: this.#leaderAddress, known: this.roster.known })
+        break
+      }
+      case 'hailed': {
+        if (message.nonce !== this.#nonce) break
+        this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty }, nowMs)
+        this.roster.hearsay(message.known, nowMs)
+        break
+      }
+      case 'ballotAsk': case 'ballotGive': case 'append': case 'appended': case 'view': {
+        this.agreement.receive(message, nowMs)
+        break
+      }
+      case 'propose': if (this.#leading) this.agreement.propose(message.command, nowMs); break
+      case 'renew': this.#renew(from, fromAddress, message, nowMs); break
+      case 'stand': {
+        const given = this.register.duty(message.duty) === undefined && this.#ballots.give(message.vacancy, message.round, from, nowMs)
+        this.#send(fromAddress, { kind: 'ballot', duty: message.duty, vacancy: message.vacancy, round: message.round, given })
+        break
+      }
+      case 'ballot': if (message.given) this.#countBallot(message.vacancy, message.round, from, nowMs); break
+      case 'dutyRenew': {
+        if (!this.agreement.surelyLeads(nowMs) || this.register.duty(message.duty)?.tenure !== message.tenure) break
+        this.#dutyHeardMs.set(message.tenure, nowMs)
+        this.#send(fromAddress, { kind: 'dutyLicence', duty: message.duty, tenure: message.tenure, sentMs: message.sentMs })
+        break
+      }
+      case 'dutyLicence': if (this.#dispatcher?.tenure === message.tenure) this.#dutySureMs = Math.max(this.#dutySureMs, message.sentMs); break
+      case 'follow': for (const send of this.#relay.followed(fromAddress, message, this.register.copy, nowMs)) this.#send(send.toAddress, send.message); break
+      case 'tally': this.#dispatcher?.tally(message.seat, { session: message.session, adopted: message.adopted, held: message.held, flights: message.flights }, message.arrivals, nowMs); break
+      case 'operate': {
+        const read = Operation.safeParse(message)
+        if (read.success) this.#operate(message.id, read.data, fromAddress, nowMs)
+        break
+      }
+      case 'operated': {
+        const pending = this.#pending.get(message.id)
+        if (pending !== undefined && (pending.respondTo === undefined || pending.operation.action === 'placement')) this.#respond(message.id, message.status, message.stamp, message.text)
+        break
+      }
+      default:
+    }
+  }
+
+  #renew(from: string, fromAddress: string, renew: Extract<Message, { kind: 'renew' }>, nowMs: number): void {
+    this.roster.heard({ name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false }, nowMs)
+    if (!this.agreement.surelyLeads(nowMs) || !this.agreement.settled) return
+    if (this.register.copy.get(`seat/${renew.seat}`) === undefined) {
+      if (nowMs - (this.#seatsAsked.get(renew.seat) ?? -Infinity) > this.#pace.electionMs) {
+        this.#seatsAsked.set(renew.seat, nowMs)
+        this.#propose({ kind: 'seat', name: renew.seat, role: renew.role, zone: renew.zone, retired: false, operation: '' }, nowMs)
+      }
+      return
+    }
+    const granted = this.#licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
+    const peers = this.#licences.seats.filter(([seat]) => this.#licences.alive(seat, nowMs)).map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
+    this.#send(fromAddress, { kind: 'licence', sentMs: renew.sentMs, forMs: granted ? this.#pace.licenceMs : 0, stamp: this.register.copy.stamp, peers })
+    this.#finishWrites(nowMs)
+  }
+
+  get #seats(): string[] {
+    return this.register.copy.under('seat/').map(([name]) => name)
+  }
+
+  // The duty.
+
+  #duty(nowMs: number): void {
+    const duty = this.register.duty(dispatcherDuty)
+    const mine = duty?.holder === this.#plan.name && duty.address === this.agreement.identity
+    if (mine && this.#dispatcher?.tenure !== duty.tenure) {
+      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, nowMs)
+      this.#dutySureMs = -Infinity
+      this.#dutyAskMs = -Infinity
+      this.#say('dispatcher', `Holds the duty in tenure ${String(duty.tenure)}.`)
+    } else if (!mine && this.#dispatcher !== undefined) {
+      this.#dispatcher = undefined
+      this.#say('dispatcher', 'Gave up the duty.')
+    }
+  }
+
+  #standForDuty(nowMs: number): void {
+    const voter = this.agreement.members.some((one) => one.identity === this.agreement.identity && one.voter)
+    const vacant = voter && this.agreement.leader !== '' && this.register.duty(dispatcherDuty) === undefined
+    const vacancy = this.register.copy.stampOf(`duty/${dispatcherDuty}`)
+    const round = this.#ballots.tick(vacant ? vacancy : undefined, nowMs)
+    if (round === undefined) return
+    for (const member of this.agreement.members) {
+      if (member.identity !== this.agreement.identity) this.#send(this.#addressOf(member.identity), { kind: 'stand', duty: dispatcherDuty, vacancy, round })
+    }
+    if (this.agreement.members.length === 1) this.#win(vacancy, nowMs)
+  }
+
+  #countBallot(vacancy: number, round: number, from: string, nowMs: number): void {
+    if (this.#ballots.count(vacancy, round, from, this.agreement.members.filter((one) => one.voter).length)) this.#win(vacancy, nowMs)
+  }
+
+  #win(vacancy: number, nowMs: number): void {
+    this.#propose({ kind: 'duty', duty: dispatcherDuty, vacancy, holder: this.#plan.name, address: this.agreement.identity }, nowMs)
+  }
+
+  #dispatch(hour: number, nowMs: number): void {
+    const dispatcher = this.#dispatcher
+    if (dispatcher === undefined) return
+    if (nowMs - this.#dutyAskMs >= this.#pace.dutyLicenceMs / 6) {
+      this.#dutyAskMs = nowMs
+      const renew: Message = { kind: 'dutyRenew', duty: dispatcherDuty, tenure: dispatcher.tenure, sentMs: nowMs }
+      if (!this.#leading) this.#send(this.#leaderAddress, renew)
+      else if (this.agreement.surelyLeads(nowMs) && this.register.duty(dispatcherDuty)?.tenure === dispatcher.tenure) {
+        this.#dutyHeardMs.set(dispatcher.tenure, nowMs)
+        this.#dutySureMs = nowMs
+      }
+    }
+    const sure = nowMs - this.#dutySureMs < this.#pace.dutyLicenceMs
+    const out = dispatcher.tick(this.register.copy, sure, hour, nowMs)
+    if (out.rows.length > 0) this.#propose({ kind: 'dispatch', tenure: dispatcher.tenure, rows: out.rows }, nowMs)
+    for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, tenure: dispatcher.tenure, askedMs: nowMs })
+    for (const order of out.orders) this.#effects.push({ kind: 'order', ...order })
+  }
+
+  #platform(servers: PlatformServer[], nowMs: number): void {
+    if (!this.#leading || !this.agreement.settled) return
+    const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
+    const held = JSON.stringify(this.register.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
+    if (listed === held || (listed === this.#platformSeen && this.agreement.commit < this.agreement.lastIndex)) return
+    this.#platformSeen = listed
+    this.#propose({ kind: 'platform', servers: listed }, nowMs)
+  }
+
+  // The operators' desk.
+
+  #operate(id: string, operation: Operation, respondTo: string | undefined, nowMs: number): void {
+    if (this.#pending.has(id)) return
+    if (operation.branch === 'passed on' && respondTo !== undefined) {
+      this.#send(respondTo, { kind: 'operated', id, status: 200, stamp: this.register.charterStamp, text: JSON.stringify(this.#placement(nowMs)) })
+      return
+    }
+    const pending: Pending = { operation, dueMs: nowMs + operation.waitMs, askedMs: -Infinity, respondTo, proposed: false }
+    this.#pending.set(id, pending)
+    this.#push(id, pending, nowMs)
+  }
+
+  /** Takes a pending operation one step on: to the log or a read here, or to the leader. */
+  #push(id: string, pending: Pending, nowMs: number): void {
+    const { operation } = pending
+    if (!this.#leading) {
+      if (pending.respondTo !== undefined) {
+        this.#pending.delete(id)
+        return
+      }
+      if (nowMs - pending.askedMs < this.#pace.heartbeatMs) return
+      pending.askedMs = nowMs
+      this.#send(this.#leaderAddress, { kind: 'operate', id, ...operation, waitMs: pending.dueMs - nowMs })
+      return
+    }
+    pending.askedMs = nowMs
+    switch (operation.action) {
+      case 'charter.put': case 'charter.patch': case 'charter.rollback': {
+        if (pending.proposed || this.register.outcome(operation.operation) !== undefined) break
+        const action = operation.action === 'charter.put' ? 'put' : operation.action === 'charter.patch' ? 'patch' : 'rollback'
+        pending.proposed = true
+        this.#propose({ kind: 'charter', operation: operation.operation, action, branch: operation.branch, text: operation.text, ifMatch: operation.ifMatch }, nowMs)
+        break
+      }
+      case 'seat.retire': {
+        if (pending.proposed || this.register.outcome(operation.operation) !== undefined) break
+        pending.proposed = true
+        this.#propose({ kind: 'seat', name: operation.text, role: '', zone: '', retired: true, operation: operation.operation }, nowMs)
+        break
+      }
+      default:
+        if (pending.proposed) break
+        pending.proposed = true
+        this.agreement.read(id, nowMs)
+    }
+  }
+
+  /** Answers the writes whose outcome is known and, where they took effect, obeyed everywhere. */
+  #finishWrites(nowMs: number): void {
+    if (!this.#leading || !this.agreement.settled) return
+    for (const [id, { operation }] of this.#pending) {
+      const outcome = this.register.outcome(operation.operation)
+      if (outcome === undefined || operation.operation === '' || operation.action === 'outcome') continue
+      if (outcome.status !== 200) this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp }))
+      else if (operation.action === 'seat.retire' || this.#delivered(outcome, nowMs)) this.#respond(id, 200, outcome.stamp, JSON.stringify({ stamp: outcome.stamp, operation: operation.operation }))
+    }
+  }
+
+  #delivered(outcome: Outcome, nowMs: number): boolean {
+    return this.#licences.delivered(outcome.stamp, this.#seats, nowMs)
+  }
+
+  #respond(id: string, status: number, stamp: number, text: string): void {
+    const pending = this.#pending.get(id)
+    if (pending === undefined) return
+    this.#pending.delete(id)
+    if (pending.respondTo === undefined) this.#effects.push({ kind: 'respond', id, status, stamp, text })
+    else this.#send(pending.respondTo, { kind: 'operated', id, status, stamp, text })
+  }
+
+  #readNow(id: string, nowMs: number): void {
+    const operation = this.#pending.get(id)?.operation
+    if (operation === undefined) return
+    const stamp = this.register.charterStamp
+    const json = (status: number, value: unknown) => { this.#respond(id, status, stamp, JSON.stringify(value)) }
+    switch (operation.action) {
+      case 'charter.get': {
+        const wanted = operation.text === '' ? this.register.texts.at(-1) : this.register.texts.find((one) => one.stamp === Number(operation.text))
+        if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
+        else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
+        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, wanted.whole)
+        else {
+          const branch = Tree.at(Tree.read(wanted.whole), operation.branch.split('.'))
+          if (branch === undefined) json(404, { errors: [`${operation.branch}: not in the charter`] })
+          else this.#respond(id, 200, wanted.stamp, `${JSON.stringify(branch, null, 2)}\n`)
+        }
+        break
+      }
+      case 'charter.history': json(200, this.register.texts.map(({ stamp: at, action, branch, operation: name }) => ({ stamp: at, action, branch, operation: name }))); break
+      case 'charter.leaves': json(200, this.#leaves()); break
+      case 'outcome': {
+        const outcome = this.register.outcome(operation.text)
+        if (outcome === undefined) json(404, { outcome: 'unknown', operation: operation.text })
+        else json(200, { outcome: outcome.status !== 200 ? 'turnedAway' : this.#delivered(outcome, nowMs) ? 'done' : 'undecided', ...outcome })
+        break
+      }
+      case 'nodes': json(200, this.#nodes(nowMs)); break
+      case 'servers': json(200, this.#servers()); break
+      case 'placement': {
+        const duty = this.register.duty(dispatcherDuty)
+        if (duty !== undefined && this.#dispatcher === undefined && operation.branch !== 'passed on') {
+          const holder = this.roster.get(duty.holder)
+          if (holder !== undefined) {
+            this.#send(holder.address, { kind: 'operate', id, ...operation, branch: 'passed on' })
+            break
+          }
+        }
+        json(200, this.#placement(nowMs))
+        break
+      }
+      default: json(400, { errors: ['not a read'] })
+    }
+  }
+
+  #placement(nowMs: number): unknown {
+    const duty = this.register.duty(dispatcherDuty)
+    return { tenure: duty?.tenure ?? 0, holder: duty?.holder ?? '', reasons: this.#dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [] }
+  }
+
+  #leaves(): { path: string; value: Tree; from: string }[] {
+    const tree = Tree.read(this.register.copy.get('charter') ?? 'null') ?? null
+    const charter = Charter.check(tree).toMaybe().extractNullable()
+    const leaves = Tree.leaves(tree).map(([path, value]) => ({ path, value, from: path }))
+    for (const partner of Object.keys(charter?.partners ?? {})) {
+      for (const [path, value] of Tree.leaves(Tree.at(tree, ['defaults']) ?? null)) {
+        const own = Tree.at(tree, ['partners', partner, 'limits', ...path.split('.')])
+        if (own === undefined) leaves.push({ path: `partners.${partner}.limits.${path}`, value, from: `defaults.${path}` })
+      }
+    }
+    return leaves
+  }
+
+  #nodes(nowMs: number): unknown {
+    const seats = new Map(this.#licences.seats)
+    return {
+      leader: this.agreement.leader,
+      term: this.agreement.term,
+      commit: this.agreement.commit,
+      core: this.agreement.members.map((one) => ({ ...one, address: this.#addressOf(one.identity), alive: one.identity === this.agreement.identity || nowMs - this.agreement.heardMs(one.identity) < this.#pace.electionMs })),
+      dispatcher: this.register.duty(dispatcherDuty) ?? null,
+      seats: this.#seats.map((seat) => ({ seat, zone: seats.get(seat)?.zone ?? '', address: seats.get(seat)?.address ?? '', adopted: seats.get(seat)?.adopted ?? 0, alive: this.#licences.alive(seat, nowMs) })),
+      stamp: this.register.copy.stamp,
+    }
+  }
+
+  #servers(): unknown {
+    const { copy } = this.register
+    return copy.under('server/').map(([name, value]) => {
+      const binding = copy.get(`binding/${name}`)
+      const order = copy.get(`order/${name}`)
+      const binds: unknown = binding === undefined ? null : JSON.parse(binding)
+      const under: unknown = order === undefined ? null : JSON.parse(order)
+      return { ...PlatformServer.parse(JSON.parse(value)), binding: binds, order: under }
+    })
+  }
+}
--- /dev/null
+++ b/src/signalbox/SignalboxTask.ts
@@ -0,0 +1,96 @@
+/**
+ * Owns the signalbox's machine, its file and its telegraph: feeds the machine what happened, carries
+ * out what it returns, in order, and ends the process when the disk fails.
+ */
+import 'reflect-metadata'
+import { inject, singleton } from 'tsyringe'
+import { Bell } from '../gauge/Bell.js'
+import { Chance } from '../gauge/Chance.js'
+import { clockMs } from '../gauge/clockMs.js'
+import { Logbook } from '../gauge/Logbook.js'
+import { Pace } from '../gauge/Pace.js'
+import type { Startup } from '../gauge/Startup.js'
+import type { Telegraph } from '../telegraph/Telegraph.js'
+import type { Waybill } from '../waybill/Waybill.js'
+import { OutsideCalls } from './OutsideCalls.js'
+import type { SignalboxEffect } from './SignalboxEffect.js'
+import type { SignalboxInput } from './SignalboxInput.js'
+import { SignalboxMachine } from './SignalboxMachine.js'
+
+interface SignalboxEvents { responded: { id: string; status: number; stamp: number; text: string } }
+
+@singleton()
+export class SignalboxTask {
+  readonly bell = new Bell<SignalboxEvents>()
+  readonly machine: SignalboxMachine
+  readonly pace: Pace
+  readonly #startup: Startup['signalbox']
+  readonly #logbook: Logbook
+  readonly #telegraph: Telegraph
+  readonly #waybill: Waybill
+  readonly #calls: OutsideCalls
+  readonly #ticker: NodeJS.Timeout
+
+  constructor(@inject('startup') startup: Startup['signalbox'], @inject('logbook') logbook: Logbook, @inject('telegraph') telegraph: Telegraph, @inject('waybill') waybill: Waybill, @inject(OutsideCalls) calls: OutsideCalls) {
+    this.#startup = startup
+    this.#logbook = logbook
+    this.#telegraph = telegraph
+    this.#waybill = waybill
+    this.#calls = calls
+    this.pace = Pace(startup.bounds)
+    this.machine = new SignalboxMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, seats: startup.seats, rewriteBytes: startup.rewriteBytes }, this.pace, new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0), waybill.records, clockMs())
+    this.#carryOut(this.machine.begin())
+    telegraph.hear((from, fromAddress, message) => { this.step({ kind: 'message', from, fromAddress, message }) })
+    this.#ticker = setInterval(() => { this.step({ kind: 'tick', hour: new Date().getUTCHours() + new Date().getUTCMinutes() / 60 }) }, this.pace.tickMs)
+  }
+
+  step(input: SignalboxInput): void {
+    this.#carryOut(this.machine.step(input, clockMs()))
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#ticker)
+    await this.#telegraph.close()
+    await this.#waybill.close()
+  }
+
+  #carryOut(effects: SignalboxEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.kind) {
+        case 'send': this.#telegraph.send(effect.toAddress, effect.message); break
+        case 'write': this.#write(effect); break
+        case 'respond': this.bell.ring('responded', effect); break
+        case 'askPlatform': {
+          if (this.#startup.platform === undefined) break
+          void this.#calls.platform(this.#startup.platform, this.pace.platformMs).then((servers) => { if (servers !== undefined) this.step({ kind: 'platform', servers }) })
+          break
+        }
+        case 'ask': {
+          const { server, address, tenure, askedMs } = effect
+          void this.#calls.holds(address, tenure, this.pace.reportStaleMs / 2).then((report) => { this.step({ kind: 'reported', server, report, askedMs }) })
+          break
+        }
+        case 'order': {
+          const { server, address, order } = effect
+          void this.#calls.order(address, order, this.pace.reportStaleMs).then((reply) => { this.step({ kind: 'replied', server, tenure: order.tenure, number: order.number, reply }) })
+          break
+        }
+        case 'say': this.#logbook.say(effect.part, effect.sentence); break
+      }
+    }
+  }
+
+  #write(effect: Extract<SignalboxEffect, { kind: 'write' }>): void {
+    const synced = effect.rewrite ? this.#waybill.rewrite(effect.records) : this.#waybill.append(effect.records)
+    synced.then(
+      () => {
+        for (const send of effect.then) this.#telegraph.send(send.toAddress, send.message)
+        this.step({ kind: 'written' })
+      },
+      (error: unknown) => {
+        this.#logbook.fatal('waybill', `The disk failed: ${error instanceof Error ? error.message : String(error)}.`)
+        process.exit(1)
+      },
+    )
+  }
+}
--- /dev/null
+++ b/src/telegraph/Message.ts
@@ -0,0 +1,53 @@
+/**
+ * Everything that one of the system's own processes says to another. New fields go to the end of a
+ * message and are optional; new messages go to the end of the list.
+ */
+import { z } from 'zod'
+import { Bytes } from './Bytes.js'
+import { Role } from '../gauge/Role.js'
+
+const kind = <K extends string, S extends z.ZodRawShape>(name: K, shape: S) => z.object({ kind: z.literal(name), ...shape })
+const Peer = z.object({ name: z.string(), address: z.string(), role: Role, zone: z.string() })
+const Entry = z.object({ index: z.number(), term: z.number(), type: z.enum(['noop', 'members', 'command']), bytes: Bytes })
+const Row = z.object({ key: z.string(), stamp: z.number(), gone: z.boolean(), value: z.string() })
+
+const options = [
+  // Finding one another.
+  kind('hail', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer) }),
+  kind('hailed', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), empty: z.boolean(), leader: z.string(), known: z.array(Peer) }),
+  // Agreement among the core.
+  kind('ballotAsk', { to: z.string(), from: z.string(), term: z.number(), lastIndex: z.number(), lastTerm: z.number(), pre: z.boolean() }),
+  kind('ballotGive', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
+  kind('append', { to: z.string(), from: z.string(), term: z.number(), prevIndex: z.number(), prevTerm: z.number(), commit: z.number(), round: z.number(), entries: z.array(Entry) }),
+  kind('appended', { to: z.string(), from: z.string(), term: z.number(), ok: z.boolean(), match: z.number(), round: z.number() }),
+  kind('view', { to: z.string(), from: z.string(), term: z.number(), index: z.number(), lastTerm: z.number(), round: z.number(), members: z.string(), state: Bytes }),
+  kind('propose', { id: z.string(), command: Bytes }),
+  // Licences.
+  kind('renew', { seat: z.string(), role: Role, zone: z.string(), session: z.string(), sentMs: z.number(), adopted: z.number() }),
+  kind('licence', { sentMs: z.number(), forMs: z.number(), stamp: z.number(), peers: z.array(Peer) }),
+  // Duties.
+  kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
+  kind('ballot', { duty: z.string(), vacancy: z.number(), round: z.number(), given: z.boolean() }),
+  kind('dutyRenew', { duty: z.string(), tenure: z.number(), sentMs: z.number() }),
+  kind('dutyLicence', { duty: z.string(), tenure: z.number(), sentMs: z.number() }),
+  // News and repair.
+  kind('follow', { seat: z.string(), stamp: z.number(), sentMs: z.number(), digests: z.array(z.number()) }),
+  kind('news', { stamp: z.number(), since: z.number(), rows: z.array(Row) }),
+  kind('mend', { stamp: z.number(), range: z.number(), rows: z.array(Row) }),
+  kind('permit', { sentMs: z.number(), forMs: z.number() }),
+  kind('peerAsk', { sentMs: z.number(), stamp: z.number() }),
+  kind('peerTell', { sentMs: z.number(), stamp: z.number() }),
+  // What the data plane sees.
+  kind('tally', {
+    seat: z.string(), session: z.string(), adopted: z.number(), atMs: z.number(),
+    arrivals: z.array(z.object({ model: z.string(), adapter: z.string(), count: z.number(), agoMs: z.number() })),
+    held: z.array(z.object({ model: z.string(), adapter: z.string(), count: z.number(), dueInMs: z.number() })),
+    flights: z.array(z.object({ server: z.string(), model: z.string(), adapter: z.string(), count: z.number() })),
+  }),
+  // Operators.
+  kind('operate', { id: z.string(), action: z.string(), branch: z.string(), text: z.string(), ifMatch: z.number(), operation: z.string(), waitMs: z.number() }),
+  kind('operated', { id: z.string(), status: z.number(), stamp: z.number(), text: z.string() }),
+] as const
+
+export const Message = { schema: z.discriminatedUnion('kind', options), options }
+export type Message = z.infer<(typeof options)[number]>
--- /dev/null
+++ b/src/telegraph/Telegraph.ts
@@ -0,0 +1,13 @@
+/**
+ * What every transport offers: messages go to an address and may be lost, late or doubled, never
+ * changed. A process hears them through `hear`, with the sender's name and the address to write
+ * back to.
+ */
+import type { Message } from './Message.js'
+
+export interface Telegraph {
+  readonly address: string
+  send(toAddress: string, message: Message): void
+  hear(listener: (from: string, fromAddress: string, message: Message) => void): void
+  close(): Promise<void>
+}
--- /dev/null
+++ b/src/testtrack/Callers.ts
@@ -0,0 +1,93 @@
+/**
+ * Stand-in callers: they ask at the rates of a deployment's courses, each request with an id of its
+ * own, and write down what they got. Bounded in time and in requests under way.
+ */
+import { Agent, request as call } from 'undici'
+import { Chance } from '../gauge/Chance.js'
+import { clockMs } from '../gauge/clockMs.js'
+import { digest } from '../gauge/digest.js'
+import { Verdict } from '../gauge/Verdict.js'
+import { CallerFormat } from '../sidings/CallerFormat.js'
+import type { Deployment } from './Deployment.js'
+import type { Sighting } from './Sighting.js'
+
+const mostUnderWay = 2000
+
+export class Callers {
+  readonly #deployment: Deployment
+  readonly #addresses: () => string[]
+  readonly #see: (sighting: Sighting) => void
+  readonly #chance: Chance
+  readonly #agent = new Agent({ connections: 64, headersTimeout: 60_000, bodyTimeout: 60_000 })
+  readonly #timers: NodeJS.Timeout[] = []
+  readonly waits = new Map<string, number[]>()
+  #underWay = 0
+  #count = 0
+  #stopped = false
+
+  constructor(deployment: Deployment, seed: number, addresses: () => string[], see: (sighting: Sighting) => void) {
+    this.#deployment = deployment
+    this.#addresses = addresses
+    this.#see = see
+    this.#chance = new Chance(seed)
+  }
+
+  get underWay(): number {
+    return this.#underWay
+  }
+
+  begin(): void {
+    for (const course of this.#deployment.courses) this.#next(course)
+  }
+
+  stop(): void {
+    this.#stopped = true
+    for (const timer of this.#timers) clearTimeout(timer)
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  #next(course: Deployment['courses'][number]): void {
+    if (this.#stopped) return
+    const timer = setTimeout(() => {
+      this.#timers.splice(this.#timers.indexOf(timer), 1)
+      if (this.#underWay < mostUnderWay) void this.ask(course)
+      this.#next(course)
+    }, this.#chance.exponential(1000 / course.perS))
+    this.#timers.push(timer)
+  }
+
+  async ask(course: Deployment['courses'][number], dueMs = 8000): Promise<void> {
+    const address = this.#chance.pick(this.#addresses())
+    if (address === undefined) return
+    this.#count += 1
+    this.#underWay += 1
+    const name = `${course.service}-${String(this.#count)}`
+    const service = Object.values(this.#deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
+    const adapter = course.adapters.length > 0 && this.#chance.hit(0.5) ? this.#chance.pick(course.adapters) : undefined
+    const askedMs = clockMs()
+    this.#see({ kind: 'asked', atMs: askedMs, request: name, service: course.service, repeatable: service?.repeatable ?? false, dueMs: askedMs + dueMs, proper: true })
+    const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
+    const body = course.kind === 'service' ? '' : JSON.stringify({ adapter: adapter ?? '', parts })
+    const path = course.kind === 'service' ? `/v1/services/${course.service}/check` : `/v1/models/${course.service}`
+    let headed = false
+    try {
+      const reply = await call(`http://${address}${path}`, { dispatcher: this.#agent, method: 'POST', body, headers: { 'request-id': name, 'service-name': course.service, 'due-ms': String(dueMs), lines: String(course.lines), 'content-type': 'application/json' } })
+      headed = true
+      const text = await reply.body.text()
+      const verdict = reply.headers[CallerFormat.verdictHeader]
+      if (reply.statusCode < 300) {
+        this.#see({ kind: 'whole', atMs: clockMs(), request: name, status: reply.statusCode, sum: digest(text) })
+        const waits = this.waits.get(course.service) ?? []
+        this.waits.set(course.service, waits)
+        waits.push(clockMs() - askedMs)
+      } else this.#see({ kind: 'turnedAway', atMs: clockMs(), request: name, status: reply.statusCode, verdict: Object.values(Verdict).find((one) => one === verdict), retryAfter: reply.headers['retry-after'] !== undefined })
+    } catch {
+      this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name })
+    } finally {
+      this.#underWay -= 1
+    }
+  }
+}
--- /dev/null
+++ b/src/testtrack/Deployment.ts
@@ -0,0 +1,85 @@
+/**
+ * The two deployments at the sizes of today: zones, machines, servers, models with adapters, and the
+ * mix of traffic. Sizes and rates that nobody stated are our own guesses, drawn from a fixed seed.
+ */
+import { strictEqual } from 'node:assert'
+import { Chance } from '../gauge/Chance.js'
+import { Charter } from '../gauge/Charter.js'
+import { proof } from '../gauge/proof.js'
+
+interface Course { service: string; kind: 'model' | 'service'; perS: number; adapters: string[]; lines: number; prefix: number }
+interface Shape { partner: string; other: string; boxes: number; turnouts: number; modelServers: number; serviceServers: number; models: number; adapters: number; service: string; servicePerS: number; busy: [string, number, number]; middle: [string, number, number]; rare: [string, number, number] }
+
+export interface Deployment {
+  name: string
+  zones: string[]
+  boxes: { name: string; zone: string }[]
+  turnouts: { name: string; zone: string }[]
+  servers: { name: string; zone: string; kind: 'model' | 'service'; roomMb: number; places: number }[]
+  charter: Charter
+  courses: Course[]
+  loadMbPerS: number
+  serviceRunMs: number
+  modelRunMs: number
+}
+
+const shapes: Record<string, Shape> = {
+  gopherline: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 9, modelServers: 8, serviceServers: 3, models: 36, adapters: 40, service: 'lobby', servicePerS: 30, busy: ['pairing', 6, 20], middle: ['seeding', 10, 1], rare: ['replay', 20, 0.2] },
+  cascade: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 8, modelServers: 13, serviceServers: 3, models: 30, adapters: 55, service: 'booking', servicePerS: 45, busy: ['conflict', 8, 15], middle: ['roster', 10, 2], rare: ['calendar', 12, 0.2] },
+}
+
+export const Deployment = {
+  names: Object.keys(shapes),
+
+  of(name: string): Deployment | undefined {
+    const shape = shapes[name]
+    if (shape === undefined) return undefined
+    const chance = new Chance(7)
+    const zones = ['a', 'b', 'c']
+    const zone = (at: number) => zones[at % 3] ?? 'a'
+    const list = (count: number, prefix: string) => Array.from({ length: count }, (_, at) => ({ name: `${prefix}-${String(at + 1)}`, zone: zone(at) }))
+    const servers = [
+      ...list(shape.modelServers, 'ms').map((one) => ({ ...one, kind: 'model' as const, roomMb: 24_000, places: 8 })),
+      ...list(shape.serviceServers, shape.service).map((one) => ({ ...one, kind: 'service' as const, roomMb: 0, places: 0 })),
+    ]
+    const models: Record<string, { sizeMb: number; adapters: string[]; adapterMb: number; limits?: { intent: { weight: number } } }> = {}
+    const courses: Course[] = [{ service: shape.service, kind: 'service', perS: shape.servicePerS, adapters: [], lines: 1, prefix: 0 }]
+    let adaptersLeft = shape.adapters
+    const kinds: [[string, number, number], number, number, number][] = [[shape.busy, 1, 3, 3], [shape.middle, 2, 4, 2], [shape.rare, 8, 20, 1]]
+    for (const [[prefix, count, perS], lines, share, weight] of kinds) {
+      for (let at = 0; at < count; at++) {
+        const model = `${prefix}-${String(at + 1)}`
+        const own = Math.min(adaptersLeft, share === 20 ? adaptersLeft : Math.floor(chance.between(1, share)))
+        const adapters = Array.from({ length: Math.min(own, 5) }, (_, n) => `${model}-a${String(n + 1)}`)
+        adaptersLeft -= adapters.length
+        models[model] = { sizeMb: Math.round(chance.between(2000, 9000)), adapters, adapterMb: 100, limits: { intent: { weight } } }
+        const zipf = 1 / (at + 1) / Array.from({ length: count }, (_, n) => 1 / (n + 1)).reduce((sum, one) => sum + one, 0)
+        courses.push({ service: model, kind: 'model', perS: perS * zipf, adapters, lines: lines * 4, prefix: lines })
+      }
+    }
+    const charter = Charter.check({
+      defaults: { dueMs: 8000, bodyLimitBytes: 2_000_000, retryRatio: 0.15, retryAllowance: 9, coldLimit: 4, warmMs: 2000, serverLimit: 180, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+      partners: {
+        [shape.partner]: { limits: { dueMs: 10_000 }, services: { [shape.service]: { servers: servers.filter((one) => one.kind === 'service').map((one) => one.name), repeatable: shape.service === 'lobby' } }, models },
+        [shape.other]: {},
+      },
+      fleet: { servers: Object.fromEntries(servers.map((one) => [one.name, { kind: one.kind, roomMb: one.roomMb, places: one.places }])), storePaceMbPerS: 20_000, storeBurstMb: 40_000 },
+    })
+    return {
+      name, zones, boxes: list(shape.boxes, 'box'), turnouts: list(shape.turnouts, 'post'), servers, courses, loadMbPerS: 20_000, serviceRunMs: 5, modelRunMs: 40,
+      charter: charter.caseOf<Charter>({ Left: (errors) => { throw new Error(errors.join('\n')) }, Right: (tree) => tree }),
+    }
+  },
+}
+
+proof(import.meta.url, {
+  'both deployments have the sizes of today': () => {
+    for (const [name, models, adapters, servers] of [['gopherline', 36, 40, 11], ['cascade', 30, 55, 16]] as const) {
+      const deployment = Deployment.of(name)
+      const branch = deployment?.charter.partners[name]
+      strictEqual(Object.keys(branch?.models ?? {}).length, models)
+      strictEqual(Object.values(branch?.models ?? {}).reduce((sum, model) => sum + model.adapters.length, 0), adapters)
+      strictEqual(deployment?.servers.length, servers)
+    }
+  },
+})
--- /dev/null
+++ b/src/testtrack/Fleet.ts
@@ -0,0 +1,134 @@
+/**
+ * A whole deployment as real processes on loopback: three signalboxes, a turnout and a lineman for
+ * each proxy machine, with stand-ins for the servers and the platform. It starts only its own
+ * children and ends them by their process ids.
+ */
+import { execFile } from 'node:child_process'
+import { createServer, type Server } from 'node:http'
+import { once } from 'node:events'
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
+import { request as call } from 'undici'
+import { z } from 'zod'
+import { clockMs } from '../gauge/clockMs.js'
+import { Daemon } from './Daemon.js'
+import type { Deployment } from './Deployment.js'
+import { freePorts } from './freePorts.js'
+import type { Sighting } from './Sighting.js'
+import { StandInHttp } from './StandInHttp.js'
+
+const Nodes = z.object({ leader: z.string(), core: z.array(z.object({ identity: z.string(), seat: z.string(), voter: z.boolean() })), dispatcher: z.object({ holder: z.string(), tenure: z.number() }).nullable(), seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })) })
+
+export class Fleet {
+  readonly deployment: Deployment
+  readonly folder: string
+  readonly sightings: Sighting[] = []
+  readonly servers: StandInHttp[]
+  readonly boxes: Daemon[] = []
+  readonly linemen: Daemon[] = []
+  readonly turnouts: Daemon[] = []
+  readonly callerAddresses = new Map<string, string>()
+  readonly operatorAddresses = new Map<string, string>()
+  readonly draining = new Set<string>()
+  readonly unlisted = new Set<string>()
+  #platform: Server | undefined
+
+  constructor(deployment: Deployment, folder: string) {
+    this.deployment = deployment
+    this.folder = folder
+    const { warmMs, coldLimit } = deployment.charter.defaults
+    this.servers = deployment.servers.map((one) => new StandInHttp({ ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, warmMs, coldLimit }, one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs, this.see))
+  }
+
+  readonly see = (sighting: Sighting): void => {
+    this.sightings.push(sighting)
+  }
+
+  async start(): Promise<void> {
+    const { boxes, turnouts } = this.deployment
+    await mkdir(this.folder, { recursive: true })
+    for (const server of this.servers) await server.open()
+    const ports = (await freePorts(1 + 2 * boxes.length + 3 * turnouts.length)).map((port) => `127.0.0.1:${String(port)}`)
+    const port = () => ports.pop() ?? ''
+    const platform = port()
+    await this.#openPlatform(platform)
+    const boxAddresses = boxes.map(() => port())
+    boxes.forEach((box, at) => {
+      const operators = port()
+      this.operatorAddresses.set(box.name, operators)
+      this.boxes.push(new Daemon('signalbox', this.folder, { ...box, telegraph: boxAddresses[at], operators, seeds: boxAddresses, seats: boxes.map((one) => one.name), data: join(this.folder, box.name), platform }))
+    })
+    for (const post of turnouts) {
+      const [lineman, turnout, callers] = [port(), port(), port()]
+      this.callerAddresses.set(`${post.name}-turnout`, callers)
+      this.linemen.push(new Daemon('lineman', this.folder, { ...post, telegraph: lineman, turnout, seeds: boxAddresses }))
+      this.turnouts.push(new Daemon('turnout', this.folder, { name: `${post.name}-turnout`, seat: post.name, zone: post.zone, telegraph: turnout, lineman, callers }))
+    }
+    for (const daemon of [...this.boxes, ...this.linemen, ...this.turnouts]) await daemon.start()
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.turnouts, ...this.linemen, ...this.boxes].map((daemon) => daemon.stop('SIGKILL')))
+    for (const server of this.servers) await server.crash()
+    this.#platform?.close()
+    this.#platform?.closeAllConnections()
+  }
+
+  async #openPlatform(address: string): Promise<void> {
+    const server = createServer((_request, response) => {
+      const servers = this.servers.filter((one) => !this.unlisted.has(one.name)).map((one) => ({ name: one.name, address: one.address, zone: one.state.plan.zone, draining: this.draining.has(one.name) }))
+      response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ servers }))
+    })
+    server.listen(Number(address.split(':')[1]), '127.0.0.1')
+    await once(server, 'listening')
+    this.#platform = server
+  }
+
+  drain(server: string, draining: boolean): void {
+    if (draining) this.draining.add(server)
+    else this.draining.delete(server)
+    this.see({ kind: 'platform', atMs: clockMs(), server, draining, listed: true })
+  }
+
+  async until(what: string, ready: () => Promise<boolean> | boolean, waitMs = 60_000): Promise<void> {
+    const untilMs = clockMs() + waitMs
+    while (!(await ready())) {
+      if (clockMs() > untilMs) throw new Error(`waited ${String(waitMs)} ms in vain: ${what}`)
+      await pause(50)
+    }
+  }
+
+  async nodes(): Promise<z.infer<typeof Nodes> | undefined> {
+    for (const address of this.operatorAddresses.values()) {
+      try {
+        const reply = await call(`http://${address}/nodes`, { headers: { 'due-ms': '2000' }, signal: AbortSignal.timeout(3000) })
+        const read = Nodes.safeParse(JSON.parse(await reply.body.text()))
+        if (read.success) return read.data
+      } catch {
+        continue
+      }
+    }
+    return undefined
+  }
+
+  leader(nodes: z.infer<typeof Nodes>): string {
+    return nodes.core.find((one) => one.identity === nodes.leader)?.seat ?? ''
+  }
+
+  /** Runs the operators' command line as a process of its own. */
+  async operate(args: string[], input?: string): Promise<{ code: number; out: string; error: string }> {
+    if (input !== undefined) await writeFile(join(this.folder, 'input.json'), input)
+    const program = fileURLToPath(new URL('../springpaddle/main.js', import.meta.url))
+    return new Promise((resolve) => {
+      execFile(process.execPath, [program, ...args], { env: { ...process.env, SPRINGPADDLE_CORE: [...this.operatorAddresses.values()].join(',') }, maxBuffer: 64_000_000 }, (error, out, err) => {
+        resolve({ code: error === null ? 0 : typeof error.code === 'number' ? error.code : 1, out, error: err })
+      })
+    })
+  }
+
+  get inputFile(): string {
+    return join(this.folder, 'input.json')
+  }
+}
--- /dev/null
+++ b/src/testtrack/Sighting.ts
@@ -0,0 +1,26 @@
+/**
+ * What callers, servers, the weight store, the platform and operators saw, each with its time. The
+ * judge reads nothing else: never the system's own state.
+ */
+import type { Verdict } from '../gauge/Verdict.js'
+
+export type Sighting =
+  | { kind: 'asked'; atMs: number; request: string; service: string; repeatable: boolean; dueMs: number; proper: boolean }
+  | { kind: 'whole'; atMs: number; request: string; status: number; sum: number }
+  | { kind: 'brokenOff'; atMs: number; request: string }
+  | { kind: 'turnedAway'; atMs: number; request: string; status: number; verdict: Verdict | undefined; retryAfter: boolean }
+  | { kind: 'left'; atMs: number; request: string }
+  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; addressOf: string }
+  | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
+  | { kind: 'ordered'; atMs: number; server: string; incarnation: string; tenure: number; number: number; order: string; taken: boolean }
+  | { kind: 'broke'; atMs: number; server: string; rule: 'room' | 'places' | 'flights' | 'twoOrders'; what: string }
+  | { kind: 'drew'; atMs: number; mb: number }
+  | { kind: 'platform'; atMs: number; server: string; draining: boolean; listed: boolean }
+  | { kind: 'wrote'; atMs: number; operation: string; text: string; branch: string; action: string }
+  | { kind: 'acknowledged'; atMs: number; operation: string; stamp: number }
+  | { kind: 'undecided'; atMs: number; operation: string }
+  | { kind: 'notTaken'; atMs: number; operation: string; status: number }
+  | { kind: 'readBack'; atMs: number; stamp: number; text: string }
+  | { kind: 'emptied'; atMs: number; zone: string; emptied: boolean }
+  | { kind: 'serverUp'; atMs: number; server: string; zone: string }
+  | { kind: 'faultClosed'; atMs: number; fault: string }
--- /dev/null
+++ b/src/testtrack/StandInHttp.ts
@@ -0,0 +1,119 @@
+/**
+ * A stand-in server over real sockets: identity, reports, orders, and runs whose response is made of
+ * numbered lines that tell the server, its incarnation and the run, so that a gap, a repeat or a
+ * splice shows. It can be crashed, made dark, and started again as a new incarnation.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import { setTimeout as pause } from 'node:timers/promises'
+import { clockMs } from '../gauge/clockMs.js'
+import { digest } from '../gauge/digest.js'
+import { Order } from '../gauge/Order.js'
+import { readBody } from '../gauge/readBody.js'
+import { Verdict } from '../gauge/Verdict.js'
+import { CallerFormat } from '../sidings/CallerFormat.js'
+import { ModelServerFormat } from '../sidings/ModelServerFormat.js'
+import { ServerFormat } from '../sidings/ServerFormat.js'
+import type { Sighting } from './Sighting.js'
+import { StandInServer } from './StandInServer.js'
+
+export class StandInHttp {
+  readonly name: string
+  state: StandInServer
+  address = ''
+  dark = false
+  readonly #plan: StandInServer['plan']
+  readonly #see: (sighting: Sighting) => void
+  readonly #runMs: number
+  #server: Server | undefined
+  #count = 0
+  #lives = 0
+
+  constructor(plan: StandInServer['plan'], runMs: number, see: (sighting: Sighting) => void) {
+    this.name = plan.name
+    this.#plan = plan
+    this.#runMs = runMs
+    this.#see = see
+    this.state = this.#fresh()
+  }
+
+  #fresh(): StandInServer {
+    this.#lives += 1
+    return new StandInServer(this.#plan, `${this.name}.${String(this.#lives)}`, clockMs(), this.#see)
+  }
+
+  async open(port = 0): Promise<void> {
+    this.state = this.#fresh()
+    const server = createServer((request, response) => { void this.#serve(request, response) })
+    server.listen(port, '127.0.0.1')
+    await once(server, 'listening')
+    const bound = server.address()
+    this.address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+    this.#server = server
+    this.#see({ kind: 'serverUp', atMs: clockMs(), server: this.name, zone: this.#plan.zone })
+  }
+
+  async crash(): Promise<void> {
+    const server = this.#server
+    this.#server = undefined
+    if (server === undefined) return
+    server.close()
+    server.closeAllConnections()
+    await once(server, 'close')
+  }
+
+  async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { state } = this
+    const url = request.url ?? '/'
+    if (this.dark) return
+    if (url === ServerFormat.identityPath) {
+      this.#json(response, 200, { server: this.name, incarnation: state.incarnation, upMs: state.upMs(clockMs()) })
+      return
+    }
+    if (url.startsWith('/springpaddle/holds')) {
+      this.#json(response, 200, state.report(Number(new URL(url, 'http://x').searchParams.get('tenure')), clockMs()))
+      return
+    }
+    const body = await readBody(request, 100_000_000)
+    if (body === undefined) return
+    if (url === ModelServerFormat.ordersPath) {
+      const order = Order.safeParse(JSON.parse(body.toString()))
+      this.#json(response, order.success ? state.take(order.data, clockMs()) : 400, {})
+      return
+    }
+    await this.#run(state, request, url, body, response)
+  }
+
+  async #run(state: StandInServer, request: IncomingMessage, url: string, body: Buffer, response: ServerResponse): Promise<void> {
+    const model = url.startsWith('/run/') ? url.slice(5) : ''
+    const target = model === '' ? undefined : CallerFormat.model(model, body).toMaybe().extractNullable()
+    const adapter = target?.kind === 'model' ? target.adapter : ''
+    if (!state.admits(model, adapter, clockMs())) {
+      response.setHeader(CallerFormat.verdictHeader, Verdict.notRun)
+      this.#json(response, 503, { why: 'not loaded here' })
+      return
+    }
+    this.#count += 1
+    const run = `${state.incarnation}#${String(this.#count)}`
+    const lines = Number(request.headers['lines'] ?? 1)
+    const text = Array.from({ length: lines }, (_, at) => `${run} line ${String(at + 1)} of ${String(lines)}\n`)
+    const name = String(request.headers['request-id'])
+    this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation, addressOf: this.name })
+    state.begin(model, adapter, clockMs())
+    let here = true
+    const gone = once(response, 'close').then(() => { here = false })
+    for (const line of text) {
+      await pause(this.#runMs / lines)
+      if (!here) break
+      if (!response.write(line)) await Promise.race([once(response, 'drain'), gone])
+    }
+    state.end(model, adapter)
+    response.end()
+  }
+
+  #json(response: ServerResponse, status: number, value: unknown): void {
+    const body = JSON.stringify(value)
+    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
+    response.end(body)
+  }
+}
--- /dev/null
+++ b/src/testtrack/judge.ts
@@ -0,0 +1,128 @@
+/**
+ * Judges a run by what was seen from outside. Each rule of "what must never happen" has a checker
+ * here that gives the sightings that broke it.
+ */
+import { deepStrictEqual } from 'node:assert'
+import type { Bounds } from '../gauge/Bounds.js'
+import { proof } from '../gauge/proof.js'
+import { Verdict } from '../gauge/Verdict.js'
+import type { Sighting } from './Sighting.js'
+
+interface Case { sightings: readonly Sighting[]; bounds: Bounds; zones: ReadonlyMap<string, string>; allowed: (service: string, server: string, atMs: number) => boolean; paceMbPerS: number; burstMb: number; retryRatio: number; retryAllowance: number; slackMs: number }
+type Kind<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
+
+export function judge(given: Case): Record<string, string[]> {
+  const { sightings, bounds, slackMs } = given
+  const of = <K extends Sighting['kind']>(kind: K): Kind<K>[] => sightings.filter((one): one is Kind<K> => one.kind === kind)
+  const asked = new Map(of('asked').map((one) => [one.request, one]))
+  const runs = new Map<string, Kind<'ran'>[]>()
+  for (const ran of of('ran')) runs.set(ran.request, [...(runs.get(ran.request) ?? []), ran])
+  const rules: Record<string, string[]> = { ranTwice: [], notRunRan: [], whole: [], turnedAway: [], stray: [], charter: [], drain: [], emptied: [], retries: [], cold: [], room: [], flights: [], store: [], controllers: [], recovery: [] }
+  const tell = (rule: string, what: string) => { rules[rule]?.push(what) }
+
+  for (const [request, list] of runs) {
+    const ask = asked.get(request)
+    if (ask === undefined) tell('stray', `${request} was never asked`)
+    else if (!ask.repeatable && list.length > 1) tell('ranTwice', `${request} ran ${String(list.length)} times`)
+    for (const ran of list) if (!given.allowed(ran.service, ran.server, ran.atMs)) tell('stray', `${request} for ${ran.service} ran at ${ran.server}`)
+  }
+  for (const away of of('turnedAway')) {
+    const ask = asked.get(away.request)
+    const ran = runs.get(away.request)
+    if ((away.verdict === Verdict.notRun || (away.status >= 400 && away.status < 500)) && ran !== undefined) tell('notRunRan', `${away.request} was told ${String(away.status)} NotRun and ran`)
+    if (away.verdict === undefined) tell('turnedAway', `${away.request} got ${String(away.status)} without a verdict`)
+    if (ask?.proper !== true) continue
+    if (away.status < 500) tell('turnedAway', `${away.request} is proper and got ${String(away.status)}`)
+    if (!away.retryAfter) tell('turnedAway', `${away.request} was not told when to come back`)
+    if (away.verdict === Verdict.notRun && away.atMs < ask.dueMs - slackMs) tell('turnedAway', `${away.request} was given up ${String(Math.round(ask.dueMs - away.atMs))} ms before its due`)
+    if (away.atMs > ask.dueMs + slackMs) tell('turnedAway', `${away.request} was told ${String(Math.round(away.atMs - ask.dueMs))} ms after its due`)
+  }
+  for (const whole of of('whole')) {
+    if (whole.status < 300 && !(runs.get(whole.request) ?? []).some((ran) => ran.sum === whole.sum)) tell('whole', `${whole.request} got what no server said`)
+  }
+  const operations = new Map(of('wrote').map((one) => [one.operation, one]))
+  const back = new Map(of('readBack').map((one) => [one.stamp, one.text]))
+  for (const ack of of('acknowledged')) {
+    const wrote = operations.get(ack.operation)
+    if (wrote !== undefined && back.size > 0 && back.get(ack.stamp) !== wrote.text) tell('charter', `${ack.operation} at stamp ${String(ack.stamp)} does not read back`)
+  }
+  const spans = (events: { atMs: number; on: boolean }[], graceMs: number) => events.flatMap((event, at) => (event.on ? [{ fromMs: event.atMs + graceMs, toMs: events[at + 1]?.atMs ?? Infinity }] : []))
+  for (const server of given.zones.keys()) {
+    const drains = spans(of('platform').filter((one) => one.server === server).map((one) => ({ atMs: one.atMs, on: one.draining || !one.listed })), bounds.drainMs)
+    const empties = spans(of('emptied').filter((one) => one.zone === given.zones.get(server)).map((one) => ({ atMs: one.atMs, on: one.emptied })), bounds.emptyMs)
+    for (const ran of of('ran')) {
+      if (ran.server !== server) continue
+      if (drains.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('drain', `${ran.request} ran at ${server} while it drains`)
+      if (empties.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('emptied', `${ran.request} ran at ${server} in an emptied zone`)
+    }
+  }
+  const loads = new Map<string, { first: number; again: number }>()
+  for (const [request, list] of runs) {
+    const service = asked.get(request)?.service ?? ''
+    const load = loads.get(service) ?? { first: 0, again: 0 }
+    loads.set(service, { first: load.first + 1, again: load.again + list.length - 1 })
+  }
+  for (const [service, load] of loads) if (load.again > given.retryRatio * load.first + given.retryAllowance) tell('retries', `${service} got ${String(load.again)} further tries on ${String(load.first)}`)
+  for (const cold of of('coldRun')) if (cold.flights > cold.limit) tell('cold', `${cold.server} had ${String(cold.flights)} requests of ${String(cold.limit)} while cold`)
+  for (const broke of of('broke')) tell(broke.rule === 'flights' ? 'flights' : broke.rule === 'twoOrders' ? 'controllers' : 'room', `${broke.server}: ${broke.what}`)
+  const drew = of('drew')
+  drew.forEach((from, at) => {
+    let mb = 0
+    for (const to of drew.slice(at)) {
+      mb += to.mb
+      if (mb > given.burstMb + (given.paceMbPerS * (to.atMs - from.atMs + slackMs)) / 1000 + 1e-6) {
+        tell('store', `${String(mb)} MB in ${String(Math.round(to.atMs - from.atMs))} ms`)
+        break
+      }
+    }
+  })
+  const tenures = new Map<string, number>()
+  for (const order of of('ordered')) {
+    if (!order.taken) continue
+    if (order.tenure < (tenures.get(order.server) ?? 0)) tell('controllers', `${order.server} took an order of tenure ${String(order.tenure)} after a newer one`)
+    tenures.set(order.server, order.tenure)
+  }
+  const closed = of('faultClosed')
+  closed.forEach((fault, at) => {
+    const fromMs = fault.atMs + bounds.recoverMs
+    const toMs = closed[at + 1]?.atMs ?? Infinity
+    for (const away of [...of('turnedAway'), ...of('brokenOff')]) {
+      const ask = asked.get(away.request)
+      if (ask?.proper === true && ask.atMs > fromMs && away.atMs < toMs) tell('recovery', `${away.request} failed after ${fault.fault} had been over for ${String(bounds.recoverMs)} ms`)
+    }
+  })
+  return rules
+}
+
+const verdict = (sightings: Sighting[]) => {
+  const rules = judge({ sightings, bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }, zones: new Map([['s', 'a']]), allowed: (_service, server) => server === 's', paceMbPerS: 10, burstMb: 20, retryRatio: 0.2, retryAllowance: 0, slackMs: 100 })
+  return Object.entries(rules).filter(([, list]) => list.length > 0).map(([rule]) => rule)
+}
+const ask = (request: string, more: object = {}): Sighting => ({ kind: 'asked', atMs: 0, request, service: 'x', repeatable: false, dueMs: 1000, proper: true, ...more })
+const ran = (request: string, more: object = {}): Sighting => ({ kind: 'ran', atMs: 10, request, server: 's', service: 'x', sum: 1, incarnation: 'i', addressOf: 's', ...more })
+proof(import.meta.url, {
+  'each checker bites, and a clean run passes': () => {
+    const whole: Sighting = { kind: 'whole', atMs: 20, request: 'r', status: 200, sum: 1 }
+    const away = (more: object): Sighting => ({ kind: 'turnedAway', atMs: 1000, request: 'r', status: 503, verdict: 'NotRun', retryAfter: true, ...more })
+    deepStrictEqual(verdict([ask('r'), ran('r'), whole]), [])
+    deepStrictEqual(verdict([ask('r'), ran('r'), ran('r'), whole]), ['ranTwice', 'retries'])
+    deepStrictEqual(verdict([ask('r'), ran('r'), { ...whole, sum: 2 }]), ['whole'])
+    deepStrictEqual(verdict([ask('r'), ran('r'), away({})]), ['notRunRan'])
+    deepStrictEqual(verdict([ask('r'), away({ atMs: 500 })]), ['turnedAway'])
+    deepStrictEqual(verdict([ask('r'), away({ atMs: 1500 })]), ['turnedAway'])
+    deepStrictEqual(verdict([ask('r'), away({ retryAfter: false })]), ['turnedAway'])
+    deepStrictEqual(verdict([ask('r'), away({ status: 404 })]), ['turnedAway'])
+    deepStrictEqual(verdict([ask('r'), ran('r', { server: 't' }), whole]), ['stray'])
+    deepStrictEqual(verdict([ran('r')]), ['stray'])
+    deepStrictEqual(verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, ask('r'), ran('r', { atMs: 3001 })]), ['drain'])
+    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true }, ask('r'), ran('r', { atMs: 5001 })]), ['emptied'])
+    deepStrictEqual(verdict([{ kind: 'coldRun', atMs: 0, server: 's', incarnation: 'i', flights: 3, limit: 2 }]), ['cold'])
+    deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 900, mb: 20 }]), ['store'])
+    deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 2000, mb: 20 }]), [])
+    for (const rule of ['room', 'flights'] as const) deepStrictEqual(verdict([{ kind: 'broke', atMs: 0, server: 's', rule, what: '' }]), [rule])
+    const order = (tenure: number): Sighting => ({ kind: 'ordered', atMs: 0, server: 's', incarnation: 'i', tenure, number: 1, order: '', taken: true })
+    deepStrictEqual(verdict([order(2), order(1)]), ['controllers'])
+    deepStrictEqual(verdict([{ kind: 'wrote', atMs: 0, operation: 'o', text: 'a', branch: '', action: 'put' }, { kind: 'acknowledged', atMs: 1, operation: 'o', stamp: 5 }, { kind: 'readBack', atMs: 9, stamp: 5, text: 'b' }]), ['charter'])
+    deepStrictEqual(verdict([{ kind: 'faultClosed', atMs: 0, fault: 'f' }, ask('r', { atMs: 12500, dueMs: 13500 }), away({ atMs: 13500 })]), ['recovery'])
+  },
+})
--- /dev/null
+++ b/src/testtrack/main.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+/**
+ * The developers' program: runs whole deployments against stand-ins and judges what was seen from
+ * outside. Exit code 1 when a rule was broken, 2 for a name it does not know.
+ */
+import { mkdtemp } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { command, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { Deployment } from './Deployment.js'
+import { runFleet } from './runFleet.js'
+
+const say = (line: string) => { process.stdout.write(`${line}\n`) }
+const unknown = (what: string, known: readonly string[]) => {
+  process.stderr.write(`testtrack: ${what}; known are: ${known.join(', ')}\n`)
+  process.exitCode = 2
+}
+
+const fleet = command({
+  name: 'fleet',
+  description: 'Runs a deployment as real processes on loopback and judges it.',
+  args: {
+    deployment: positional({ type: string, displayName: 'deployment' }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
+    faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${runFleet.faults.join(', ')}, or all` }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
+    folder: option({ long: 'folder', type: optional(string), description: 'where startup files, logs and data go' }),
+  },
+  handler: async (given) => {
+    const deployment = Deployment.of(given.deployment)
+    const faults = given.faults === 'all' ? runFleet.faults : given.faults === '' ? [] : given.faults.split(',')
+    const strange = faults.find((one) => !runFleet.faults.includes(one))
+    if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
+    else if (strange !== undefined) unknown(`no fault is named ${strange}`, runFleet.faults)
+    else {
+      const folder = given.folder ?? await mkdtemp(join(tmpdir(), 'testtrack-'))
+      say(`startup files, logs and data: ${folder}`)
+      const passes = await runFleet.run({ deployment, folder, seconds: Math.min(given.seconds, 600), faults, seed: given.seed, say })
+      process.exitCode = passes ? 0 : 1
+    }
+  },
+})
+await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet } }), process.argv.slice(2))
--- /dev/null
+++ b/src/timetable/Predictor.ts
@@ -0,0 +1,93 @@
+/**
+ * Forecasts the next request of each model (or adapter) from the gaps between past ones, keeps the
+ * mean gap between forecast and arrival (the window's half-width), and gives the history window and
+ * the probability of a surprise. Means are exponentially weighted; a model that stays away longer
+ * than forecast is expected ever later.
+ */
+import { ok, strictEqual } from 'node:assert'
+import { proof } from '../gauge/proof.js'
+
+interface Course { lastMs: number; gapMs: number; missMs: number; count: number }
+const freshWeight = 0.2
+const windowRatio = 0.5
+
+export class Predictor {
+  readonly #courses = new Map<string, Course>()
+
+  arrived(key: string, count: number, atMs: number): void {
+    const course = this.#courses.get(key)
+    if (course === undefined) {
+      this.#courses.set(key, { lastMs: atMs, gapMs: 0, missMs: 0, count })
+      return
+    }
+    const elapsedMs = Math.max(0, atMs - course.lastMs)
+    const gapMs = elapsedMs / count
+    if (course.gapMs === 0) {
+      course.gapMs = Math.max(1, gapMs)
+      course.missMs = course.gapMs * windowRatio
+    } else {
+      const weight = 1 - (1 - freshWeight) ** count
+      course.missMs += weight * (Math.abs(gapMs - course.gapMs) - course.missMs)
+      course.gapMs = Math.max(1, course.gapMs + weight * (gapMs - course.gapMs))
+    }
+    course.lastMs = Math.max(course.lastMs, atMs)
+    course.count += count
+  }
+
+  /** Nothing for a model without a history of at least two requests. */
+  forecast(key: string, nowMs: number): { nextMs: number; deltaMs: number } | undefined {
+    const course = this.#courses.get(key)
+    if (course === undefined || course.gapMs === 0) return undefined
+    const deltaMs = windowRatio * course.missMs
+    const nextMs = course.lastMs + course.gapMs
+    if (nowMs <= nextMs + deltaMs) return { nextMs, deltaMs }
+    return { nextMs: nowMs + (nowMs - course.lastMs), deltaMs }
+  }
+
+  lastMs(key: string): number {
+    return this.#courses.get(key)?.lastMs ?? -Infinity
+  }
+
+  /** The mean inter-arrival time over all models that have a history. */
+  get historyMs(): number {
+    const gaps = [...this.#courses.values()].filter((course) => course.gapMs > 0).map((course) => 1 / course.gapMs)
+    return gaps.length === 0 ? 0 : gaps.length / gaps.reduce((sum, rate) => sum + rate, 0)
+  }
+
+  /** The probability of at least one request within a span, had the arrivals no memory. */
+  surprise(key: string, spanMs: number, nowMs: number): number {
+    const course = this.#courses.get(key)
+    if (course === undefined || course.gapMs === 0) return 0
+    return 1 - Math.exp(-spanMs / Math.max(course.gapMs, nowMs - course.lastMs))
+  }
+}
+
+proof(import.meta.url, {
+  'a steady course is forecast with a narrow window, a ragged one with a wide one': () => {
+    const predictor = new Predictor()
+    for (let n = 0; n < 50; n++) {
+      predictor.arrived('steady', 1, n * 100)
+      predictor.arrived('ragged', 1, n * 100 + (n % 2) * 80)
+    }
+    strictEqual(predictor.forecast('steady', 4900)?.nextMs, 5000)
+    ok((predictor.forecast('steady', 4900)?.deltaMs ?? 99) < 1)
+    ok((predictor.forecast('ragged', 4980)?.deltaMs ?? 0) > 20)
+    strictEqual(predictor.forecast('never', 0), undefined)
+  },
+  'who stays away is expected ever later and is less of a surprise': () => {
+    const predictor = new Predictor()
+    for (let n = 0; n < 10; n++) predictor.arrived('m', 1, n * 100)
+    const soon = predictor.forecast('m', 2000)?.nextMs ?? 0
+    const later = predictor.forecast('m', 9000)?.nextMs ?? 0
+    ok(soon - 2000 < later - 9000)
+    ok(predictor.surprise('m', 100, 2000) > predictor.surprise('m', 100, 9000))
+  },
+  'the history window is the mean gap over all models': () => {
+    const predictor = new Predictor()
+    for (let n = 0; n < 200; n++) {
+      predictor.arrived('a', 1, n * 100)
+      if (n % 10 === 0) predictor.arrived('b', 1, n * 100)
+    }
+    ok(Math.abs(predictor.historyMs - 2 / (1 / 100 + 1 / 1000)) < 1)
+  },
+})
--- /dev/null
+++ b/src/timetable/Tenant.ts
@@ -0,0 +1,13 @@
+/**
+ * A loaded model (or adapter) as the eviction sees it: when its next request is forecast, its window,
+ * when it was last requested, the probability of a surprise, and what its leaving frees.
+ */
+export interface Tenant {
+  key: string
+  nextMs: number
+  windowFromMs: number
+  windowToMs: number
+  lastMs: number
+  surprise: number
+  size: number
+}
--- /dev/null
+++ b/src/turnout/CallersDesk.ts
@@ -0,0 +1,112 @@
+/**
+ * The callers' side of a turnout. A proper request is read whole and handed to the task; an improper
+ * one gets its 4xx at once. When held bodies fill their memory, further ones are read only as room
+ * comes free.
+ */
+import 'reflect-metadata'
+import type { Server, ServerResponse } from 'node:http'
+import { App, type Request } from '@tinyhttp/app'
+import { inject, singleton } from 'tsyringe'
+import type { Dispatcher } from 'undici'
+import { listen } from '../gauge/listen.js'
+import { readBody } from '../gauge/readBody.js'
+import type { Startup } from '../gauge/Startup.js'
+import { Verdict } from '../gauge/Verdict.js'
+import { CallerFormat } from '../sidings/CallerFormat.js'
+import { ServerFormat } from '../sidings/ServerFormat.js'
+import { TurnoutTask } from './TurnoutTask.js'
+
+const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
+const ownHeaders = new Set(['host', 'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'expect'])
+
+@singleton()
+export class CallersDesk {
+  readonly #startup: Startup['turnout']
+  readonly #task: TurnoutTask
+  readonly #app: App
+  readonly #queue: (() => void)[] = []
+  #server: Server | undefined
+  #heldBytes = 0
+
+  constructor(@inject('startup') startup: Startup['turnout'], @inject(TurnoutTask) task: TurnoutTask) {
+    this.#startup = startup
+    this.#task = task
+    const app = new App({ settings: { xPoweredBy: false } })
+    app.get('/health', (_request, response) => {
+      const current = task.machine.current(performance.now())
+      const body = JSON.stringify({ name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting })
+      response.writeHead(current ? 200 : 503, { 'content-type': 'application/json' }).end(body)
+    })
+    app.all('/v1/*', (request, response) => this.#serve(request, response))
+    this.#app = app
+  }
+
+  async open(): Promise<string> {
+    const { server, address } = await listen(this.#app, this.#startup.callers)
+    server.requestTimeout = 0
+    this.#server = server
+    return address
+  }
+
+  /** Takes no further callers and waits until those that are here have their answers. */
+  async drain(): Promise<void> {
+    const server = this.#server
+    if (server === undefined) return
+    await new Promise<void>((resolve) => {
+      server.close(() => { resolve() })
+      server.closeIdleConnections()
+    })
+  }
+
+  async #serve(request: Request, response: ServerResponse): Promise<void> {
+    const turnAway = (status: number, why: string) => { TurnoutTask.answer(response, status, Verdict.notRun, undefined, why) }
+    const path = CallerFormat.path(request.originalUrl)
+    const method = methods.find((one) => one === request.method)
+    const due = CallerFormat.due(request.headers[CallerFormat.dueHeader])
+    if (path === undefined) {
+      turnAway(404, 'path: neither /v1/models/NAME nor /v1/services/NAME/...')
+      return
+    }
+    if (method === undefined || (path.kind === 'model' && method !== 'POST')) {
+      turnAway(405, 'method: not allowed here')
+      return
+    }
+    const known = due.caseOf<string | { ms: number | undefined }>({ Left: (why) => why, Right: (ms) => ({ ms }) })
+    if (typeof known === 'string') {
+      turnAway(400, known)
+      return
+    }
+    const arrivedMs = performance.now()
+    await this.#room()
+    const limitBytes = this.#startup.holdBytes / 2
+    const body = await readBody(request, limitBytes)
+    if (body === undefined) {
+      if (!request.destroyed) turnAway(413, `the body is over ${String(limitBytes)} bytes`)
+      return
+    }
+    this.#hold(body.length, response)
+    const left = known.ms === undefined ? undefined : known.ms - (performance.now() - arrivedMs)
+    const headers: Record<string, string> = {}
+    for (const [name, value] of Object.entries(request.headers)) if (value !== undefined && !ownHeaders.has(name)) headers[name] = Array.isArray(value) ? value.join(', ') : value
+    if (path.kind === 'service') {
+      this.#task.admit({ kind: 'service', name: path.name }, method, path.rest.startsWith('/') ? path.rest : `/${path.rest}`, headers, body, left, response)
+      return
+    }
+    CallerFormat.model(path.name, body).caseOf({
+      Left: (why) => { turnAway(400, why) },
+      Right: (target) => { if (target.kind === 'model') this.#task.admit(target, method, ServerFormat.modelPath(path.name), headers, body, left, response) },
+    })
+  }
+
+  async #room(): Promise<void> {
+    while (this.#heldBytes > this.#startup.holdBytes) await new Promise<void>((resolve) => this.#queue.push(resolve))
+  }
+
+  #hold(bytes: number, response: ServerResponse): void {
+    this.#heldBytes += bytes
+    response.on('close', () => {
+      this.#heldBytes -= bytes
+      this.#queue.shift()?.()
+    })
+  }
+}
--- /dev/null
+++ b/src/turnout/Line.ts
@@ -0,0 +1,55 @@
+/**
+ * One connection to one server, used for one request at a time. It identifies the server on itself,
+ * and once its socket is gone it is spent: it never connects a second time, so nothing can slip onto
+ * a connection that was not identified.
+ */
+import { buildConnector, Client } from 'undici'
+import type { Dispatcher } from 'undici'
+import { ServerFormat } from '../sidings/ServerFormat.js'
+
+export class Line {
+  readonly address: string
+  readonly #client: Client
+  spent = false
+  identity: ServerFormat | undefined
+
+  constructor(address: string, waitMs: number) {
+    this.address = address
+    const connector = buildConnector({ timeout: waitMs })
+    let used = false
+    this.#client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: 600_000,
+      connect: (options, callback) => {
+        if (used) {
+          callback(new Error('the line is spent'), null)
+          return
+        }
+        used = true
+        connector(options, callback)
+      },
+    })
+    this.#client.on('disconnect', () => { this.spent = true })
+    this.#client.on('connectionError', () => { this.spent = true })
+  }
+
+  async identify(waitMs: number): Promise<ServerFormat> {
+    const reply = await this.#client.request({ path: ServerFormat.identityPath, method: 'GET', signal: AbortSignal.timeout(waitMs) })
+    const body = await reply.body.text()
+    const identity = reply.statusCode === 200 ? ServerFormat.identity(body) : undefined
+    if (identity === undefined) throw new Error('the server did not say who it is')
+    this.identity = identity
+    return identity
+  }
+
+  dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+    this.#client.dispatch(options, handler)
+  }
+
+  close(): void {
+    this.spent = true
+    void this.#client.destroy().catch(() => undefined)
+  }
+}
--- /dev/null
+++ b/src/turnout/Phase.ts
@@ -0,0 +1,39 @@
+/**
+ * The state chart of a request's way through a turnout. `sent` is the one place where "may have run"
+ * begins; the last three states are final.
+ */
+import { strictEqual } from 'node:assert'
+import { proof } from '../gauge/proof.js'
+
+const next = {
+  arrived: ['bound', 'held', 'turnedAway'],
+  held: ['bound', 'turnedAway'],
+  bound: ['connecting', 'held', 'turnedAway'],
+  connecting: ['identified', 'held', 'turnedAway'],
+  identified: ['sent', 'held', 'turnedAway'],
+  sent: ['streaming', 'held', 'defected', 'turnedAway'],
+  streaming: ['responded', 'defected'],
+  responded: [],
+  defected: [],
+  turnedAway: [],
+} as const
+
+export const Phase = {
+  allows(from: Phase, to: Phase): boolean {
+    const targets: readonly Phase[] = next[from]
+    return targets.includes(to)
+  },
+  final(phase: Phase): boolean {
+    return next[phase].length === 0
+  },
+}
+export type Phase = keyof typeof next
+
+proof(import.meta.url, {
+  'nothing leaves a final state, and nothing streams unsent': () => {
+    strictEqual(Phase.allows('responded', 'held'), false)
+    strictEqual(Phase.allows('identified', 'streaming'), false)
+    strictEqual(Phase.allows('sent', 'streaming'), true)
+    strictEqual(Phase.final('turnedAway'), true)
+  },
+})
--- /dev/null
+++ b/src/waybill/Record.ts
@@ -0,0 +1,64 @@
+/**
+ * A record on disk: its length, a CRC-32 over its bytes, then the bytes. Scanning a file gives the
+ * whole records; a broken last record is torn and may be cut, but a broken record with a valid one
+ * after it is corruption.
+ */
+import { crc32 } from 'node:zlib'
+import { proof } from '../gauge/proof.js'
+import { deepStrictEqual, strictEqual } from 'node:assert'
+
+const headBytes = 8
+const limitBytes = 256 * 1024 * 1024
+
+function readAt(file: Buffer, at: number): Buffer | undefined {
+  if (at + headBytes > file.length) return undefined
+  const length = file.readUInt32BE(at)
+  if (length === 0 || length > limitBytes || at + headBytes + length > file.length) return undefined
+  const bytes = file.subarray(at + headBytes, at + headBytes + length)
+  return crc32(bytes) === file.readUInt32BE(at + 4) ? bytes : undefined
+}
+
+export const Record = {
+  write(bytes: Uint8Array): Buffer {
+    const record = Buffer.alloc(headBytes + bytes.length)
+    record.writeUInt32BE(bytes.length, 0)
+    record.writeUInt32BE(crc32(bytes), 4)
+    record.set(bytes, headBytes)
+    return record
+  },
+
+  /** `end` is where whole records end. `corruptAt` is set when a valid record follows a broken one. */
+  scan(file: Buffer): { records: Buffer[]; end: number; corruptAt: number | undefined } {
+    const records: Buffer[] = []
+    let at = 0
+    for (;;) {
+      const bytes = readAt(file, at)
+      if (bytes === undefined) break
+      records.push(bytes)
+      at += headBytes + bytes.length
+    }
+    for (let later = at + 1; later + headBytes < file.length; later++) {
+      if (readAt(file, later) !== undefined) return { records, end: at, corruptAt: at }
+    }
+    return { records, end: at, corruptAt: undefined }
+  },
+}
+
+proof(import.meta.url, {
+  'a torn tail is cut wherever it tears': () => {
+    const file = Buffer.concat(['one', 'two', 'three'].map((text) => Record.write(Buffer.from(text))))
+    const whole = 2 * headBytes + 6
+    for (let end = whole; end < file.length; end++) {
+      const scan = Record.scan(file.subarray(0, end))
+      deepStrictEqual([scan.records.length, scan.end, scan.corruptAt], [2, whole, undefined])
+    }
+  },
+  'damage before a valid record is corruption, at every byte': () => {
+    const file = Buffer.concat(['one', 'two', 'three'].map((text) => Record.write(Buffer.from(text))))
+    for (let at = 0; at < 2 * headBytes + 6; at++) {
+      const damaged = Buffer.from(file)
+      damaged.writeUInt8(damaged.readUInt8(at) ^ 0xff, at)
+      strictEqual(Record.scan(damaged).corruptAt, at < headBytes + 3 ? 0 : headBytes + 3)
+    }
+  },
+})
