--- /dev/null
+++ b/src/testtrack/SimClock.ts
@@ -0,0 +1,67 @@
+/**
+ * Virtual time: events in a queue, carried out in order of their time and then of their making. It
+ * keeps a running hash of what happened, so that two runs of a seed can be told to be the same.
+ */
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { digest } from '../gauge/digest.js'
+import { proof } from '../gauge/proof.js'
+import { Heap } from '../timetable/Heap.js'
+
+export class SimClock {
+  nowMs = 0
+  trace = 0
+  #made = 0
+  readonly #queue = new Heap<{ atMs: number; order: number; run: () => void }>((a, b) => b.atMs - a.atMs || b.order - a.order)
+
+  at(atMs: number, run: () => void): void {
+    this.#made += 1
+    this.#queue.push({ atMs: Math.max(atMs, this.nowMs), order: this.#made, run })
+  }
+
+  after(waitMs: number, run: () => void): void {
+    this.at(this.nowMs + waitMs, run)
+  }
+
+  every(periodMs: number, run: () => void): void {
+    this.after(periodMs, () => {
+      run()
+      this.every(periodMs, run)
+    })
+  }
+
+  note(what: string): void {
+    this.trace = digest(`${String(this.trace)} ${this.nowMs.toFixed(3)} ${what}`)
+  }
+
+  /** Runs the next event; false when none is left. */
+  turn(): boolean {
+    const event = this.#queue.pop()
+    if (event === undefined) return false
+    this.nowMs = event.atMs
+    event.run()
+    return true
+  }
+
+  until(endMs: number): void {
+    let open = true
+    this.at(endMs, () => { open = false })
+    while (open && this.turn());
+  }
+}
+
+proof(import.meta.url, {
+  'events run in order of time, then of making': () => {
+    const clock = new SimClock()
+    const seen: string[] = []
+    clock.after(5, () => seen.push('late'))
+    clock.after(1, () => {
+      seen.push('first')
+      clock.after(0, () => seen.push('third'))
+    })
+    clock.after(1, () => seen.push('second'))
+    clock.until(4)
+    deepStrictEqual(seen, ['first', 'second', 'third'])
+    clock.until(6)
+    strictEqual(seen.length, 4)
+  },
+})
--- /dev/null
+++ b/src/testtrack/SimDisk.ts
@@ -0,0 +1,74 @@
+/**
+ * A simulated disk: writes take time and are kept in order, and what is not yet synced is lost with
+ * the power. It can stall, and it can be lost whole.
+ */
+import type { Chance } from '../gauge/Chance.js'
+import { Chance as Chances } from '../gauge/Chance.js'
+import { proof } from '../gauge/proof.js'
+import type { Waybill } from '../waybill/Waybill.js'
+import { waybillContract } from '../waybill/waybillContract.js'
+import { SimClock } from './SimClock.js'
+
+export class SimDisk {
+  records: Uint8Array[] = []
+  stalledUntilMs = 0
+  /** A broken variant for the proof: says that a write is synced before it is. */
+  lies = false
+  readonly #clock: SimClock
+  readonly #chance: Chance
+  #freeAtMs = 0
+  #power = 0
+
+  constructor(clock: SimClock, chance: Chance) {
+    this.#clock = clock
+    this.#chance = chance
+  }
+
+  write(records: readonly Uint8Array[], rewrite: boolean, done: () => void): void {
+    const power = this.#power
+    const tookMs = records.length === 0 ? 0 : this.#chance.between(0.3, 3)
+    this.#freeAtMs = Math.max(this.#freeAtMs, this.#clock.nowMs, this.stalledUntilMs) + tookMs
+    if (this.lies) this.#clock.after(0, () => { if (power === this.#power) done() })
+    this.#clock.at(this.lies ? this.#freeAtMs + 400 : this.#freeAtMs, () => {
+      if (power !== this.#power) return
+      this.records = rewrite ? [...records] : [...this.records, ...records]
+      if (!this.lies) done()
+    })
+  }
+
+  cutPower(): void {
+    this.#power += 1
+    this.#freeAtMs = 0
+  }
+
+  lose(): void {
+    this.cutPower()
+    this.records = []
+  }
+}
+
+proof(import.meta.url, {
+  'passes the contract of stores': async () => {
+    const clock = new SimClock()
+    const disk = new SimDisk(clock, new Chances(1))
+    const write = (records: readonly Uint8Array[], rewrite: boolean) => new Promise<void>((resolve) => { disk.write(records, rewrite, resolve) })
+    await waybillContract(() => {
+      const waybill: Waybill = {
+        records: [...disk.records],
+        get bytes() { return disk.records.reduce((sum, record) => sum + record.length, 0) },
+        append: (records) => {
+          const done = write(records, false)
+          setImmediate(() => { clock.until(clock.nowMs + 100) })
+          return done
+        },
+        rewrite: (records) => {
+          const done = write(records, true)
+          setImmediate(() => { clock.until(clock.nowMs + 100) })
+          return done
+        },
+        close: () => Promise.resolve(),
+      }
+      return Promise.resolve(waybill)
+    })
+  },
+})
--- /dev/null
+++ b/src/testtrack/SimNetwork.ts
@@ -0,0 +1,98 @@
+/**
+ * A simulated network between processes: each message takes a seeded time, so messages overtake one
+ * another on different links but not on the same one, as on TCP; links are cut one way or both, slowed
+ * and lossy by hosts.
+ */
+import type { Chance } from '../gauge/Chance.js'
+import { Chance as Chances } from '../gauge/Chance.js'
+import { proof } from '../gauge/proof.js'
+import type { Message } from '../telegraph/Message.js'
+import type { Telegraph } from '../telegraph/Telegraph.js'
+import { telegraphContract } from '../telegraph/telegraphContract.js'
+import { SimClock } from './SimClock.js'
+
+type Listener = (from: string, fromAddress: string, message: Message) => void
+
+export class SimNetwork {
+  readonly #clock: SimClock
+  readonly #chance: Chance
+  readonly #listeners = new Map<string, { host: string; listener: Listener }>()
+  readonly #lastMs = new Map<string, number>()
+  readonly #cuts = new Set<string>()
+  /** Extra delay by host, for slow links. */
+  readonly slowMs = new Map<string, number>()
+  lossRatio = 0
+
+  constructor(clock: SimClock, chance: Chance) {
+    this.#clock = clock
+    this.#chance = chance
+  }
+
+  open(address: string, host: string, listener: Listener): void {
+    this.#listeners.set(address, { host, listener })
+  }
+
+  close(address: string): void {
+    this.#listeners.delete(address)
+  }
+
+  cut(fromHost: string, toHost: string): void {
+    this.#cuts.add(`${fromHost}>${toHost}`)
+  }
+
+  heal(): void {
+    this.#cuts.clear()
+    this.slowMs.clear()
+    this.lossRatio = 0
+  }
+
+  connected(fromHost: string, toHost: string): boolean {
+    return fromHost === toHost || !this.#cuts.has(`${fromHost}>${toHost}`)
+  }
+
+  delayMs(fromHost: string, toHost: string): number {
+    if (fromHost === toHost) return 0.05 + this.#chance.next() * 0.1
+    return 0.3 + this.#chance.next() * 1.2 + (this.slowMs.get(fromHost) ?? 0) + (this.slowMs.get(toHost) ?? 0)
+  }
+
+  send(from: string, fromHost: string, fromAddress: string, toAddress: string, message: Message): void {
+    const target = this.#listeners.get(toAddress)
+    if (target === undefined || !this.connected(fromHost, target.host)) return
+    if (fromHost !== target.host && this.lossRatio > 0 && this.#chance.hit(this.lossRatio)) return
+    const line = `${fromAddress}>${toAddress}`
+    const atMs = Math.max(this.#clock.nowMs + this.delayMs(fromHost, target.host), (this.#lastMs.get(line) ?? 0) + 0.001)
+    this.#lastMs.set(line, atMs)
+    this.#clock.at(atMs, () => {
+      if (this.#listeners.get(toAddress) !== target || !this.connected(fromHost, target.host)) return
+      target.listener(from, fromAddress, message)
+    })
+  }
+}
+
+proof(import.meta.url, {
+  'passes the contract of transports': async () => {
+    const clock = new SimClock()
+    const network = new SimNetwork(clock, new Chances(1))
+    await telegraphContract(
+      (name) => {
+        const address = `10.0.0.1:${String(name.charCodeAt(0))}`
+        const listeners: Listener[] = []
+        network.open(address, name, (from, fromAddress, message) => { for (const listener of listeners) listener(from, fromAddress, message) })
+        const telegraph: Telegraph = {
+          address,
+          send: (toAddress, message) => { network.send(name, name, address, toAddress, message) },
+          hear: (listener) => { listeners.push(listener) },
+          close: () => {
+            network.close(address)
+            return Promise.resolve()
+          },
+        }
+        return Promise.resolve(telegraph)
+      },
+      (ready) => {
+        while (!ready() && clock.turn());
+        return Promise.resolve()
+      },
+    )
+  },
+})
--- /dev/null
+++ b/src/testtrack/SimOptions.ts
@@ -0,0 +1,16 @@
+/**
+ * What a simulated run is made of. `broken` names a rule to break on purpose, so that the judge can be
+ * seen to bite.
+ */
+import type { Deployment } from './Deployment.js'
+
+export interface SimOptions {
+  deployment: Deployment
+  seed: number
+  faults: readonly string[]
+  calmMs: number
+  faultMs: number
+  quietMs: number
+  broken: string
+  crowd: number
+}
--- /dev/null
+++ b/src/testtrack/Simulation.ts
@@ -0,0 +1,434 @@
+/**
+ * The whole system in one process under virtual time, from one seed: the daemons' own machines over
+ * a simulated network, disks and clocks, with stand-ins for servers, platform, callers and operators.
+ * The run is calm, then faulty, then quiet; what was seen from outside goes to the judge.
+ */
+import { Chance } from '../gauge/Chance.js'
+import { digest } from '../gauge/digest.js'
+import { Pace } from '../gauge/Pace.js'
+import { Verdict } from '../gauge/Verdict.js'
+import type { LinemanEffect } from '../lineman/LinemanEffect.js'
+import type { LinemanInput } from '../lineman/LinemanInput.js'
+import { LinemanMachine } from '../lineman/LinemanMachine.js'
+import type { Report } from '../gauge/Report.js'
+import type { Message } from '../telegraph/Message.js'
+import type { Operation } from '../signalbox/Operation.js'
+import type { SignalboxEffect } from '../signalbox/SignalboxEffect.js'
+import type { SignalboxInput } from '../signalbox/SignalboxInput.js'
+import { SignalboxMachine } from '../signalbox/SignalboxMachine.js'
+import type { TurnoutEffect } from '../turnout/TurnoutEffect.js'
+import type { TurnoutInput } from '../turnout/TurnoutInput.js'
+import { TurnoutMachine } from '../turnout/TurnoutMachine.js'
+import type { Sighting } from './Sighting.js'
+import { SimClock } from './SimClock.js'
+import { SimDisk } from './SimDisk.js'
+import { SimNetwork } from './SimNetwork.js'
+import type { SimOptions } from './SimOptions.js'
+import { SimProcess } from './SimProcess.js'
+import type { SimServer } from './SimServer.js'
+import { StandInServer } from './StandInServer.js'
+
+const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
+type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
+interface Flight { server: SimServer; state: StandInServer; cancelled: boolean; end: () => void }
+interface Ask { service: string; kind: 'model' | 'service'; adapter: string; chain: string[]; lines: number; dueMs: number; request: string }
+
+export class Simulation {
+  readonly options: SimOptions
+  readonly bounds = bounds
+  readonly pace = Pace(bounds)
+  readonly clock = new SimClock()
+  readonly chance: Chance
+  readonly network: SimNetwork
+  readonly sightings: Sighting[] = []
+  readonly boxes = new Map<string, { process: Box; disk: SimDisk; address: string; zone: string }>()
+  readonly linemen = new Map<string, { process: SimProcess<LinemanInput, LinemanEffect, LinemanMachine>; address: string; zone: string }>()
+  readonly turnouts = new Map<string, { process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>; address: string; zone: string; asks: Map<string, Ask>; flights: Map<string, Flight> }>()
+  readonly servers = new Map<string, SimServer>()
+  readonly waits: number[] = []
+  readonly deliveriesMs: number[] = []
+  events = 0
+  #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
+  #asked = 0
+  #ports = 1000
+  #seeds: string[] = []
+
+  constructor(options: SimOptions) {
+    this.options = options
+    this.chance = new Chance(options.seed)
+    this.network = new SimNetwork(this.clock, this.chance.fork())
+    const { deployment } = options
+    for (const box of deployment.boxes) this.boxes.set(box.name, this.#makeBox(box.name, box.zone))
+    this.#seeds = [...this.boxes.values()].map((box) => box.address)
+    for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
+    for (const server of deployment.servers) {
+      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, watchers: new Set() })
+      this.startServer(server.name)
+    }
+    this.clock.every(50, () => { for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs) })
+    for (const name of this.boxes.keys()) this.startBox(name)
+    for (const name of this.linemen.keys()) this.startPost(name)
+  }
+
+  readonly see = (sighting: Sighting): void => {
+    this.sightings.push(sighting)
+    this.clock.note(sighting.kind)
+  }
+
+  freshAddress(host: string): string {
+    this.#ports += 1
+    return `10.0.${String(digest(host) % 250)}.1:${String(this.#ports)}`
+  }
+
+  // Processes.
+
+  #makeBox(name: string, zone: string): { process: Box; disk: SimDisk; address: string; zone: string } {
+    const disk = new SimDisk(this.clock, this.chance.fork())
+    disk.lies = this.options.broken === 'sync'
+    const process: Box = new SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>(name, name, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick', hour: 12 }), (effect, life) => { this.#performBox(name, effect, life) })
+    return { process, disk, address: this.freshAddress(name), zone }
+  }
+
+  startBox(name: string): void {
+    const box = this.boxes.get(name)
+    if (box === undefined || box.process.alive) return
+    const { deployment } = this.options
+    const machine = new SignalboxMachine({ name, zone: box.zone, address: box.address, seeds: this.#seeds, seats: deployment.boxes.map((one) => one.name), rewriteBytes: 60_000 }, this.pace, this.chance.fork(), box.disk.records, box.process.nowMs)
+    this.network.open(box.address, name, (from, fromAddress, message) => { box.process.deliver({ kind: 'message', from, fromAddress, message }) })
+    box.process.start(machine, machine.begin())
+  }
+
+  killBox(name: string, power: boolean): void {
+    const box = this.boxes.get(name)
+    if (box === undefined) return
+    this.network.close(box.address)
+    if (power) box.disk.cutPower()
+    box.process.kill()
+  }
+
+  /** A core machine whose disk is gone comes back empty, elsewhere; the seeds follow. */
+  replaceBox(name: string): void {
+    const box = this.boxes.get(name)
+    if (box === undefined) return
+    this.killBox(name, true)
+    box.disk.lose()
+    const old = box.address
+    box.address = this.freshAddress(name)
+    this.#seeds = this.#seeds.map((seed) => (seed === old ? box.address : seed))
+  }
+
+  #performBox(name: string, effect: SignalboxEffect, life: number): void {
+    const box = this.boxes.get(name)
+    if (box === undefined) return
+    const { process } = box
+    const back = (waitMs: number, input: SignalboxInput) => { this.clock.after(waitMs, () => { if (process.life === life) process.deliver(input) }) }
+    switch (effect.kind) {
+      case 'send': this.network.send(name, name, box.address, effect.toAddress, effect.message); break
+      case 'write': {
+        box.disk.write(effect.records, effect.rewrite, () => {
+          if (process.life !== life) return
+          for (const send of effect.then) this.network.send(name, name, box.address, send.toAddress, send.message)
+          process.deliver({ kind: 'written' })
+        })
+        break
+      }
+      case 'respond': {
+        this.#operations.get(effect.id)?.(effect.status, effect.stamp, effect.text)
+        this.#operations.delete(effect.id)
+        break
+      }
+      case 'askPlatform': {
+        const servers = [...this.servers.values()].filter((one) => one.listed).map((one) => ({ name: one.name, address: one.address, zone: one.zone, draining: one.draining && this.options.broken !== 'drain' }))
+        back(this.chance.between(2, 40), { kind: 'platform', servers })
+        break
+      }
+      case 'ask': {
+        const server = this.#serverAt(effect.address, name)
+        if (server?.state === undefined) {
+          back(server === undefined ? 2 : this.pace.reportStaleMs / 2, { kind: 'reported', server: effect.server, report: undefined, askedMs: effect.askedMs })
+          break
+        }
+        const report = this.#bend(server.state.report(effect.tenure, this.clock.nowMs))
+        back(this.chance.between(1, 3) + server.lagMs * this.chance.between(0.5, 1.5), { kind: 'reported', server: effect.server, report, askedMs: effect.askedMs })
+        break
+      }
+      case 'order': this.#order(name, effect, back); break
+      case 'say': this.clock.note(effect.sentence); break
+    }
+  }
+
+  /** Where a run is to break a rule of the dispatcher, its reports are bent. */
+  #bend(report: Report): Report {
+    if (this.options.broken === 'room') return { ...report, models: report.models.map((one) => ({ ...one, sizeMb: 0 })) }
+    if (this.options.broken === 'places') return { ...report, adapters: [] }
+    return report
+  }
+
+  #order(name: string, effect: Extract<SignalboxEffect, { kind: 'order' }>, back: (waitMs: number, input: SignalboxInput) => void): void {
+    const server = this.#serverAt(effect.address, name)
+    const reply = (kind: 'accepted' | 'turnedAway' | 'unknown', waitMs: number) => { back(waitMs, { kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply: kind }) }
+    if (server === undefined || this.chance.hit(server.orderLoss / 2)) {
+      reply('unknown', this.pace.reportStaleMs)
+      return
+    }
+    this.clock.after(this.chance.between(1, 5) + server.orderSlowMs * this.chance.next(), () => {
+      if (server.state === undefined || server.address !== effect.address) return
+      const status = server.state.take(effect.order, this.clock.nowMs)
+      if (!this.chance.hit(server.orderLoss / 2)) reply(status === 202 ? 'accepted' : 'turnedAway', this.chance.between(1, 5))
+    })
+  }
+
+  #makePost(name: string, zone: string): void {
+    const host = `host-${name}`
+    const turnout = `${name}-turnout`
+    const lineman = new SimProcess<LinemanInput, LinemanEffect, LinemanMachine>(name, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect) => {
+      if (effect.kind === 'send') this.network.send(name, host, this.linemen.get(name)?.address ?? '', effect.toAddress, effect.message)
+      else this.clock.note(effect.sentence)
+    })
+    const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(turnout, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect, life) => { this.#performTurnout(name, effect, life) })
+    this.linemen.set(name, { process: lineman, address: this.freshAddress(host), zone })
+    this.turnouts.set(name, { process: proxy, address: this.freshAddress(host), zone, asks: new Map(), flights: new Map() })
+  }
+
+  startPost(name: string): void {
+    const lineman = this.linemen.get(name)
+    const turnout = this.turnouts.get(name)
+    if (lineman === undefined || turnout === undefined) return
+    if (!lineman.process.alive) {
+      lineman.process.start(new LinemanMachine({ name, zone: lineman.zone, address: lineman.address, seeds: this.#seeds, turnout: turnout.address }, this.pace, this.chance.fork(), lineman.process.nowMs))
+      this.network.open(lineman.address, lineman.process.host, (from, fromAddress, message) => { lineman.process.deliver({ kind: 'message', from, fromAddress, message }) })
+    }
+    if (turnout.process.alive) return
+    turnout.process.start(new TurnoutMachine({ name: `${name}-turnout`, seat: name, zone: turnout.zone, lineman: lineman.address }, this.pace, this.chance.fork()))
+    this.network.open(turnout.address, turnout.process.host, (from, fromAddress, message) => { turnout.process.deliver({ kind: 'message', from, fromAddress, message: this.#forTurnout(message) }) })
+  }
+
+  /** Where a run is to break a rule of the turnouts, their news are bent. */
+  #forTurnout(message: Message): Message {
+    const { broken } = this.options
+    if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
+    if (broken === 'budget' && message.kind === 'news') return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: row.value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000') } : row)) }
+    return message
+  }
+
+  killTurnout(name: string): void {
+    const turnout = this.turnouts.get(name)
+    if (turnout === undefined) return
+    this.network.close(turnout.address)
+    turnout.process.kill()
+    for (const flight of turnout.flights.values()) {
+      flight.cancelled = true
+      flight.end()
+    }
+    for (const ask of turnout.asks.values()) this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request })
+    turnout.flights.clear()
+    turnout.asks.clear()
+  }
+
+  killLineman(name: string): void {
+    const lineman = this.linemen.get(name)
+    if (lineman === undefined) return
+    this.network.close(lineman.address)
+    lineman.process.kill()
+  }
+
+  // Servers.
+
+  startServer(name: string): void {
+    const server = this.servers.get(name)
+    const plan = this.options.deployment.servers.find((one) => one.name === name)
+    if (server === undefined || plan === undefined || server.state !== undefined) return
+    server.lives += 1
+    server.dark = false
+    const { warmMs, coldLimit } = this.options.deployment.charter.defaults
+    server.state = new StandInServer({ ...plan, loadMbPerS: this.options.deployment.loadMbPerS, checksTenure: this.options.broken !== 'staleOrders', warmMs, coldLimit }, `${name}.${String(server.lives)}`, this.clock.nowMs, this.see)
+    this.see({ kind: 'serverUp', atMs: this.clock.nowMs, server: name, zone: server.zone })
+  }
+
+  crashServer(name: string): void {
+    const server = this.servers.get(name)
+    if (server?.state === undefined) return
+    server.state = undefined
+    for (const watcher of [...server.watchers]) watcher()
+    server.watchers.clear()
+  }
+
+  #serverAt(address: string, fromHost: string): SimServer | undefined {
+    for (const server of this.servers.values()) {
+      if (server.address === address) return this.network.connected(fromHost, server.host) && this.network.connected(server.host, fromHost) && !server.dark ? server : { ...server, state: undefined, dark: true }
+    }
+    return undefined
+  }
+
+  // What a turnout does towards servers and callers.
+
+  #performTurnout(name: string, effect: TurnoutEffect, life: number): void {
+    const turnout = this.turnouts.get(name)
+    if (turnout === undefined) return
+    const { process, asks, flights } = turnout
+    const back = (waitMs: number, input: TurnoutInput) => { this.clock.after(waitMs, () => { if (process.life === life) process.deliver(input) }) }
+    switch (effect.kind) {
+      case 'send': this.network.send(process.name, process.host, turnout.address, effect.toAddress, effect.message); break
+      case 'say': this.clock.note(effect.sentence); break
+      case 'attempt': {
+        const server = this.#serverAt(effect.address, process.host)
+        if (server?.dark === true) break
+        if (server?.state === undefined) {
+          back(1, { kind: 'defect', id: effect.id, attempt: effect.attempt, verdict: Verdict.notRun, why: 'the connection was not taken' })
+          break
+        }
+        const { state } = server
+        const real = this.servers.get(server.name)
+        if (real === undefined) break
+        this.clock.after(this.chance.between(0.5, 2), () => {
+          if (process.life !== life) return
+          if (real.state !== state || real.dark) return
+          flights.set(effect.id, { server: real, state, cancelled: false, end: () => undefined })
+          const said = this.options.broken === 'identity' ? effect.server : server.name
+          back(this.chance.between(0.2, 1), { kind: 'identified', id: effect.id, attempt: effect.attempt, server: said, incarnation: state.incarnation, upMs: this.options.broken === 'cold' ? 1e9 : state.upMs(this.clock.nowMs) })
+        })
+        break
+      }
+      case 'go': this.#go(name, effect.id, effect.attempt, back); break
+      case 'relay': break
+      case 'release': {
+        const flight = flights.get(effect.id)
+        flights.delete(effect.id)
+        if (flight === undefined) break
+        this.clock.after(this.chance.between(0.3, 1.5), () => {
+          flight.cancelled = true
+          flight.end()
+        })
+        break
+      }
+      case 'turnAway': {
+        const ask = asks.get(effect.id)
+        asks.delete(effect.id)
+        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: effect.verdict, retryAfter: effect.retryAfterS > 0 })
+        break
+      }
+      case 'breakOff': {
+        const ask = asks.get(effect.id)
+        asks.delete(effect.id)
+        flights.delete(effect.id)
+        if (ask !== undefined) this.see({ kind: 'brokenOff', atMs: this.clock.nowMs, request: ask.request })
+        break
+      }
+    }
+  }
+
+  #go(name: string, id: string, attempt: number, back: (waitMs: number, input: TurnoutInput) => void): void {
+    const turnout = this.turnouts.get(name)
+    const flight = turnout?.flights.get(id)
+    const ask = turnout?.asks.get(id)
+    if (turnout === undefined || flight === undefined || ask === undefined) return
+    back(0, { kind: 'sent', id, attempt })
+    const { server, state } = flight
+    const { deployment } = this.options
+    const broken = this.options.broken === 'verdict' ? Verdict.notRun : Verdict.mayHaveRun
+    const lost = () => { back(this.chance.between(0.2, 1), { kind: 'defect', id, attempt, verdict: broken, why: 'the connection broke' }) }
+    this.clock.after(this.chance.between(0.2, 1), () => {
+      if (flight.cancelled) return
+      if (server.state !== state) {
+        lost()
+        return
+      }
+      const model = ask.kind === 'model' ? ask.service : ''
+      if (!state.admits(model, ask.adapter, this.clock.nowMs)) {
+        back(0.5, { kind: 'head', id, attempt, notRun: true })
+        return
+      }
+      const run = `${state.incarnation} ${ask.request} ${String(this.clock.nowMs)}`
+      const sum = digest(run)
+      this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation, addressOf: server.name })
+      state.begin(model, ask.adapter, this.clock.nowMs)
+      let open = true
+      const crashed = () => {
+        if (!open) return
+        open = false
+        lost()
+      }
+      flight.end = () => {
+        if (!open) return
+        open = false
+        server.watchers.delete(crashed)
+        if (server.state === state) state.end(model, ask.adapter)
+      }
+      server.watchers.add(crashed)
+      const runMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
+      this.clock.after(runMs / ask.lines, () => { if (open && !server.dark) back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false }) })
+      this.clock.after(runMs + 1, () => {
+        if (!open || server.dark) return
+        flight.end()
+        this.clock.after(1.2, () => {
+          if (flight.cancelled || turnout.asks.get(id) !== ask) return
+          turnout.asks.delete(id)
+          turnout.flights.delete(id)
+          this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum })
+          this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
+          turnout.process.deliver({ kind: 'ended', id, attempt })
+        })
+      })
+    })
+  }
+
+  // Callers.
+
+  ask(course: SimOptions['deployment']['courses'][number]): void {
+    const open = [...this.turnouts.values()].filter((one) => one.process.alive)
+    const turnout = this.chance.pick(open)
+    if (turnout === undefined) return
+    this.#asked += 1
+    const id = String(this.#asked)
+    const request = `${course.service}-${id}`
+    const service = Object.values(this.options.deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
+    const adapter = course.adapters.length > 0 && this.chance.hit(0.5) ? this.chance.pick(course.adapters) ?? '' : ''
+    const chain = Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(at)}`).concat(request)
+    const dueInMs = 8000
+    turnout.asks.set(id, { service: course.service, kind: course.kind, adapter, chain, lines: course.lines, dueMs: this.clock.nowMs + dueInMs, request })
+    this.see({ kind: 'asked', atMs: this.clock.nowMs, request, service: course.service, repeatable: service?.repeatable ?? false, dueMs: this.clock.nowMs + dueInMs, proper: true })
+    const target = course.kind === 'model' ? { kind: 'model' as const, name: course.service, adapter, chain } : { kind: 'service' as const, name: course.service }
+    turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs })
+  }
+
+  beginTraffic(untilMs: number): void {
+    for (const course of this.options.deployment.courses) {
+      const next = () => {
+        if (this.clock.nowMs >= untilMs) return
+        this.ask(course)
+        this.clock.after(this.chance.exponential(1000 / course.perS), next)
+      }
+      this.clock.after(this.chance.exponential(1000 / course.perS), next)
+    }
+  }
+
+  // Operators.
+
+  operate(box: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
+    const id = `${operation.operation}-${String(this.#operations.size)}-${String(this.clock.nowMs)}`
+    this.#operations.set(id, done)
+    this.clock.after(operation.waitMs + 500, () => {
+      if (this.#operations.delete(id)) done(504, 0, '')
+    })
+    this.clock.after(1, () => { this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation }) })
+  }
+
+  /** Writes as an operator who asks again, by the same operation id, until told how it ended. */
+  write(operation: string, action: 'charter.put' | 'charter.patch', text: string, ifMatch: number, settled: (status: number, stamp: number) => void): void {
+    this.see({ kind: 'wrote', atMs: this.clock.nowMs, operation, text, branch: '', action })
+    const again = () => {
+      const box = this.chance.pick([...this.boxes.keys()]) ?? ''
+      this.operate(box, { action, branch: '', text, ifMatch, operation, waitMs: this.pace.operateMs }, (status, stamp) => {
+        if (status === 504) {
+          this.see({ kind: 'undecided', atMs: this.clock.nowMs, operation })
+          again()
+        } else {
+          if (status === 200) this.see({ kind: 'acknowledged', atMs: this.clock.nowMs, operation, stamp })
+          else this.see({ kind: 'notTaken', atMs: this.clock.nowMs, operation, status })
+          settled(status, stamp)
+        }
+      })
+    }
+    again()
+  }
+}
--- a/src/testtrack/judge.ts
+++ b/src/testtrack/judge.ts
@@ -46,10 +46,22 @@
     const wrote = operations.get(ack.operation)
     if (wrote !== undefined && back.size > 0 && back.get(ack.stamp) !== wrote.text) tell('charter', `${ack.operation} at stamp ${String(ack.stamp)} does not read back`)
   }
-  const spans = (events: { atMs: number; on: boolean }[], graceMs: number) => events.flatMap((event, at) => (event.on ? [{ fromMs: event.atMs + graceMs, toMs: events[at + 1]?.atMs ?? Infinity }] : []))
+  const histories = of('history').map((one) => one.operations)
+  const last = histories.at(-1)
+  if (last !== undefined) {
+    for (const ack of of('acknowledged')) if (!last.includes(ack.operation)) tell('charter', `${ack.operation} was acknowledged and is gone`)
+    for (const not of of('notTaken')) if (last.includes(not.operation)) tell('charter', `${not.operation} was told ${String(not.status)} and took effect`)
+  }
+  const spans = (events: { atMs: number; on: boolean; ackedMs?: number }[], graceMs: number) => events.flatMap((event, at) => (event.on ? [{ fromMs: Math.min(event.atMs + graceMs, (event.ackedMs ?? Infinity) + bounds.charterMs), toMs: events[at + 1]?.atMs ?? Infinity }] : []))
+  const bars = new Map<string, { atMs: number; on: boolean; ackedMs: number }[]>()
+  for (const one of of('barred')) bars.set(`${one.service} ${one.server}`, [...(bars.get(`${one.service} ${one.server}`) ?? []), { atMs: one.atMs, on: one.barred, ackedMs: one.ackedMs }])
+  for (const [key, events] of bars) {
+    const closed = spans(events, Infinity)
+    for (const ran of of('ran')) if (`${ran.service} ${ran.server}` === key && closed.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('charter', `${ran.request} ran at ${ran.server}, which its charter had barred`)
+  }
   for (const server of given.zones.keys()) {
     const drains = spans(of('platform').filter((one) => one.server === server).map((one) => ({ atMs: one.atMs, on: one.draining || !one.listed })), bounds.drainMs)
-    const empties = spans(of('emptied').filter((one) => one.zone === given.zones.get(server)).map((one) => ({ atMs: one.atMs, on: one.emptied })), bounds.emptyMs)
+    const empties = spans(of('emptied').filter((one) => one.zone === given.zones.get(server)).map((one) => ({ atMs: one.atMs, on: one.emptied, ackedMs: one.ackedMs })), bounds.emptyMs)
     for (const ran of of('ran')) {
       if (ran.server !== server) continue
       if (drains.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('drain', `${ran.request} ran at ${server} while it drains`)
@@ -115,7 +127,11 @@
     deepStrictEqual(verdict([ask('r'), ran('r', { server: 't' }), whole]), ['stray'])
     deepStrictEqual(verdict([ran('r')]), ['stray'])
     deepStrictEqual(verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, ask('r'), ran('r', { atMs: 3001 })]), ['drain'])
-    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true }, ask('r'), ran('r', { atMs: 5001 })]), ['emptied'])
+    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['emptied'])
+    deepStrictEqual(verdict([{ kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['charter'])
+    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 0, operation: 'o', stamp: 1 }, { kind: 'history', atMs: 9, operations: ['p'] }]), ['charter'])
+    deepStrictEqual(verdict([{ kind: 'notTaken', atMs: 0, operation: 'o', status: 412 }, { kind: 'history', atMs: 9, operations: ['o'] }]), ['charter'])
+    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, ask('r'), ran('r', { atMs: 5001 })]), ['emptied'])
     deepStrictEqual(verdict([{ kind: 'coldRun', atMs: 0, server: 's', incarnation: 'i', flights: 3, limit: 2 }]), ['cold'])
     deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 900, mb: 20 }]), ['store'])
     deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 2000, mb: 20 }]), [])
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -9,6 +9,8 @@
 import { command, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
+import { simFaults } from './simFaults.js'
+import { sweep } from './sweep.js'
 
 const say = (line: string) => { process.stdout.write(`${line}\n`) }
 const unknown = (what: string, known: readonly string[]) => {
@@ -40,4 +42,23 @@
     }
   },
 })
-await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet } }), process.argv.slice(2))
+const sim = command({
+  name: 'sim',
+  description: 'Runs a deployment under virtual time, one run a seed, and judges each.',
+  args: {
+    deployment: positional({ type: string, displayName: 'deployment' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
+    seeds: option({ long: 'seeds', type: number, defaultValue: () => 1, description: 'how many seeds' }),
+    faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs` }),
+    broken: option({ long: 'broken', type: string, defaultValue: () => '', description: 'a rule to break on purpose' }),
+  },
+  handler: (given) => {
+    const deployment = Deployment.of(given.deployment)
+    const names = Object.keys(simFaults)
+    const strange = ['', 'each', 'pairs'].includes(given.faults) ? undefined : given.faults.split(',').find((one) => !names.includes(one))
+    if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
+    else if (strange !== undefined) unknown(`no fault is named ${strange}`, names)
+    else if (!sweep({ ...given, deployment, say })) process.exitCode = 1
+  },
+})
+await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim } }), process.argv.slice(2))
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -51,9 +51,9 @@
     const askedMs = clockMs()
     const done = await fleet.operate(['zone', 'empty', 'b'])
     say(`zone empty b: exit ${String(done.code)} after ${String(Math.round(clockMs() - askedMs))} ms`)
-    if (done.code === 0) fleet.see({ kind: 'emptied', atMs: askedMs, zone: 'b', emptied: true })
+    if (done.code === 0) fleet.see({ kind: 'emptied', atMs: askedMs, zone: 'b', emptied: true, ackedMs: clockMs() })
     await pause(6000)
-    fleet.see({ kind: 'emptied', atMs: clockMs(), zone: 'b', emptied: false })
+    fleet.see({ kind: 'emptied', atMs: clockMs(), zone: 'b', emptied: false, ackedMs: clockMs() })
     await fleet.operate(['zone', 'refill', 'b'])
   },
 }
--- /dev/null
+++ b/src/testtrack/runSimulation.ts
@@ -0,0 +1,158 @@
+/**
+ * One simulated run from founding to verdict: the core founds itself, an operator puts the charter,
+ * traffic begins, faults come one after another while operators write, then it is quiet for longer
+ * than the bound of recovery, everything is read back, and the judge is asked.
+ */
+import { strictEqual } from 'node:assert'
+import { z } from 'zod'
+import { Deployment } from './Deployment.js'
+import { proof } from '../gauge/proof.js'
+import { judge } from './judge.js'
+import { simFaults } from './simFaults.js'
+import type { SimOptions } from './SimOptions.js'
+import { Simulation } from './Simulation.js'
+
+interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number }
+
+export function runSimulation(options: SimOptions): Result {
+  const sim = new Simulation(options)
+  const { clock, chance, sightings, see } = sim
+  const { deployment, faults } = options
+  const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
+  let stamp = 0
+  sim.write('first', 'charter.put', text, -1, (status, at) => { if (status === 200) stamp = at })
+  while (stamp === 0 && clock.nowMs < 60_000 && clock.turn());
+  if (stamp === 0) throw new Error('the first charter was not acknowledged within a minute')
+  const startMs = clock.nowMs
+  const quietFromMs = startMs + options.calmMs + faults.length * options.faultMs * 1.5
+  const endMs = quietFromMs + options.quietMs
+  sim.beginTraffic(endMs - 8500)
+
+  faults.forEach((name, at) => {
+    const fault = simFaults[name]
+    if (fault === undefined) throw new Error(`no fault is named ${name}`)
+    const fromMs = startMs + options.calmMs + at * options.faultMs * 1.5 + chance.between(0, options.faultMs * 0.4)
+    clock.at(fromMs, () => {
+      clock.note(`fault ${name}`)
+      const end = fault(sim)
+      clock.at(fromMs + options.faultMs, () => {
+        end()
+        see({ kind: 'faultClosed', atMs: clock.nowMs, fault: name })
+      })
+    })
+  })
+  operators(sim, startMs + options.calmMs / 2, quietFromMs)
+  clock.until(endMs)
+
+  readAll(sim)
+  const { defaults, fleet, partners } = deployment.charter
+  const kinds = new Map(deployment.servers.map((one) => [one.name, one.kind]))
+  const services = new Map(Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])))
+  const rules = judge({
+    sightings, bounds: sim.bounds, zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
+    allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
+    paceMbPerS: fleet.storePaceMbPerS, burstMb: fleet.storeBurstMb, retryRatio: 0.2, retryAllowance: defaults.retryAllowance, slackMs: 150,
+  })
+  const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
+  const waits = [...sim.waits].sort((a, b) => a - b)
+  const at = (ratio: number) => Math.round(waits[Math.min(waits.length - 1, Math.floor(waits.length * ratio))] ?? 0)
+  const wrote = new Map(sightings.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
+  return {
+    rules, broken: Object.entries(rules).filter(([, defects]) => defects.length > 0).map(([rule]) => rule), trace: clock.trace,
+    asked: count('asked'), whole: count('whole'), turnedAway: count('turnedAway'), brokenOff: count('brokenOff'), p50Ms: at(0.5), p99Ms: at(0.99),
+    loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
+    weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
+    ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
+    recoverMs: recovery(sim),
+  }
+}
+
+/** Operators who write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
+function operators(sim: Simulation, fromMs: number, untilMs: number): void {
+  const { clock, chance, see } = sim
+  const { deployment } = sim.options
+  const [partner = '', branch] = Object.entries(deployment.charter.partners).find(([, one]) => Object.keys(one.services).length > 0) ?? []
+  const [service = '', plan] = Object.entries(branch?.services ?? {})[0] ?? []
+  let count = 0
+  const patch = (tree: object, settled: (askedMs: number) => void, ifMatch = -1) => {
+    count += 1
+    const askedMs = clock.nowMs
+    sim.write(`operation-${String(count)}`, 'charter.patch', JSON.stringify(tree), ifMatch, (status) => { if (status === 200) settled(askedMs) })
+  }
+  const race = () => {
+    if (clock.nowMs > untilMs) return
+    patch({ partners: { [partner]: { limits: { dueMs: 9000 + chance.below(1000) } } } }, () => undefined)
+    patch({ partners: { [partner]: { limits: { warmMs: deployment.charter.defaults.warmMs } } } }, () => undefined, chance.hit(0.5) ? 3 : -1)
+    clock.after(chance.between(1500, 5000), race)
+  }
+  const zone = () => {
+    if (clock.nowMs > untilMs) return
+    const name = chance.pick(deployment.zones) ?? ''
+    patch({ zones: { [name]: { emptied: true } } }, (askedMs) => {
+      see({ kind: 'emptied', atMs: askedMs, zone: name, emptied: true, ackedMs: clock.nowMs })
+      clock.after(4000, () => {
+        see({ kind: 'emptied', atMs: clock.nowMs, zone: name, emptied: false, ackedMs: 0 })
+        patch({ zones: { [name]: { emptied: false } } }, () => { clock.after(3000, zone) })
+      })
+    })
+  }
+  const bar = () => {
+    if (clock.nowMs > untilMs || plan === undefined || plan.servers.length < 2) return
+    const server = chance.pick(plan.servers) ?? ''
+    const write = (servers: readonly string[], settled: (askedMs: number) => void) => { patch({ partners: { [partner]: { services: { [service]: { servers } } } } }, settled) }
+    write(plan.servers.filter((one) => one !== server), (askedMs) => {
+      see({ kind: 'barred', atMs: askedMs, service, server, barred: true, ackedMs: clock.nowMs })
+      clock.after(3500, () => {
+        see({ kind: 'barred', atMs: clock.nowMs, service, server, barred: false, ackedMs: 0 })
+        write(plan.servers, () => { clock.after(2000, bar) })
+      })
+    })
+  }
+  clock.at(fromMs, race)
+  clock.at(fromMs + 500, zone)
+  clock.at(fromMs + 900, bar)
+}
+
+function readAll(sim: Simulation): void {
+  const { clock, see } = sim
+  const read = (action: 'charter.get' | 'charter.history', text: string, branch: string): string | undefined => {
+    let got: string | undefined
+    let open = true
+    sim.operate(sim.chance.pick([...sim.boxes.keys()]) ?? '', { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.pace.operateMs }, (status, _stamp, body) => {
+      got = status === 200 ? body : undefined
+      open = false
+    })
+    while (open && clock.turn());
+    return got
+  }
+  const history = z.array(z.object({ stamp: z.number(), operation: z.string() })).parse(JSON.parse(read('charter.history', '', '') ?? '[]'))
+  see({ kind: 'history', atMs: clock.nowMs, operations: history.map((one) => one.operation) })
+  for (const one of history) {
+    const text = read('charter.get', String(one.stamp), 'sent')
+    if (text !== undefined) see({ kind: 'readBack', atMs: clock.nowMs, stamp: one.stamp, text })
+  }
+}
+
+/** The longest that a service went without a whole answer once a fault had closed. */
+function recovery(sim: Simulation): number {
+  let worst = 0
+  for (const fault of sim.sightings) {
+    if (fault.kind !== 'faultClosed') continue
+    const first = sim.sightings.find((one) => one.kind === 'whole' && one.atMs >= fault.atMs)
+    if (first !== undefined) worst = Math.max(worst, Math.round(first.atMs - fault.atMs))
+  }
+  return worst
+}
+
+const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100 })
+proof(import.meta.url, {
+  'a calm run keeps every rule, and a second run of its seed is the same': () => {
+    const one = runSimulation(base(1, []))
+    const other = runSimulation(base(1, []))
+    strictEqual(JSON.stringify(one.rules), JSON.stringify(other.rules))
+    strictEqual(one.trace, other.trace)
+    strictEqual(one.broken.join(), '')
+    strictEqual(one.whole > 100, true)
+    strictEqual(runSimulation(base(2, [])).trace === one.trace, false)
+  },
+})
