Meet a server once before counting it cold; one load at a time for a want

Cause: a turnout counts a server that it never met as cold, and with 4 cold requests shared by 9 turnouts 5 of them have a share of 0, so they never met it and held their requests until due. Also, a load under way was not seen as an answer to its own want, so the next tick loaded the same model elsewhere. Excluded: room (all 12 models of the small deployment fit), the store's pace, the victims' order. Conclusion: an unknown server is met by one attempt that sends nothing while cold.

--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -154,5 +154,6 @@
     strictEqual(one.broken.join(), '')
     strictEqual(one.whole > 100, true)
     strictEqual(runSimulation(base(2, [])).trace === one.trace, false)
+    strictEqual(one.turnedAway, 0)
   },
 })
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -271,8 +271,16 @@
 
   /** A further copy is wanted only once the copies that exist have been there for a while and none is on its way. */
   #crowded(copies: readonly Yard[], model: string): boolean {
-    const coming = [...this.#yards.values()].some((yard) => yard.plan?.model === model || (yard.task?.order.kind === 'load' && yard.task.order.model === model))
-    return !coming && copies.every((yard) => (yard.report?.models.find((one) => one.model === model)?.flights ?? 0) > 0)
+    return !this.#coming(model, '') && copies.every((yard) => (yard.report?.models.find((one) => one.model === model)?.flights ?? 0) > 0)
+  }
+
+  /** True when a load of the model, or an attach of this adapter, is planned or under way somewhere. */
+  #coming(model: string, adapter: string): boolean {
+    for (const { plan, task } of this.#yards.values()) {
+      if (plan?.model === model && (plan.adapter === '' || plan.adapter === adapter)) return true
+      if (task?.order.model === model && (task.order.kind === 'load' || (task.order.kind === 'attach' && task.order.adapter === adapter))) return true
+    }
+    return false
   }
 
   #holds(yard: Yard, model: string, adapter: string): boolean {
@@ -311,8 +319,7 @@
     for (const want of wants) {
       const plan = charter.partners[want.partner]?.models[want.model]
       if (plan === undefined) continue
-      const coming = [...this.#yards.values()].some((yard) => yard.plan?.model === want.model && (want.adapter === '' || yard.plan.adapter === want.adapter || yard.plan.adapter === ''))
-      if (coming) continue
+      if (this.#coming(want.model, want.adapter)) continue
       const free = [...this.#yards.values()].filter((yard) => yard.open && yard.task === undefined && yard.plan === undefined && nowMs >= yard.backoffUntilMs && this.#known(yard, nowMs) && (plan.servers?.includes(yard.name) ?? true))
       const withModel = free.filter((yard) => this.#holds(yard, want.model, ''))
       if (want.adapter !== '' && [...this.#yards.values()].some((yard) => yard.open && this.#holds(yard, want.model, ''))) {
@@ -362,7 +369,14 @@
       if (yard.task === undefined && yard.plan !== undefined) this.#next(yard, nowMs)
       const { task } = yard
       if (task === undefined || task.order.tenure !== this.#tenure) continue
-      if (task.phase === 'withdrawing' && this.#withdrawn(yard, task.order, copy, nowMs)) task.phase = 'proposed'
+      if (task.phase === 'withdrawing') {
+        if (this.#withdrawn(yard, task.order, copy, nowMs)) task.phase = 'proposed'
+        else if (nowMs - task.sinceMs > this.#pace.orderMs) {
+          this.#reason(yard.name, task.order, 'streams in flight outlasted the wait', nowMs)
+          this.#drop(yard, nowMs)
+          continue
+        }
+      }
       if (task.phase === 'proposed') {
         const saved = JSON.stringify({ order: task.order, incarnation: task.incarnation })
         if (copy.get(`order/${yard.name}`) !== saved) this.#publish(out, copy, `order/${yard.name}`, saved, nowMs)
@@ -389,6 +403,10 @@
     const victim = plan.victims.shift()
     if (victim !== undefined) {
       const [model = '', adapter = ''] = victim.split('/')
+      if (!this.#stillMakesWay(report, victim, adapter !== '', nowMs)) {
+        yard.plan = undefined
+        return
+      }
       this.#begin(yard, adapter === '' ? 'unload' : 'detach', model, adapter, 0, `makes way for ${keyOf(plan.model, plan.adapter)}: ${plan.why}`, nowMs)
       return
     }
@@ -409,6 +427,12 @@
     yard.plan = undefined
   }
 
+  /** Between the count and the enacting a victim may have been requested, or its window may have opened. */
+  #stillMakesWay(report: Report, key: string, adapters: boolean, nowMs: number): boolean {
+    const tenant = this.#tenants(report, adapters, nowMs).find((one) => one.key === key)
+    return tenant !== undefined && (nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs) && nowMs - tenant.lastMs > this.#predictor.historyMs
+  }
+
   #begin(yard: Yard, kind: Order['kind'], model: string, adapter: string, sizeMb: number, why: string, nowMs: number): void {
     this.#number += 1
     const order: Order = { tenure: this.#tenure, number: this.#number, kind, model, adapter, sizeMb }
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -134,7 +134,11 @@
       const row = binding === undefined ? undefined : BindingRow.parse(JSON.parse(binding))
       platform.models = new Set(row?.models)
       platform.adapters = new Set(row?.adapters)
-      if (row !== undefined && platform.incarnation !== '' && row.incarnation !== platform.incarnation) platform.kept.clear()
+      if (row !== undefined && platform.incarnation !== '' && row.incarnation !== platform.incarnation) {
+        platform.incarnation = ''
+        platform.coldUntilMs = Infinity
+        platform.kept.clear()
+      }
     }
     for (const [name, platform] of this.#platforms) {
       if (listed.has(name)) continue
@@ -151,6 +155,12 @@
     return Math.floor(limit / seats.length) + (at < limit % seats.length ? 1 : 0)
   }
 
+  /** This turnout's share of what a server bears. One never met counts as cold, and is met by one attempt. */
+  #limit(platform: Platform, terms: Terms, nowMs: number): number {
+    const { coldLimit, serverLimit } = terms.limits
+    return this.#share(nowMs < platform.coldUntilMs ? Math.min(coldLimit, serverLimit) : serverLimit, platform.name)
+  }
+
   #allowance(terms: Terms, key: string): number {
     return this.#share(terms.limits.retryAllowance, key)
   }
@@ -276,10 +286,11 @@
     let bestRank = -Infinity
     for (const platform of this.#platforms.values()) {
       if (!this.#mayUse(platform, traveller, terms) || nowMs < platform.suspectUntilMs) continue
-      const limit = this.#share(nowMs < platform.coldUntilMs ? Math.min(terms.limits.coldLimit, terms.limits.serverLimit) : terms.limits.serverLimit, platform.name)
-      if (platform.flights >= limit) continue
+      const limit = this.#limit(platform, terms, nowMs)
+      const unmet = platform.incarnation === '' && platform.flights === 0
+      if (platform.flights >= limit && !unmet) continue
       const kept = traveller.target.kind === 'model' ? this.#kept(platform, traveller.target.chain) : 0
-      const rank = 4 * kept - (4 * platform.flights) / limit + (platform.zone === this.#plan.zone ? 0.5 : 0)
+      const rank = 4 * kept - (4 * platform.flights) / Math.max(1, limit) + (platform.zone === this.#plan.zone ? 0.5 : 0)
       if (rank > bestRank + 1e-9) {
         best = [platform]
         bestRank = rank
@@ -369,8 +380,7 @@
       return
     }
     if (nowMs >= traveller.dueMs) return
-    const limit = this.#share(nowMs < platform.coldUntilMs ? Math.min(terms.limits.coldLimit, terms.limits.serverLimit) : terms.limits.serverLimit, platform.name)
-    if (platform.flights > limit) {
+    if (platform.flights > this.#limit(platform, terms, nowMs)) {
       release('the server is still cold')
       return
     }
