A hail no longer overwrites what its sender said of being empty

Cause: founding waits until every seat has said that it is empty, and each hail from that seat reset the answer to "not empty". Where hails and answers fell in the wrong order at each period, the core was never founded. Excluded: lost messages (none were set), the order of seats, election timers. Conclusion: only the answer to our own nonce speaks of emptiness.

--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -245,10 +245,12 @@
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'hail': {
-        if (message.role === 'signalbox') this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: false }, nowMs)
+        const before = this.roster.get(from)
+        const empty = before?.identity === message.identity && before.empty
+        if (message.role === 'signalbox') this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty }, nowMs)
         this.roster.hearsay(message.known, nowMs)
-        const { identity, empty } = this.agreement
-        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'signalbox', zone: this.#plan.zone, identity, empty, leader: this.#leaderAddress, known: this.roster.known })
+        const { agreement } = this
+        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'signalbox', zone: this.#plan.zone, identity: agreement.identity, empty: agreement.empty, leader: this.#leaderAddress, known: this.roster.known })
         break
       }
       case 'hailed': {
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -156,4 +156,7 @@
     strictEqual(runSimulation(base(2, [])).trace === one.trace, false)
     strictEqual(one.turnedAway, 0)
   },
+  'a hail that crosses the answer to another does not keep an empty core from being founded': () => {
+    strictEqual(runSimulation({ ...base(11, []), quietMs: 9000 }).broken.join(), '')
+  },
 })
