A given-up request tells of every try: MayHaveRun once one of them may have run

Cause: a repeatable request whose first try broke after it was sent goes back to waiting; when its due passed there, the answer was NotRun although it had run. Excluded: the server's own NotRun, connections that broke before the request. Conclusion: the verdict belongs to the request, not to its last try.

--- a/src/gauge/Pace.ts
+++ b/src/gauge/Pace.ts
@@ -17,6 +17,7 @@
   adoptMs: number
   hailMs: number
   operateMs: number
+  askMs: number
   platformMs: number
   reportMs: number
   reportStaleMs: number
@@ -39,6 +40,7 @@
     adoptMs: 0.25 * bounds.charterMs,
     hailMs: 0.02 * bounds.recoverMs,
     operateMs: 0.75 * bounds.recoverMs,
+    askMs: 0.2 * bounds.recoverMs,
     platformMs: 0.15 * bounds.drainMs,
     reportMs: 0.1 * bounds.drainMs,
     reportStaleMs: 0.5 * bounds.drainMs,
--- a/src/sidings/ModelServerFormat.ts
+++ b/src/sidings/ModelServerFormat.ts
@@ -1,7 +1,9 @@
 /**
  * What model servers are asked and told besides requests: `GET /springpaddle/holds?tenure=N` gives a
  * report and lets the server remember the newest tenure; `POST /springpaddle/orders` hands it an
- * order, answered 202 when taken (again) and 409 when turned away. The order's end is in the reports.
+ * order, answered 202 when taken (again) and 409 when turned away: a server that can check turns away
+ * an older tenure, and an older number of the same tenure, which is a copy that came late. How the
+ * order ended is in the reports.
  */
 import { strictEqual } from 'node:assert'
 import { proof } from '../gauge/proof.js'
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -1,5 +1,6 @@
 /**
- * The two deployments at the sizes of today, and a small one for sweeps: zones, machines, servers, models with adapters, and the
+ * The two deployments at the sizes of today, and two small ones for sweeps, one of them short of
+ * room: zones, machines, servers, models with adapters, and the
  * mix of traffic. Sizes and rates that nobody stated are our own guesses, drawn from a fixed seed.
  */
 import { strictEqual } from 'node:assert'
@@ -25,6 +26,7 @@
 
 const shapes: Record<string, Shape> = {
   siding: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 5, modelServers: 4, serviceServers: 3, models: 12, adapters: 8, service: 'lobby', servicePerS: 10, busy: ['pairing', 3, 8], middle: ['seeding', 4, 1], rare: ['replay', 5, 0.2] },
+  tight: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 4, modelServers: 2, serviceServers: 2, models: 14, adapters: 20, service: 'booking', servicePerS: 10, busy: ['conflict', 3, 6], middle: ['roster', 5, 1], rare: ['calendar', 6, 1] },
   gopherline: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 9, modelServers: 8, serviceServers: 3, models: 36, adapters: 40, service: 'lobby', servicePerS: 30, busy: ['pairing', 6, 20], middle: ['seeding', 10, 1], rare: ['replay', 20, 0.2] },
   cascade: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 8, modelServers: 13, serviceServers: 3, models: 30, adapters: 55, service: 'booking', servicePerS: 45, busy: ['conflict', 8, 15], middle: ['roster', 10, 2], rare: ['calendar', 12, 0.2] },
 }
--- a/src/testtrack/SimOptions.ts
+++ b/src/testtrack/SimOptions.ts
@@ -13,4 +13,5 @@
   quietMs: number
   broken: string
   crowd: number
+  together: boolean
 }
--- a/src/testtrack/SimProcess.ts
+++ b/src/testtrack/SimProcess.ts
@@ -37,6 +37,10 @@
     return this.machine !== undefined
   }
 
+  get frozen(): boolean {
+    return this.#frozen
+  }
+
   get nowMs(): number {
     return this.#originMs + this.#clock.nowMs * this.#rate
   }
--- a/src/testtrack/SimServer.ts
+++ b/src/testtrack/SimServer.ts
@@ -18,5 +18,6 @@
   lagMs: number
   orderLoss: number
   orderSlowMs: number
+  breaksRuns: number
   watchers: Set<() => void>
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -46,8 +46,8 @@
   readonly turnouts = new Map<string, { process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>; address: string; zone: string; asks: Map<string, Ask>; flights: Map<string, Flight> }>()
   readonly servers = new Map<string, SimServer>()
   readonly waits: number[] = []
-  readonly deliveriesMs: number[] = []
-  events = 0
+  /** When the core last lacked a majority that could act. */
+  coreDownMs = 0
   #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
   #asked = 0
   #ports = 1000
@@ -62,9 +62,13 @@
     this.#seeds = [...this.boxes.values()].map((box) => box.address)
     for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
     for (const server of deployment.servers) {
-      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, watchers: new Set() })
+      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, breaksRuns: 0, watchers: new Set() })
       this.startServer(server.name)
     }
+    this.clock.every(50, () => {
+      const up = [...this.boxes.values()].filter(({ process }) => process.alive && !process.frozen && [...this.boxes.keys()].every((other) => this.network.connected(process.host, other)))
+      if (up.length * 2 <= this.boxes.size || this.network.lossRatio > 0) this.coreDownMs = this.clock.nowMs
+    })
     this.clock.every(50, () => { for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs) })
     for (const name of this.boxes.keys()) this.startBox(name)
     for (const name of this.linemen.keys()) this.startPost(name)
@@ -160,6 +164,7 @@
   /** Where a run is to break a rule of the dispatcher, its reports are bent. */
   #bend(report: Report): Report {
     if (this.options.broken === 'room') return { ...report, models: report.models.map((one) => ({ ...one, sizeMb: 0 })) }
+    if (this.options.broken === 'flights') return { ...report, models: report.models.map((one) => ({ ...one, flights: 0 })), adapters: report.adapters.map((one) => ({ ...one, flights: 0 })) }
     if (this.options.broken === 'places') return { ...report, adapters: [] }
     return report
   }
@@ -182,7 +187,7 @@
     const host = `host-${name}`
     const turnout = `${name}-turnout`
     const lineman = new SimProcess<LinemanInput, LinemanEffect, LinemanMachine>(name, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect) => {
-      if (effect.kind === 'send') this.network.send(name, host, this.linemen.get(name)?.address ?? '', effect.toAddress, effect.message)
+      if (effect.kind === 'send') this.network.send(name, host, this.linemen.get(name)?.address ?? '', effect.toAddress, this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message)
       else this.clock.note(effect.sentence)
     })
     const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(turnout, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect, life) => { this.#performTurnout(name, effect, life) })
@@ -208,6 +213,7 @@
     const { broken } = this.options
     if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
     if (broken === 'budget' && message.kind === 'news') return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: row.value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000') } : row)) }
+    if (broken === 'emptied' && message.kind === 'news') return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: row.value.replaceAll('"emptied":true', '"emptied":false') } : row)) }
     return message
   }
 
@@ -304,7 +310,7 @@
       case 'turnAway': {
         const ask = asks.get(effect.id)
         asks.delete(effect.id)
-        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: effect.verdict, retryAfter: effect.retryAfterS > 0 })
+        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict, retryAfter: effect.retryAfterS > 0 })
         break
       }
       case 'breakOff': {
@@ -343,10 +349,20 @@
       this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation, addressOf: server.name })
       state.begin(model, ask.adapter, this.clock.nowMs)
       let open = true
+      const finish = (got: number) => {
+        if (flight.cancelled || turnout.asks.get(id) !== ask) return
+        turnout.asks.delete(id)
+        turnout.flights.delete(id)
+        this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum: got })
+        this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
+        turnout.process.deliver({ kind: 'ended', id, attempt })
+      }
+      let headed = false
       const crashed = () => {
         if (!open) return
         open = false
-        lost()
+        if (this.options.broken === 'whole' && headed) finish(sum + 1)
+        else lost()
       }
       flight.end = () => {
         if (!open) return
@@ -355,19 +371,24 @@
         if (server.state === state) state.end(model, ask.adapter)
       }
       server.watchers.add(crashed)
+      if (this.chance.hit(server.breaksRuns)) {
+        this.clock.after(this.chance.between(0.5, 20), () => {
+          if (!open) return
+          flight.end()
+          open = true
+          crashed()
+        })
+      }
       const runMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
-      this.clock.after(runMs / ask.lines, () => { if (open && !server.dark) back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false }) })
+      this.clock.after(runMs / ask.lines, () => { 
+        if (!open || server.dark) return
+        back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
+        this.clock.after(1.1, () => { headed = true })
+      })
       this.clock.after(runMs + 1, () => {
         if (!open || server.dark) return
         flight.end()
-        this.clock.after(1.2, () => {
-          if (flight.cancelled || turnout.asks.get(id) !== ask) return
-          turnout.asks.delete(id)
-          turnout.flights.delete(id)
-          this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum })
-          this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
-          turnout.process.deliver({ kind: 'ended', id, attempt })
-        })
+        this.clock.after(1.2, () => { finish(sum) })
       })
     })
   }
@@ -388,7 +409,7 @@
     turnout.asks.set(id, { service: course.service, kind: course.kind, adapter, chain, lines: course.lines, dueMs: this.clock.nowMs + dueInMs, request })
     this.see({ kind: 'asked', atMs: this.clock.nowMs, request, service: course.service, repeatable: service?.repeatable ?? false, dueMs: this.clock.nowMs + dueInMs, proper: true })
     const target = course.kind === 'model' ? { kind: 'model' as const, name: course.service, adapter, chain } : { kind: 'service' as const, name: course.service }
-    turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs })
+    turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: this.options.broken === 'early' ? dueInMs / 100 : dueInMs })
   }
 
   beginTraffic(untilMs: number): void {
@@ -407,7 +428,7 @@
   operate(box: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
     const id = `${operation.operation}-${String(this.#operations.size)}-${String(this.clock.nowMs)}`
     this.#operations.set(id, done)
-    this.clock.after(operation.waitMs + 500, () => {
+    this.clock.after(this.boxes.get(box)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
       if (this.#operations.delete(id)) done(504, 0, '')
     })
     this.clock.after(1, () => { this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation }) })
@@ -416,9 +437,11 @@
   /** Writes as an operator who asks again, by the same operation id, until told how it ended. */
   write(operation: string, action: 'charter.put' | 'charter.patch', text: string, ifMatch: number, settled: (status: number, stamp: number) => void): void {
     this.see({ kind: 'wrote', atMs: this.clock.nowMs, operation, text, branch: '', action })
+    const names = [...this.boxes.keys()]
+    let at = this.chance.below(names.length)
     const again = () => {
-      const box = this.chance.pick([...this.boxes.keys()]) ?? ''
-      this.operate(box, { action, branch: '', text, ifMatch, operation, waitMs: this.pace.operateMs }, (status, stamp) => {
+      at += 1
+      this.operate(names[at % names.length] ?? '', { action, branch: '', text, ifMatch, operation, waitMs: this.pace.askMs }, (status, stamp) => {
         if (status === 504) {
           this.see({ kind: 'undecided', atMs: this.clock.nowMs, operation })
           again()
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -74,7 +74,8 @@
     this.advance(nowMs)
     const seen = (taken: boolean) => { this.#see({ kind: 'ordered', atMs: nowMs, server: this.plan.name, incarnation: this.incarnation, tenure: order.tenure, number: order.number, order: `${order.kind} ${order.model}/${order.adapter}`, taken }) }
     if (this.#order?.tenure === order.tenure && this.#order.number === order.number) return 202
-    if (this.plan.checksTenure && order.tenure < this.#tenure) {
+    const late = this.#order?.tenure === order.tenure && order.number < this.#order.number
+    if (this.plan.checksTenure && (order.tenure < this.#tenure || late)) {
       seen(false)
       return 409
     }
@@ -165,6 +166,7 @@
     strictEqual(server.admits('a', '', 800), true)
     strictEqual(order(4, 9, 'b', 1, 900), 409)
     strictEqual(order(5, 3, 'b', 8, 900), 202)
+    strictEqual(order(5, 2, 'c', 1, 901), 409)
     strictEqual(seen.filter((one) => one.kind === 'broke').map((one) => one.rule).join(), 'twoOrders,room')
   },
 })
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -6,7 +6,7 @@
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { command, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { command, flag, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
 import { simFaults } from './simFaults.js'
@@ -50,6 +50,7 @@
     seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
     seeds: option({ long: 'seeds', type: number, defaultValue: () => 1, description: 'how many seeds' }),
     faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs` }),
+    together: flag({ long: 'together', description: 'all the faults at once instead of one after another' }),
     broken: option({ long: 'broken', type: string, defaultValue: () => '', description: 'a rule to break on purpose' }),
   },
   handler: (given) => {
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -18,7 +18,9 @@
   const sim = new Simulation(options)
   const { clock, chance, sightings, see } = sim
   const { deployment, faults } = options
-  const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
+  const plan = deployment.charter.fleet
+  const charter = options.broken === 'store' ? { ...deployment.charter, fleet: { ...plan, storePaceMbPerS: 100 * plan.storePaceMbPerS, storeBurstMb: 100 * plan.storeBurstMb } } : deployment.charter
+  const text = `${JSON.stringify(charter, null, 2)}\n`
   let stamp = 0
   sim.write('first', 'charter.put', text, -1, (status, at) => { if (status === 200) stamp = at })
   while (stamp === 0 && clock.nowMs < 60_000 && clock.turn());
@@ -31,7 +33,7 @@
   faults.forEach((name, at) => {
     const fault = simFaults[name]
     if (fault === undefined) throw new Error(`no fault is named ${name}`)
-    const fromMs = startMs + options.calmMs + at * options.faultMs * 1.5 + chance.between(0, options.faultMs * 0.4)
+    const fromMs = startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + chance.between(0, options.faultMs * 0.4)
     clock.at(fromMs, () => {
       clock.note(`fault ${name}`)
       const end = fault(sim)
@@ -89,7 +91,7 @@
     if (clock.nowMs > untilMs) return
     const name = chance.pick(deployment.zones) ?? ''
     patch({ zones: { [name]: { emptied: true } } }, (askedMs) => {
-      see({ kind: 'emptied', atMs: askedMs, zone: name, emptied: true, ackedMs: clock.nowMs })
+      see({ kind: 'emptied', atMs: Math.max(askedMs, sim.coreDownMs), zone: name, emptied: true, ackedMs: clock.nowMs })
       clock.after(4000, () => {
         see({ kind: 'emptied', atMs: clock.nowMs, zone: name, emptied: false, ackedMs: 0 })
         patch({ zones: { [name]: { emptied: false } } }, () => { clock.after(3000, zone) })
@@ -144,7 +146,7 @@
   return worst
 }
 
-const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100 })
+const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false })
 proof(import.meta.url, {
   'a calm run keeps every rule, and a second run of its seed is the same': () => {
     const one = runSimulation(base(1, []))
--- a/src/testtrack/simFaults.ts
+++ b/src/testtrack/simFaults.ts
@@ -77,6 +77,14 @@
     return cutBoth(sim, [post], hosts(sim).filter((one) => one !== post))
   },
   'cut-post-from-core': (sim) => cutBoth(sim, [`host-${anyPost(sim)}`], [...sim.boxes.keys()]),
+  'cut-post-from-system': (sim) => {
+    const post = `host-${anyPost(sim)}`
+    return cutBoth(sim, [post], hosts(sim).filter((one) => one !== post && !sim.servers.has(one)))
+  },
+  'break-runs': (sim) => {
+    for (const server of sim.servers.values()) server.breaksRuns = 0.5
+    return () => { for (const server of sim.servers.values()) server.breaksRuns = 0 }
+  },
   'slow-links': (sim) => {
     for (const host of hosts(sim)) if (sim.chance.hit(0.4)) sim.network.slowMs.set(host, sim.chance.between(5, 60))
     return () => { sim.network.heal() }
@@ -124,7 +132,7 @@
     }
   },
   'reuse-address': (sim) => {
-    const [old, heir] = [anyServer(sim, 'service'), anyServer(sim, 'service')]
+    const [old, heir] = [anyServer(sim, sim.chance.hit(0.7) ? 'service' : 'model'), anyServer(sim, 'model')]
     const address = sim.servers.get(old)?.address ?? ''
     if (old === heir) return nothing
     sim.crashServer(old)
--- a/src/turnout/Budget.ts
+++ b/src/turnout/Budget.ts
@@ -9,7 +9,7 @@
   #tokens: number | undefined
 
   first(ratio: number, share: number): void {
-    this.#tokens = Math.min((this.#tokens ?? share) + ratio, share + 1)
+    this.#tokens = Math.min((this.#tokens ?? share) + ratio, Math.max(share, 1))
   }
 
   again(share: number): boolean {
--- a/src/turnout/Traveller.ts
+++ b/src/turnout/Traveller.ts
@@ -16,6 +16,7 @@
   server: string
   cold: boolean
   sends: number
+  mayHaveRun: boolean
   notBeforeMs: number
   boundMs: number
   lastWhy: string
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -171,7 +171,7 @@
     const traveller: Traveller = {
       id: input.id, target, partner: terms?.partner ?? '', bytes: input.bytes, arrivedMs: nowMs,
       dueMs: nowMs + (input.dueInMs ?? terms?.limits.dueMs ?? this.#pace.operateMs), dueGiven: input.dueInMs !== undefined,
-      phase: 'arrived', attempt: 0, server: '', cold: false, sends: 0, notBeforeMs: 0, boundMs: 0, lastWhy: '',
+      phase: 'arrived', attempt: 0, server: '', cold: false, sends: 0, mayHaveRun: false, notBeforeMs: 0, boundMs: 0, lastWhy: '',
     }
     this.#travellers.set(input.id, traveller)
     if (target.kind === 'model') {
@@ -201,14 +201,15 @@
   #turnAway(traveller: Traveller, status: number, verdict: Verdict, why: string): void {
     if (traveller.server !== '') this.#unbind(traveller)
     this.#to(traveller, 'turnedAway')
+    const told = traveller.mayHaveRun ? Verdict.mayHaveRun : verdict
     const retryAfterS = Math.max(1, Math.ceil((this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)?.limits.dueMs ?? 1000) / 4000))
-    this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict, retryAfterS, why })
+    this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict: told, retryAfterS, why })
   }
 
   #giveUp(nowMs: number): void {
     for (const traveller of this.#travellers.values()) {
       if (nowMs < traveller.dueMs || traveller.phase === 'streaming') continue
-      const ran = traveller.phase === 'sent'
+      const ran = traveller.phase === 'sent' || traveller.mayHaveRun
       if (traveller.server !== '') this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
       this.#turnAway(traveller, ran ? 504 : 503, ran ? Verdict.mayHaveRun : Verdict.notRun, `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`)
     }
@@ -420,6 +421,7 @@
       this.#effects.push({ kind: 'breakOff', id: traveller.id, why: input.why })
       return
     }
+    if (input.verdict !== Verdict.notRun && traveller.phase === 'sent') traveller.mayHaveRun = true
     if (input.verdict === Verdict.notRun || terms?.repeatable === true) {
       this.#again(traveller, platform, input.why, nowMs)
       return
