--- a/src/testtrack/Fleet.ts
+++ b/src/testtrack/Fleet.ts
@@ -39,7 +39,7 @@
     this.deployment = deployment
     this.folder = folder
     const { warmMs, coldLimit } = deployment.charter.defaults
-    this.servers = deployment.servers.map((one) => new StandInHttp({ ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, warmMs, coldLimit }, one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs, this.see))
+    this.servers = deployment.servers.map((one) => new StandInHttp({ ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, enforcesTenure: true, warmMs, coldLimit }, one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs, this.see))
   }
 
   readonly see = (sighting: Sighting): void => {
--- a/src/testtrack/SimDisk.ts
+++ b/src/testtrack/SimDisk.ts
@@ -29,7 +29,7 @@
     const tookMs = records.length === 0 ? 0 : this.#chance.between(0.3, 3)
     this.#freeAtMs = Math.max(this.#freeAtMs, this.#clock.nowMs, this.stalledUntilMs) + tookMs
     if (this.lies) this.#clock.after(0, () => { if (power === this.#power) done() })
-    this.#clock.at(this.lies ? this.#freeAtMs + 400 : this.#freeAtMs, () => {
+    this.#clock.at(this.lies ? this.#freeAtMs + 3000 : this.#freeAtMs, () => {
       if (power !== this.#power) return
       this.records = rewrite ? [...records] : [...this.records, ...records]
       if (!this.lies) done()
--- a/src/testtrack/SimOptions.ts
+++ b/src/testtrack/SimOptions.ts
@@ -14,4 +14,5 @@
   broken: string
   crowd: number
   together: boolean
+  uncheckedTenure: boolean
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -165,7 +165,6 @@
   #bend(report: Report): Report {
     if (this.options.broken === 'room') return { ...report, models: report.models.map((one) => ({ ...one, sizeMb: 0 })) }
     if (this.options.broken === 'flights') return { ...report, models: report.models.map((one) => ({ ...one, flights: 0 })), adapters: report.adapters.map((one) => ({ ...one, flights: 0 })) }
-    if (this.options.broken === 'places') return { ...report, adapters: [] }
     return report
   }
 
@@ -212,8 +211,10 @@
   #forTurnout(message: Message): Message {
     const { broken } = this.options
     if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
-    if (broken === 'budget' && message.kind === 'news') return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: row.value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000') } : row)) }
-    if (broken === 'emptied' && message.kind === 'news') return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: row.value.replaceAll('"emptied":true', '"emptied":false') } : row)) }
+    if ((broken === 'budget' || broken === 'emptied') && (message.kind === 'news' || message.kind === 'mend')) {
+      const bent = (value: string) => (broken === 'budget' ? value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000') : value.replaceAll('"emptied":true', '"emptied":false'))
+      return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: bent(row.value) } : row)) }
+    }
     return message
   }
 
@@ -247,7 +248,7 @@
     server.lives += 1
     server.dark = false
     const { warmMs, coldLimit } = this.options.deployment.charter.defaults
-    server.state = new StandInServer({ ...plan, loadMbPerS: this.options.deployment.loadMbPerS, checksTenure: this.options.broken !== 'staleOrders', warmMs, coldLimit }, `${name}.${String(server.lives)}`, this.clock.nowMs, this.see)
+    server.state = new StandInServer({ ...plan, loadMbPerS: this.options.deployment.loadMbPerS, checksTenure: !this.options.uncheckedTenure, enforcesTenure: this.options.broken !== 'staleOrders' && !this.options.uncheckedTenure, warmMs, coldLimit }, `${name}.${String(server.lives)}`, this.clock.nowMs, this.see)
     this.see({ kind: 'serverUp', atMs: this.clock.nowMs, server: name, zone: server.zone })
   }
 
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -9,7 +9,7 @@
 import type { Report } from '../gauge/Report.js'
 import type { Sighting } from './Sighting.js'
 
-interface Plan { name: string; zone: string; roomMb: number; places: number; loadMbPerS: number; checksTenure: boolean; warmMs: number; coldLimit: number }
+interface Plan { name: string; zone: string; roomMb: number; places: number; loadMbPerS: number; checksTenure: boolean; enforcesTenure: boolean; warmMs: number; coldLimit: number }
 
 export class StandInServer {
   readonly plan: Plan
@@ -75,7 +75,7 @@
     const seen = (taken: boolean) => { this.#see({ kind: 'ordered', atMs: nowMs, server: this.plan.name, incarnation: this.incarnation, tenure: order.tenure, number: order.number, order: `${order.kind} ${order.model}/${order.adapter}`, taken }) }
     if (this.#order?.tenure === order.tenure && this.#order.number === order.number) return 202
     const late = this.#order?.tenure === order.tenure && order.number < this.#order.number
-    if (this.plan.checksTenure && (order.tenure < this.#tenure || late)) {
+    if (this.plan.enforcesTenure && (order.tenure < this.#tenure || late)) {
       seen(false)
       return 409
     }
@@ -158,7 +158,7 @@
 proof(import.meta.url, {
   'it writes down an order over its room, a second order, and a stale tenure it turned away': () => {
     const seen: Sighting[] = []
-    const server = new StandInServer({ name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, warmMs: 0, coldLimit: 1 }, 'i', 0, (one) => seen.push(one))
+    const server = new StandInServer({ name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, enforcesTenure: true, warmMs: 0, coldLimit: 1 }, 'i', 0, (one) => seen.push(one))
     const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) => server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
     strictEqual(order(5, 1, 'a', 8, 0), 202)
     strictEqual(order(5, 2, 'b', 8, 1), 409)
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -51,6 +51,7 @@
     seeds: option({ long: 'seeds', type: number, defaultValue: () => 1, description: 'how many seeds' }),
     faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs` }),
     together: flag({ long: 'together', description: 'all the faults at once instead of one after another' }),
+    faultMs: option({ long: 'fault-ms', type: number, defaultValue: () => 4000, description: 'how long each fault lasts' }),
     broken: option({ long: 'broken', type: string, defaultValue: () => '', description: 'a rule to break on purpose' }),
   },
   handler: (given) => {
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -5,6 +5,7 @@
  */
 import { strictEqual } from 'node:assert'
 import { z } from 'zod'
+import type { Charter } from '../gauge/Charter.js'
 import { Deployment } from './Deployment.js'
 import { proof } from '../gauge/proof.js'
 import { judge } from './judge.js'
@@ -18,8 +19,7 @@
   const sim = new Simulation(options)
   const { clock, chance, sightings, see } = sim
   const { deployment, faults } = options
-  const plan = deployment.charter.fleet
-  const charter = options.broken === 'store' ? { ...deployment.charter, fleet: { ...plan, storePaceMbPerS: 100 * plan.storePaceMbPerS, storeBurstMb: 100 * plan.storeBurstMb } } : deployment.charter
+  const charter = bentCharter(deployment.charter, options.broken)
   const text = `${JSON.stringify(charter, null, 2)}\n`
   let stamp = 0
   sim.write('first', 'charter.put', text, -1, (status, at) => { if (status === 200) stamp = at })
@@ -69,6 +69,14 @@
   }
 }
 
+/** Where a run is to break the room, places or pace of the charter, the system is told a charter that is too generous. */
+function bentCharter(charter: Charter, broken: string): Charter {
+  const { fleet } = charter
+  if (broken === 'store') return { ...charter, fleet: { ...fleet, storePaceMbPerS: 100 * fleet.storePaceMbPerS, storeBurstMb: 100 * fleet.storeBurstMb } }
+  if (broken !== 'places') return charter
+  return { ...charter, fleet: { ...fleet, servers: Object.fromEntries(Object.entries(fleet.servers).map(([name, server]) => [name, { ...server, places: 10 * server.places }])) } }
+}
+
 /** Operators who write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
 function operators(sim: Simulation, fromMs: number, untilMs: number): void {
   const { clock, chance, see } = sim
@@ -146,7 +154,7 @@
   return worst
 }
 
-const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false })
+const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false, uncheckedTenure: false })
 proof(import.meta.url, {
   'a calm run keeps every rule, and a second run of its seed is the same': () => {
     const one = runSimulation(base(1, []))
--- a/src/testtrack/sweep.ts
+++ b/src/testtrack/sweep.ts
@@ -7,9 +7,9 @@
 import { runSimulation } from './runSimulation.js'
 import { simFaults } from './simFaults.js'
 
-interface Sweep { deployment: Deployment; seed: number; seeds: number; faults: string; broken: string; together: boolean; say: (line: string) => void }
+interface Sweep { deployment: Deployment; seed: number; seeds: number; faults: string; broken: string; together: boolean; faultMs: number; say: (line: string) => void }
 
-export function sweep({ deployment, seed, seeds, faults, broken, together, say }: Sweep): boolean {
+export function sweep({ deployment, seed, seeds, faults, broken, together, faultMs, say }: Sweep): boolean {
   const names = Object.keys(simFaults)
   let runs = 0
   let failures = 0
@@ -19,9 +19,9 @@
     for (const list of lists) {
       runs += 1
       const atOnce = together || (faults === 'pairs' && chance.hit(0.5))
-      const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}`
+      const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}${faultMs === 4000 ? '' : ` --fault-ms ${String(faultMs)}`}`
       try {
-        const result = runSimulation({ deployment, seed: at, faults: list, calmMs: 6000, faultMs: 4000, quietMs: 26_000, broken, crowd: 150, together: atOnce })
+        const result = runSimulation({ deployment, seed: at, faults: list, calmMs: 6000, faultMs, quietMs: 26_000, broken, crowd: 150, together: atOnce, uncheckedTenure: false })
         const acks = [...result.ackMs].sort((a, b) => a - b)
         say(`${result.broken.length === 0 ? 'pass' : 'FAIL'} seed ${String(at)} ${list.join('+')}: ${String(result.asked)} asked, ${String(result.whole)} whole, ${String(result.turnedAway)} turned away, ${String(result.brokenOff)} broken off, p50 ${String(result.p50Ms)} p99 ${String(result.p99Ms)} ms, ${String(result.loads)} loads, ack p50 ${String(acks[Math.floor(acks.length / 2)] ?? 0)} max ${String(acks.at(-1) ?? 0)} ms, back after ${String(result.recoverMs)} ms, trace ${result.trace.toString(16)}`)
         if (result.broken.length === 0) continue
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -27,7 +27,7 @@
   held: { model: string; adapter: string; count: number; dueInMs: number }[]
   flights: { server: string; model: string; adapter: string; count: number }[]
 }
-interface Want { model: string; adapter: string; partner: string; held: boolean; urgency: number; nextMs: number; deltaMs: number; why: string }
+interface Want { model: string; adapter: string; partner: string; held: boolean; dueInMs: number; urgency: number; nextMs: number; deltaMs: number; why: string }
 interface Reason { atMs: number; server: string; kind: string; model: string; adapter: string; why: string }
 
 const SavedOrder = z.object({ order: OrderSchema, incarnation: z.string() })
@@ -257,11 +257,11 @@
           const thetaMs = this.#thetaMs(model, plan.sizeMb)
           const base = { model, adapter, partner, urgency: intent.weight * (1 + intent.coldStartCost) }
           if (dueInMs !== undefined && (copies.length === 0 || this.#crowded(copies, model))) {
-            wants.push({ ...base, held: true, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there' })
+            wants.push({ ...base, held: true, dueInMs, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there' })
           } else if (copies.length === 0 && forecast !== undefined && nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs) {
-            wants.push({ ...base, held: false, nextMs: forecast.nextMs, deltaMs: forecast.deltaMs, why: 'a request is forecast' })
+            wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: forecast.nextMs, deltaMs: forecast.deltaMs, why: 'a request is forecast' })
           } else if (copies.length === 0 && inHours && adapter === '') {
-            wants.push({ ...base, held: false, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: 'its partner wants it in these hours' })
+            wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: 'its partner wants it in these hours' })
           }
         }
       }
@@ -322,34 +322,42 @@
       if (this.#coming(want.model, want.adapter)) continue
       const free = [...this.#yards.values()].filter((yard) => yard.open && yard.task === undefined && yard.plan === undefined && nowMs >= yard.backoffUntilMs && this.#known(yard, nowMs) && (plan.servers?.includes(yard.name) ?? true))
       const withModel = free.filter((yard) => this.#holds(yard, want.model, ''))
-      if (want.adapter !== '' && [...this.#yards.values()].some((yard) => yard.open && this.#holds(yard, want.model, ''))) {
-        this.#choose(want, withModel.filter((yard) => !this.#holds(yard, want.model, want.adapter)), 1, historyMs, nowMs)
-      } else {
-        this.#choose({ ...want, adapter: '' }, free.filter((yard) => !withModel.includes(yard) && yard.roomMb >= plan.sizeMb && (want.adapter === '' || yard.places > 0)), plan.sizeMb, historyMs, nowMs)
-      }
+      const attach = want.adapter !== '' && [...this.#yards.values()].some((yard) => yard.open && this.#holds(yard, want.model, ''))
+      const fitting = attach
+        ? withModel.filter((yard) => !this.#holds(yard, want.model, want.adapter))
+        : free.filter((yard) => !withModel.includes(yard) && yard.roomMb >= plan.sizeMb && (want.adapter === '' || yard.places > 0))
+      const step = attach ? want : { ...want, adapter: '' }
+      const size = attach ? 1 : plan.sizeMb
+      if (this.#choose(step, fitting, size, historyMs, 'nothing', nowMs)) continue
+      if (want.dueInMs > this.#pace.reportStaleMs + 2 * this.#thetaMs(want.model, plan.sizeMb) + this.#pace.reportStaleMs) continue
+      for (const relaxed of ['history', 'overlap', 'doubles'] as const) if (this.#choose(step, fitting, size, historyMs, relaxed, nowMs)) break
     }
   }
 
-  #choose(want: Want, yards: readonly Yard[], size: number, historyMs: number, nowMs: number): void {
+  #choose(want: Want, yards: readonly Yard[], size: number, historyMs: number, relaxed: 'nothing' | 'history' | 'overlap' | 'doubles', nowMs: number): boolean {
     let best: { yard: Yard; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
     for (const yard of yards) {
       const { report } = yard
       if (report === undefined) continue
       const free = want.adapter === '' ? this.#roomMb(yard, report) : this.#places(yard, report)
-      const victims = evict(newcomer, this.#tenants(report, want.adapter !== '', nowMs), free, historyMs, nowMs)
+      const tenants = this.#tenants(yard, report, want.adapter !== '', nowMs).filter((one) => one.key !== want.model)
+      const victims = evict(newcomer, tenants, free, historyMs, nowMs, relaxed)
       if (victims === undefined) continue
       const lowest = Math.min(...victims.map((one) => one.score))
       const rank = victims.length === 0 ? 2 + free / 1e9 : lowest
       if (best === undefined || rank > best.rank) best = { yard, victims: victims.map((one) => one.key), rank }
     }
-    if (best !== undefined) best.yard.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why: want.why }
+    if (best === undefined) return false
+    const why = relaxed === 'nothing' ? want.why : `${want.why}; last resort, lets go of ${relaxed}`
+    best.yard.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    return true
   }
 
-  #tenants(report: Report, adapters: boolean, nowMs: number): Tenant[] {
+  #tenants(yard: Yard, report: Report, adapters: boolean, nowMs: number): Tenant[] {
     const holds = adapters
-      ? report.adapters.map((one) => ({ key: keyOf(one.model, one.adapter), model: one.model, state: one.state, flights: one.flights, size: 1, thetaMs: 0 }))
-      : report.models.map((one) => ({ key: one.model, model: one.model, state: one.state, flights: one.flights, size: one.sizeMb, thetaMs: this.#thetaMs(one.model, one.sizeMb) }))
+      ? report.adapters.map((one) => ({ key: keyOf(one.model, one.adapter), model: one.model, adapter: one.adapter, state: one.state, flights: one.flights, size: 1, thetaMs: 0 }))
+      : report.models.map((one) => ({ key: one.model, model: one.model, adapter: '', state: one.state, flights: one.flights, size: one.sizeMb, thetaMs: this.#thetaMs(one.model, one.sizeMb) }))
     return holds.filter((one) => one.state === 'loaded' && one.flights === 0).map((one) => {
       const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + 24 * 3_600_000, deltaMs: 0 }
       return {
@@ -360,6 +368,7 @@
         lastMs: this.#predictor.lastMs(one.key),
         surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
         size: one.size,
+        doubled: [...this.#yards.values()].some((other) => other !== yard && other.open && this.#holds(other, one.model, one.adapter)),
       }
     })
   }
@@ -403,7 +412,7 @@
     const victim = plan.victims.shift()
     if (victim !== undefined) {
       const [model = '', adapter = ''] = victim.split('/')
-      if (!this.#stillMakesWay(report, victim, adapter !== '', nowMs)) {
+      if (!this.#stillMakesWay(yard, report, victim, adapter !== '', plan.relaxed, nowMs)) {
         yard.plan = undefined
         return
       }
@@ -428,9 +437,11 @@
   }
 
   /** Between the count and the enacting a victim may have been requested, or its window may have opened. */
-  #stillMakesWay(report: Report, key: string, adapters: boolean, nowMs: number): boolean {
-    const tenant = this.#tenants(report, adapters, nowMs).find((one) => one.key === key)
-    return tenant !== undefined && (nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs) && nowMs - tenant.lastMs > this.#predictor.historyMs
+  #stillMakesWay(yard: Yard, report: Report, key: string, adapters: boolean, relaxed: string, nowMs: number): boolean {
+    const tenant = this.#tenants(yard, report, adapters, nowMs).find((one) => one.key === key)
+    if (tenant === undefined) return false
+    const outside = nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs || (relaxed === 'doubles' && tenant.doubled)
+    return outside && (relaxed !== 'nothing' || nowMs - tenant.lastMs > this.#predictor.historyMs)
   }
 
   #begin(yard: Yard, kind: Order['kind'], model: string, adapter: string, sizeMb: number, why: string, nowMs: number): void {
--- a/src/timetable/Tenant.ts
+++ b/src/timetable/Tenant.ts
@@ -1,6 +1,7 @@
 /**
  * A loaded model (or adapter) as the eviction sees it: when its next request is forecast, its window,
- * when it was last requested, the probability of a surprise, and what its leaving frees.
+ * when it was last requested, the probability of a surprise, what its leaving frees, and whether another
+ * open server holds it too.
  */
 export interface Tenant {
   key: string
@@ -10,4 +11,5 @@
   lastMs: number
   surprise: number
   size: number
+  doubled: boolean
 }
