--- a/src/testtrack/Callers.ts
+++ b/src/testtrack/Callers.ts
@@ -83,7 +83,7 @@
         const waits = this.waits.get(course.service) ?? []
         this.waits.set(course.service, waits)
         waits.push(clockMs() - askedMs)
-      } else this.#see({ kind: 'turnedAway', atMs: clockMs(), request: name, status: reply.statusCode, verdict: Object.values(Verdict).find((one) => one === verdict), retryAfter: reply.headers['retry-after'] !== undefined })
+      } else this.#see({ kind: 'turnedAway', atMs: clockMs(), request: name, status: reply.statusCode, verdict: Object.values(Verdict).find((one) => one === verdict), retryAfter: reply.headers['retry-after'] !== undefined, wokeMs: 0 })
     } catch {
       this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name })
     } finally {
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -9,7 +9,7 @@
 import { proof } from '../gauge/proof.js'
 
 interface Course { service: string; kind: 'model' | 'service'; perS: number; adapters: string[]; lines: number; prefix: number }
-interface Shape { partner: string; other: string; boxes: number; turnouts: number; modelServers: number; serviceServers: number; models: number; adapters: number; service: string; servicePerS: number; busy: [string, number, number]; middle: [string, number, number]; rare: [string, number, number]; storePace: number; modelRunMs: number }
+interface Shape { partner: string; other: string; boxes: number; turnouts: number; modelServers: number; serviceServers: number; models: number; adapters: number; service: string; servicePerS: number; busy: [string, number, number]; middle: [string, number, number]; rare: [string, number, number]; storePace: number; modelRunMs: number; places: number }
 
 export interface Deployment {
   name: string
@@ -25,10 +25,10 @@
 }
 
 const shapes: Record<string, Shape> = {
-  siding: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 5, modelServers: 4, serviceServers: 3, models: 12, adapters: 8, service: 'lobby', servicePerS: 10, busy: ['pairing', 3, 8], middle: ['seeding', 4, 1], rare: ['replay', 5, 0.2], storePace: 20_000, modelRunMs: 40 },
-  tight: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 4, modelServers: 2, serviceServers: 2, models: 14, adapters: 20, service: 'booking', servicePerS: 10, busy: ['conflict', 3, 6], middle: ['roster', 5, 1], rare: ['calendar', 6, 1], storePace: 5000, modelRunMs: 300 },
-  gopherline: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 9, modelServers: 8, serviceServers: 3, models: 36, adapters: 40, service: 'lobby', servicePerS: 30, busy: ['pairing', 6, 20], middle: ['seeding', 10, 1], rare: ['replay', 20, 0.2], storePace: 20_000, modelRunMs: 40 },
-  cascade: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 8, modelServers: 13, serviceServers: 3, models: 30, adapters: 55, service: 'booking', servicePerS: 45, busy: ['conflict', 8, 15], middle: ['roster', 10, 2], rare: ['calendar', 12, 0.2], storePace: 20_000, modelRunMs: 40 },
+  siding: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 5, modelServers: 4, serviceServers: 3, models: 12, adapters: 8, service: 'lobby', servicePerS: 10, busy: ['pairing', 3, 8], middle: ['seeding', 4, 1], rare: ['replay', 5, 0.2], storePace: 20_000, modelRunMs: 40, places: 8 },
+  tight: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 4, modelServers: 2, serviceServers: 2, models: 14, adapters: 20, service: 'booking', servicePerS: 10, busy: ['conflict', 3, 6], middle: ['roster', 5, 1], rare: ['calendar', 6, 1], storePace: 5000, modelRunMs: 300, places: 4 },
+  gopherline: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 9, modelServers: 8, serviceServers: 3, models: 36, adapters: 40, service: 'lobby', servicePerS: 30, busy: ['pairing', 6, 20], middle: ['seeding', 10, 1], rare: ['replay', 20, 0.2], storePace: 20_000, modelRunMs: 40, places: 8 },
+  cascade: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 8, modelServers: 13, serviceServers: 3, models: 30, adapters: 55, service: 'booking', servicePerS: 45, busy: ['conflict', 8, 15], middle: ['roster', 10, 2], rare: ['calendar', 12, 0.2], storePace: 20_000, modelRunMs: 40, places: 8 },
 }
 
 export const Deployment = {
@@ -42,7 +42,7 @@
     const zone = (at: number) => zones[at % 3] ?? 'a'
     const list = (count: number, prefix: string) => Array.from({ length: count }, (_, at) => ({ name: `${prefix}-${String(at + 1)}`, zone: zone(at) }))
     const servers = [
-      ...list(shape.modelServers, 'ms').map((one) => ({ ...one, kind: 'model' as const, roomMb: 24_000, places: 8 })),
+      ...list(shape.modelServers, 'ms').map((one) => ({ ...one, kind: 'model' as const, roomMb: 24_000, places: shape.places })),
       ...list(shape.serviceServers, shape.service).map((one) => ({ ...one, kind: 'service' as const, roomMb: 0, places: 0 })),
     ]
     const models: Record<string, { sizeMb: number; adapters: string[]; adapterMb: number; limits?: { intent: { weight: number } } }> = {}
--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -8,7 +8,7 @@
   | { kind: 'asked'; atMs: number; request: string; service: string; repeatable: boolean; dueMs: number; proper: boolean }
   | { kind: 'whole'; atMs: number; request: string; status: number; sum: number }
   | { kind: 'brokenOff'; atMs: number; request: string }
-  | { kind: 'turnedAway'; atMs: number; request: string; status: number; verdict: Verdict | undefined; retryAfter: boolean }
+  | { kind: 'turnedAway'; atMs: number; request: string; status: number; verdict: Verdict | undefined; retryAfter: boolean; wokeMs: number }
   | { kind: 'left'; atMs: number; request: string }
   | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; addressOf: string }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
--- a/src/testtrack/SimProcess.ts
+++ b/src/testtrack/SimProcess.ts
@@ -20,6 +20,8 @@
   #frozen = false
   #inbox: Input[] = []
   life = 0
+  /** When it last woke, by the world's time: nothing could leave it before. */
+  wokeMs = 0
 
   constructor(name: string, host: string, clock: SimClock, chance: Chance, tickMs: number, tick: () => Input, perform: (effect: Effect, life: number) => void) {
     this.name = name
@@ -69,6 +71,7 @@
   wake(): void {
     if (!this.#frozen) return
     this.#frozen = false
+    this.wokeMs = this.#clock.nowMs
     const waiting = this.#inbox
     this.#inbox = []
     if (this.#chance.hit(0.5)) this.deliver(this.#tick())
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -311,7 +311,7 @@
       case 'turnAway': {
         const ask = asks.get(effect.id)
         asks.delete(effect.id)
-        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict, retryAfter: effect.retryAfterS > 0 })
+        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict, retryAfter: effect.retryAfterS > 0, wokeMs: process.wokeMs })
         break
       }
       case 'breakOff': {
--- /dev/null
+++ b/src/testtrack/keptSeeds.ts
@@ -0,0 +1,30 @@
+/**
+ * Runs that are kept: every fault once, and each run that a sweep found failing, with what was wrong
+ * then. All of them must keep every rule.
+ */
+import { strictEqual } from 'node:assert'
+import { Deployment } from './Deployment.js'
+import { proof } from '../gauge/proof.js'
+import { runSimulation } from './runSimulation.js'
+import { simFaults } from './simFaults.js'
+
+interface KeptSeed { seed: number; faults: string[]; together: boolean; was: string }
+
+export const keptSeeds: readonly KeptSeed[] = [
+  ...Object.keys(simFaults).map((name) => ({ seed: 1, faults: [name], together: false, was: '' })),
+  { seed: 13, faults: ['cut-leader-off', 'kill-leader'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
+  { seed: 17, faults: ['kill-dispatcher', 'freeze-post'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
+  { seed: 23, faults: ['freeze-dispatcher', 'kill-box'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
+  { seed: 19, faults: ['order-trouble', 'kill-turnout'], together: false, was: 'a late copy of an older order was taken for a second order' },
+  { seed: 22, faults: ['split-core', 'order-trouble'], together: false, was: 'a late copy of an older order was taken for a second order' },
+  { seed: 4, faults: ['break-runs'], together: false, was: 'a request that had run was told NotRun when its due passed' },
+  { seed: 105, faults: ['break-runs', 'freeze-turnout'], together: true, was: 'the judge held a frozen turnout to its dues' },
+]
+
+proof(import.meta.url, Object.fromEntries(keptSeeds.map(({ seed, faults, together, was }) => [`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
+  const deployment = Deployment.of('siding')
+  if (deployment === undefined) throw new Error('no siding')
+  const result = runSimulation({ deployment, seed, faults, calmMs: 6000, faultMs: 4000, quietMs: 22_000, broken: '', crowd: 150, together, uncheckedTenure: false })
+  strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
+  strictEqual(result.whole > 300, true)
+}])))
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -13,6 +13,7 @@
 import { sweep } from './sweep.js'
 
 const say = (line: string) => { process.stdout.write(`${line}\n`) }
+process.stdout.on('error', () => { process.exit(1) })
 const unknown = (what: string, known: readonly string[]) => {
   process.stderr.write(`testtrack: ${what}; known are: ${known.join(', ')}\n`)
   process.exitCode = 2
