--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -18,11 +18,12 @@
 import { PlatformServer } from '../interlocking/PlatformServer.js'
 import type { Message } from '../telegraph/Message.js'
 import { Dispatcher } from '../timetable/Dispatcher.js'
+import type { Policy } from '../timetable/Policy.js'
 import { Operation } from './Operation.js'
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
 
-interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; seats: readonly string[]; rewriteBytes: number }
+interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; seats: readonly string[]; rewriteBytes: number; policy: Policy }
 interface Pending { operation: Operation; dueMs: number; askedMs: number; respondTo: string | undefined; proposed: boolean }
 const dispatcherDuty = 'dispatcher'
 
@@ -320,7 +321,7 @@
     const duty = this.register.duty(dispatcherDuty)
     const mine = duty?.holder === this.#plan.name && duty.address === this.agreement.identity
     if (mine && this.#dispatcher?.tenure !== duty.tenure) {
-      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, nowMs)
+      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, this.#plan.policy, nowMs)
       this.#dutySureMs = -Infinity
       this.#dutyAskMs = -Infinity
       this.#say('dispatcher', `Holds the duty in tenure ${String(duty.tenure)}.`)
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -12,6 +12,7 @@
 import type { Startup } from '../gauge/Startup.js'
 import type { Telegraph } from '../telegraph/Telegraph.js'
 import type { Waybill } from '../waybill/Waybill.js'
+import { edgeMulti } from '../timetable/edgeMulti.js'
 import { OutsideCalls } from './OutsideCalls.js'
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
@@ -38,7 +39,7 @@
     this.#waybill = waybill
     this.#calls = calls
     this.pace = Pace(startup.bounds)
-    this.machine = new SignalboxMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, seats: startup.seats, rewriteBytes: startup.rewriteBytes }, this.pace, new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0), waybill.records, clockMs())
+    this.machine = new SignalboxMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, seats: startup.seats, rewriteBytes: startup.rewriteBytes, policy: edgeMulti }, this.pace, new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0), waybill.records, clockMs())
     this.#carryOut(this.machine.begin())
     telegraph.hear((from, fromAddress, message) => { this.step({ kind: 'message', from, fromAddress, message }) })
     this.#ticker = setInterval(() => { this.step({ kind: 'tick', hour: new Date().getUTCHours() + new Date().getUTCMinutes() / 60 }) }, this.pace.tickMs)
--- a/src/testtrack/SimOptions.ts
+++ b/src/testtrack/SimOptions.ts
@@ -2,6 +2,7 @@
  * What a simulated run is made of. `broken` names a rule to break on purpose, so that the judge can be
  * seen to bite.
  */
+import type { Policy } from '../timetable/Policy.js'
 import type { Deployment } from './Deployment.js'
 
 export interface SimOptions {
@@ -15,4 +16,5 @@
   crowd: number
   together: boolean
   uncheckedTenure: boolean
+  policy: Policy
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -46,8 +46,12 @@
   readonly turnouts = new Map<string, { process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>; address: string; zone: string; asks: Map<string, Ask>; flights: Map<string, Flight> }>()
   readonly servers = new Map<string, SimServer>()
   readonly waits: number[] = []
+  readonly modelWaits: number[] = []
   /** When the core last lacked a majority that could act. */
   coreDownMs = 0
+  modelAsks = 0
+  /** Model requests that came when no server held their model and adapter. */
+  coldAsks = 0
   #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
   #asked = 0
   #ports = 1000
@@ -97,7 +101,7 @@
     const box = this.boxes.get(name)
     if (box === undefined || box.process.alive) return
     const { deployment } = this.options
-    const machine = new SignalboxMachine({ name, zone: box.zone, address: box.address, seeds: this.#seeds, seats: deployment.boxes.map((one) => one.name), rewriteBytes: 60_000 }, this.pace, this.chance.fork(), box.disk.records, box.process.nowMs)
+    const machine = new SignalboxMachine({ name, zone: box.zone, address: box.address, seeds: this.#seeds, seats: deployment.boxes.map((one) => one.name), rewriteBytes: 60_000, policy: this.options.policy }, this.pace, this.chance.fork(), box.disk.records, box.process.nowMs)
     this.network.open(box.address, name, (from, fromAddress, message) => { box.process.deliver({ kind: 'message', from, fromAddress, message }) })
     box.process.start(machine, machine.begin())
   }
@@ -356,6 +360,7 @@
         turnout.flights.delete(id)
         this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum: got })
         this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
+        if (ask.kind === 'model') this.modelWaits.push(this.clock.nowMs - (ask.dueMs - 8000))
         turnout.process.deliver({ kind: 'ended', id, attempt })
       }
       let headed = false
@@ -396,15 +401,19 @@
 
   // Callers.
 
-  ask(course: SimOptions['deployment']['courses'][number]): void {
+  ask(course: SimOptions['deployment']['courses'][number], chance = this.chance): void {
     const open = [...this.turnouts.values()].filter((one) => one.process.alive)
-    const turnout = this.chance.pick(open)
+    const turnout = chance.pick(open)
     if (turnout === undefined) return
     this.#asked += 1
     const id = String(this.#asked)
     const request = `${course.service}-${id}`
     const service = Object.values(this.options.deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
-    const adapter = course.adapters.length > 0 && this.chance.hit(0.5) ? this.chance.pick(course.adapters) ?? '' : ''
+    const adapter = course.adapters.length > 0 && chance.hit(0.5) ? chance.pick(course.adapters) ?? '' : ''
+    if (course.kind === 'model') {
+      this.modelAsks += 1
+      if (![...this.servers.values()].some((one) => one.kind === 'model' && one.state?.admits(course.service, adapter, this.clock.nowMs) === true)) this.coldAsks += 1
+    }
     const chain = Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(at)}`).concat(request)
     const dueInMs = 8000
     turnout.asks.set(id, { service: course.service, kind: course.kind, adapter, chain, lines: course.lines, dueMs: this.clock.nowMs + dueInMs, request })
@@ -414,14 +423,15 @@
   }
 
   beginTraffic(untilMs: number): void {
-    for (const course of this.options.deployment.courses) {
+    this.options.deployment.courses.forEach((course, at) => {
+      const chance = new Chance(this.options.seed * 1000 + at)
       const next = () => {
         if (this.clock.nowMs >= untilMs) return
-        this.ask(course)
-        this.clock.after(this.chance.exponential(1000 / course.perS), next)
+        this.ask(course, chance)
+        this.clock.after(chance.exponential(1000 / course.perS), next)
       }
-      this.clock.after(this.chance.exponential(1000 / course.perS), next)
-    }
+      this.clock.after(chance.exponential(1000 / course.perS), next)
+    })
   }
 
   // Operators.
--- a/src/testtrack/brokenRules.ts
+++ b/src/testtrack/brokenRules.ts
@@ -3,6 +3,7 @@
  * a fault that needs the rule. The run must fail by that rule, and pass with the rule unbroken.
  */
 import { ok, strictEqual } from 'node:assert'
+import { edgeMulti } from '../timetable/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
@@ -31,7 +32,7 @@
 function run(one: BrokenRule, seed: number, broken: string): string[] {
   const deployment = Deployment.of(one.deployment)
   if (deployment === undefined) throw new Error(`no deployment is named ${one.deployment}`)
-  return runSimulation({ deployment, seed, faults: one.faults, calmMs: 6000, faultMs: one.faultMs ?? 4000, quietMs: 16_000, broken, crowd: one.crowd ?? 150, together: one.together ?? false, uncheckedTenure: false }).broken
+  return runSimulation({ deployment, seed, faults: one.faults, calmMs: 6000, faultMs: one.faultMs ?? 4000, quietMs: 16_000, broken, crowd: one.crowd ?? 150, together: one.together ?? false, uncheckedTenure: false, policy: edgeMulti }).broken
 }
 
 proof(import.meta.url, Object.fromEntries(brokenRules.map((one) => [`${one.rule} bites when ${one.broken} is broken, and only then`, () => {
--- a/src/testtrack/keptSeeds.ts
+++ b/src/testtrack/keptSeeds.ts
@@ -3,6 +3,7 @@
  * then. All of them must keep every rule.
  */
 import { strictEqual } from 'node:assert'
+import { edgeMulti } from '../timetable/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
@@ -24,7 +25,7 @@
 proof(import.meta.url, Object.fromEntries(keptSeeds.map(({ seed, faults, together, was }) => [`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
   const deployment = Deployment.of('siding')
   if (deployment === undefined) throw new Error('no siding')
-  const result = runSimulation({ deployment, seed, faults, calmMs: 6000, faultMs: 4000, quietMs: 22_000, broken: '', crowd: 150, together, uncheckedTenure: false })
+  const result = runSimulation({ deployment, seed, faults, calmMs: 6000, faultMs: 4000, quietMs: 22_000, broken: '', crowd: 150, together, uncheckedTenure: false, policy: edgeMulti })
   strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
   strictEqual(result.whole > 300, true)
 }])))
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { command, flag, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
 import { simFaults } from './simFaults.js'
@@ -64,4 +65,19 @@
     else if (!sweep({ ...given, deployment, say })) process.exitCode = 1
   },
 })
-await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim } }), process.argv.slice(2))
+const versus = command({
+  name: 'compare',
+  description: 'The same seeded arrivals under iWS-BFE and under plain LRU.',
+  args: {
+    deployment: positional({ type: string, displayName: 'deployment' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
+    seeds: option({ long: 'seeds', type: number, defaultValue: () => 1 }),
+    minutes: option({ long: 'minutes', type: number, defaultValue: () => 10, description: 'virtual minutes' }),
+  },
+  handler: (given) => {
+    const deployment = Deployment.of(given.deployment)
+    if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
+    else compare(deployment, Array.from({ length: given.seeds }, (_, at) => given.seed + at), given.minutes, say)
+  },
+})
+await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim, compare: versus } }), process.argv.slice(2))
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -8,6 +8,7 @@
 import type { Deployment } from './Deployment.js'
 import { Fleet } from './Fleet.js'
 import { judge } from './judge.js'
+import { quantile } from './quantile.js'
 
 interface FleetRun { deployment: Deployment; folder: string; seconds: number; faults: readonly string[]; seed: number; say: (line: string) => void }
 const faultsByName: Record<string, (fleet: Fleet, say: (line: string) => void) => Promise<void>> = {
@@ -113,11 +114,10 @@
     const reasons = new Map<string, number>()
     for (const one of sightings) if (one.kind === 'turnedAway') reasons.set(`${String(one.status)} ${String(one.verdict)}`, (reasons.get(`${String(one.status)} ${String(one.verdict)}`) ?? 0) + 1)
     for (const [reason, times] of reasons) say(`  turned away ${reason}: ${String(times)}`)
-    const waits = [...callers.waits.values()].flat().sort((a, b) => a - b)
-    const at = (ratio: number) => String(Math.round(waits[Math.min(waits.length - 1, Math.floor(waits.length * ratio))] ?? 0))
+    const waits = [...callers.waits.values()].flat()
     const loads = sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
     const mb = sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
-    say(`waits: p50 ${at(0.5)} ms, p99 ${at(0.99)} ms; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`)
+    say(`waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`)
     let passes = count('whole') > 0
     for (const [rule, defects] of Object.entries(rules)) {
       say(`${defects.length === 0 ? 'pass' : 'FAIL'} ${rule}${defects.length === 0 ? '' : `: ${String(defects.length)}, first: ${defects.slice(0, 3).join('; ')}`}`)
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -6,14 +6,16 @@
 import { strictEqual } from 'node:assert'
 import { z } from 'zod'
 import type { Charter } from '../gauge/Charter.js'
+import { edgeMulti } from '../timetable/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import { proof } from '../gauge/proof.js'
 import { judge } from './judge.js'
+import { quantile } from './quantile.js'
 import { simFaults } from './simFaults.js'
 import type { SimOptions } from './SimOptions.js'
 import { Simulation } from './Simulation.js'
 
-interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number }
+interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number; modelAsks: number; coldAsks: number; modelP50Ms: number; modelP99Ms: number }
 
 export function runSimulation(options: SimOptions): Result {
   const sim = new Simulation(options)
@@ -56,16 +58,14 @@
     paceMbPerS: fleet.storePaceMbPerS, burstMb: fleet.storeBurstMb, retryRatio: 0.2, retryAllowance: defaults.retryAllowance, slackMs: 150,
   })
   const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
-  const waits = [...sim.waits].sort((a, b) => a - b)
-  const at = (ratio: number) => Math.round(waits[Math.min(waits.length - 1, Math.floor(waits.length * ratio))] ?? 0)
   const wrote = new Map(sightings.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
   return {
     rules, broken: Object.entries(rules).filter(([, defects]) => defects.length > 0).map(([rule]) => rule), trace: clock.trace,
-    asked: count('asked'), whole: count('whole'), turnedAway: count('turnedAway'), brokenOff: count('brokenOff'), p50Ms: at(0.5), p99Ms: at(0.99),
+    asked: count('asked'), whole: count('whole'), turnedAway: count('turnedAway'), brokenOff: count('brokenOff'), p50Ms: quantile(sim.waits, 0.5), p99Ms: quantile(sim.waits, 0.99),
     loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
     weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
     ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
-    recoverMs: recovery(sim),
+    recoverMs: recovery(sim), modelAsks: sim.modelAsks, coldAsks: sim.coldAsks, modelP50Ms: quantile(sim.modelWaits, 0.5), modelP99Ms: quantile(sim.modelWaits, 0.99),
   }
 }
 
@@ -154,7 +154,7 @@
   return worst
 }
 
-const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false, uncheckedTenure: false })
+const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false, uncheckedTenure: false, policy: edgeMulti })
 proof(import.meta.url, {
   'a calm run keeps every rule, and a second run of its seed is the same': () => {
     const one = runSimulation(base(1, []))
--- a/src/testtrack/sweep.ts
+++ b/src/testtrack/sweep.ts
@@ -2,6 +2,7 @@
  * Many simulated runs: each seed with each fault alone, with pairs drawn by the seed, or with one list
  * of faults. A failing run prints the command that replays it.
  */
+import { edgeMulti } from '../timetable/edgeMulti.js'
 import type { Deployment } from './Deployment.js'
 import { Chance } from '../gauge/Chance.js'
 import { runSimulation } from './runSimulation.js'
@@ -21,7 +22,7 @@
       const atOnce = together || (faults === 'pairs' && chance.hit(0.5))
       const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}${faultMs === 4000 ? '' : ` --fault-ms ${String(faultMs)}`}`
       try {
-        const result = runSimulation({ deployment, seed: at, faults: list, calmMs: 6000, faultMs, quietMs: 26_000, broken, crowd: 150, together: atOnce, uncheckedTenure: false })
+        const result = runSimulation({ deployment, seed: at, faults: list, calmMs: 6000, faultMs, quietMs: 26_000, broken, crowd: 150, together: atOnce, uncheckedTenure: false, policy: edgeMulti })
         const acks = [...result.ackMs].sort((a, b) => a - b)
         say(`${result.broken.length === 0 ? 'pass' : 'FAIL'} seed ${String(at)} ${list.join('+')}: ${String(result.asked)} asked, ${String(result.whole)} whole, ${String(result.turnedAway)} turned away, ${String(result.brokenOff)} broken off, p50 ${String(result.p50Ms)} p99 ${String(result.p99Ms)} ms, ${String(result.loads)} loads, ack p50 ${String(acks[Math.floor(acks.length / 2)] ?? 0)} max ${String(acks.at(-1) ?? 0)} ms, back after ${String(result.recoverMs)} ms, trace ${result.trace.toString(16)}`)
         if (result.broken.length === 0) continue
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -15,7 +15,7 @@
 import { PlatformServer } from '../interlocking/PlatformServer.js'
 import { Bucket } from './Bucket.js'
 import type { DispatcherOut } from './DispatcherOut.js'
-import { evict } from './evict.js'
+import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tenant } from './Tenant.js'
 import type { Yard } from './Yard.js'
@@ -36,6 +36,7 @@
 
 export class Dispatcher {
   readonly #pace: Pace
+  readonly #policy: Policy
   readonly #tenure: number
   readonly #beganMs: number
   readonly #predictor = new Predictor()
@@ -49,8 +50,9 @@
   #charterStamp = -1
   #number = 0
 
-  constructor(pace: Pace, tenure: number, nowMs: number) {
+  constructor(pace: Pace, tenure: number, policy: Policy, nowMs: number) {
     this.#pace = pace
+    this.#policy = policy
     this.#tenure = tenure
     this.#beganMs = nowMs
     this.#bucket = new Bucket(nowMs)
@@ -258,7 +260,8 @@
           const base = { model, adapter, partner, urgency: intent.weight * (1 + intent.coldStartCost) }
           if (dueInMs !== undefined && (copies.length === 0 || this.#crowded(copies, model))) {
             wants.push({ ...base, held: true, dueInMs, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there' })
-          } else if (copies.length === 0 && forecast !== undefined && nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs) {
+          } else if (!this.#policy.foresees) continue
+          else if (copies.length === 0 && forecast !== undefined && nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs) {
             wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: forecast.nextMs, deltaMs: forecast.deltaMs, why: 'a request is forecast' })
           } else if (copies.length === 0 && inHours && adapter === '') {
             wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: 'its partner wants it in these hours' })
@@ -342,7 +345,7 @@
       if (report === undefined) continue
       const free = want.adapter === '' ? this.#roomMb(yard, report) : this.#places(yard, report)
       const tenants = this.#tenants(yard, report, want.adapter !== '', nowMs).filter((one) => one.key !== want.model)
-      const victims = evict(newcomer, tenants, free, historyMs, nowMs, relaxed)
+      const victims = this.#policy.evict(newcomer, tenants, free, historyMs, nowMs, relaxed)
       if (victims === undefined) continue
       const lowest = Math.min(...victims.map((one) => one.score))
       const rank = victims.length === 0 ? 2 + free / 1e9 : lowest
@@ -440,6 +443,7 @@
   #stillMakesWay(yard: Yard, report: Report, key: string, adapters: boolean, relaxed: string, nowMs: number): boolean {
     const tenant = this.#tenants(yard, report, adapters, nowMs).find((one) => one.key === key)
     if (tenant === undefined) return false
+    if (!this.#policy.foresees) return true
     const outside = nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs || (relaxed === 'doubles' && tenant.doubled)
     return outside && (relaxed !== 'nothing' || nowMs - tenant.lastMs > this.#predictor.historyMs)
   }
--- /dev/null
+++ b/src/timetable/edgeMulti.ts
@@ -0,0 +1,7 @@
+/**
+ * The policy of every deployment: iWS-BFE, with models loaded ahead of their windows.
+ */
+import { evict } from './evict.js'
+import type { Policy } from './Policy.js'
+
+export const edgeMulti: Policy = { evict, foresees: true }
