--- a/src/gauge/startDaemon.ts
+++ b/src/gauge/startDaemon.ts
@@ -2,9 +2,10 @@
  * The frame of each daemon's `main`: a command line of `--startup FILE` and one flag for each field,
  * a checked startup, exit code 2 with every error named, and a drained stop on a signal.
  */
-import { command, option, optional, run, string, subcommands } from 'cmd-ts'
+import { command, option, optional, string, subcommands } from 'cmd-ts'
 import type { z } from 'zod'
 import { Logbook } from './Logbook.js'
+import { runCommand } from './runCommand.js'
 import { Startup } from './Startup.js'
 import { untilSignal } from './untilSignal.js'
 
@@ -49,5 +50,5 @@
       })
     },
   })
-  await run(subcommands({ name: program, description, cmds: { run: serve } }), process.argv.slice(2))
+  await runCommand(subcommands({ name: program, description, cmds: { run: serve } }), process.argv.slice(2))
 }
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -4,9 +4,10 @@
  * core's own answer for scripts, and the exit code tells how it ended.
  */
 import { readFileSync } from 'node:fs'
-import { command, flag, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { z } from 'zod'
 import { Charter } from '../gauge/Charter.js'
+import { runCommand } from '../gauge/runCommand.js'
 import { Tree } from '../gauge/Tree.js'
 import { CoreClient } from './CoreClient.js'
 import { diffLeaves } from './diffLeaves.js'
@@ -128,4 +129,4 @@
     seat: subcommands({ name: 'seat', description: 'Seats of the data plane.', cmds: { retire: command({ name: 'retire', description: 'A seat that is gone for good no longer counts.', args: { ...writing, seat: positional({ type: string, displayName: 'seat' }) }, handler: (given) => write(given, 'POST', '/seats/retire', given.seat) }) } }),
   },
 })
-await run(app, process.argv.slice(2))
+await runCommand(app, process.argv.slice(2))
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -6,7 +6,8 @@
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { command, flag, number, option, optional, positional, run, string, subcommands } from 'cmd-ts'
+import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
+import { runCommand } from '../gauge/runCommand.js'
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
@@ -80,4 +81,4 @@
     else compare(deployment, Array.from({ length: given.seeds }, (_, at) => given.seed + at), given.minutes, say)
   },
 })
-await run(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim, compare: versus } }), process.argv.slice(2))
+await runCommand(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim, compare: versus } }), process.argv.slice(2))
--- a/src/turnout/CallersDesk.ts
+++ b/src/turnout/CallersDesk.ts
@@ -31,7 +31,10 @@
   constructor(@inject('startup') startup: Startup['turnout'], @inject(TurnoutTask) task: TurnoutTask) {
     this.#startup = startup
     this.#task = task
-    const app = new App({ settings: { xPoweredBy: false } })
+    const app = new App({
+      settings: { xPoweredBy: false },
+      noMatchHandler: (_request, response) => { TurnoutTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...') },
+    })
     app.get('/health', (_request, response) => {
       const current = task.machine.current(performance.now())
       const body = JSON.stringify({ name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting })
