--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -24,5 +24,6 @@
   | { kind: 'emptied'; atMs: number; zone: string; emptied: boolean; ackedMs: number }
   | { kind: 'barred'; atMs: number; service: string; server: string; barred: boolean; ackedMs: number }
   | { kind: 'history'; atMs: number; operations: string[] }
+  | { kind: 'coreDown'; atMs: number; fromMs: number }
   | { kind: 'serverUp'; atMs: number; server: string; zone: string }
   | { kind: 'faultClosed'; atMs: number; fault: string }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -47,13 +47,13 @@
   readonly servers = new Map<string, SimServer>()
   readonly waits: number[] = []
   readonly modelWaits: number[] = []
-  /** When the core last lacked a majority that could act. */
-  coreDownMs = 0
   modelAsks = 0
   /** Model requests that came when no server held their model and adapter. */
   coldAsks = 0
   #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
   #asked = 0
+  /** Since when the core lacks a majority that can act and be heard. */
+  #downFromMs: number | undefined
   #ports = 1000
   #seeds: string[] = []
 
@@ -71,7 +71,13 @@
     }
     this.clock.every(50, () => {
       const up = [...this.boxes.values()].filter(({ process }) => process.alive && !process.frozen && [...this.boxes.keys()].every((other) => this.network.connected(process.host, other)))
-      if (up.length * 2 <= this.boxes.size || this.network.lossRatio > 0) this.coreDownMs = this.clock.nowMs
+      const heard = up.some(({ process }) => [...this.linemen.values()].some((post) => post.process.alive && this.network.connected(process.host, post.process.host) && this.network.connected(post.process.host, process.host)))
+      const down = up.length * 2 <= this.boxes.size || !heard || this.network.lossRatio > 0
+      if (down && this.#downFromMs === undefined) this.#downFromMs = this.clock.nowMs
+      else if (!down && this.#downFromMs !== undefined) {
+        this.see({ kind: 'coreDown', atMs: this.clock.nowMs, fromMs: this.#downFromMs })
+        this.#downFromMs = undefined
+      }
     })
     this.clock.every(50, () => { for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs) })
     for (const name of this.boxes.keys()) this.startBox(name)
--- a/src/testtrack/keptSeeds.ts
+++ b/src/testtrack/keptSeeds.ts
@@ -20,6 +20,7 @@
   { seed: 22, faults: ['split-core', 'order-trouble'], together: false, was: 'a late copy of an older order was taken for a second order' },
   { seed: 4, faults: ['break-runs'], together: false, was: 'a request that had run was told NotRun when its due passed' },
   { seed: 105, faults: ['break-runs', 'freeze-turnout'], together: true, was: 'the judge held a frozen turnout to its dues' },
+  { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the judge wanted a drain obeyed that no core could tell' },
 ]
 
 proof(import.meta.url, Object.fromEntries(keptSeeds.map(({ seed, faults, together, was }) => [`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -99,7 +99,7 @@
     if (clock.nowMs > untilMs) return
     const name = chance.pick(deployment.zones) ?? ''
     patch({ zones: { [name]: { emptied: true } } }, (askedMs) => {
-      see({ kind: 'emptied', atMs: Math.max(askedMs, sim.coreDownMs), zone: name, emptied: true, ackedMs: clock.nowMs })
+      see({ kind: 'emptied', atMs: askedMs, zone: name, emptied: true, ackedMs: clock.nowMs })
       clock.after(4000, () => {
         see({ kind: 'emptied', atMs: clock.nowMs, zone: name, emptied: false, ackedMs: 0 })
         patch({ zones: { [name]: { emptied: false } } }, () => { clock.after(3000, zone) })
@@ -135,7 +135,9 @@
     while (open && clock.turn());
     return got
   }
-  const history = z.array(z.object({ stamp: z.number(), operation: z.string() })).parse(JSON.parse(read('charter.history', '', '') ?? '[]'))
+  const listed = read('charter.history', '', '')
+  if (listed === undefined) throw new Error('the core did not answer at the end of the run')
+  const history = z.array(z.object({ stamp: z.number(), operation: z.string() })).parse(JSON.parse(listed))
   see({ kind: 'history', atMs: clock.nowMs, operations: history.map((one) => one.operation) })
   for (const one of history) {
     const text = read('charter.get', String(one.stamp), 'sent')
--- a/src/testtrack/sweep.ts
+++ b/src/testtrack/sweep.ts
@@ -1,6 +1,7 @@
 /**
  * Many simulated runs: each seed with each fault alone, with pairs drawn by the seed, or with one list
- * of faults. A failing run prints the command that replays it.
+ * of faults. Two disks of three lost at once are left out: the core then stops rather than forgets. A
+ * failing run prints the command that replays it.
  */
 import { edgeMulti } from '../timetable/edgeMulti.js'
 import type { Deployment } from './Deployment.js'
@@ -18,6 +19,7 @@
     const chance = new Chance(at * 7919)
     const lists = faults === 'each' ? names.map((name) => [name]) : faults === 'pairs' ? names.map((name) => [name, chance.pick(names) ?? name]) : [faults === '' ? [] : faults.split(',')]
     for (const list of lists) {
+      if (list.filter((one) => one === 'lose-disk').length > 1) continue
       runs += 1
       const atOnce = together || (faults === 'pairs' && chance.hit(0.5))
       const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}${faultMs === 4000 ? '' : ` --fault-ms ${String(faultMs)}`}`
