--- a/src/testtrack/Callers.ts
+++ b/src/testtrack/Callers.ts
@@ -16,16 +16,20 @@
 export class Callers {
   readonly #deployment: Deployment
   readonly #addresses: () => string[]
+  readonly #isWarm: (model: string, adapter: string) => boolean
   readonly #see: (sighting: Sighting) => void
   readonly #chance: Chance
   readonly #agent = new Agent({ connections: 64, headersTimeout: 60_000, bodyTimeout: 60_000 })
   readonly #timers: NodeJS.Timeout[] = []
   readonly waits = new Map<string, number[]>()
+  modelAsks = 0
+  coldAsks = 0
   #underWay = 0
   #count = 0
   #stopped = false
 
-  constructor(deployment: Deployment, seed: number, addresses: () => string[], see: (sighting: Sighting) => void) {
+  constructor(deployment: Deployment, seed: number, addresses: () => string[], isWarm: (model: string, adapter: string) => boolean, see: (sighting: Sighting) => void) {
+    this.#isWarm = isWarm
     this.#deployment = deployment
     this.#addresses = addresses
     this.#see = see
@@ -67,6 +71,10 @@
     const name = `${course.service}-${String(this.#count)}`
     const service = Object.values(this.#deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
     const adapter = course.adapters.length > 0 && this.#chance.hit(0.5) ? this.#chance.pick(course.adapters) : undefined
+    if (course.kind === 'model') {
+      this.modelAsks += 1
+      if (!this.#isWarm(course.service, adapter ?? '')) this.coldAsks += 1
+    }
     const askedMs = clockMs()
     this.#see({ kind: 'asked', atMs: askedMs, request: name, service: course.service, repeatable: service?.repeatable ?? false, dueMs: askedMs + dueMs, proper: true })
     const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
--- /dev/null
+++ b/src/testtrack/proxyProof.ts
@@ -0,0 +1,165 @@
+/**
+ * The byte path of a turnout over real sockets: the daemon's own tasks on a loopback telegraph, with a
+ * row of scripted servers behind it and plain callers before it.
+ */
+import { once } from 'node:events'
+import { createServer, type Server, type ServerResponse, type IncomingMessage } from 'node:http'
+import { connect } from 'node:net'
+import { ok, strictEqual } from 'node:assert'
+import { Agent, request as call } from 'undici'
+import { Logbook } from '../gauge/Logbook.js'
+import { proof } from '../gauge/proof.js'
+import { Startup } from '../gauge/Startup.js'
+import { ServerFormat } from '../sidings/ServerFormat.js'
+import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
+import { CallersDesk } from '../turnout/CallersDesk.js'
+import { TurnoutTask } from '../turnout/TurnoutTask.js'
+
+interface Scene { address: string; runs: () => number; heads: string[]; close: () => Promise<void> }
+
+/** A turnout that may work, and one service `s` whose only server answers by the given script. */
+export async function proxyProof(script: (request: IncomingMessage, response: ServerResponse, run: number) => void, name = 's-1', repeatable = false): Promise<Scene> {
+  let runs = 0
+  const heads: string[] = []
+  const server: Server = createServer((request, response) => {
+    heads.push(request.url ?? '')
+    if (request.url === ServerFormat.identityPath) {
+      const body = JSON.stringify({ server: name, incarnation: 'i', upMs: 1e6 })
+      response.writeHead(200, { 'content-length': body.length }).end(body)
+      return
+    }
+    runs += 1
+    request.resume()
+    script(request, response, runs)
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const bound = server.address()
+  const address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  const lineman = await TcpTelegraph.open('post', '127.0.0.1:0')
+  const row = (key: string, value: unknown) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) })
+  const charter = {
+    defaults: { dueMs: 5000, bodyLimitBytes: 1_000_000, retryRatio: 0.2, retryAllowance: 4, coldLimit: 4, warmMs: 0, serverLimit: 50, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+    partners: { g: { services: { s: { servers: ['s-1'], repeatable } } } }, fleet: { servers: { 's-1': { kind: 'service' } }, storePaceMbPerS: 1, storeBurstMb: 1 },
+  }
+  const rows = [row('charter', charter), row('server/s-1', { name: 's-1', address, zone: 'a', draining: false }), row('seat/post', { role: 'lineman', zone: 'a', retired: false })]
+  lineman.hear((_from, fromAddress, message) => {
+    if (message.kind !== 'follow') return
+    lineman.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
+    lineman.send(fromAddress, { kind: 'permit', sentMs: message.sentMs, forMs: 60_000 })
+  })
+  const startup = Startup.turnout.parse({ name: 'post-turnout', seat: 'post', zone: 'a', telegraph: '127.0.0.1:0', lineman: lineman.address, callers: '127.0.0.1:0', logLevel: 'silent' })
+  const task = new TurnoutTask(startup, new Logbook('turnout', 'post', 'silent'), await TcpTelegraph.open('post-turnout', '127.0.0.1:0'))
+  const desk = new CallersDesk(startup, task)
+  return {
+    address: await desk.open(), runs: () => runs, heads,
+    close: async () => {
+      server.close()
+      server.closeAllConnections()
+      await task.stop()
+      await lineman.close()
+      await desk.drain()
+    },
+  }
+}
+
+const post = (scene: Scene, body = '', dispatcher = new Agent({ keepAliveTimeout: 1 })) => call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', body, dispatcher, headers: { 'due-ms': '4000' } })
+const turns = async (ready: () => boolean) => { while (!ready()) await new Promise((resolve) => setImmediate(resolve)) }
+
+proof(import.meta.url, {
+  'a large body goes up and a long stream comes down whole, also to a slow reader': async () => {
+    const scene = await proxyProof((request, response) => {
+      let bytes = 0
+      request.on('data', (chunk: Buffer) => { bytes += chunk.length })
+      request.on('end', () => {
+        response.write(`${String(bytes)}\n`)
+        let at = 0
+        const more = () => {
+          while (at < 400) {
+            at += 1
+            if (!response.write(`${String(at).padStart(9, '0')}${'x'.repeat(40_000)}\n`)) {
+              response.once('drain', more)
+              return
+            }
+          }
+          response.end()
+        }
+        more()
+      })
+    })
+    const reply = await post(scene, 'y'.repeat(900_000))
+    strictEqual(reply.statusCode, 200)
+    let bytes = 0
+    for await (const chunk of reply.body) {
+      if (Buffer.isBuffer(chunk)) bytes += chunk.length
+      await new Promise((resolve) => setImmediate(resolve))
+    }
+    strictEqual(bytes, 7 + 400 * 40_010)
+    await scene.close()
+  },
+  'a response that ends short breaks off the caller, chunked or by length, and is not run again': async () => {
+    for (const head of [{}, { 'content-length': '1000' }]) {
+      const scene = await proxyProof((_request, response) => {
+        response.writeHead(200, head)
+        response.write('part', () => response.destroy())
+      }, 's-1', true)
+      const reply = await post(scene)
+      strictEqual(await reply.body.text().catch(() => 'broken off'), 'broken off')
+      strictEqual(scene.runs(), 1)
+      await scene.close()
+    }
+  },
+  'a response without length or last chunk does not end cleanly either': async () => {
+    const scene = await proxyProof((_request, response) => {
+      response.removeHeader('transfer-encoding')
+      response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart')
+    })
+    const reply = await post(scene)
+    strictEqual(await reply.body.text().catch(() => 'broken off'), 'broken off')
+    await scene.close()
+  },
+  'a connection that breaks before a head: told MayHaveRun, or run again if repeatable': async () => {
+    const once1 = await proxyProof((_request, response) => { response.destroy() })
+    const reply = await post(once1)
+    strictEqual(reply.statusCode, 502)
+    strictEqual(reply.headers['verdict'], 'MayHaveRun')
+    ok(Number(reply.headers['retry-after']) >= 1)
+    strictEqual(once1.runs(), 1)
+    await reply.body.dump()
+    await once1.close()
+    const again = await proxyProof((_request, response, run) => { if (run === 1) response.destroy(); else response.end('whole') }, 's-1', true)
+    strictEqual(await (await post(again)).body.text(), 'whole')
+    strictEqual(again.runs(), 2)
+    await again.close()
+  },
+  'another server at the address gets no request': async () => {
+    const scene = await proxyProof((_request, response) => { response.end('wrong') }, 's-2')
+    const reply = await call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', headers: { 'due-ms': '600' } })
+    strictEqual(reply.statusCode, 503)
+    strictEqual(reply.headers['verdict'], 'NotRun')
+    strictEqual(scene.runs(), 0)
+    await reply.body.dump()
+    await scene.close()
+  },
+  'a caller that goes away cancels upstream': async () => {
+    let gone = false
+    const scene = await proxyProof((_request, response) => {
+      response.write('first')
+      response.on('close', () => { gone = true })
+    })
+    const cut = scene.address.lastIndexOf(':')
+    const socket = connect(Number(scene.address.slice(cut + 1)), '127.0.0.1')
+    socket.write('POST /v1/services/s/x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n')
+    await once(socket, 'data')
+    socket.destroy()
+    await turns(() => gone)
+    await scene.close()
+  },
+  'a kept connection serves again, identified anew where a request may not be repeated': async () => {
+    const scene = await proxyProof((_request, response) => { response.end('ok') })
+    const dispatcher = new Agent()
+    for (let n = 0; n < 3; n++) strictEqual(await (await post(scene, '', dispatcher)).body.text(), 'ok')
+    strictEqual(scene.heads.filter((url) => url === ServerFormat.identityPath).length, 3)
+    await dispatcher.destroy()
+    await scene.close()
+  },
+})
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -64,7 +64,7 @@
 
   async run({ deployment, folder, seconds, faults, seed, say }: FleetRun): Promise<boolean> {
     const fleet = new Fleet(deployment, folder)
-    const callers = new Callers(deployment, seed, () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''), fleet.see)
+    const callers = new Callers(deployment, seed, () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''), (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.admits(model, adapter, clockMs())), fleet.see)
     try {
       await fleet.start()
       await fleet.until('every seat is alive', async () => {
@@ -117,7 +117,7 @@
     const waits = [...callers.waits.values()].flat()
     const loads = sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
     const mb = sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
-    say(`waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`)
+    say(`waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; cold starts: ${String(callers.coldAsks)} of ${String(callers.modelAsks)}; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`)
     let passes = count('whole') > 0
     for (const [rule, defects] of Object.entries(rules)) {
       say(`${defects.length === 0 ? 'pass' : 'FAIL'} ${rule}${defects.length === 0 ? '' : `: ${String(defects.length)}, first: ${defects.slice(0, 3).join('; ')}`}`)
