--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -12,6 +12,7 @@
 import { CoreClient } from './CoreClient.js'
 import { diffLeaves } from './diffLeaves.js'
 import { exitCode } from './exitCode.js'
+import { runbookCommands } from './runbookCommands.js'
 
 const common = {
   core: option({ long: 'core', type: string, env: 'SPRINGPADDLE_CORE', description: "operators' addresses of the core, comma-separated (or SPRINGPADDLE_CORE)" }),
@@ -122,6 +123,7 @@
   cmds: {
     charter,
     zone: subcommands({ name: 'zone', description: 'Empty a zone or fill it again.', cmds: { empty: zoneCommand('empty', true, 'No new work for the servers of a zone.'), refill: zoneCommand('refill', false, 'The servers of a zone may work again.') } }),
+    runbook: runbookCommands,
     nodes: command({ name: 'nodes', description: 'The core, the dispatcher and the seats.', args: common, handler: (given) => show(given, '/nodes', table) }),
     servers: command({ name: 'servers', description: 'The servers, what they are bound for, and the order under way.', args: common, handler: (given) => show(given, '/servers', table) }),
     placement: command({ name: 'placement', description: 'The last loads and unloads, each with its reason.', args: common, handler: (given) => show(given, '/placement', table) }),
--- /dev/null
+++ b/src/springpaddle/runRunbook.ts
@@ -0,0 +1,111 @@
+/**
+ * Carries a runbook out step by step: stops at the first step that fails, writes what it saw to a
+ * record, and can go on from a record behind the last step that was done.
+ */
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { z } from 'zod'
+import { proof } from '../gauge/proof.js'
+import { Tree } from '../gauge/Tree.js'
+import type { Runbook } from './Runbook.js'
+
+interface Core { ask: (method: 'GET' | 'PATCH' | 'POST', path: string, body?: string, headers?: Record<string, string>) => Promise<{ status: number; body: string }> }
+interface Hands { core: Core; nowMs: () => number; pause: (waitMs: number) => Promise<void>; say: (line: string) => void; record: (entry: { step: number; title: string; ended: 'done' | 'failed'; saw: string }) => void; operation: (step: number) => string }
+const Nodes = z.object({ core: z.array(z.object({ seat: z.string(), voter: z.boolean(), alive: z.boolean() })), seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })) })
+const Servers = z.array(z.object({ name: z.string(), draining: z.boolean() }))
+const betweenChecksMs = 250
+
+type Check = Extract<Runbook['steps'][number], { check: unknown }>['check']
+
+async function look(core: Core, check: Check): Promise<{ holds: boolean; saw: string }> {
+  if (check.kind === 'leaf') {
+    const reply = await core.ask('GET', '/charter')
+    const value = Tree.at(Tree.read(reply.body), check.path.split('.'))
+    return { holds: reply.status === 200 && JSON.stringify(value) === JSON.stringify(check.equals), saw: `${check.path} is ${JSON.stringify(value) ?? 'not there'}` }
+  }
+  if (check.kind === 'server') {
+    const reply = await core.ask('GET', '/servers')
+    const server = Servers.safeParse(Tree.read(reply.body)).data?.find((one) => one.name === check.server)
+    return { holds: server?.draining === check.draining, saw: server === undefined ? `${check.server} is not listed` : `${check.server} ${server.draining ? 'drains' : 'does not drain'}` }
+  }
+  const reply = await core.ask('GET', '/nodes')
+  const nodes = Nodes.safeParse(Tree.read(reply.body)).data
+  if (nodes === undefined) return { holds: false, saw: `the core answered ${String(reply.status)}` }
+  if (check.kind === 'member') {
+    const alive = nodes.core.some((one) => one.seat === check.seat && one.voter && one.alive)
+    return { holds: alive === check.alive, saw: `${check.seat} ${alive ? 'votes and answers' : 'does not answer as a voter'}` }
+  }
+  const list = check.kind === 'core' ? nodes.core : nodes.seats
+  const alive = list.filter((one) => one.alive).length
+  return { holds: check.alive === 'all' ? alive === list.length && alive > 0 : alive * 2 > list.length, saw: `${String(alive)} of ${String(list.length)} alive` }
+}
+
+export async function runRunbook(book: Runbook, from: number, hands: Hands): Promise<boolean> {
+  for (const [at, step] of book.steps.entries()) {
+    if (at < from) continue
+    let holds = true
+    let saw = ''
+    if ('ask' in step) {
+      saw = step.ask
+      hands.say(`     please: ${step.ask}`)
+    } else if ('do' in step) {
+      const headers = { 'operation-id': hands.operation(at) }
+      const reply = step.do.kind === 'patch'
+        ? await hands.core.ask('PATCH', '/charter', JSON.stringify(step.do.tree), headers)
+        : step.do.kind === 'rollback' ? await hands.core.ask('POST', '/charter/rollback', step.do.stamp, headers) : await hands.core.ask('POST', '/seats/retire', step.do.seat, headers)
+      holds = reply.status === 200
+      saw = `${String(reply.status)} ${reply.body.trim()}`
+    } else {
+      const untilMs = hands.nowMs() + step.withinMs
+      for (;;) {
+        const seen = await look(hands.core, step.check)
+        holds = seen.holds
+        saw = seen.saw
+        if (holds || hands.nowMs() >= untilMs) break
+        await hands.pause(betweenChecksMs)
+      }
+    }
+    hands.say(`${holds ? 'done' : 'FAIL'} ${String(at + 1)}. ${step.title}: ${saw}`)
+    hands.record({ step: at, title: step.title, ended: holds ? 'done' : 'failed', saw })
+    if (!holds) return false
+  }
+  return true
+}
+
+function stage(alive: () => boolean): { hands: Hands; asked: string[]; records: string[] } {
+  let nowMs = 0
+  const asked: string[] = []
+  const records: string[] = []
+  const core: Core = {
+    ask: (method, path) => {
+      asked.push(`${method} ${path}`)
+      return Promise.resolve({ status: 200, body: path === '/nodes' ? JSON.stringify({ core: [], seats: [{ seat: 'a', alive: alive() }] }) : '{"zones":{"b":{"emptied":true}}}' })
+    },
+  }
+  const hands: Hands = { core, nowMs: () => nowMs, pause: (waitMs) => { nowMs += waitMs; return Promise.resolve() }, say: () => undefined, record: (entry) => records.push(`${String(entry.step)} ${entry.ended}`), operation: (step) => `r-${String(step)}` }
+  return { hands, asked, records }
+}
+const book: Runbook = {
+  about: '', variables: {}, steps: [
+    { title: 'seats', check: { kind: 'seats', alive: 'all' }, withinMs: 1000 },
+    { title: 'empty', do: { kind: 'patch', tree: { zones: { b: { emptied: true } } } } },
+    { title: 'said', check: { kind: 'leaf', path: 'zones.b.emptied', equals: true }, withinMs: 1000 },
+  ],
+}
+proof(import.meta.url, {
+  'steps are carried out in turn, and a check is given its time': async () => {
+    let looks = 0
+    const { hands, asked, records } = stage(() => (looks += 1) > 3)
+    strictEqual(await runRunbook(book, 0, hands), true)
+    deepStrictEqual(asked.slice(-3), ['GET /nodes', 'PATCH /charter', 'GET /charter'])
+    deepStrictEqual(records, ['0 done', '1 done', '2 done'])
+  },
+  'the first check that fails stops it, and it goes on from there': async () => {
+    const bad = stage(() => false)
+    strictEqual(await runRunbook(book, 0, bad.hands), false)
+    deepStrictEqual(bad.records, ['0 failed'])
+    strictEqual(bad.asked.includes('PATCH /charter'), false)
+    const good = stage(() => false)
+    strictEqual(await runRunbook(book, 1, good.hands), true)
+    deepStrictEqual(good.records, ['1 done', '2 done'])
+  },
+})
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -2,6 +2,8 @@
  * One fleet run from start to verdict: bring the deployment up, put its charter, drive its traffic
  * for a bounded time while faults come and go, read everything back, and judge.
  */
+import { rm } from 'node:fs/promises'
+import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { clockMs } from '../gauge/clockMs.js'
 import { Callers } from './Callers.js'
@@ -48,6 +50,41 @@
     await pause(5000)
     fleet.drain(server.name, false)
   },
+  'runbooks': async (fleet, say) => {
+    const run = async (...args: string[]) => {
+      const done = await fleet.operate(['runbook', 'run', ...args])
+      say(`runbook ${args.slice(0, 1).join()}: exit ${String(done.code)}`)
+      if (done.code !== 0) throw new Error(`runbook ${args.join(' ')} failed:\n${done.out}${done.error}`)
+    }
+    const record = (name: string) => ['--record', join(fleet.folder, `${name}.jsonl`)]
+    const askedMs = clockMs()
+    await run('empty-zone', '--set', 'zone=c', ...record('empty-zone'))
+    fleet.see({ kind: 'emptied', atMs: askedMs, zone: 'c', emptied: true, ackedMs: clockMs() })
+    await pause(3000)
+    fleet.see({ kind: 'emptied', atMs: clockMs(), zone: 'c', emptied: false, ackedMs: 0 })
+    await run('refill-zone', '--set', 'zone=c', ...record('refill-zone'))
+    const box = fleet.boxes[2]
+    if (box === undefined) return
+    const replaced = run('replace-core', '--set', `seat=${box.name}`, ...record('replace-core'))
+    await pause(1500)
+    await box.stop('SIGKILL')
+    await pause(4000)
+    await rm(join(fleet.folder, box.name), { recursive: true })
+    await box.start()
+    await replaced
+    const server = fleet.servers[2]
+    if (server === undefined) return
+    const swapped = run('replace-server', '--set', `server=${server.name}`, ...record('replace-server'))
+    await pause(500)
+    fleet.drain(server.name, true)
+    await pause(3000)
+    await server.crash()
+    await server.open()
+    fleet.drain(server.name, false)
+    await swapped
+    const stamp = fleet.sightings.find((one) => one.kind === 'acknowledged')?.stamp ?? 0
+    await run('roll-back-charter', '--set', `stamp=${String(stamp)}`, ...record('roll-back-charter'))
+  },
   'empty-zone': async (fleet, say) => {
     const askedMs = clockMs()
     const done = await fleet.operate(['zone', 'empty', 'b'])
