--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -30,7 +30,7 @@
   platform: Address.optional(),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
-const lineman = z.strictObject({ ...common, seeds, turnout: Address, health: Address.optional() })
+const lineman = z.strictObject({ ...common, seeds, turnout: Address })
 const turnout = z.strictObject({
   ...common,
   seat: Name,
--- a/src/interlocking/Agreement.ts
+++ b/src/interlocking/Agreement.ts
@@ -56,7 +56,7 @@
     let identity = ''
     for (const record of disk) {
       const sheet = Sheet.decode(record)
-      if (sheet === undefined) throw new Error('a whole record on disk is not one of ours; this data folder belongs to another version or program')
+      if (sheet === undefined) throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
       if (sheet.kind === 'identity') identity = sheet.identity
       else if (sheet.kind === 'term') {
         this.term = sheet.term
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -12,7 +12,7 @@
 import { Copy } from './Copy.js'
 import { DutyRow } from './DutyRow.js'
 import { Outcome } from './Outcome.js'
-import { PlatformServer } from './PlatformServer.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
 
 const Text = z.object({ stamp: z.number(), action: z.string(), branch: z.string(), operation: z.string(), text: z.string(), whole: z.string() })
 const State = z.object({
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -36,7 +36,7 @@
   #shunned = new Map<string, number>()
   #coreStamp = 0
   #levelMs: number
-  #turnout = { stamp: 0, heardMs: -Infinity, permitUntilMs: -Infinity }
+  #turnout = { stamp: 0, permitUntilMs: -Infinity }
   #hailAtMs = -Infinity
   #renewAtMs = -Infinity
   #followAtMs = -Infinity
@@ -189,7 +189,6 @@
   #followed(fromAddress: string, follow: Extract<Message, { kind: 'follow' }>, nowMs: number): void {
     if (fromAddress === this.#plan.turnout) {
       this.#turnout.stamp = follow.stamp
-      this.#turnout.heardMs = nowMs
     }
     for (const send of this.#relay.followed(fromAddress, follow, this.copy, nowMs)) this.#send(send.toAddress, send.message)
     if (fromAddress !== this.#plan.turnout) return
--- a/src/sidings/PlatformFormat.ts
+++ b/src/sidings/PlatformFormat.ts
@@ -4,16 +4,15 @@
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { z } from 'zod'
-import { Address } from '../gauge/Address.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
 import { proof } from '../gauge/proof.js'
 
-const Listed = z.object({ name: z.string().min(1), address: Address, zone: z.string(), draining: z.boolean().default(false) })
-const List = z.object({ servers: z.array(Listed) })
+const List = z.object({ servers: z.array(PlatformServer) })
 
 export const PlatformFormat = {
   path: '/servers',
 
-  read(body: string): PlatformFormat[] | undefined {
+  read(body: string): PlatformServer[] | undefined {
     try {
       const read = List.safeParse(JSON.parse(body))
       return read.success ? read.data.servers : undefined
@@ -22,7 +21,6 @@
     }
   },
 }
-export type PlatformFormat = z.infer<typeof Listed>
 
 proof(import.meta.url, {
   'a list is read whole or not at all': () => {
--- a/src/signalbox/OutsideCalls.ts
+++ b/src/signalbox/OutsideCalls.ts
@@ -4,12 +4,13 @@
  */
 import { request } from 'undici'
 import type { Order } from '../gauge/Order.js'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
 import { ModelServerFormat } from '../sidings/ModelServerFormat.js'
 import { PlatformFormat } from '../sidings/PlatformFormat.js'
 
 export class OutsideCalls {
-  async platform(address: string, waitMs: number): Promise<PlatformFormat[] | undefined> {
+  async platform(address: string, waitMs: number): Promise<PlatformServer[] | undefined> {
     const reply = await this.#call(address, PlatformFormat.path, 'GET', undefined, waitMs)
     return reply?.status === 200 ? PlatformFormat.read(reply.body) : undefined
   }
--- a/src/signalbox/SignalboxInput.ts
+++ b/src/signalbox/SignalboxInput.ts
@@ -2,7 +2,7 @@
  * What a signalbox's machine is told.
  */
 import type { Report } from '../gauge/Report.js'
-import type { PlatformServer } from '../interlocking/PlatformServer.js'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Message } from '../telegraph/Message.js'
 import type { Operation } from './Operation.js'
 
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -15,7 +15,7 @@
 import { Register } from '../interlocking/Register.js'
 import { Relay } from '../interlocking/Relay.js'
 import { Roster } from '../interlocking/Roster.js'
-import { PlatformServer } from '../interlocking/PlatformServer.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Message } from '../telegraph/Message.js'
 import { Dispatcher } from '../timetable/Dispatcher.js'
 import type { Policy } from '../timetable/Policy.js'
@@ -52,7 +52,6 @@
   #platformSeen = ''
   #applied = 0
   #logBytes = 0
-  #learnerSinceMs = new Map<string, number>()
 
   constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
@@ -221,7 +220,6 @@
       if (own === undefined) {
         if (old !== undefined && nowMs - this.agreement.heardMs(old.identity) < 2 * this.#pace.electionMs) continue
         this.#say('agreement', `Takes ${seat} in as a learner under its new identity.`)
-        this.#learnerSinceMs.set(peer.identity, nowMs)
         this.agreement.changeMembers([...members, { identity: peer.identity, seat, address: peer.address, voter: false }], nowMs)
         return
       }
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -10,6 +10,7 @@
 import { runCommand } from '../gauge/runCommand.js'
 import { Tree } from '../gauge/Tree.js'
 import { CoreClient } from './CoreClient.js'
+import { diagnose } from './diagnose.js'
 import { diffLeaves } from './diffLeaves.js'
 import { exitCode } from './exitCode.js'
 import { runbookCommands } from './runbookCommands.js'
@@ -124,6 +125,18 @@
     charter,
     zone: subcommands({ name: 'zone', description: 'Empty a zone or fill it again.', cmds: { empty: zoneCommand('empty', true, 'No new work for the servers of a zone.'), refill: zoneCommand('refill', false, 'The servers of a zone may work again.') } }),
     runbook: runbookCommands,
+    doctor: command({
+      name: 'doctor', description: 'What is cut off, late, silent or missing, and what to do about it.', args: common,
+      handler: async (given) => {
+        const core = clientOf(given)
+        const replies = [await core.ask('GET', '/nodes'), await core.ask('GET', '/servers'), await core.ask('GET', '/charter')]
+        const [nodes, servers, tree] = replies.map((reply) => (reply.status === 200 ? Tree.read(reply.body) : undefined))
+        const findings = diagnose(nodes, servers, tree)
+        process.exitCode = findings.length === 0 ? 0 : 3
+        if (given.json) out(JSON.stringify(findings))
+        else out(findings.length === 0 ? 'sound' : findings.map((one) => `${one.what}\n    ${one.todo}`).join('\n'))
+      },
+    }),
     nodes: command({ name: 'nodes', description: 'The core, the dispatcher and the seats.', args: common, handler: (given) => show(given, '/nodes', table) }),
     servers: command({ name: 'servers', description: 'The servers, what they are bound for, and the order under way.', args: common, handler: (given) => show(given, '/servers', table) }),
     placement: command({ name: 'placement', description: 'The last loads and unloads, each with its reason.', args: common, handler: (given) => show(given, '/placement', table) }),
--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -10,7 +10,7 @@
   | { kind: 'brokenOff'; atMs: number; request: string }
   | { kind: 'turnedAway'; atMs: number; request: string; status: number; verdict: Verdict | undefined; retryAfter: boolean; wokeMs: number }
   | { kind: 'left'; atMs: number; request: string }
-  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; addressOf: string }
+  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
   | { kind: 'ordered'; atMs: number; server: string; incarnation: string; tenure: number; number: number; order: string; taken: boolean }
   | { kind: 'broke'; atMs: number; server: string; rule: 'room' | 'places' | 'flights' | 'twoOrders'; what: string }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -351,13 +351,13 @@
         return
       }
       const model = ask.kind === 'model' ? ask.service : ''
-      if (!state.admits(model, ask.adapter, this.clock.nowMs)) {
+      if (!state.allows(model, ask.adapter, this.clock.nowMs)) {
         back(0.5, { kind: 'head', id, attempt, notRun: true })
         return
       }
       const run = `${state.incarnation} ${ask.request} ${String(this.clock.nowMs)}`
       const sum = digest(run)
-      this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation, addressOf: server.name })
+      this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation })
       state.begin(model, ask.adapter, this.clock.nowMs)
       let open = true
       const finish = (got: number) => {
@@ -418,7 +418,7 @@
     const adapter = course.adapters.length > 0 && chance.hit(0.5) ? chance.pick(course.adapters) ?? '' : ''
     if (course.kind === 'model') {
       this.modelAsks += 1
-      if (![...this.servers.values()].some((one) => one.kind === 'model' && one.state?.admits(course.service, adapter, this.clock.nowMs) === true)) this.coldAsks += 1
+      if (![...this.servers.values()].some((one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true)) this.coldAsks += 1
     }
     const chain = Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(at)}`).concat(request)
     const dueInMs = 8000
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -21,7 +21,6 @@
   readonly name: string
   state: StandInServer
   address = ''
-  dark = false
   readonly #plan: StandInServer['plan']
   readonly #see: (sighting: Sighting) => void
   readonly #runMs: number
@@ -65,7 +64,6 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { state } = this
     const url = request.url ?? '/'
-    if (this.dark) return
     if (url === ServerFormat.identityPath) {
       this.#json(response, 200, { server: this.name, incarnation: state.incarnation, upMs: state.upMs(clockMs()) })
       return
@@ -88,7 +86,7 @@
     const model = url.startsWith('/run/') ? url.slice(5) : ''
     const target = model === '' ? undefined : CallerFormat.model(model, body).toMaybe().extractNullable()
     const adapter = target?.kind === 'model' ? target.adapter : ''
-    if (!state.admits(model, adapter, clockMs())) {
+    if (!state.allows(model, adapter, clockMs())) {
       response.setHeader(CallerFormat.verdictHeader, Verdict.notRun)
       this.#json(response, 503, { why: 'not loaded here' })
       return
@@ -98,7 +96,7 @@
     const lines = Number(request.headers['lines'] ?? 1)
     const text = Array.from({ length: lines }, (_, at) => `${run} line ${String(at + 1)} of ${String(lines)}\n`)
     const name = String(request.headers['request-id'])
-    this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation, addressOf: this.name })
+    this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation })
     state.begin(model, adapter, clockMs())
     let here = true
     const gone = once(response, 'close').then(() => { here = false })
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -130,7 +130,7 @@
   }
 
   /** True when a request may run here: a service server takes any, a model server what is loaded. */
-  admits(model: string, adapter: string, nowMs: number): boolean {
+  allows(model: string, adapter: string, nowMs: number): boolean {
     this.advance(nowMs)
     if (model === '') return true
     const weights = this.#models.get(model)
@@ -162,8 +162,8 @@
     const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) => server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
     strictEqual(order(5, 1, 'a', 8, 0), 202)
     strictEqual(order(5, 2, 'b', 8, 1), 409)
-    strictEqual(server.admits('a', '', 799), false)
-    strictEqual(server.admits('a', '', 800), true)
+    strictEqual(server.allows('a', '', 799), false)
+    strictEqual(server.allows('a', '', 800), true)
     strictEqual(order(4, 9, 'b', 1, 900), 409)
     strictEqual(order(5, 3, 'b', 8, 900), 202)
     strictEqual(order(5, 2, 'c', 1, 901), 409)
--- a/src/testtrack/judge.ts
+++ b/src/testtrack/judge.ts
@@ -135,7 +135,7 @@
   return Object.entries(rules).filter(([, list]) => list.length > 0).map(([rule]) => rule)
 }
 const ask = (request: string, more: object = {}): Sighting => ({ kind: 'asked', atMs: 0, request, service: 'x', repeatable: false, dueMs: 1000, proper: true, ...more })
-const ran = (request: string, more: object = {}): Sighting => ({ kind: 'ran', atMs: 10, request, server: 's', service: 'x', sum: 1, incarnation: 'i', addressOf: 's', ...more })
+const ran = (request: string, more: object = {}): Sighting => ({ kind: 'ran', atMs: 10, request, server: 's', service: 'x', sum: 1, incarnation: 'i', ...more })
 proof(import.meta.url, {
   'each checker bites, and a clean run passes': () => {
     const whole: Sighting = { kind: 'whole', atMs: 20, request: 'r', status: 200, sum: 1 }
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -101,7 +101,7 @@
 
   async run({ deployment, folder, seconds, faults, seed, say }: FleetRun): Promise<boolean> {
     const fleet = new Fleet(deployment, folder)
-    const callers = new Callers(deployment, seed, () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''), (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.admits(model, adapter, clockMs())), fleet.see)
+    const callers = new Callers(deployment, seed, () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''), (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.allows(model, adapter, clockMs())), fleet.see)
     try {
       await fleet.start()
       await fleet.until('every seat is alive', async () => {
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -12,7 +12,7 @@
 import type { Report } from '../gauge/Report.js'
 import type { BindingRow } from '../interlocking/BindingRow.js'
 import type { Copy } from '../interlocking/Copy.js'
-import { PlatformServer } from '../interlocking/PlatformServer.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
 import { Bucket } from './Bucket.js'
 import type { DispatcherOut } from './DispatcherOut.js'
 import type { Policy } from './Policy.js'
@@ -149,7 +149,7 @@
     if (value === undefined) return
     const saved = SavedOrder.parse(JSON.parse(value))
     if (saved.order.kind === 'load' || saved.order.kind === 'attach') this.#bucket.inherit(saved.order.sizeMb)
-    yard.task = { order: saved.order, phase: 'sent', sinceMs: nowMs, proposedMs: nowMs, sentMs: nowMs, incarnation: saved.incarnation }
+    yard.task = { order: saved.order, phase: 'sent', sinceMs: nowMs, sentMs: nowMs, incarnation: saved.incarnation }
   }
 
   #read(out: DispatcherOut, nowMs: number): void {
@@ -458,7 +458,7 @@
     this.#number += 1
     const order: Order = { tenure: this.#tenure, number: this.#number, kind, model, adapter, sizeMb }
     const takesAway = kind === 'unload' || kind === 'detach'
-    yard.task = { order, phase: takesAway ? 'withdrawing' : 'proposed', sinceMs: nowMs, proposedMs: nowMs, sentMs: 0, incarnation: yard.report?.incarnation ?? '' }
+    yard.task = { order, phase: takesAway ? 'withdrawing' : 'proposed', sinceMs: nowMs, sentMs: 0, incarnation: yard.report?.incarnation ?? '' }
     this.#reason(yard.name, order, why, nowMs)
   }
 
--- a/src/timetable/Yard.ts
+++ b/src/timetable/Yard.ts
@@ -15,7 +15,7 @@
   report: (Report & { askedMs: number; heardMs: number }) | undefined
   askedMs: number
   answeredMs: number
-  task: { order: Order; phase: 'withdrawing' | 'proposed' | 'sent'; sinceMs: number; proposedMs: number; sentMs: number; incarnation: string } | undefined
+  task: { order: Order; phase: 'withdrawing' | 'proposed' | 'sent'; sinceMs: number; sentMs: number; incarnation: string } | undefined
   plan: { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'history' | 'overlap' | 'doubles' } | undefined
   backoffUntilMs: number
 }
--- a/src/turnout/CallersDesk.ts
+++ b/src/turnout/CallersDesk.ts
@@ -92,12 +92,12 @@
     const headers: Record<string, string> = {}
     for (const [name, value] of Object.entries(request.headers)) if (value !== undefined && !ownHeaders.has(name)) headers[name] = Array.isArray(value) ? value.join(', ') : value
     if (path.kind === 'service') {
-      this.#task.admit({ kind: 'service', name: path.name }, method, path.rest.startsWith('/') ? path.rest : `/${path.rest}`, headers, body, left, response)
+      this.#task.allow({ kind: 'service', name: path.name }, method, path.rest.startsWith('/') ? path.rest : `/${path.rest}`, headers, body, left, response)
       return
     }
     CallerFormat.model(path.name, body).caseOf({
       Left: (why) => { turnAway(400, why) },
-      Right: (target) => { if (target.kind === 'model') this.#task.admit(target, method, ServerFormat.modelPath(path.name), headers, body, left, response) },
+      Right: (target) => { if (target.kind === 'model') this.#task.allow(target, method, ServerFormat.modelPath(path.name), headers, body, left, response) },
     })
   }
 
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -11,7 +11,7 @@
 import { Verdict } from '../gauge/Verdict.js'
 import { BindingRow } from '../interlocking/BindingRow.js'
 import { Copy } from '../interlocking/Copy.js'
-import { PlatformServer } from '../interlocking/PlatformServer.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Message } from '../telegraph/Message.js'
 import { Budget } from './Budget.js'
 import { Phase } from './Phase.js'
@@ -34,6 +34,7 @@
   readonly #platforms = new Map<string, Platform>()
   readonly #budgets = new Map<string, Budget>()
   #terms = new Map<string, Terms>()
+  readonly #places = new Map<string, { at: number; of: number }>()
   #effects: TurnoutEffect[] = []
   #permitUntilMs = -Infinity
   #followAtMs = -Infinity
@@ -109,6 +110,7 @@
     const text = this.copy.get('charter')
     const charter = text === undefined ? undefined : Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined
     this.#terms = new Map()
+    this.#places.clear()
     for (const [partner, branch] of Object.entries(charter?.partners ?? {})) {
       if (charter === undefined) break
       for (const [name, service] of Object.entries(branch.services)) this.#terms.set(`service ${name}`, { partner, limits: Charter.limits(charter, partner, service.limits), repeatable: service.repeatable, servers: service.servers, adapters: [] })
@@ -149,10 +151,14 @@
 
   /** How many turnouts share what is shared out, and which of them this one is. */
   #share(limit: number, server: string): number {
-    const seats = this.copy.under('seat/').map(([name]) => name).sort((a, b) => digest(a + server) - digest(b + server))
-    const at = seats.indexOf(this.#plan.seat)
-    if (at < 0) return 0
-    return Math.floor(limit / seats.length) + (at < limit % seats.length ? 1 : 0)
+    let place = this.#places.get(server)
+    if (place === undefined) {
+      const seats = this.copy.under('seat/').map(([name]) => name).sort((a, b) => digest(a + server) - digest(b + server))
+      place = { at: seats.indexOf(this.#plan.seat), of: seats.length }
+      this.#places.set(server, place)
+    }
+    if (place.at < 0) return 0
+    return Math.floor(limit / place.of) + (place.at < limit % place.of ? 1 : 0)
   }
 
   /** This turnout's share of what a server bears. One never met counts as cold, and is met by one attempt. */
--- a/src/turnout/TurnoutTask.ts
+++ b/src/turnout/TurnoutTask.ts
@@ -56,7 +56,7 @@
   }
 
   /** Takes a caller's request on its way; the ticket is kept until the caller has its final answer. */
-  admit(target: Extract<TurnoutInput, { kind: 'arrived' }>['target'], method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: Buffer, dueInMs: number | undefined, response: ServerResponse): void {
+  allow(target: Extract<TurnoutInput, { kind: 'arrived' }>['target'], method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: Buffer, dueInMs: number | undefined, response: ServerResponse): void {
     this.#count += 1
     const id = String(this.#count)
     this.#tickets.set(id, { response, method, path, headers, body, line: undefined, attempt: 0, controller: undefined, relaying: false, done: false })
