Send no second copy of an order to a server that cannot tell it; no wait in the first tenure

Cause 1: an order unseen in a report was sent again; to a server that checks no numbers the first copy could come later and be taken for a new order. Excluded: two dispatchers (all copies bore one tenure), the wait of a successor. Conclusion: such a server's order is given up as lost only after the longest order, and the duty's row tells whether it was ever held.

--- a/src/interlocking/DutyRow.ts
+++ b/src/interlocking/DutyRow.ts
@@ -1,7 +1,8 @@
 /**
- * Who holds a duty, and where; its row's stamp is the tenure.
+ * Who holds a duty, where, and which vacancy that filled (0 for the first there ever was); its row's
+ * stamp is the tenure.
  */
 import { z } from 'zod'
 
-export const DutyRow = z.object({ holder: z.string(), address: z.string() })
+export const DutyRow = z.object({ holder: z.string(), address: z.string(), vacancy: z.number() })
 export type DutyRow = z.infer<typeof DutyRow>
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -55,7 +55,7 @@
     return this.#outcomes.get(operation)
   }
 
-  duty(duty: string): { tenure: number; holder: string; address: string } | undefined {
+  duty(duty: string): (DutyRow & { tenure: number }) | undefined {
     const value = this.copy.get(`duty/${duty}`)
     if (value === undefined) return undefined
     return { ...DutyRow.parse(JSON.parse(value)), tenure: this.copy.stampOf(`duty/${duty}`) }
@@ -83,7 +83,7 @@
       case 'duty': {
         const key = `duty/${command.duty}`
         if (this.copy.get(key) !== undefined || this.copy.stampOf(key) !== command.vacancy) break
-        this.copy.set({ key, stamp: index, gone: false, value: JSON.stringify({ holder: command.holder, address: command.address }) })
+        this.copy.set({ key, stamp: index, gone: false, value: JSON.stringify({ holder: command.holder, address: command.address, vacancy: command.vacancy }) })
         break
       }
       case 'vacate': {
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -319,7 +319,7 @@
     const duty = this.register.duty(dispatcherDuty)
     const mine = duty?.holder === this.#plan.name && duty.address === this.agreement.identity
     if (mine && this.#dispatcher?.tenure !== duty.tenure) {
-      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, this.#plan.policy, nowMs)
+      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, duty.vacancy === 0, this.#plan.policy, nowMs)
       this.#dutySureMs = -Infinity
       this.#dutyAskMs = -Infinity
       this.#say('dispatcher', `Holds the duty in tenure ${String(duty.tenure)}.`)
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -38,6 +38,8 @@
   readonly #pace: Pace
   readonly #policy: Policy
   readonly #tenure: number
+  /** No dispatcher was there before, so none of its orders can be under way. */
+  readonly #first: boolean
   readonly #beganMs: number
   readonly #predictor = new Predictor()
   readonly #bucket: Bucket
@@ -50,8 +52,9 @@
   #charterStamp = -1
   #number = 0
 
-  constructor(pace: Pace, tenure: number, policy: Policy, nowMs: number) {
+  constructor(pace: Pace, tenure: number, first: boolean, policy: Policy, nowMs: number) {
     this.#pace = pace
+    this.#first = first
     this.#policy = policy
     this.#tenure = tenure
     this.#beganMs = nowMs
@@ -165,7 +168,7 @@
   #known(yard: Yard, nowMs: number): yard is Yard & { report: NonNullable<Yard['report']> } {
     if (yard.report === undefined || yard.report.askedMs < this.#beganMs || nowMs - yard.report.askedMs > this.#pace.reportStaleMs) return false
     if (yard.report.tenure !== undefined) return yard.report.tenure <= this.#tenure
-    return nowMs - this.#beganMs > this.#pace.dutyLicenceMs + this.#pace.orderMs
+    return this.#first || nowMs - this.#beganMs > this.#pace.dutyLicenceMs + this.#pace.orderMs
   }
 
   #settle(copy: Copy, out: DispatcherOut, nowMs: number): void {
@@ -401,7 +404,12 @@
         else this.#send(yard, out, nowMs)
       } else if (task.phase === 'sent' && nowMs - task.sentMs > this.#pace.orderMs / 8 && this.#known(yard, nowMs) && yard.report.askedMs > task.sentMs) {
         const seen = yard.report.order
-        if (seen?.tenure !== task.order.tenure || seen.number < task.order.number) this.#send(yard, out, nowMs)
+        if (seen?.tenure === task.order.tenure && seen.number >= task.order.number) continue
+        if (yard.report.tenure !== undefined) this.#send(yard, out, nowMs)
+        else if (nowMs - task.sentMs > this.#pace.orderMs) {
+          this.#reason(yard.name, task.order, 'never reached the server, which cannot tell a late copy', nowMs)
+          this.#drop(yard, nowMs)
+        }
       }
     }
   }
