--- a/src/testtrack/SimServer.ts
+++ b/src/testtrack/SimServer.ts
@@ -19,5 +19,6 @@
   orderLoss: number
   orderSlowMs: number
   breaksRuns: number
+  kept: Map<string, number>
   watchers: Set<() => void>
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -28,6 +28,7 @@
 import type { SimServer } from './SimServer.js'
 import { StandInServer } from './StandInServer.js'
 
+const keptParts = 60
 const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
 type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
 interface Flight { server: SimServer; state: StandInServer; cancelled: boolean; end: () => void }
@@ -48,6 +49,9 @@
   readonly waits: number[] = []
   readonly modelWaits: number[] = []
   modelAsks = 0
+  /** Prompt parts that came to servers, and those of them that the server had kept. */
+  parts = 0
+  partsKept = 0
   /** Model requests that came when no server held their model and adapter. */
   coldAsks = 0
   #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
@@ -66,7 +70,7 @@
     this.#seeds = [...this.boxes.values()].map((box) => box.address)
     for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
     for (const server of deployment.servers) {
-      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, breaksRuns: 0, watchers: new Set() })
+      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, breaksRuns: 0, kept: new Map(), watchers: new Set() })
       this.startServer(server.name)
     }
     this.clock.every(50, () => {
@@ -256,6 +260,7 @@
     const plan = this.options.deployment.servers.find((one) => one.name === name)
     if (server === undefined || plan === undefined || server.state !== undefined) return
     server.lives += 1
+    server.kept.clear()
     server.dark = false
     const { warmMs, coldLimit } = this.options.deployment.charter.defaults
     server.state = new StandInServer({ ...plan, loadMbPerS: this.options.deployment.loadMbPerS, checksTenure: !this.options.uncheckedTenure, enforcesTenure: this.options.broken !== 'staleOrders' && !this.options.uncheckedTenure, warmMs, coldLimit }, `${name}.${String(server.lives)}`, this.clock.nowMs, this.see)
@@ -359,6 +364,7 @@
       const sum = digest(run)
       this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation })
       state.begin(model, ask.adapter, this.clock.nowMs)
+      this.#keep(server, ask)
       let open = true
       const finish = (got: number) => {
         if (flight.cancelled || turnout.asks.get(id) !== ask) return
@@ -405,6 +411,21 @@
     })
   }
 
+  /** The server's cache of prompt parts: the oldest leave when it is full. */
+  #keep(server: SimServer, ask: Ask): void {
+    this.parts += ask.chain.length
+    const known = ask.chain.findIndex((link) => !server.kept.has(link))
+    this.partsKept += known < 0 ? ask.chain.length : known
+    for (const link of ask.chain) {
+      server.kept.delete(link)
+      server.kept.set(link, this.clock.nowMs)
+    }
+    for (const oldest of server.kept.keys()) {
+      if (server.kept.size <= keptParts) break
+      server.kept.delete(oldest)
+    }
+  }
+
   // Callers.
 
   ask(course: SimOptions['deployment']['courses'][number], chance = this.chance): void {
@@ -420,7 +441,8 @@
       this.modelAsks += 1
       if (![...this.servers.values()].some((one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true)) this.coldAsks += 1
     }
-    const chain = Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(at)}`).concat(request)
+    const talk = chance.below(8)
+    const chain = course.kind === 'service' ? [] : Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(talk)}-${String(at)}`).concat(request)
     const dueInMs = 8000
     turnout.asks.set(id, { service: course.service, kind: course.kind, adapter, chain, lines: course.lines, dueMs: this.clock.nowMs + dueInMs, request })
     this.see({ kind: 'asked', atMs: this.clock.nowMs, request, service: course.service, repeatable: service?.repeatable ?? false, dueMs: this.clock.nowMs + dueInMs, proper: true })
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -15,7 +15,7 @@
 import type { SimOptions } from './SimOptions.js'
 import { Simulation } from './Simulation.js'
 
-interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number; modelAsks: number; coldAsks: number; modelP50Ms: number; modelP99Ms: number }
+interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number; modelAsks: number; coldAsks: number; modelP50Ms: number; modelP99Ms: number; partsKept: number }
 
 export function runSimulation(options: SimOptions): Result {
   const sim = new Simulation(options)
@@ -65,7 +65,7 @@
     loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
     weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
     ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
-    recoverMs: recovery(sim), modelAsks: sim.modelAsks, coldAsks: sim.coldAsks, modelP50Ms: quantile(sim.modelWaits, 0.5), modelP99Ms: quantile(sim.modelWaits, 0.99),
+    recoverMs: recovery(sim), modelAsks: sim.modelAsks, coldAsks: sim.coldAsks, modelP50Ms: quantile(sim.modelWaits, 0.5), modelP99Ms: quantile(sim.modelWaits, 0.99), partsKept: sim.partsKept / Math.max(1, sim.parts),
   }
 }
 
