--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -289,7 +289,6 @@
   }
 
   #choose(traveller: Traveller, terms: Terms, nowMs: number): Platform | undefined {
-    const home = this.#home(traveller, terms)
     let best: Platform[] = []
     let bestRank = -Infinity
     for (const platform of this.#platforms.values()) {
@@ -298,7 +297,7 @@
       const unmet = platform.incarnation === '' && platform.flights === 0
       if (platform.flights >= limit && !unmet) continue
       const kept = traveller.target.kind === 'model' ? this.#kept(platform, traveller.target.chain) : 0
-      const rank = 4 * kept + (platform === home ? 2 : 0) - (4 * platform.flights) / Math.max(1, limit) + (platform.zone === this.#plan.zone ? 0.5 : 0)
+      const rank = 4 * kept - (4 * platform.flights) / Math.max(1, limit) + (platform.zone === this.#plan.zone ? 0.5 : 0)
       if (rank > bestRank + 1e-9) {
         best = [platform]
         bestRank = rank
@@ -309,20 +308,6 @@
     return one !== undefined && other !== undefined && other.flights < one.flights ? other : one
   }
 
-  /** Where all turnouts would send a chain with this first part, so that they need not tell one another. */
-  #home(traveller: Traveller, terms: Terms): Platform | undefined {
-    const first = traveller.target.kind === 'model' ? traveller.target.chain[0] : undefined
-    if (first === undefined) return undefined
-    let home: Platform | undefined
-    let highest = -1
-    for (const platform of this.#platforms.values()) {
-      if (!this.#mayUse(platform, traveller, terms)) continue
-      const drawn = digest(first + platform.name)
-      if (drawn > highest) [home, highest] = [platform, drawn]
-    }
-    return home
-  }
-
   /** The share of the chain that was sent to this server lately enough to be kept there. */
   #kept(platform: Platform, chain: readonly string[]): number {
     for (let at = chain.length; at > 0; at--) {
