--- a/src/springpaddle/diagnose.ts
+++ b/src/springpaddle/diagnose.ts
@@ -1,6 +1,6 @@
 /**
  * What an operator should know from the core's own account of its nodes, servers and charter: each
- * finding with what to do about it.
+ * finding with what to do about it. `earlier` is a stamp that every seat has had time to adopt.
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { z } from 'zod'
@@ -20,7 +20,7 @@
   zones: z.record(z.string(), z.object({ emptied: z.boolean() })).default({}),
 })
 
-export function diagnose(nodes: Tree | undefined, servers: Tree | undefined, charter: Tree | undefined): Finding[] {
+export function diagnose(nodes: Tree | undefined, servers: Tree | undefined, charter: Tree | undefined, earlier: number): Finding[] {
   const findings: Finding[] = []
   const find = (what: string, todo: string) => { findings.push({ what, todo }) }
   const core = Nodes.safeParse(nodes).data
@@ -33,7 +33,7 @@
   const alive = core.seats.filter((one) => one.alive)
   for (const one of core.seats) {
     if (!one.alive) find(`seat ${one.seat} in zone ${one.zone === '' ? 'unknown' : one.zone} is silent`, 'start its lineman; if the machine is gone for good: seat retire')
-    else if (one.adopted < core.stamp) find(`seat ${one.seat} works by stamp ${String(one.adopted)} of ${String(core.stamp)}`, 'look again; if it stays behind, its turnout is stopped or frozen')
+    else if (one.adopted < earlier) find(`seat ${one.seat} works by stamp ${String(one.adopted)} of ${String(core.stamp)}`, 'its turnout is stopped or frozen; start it again')
   }
   if (core.seats.length > 0 && alive.length * 2 <= core.seats.length) find('no majority of the seats is alive', 'no charter can be acknowledged; start linemen or retire the seats that are gone for good')
   const fleet = Fleet.safeParse(charter).data
@@ -57,14 +57,14 @@
 const servers = [{ name: 'ms-1', zone: 'a', draining: false, binding: { models: [] }, order: null }]
 const charter = { fleet: { servers: { 'ms-1': { kind: 'model' } } } }
 proof(import.meta.url, {
-  'a sound system has no findings': () => { deepStrictEqual(diagnose(nodes, servers, charter), []) },
+  'a sound system has no findings': () => { deepStrictEqual(diagnose(nodes, servers, charter, 9), []) },
   'each trouble is found': () => {
-    const found = (...given: Parameters<typeof diagnose>) => diagnose(...given).map((one) => one.what).join()
+    const found = (...given: [Tree | undefined, Tree, Tree]) => diagnose(...given, 8).map((one) => one.what).join()
     strictEqual(found(undefined, servers, charter), 'the core does not answer')
     strictEqual(found({ ...nodes, dispatcher: null }, servers, charter), 'nobody holds the dispatcher duty')
     strictEqual(found({ ...nodes, core: [{ seat: 'box-1', voter: true, alive: false }] }, servers, charter), 'core machine box-1 does not answer')
     strictEqual(found({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: true, adopted: 5 }] }, servers, charter), 'seat post-1 works by stamp 5 of 9')
-    strictEqual(diagnose({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: false, adopted: 9 }] }, servers, charter).length, 2)
+    strictEqual(diagnose({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: false, adopted: 9 }] }, servers, charter, 8).length, 2)
     strictEqual(found(nodes, [], charter), 'server ms-1 is in the charter but the platform does not list it')
     strictEqual(found(nodes, [{ ...servers[0], binding: null }], charter), 'model server ms-1 has not reported lately')
     strictEqual(found(nodes, servers, { ...charter, zones: { b: { emptied: true } } }), 'zone b is emptied')
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -4,6 +4,7 @@
  * core's own answer for scripts, and the exit code tells how it ended.
  */
 import { readFileSync } from 'node:fs'
+import { setTimeout as pause } from 'node:timers/promises'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { z } from 'zod'
 import { Charter } from '../gauge/Charter.js'
@@ -27,6 +28,7 @@
   ifMatch: option({ long: 'if-match', type: optional(string), description: 'only if the charter is still at this stamp' }),
   operation: option({ long: 'operation', type: optional(string), description: 'operation id, to repeat a write safely' }),
 }
+const adoptMs = 1000
 interface Common { core: string; json: boolean; wait: number }
 
 const read = (path: string) => readFileSync(path === '-' ? 0 : path, 'utf8')
@@ -129,9 +131,11 @@
       name: 'doctor', description: 'What is cut off, late, silent or missing, and what to do about it.', args: common,
       handler: async (given) => {
         const core = clientOf(given)
+        const first = await core.ask('GET', '/nodes')
+        await pause(adoptMs)
         const replies = [await core.ask('GET', '/nodes'), await core.ask('GET', '/servers'), await core.ask('GET', '/charter')]
         const [nodes, servers, tree] = replies.map((reply) => (reply.status === 200 ? Tree.read(reply.body) : undefined))
-        const findings = diagnose(nodes, servers, tree)
+        const findings = diagnose(nodes, servers, tree, z.object({ stamp: z.number() }).safeParse(Tree.read(first.body)).data?.stamp ?? 0)
         process.exitCode = findings.length === 0 ? 0 : 3
         if (given.json) out(JSON.stringify(findings))
         else out(findings.length === 0 ? 'sound' : findings.map((one) => `${one.what}\n    ${one.todo}`).join('\n'))
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -1,7 +1,7 @@
 /**
  * A stand-in server over real sockets: identity, reports, orders, and runs whose response is made of
  * numbered lines that tell the server, its incarnation and the run, so that a gap, a repeat or a
- * splice shows. It can be crashed, made dark, and started again as a new incarnation.
+ * splice shows. A request without an id is a visitor's: it is served and not judged. It can be crashed, made dark, and started again as a new incarnation.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
@@ -95,8 +95,8 @@
     const run = `${state.incarnation}#${String(this.#count)}`
     const lines = Number(request.headers['lines'] ?? 1)
     const text = Array.from({ length: lines }, (_, at) => `${run} line ${String(at + 1)} of ${String(lines)}\n`)
-    const name = String(request.headers['request-id'])
-    this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation })
+    const name = request.headers['request-id']
+    if (typeof name === 'string') this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation })
     state.begin(model, adapter, clockMs())
     let here = true
     const gone = once(response, 'close').then(() => { here = false })
