Operators' reads judged: none goes back behind what was acknowledged or read

Until now only writes, read-back and history were judged; a core machine that answered reads from its own copy would have passed. Operators now read at any machine all through a run, and the judge keeps real-time order of stamps. Before: no checker.

--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -21,6 +21,7 @@
   | { kind: 'undecided'; atMs: number; operation: string }
   | { kind: 'notTaken'; atMs: number; operation: string; status: number }
   | { kind: 'readBack'; atMs: number; stamp: number; text: string }
+  | { kind: 'read'; atMs: number; fromMs: number; stamp: number }
   | { kind: 'emptied'; atMs: number; zone: string; emptied: boolean; ackedMs: number }
   | { kind: 'barred'; atMs: number; service: string; server: string; barred: boolean; ackedMs: number }
   | { kind: 'history'; atMs: number; operations: string[] }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -56,6 +56,7 @@
   coldAsks = 0
   #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
   #asked = 0
+  #operated = 0
   /** Since when the core lacks a majority that can act and be heard. */
   #downFromMs: number | undefined
   #ports = 1000
@@ -466,7 +467,8 @@
   // Operators.
 
   operate(box: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
-    const id = `${operation.operation}-${String(this.#operations.size)}-${String(this.clock.nowMs)}`
+    this.#operated += 1
+    const id = `${operation.operation}-${String(this.#operated)}`
     this.#operations.set(id, done)
     this.clock.after(this.boxes.get(box)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
       if (this.#operations.delete(id)) done(504, 0, '')
@@ -474,6 +476,17 @@
     this.clock.after(1, () => { this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation }) })
   }
 
+  /** Reads the charter's stamp at some core machine; nothing when it could not tell in time. */
+  readStamp(got: (stamp: number) => void): void {
+    const box = this.chance.pick([...this.boxes.keys()]) ?? ''
+    if (this.options.broken === 'reads') {
+      const machine = this.boxes.get(box)?.process.machine
+      if (machine !== undefined) got(machine.register.charterStamp)
+      return
+    }
+    this.operate(box, { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.pace.askMs }, (status, stamp) => { if (status === 200) got(stamp) })
+  }
+
   /** Writes as an operator who asks again, by the same operation id, until told how it ended. */
   write(operation: string, action: 'charter.put' | 'charter.patch', text: string, ifMatch: number, settled: (status: number, stamp: number) => void): void {
     this.see({ kind: 'wrote', atMs: this.clock.nowMs, operation, text, branch: '', action })
--- a/src/testtrack/brokenRules.ts
+++ b/src/testtrack/brokenRules.ts
@@ -18,6 +18,7 @@
   { broken: 'identity', rule: 'stray', faults: ['reuse-address'], deployment: 'siding', seeds: [1, 2, 3, 4, 5, 6, 7, 8] },
   { broken: 'licence', rule: 'charter', faults: ['cut-post-from-system'], deployment: 'siding', faultMs: 12_000, seeds: [1, 2, 3, 4, 5, 6] },
   { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'siding', seeds: [1, 2, 3, 4] },
+  { broken: 'reads', rule: 'reads', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'emptied', rule: 'emptied', faults: ['kill-turnout'], deployment: 'siding', seeds: [1, 2, 3] },
   { broken: 'budget', rule: 'retries', faults: ['crowd', 'break-runs'], deployment: 'siding', together: true, crowd: 400, seeds: [1, 2, 3, 4, 5, 6, 7, 8] },
--- a/src/testtrack/judge.ts
+++ b/src/testtrack/judge.ts
@@ -35,7 +35,7 @@
   const asked = new Map(of('asked').map((one) => [one.request, one]))
   const runs = new Map<string, Kind<'ran'>[]>()
   for (const ran of of('ran')) runs.set(ran.request, [...(runs.get(ran.request) ?? []), ran])
-  const rules: Record<string, string[]> = { ranTwice: [], notRunRan: [], whole: [], turnedAway: [], stray: [], charter: [], drain: [], emptied: [], retries: [], cold: [], room: [], flights: [], store: [], controllers: [], recovery: [] }
+  const rules: Record<string, string[]> = { ranTwice: [], notRunRan: [], whole: [], turnedAway: [], stray: [], charter: [], reads: [], drain: [], emptied: [], retries: [], cold: [], room: [], flights: [], store: [], controllers: [], recovery: [] }
   const tell = (rule: string, what: string) => { rules[rule]?.push(what) }
 
   for (const [request, list] of runs) {
@@ -70,6 +70,12 @@
     for (const ack of of('acknowledged')) if (!last.includes(ack.operation)) tell('charter', `${ack.operation} was acknowledged and is gone`)
     for (const not of of('notTaken')) if (last.includes(not.operation)) tell('charter', `${not.operation} was told ${String(not.status)} and took effect`)
   }
+  const acks = of('acknowledged')
+  const reads = of('read')
+  for (const read of reads) {
+    const least = Math.max(0, ...acks.filter((ack) => ack.atMs < read.fromMs).map((ack) => ack.stamp), ...reads.filter((one) => one.atMs < read.fromMs).map((one) => one.stamp))
+    if (read.stamp < least) tell('reads', `a read gave stamp ${String(read.stamp)} after ${String(least)} had been seen`)
+  }
   const downs = of('coreDown')
   /** A bound on news runs from when there was a core that could give them. */
   const heard = (atMs: number, graceMs: number) => Math.max(atMs, ...downs.filter((down) => down.fromMs < atMs + graceMs && down.atMs > atMs).map((down) => down.atMs))
@@ -154,6 +160,10 @@
     deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['emptied'])
     deepStrictEqual(verdict([{ kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['charter'])
     deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 0, operation: 'o', stamp: 1 }, { kind: 'history', atMs: 9, operations: ['p'] }]), ['charter'])
+    const read = (fromMs: number, atMs: number, stamp: number): Sighting => ({ kind: 'read', fromMs, atMs, stamp })
+    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(4, 9, 2)]), [])
+    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(6, 9, 2)]), ['reads'])
+    deepStrictEqual(verdict([read(1, 2, 7), read(3, 4, 6)]), ['reads'])
     deepStrictEqual(verdict([{ kind: 'notTaken', atMs: 0, operation: 'o', status: 412 }, { kind: 'history', atMs: 9, operations: ['o'] }]), ['charter'])
     deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, ask('r'), ran('r', { atMs: 5001 })]), ['emptied'])
     deepStrictEqual(verdict([{ kind: 'coldRun', atMs: 0, server: 's', incarnation: 'i', flights: 3, limit: 2 }]), ['cold'])
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -77,7 +77,7 @@
   return { ...charter, fleet: { ...fleet, servers: Object.fromEntries(Object.entries(fleet.servers).map(([name, server]) => [name, { ...server, places: 10 * server.places }])) } }
 }
 
-/** Operators who write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
+/** Operators who read and write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
 function operators(sim: Simulation, fromMs: number, untilMs: number): void {
   const { clock, chance, see } = sim
   const { deployment } = sim.options
@@ -118,6 +118,13 @@
       })
     })
   }
+  const read = () => {
+    if (clock.nowMs > untilMs) return
+    const readMs = clock.nowMs
+    sim.readStamp((stamp) => { see({ kind: 'read', fromMs: readMs, atMs: clock.nowMs, stamp }) })
+    clock.after(chance.between(100, 600), read)
+  }
+  clock.at(fromMs, read)
   clock.at(fromMs, race)
   clock.at(fromMs + 500, zone)
   clock.at(fromMs + 900, bar)
