--- a/eslint.config.js
+++ b/eslint.config.js
@@ -53,11 +53,14 @@
   ...folders.map((folder) => ({
     files: [`src/${folder}/**/*.ts`],
     rules: {
-      'no-restricted-imports': ['error', {
-        patterns: folders
-          .filter((other) => other !== folder && !lower[folder].includes(other))
-          .map((other) => ({ group: [`../${other}/*`], message: `${folder} may not lean on ${other}` })),
-      }],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: folders
+            .filter((other) => other !== folder && !lower[folder].includes(other))
+            .map((other) => ({ group: [`../${other}/*`], message: `${folder} may not lean on ${other}` })),
+        },
+      ],
     },
   })),
 )
--- a/src/gauge/Charter.ts
+++ b/src/gauge/Charter.ts
@@ -78,7 +78,8 @@
       for (const [name, service] of Object.entries(branch.services)) {
         service.servers.forEach((server, at) => {
           const plan = charter.fleet.servers[server]
-          if (plan?.kind !== 'service') errors.push(`partners.${partner}.services.${name}.servers.${at}: no service server is named ${server}`)
+          if (plan?.kind !== 'service')
+            errors.push(`partners.${partner}.services.${name}.servers.${at}: no service server is named ${server}`)
         })
       }
       for (const [name, model] of Object.entries(branch.models)) {
@@ -86,9 +87,15 @@
         model.servers?.forEach((server, at) => {
           if (charter.fleet.servers[server]?.kind !== 'model') errors.push(`${path}.servers.${at}: no model server is named ${server}`)
         })
-        const fits = Object.entries(charter.fleet.servers).some(([server, plan]) =>
-          plan.kind === 'model' && plan.roomMb >= model.sizeMb && (model.adapters.length === 0 || plan.places > 0) && (model.servers?.includes(server) ?? true))
-        if (charter.fleet.storeBurstMb < Math.max(model.sizeMb, model.adapterMb)) errors.push(`${path}.sizeMb: is over fleet.storeBurstMb, so the store could never be drawn on for it`)
+        const fits = Object.entries(charter.fleet.servers).some(
+          ([server, plan]) =>
+            plan.kind === 'model' &&
+            plan.roomMb >= model.sizeMb &&
+            (model.adapters.length === 0 || plan.places > 0) &&
+            (model.servers?.includes(server) ?? true),
+        )
+        if (charter.fleet.storeBurstMb < Math.max(model.sizeMb, model.adapterMb))
+          errors.push(`${path}.sizeMb: is over fleet.storeBurstMb, so the store could never be drawn on for it`)
         if (!fits) errors.push(`${path}.sizeMb: fits on no server that may hold it`)
         if (new Set(model.adapters).size !== model.adapters.length) errors.push(`${path}.adapters: names one twice`)
       }
@@ -107,7 +114,16 @@
 
 proof(import.meta.url, {
   'dangling names, doubles and a model too large are all told at once': () => {
-    const defaults = { dueMs: 1000, bodyLimitBytes: 10, retryRatio: 0.2, retryAllowance: 4, coldLimit: 2, warmMs: 0, serverLimit: 8, intent: { weight: 1, coldStartCost: 1, hours: [] } }
+    const defaults = {
+      dueMs: 1000,
+      bodyLimitBytes: 10,
+      retryRatio: 0.2,
+      retryAllowance: 4,
+      coldLimit: 2,
+      warmMs: 0,
+      serverLimit: 8,
+      intent: { weight: 1, coldStartCost: 1, hours: [] },
+    }
     const tree = {
       defaults,
       partners: {
@@ -116,22 +132,46 @@
       },
       fleet: { servers: { 'ms-1': { kind: 'model', roomMb: 10, places: 1 } }, storePaceMbPerS: 1, storeBurstMb: 99 },
     }
-    strictEqual(Charter.check(tree).swap().orDefault([]).some((line) => line.startsWith('partners.c.limits.dueMs')), true)
+    strictEqual(
+      Charter.check(tree)
+        .swap()
+        .orDefault([])
+        .some((line) => line.startsWith('partners.c.limits.dueMs')),
+      true,
+    )
     tree.partners.c.limits.dueMs = 50
-    deepStrictEqual(Charter.check(tree).swap().orDefault([]).map((line) => line.split(':')[0]), [
-      'partners.g.services.lobby.servers.0', 'partners.g.models.big.sizeMb', 'partners.c.models.one',
-    ])
+    deepStrictEqual(
+      Charter.check(tree)
+        .swap()
+        .orDefault([])
+        .map((line) => line.split(':')[0]),
+      ['partners.g.services.lobby.servers.0', 'partners.g.models.big.sizeMb', 'partners.c.models.one'],
+    )
   },
   'limits are inherited leaf by leaf': () => {
     const charter = Charter.check({
-      defaults: { dueMs: 1000, bodyLimitBytes: 10, retryRatio: 0.2, retryAllowance: 4, coldLimit: 2, warmMs: 0, serverLimit: 8, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+      defaults: {
+        dueMs: 1000,
+        bodyLimitBytes: 10,
+        retryRatio: 0.2,
+        retryAllowance: 4,
+        coldLimit: 2,
+        warmMs: 0,
+        serverLimit: 8,
+        intent: { weight: 1, coldStartCost: 1, hours: [] },
+      },
       partners: { c: { limits: { dueMs: 50, intent: { weight: 3 } } } },
       fleet: { servers: {}, storePaceMbPerS: 1, storeBurstMb: 99 },
     })
-    charter.ifLeft((errors) => { throw new Error(errors.join()) })
+    charter.ifLeft((errors) => {
+      throw new Error(errors.join())
+    })
     charter.ifRight((tree) => {
       const limits = Charter.limits(tree, 'c', { coldLimit: 7 })
-      deepStrictEqual([limits.dueMs, limits.coldLimit, limits.intent.weight, limits.intent.coldStartCost, limits.serverLimit], [50, 7, 3, 1, 8])
+      deepStrictEqual(
+        [limits.dueMs, limits.coldLimit, limits.intent.weight, limits.intent.coldStartCost, limits.serverLimit],
+        [50, 7, 3, 1, 8],
+      )
     })
   },
 })
--- a/src/gauge/Report.ts
+++ b/src/gauge/Report.ts
@@ -9,8 +9,12 @@
   incarnation: z.string(),
   madeMs: z.number(),
   tenure: z.number().optional(),
-  models: z.array(z.object({ model: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), sizeMb: z.number(), flights: z.number() })),
-  adapters: z.array(z.object({ model: z.string(), adapter: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), flights: z.number() })),
+  models: z.array(
+    z.object({ model: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), sizeMb: z.number(), flights: z.number() }),
+  ),
+  adapters: z.array(
+    z.object({ model: z.string(), adapter: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), flights: z.number() }),
+  ),
   order: z.object({ tenure: z.number(), number: z.number(), state: z.enum(['running', 'done', 'defect']) }).optional(),
   parts: z.array(z.object({ model: z.string(), chain: z.string() })).default([]),
 })
--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -68,14 +68,27 @@
 
 proof(import.meta.url, {
   'every error is named with its path, and nothing else is read': () => {
-    const read = Startup.read(Startup.lineman, undefined, { name: 'L 1', zone: 'a', telegraph: 'nowhere', seeds: ['127.0.0.1:1'], turnout: '127.0.0.1:2', bonds: {} })
+    const read = Startup.read(Startup.lineman, undefined, {
+      name: 'L 1',
+      zone: 'a',
+      telegraph: 'nowhere',
+      seeds: ['127.0.0.1:1'],
+      turnout: '127.0.0.1:2',
+      bonds: {},
+    })
     strictEqual(read.isLeft(), true)
     const errors = read.swap().orDefault([])
     deepStrictEqual(errors.map((line) => line.split(':')[0]).sort(), ['name', 'startup', 'telegraph'])
     match(errors.join(), /bonds/)
   },
   'flags go before the file, and bounds have their defaults': () => {
-    const read = Startup.read(Startup.lineman, undefined, { name: 'l-1', zone: 'a', telegraph: '127.0.0.1:1', seeds: ['127.0.0.1:1'], turnout: '127.0.0.1:2' })
+    const read = Startup.read(Startup.lineman, undefined, {
+      name: 'l-1',
+      zone: 'a',
+      telegraph: '127.0.0.1:1',
+      seeds: ['127.0.0.1:1'],
+      turnout: '127.0.0.1:2',
+    })
     strictEqual(read.map((startup) => startup.bounds.charterMs).orDefault(0), 2000)
   },
 })
--- a/src/gauge/Tree.ts
+++ b/src/gauge/Tree.ts
@@ -10,7 +10,8 @@
 type Json = string | number | boolean | null | Json[] | { [key: string]: Json }
 const Json: z.ZodType<Json> = z.json()
 
-const isBranch = (tree: Json | undefined): tree is { [key: string]: Json } => typeof tree === 'object' && tree !== null && !Array.isArray(tree)
+const isBranch = (tree: Json | undefined): tree is { [key: string]: Json } =>
+  typeof tree === 'object' && tree !== null && !Array.isArray(tree)
 
 export const Tree = {
   read(text: string): Tree | undefined {
@@ -62,6 +63,9 @@
     deepStrictEqual(Tree.at(base, ['a', 'b']), 1)
     deepStrictEqual(Tree.at(base, ['a', 'x', 'y']), undefined)
     deepStrictEqual(Tree.replace(base, ['a', 'b'], 5), { a: { b: 5 }, d: {} })
-    deepStrictEqual(Tree.leaves(base), [['a.b', 1], ['d', {}]])
+    deepStrictEqual(Tree.leaves(base), [
+      ['a.b', 1],
+      ['d', {}],
+    ])
   },
 })
--- a/src/gauge/readBody.ts
+++ b/src/gauge/readBody.ts
@@ -15,8 +15,14 @@
         request.resume()
       } else chunks.push(chunk)
     })
-    request.on('end', () => { resolve(bytes > limitBytes ? undefined : Buffer.concat(chunks)) })
-    request.on('error', () => { resolve(undefined) })
-    request.on('close', () => { resolve(undefined) })
+    request.on('end', () => {
+      resolve(bytes > limitBytes ? undefined : Buffer.concat(chunks))
+    })
+    request.on('error', () => {
+      resolve(undefined)
+    })
+    request.on('close', () => {
+      resolve(undefined)
+    })
   })
 }
--- a/src/gauge/startDaemon.ts
+++ b/src/gauge/startDaemon.ts
@@ -12,8 +12,16 @@
 const flag = (long: string, description: string) => option({ long, type: optional(string), description })
 const lists = ['seeds', 'seats']
 
-export async function startDaemon<T extends { name: string; logLevel: string }>(program: string, description: string, schema: z.ZodType<T>, fields: Record<string, string>, start: (startup: T, logbook: Logbook) => Promise<{ stop: () => Promise<void> }>): Promise<void> {
-  const args = Object.fromEntries(Object.entries(fields).map(([field, what]) => [field, flag(field === 'logLevel' ? 'log-level' : field, what)]))
+export async function startDaemon<T extends { name: string; logLevel: string }>(
+  program: string,
+  description: string,
+  schema: z.ZodType<T>,
+  fields: Record<string, string>,
+  start: (startup: T, logbook: Logbook) => Promise<{ stop: () => Promise<void> }>,
+): Promise<void> {
+  const args = Object.fromEntries(
+    Object.entries(fields).map(([field, what]) => [field, flag(field === 'logLevel' ? 'log-level' : field, what)]),
+  )
   const serve = command({
     name: 'run',
     description: `${description} Flags go before the startup file.`,
--- a/src/gauge/untilSignal.ts
+++ b/src/gauge/untilSignal.ts
@@ -3,6 +3,9 @@
  */
 export function untilSignal(): Promise<string> {
   return new Promise((resolve) => {
-    for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { resolve(signal) })
+    for (const signal of ['SIGTERM', 'SIGINT'])
+      process.once(signal, () => {
+        resolve(signal)
+      })
   })
 }
--- a/src/interlocking/Agreement.ts
+++ b/src/interlocking/Agreement.ts
@@ -13,7 +13,12 @@
 import { Member } from './Member.js'
 import { Sheet } from './Sheet.js'
 
-interface Replica { next: number; match: number; round: number; heardMs: number }
+interface Replica {
+  next: number
+  match: number
+  round: number
+  heardMs: number
+}
 const Members = z.array(Member)
 const batchBytes = 1_000_000
 const noBytes = new Uint8Array()
@@ -56,7 +61,8 @@
     let identity = ''
     for (const record of disk) {
       const sheet = Sheet.decode(record)
-      if (sheet === undefined) throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
+      if (sheet === undefined)
+        throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
       if (sheet.kind === 'identity') identity = sheet.identity
       else if (sheet.kind === 'term') {
         this.term = sheet.term
@@ -194,11 +200,21 @@
 
   receive(message: Message, nowMs: number): void {
     switch (message.kind) {
-      case 'ballotAsk': if (message.to === this.identity) this.#onBallotAsk(message, nowMs); break
-      case 'ballotGive': if (message.to === this.identity) this.#onBallotGive(message, nowMs); break
-      case 'append': if (message.to === this.identity) this.#onAppend(message, nowMs); break
-      case 'appended': if (message.to === this.identity) this.#onAppended(message, nowMs); break
-      case 'view': if (message.to === this.identity) this.#onView(message, nowMs); break
+      case 'ballotAsk':
+        if (message.to === this.identity) this.#onBallotAsk(message, nowMs)
+        break
+      case 'ballotGive':
+        if (message.to === this.identity) this.#onBallotGive(message, nowMs)
+        break
+      case 'append':
+        if (message.to === this.identity) this.#onAppend(message, nowMs)
+        break
+      case 'appended':
+        if (message.to === this.identity) this.#onAppended(message, nowMs)
+        break
+      case 'view':
+        if (message.to === this.identity) this.#onView(message, nowMs)
+        break
       default:
     }
   }
@@ -231,7 +247,8 @@
     for (const entry of this.#entries) if (entry.type === 'members') this.#membersIndex = entry.index
     if (this.phase !== 'leader') return
     for (const member of this.#members) {
-      if (!this.#replicas.has(member.identity)) this.#replicas.set(member.identity, { next: this.lastIndex + 1, match: 0, round: 0, heardMs: -Infinity })
+      if (!this.#replicas.has(member.identity))
+        this.#replicas.set(member.identity, { next: this.lastIndex + 1, match: 0, round: 0, heardMs: -Infinity })
     }
   }
 
@@ -245,7 +262,13 @@
     const records = [
       Sheet.encode({ kind: 'identity', identity: this.identity }),
       this.#termSheet(),
-      Sheet.encode({ kind: 'view', index: this.#view.index, term: this.#view.term, members: JSON.stringify(this.#view.members), state: this.#view.state }),
+      Sheet.encode({
+        kind: 'view',
+        index: this.#view.index,
+        term: this.#view.term,
+        members: JSON.stringify(this.#view.members),
+        state: this.#view.state,
+      }),
       ...this.#entries.map((entry) => Sheet.encode({ kind: 'entry', ...entry })),
     ]
     this.#out.writes.push({ records, rewrite: true, then })
@@ -260,7 +283,11 @@
     if (first !== undefined) this.#entries.length = first.index - this.#view.index - 1
     this.#entries.push(...entries)
     this.#findMembers()
-    this.#write(entries.map((entry) => Sheet.encode({ kind: 'entry', ...entry })), then, nowMs)
+    this.#write(
+      entries.map((entry) => Sheet.encode({ kind: 'entry', ...entry })),
+      then,
+      nowMs,
+    )
   }
 
   #lead(type: Entry['type'], bytes: Uint8Array, nowMs: number): number {
@@ -289,8 +316,17 @@
   }
 
   #askBallots(pre: boolean, records: Uint8Array[], nowMs = 0): void {
-    const message = { kind: 'ballotAsk' as const, from: this.identity, term: pre ? this.term + 1 : this.term, lastIndex: this.lastIndex, lastTerm: this.#termAt(this.lastIndex), pre }
-    const asks = this.#voters().filter((one) => one.identity !== this.identity).map((one) => ({ to: one.identity, message: { ...message, to: one.identity } }))
+    const message = {
+      kind: 'ballotAsk' as const,
+      from: this.identity,
+      term: pre ? this.term + 1 : this.term,
+      lastIndex: this.lastIndex,
+      lastTerm: this.#termAt(this.lastIndex),
+      pre,
+    }
+    const asks = this.#voters()
+      .filter((one) => one.identity !== this.identity)
+      .map((one) => ({ to: one.identity, message: { ...message, to: one.identity } }))
     if (pre) this.#out.sends.push(...asks)
     else this.#write(records, asks, nowMs)
   }
@@ -371,7 +407,10 @@
       bytes += entry.bytes.length
     }
     const prevIndex = replica.next - 1
-    this.#out.sends.push({ to, message: { kind: 'append', ...head, prevIndex, prevTerm: this.#termAt(prevIndex), commit: this.commit, entries } })
+    this.#out.sends.push({
+      to,
+      message: { kind: 'append', ...head, prevIndex, prevTerm: this.#termAt(prevIndex), commit: this.commit, entries },
+    })
     replica.next += entries.length
   }
 
@@ -393,7 +432,12 @@
     const then = [{ to: append.from, message: { ...reply, term: this.term, ok: true, match } }]
     const first = fresh[0]
     if (first === undefined) this.#write([], then, nowMs)
-    else this.#add(append.entries.filter((entry) => entry.index >= first.index), then, nowMs)
+    else
+      this.#add(
+        append.entries.filter((entry) => entry.index >= first.index),
+        then,
+        nowMs,
+      )
     this.#commitTo(Math.min(append.commit, prevIndex + append.entries.length))
   }
 
@@ -447,11 +491,13 @@
   /** The highest value that a majority of the voters has reached. */
   #majority(value: (replica: Replica) => number, own?: number): number {
     const voters = this.#voters()
-    const values = voters.map((one) => {
-      if (one.identity === this.identity && own !== undefined) return own
-      const replica = this.#replicas.get(one.identity)
-      return replica === undefined ? 0 : value(replica)
-    }).sort((a, b) => b - a)
+    const values = voters
+      .map((one) => {
+        if (one.identity === this.identity && own !== undefined) return own
+        const replica = this.#replicas.get(one.identity)
+        return replica === undefined ? 0 : value(replica)
+      })
+      .sort((a, b) => b - a)
     return values[Math.floor(voters.length / 2)] ?? 0
   }
 
--- a/src/interlocking/Command.ts
+++ b/src/interlocking/Command.ts
@@ -7,7 +7,13 @@
 
 const kind = <K extends string, S extends z.ZodRawShape>(name: K, shape: S) => z.object({ kind: z.literal(name), ...shape })
 const options = [
-  kind('charter', { operation: z.string(), action: z.enum(['put', 'patch', 'rollback']), branch: z.string(), text: z.string(), ifMatch: z.number() }),
+  kind('charter', {
+    operation: z.string(),
+    action: z.enum(['put', 'patch', 'rollback']),
+    branch: z.string(),
+    text: z.string(),
+    ifMatch: z.number(),
+  }),
   kind('platform', { servers: z.string() }),
   kind('seat', { name: z.string(), role: z.string(), zone: z.string(), retired: z.boolean(), operation: z.string() }),
   kind('duty', { duty: z.string(), vacancy: z.number(), holder: z.string(), address: z.string() }),
--- a/src/interlocking/Copy.ts
+++ b/src/interlocking/Copy.ts
@@ -32,7 +32,8 @@
   /** The live rows under a prefix, as [rest of the key, value]. */
   under(prefix: string): [string, string][] {
     const found: [string, string][] = []
-    for (const row of this.#rows.values()) if (!row.gone && row.key.startsWith(prefix)) found.push([row.key.slice(prefix.length), row.value])
+    for (const row of this.#rows.values())
+      if (!row.gone && row.key.startsWith(prefix)) found.push([row.key.slice(prefix.length), row.value])
     return found.sort(([a], [b]) => (a < b ? -1 : 1))
   }
 
--- a/src/interlocking/Licences.ts
+++ b/src/interlocking/Licences.ts
@@ -7,7 +7,14 @@
 import { Pace } from '../gauge/Pace.js'
 import { proof } from '../gauge/proof.js'
 
-interface Held { session: string; address: string; zone: string; adopted: number; grantedMs: number; heardMs: number }
+interface Held {
+  session: string
+  address: string
+  zone: string
+  adopted: number
+  grantedMs: number
+  heardMs: number
+}
 const margin = 1.1
 
 export class Licences {
@@ -45,7 +52,7 @@
     const old = this.#held.get(seat)
     let granted = true
     for (const [stamp, sinceMs] of this.#behindSince) if (adopted < stamp && nowMs - sinceMs > this.#pace.adoptMs) granted = false
-    this.#held.set(seat, { session, address, zone, adopted, grantedMs: granted ? nowMs : old?.grantedMs ?? -Infinity, heardMs: nowMs })
+    this.#held.set(seat, { session, address, zone, adopted, grantedMs: granted ? nowMs : (old?.grantedMs ?? -Infinity), heardMs: nowMs })
     return granted
   }
 
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -14,7 +14,14 @@
 import { Outcome } from './Outcome.js'
 import { PlatformServer } from '../gauge/PlatformServer.js'
 
-const Text = z.object({ stamp: z.number(), action: z.string(), branch: z.string(), operation: z.string(), text: z.string(), whole: z.string() })
+const Text = z.object({
+  stamp: z.number(),
+  action: z.string(),
+  branch: z.string(),
+  operation: z.string(),
+  text: z.string(),
+  whole: z.string(),
+})
 const State = z.object({
   rows: z.array(z.object({ key: z.string(), stamp: z.number(), gone: z.boolean(), value: z.string() })),
   stamp: z.number(),
@@ -39,7 +46,12 @@
   }
 
   save(): Uint8Array {
-    const state: z.infer<typeof State> = { rows: this.copy.dump(), stamp: this.copy.stamp, texts: this.#texts, outcomes: [...this.#outcomes] }
+    const state: z.infer<typeof State> = {
+      rows: this.copy.dump(),
+      stamp: this.copy.stamp,
+      texts: this.#texts,
+      outcomes: [...this.#outcomes],
+    }
     return Buffer.from(JSON.stringify(state))
   }
 
@@ -70,24 +82,37 @@
         this.#settle(command.operation, this.#applyCharter(index, command))
         break
       }
-      case 'platform': this.#applyPlatform(index, command.servers); break
+      case 'platform':
+        this.#applyPlatform(index, command.servers)
+        break
       case 'seat': {
         if (command.retired && this.copy.get(`seat/${command.name}`) === undefined) {
           this.#settle(command.operation, { status: 404, stamp: 0, errors: [`seat ${command.name}: not known`] })
           break
         }
-        this.copy.set({ key: `seat/${command.name}`, stamp: index, gone: command.retired, value: JSON.stringify({ role: command.role, zone: command.zone, retired: command.retired }) })
+        this.copy.set({
+          key: `seat/${command.name}`,
+          stamp: index,
+          gone: command.retired,
+          value: JSON.stringify({ role: command.role, zone: command.zone, retired: command.retired }),
+        })
         if (command.operation !== '') this.#settle(command.operation, { status: 200, stamp: index, errors: [] })
         break
       }
       case 'duty': {
         const key = `duty/${command.duty}`
         if (this.copy.get(key) !== undefined || this.copy.stampOf(key) !== command.vacancy) break
-        this.copy.set({ key, stamp: index, gone: false, value: JSON.stringify({ holder: command.holder, address: command.address, vacancy: command.vacancy }) })
+        this.copy.set({
+          key,
+          stamp: index,
+          gone: false,
+          value: JSON.stringify({ holder: command.holder, address: command.address, vacancy: command.vacancy }),
+        })
         break
       }
       case 'vacate': {
-        if (this.duty(command.duty)?.tenure === command.tenure) this.copy.set({ key: `duty/${command.duty}`, stamp: index, gone: true, value: '' })
+        if (this.duty(command.duty)?.tenure === command.tenure)
+          this.copy.set({ key: `duty/${command.duty}`, stamp: index, gone: true, value: '' })
         break
       }
       case 'dispatch': {
@@ -106,7 +131,8 @@
 
   #applyCharter(index: number, command: Extract<Command, { kind: 'charter' }>): Outcome {
     const stamp = this.charterStamp
-    if (command.ifMatch >= 0 && command.ifMatch !== stamp) return { status: 412, stamp, errors: [`the charter is at stamp ${String(stamp)}, not ${String(command.ifMatch)}`] }
+    if (command.ifMatch >= 0 && command.ifMatch !== stamp)
+      return { status: 412, stamp, errors: [`the charter is at stamp ${String(stamp)}, not ${String(command.ifMatch)}`] }
     const old = this.copy.get('charter')
     const base = old === undefined ? undefined : Tree.read(old)
     let text = command.text
@@ -118,13 +144,21 @@
     const sent = Tree.read(text)
     if (sent === undefined) return { status: 422, stamp, errors: ['charter: not JSON'] }
     const path = command.branch === '' ? [] : command.branch.split('.')
-    const tree = command.action === 'patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
+    const tree =
+      command.action === 'patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
     return Charter.check(tree).caseOf<Outcome>({
       Left: (errors) => ({ status: 422, stamp, errors }),
       Right: () => {
         this.copy.set({ key: 'charter', stamp: index, gone: false, value: JSON.stringify(tree) })
         const whole = command.action !== 'patch' && path.length === 0 ? text : `${JSON.stringify(tree, null, 2)}\n`
-        this.#texts.push({ stamp: index, action: command.action, branch: command.branch, operation: command.operation, text: command.text, whole })
+        this.#texts.push({
+          stamp: index,
+          action: command.action,
+          branch: command.branch,
+          operation: command.operation,
+          text: command.text,
+          whole,
+        })
         if (this.#texts.length > keptTexts) this.#texts.shift()
         return { status: 200, stamp: index, errors: [] }
       },
@@ -132,7 +166,12 @@
   }
 
   #applyPlatform(index: number, servers: string): void {
-    const listed = new Map(z.array(PlatformServer).parse(JSON.parse(servers)).map((server) => [server.name, JSON.stringify(server)]))
+    const listed = new Map(
+      z
+        .array(PlatformServer)
+        .parse(JSON.parse(servers))
+        .map((server) => [server.name, JSON.stringify(server)]),
+    )
     for (const [name, value] of listed) {
       if (this.copy.get(`server/${name}`) !== value) this.copy.set({ key: `server/${name}`, stamp: index, gone: false, value })
     }
@@ -143,7 +182,16 @@
 }
 
 const tree = {
-  defaults: { dueMs: 1000, bodyLimitBytes: 10, retryRatio: 0.2, retryAllowance: 4, coldLimit: 2, warmMs: 0, serverLimit: 8, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+  defaults: {
+    dueMs: 1000,
+    bodyLimitBytes: 10,
+    retryRatio: 0.2,
+    retryAllowance: 4,
+    coldLimit: 2,
+    warmMs: 0,
+    serverLimit: 8,
+    intent: { weight: 1, coldStartCost: 1, hours: [] },
+  },
   partners: { g: { models: { one: { sizeMb: 1 } } }, c: {} },
   fleet: { servers: { 'ms-1': { kind: 'model', roomMb: 10, places: 1 } }, storePaceMbPerS: 1, storeBurstMb: 9 },
 }
@@ -163,7 +211,10 @@
     strictEqual(write(6, 'e', 'put', '', 'no json'), 422)
     strictEqual(register.charterStamp, 2)
     const again = Register.restore(register.save())
-    deepStrictEqual(again.texts.map((one) => one.stamp), [1, 2])
+    deepStrictEqual(
+      again.texts.map((one) => one.stamp),
+      [1, 2],
+    )
     strictEqual(again.texts[0]?.whole, text)
     deepStrictEqual(again.copy.digests, register.copy.digests)
     register.apply(7, Command.encode({ kind: 'charter', operation: 'f', action: 'rollback', branch: '', text: '1', ifMatch: -1 }))
@@ -171,8 +222,12 @@
   },
   'a duty is won once a vacancy, and another tenure writes nothing': () => {
     const register = new Register()
-    const win = (index: number, vacancy: number, holder: string) => { register.apply(index, Command.encode({ kind: 'duty', duty: 'dispatcher', vacancy, holder, address: 'x' })) }
-    const dispatch = (index: number, tenure: number) => { register.apply(index, Command.encode({ kind: 'dispatch', tenure, rows: [{ key: 'order/s', gone: false, value: String(index) }] })) }
+    const win = (index: number, vacancy: number, holder: string) => {
+      register.apply(index, Command.encode({ kind: 'duty', duty: 'dispatcher', vacancy, holder, address: 'x' }))
+    }
+    const dispatch = (index: number, tenure: number) => {
+      register.apply(index, Command.encode({ kind: 'dispatch', tenure, rows: [{ key: 'order/s', gone: false, value: String(index) }] }))
+    }
     win(1, 0, 'a')
     win(2, 0, 'b')
     strictEqual(register.duty('dispatcher')?.holder, 'a')
--- a/src/interlocking/Roster.ts
+++ b/src/interlocking/Roster.ts
@@ -7,7 +7,15 @@
 import { proof } from '../gauge/proof.js'
 import type { Role } from '../gauge/Role.js'
 
-interface Peer { name: string; address: string; role: Role; zone: string; identity: string; empty: boolean; heardMs: number }
+interface Peer {
+  name: string
+  address: string
+  role: Role
+  zone: string
+  identity: string
+  empty: boolean
+  heardMs: number
+}
 
 export class Roster {
   readonly #self: string
@@ -60,7 +68,13 @@
   'what the owner says goes before hearsay, until it is stale': () => {
     const roster = new Roster('me', ['s1'], 100)
     roster.heard({ name: 'box-a', address: '1', role: 'signalbox', zone: 'a', identity: 'i', empty: false }, 0)
-    roster.hearsay([{ name: 'box-a', address: '2', role: 'signalbox', zone: 'a' }, { name: 'me', address: '9', role: 'signalbox', zone: 'a' }], 50)
+    roster.hearsay(
+      [
+        { name: 'box-a', address: '2', role: 'signalbox', zone: 'a' },
+        { name: 'me', address: '9', role: 'signalbox', zone: 'a' },
+      ],
+      50,
+    )
     deepStrictEqual(roster.inquiries, ['s1', '1'])
     roster.hearsay([{ name: 'box-a', address: '2', role: 'signalbox', zone: 'a' }], 150)
     deepStrictEqual(roster.inquiries, ['s1', '2'])
--- a/src/lineman/LinemanInput.ts
+++ b/src/lineman/LinemanInput.ts
@@ -3,6 +3,4 @@
  */
 import type { Message } from '../telegraph/Message.js'
 
-export type LinemanInput =
-  | { kind: 'tick' }
-  | { kind: 'message'; from: string; fromAddress: string; message: Message }
+export type LinemanInput = { kind: 'tick' } | { kind: 'message'; from: string; fromAddress: string; message: Message }
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -14,7 +14,13 @@
 import type { LinemanEffect } from './LinemanEffect.js'
 import type { LinemanInput } from './LinemanInput.js'
 
-interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; turnout: string }
+interface Plan {
+  name: string
+  zone: string
+  address: string
+  seeds: readonly string[]
+  turnout: string
+}
 const fanout = 3
 
 export class LinemanMachine {
@@ -45,7 +51,11 @@
   constructor(plan: Plan, pace: Pace, chance: Chance, nowMs: number) {
     this.#plan = plan
     this.#pace = pace
-    this.#roster = new Roster(plan.name, plan.seeds.filter((seed) => seed !== plan.address), 4 * pace.hailMs)
+    this.#roster = new Roster(
+      plan.name,
+      plan.seeds.filter((seed) => seed !== plan.address),
+      4 * pace.hailMs,
+    )
     this.#relay = new Relay(pace.licenceMs)
     this.#nonce = chance.below(1e9)
     this.#session = this.#nonce.toString(36)
@@ -71,12 +81,31 @@
   #tick(nowMs: number): void {
     if (nowMs >= this.#hailAtMs) {
       this.#hailAtMs = nowMs + this.#pace.hailMs
-      const asked = this.#leaderAddress === '' || !this.current(nowMs) ? this.#roster.inquiries : [this.#leaderAddress, ...this.#roster.inquiries.slice(0, 2)]
-      for (const address of new Set(asked)) this.#send(address, { kind: 'hail', nonce: this.#nonce, role: 'lineman', zone: this.#plan.zone, identity: this.#session, known: [] })
+      const asked =
+        this.#leaderAddress === '' || !this.current(nowMs)
+          ? this.#roster.inquiries
+          : [this.#leaderAddress, ...this.#roster.inquiries.slice(0, 2)]
+      for (const address of new Set(asked))
+        this.#send(address, {
+          kind: 'hail',
+          nonce: this.#nonce,
+          role: 'lineman',
+          zone: this.#plan.zone,
+          identity: this.#session,
+          known: [],
+        })
     }
     if (nowMs >= this.#renewAtMs) {
       this.#renewAtMs = nowMs + this.#pace.renewMs
-      this.#send(this.#leaderAddress, { kind: 'renew', seat: this.#plan.name, role: 'lineman', zone: this.#plan.zone, session: this.#session, sentMs: nowMs, adopted: this.#adopted(nowMs) })
+      this.#send(this.#leaderAddress, {
+        kind: 'renew',
+        seat: this.#plan.name,
+        role: 'lineman',
+        zone: this.#plan.zone,
+        session: this.#session,
+        sentMs: nowMs,
+        adopted: this.#adopted(nowMs),
+      })
       if (nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
     }
     if (nowMs >= this.#followAtMs) this.#follow(nowMs)
@@ -91,7 +120,8 @@
     this.#followAtMs = nowMs + this.#pace.renewMs / 2
     if (this.copy.stamp >= this.#coreStamp) this.#levelMs = nowMs
     const behind = nowMs - this.#levelMs > this.#pace.parentSilentMs
-    if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > this.#pace.parentSilentMs)) this.#shunned.set(this.#parent, nowMs + 2 * this.#pace.licenceMs)
+    if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > this.#pace.parentSilentMs))
+      this.#shunned.set(this.#parent, nowMs + 2 * this.#pace.licenceMs)
     const chosen = this.#chooseParent(nowMs)
     if (chosen !== this.#parent) {
       this.#parent = chosen
@@ -99,17 +129,32 @@
       if (behind) this.#levelMs = nowMs
     }
     this.#follows += 1
-    this.#send(this.#parent, { kind: 'follow', seat: this.#plan.name, stamp: this.copy.stamp, sentMs: nowMs, digests: this.#follows % 8 === 0 ? this.copy.digests : [] })
+    this.#send(this.#parent, {
+      kind: 'follow',
+      seat: this.#plan.name,
+      stamp: this.copy.stamp,
+      sentMs: nowMs,
+      digests: this.#follows % 8 === 0 ? this.copy.digests : [],
+    })
   }
 
   /** The first of a zone follows the core, the others a seat above them in the zone's order; whoever was silent or stale is passed over for a while. */
   #chooseParent(nowMs: number): string {
     for (const [address, untilMs] of this.#shunned) if (nowMs > untilMs) this.#shunned.delete(address)
-    const zone = this.#peers.filter((peer) => peer.zone === this.#plan.zone).map((peer) => peer.name).sort()
+    const zone = this.#peers
+      .filter((peer) => peer.zone === this.#plan.zone)
+      .map((peer) => peer.name)
+      .sort()
     const at = zone.indexOf(this.#plan.name)
     const above = at > 0 ? this.#peers.find((peer) => peer.name === zone[Math.floor((at - 1) / fanout)])?.address : undefined
     if (above !== undefined && !this.#shunned.has(above) && this.current(nowMs)) return above
-    const boxes = this.#roster.of('signalbox').sort((a, b) => Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) || digest(a.name + this.#plan.name) - digest(b.name + this.#plan.name))
+    const boxes = this.#roster
+      .of('signalbox')
+      .sort(
+        (a, b) =>
+          Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) ||
+          digest(a.name + this.#plan.name) - digest(b.name + this.#plan.name),
+      )
     const box = boxes.find((one) => !this.#shunned.has(one.address))
     if (box !== undefined) return box.address
     const others = this.#roster.of('lineman').filter((one) => !this.#shunned.has(one.address))
@@ -132,7 +177,10 @@
       return
     }
     const seats = this.copy.under('seat/').map(([name]) => name)
-    const replies = seats.filter((seat) => seat !== this.#plan.name).map((seat) => this.#peerReplies.get(seat)).filter((reply) => reply !== undefined && reply.stamp <= own)
+    const replies = seats
+      .filter((seat) => seat !== this.#plan.name)
+      .map((seat) => this.#peerReplies.get(seat))
+      .filter((reply) => reply !== undefined && reply.stamp <= own)
     const needed = Math.floor(seats.length / 2) + 1 - (seats.includes(this.#plan.name) ? 1 : 0)
     const oldest = replies.map((reply) => reply?.sentMs ?? -Infinity).sort((a, b) => b - a)[needed - 1]
     const newer = seats.some((seat) => (this.#peerReplies.get(seat)?.stamp ?? 0) > own)
@@ -143,12 +191,24 @@
     switch (message.kind) {
       case 'hail': {
         this.#roster.hearsay(message.known, nowMs)
-        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'lineman', zone: this.#plan.zone, identity: this.#session, empty: false, leader: this.#leaderAddress, known: this.#roster.known })
+        this.#send(fromAddress, {
+          kind: 'hailed',
+          nonce: message.nonce,
+          role: 'lineman',
+          zone: this.#plan.zone,
+          identity: this.#session,
+          empty: false,
+          leader: this.#leaderAddress,
+          known: this.#roster.known,
+        })
         break
       }
       case 'hailed': {
         if (message.nonce !== this.#nonce) break
-        this.#roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty }, nowMs)
+        this.#roster.heard(
+          { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
+          nowMs,
+        )
         this.#roster.hearsay(message.known, nowMs)
         if (message.role === 'signalbox' && message.leader !== '') this.#leaderAddress = message.leader
         else if (message.leader !== '' && this.#leaderAddress === '') this.#leaderAddress = message.leader
@@ -161,9 +221,15 @@
         this.#roster.hearsay(message.peers, nowMs)
         break
       }
-      case 'peerAsk': this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') }); break
-      case 'peerTell': this.#peerTold(from, message.sentMs, message.stamp, fromAddress); break
-      case 'follow': this.#followed(fromAddress, message, nowMs); break
+      case 'peerAsk':
+        this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') })
+        break
+      case 'peerTell':
+        this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
+        break
+      case 'follow':
+        this.#followed(fromAddress, message, nowMs)
+        break
       case 'news': {
         if (fromAddress === this.#parent) this.#parentHeardMs = nowMs
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
@@ -173,7 +239,8 @@
       case 'mend': {
         if (message.stamp !== this.copy.stamp) break
         const changed = this.copy.mend(message.range, message.rows)
-        if (changed.length > 0) this.#effects.push({ kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` })
+        if (changed.length > 0)
+          this.#effects.push({ kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` })
         break
       }
       case 'tally': {
--- a/src/lineman/LinemanTask.ts
+++ b/src/lineman/LinemanTask.ts
@@ -19,14 +19,27 @@
   readonly #telegraph: Telegraph
   readonly #ticker: NodeJS.Timeout
 
-  constructor(@inject('startup') startup: Startup['lineman'], @inject('logbook') logbook: Logbook, @inject('telegraph') telegraph: Telegraph) {
+  constructor(
+    @inject('startup') startup: Startup['lineman'],
+    @inject('logbook') logbook: Logbook,
+    @inject('telegraph') telegraph: Telegraph,
+  ) {
     this.#logbook = logbook
     this.#telegraph = telegraph
     const pace = Pace(startup.bounds)
     const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
-    this.machine = new LinemanMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, turnout: startup.turnout }, pace, chance, clockMs())
-    telegraph.hear((from, fromAddress, message) => { this.#step({ kind: 'message', from, fromAddress, message }) })
-    this.#ticker = setInterval(() => { this.#step({ kind: 'tick' }) }, pace.tickMs)
+    this.machine = new LinemanMachine(
+      { name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, turnout: startup.turnout },
+      pace,
+      chance,
+      clockMs(),
+    )
+    telegraph.hear((from, fromAddress, message) => {
+      this.#step({ kind: 'message', from, fromAddress, message })
+    })
+    this.#ticker = setInterval(() => {
+      this.#step({ kind: 'tick' })
+    }, pace.tickMs)
   }
 
   #step(input: LinemanInput): void {
--- a/src/lineman/main.ts
+++ b/src/lineman/main.ts
@@ -10,8 +10,12 @@
 import { LinemanTask } from './LinemanTask.js'
 
 const fields = {
-  name: "this machine's seat in the data plane", zone: 'its zone', telegraph: 'address for the other processes', seeds: 'addresses of other processes, comma-separated',
-  turnout: "the turnout's telegraph address on this machine", logLevel: 'how much to log',
+  name: "this machine's seat in the data plane",
+  zone: 'its zone',
+  telegraph: 'address for the other processes',
+  seeds: 'addresses of other processes, comma-separated',
+  turnout: "the turnout's telegraph address on this machine",
+  logLevel: 'how much to log',
 }
 
 await startDaemon('lineman', 'The agent beside a turnout.', Startup.lineman, fields, async (startup, logbook) => {
--- a/src/sidings/CallerFormat.ts
+++ b/src/sidings/CallerFormat.ts
@@ -64,7 +64,10 @@
     strictEqual(CallerFormat.model('pair', Buffer.from('{"adapter":5}')).isLeft(), true)
   },
   'chains with a shared prefix share their first links': () => {
-    const chain = (...parts: string[]) => CallerFormat.model('m', Buffer.from(JSON.stringify({ parts }))).map((target) => (target.kind === 'model' ? target.chain : [])).orDefault([])
+    const chain = (...parts: string[]) =>
+      CallerFormat.model('m', Buffer.from(JSON.stringify({ parts })))
+        .map((target) => (target.kind === 'model' ? target.chain : []))
+        .orDefault([])
     const one = chain('a', 'b', 'c')
     const other = chain('a', 'b', 'd')
     deepStrictEqual(one.slice(0, 2), other.slice(0, 2))
--- a/src/sidings/ModelServerFormat.ts
+++ b/src/sidings/ModelServerFormat.ts
@@ -29,7 +29,8 @@
 
 proof(import.meta.url, {
   'a hostile report is no report': () => {
-    for (const wrong of ['', 'null', '{"server":"a"}', '{"server":"a","incarnation":"i","madeMs":"x","models":[],"adapters":[]}']) strictEqual(ModelServerFormat.report(wrong), undefined)
+    for (const wrong of ['', 'null', '{"server":"a"}', '{"server":"a","incarnation":"i","madeMs":"x","models":[],"adapters":[]}'])
+      strictEqual(ModelServerFormat.report(wrong), undefined)
     strictEqual(ModelServerFormat.report('{"server":"a","incarnation":"i","madeMs":1,"models":[],"adapters":[]}')?.madeMs, 1)
   },
 })
--- a/src/sidings/PlatformFormat.ts
+++ b/src/sidings/PlatformFormat.ts
@@ -24,7 +24,9 @@
 
 proof(import.meta.url, {
   'a list is read whole or not at all': () => {
-    deepStrictEqual(PlatformFormat.read('{"servers":[{"name":"a","address":"127.0.0.1:1","zone":"z"}]}'), [{ name: 'a', address: '127.0.0.1:1', zone: 'z', draining: false }])
+    deepStrictEqual(PlatformFormat.read('{"servers":[{"name":"a","address":"127.0.0.1:1","zone":"z"}]}'), [
+      { name: 'a', address: '127.0.0.1:1', zone: 'z', draining: false },
+    ])
     strictEqual(PlatformFormat.read('{"servers":[{"name":"a","address":"nowhere","zone":"z"}]}'), undefined)
     strictEqual(PlatformFormat.read('<html>'), undefined)
   },
--- a/src/signalbox/Operation.ts
+++ b/src/signalbox/Operation.ts
@@ -5,7 +5,19 @@
 import { z } from 'zod'
 
 export const Operation = z.object({
-  action: z.enum(['charter.put', 'charter.patch', 'charter.rollback', 'charter.get', 'charter.history', 'charter.leaves', 'outcome', 'nodes', 'servers', 'placement', 'seat.retire']),
+  action: z.enum([
+    'charter.put',
+    'charter.patch',
+    'charter.rollback',
+    'charter.get',
+    'charter.history',
+    'charter.leaves',
+    'outcome',
+    'nodes',
+    'servers',
+    'placement',
+    'seat.retire',
+  ]),
   branch: z.string(),
   text: z.string(),
   ifMatch: z.number(),
--- a/src/signalbox/OperatorsDesk.ts
+++ b/src/signalbox/OperatorsDesk.ts
@@ -29,20 +29,49 @@
     this.#task = task
     const app = new App({ settings: { xPoweredBy: false } })
     const text = (url: URL, name: string) => url.searchParams.get(name) ?? ''
-    app.get('/charter', (request, response) => { this.#read(request, response, (url) => ({ action: 'charter.get', text: text(url, 'stamp'), branch: text(url, 'as') === 'sent' ? 'sent' : text(url, 'branch') })) })
+    app.get('/charter', (request, response) => {
+      this.#read(request, response, (url) => ({
+        action: 'charter.get',
+        text: text(url, 'stamp'),
+        branch: text(url, 'as') === 'sent' ? 'sent' : text(url, 'branch'),
+      }))
+    })
     app.put('/charter', (request, response) => this.#write(request, response, 'charter.put'))
     app.patch('/charter', (request, response) => this.#write(request, response, 'charter.patch'))
     app.post('/charter/rollback', (request, response) => this.#write(request, response, 'charter.rollback'))
-    app.get('/charter/history', (request, response) => { this.#read(request, response, () => ({ action: 'charter.history' })) })
-    app.get('/charter/leaves', (request, response) => { this.#read(request, response, () => ({ action: 'charter.leaves' })) })
-    app.get('/operations/:id', (request, response) => { this.#read(request, response, () => ({ action: 'outcome', text: request.params['id'] ?? '' })) })
-    app.get('/nodes', (request, response) => { this.#read(request, response, () => ({ action: 'nodes' })) })
-    app.get('/servers', (request, response) => { this.#read(request, response, () => ({ action: 'servers' })) })
-    app.get('/placement', (request, response) => { this.#read(request, response, () => ({ action: 'placement' })) })
+    app.get('/charter/history', (request, response) => {
+      this.#read(request, response, () => ({ action: 'charter.history' }))
+    })
+    app.get('/charter/leaves', (request, response) => {
+      this.#read(request, response, () => ({ action: 'charter.leaves' }))
+    })
+    app.get('/operations/:id', (request, response) => {
+      this.#read(request, response, () => ({ action: 'outcome', text: request.params['id'] ?? '' }))
+    })
+    app.get('/nodes', (request, response) => {
+      this.#read(request, response, () => ({ action: 'nodes' }))
+    })
+    app.get('/servers', (request, response) => {
+      this.#read(request, response, () => ({ action: 'servers' }))
+    })
+    app.get('/placement', (request, response) => {
+      this.#read(request, response, () => ({ action: 'placement' }))
+    })
     app.post('/seats/retire', (request, response) => this.#write(request, response, 'seat.retire'))
     app.get('/health', (_request, response) => {
       const { agreement, register } = task.machine
-      this.#reply(response, agreement.leader === '' ? 503 : 200, register.charterStamp, JSON.stringify({ name: startup.name, phase: agreement.phase, term: agreement.term, commit: agreement.commit, leader: agreement.leader }))
+      this.#reply(
+        response,
+        agreement.leader === '' ? 503 : 200,
+        register.charterStamp,
+        JSON.stringify({
+          name: startup.name,
+          phase: agreement.phase,
+          term: agreement.term,
+          commit: agreement.commit,
+          leader: agreement.leader,
+        }),
+      )
     })
     this.#app = app
     task.bell.on('responded', ({ id, status, stamp, text: body }) => {
@@ -65,11 +94,19 @@
 
   #reply(response: ServerResponse, status: number, stamp: number, body: string): void {
     if (response.headersSent || response.destroyed) return
-    response.writeHead(status, { 'content-type': 'application/json', etag: `"${String(stamp)}"`, 'content-length': Buffer.byteLength(body) })
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      etag: `"${String(stamp)}"`,
+      'content-length': Buffer.byteLength(body),
+    })
     response.end(body)
   }
 
-  #read(request: IncomingMessage, response: ServerResponse, what: (url: URL) => Partial<Operation> & { action: Operation['action'] }): void {
+  #read(
+    request: IncomingMessage,
+    response: ServerResponse,
+    what: (url: URL) => Partial<Operation> & { action: Operation['action'] },
+  ): void {
     const url = new URL(request.url ?? '/', 'http://signalbox')
     this.#ask(request, response, { branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.#waitMs(request), ...what(url) })
   }
@@ -80,11 +117,23 @@
     const match = request.headers['if-match']
     const ifMatch = match === undefined || match === '*' ? -1 : Number(match.replaceAll('"', ''))
     if (body === undefined || !Number.isInteger(ifMatch)) {
-      this.#reply(response, body === undefined ? 413 : 400, 0, JSON.stringify({ errors: [body === undefined ? `the body is over ${String(bodyLimitBytes)} bytes` : 'if-match: must be a stamp'] }))
+      this.#reply(
+        response,
+        body === undefined ? 413 : 400,
+        0,
+        JSON.stringify({ errors: [body === undefined ? `the body is over ${String(bodyLimitBytes)} bytes` : 'if-match: must be a stamp'] }),
+      )
       return
     }
     const operation = request.headers['operation-id']
-    this.#ask(request, response, { action, branch: url.searchParams.get('branch') ?? '', text: body.toString(), ifMatch, operation: typeof operation === 'string' && operation !== '' ? operation : crypto.randomUUID(), waitMs: this.#waitMs(request) })
+    this.#ask(request, response, {
+      action,
+      branch: url.searchParams.get('branch') ?? '',
+      text: body.toString(),
+      ifMatch,
+      operation: typeof operation === 'string' && operation !== '' ? operation : crypto.randomUUID(),
+      waitMs: this.#waitMs(request),
+    })
   }
 
   #waitMs(request: IncomingMessage): number {
@@ -96,7 +145,9 @@
     this.#count += 1
     const id = `${this.#startup.name}-${String(process.pid)}-${String(this.#count)}`
     this.#waiting.set(id, response)
-    request.on('close', () => { if (!response.writableEnded && response.destroyed) this.#waiting.delete(id) })
+    request.on('close', () => {
+      if (!response.writableEnded && response.destroyed) this.#waiting.delete(id)
+    })
     this.#task.step({ kind: 'operate', id, operation })
   }
 }
--- a/src/signalbox/OutsideCalls.ts
+++ b/src/signalbox/OutsideCalls.ts
@@ -25,9 +25,20 @@
     return reply === undefined ? 'unknown' : ModelServerFormat.reply(reply.status)
   }
 
-  async #call(address: string, path: string, method: 'GET' | 'POST', body: string | undefined, waitMs: number): Promise<{ status: number; body: string } | undefined> {
+  async #call(
+    address: string,
+    path: string,
+    method: 'GET' | 'POST',
+    body: string | undefined,
+    waitMs: number,
+  ): Promise<{ status: number; body: string } | undefined> {
     try {
-      const reply = await request(`http://${address}${path}`, { method, body: body ?? null, headers: body === undefined ? {} : { 'content-type': 'application/json' }, signal: AbortSignal.timeout(waitMs) })
+      const reply = await request(`http://${address}${path}`, {
+        method,
+        body: body ?? null,
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        signal: AbortSignal.timeout(waitMs),
+      })
       return { status: reply.statusCode, body: await reply.body.text() }
     } catch {
       return undefined
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -23,8 +23,22 @@
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
 
-interface Plan { name: string; zone: string; address: string; seeds: readonly string[]; seats: readonly string[]; rewriteBytes: number; policy: Policy }
-interface Pending { operation: Operation; dueMs: number; askedMs: number; respondTo: string | undefined; proposed: boolean }
+interface Plan {
+  name: string
+  zone: string
+  address: string
+  seeds: readonly string[]
+  seats: readonly string[]
+  rewriteBytes: number
+  policy: Policy
+}
+interface Pending {
+  operation: Operation
+  dueMs: number
+  askedMs: number
+  respondTo: string | undefined
+  proposed: boolean
+}
 const dispatcherDuty = 'dispatcher'
 
 export class SignalboxMachine {
@@ -57,7 +71,11 @@
     this.#plan = plan
     this.#pace = pace
     this.agreement = new Agreement(plan.name, pace, chance.fork(), disk, nowMs)
-    this.roster = new Roster(plan.name, plan.seeds.filter((seed) => seed !== plan.address), 4 * pace.hailMs)
+    this.roster = new Roster(
+      plan.name,
+      plan.seeds.filter((seed) => seed !== plan.address),
+      4 * pace.hailMs,
+    )
     this.#licences = new Licences(pace)
     this.#ballots = new Ballots(plan.name, pace, chance.fork())
     this.#relay = new Relay(pace.licenceMs)
@@ -78,13 +96,27 @@
 
   step(input: SignalboxInput, nowMs: number): SignalboxEffect[] {
     switch (input.kind) {
-      case 'tick': this.#tick(input.hour, nowMs); break
-      case 'message': this.#message(input.from, input.fromAddress, input.message, nowMs); break
-      case 'written': this.agreement.written(nowMs); break
-      case 'operate': this.#operate(input.id, input.operation, undefined, nowMs); break
-      case 'platform': this.#platform(input.servers, nowMs); break
-      case 'reported': this.#dispatcher?.reported(input.server, input.report, input.askedMs, nowMs); break
-      case 'replied': if (this.#dispatcher?.tenure === input.tenure) this.#dispatcher.replied(input.server, input.number, input.reply, nowMs); break
+      case 'tick':
+        this.#tick(input.hour, nowMs)
+        break
+      case 'message':
+        this.#message(input.from, input.fromAddress, input.message, nowMs)
+        break
+      case 'written':
+        this.agreement.written(nowMs)
+        break
+      case 'operate':
+        this.#operate(input.id, input.operation, undefined, nowMs)
+        break
+      case 'platform':
+        this.#platform(input.servers, nowMs)
+        break
+      case 'reported':
+        this.#dispatcher?.reported(input.server, input.report, input.askedMs, nowMs)
+        break
+      case 'replied':
+        if (this.#dispatcher?.tenure === input.tenure) this.#dispatcher.replied(input.server, input.number, input.reply, nowMs)
+        break
     }
     this.#collect(nowMs)
     return this.#take()
@@ -116,7 +148,12 @@
     for (const write of out.writes) {
       const bytes = write.records.reduce((sum, record) => sum + record.length + 8, 0)
       this.#logBytes = write.rewrite ? bytes : this.#logBytes + bytes
-      this.#effects.push({ kind: 'write', records: write.records, rewrite: write.rewrite, then: write.then.map(({ to, message }) => ({ toAddress: this.#addressOf(to), message })) })
+      this.#effects.push({
+        kind: 'write',
+        records: write.records,
+        rewrite: write.rewrite,
+        then: write.then.map(({ to, message }) => ({ toAddress: this.#addressOf(to), message })),
+      })
     }
     if (out.adopted !== undefined) {
       this.register = out.adopted.state.length === 0 ? new Register() : Register.restore(out.adopted.state)
@@ -137,7 +174,7 @@
       if (pending !== undefined) pending.proposed = false
     }
     for (const id of out.readable) this.#readNow(id, nowMs)
-    if (this.agreement.phase === 'leader' !== this.#leading) {
+    if ((this.agreement.phase === 'leader') !== this.#leading) {
       this.#leading = !this.#leading
       if (this.#leading) {
         this.#licences.begin(nowMs)
@@ -148,7 +185,7 @@
     } else if (this.agreement.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.agreement.leader)
     if (this.agreement.leader === '' && !this.#leading) this.#leaderAddress = ''
     this.#finishWrites(nowMs)
-    if (this.agreement.phase !== 'leader' === this.#leading) this.#collect(nowMs)
+    if ((this.agreement.phase !== 'leader') === this.#leading) this.#collect(nowMs)
   }
 
   #tick(hour: number, nowMs: number): void {
@@ -167,7 +204,8 @@
       this.#logBytes = 0
     }
     for (const [id, pending] of this.#pending) {
-      if (nowMs >= pending.dueMs) this.#respond(id, 504, 0, JSON.stringify({ outcome: 'undecided', operation: pending.operation.operation }))
+      if (nowMs >= pending.dueMs)
+        this.#respond(id, 504, 0, JSON.stringify({ outcome: 'undecided', operation: pending.operation.operation }))
       else if (!pending.proposed || nowMs - pending.askedMs > this.#pace.electionMs) this.#push(id, pending, nowMs)
     }
   }
@@ -176,7 +214,14 @@
     this.#hailAtMs = nowMs + this.#pace.hailMs
     const known = this.roster.known
     for (const address of this.roster.inquiries) {
-      this.#send(address, { kind: 'hail', nonce: this.#nonce, role: 'signalbox', zone: this.#plan.zone, identity: this.agreement.identity, known })
+      this.#send(address, {
+        kind: 'hail',
+        nonce: this.#nonce,
+        role: 'signalbox',
+        zone: this.#plan.zone,
+        identity: this.agreement.identity,
+        known,
+      })
     }
   }
 
@@ -185,9 +230,11 @@
     const seats = [...this.#plan.seats].sort()
     if (!this.agreement.empty || this.#plan.name !== seats[0]) return
     const others = seats.slice(1).map((seat) => this.roster.get(seat))
-    if (!others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#pace.hailMs)) return
+    if (!others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#pace.hailMs))
+      return
     const members = [{ identity: this.agreement.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
-    for (const peer of others) if (peer !== undefined) members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
+    for (const peer of others)
+      if (peer !== undefined) members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
     this.agreement.found(members, nowMs)
   }
 
@@ -226,10 +273,16 @@
       if (own.voter || !this.agreement.caughtUp(own.identity)) continue
       if (old !== undefined) {
         this.#say('agreement', `Retires the identity that ${seat} lost.`)
-        this.agreement.changeMembers(members.filter((one) => one !== old), nowMs)
+        this.agreement.changeMembers(
+          members.filter((one) => one !== old),
+          nowMs,
+        )
       } else {
         this.#say('agreement', `Gives ${seat} its vote under its new identity.`)
-        this.agreement.changeMembers(members.map((one) => (one === own ? { ...own, voter: true } : one)), nowMs)
+        this.agreement.changeMembers(
+          members.map((one) => (one === own ? { ...own, voter: true } : one)),
+          nowMs,
+        )
       }
       return
     }
@@ -246,39 +299,76 @@
       case 'hail': {
         const before = this.roster.get(from)
         const empty = before?.identity === message.identity && before.empty
-        if (message.role === 'signalbox') this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty }, nowMs)
+        if (message.role === 'signalbox')
+          this.roster.heard(
+            { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty },
+            nowMs,
+          )
         this.roster.hearsay(message.known, nowMs)
         const { agreement } = this
-        this.#send(fromAddress, { kind: 'hailed', nonce: message.nonce, role: 'signalbox', zone: this.#plan.zone, identity: agreement.identity, empty: agreement.empty, leader: this.#leaderAddress, known: this.roster.known })
+        this.#send(fromAddress, {
+          kind: 'hailed',
+          nonce: message.nonce,
+          role: 'signalbox',
+          zone: this.#plan.zone,
+          identity: agreement.identity,
+          empty: agreement.empty,
+          leader: this.#leaderAddress,
+          known: this.roster.known,
+        })
         break
       }
       case 'hailed': {
         if (message.nonce !== this.#nonce) break
-        this.roster.heard({ name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty }, nowMs)
+        this.roster.heard(
+          { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
+          nowMs,
+        )
         this.roster.hearsay(message.known, nowMs)
         break
       }
-      case 'ballotAsk': case 'ballotGive': case 'append': case 'appended': case 'view': {
+      case 'ballotAsk':
+      case 'ballotGive':
+      case 'append':
+      case 'appended':
+      case 'view': {
         this.agreement.receive(message, nowMs)
         break
       }
-      case 'propose': if (this.#leading) this.agreement.propose(message.command, nowMs); break
-      case 'renew': this.#renew(from, fromAddress, message, nowMs); break
+      case 'propose':
+        if (this.#leading) this.agreement.propose(message.command, nowMs)
+        break
+      case 'renew':
+        this.#renew(from, fromAddress, message, nowMs)
+        break
       case 'stand': {
         const given = this.register.duty(message.duty) === undefined && this.#ballots.give(message.vacancy, message.round, from, nowMs)
         this.#send(fromAddress, { kind: 'ballot', duty: message.duty, vacancy: message.vacancy, round: message.round, given })
         break
       }
-      case 'ballot': if (message.given) this.#countBallot(message.vacancy, message.round, from, nowMs); break
+      case 'ballot':
+        if (message.given) this.#countBallot(message.vacancy, message.round, from, nowMs)
+        break
       case 'dutyRenew': {
         if (!this.agreement.surelyLeads(nowMs) || this.register.duty(message.duty)?.tenure !== message.tenure) break
         this.#dutyHeardMs.set(message.tenure, nowMs)
         this.#send(fromAddress, { kind: 'dutyLicence', duty: message.duty, tenure: message.tenure, sentMs: message.sentMs })
         break
       }
-      case 'dutyLicence': if (this.#dispatcher?.tenure === message.tenure) this.#dutySureMs = Math.max(this.#dutySureMs, message.sentMs); break
-      case 'follow': for (const send of this.#relay.followed(fromAddress, message, this.register.copy, nowMs)) this.#send(send.toAddress, send.message); break
-      case 'tally': this.#dispatcher?.tally(message.seat, { session: message.session, adopted: message.adopted, held: message.held, flights: message.flights }, message.arrivals, nowMs); break
+      case 'dutyLicence':
+        if (this.#dispatcher?.tenure === message.tenure) this.#dutySureMs = Math.max(this.#dutySureMs, message.sentMs)
+        break
+      case 'follow':
+        for (const send of this.#relay.followed(fromAddress, message, this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
+        break
+      case 'tally':
+        this.#dispatcher?.tally(
+          message.seat,
+          { session: message.session, adopted: message.adopted, held: message.held, flights: message.flights },
+          message.arrivals,
+          nowMs,
+        )
+        break
       case 'operate': {
         const read = Operation.safeParse(message)
         if (read.success) this.#operate(message.id, read.data, fromAddress, nowMs)
@@ -286,7 +376,8 @@
       }
       case 'operated': {
         const pending = this.#pending.get(message.id)
-        if (pending !== undefined && (pending.respondTo === undefined || pending.operation.action === 'placement')) this.#respond(message.id, message.status, message.stamp, message.text)
+        if (pending !== undefined && (pending.respondTo === undefined || pending.operation.action === 'placement'))
+          this.#respond(message.id, message.status, message.stamp, message.text)
         break
       }
       default:
@@ -294,7 +385,10 @@
   }
 
   #renew(from: string, fromAddress: string, renew: Extract<Message, { kind: 'renew' }>, nowMs: number): void {
-    this.roster.heard({ name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false }, nowMs)
+    this.roster.heard(
+      { name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false },
+      nowMs,
+    )
     if (!this.agreement.surelyLeads(nowMs) || !this.agreement.settled) return
     if (this.register.copy.get(`seat/${renew.seat}`) === undefined) {
       if (nowMs - (this.#seatsAsked.get(renew.seat) ?? -Infinity) > this.#pace.electionMs) {
@@ -304,8 +398,16 @@
       return
     }
     const granted = this.#licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
-    const peers = this.#licences.seats.filter(([seat]) => this.#licences.alive(seat, nowMs)).map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
-    this.#send(fromAddress, { kind: 'licence', sentMs: renew.sentMs, forMs: granted ? this.#pace.licenceMs : 0, stamp: this.register.copy.stamp, peers })
+    const peers = this.#licences.seats
+      .filter(([seat]) => this.#licences.alive(seat, nowMs))
+      .map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
+    this.#send(fromAddress, {
+      kind: 'licence',
+      sentMs: renew.sentMs,
+      forMs: granted ? this.#pace.licenceMs : 0,
+      stamp: this.register.copy.stamp,
+      peers,
+    })
     this.#finishWrites(nowMs)
   }
 
@@ -336,7 +438,8 @@
     const round = this.#ballots.tick(vacant ? vacancy : undefined, nowMs)
     if (round === undefined) return
     for (const member of this.agreement.members) {
-      if (member.identity !== this.agreement.identity) this.#send(this.#addressOf(member.identity), { kind: 'stand', duty: dispatcherDuty, vacancy, round })
+      if (member.identity !== this.agreement.identity)
+        this.#send(this.#addressOf(member.identity), { kind: 'stand', duty: dispatcherDuty, vacancy, round })
     }
     if (this.agreement.members.length === 1) this.#win(vacancy, nowMs)
   }
@@ -382,7 +485,13 @@
   #operate(id: string, operation: Operation, respondTo: string | undefined, nowMs: number): void {
     if (this.#pending.has(id)) return
     if (operation.branch === 'passed on' && respondTo !== undefined) {
-      this.#send(respondTo, { kind: 'operated', id, status: 200, stamp: this.register.charterStamp, text: JSON.stringify(this.#placement(nowMs)) })
+      this.#send(respondTo, {
+        kind: 'operated',
+        id,
+        status: 200,
+        stamp: this.register.charterStamp,
+        text: JSON.stringify(this.#placement(nowMs)),
+      })
       return
     }
     const pending: Pending = { operation, dueMs: nowMs + operation.waitMs, askedMs: -Infinity, respondTo, proposed: false }
@@ -405,11 +514,23 @@
     }
     pending.askedMs = nowMs
     switch (operation.action) {
-      case 'charter.put': case 'charter.patch': case 'charter.rollback': {
+      case 'charter.put':
+      case 'charter.patch':
+      case 'charter.rollback': {
         if (pending.proposed || this.register.outcome(operation.operation) !== undefined) break
         const action = operation.action === 'charter.put' ? 'put' : operation.action === 'charter.patch' ? 'patch' : 'rollback'
         pending.proposed = true
-        this.#propose({ kind: 'charter', operation: operation.operation, action, branch: operation.branch, text: operation.text, ifMatch: operation.ifMatch }, nowMs)
+        this.#propose(
+          {
+            kind: 'charter',
+            operation: operation.operation,
+            action,
+            branch: operation.branch,
+            text: operation.text,
+            ifMatch: operation.ifMatch,
+          },
+          nowMs,
+        )
         break
       }
       case 'seat.retire': {
@@ -431,8 +552,10 @@
     for (const [id, { operation }] of this.#pending) {
       const outcome = this.register.outcome(operation.operation)
       if (outcome === undefined || operation.operation === '' || operation.action === 'outcome') continue
-      if (outcome.status !== 200) this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp }))
-      else if (operation.action === 'seat.retire' || this.#delivered(outcome, nowMs)) this.#respond(id, 200, outcome.stamp, JSON.stringify({ stamp: outcome.stamp, operation: operation.operation }))
+      if (outcome.status !== 200)
+        this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp }))
+      else if (operation.action === 'seat.retire' || this.#delivered(outcome, nowMs))
+        this.#respond(id, 200, outcome.stamp, JSON.stringify({ stamp: outcome.stamp, operation: operation.operation }))
     }
   }
 
@@ -452,10 +575,13 @@
     const operation = this.#pending.get(id)?.operation
     if (operation === undefined) return
     const stamp = this.register.charterStamp
-    const json = (status: number, value: unknown) => { this.#respond(id, status, stamp, JSON.stringify(value)) }
+    const json = (status: number, value: unknown) => {
+      this.#respond(id, status, stamp, JSON.stringify(value))
+    }
     switch (operation.action) {
       case 'charter.get': {
-        const wanted = operation.text === '' ? this.register.texts.at(-1) : this.register.texts.find((one) => one.stamp === Number(operation.text))
+        const wanted =
+          operation.text === '' ? this.register.texts.at(-1) : this.register.texts.find((one) => one.stamp === Number(operation.text))
         if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
         else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
         else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, wanted.whole)
@@ -466,16 +592,28 @@
         }
         break
       }
-      case 'charter.history': json(200, this.register.texts.map(({ stamp: at, action, branch, operation: name }) => ({ stamp: at, action, branch, operation: name }))); break
-      case 'charter.leaves': json(200, this.#leaves()); break
+      case 'charter.history':
+        json(
+          200,
+          this.register.texts.map(({ stamp: at, action, branch, operation: name }) => ({ stamp: at, action, branch, operation: name })),
+        )
+        break
+      case 'charter.leaves':
+        json(200, this.#leaves())
+        break
       case 'outcome': {
         const outcome = this.register.outcome(operation.text)
         if (outcome === undefined) json(404, { outcome: 'unknown', operation: operation.text })
-        else json(200, { outcome: outcome.status !== 200 ? 'turnedAway' : this.#delivered(outcome, nowMs) ? 'done' : 'undecided', ...outcome })
+        else
+          json(200, { outcome: outcome.status !== 200 ? 'turnedAway' : this.#delivered(outcome, nowMs) ? 'done' : 'undecided', ...outcome })
         break
       }
-      case 'nodes': json(200, this.#nodes(nowMs)); break
-      case 'servers': json(200, this.#servers()); break
+      case 'nodes':
+        json(200, this.#nodes(nowMs))
+        break
+      case 'servers':
+        json(200, this.#servers())
+        break
       case 'placement': {
         const duty = this.register.duty(dispatcherDuty)
         if (duty !== undefined && this.#dispatcher === undefined && operation.branch !== 'passed on') {
@@ -488,13 +626,18 @@
         json(200, this.#placement(nowMs))
         break
       }
-      default: json(400, { errors: ['not a read'] })
+      default:
+        json(400, { errors: ['not a read'] })
     }
   }
 
   #placement(nowMs: number): unknown {
     const duty = this.register.duty(dispatcherDuty)
-    return { tenure: duty?.tenure ?? 0, holder: duty?.holder ?? '', reasons: this.#dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [] }
+    return {
+      tenure: duty?.tenure ?? 0,
+      holder: duty?.holder ?? '',
+      reasons: this.#dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [],
+    }
   }
 
   #leaves(): { path: string; value: Tree; from: string }[] {
@@ -516,9 +659,19 @@
       leader: this.agreement.leader,
       term: this.agreement.term,
       commit: this.agreement.commit,
-      core: this.agreement.members.map((one) => ({ ...one, address: this.#addressOf(one.identity), alive: one.identity === this.agreement.identity || nowMs - this.agreement.heardMs(one.identity) < this.#pace.electionMs })),
+      core: this.agreement.members.map((one) => ({
+        ...one,
+        address: this.#addressOf(one.identity),
+        alive: one.identity === this.agreement.identity || nowMs - this.agreement.heardMs(one.identity) < this.#pace.electionMs,
+      })),
       dispatcher: this.register.duty(dispatcherDuty) ?? null,
-      seats: this.#seats.map((seat) => ({ seat, zone: seats.get(seat)?.zone ?? '', address: seats.get(seat)?.address ?? '', adopted: seats.get(seat)?.adopted ?? 0, alive: this.#licences.alive(seat, nowMs) })),
+      seats: this.#seats.map((seat) => ({
+        seat,
+        zone: seats.get(seat)?.zone ?? '',
+        address: seats.get(seat)?.address ?? '',
+        adopted: seats.get(seat)?.adopted ?? 0,
+        alive: this.#licences.alive(seat, nowMs),
+      })),
       stamp: this.register.copy.stamp,
     }
   }
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -18,7 +18,9 @@
 import type { SignalboxInput } from './SignalboxInput.js'
 import { SignalboxMachine } from './SignalboxMachine.js'
 
-interface SignalboxEvents { responded: { id: string; status: number; stamp: number; text: string } }
+interface SignalboxEvents {
+  responded: { id: string; status: number; stamp: number; text: string }
+}
 
 @singleton()
 export class SignalboxTask {
@@ -32,17 +34,41 @@
   readonly #calls: OutsideCalls
   readonly #ticker: NodeJS.Timeout
 
-  constructor(@inject('startup') startup: Startup['signalbox'], @inject('logbook') logbook: Logbook, @inject('telegraph') telegraph: Telegraph, @inject('waybill') waybill: Waybill, @inject(OutsideCalls) calls: OutsideCalls) {
+  constructor(
+    @inject('startup') startup: Startup['signalbox'],
+    @inject('logbook') logbook: Logbook,
+    @inject('telegraph') telegraph: Telegraph,
+    @inject('waybill') waybill: Waybill,
+    @inject(OutsideCalls) calls: OutsideCalls,
+  ) {
     this.#startup = startup
     this.#logbook = logbook
     this.#telegraph = telegraph
     this.#waybill = waybill
     this.#calls = calls
     this.pace = Pace(startup.bounds)
-    this.machine = new SignalboxMachine({ name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, seats: startup.seats, rewriteBytes: startup.rewriteBytes, policy: edgeMulti }, this.pace, new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0), waybill.records, clockMs())
+    this.machine = new SignalboxMachine(
+      {
+        name: startup.name,
+        zone: startup.zone,
+        address: telegraph.address,
+        seeds: startup.seeds,
+        seats: startup.seats,
+        rewriteBytes: startup.rewriteBytes,
+        policy: edgeMulti,
+      },
+      this.pace,
+      new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
+      waybill.records,
+      clockMs(),
+    )
     this.#carryOut(this.machine.begin())
-    telegraph.hear((from, fromAddress, message) => { this.step({ kind: 'message', from, fromAddress, message }) })
-    this.#ticker = setInterval(() => { this.step({ kind: 'tick', hour: new Date().getUTCHours() + new Date().getUTCMinutes() / 60 }) }, this.pace.tickMs)
+    telegraph.hear((from, fromAddress, message) => {
+      this.step({ kind: 'message', from, fromAddress, message })
+    })
+    this.#ticker = setInterval(() => {
+      this.step({ kind: 'tick', hour: new Date().getUTCHours() + new Date().getUTCMinutes() / 60 })
+    }, this.pace.tickMs)
   }
 
   step(input: SignalboxInput): void {
@@ -58,25 +84,39 @@
   #carryOut(effects: SignalboxEffect[]): void {
     for (const effect of effects) {
       switch (effect.kind) {
-        case 'send': this.#telegraph.send(effect.toAddress, effect.message); break
-        case 'write': this.#write(effect); break
-        case 'respond': this.bell.ring('responded', effect); break
+        case 'send':
+          this.#telegraph.send(effect.toAddress, effect.message)
+          break
+        case 'write':
+          this.#write(effect)
+          break
+        case 'respond':
+          this.bell.ring('responded', effect)
+          break
         case 'askPlatform': {
           if (this.#startup.platform === undefined) break
-          void this.#calls.platform(this.#startup.platform, this.pace.platformMs).then((servers) => { if (servers !== undefined) this.step({ kind: 'platform', servers }) })
+          void this.#calls.platform(this.#startup.platform, this.pace.platformMs).then((servers) => {
+            if (servers !== undefined) this.step({ kind: 'platform', servers })
+          })
           break
         }
         case 'ask': {
           const { server, address, tenure, askedMs } = effect
-          void this.#calls.holds(address, tenure, this.pace.reportStaleMs / 2).then((report) => { this.step({ kind: 'reported', server, report, askedMs }) })
+          void this.#calls.holds(address, tenure, this.pace.reportStaleMs / 2).then((report) => {
+            this.step({ kind: 'reported', server, report, askedMs })
+          })
           break
         }
         case 'order': {
           const { server, address, order } = effect
-          void this.#calls.order(address, order, this.pace.reportStaleMs).then((reply) => { this.step({ kind: 'replied', server, tenure: order.tenure, number: order.number, reply }) })
+          void this.#calls.order(address, order, this.pace.reportStaleMs).then((reply) => {
+            this.step({ kind: 'replied', server, tenure: order.tenure, number: order.number, reply })
+          })
           break
         }
-        case 'say': this.#logbook.say(effect.part, effect.sentence); break
+        case 'say':
+          this.#logbook.say(effect.part, effect.sentence)
+          break
       }
     }
   }
--- a/src/signalbox/main.ts
+++ b/src/signalbox/main.ts
@@ -13,8 +13,15 @@
 import { SignalboxTask } from './SignalboxTask.js'
 
 const fields = {
-  name: "this machine's seat in the core", zone: 'its zone', telegraph: 'address for the other processes', operators: "address of the operators' API",
-  seeds: 'addresses of other processes, comma-separated', seats: 'names of all seats of the core, comma-separated', data: 'data folder', platform: "the platform's address", logLevel: 'how much to log',
+  name: "this machine's seat in the core",
+  zone: 'its zone',
+  telegraph: 'address for the other processes',
+  operators: "address of the operators' API",
+  seeds: 'addresses of other processes, comma-separated',
+  seats: 'names of all seats of the core, comma-separated',
+  data: 'data folder',
+  platform: "the platform's address",
+  logLevel: 'how much to log',
 }
 
 await startDaemon('signalbox', 'A core machine of springpaddle.', Startup.signalbox, fields, async (startup, logbook) => {
--- a/src/springpaddle/CoreClient.ts
+++ b/src/springpaddle/CoreClient.ts
@@ -15,7 +15,12 @@
     this.#waitMs = waitMs
   }
 
-  async ask(method: 'GET' | 'PUT' | 'PATCH' | 'POST', path: string, body?: string, headers: Record<string, string> = {}): Promise<{ status: number; stamp: number; body: string }> {
+  async ask(
+    method: 'GET' | 'PUT' | 'PATCH' | 'POST',
+    path: string,
+    body?: string,
+    headers: Record<string, string> = {},
+  ): Promise<{ status: number; stamp: number; body: string }> {
     const operation = headers['operation-id'] ?? crypto.randomUUID()
     const untilMs = performance.now() + this.#waitMs
     let last = 'no address was given'
@@ -25,7 +30,12 @@
       for (const address of this.#addresses) {
         const leftMs = Math.max(1, Math.min(Math.round(untilMs - performance.now()), Math.ceil(this.#waitMs / 4)))
         try {
-          const reply = await request(`http://${address}${path}`, { method, body: body ?? null, headers: { ...headers, 'operation-id': operation, 'due-ms': String(leftMs) }, signal: AbortSignal.timeout(leftMs + 200) })
+          const reply = await request(`http://${address}${path}`, {
+            method,
+            body: body ?? null,
+            headers: { ...headers, 'operation-id': operation, 'due-ms': String(leftMs) },
+            signal: AbortSignal.timeout(leftMs + 200),
+          })
           const stamp = Number(String(reply.headers['etag'] ?? '').replaceAll('"', ''))
           const answered = { status: reply.statusCode, stamp, body: await reply.body.text() }
           if (answered.status !== 504) return answered
--- a/src/springpaddle/Runbook.ts
+++ b/src/springpaddle/Runbook.ts
@@ -28,7 +28,9 @@
 ])
 const Shape = z.strictObject({
   about: z.string(),
-  variables: z.record(z.string(), z.strictObject({ about: z.string(), names: z.enum(['zone', 'core', 'server', 'seat', 'stamp', 'anything']) })).default({}),
+  variables: z
+    .record(z.string(), z.strictObject({ about: z.string(), names: z.enum(['zone', 'core', 'server', 'seat', 'stamp', 'anything']) }))
+    .default({}),
   steps: z.array(Step).min(1),
 })
 
@@ -50,23 +52,31 @@
     if (tree === undefined) return Left(['line 1: not JSON'])
     const plain = Shape.safeParse(tree)
     if (!plain.success) {
-      return Left(plain.error.issues.map((issue) => {
-        const step = issue.path[0] === 'steps' && typeof issue.path[1] === 'number' ? issue.path[1] : undefined
-        const why = issue.code === 'invalid_union' ? 'is no step that is known: do (patch, rollback, retire), ask, or check (core, seats, member, server, leaf) with withinMs' : issue.message
-        return `line ${String(step === undefined ? 1 : lineOf(text, step))}: ${issue.path.join('.')}: ${why}`
-      }))
+      return Left(
+        plain.error.issues.map((issue) => {
+          const step = issue.path[0] === 'steps' && typeof issue.path[1] === 'number' ? issue.path[1] : undefined
+          const why =
+            issue.code === 'invalid_union'
+              ? 'is no step that is known: do (patch, rollback, retire), ask, or check (core, seats, member, server, leaf) with withinMs'
+              : issue.message
+          return `line ${String(step === undefined ? 1 : lineOf(text, step))}: ${issue.path.join('.')}: ${why}`
+        }),
+      )
     }
     const errors: string[] = []
     for (const [name, { about, names }] of Object.entries(plain.data.variables)) {
       const value = given[name]
       const known = exists?.[names]
       if (value === undefined) errors.push(`line 1: ${name} is not set (${about}); use --set ${name}=...`)
-      else if (known?.includes(value) === false) errors.push(`line 1: ${name}: there is no ${names} ${value}; there are: ${known.join(', ')}`)
+      else if (known?.includes(value) === false)
+        errors.push(`line 1: ${name}: there is no ${names} ${value}; there are: ${known.join(', ')}`)
     }
-    for (const name of Object.keys(given)) if (!Object.hasOwn(plain.data.variables, name)) errors.push(`line 1: no variable is named ${name}`)
+    for (const name of Object.keys(given))
+      if (!Object.hasOwn(plain.data.variables, name)) errors.push(`line 1: no variable is named ${name}`)
     plain.data.steps.forEach((step, at) => {
       for (const [, name] of JSON.stringify(step).matchAll(/\$\{([^}]*)\}/g)) {
-        if (name !== undefined && !Object.hasOwn(plain.data.variables, name)) errors.push(`line ${String(lineOf(text, at))}: ${name} is not among the variables`)
+        if (name !== undefined && !Object.hasOwn(plain.data.variables, name))
+          errors.push(`line ${String(lineOf(text, at))}: ${name} is not among the variables`)
       }
     })
     if (errors.length > 0) return Left(errors)
@@ -85,11 +95,17 @@
   { "title": "two", "check": { "kind": "leaf", "path": "zones.\${zone}", "equals": {} }, "withinMs": 5 } ] }`
 proof(import.meta.url, {
   'variables are filled in everywhere': () => {
-    const book = Runbook.read(text, { zone: 'b' }, { zone: ['a', 'b'] }).toMaybe().extractNullable()
+    const book = Runbook.read(text, { zone: 'b' }, { zone: ['a', 'b'] })
+      .toMaybe()
+      .extractNullable()
     deepStrictEqual(book?.steps[0], { title: 'one', do: { kind: 'patch', tree: { zones: { b: {} } } } })
   },
   'an unknown step, a missing variable and a target that is not there are told with line and reason': () => {
-    const errors = (body: string, given: Record<string, string>) => Runbook.read(body, given, { zone: ['a', 'b'] }).swap().orDefault([]).join('\n')
+    const errors = (body: string, given: Record<string, string>) =>
+      Runbook.read(body, given, { zone: ['a', 'b'] })
+        .swap()
+        .orDefault([])
+        .join('\n')
     match(errors(text.replace('"kind": "leaf"', '"kind": "leave"'), { zone: 'b' }), /line 4: steps\.1: is no step/)
     match(errors(text, {}), /zone is not set \(which\)/)
     match(errors(text, { zone: 'q' }), /there is no zone q; there are: a, b/)
--- a/src/springpaddle/diagnose.ts
+++ b/src/springpaddle/diagnose.ts
@@ -7,7 +7,10 @@
 import { proof } from '../gauge/proof.js'
 import type { Tree } from '../gauge/Tree.js'
 
-interface Finding { what: string; todo: string }
+interface Finding {
+  what: string
+  todo: string
+}
 const Nodes = z.object({
   stamp: z.number(),
   core: z.array(z.object({ seat: z.string(), voter: z.boolean(), alive: z.boolean() })),
@@ -22,20 +25,33 @@
 
 export function diagnose(nodes: Tree | undefined, servers: Tree | undefined, charter: Tree | undefined, earlier: number): Finding[] {
   const findings: Finding[] = []
-  const find = (what: string, todo: string) => { findings.push({ what, todo }) }
+  const find = (what: string, todo: string) => {
+    findings.push({ what, todo })
+  }
   const core = Nodes.safeParse(nodes).data
-  if (core === undefined) return [{ what: 'the core does not answer', todo: 'start the signalboxes; a majority of them must reach one another' }]
+  if (core === undefined)
+    return [{ what: 'the core does not answer', todo: 'start the signalboxes; a majority of them must reach one another' }]
   for (const one of core.core) {
     if (!one.alive) find(`core machine ${one.seat} does not answer`, 'start it again; if its disk is gone, run the runbook replace-core')
     else if (!one.voter) find(`core machine ${one.seat} has no vote yet`, 'wait until it has caught up and its old identity is silent')
   }
-  if (core.dispatcher === null) find('nobody holds the dispatcher duty', 'nothing is loaded or unloaded until a core machine wins it; look at the core first')
+  if (core.dispatcher === null)
+    find('nobody holds the dispatcher duty', 'nothing is loaded or unloaded until a core machine wins it; look at the core first')
   const alive = core.seats.filter((one) => one.alive)
   for (const one of core.seats) {
-    if (!one.alive) find(`seat ${one.seat} in zone ${one.zone === '' ? 'unknown' : one.zone} is silent`, 'start its lineman; if the machine is gone for good: seat retire')
-    else if (one.adopted < earlier) find(`seat ${one.seat} works by stamp ${String(one.adopted)} of ${String(core.stamp)}`, 'its turnout is stopped or frozen; start it again')
+    if (!one.alive)
+      find(
+        `seat ${one.seat} in zone ${one.zone === '' ? 'unknown' : one.zone} is silent`,
+        'start its lineman; if the machine is gone for good: seat retire',
+      )
+    else if (one.adopted < earlier)
+      find(
+        `seat ${one.seat} works by stamp ${String(one.adopted)} of ${String(core.stamp)}`,
+        'its turnout is stopped or frozen; start it again',
+      )
   }
-  if (core.seats.length > 0 && alive.length * 2 <= core.seats.length) find('no majority of the seats is alive', 'no charter can be acknowledged; start linemen or retire the seats that are gone for good')
+  if (core.seats.length > 0 && alive.length * 2 <= core.seats.length)
+    find('no majority of the seats is alive', 'no charter can be acknowledged; start linemen or retire the seats that are gone for good')
   const fleet = Fleet.safeParse(charter).data
   if (fleet === undefined) {
     find('there is no charter yet', 'charter put FILE')
@@ -44,26 +60,47 @@
   const listed = new Map((Servers.safeParse(servers).data ?? []).map((one) => [one.name, one]))
   for (const [name, plan] of Object.entries(fleet.fleet.servers)) {
     const server = listed.get(name)
-    if (server === undefined) find(`server ${name} is in the charter but the platform does not list it`, 'start it, or take it out of the charter')
+    if (server === undefined)
+      find(`server ${name} is in the charter but the platform does not list it`, 'start it, or take it out of the charter')
     else if (server.draining) find(`server ${name} drains`, 'nothing, if this is meant')
-    else if (plan.kind === 'model' && server.binding === null) find(`model server ${name} has not reported lately`, 'look whether it is frozen or cut off from the core')
+    else if (plan.kind === 'model' && server.binding === null)
+      find(`model server ${name} has not reported lately`, 'look whether it is frozen or cut off from the core')
   }
-  for (const name of listed.keys()) if (fleet.fleet.servers[name] === undefined) find(`server ${name} is listed by the platform but not in the charter`, 'it gets no work; put it into fleet.servers if it should')
-  for (const [zone, { emptied }] of Object.entries(fleet.zones)) if (emptied) find(`zone ${zone} is emptied`, 'nothing, if this is meant; zone refill when the work there is done')
+  for (const name of listed.keys())
+    if (fleet.fleet.servers[name] === undefined)
+      find(`server ${name} is listed by the platform but not in the charter`, 'it gets no work; put it into fleet.servers if it should')
+  for (const [zone, { emptied }] of Object.entries(fleet.zones))
+    if (emptied) find(`zone ${zone} is emptied`, 'nothing, if this is meant; zone refill when the work there is done')
   return findings
 }
 
-const nodes = { stamp: 9, core: [{ seat: 'box-1', voter: true, alive: true }], dispatcher: { holder: 'box-1' }, seats: [{ seat: 'post-1', zone: 'a', alive: true, adopted: 9 }] }
+const nodes = {
+  stamp: 9,
+  core: [{ seat: 'box-1', voter: true, alive: true }],
+  dispatcher: { holder: 'box-1' },
+  seats: [{ seat: 'post-1', zone: 'a', alive: true, adopted: 9 }],
+}
 const servers = [{ name: 'ms-1', zone: 'a', draining: false, binding: { models: [] }, order: null }]
 const charter = { fleet: { servers: { 'ms-1': { kind: 'model' } } } }
 proof(import.meta.url, {
-  'a sound system has no findings': () => { deepStrictEqual(diagnose(nodes, servers, charter, 9), []) },
+  'a sound system has no findings': () => {
+    deepStrictEqual(diagnose(nodes, servers, charter, 9), [])
+  },
   'each trouble is found': () => {
-    const found = (...given: [Tree | undefined, Tree, Tree]) => diagnose(...given, 8).map((one) => one.what).join()
+    const found = (...given: [Tree | undefined, Tree, Tree]) =>
+      diagnose(...given, 8)
+        .map((one) => one.what)
+        .join()
     strictEqual(found(undefined, servers, charter), 'the core does not answer')
     strictEqual(found({ ...nodes, dispatcher: null }, servers, charter), 'nobody holds the dispatcher duty')
-    strictEqual(found({ ...nodes, core: [{ seat: 'box-1', voter: true, alive: false }] }, servers, charter), 'core machine box-1 does not answer')
-    strictEqual(found({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: true, adopted: 5 }] }, servers, charter), 'seat post-1 works by stamp 5 of 9')
+    strictEqual(
+      found({ ...nodes, core: [{ seat: 'box-1', voter: true, alive: false }] }, servers, charter),
+      'core machine box-1 does not answer',
+    )
+    strictEqual(
+      found({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: true, adopted: 5 }] }, servers, charter),
+      'seat post-1 works by stamp 5 of 9',
+    )
     strictEqual(diagnose({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: false, adopted: 9 }] }, servers, charter, 8).length, 2)
     strictEqual(found(nodes, [], charter), 'server ms-1 is in the charter but the platform does not list it')
     strictEqual(found(nodes, [{ ...servers[0], binding: null }], charter), 'model server ms-1 has not reported lately')
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -17,7 +17,12 @@
 import { runbookCommands } from './runbookCommands.js'
 
 const common = {
-  core: option({ long: 'core', type: string, env: 'SPRINGPADDLE_CORE', description: "operators' addresses of the core, comma-separated (or SPRINGPADDLE_CORE)" }),
+  core: option({
+    long: 'core',
+    type: string,
+    env: 'SPRINGPADDLE_CORE',
+    description: "operators' addresses of the core, comma-separated (or SPRINGPADDLE_CORE)",
+  }),
   json: flag({ long: 'json', description: "print the core's answer as JSON" }),
   wait: option({ long: 'wait', type: number, defaultValue: () => 9000, description: 'how long to wait, in ms' }),
 }
@@ -29,10 +34,16 @@
   operation: option({ long: 'operation', type: optional(string), description: 'operation id, to repeat a write safely' }),
 }
 const adoptMs = 1000
-interface Common { core: string; json: boolean; wait: number }
+interface Common {
+  core: string
+  json: boolean
+  wait: number
+}
 
 const read = (path: string) => readFileSync(path === '-' ? 0 : path, 'utf8')
-const out = (text: string) => { process.stdout.write(text.endsWith('\n') ? text : `${text}\n`) }
+const out = (text: string) => {
+  process.stdout.write(text.endsWith('\n') ? text : `${text}\n`)
+}
 const clientOf = (given: Common) => new CoreClient(given.core.split(','), given.wait)
 
 function end(given: Common, reply: { status: number; body: string }, show: (body: string) => string): void {
@@ -50,7 +61,12 @@
   return errors?.join('\nspringpaddle: ') ?? body
 }
 
-async function write(given: Common & { ifMatch: string | undefined; operation: string | undefined }, method: 'PUT' | 'PATCH' | 'POST', path: string, body: string): Promise<void> {
+async function write(
+  given: Common & { ifMatch: string | undefined; operation: string | undefined },
+  method: 'PUT' | 'PATCH' | 'POST',
+  path: string,
+  body: string,
+): Promise<void> {
   const headers: Record<string, string> = {}
   if (given.ifMatch !== undefined) headers['if-match'] = given.ifMatch
   if (given.operation !== undefined) headers['operation-id'] = given.operation
@@ -64,8 +80,19 @@
 const Rows = z.union([z.array(z.record(z.string(), z.unknown())), z.record(z.string(), z.unknown())])
 const flat = (value: unknown): string => (typeof value === 'string' ? value : JSON.stringify(value))
 const table = (rows: z.infer<typeof Rows>): string => {
-  if (!Array.isArray(rows)) return Object.entries(rows).map(([key, value]) => (Array.isArray(value) ? `${key}:\n${value.map((one) => `  ${flat(one)}`).join('\n')}` : `${key}: ${flat(value)}`)).join('\n')
-  return rows.map((row) => Object.entries(row).map(([key, value]) => `${key}=${flat(value)}`).join('  ')).join('\n')
+  if (!Array.isArray(rows))
+    return Object.entries(rows)
+      .map(([key, value]) =>
+        Array.isArray(value) ? `${key}:\n${value.map((one) => `  ${flat(one)}`).join('\n')}` : `${key}: ${flat(value)}`,
+      )
+      .join('\n')
+  return rows
+    .map((row) =>
+      Object.entries(row)
+        .map(([key, value]) => `${key}=${flat(value)}`)
+        .join('  '),
+    )
+    .join('\n')
 }
 const query = (given: { branch?: string | undefined }) => (given.branch === undefined ? '' : `?branch=${encodeURIComponent(given.branch)}`)
 
@@ -73,24 +100,61 @@
   name: 'charter',
   description: 'Read and write the charter.',
   cmds: {
-    put: command({ name: 'put', description: 'Replace the charter, or one branch of it.', args: { ...writing, file, branch }, handler: (given) => write(given, 'PUT', `/charter${query(given)}`, read(given.file)) }),
-    patch: command({ name: 'patch', description: 'Change only the leaves that the file names; null takes one away.', args: { ...writing, file, branch }, handler: (given) => write(given, 'PATCH', `/charter${query(given)}`, read(given.file)) }),
+    put: command({
+      name: 'put',
+      description: 'Replace the charter, or one branch of it.',
+      args: { ...writing, file, branch },
+      handler: (given) => write(given, 'PUT', `/charter${query(given)}`, read(given.file)),
+    }),
+    patch: command({
+      name: 'patch',
+      description: 'Change only the leaves that the file names; null takes one away.',
+      args: { ...writing, file, branch },
+      handler: (given) => write(given, 'PATCH', `/charter${query(given)}`, read(given.file)),
+    }),
     get: command({
-      name: 'get', description: 'Print the charter byte for byte.',
-      args: { ...common, branch, stamp: option({ long: 'stamp', type: optional(string), description: 'as it was at this stamp' }), sent: flag({ long: 'sent', description: 'the text that was sent, not the whole that it made' }) },
+      name: 'get',
+      description: 'Print the charter byte for byte.',
+      args: {
+        ...common,
+        branch,
+        stamp: option({ long: 'stamp', type: optional(string), description: 'as it was at this stamp' }),
+        sent: flag({ long: 'sent', description: 'the text that was sent, not the whole that it made' }),
+      },
       handler: async (given) => {
-        const search = new URLSearchParams({ ...(given.branch === undefined ? {} : { branch: given.branch }), ...(given.stamp === undefined ? {} : { stamp: given.stamp }), ...(given.sent ? { as: 'sent' } : {}) })
+        const search = new URLSearchParams({
+          ...(given.branch === undefined ? {} : { branch: given.branch }),
+          ...(given.stamp === undefined ? {} : { stamp: given.stamp }),
+          ...(given.sent ? { as: 'sent' } : {}),
+        })
         const reply = await clientOf(given).ask('GET', `/charter?${search.toString()}`)
         process.exitCode = exitCode(reply.status)
         if (reply.status === 200) process.stdout.write(reply.body)
         else process.stderr.write(`springpaddle: ${errorsOf(reply.body)}\n`)
       },
     }),
-    leaves: command({ name: 'leaves', description: 'Each leaf, its value, and where the value came from.', args: common, handler: (given) => show(given, '/charter/leaves', table) }),
-    history: command({ name: 'history', description: 'The stamps that are kept.', args: common, handler: (given) => show(given, '/charter/history', table) }),
-    rollback: command({ name: 'rollback', description: 'Make an earlier stamp the charter again, as a new one.', args: { ...writing, stamp: positional({ type: string, displayName: 'stamp' }) }, handler: (given) => write(given, 'POST', '/charter/rollback', given.stamp) }),
+    leaves: command({
+      name: 'leaves',
+      description: 'Each leaf, its value, and where the value came from.',
+      args: common,
+      handler: (given) => show(given, '/charter/leaves', table),
+    }),
+    history: command({
+      name: 'history',
+      description: 'The stamps that are kept.',
+      args: common,
+      handler: (given) => show(given, '/charter/history', table),
+    }),
+    rollback: command({
+      name: 'rollback',
+      description: 'Make an earlier stamp the charter again, as a new one.',
+      args: { ...writing, stamp: positional({ type: string, displayName: 'stamp' }) },
+      handler: (given) => write(given, 'POST', '/charter/rollback', given.stamp),
+    }),
     diff: command({
-      name: 'diff', description: 'How a file differs from the charter, leaf by leaf.', args: { ...common, file, branch },
+      name: 'diff',
+      description: 'How a file differs from the charter, leaf by leaf.',
+      args: { ...common, file, branch },
       handler: async (given) => {
         const reply = await clientOf(given).ask('GET', `/charter${query(given)}`)
         const theirs = reply.status === 404 ? {} : Tree.read(reply.body)
@@ -105,7 +169,9 @@
       },
     }),
     check: command({
-      name: 'check', description: 'Check a whole charter file without sending it.', args: { json: common.json, file },
+      name: 'check',
+      description: 'Check a whole charter file without sending it.',
+      args: { json: common.json, file },
       handler: (given) => {
         const tree = Tree.read(read(given.file))
         const errors = tree === undefined ? ['charter: not JSON'] : Charter.check(tree).swap().orDefault([])
@@ -116,19 +182,31 @@
     }),
   },
 })
-const zoneCommand = (name: string, emptied: boolean, description: string) => command({
-  name, description, args: { ...writing, zone: positional({ type: string, displayName: 'zone' }) },
-  handler: (given) => write(given, 'PATCH', '/charter', JSON.stringify({ zones: { [given.zone]: { emptied } } })),
-})
+const zoneCommand = (name: string, emptied: boolean, description: string) =>
+  command({
+    name,
+    description,
+    args: { ...writing, zone: positional({ type: string, displayName: 'zone' }) },
+    handler: (given) => write(given, 'PATCH', '/charter', JSON.stringify({ zones: { [given.zone]: { emptied } } })),
+  })
 const app = subcommands({
   name: 'springpaddle',
   description: 'Operates a springpaddle system.',
   cmds: {
     charter,
-    zone: subcommands({ name: 'zone', description: 'Empty a zone or fill it again.', cmds: { empty: zoneCommand('empty', true, 'No new work for the servers of a zone.'), refill: zoneCommand('refill', false, 'The servers of a zone may work again.') } }),
+    zone: subcommands({
+      name: 'zone',
+      description: 'Empty a zone or fill it again.',
+      cmds: {
+        empty: zoneCommand('empty', true, 'No new work for the servers of a zone.'),
+        refill: zoneCommand('refill', false, 'The servers of a zone may work again.'),
+      },
+    }),
     runbook: runbookCommands,
     doctor: command({
-      name: 'doctor', description: 'What is cut off, late, silent or missing, and what to do about it.', args: common,
+      name: 'doctor',
+      description: 'What is cut off, late, silent or missing, and what to do about it.',
+      args: common,
       handler: async (given) => {
         const core = clientOf(given)
         const first = await core.ask('GET', '/nodes')
@@ -141,11 +219,42 @@
         else out(findings.length === 0 ? 'sound' : findings.map((one) => `${one.what}\n    ${one.todo}`).join('\n'))
       },
     }),
-    nodes: command({ name: 'nodes', description: 'The core, the dispatcher and the seats.', args: common, handler: (given) => show(given, '/nodes', table) }),
-    servers: command({ name: 'servers', description: 'The servers, what they are bound for, and the order under way.', args: common, handler: (given) => show(given, '/servers', table) }),
-    placement: command({ name: 'placement', description: 'The last loads and unloads, each with its reason.', args: common, handler: (given) => show(given, '/placement', table) }),
-    operation: command({ name: 'operation', description: 'How a write ended, by its operation id.', args: { ...common, id: positional({ type: string, displayName: 'id' }) }, handler: (given) => show(given, `/operations/${encodeURIComponent(given.id)}`, table) }),
-    seat: subcommands({ name: 'seat', description: 'Seats of the data plane.', cmds: { retire: command({ name: 'retire', description: 'A seat that is gone for good no longer counts.', args: { ...writing, seat: positional({ type: string, displayName: 'seat' }) }, handler: (given) => write(given, 'POST', '/seats/retire', given.seat) }) } }),
+    nodes: command({
+      name: 'nodes',
+      description: 'The core, the dispatcher and the seats.',
+      args: common,
+      handler: (given) => show(given, '/nodes', table),
+    }),
+    servers: command({
+      name: 'servers',
+      description: 'The servers, what they are bound for, and the order under way.',
+      args: common,
+      handler: (given) => show(given, '/servers', table),
+    }),
+    placement: command({
+      name: 'placement',
+      description: 'The last loads and unloads, each with its reason.',
+      args: common,
+      handler: (given) => show(given, '/placement', table),
+    }),
+    operation: command({
+      name: 'operation',
+      description: 'How a write ended, by its operation id.',
+      args: { ...common, id: positional({ type: string, displayName: 'id' }) },
+      handler: (given) => show(given, `/operations/${encodeURIComponent(given.id)}`, table),
+    }),
+    seat: subcommands({
+      name: 'seat',
+      description: 'Seats of the data plane.',
+      cmds: {
+        retire: command({
+          name: 'retire',
+          description: 'A seat that is gone for good no longer counts.',
+          args: { ...writing, seat: positional({ type: string, displayName: 'seat' }) },
+          handler: (given) => write(given, 'POST', '/seats/retire', given.seat),
+        }),
+      },
+    }),
   },
 })
 await runCommand(app, process.argv.slice(2))
--- a/src/springpaddle/runRunbook.ts
+++ b/src/springpaddle/runRunbook.ts
@@ -8,9 +8,26 @@
 import { Tree } from '../gauge/Tree.js'
 import type { Runbook } from './Runbook.js'
 
-interface Core { ask: (method: 'GET' | 'PATCH' | 'POST', path: string, body?: string, headers?: Record<string, string>) => Promise<{ status: number; body: string }> }
-interface Hands { core: Core; nowMs: () => number; pause: (waitMs: number) => Promise<void>; say: (line: string) => void; record: (entry: { step: number; title: string; ended: 'done' | 'failed'; saw: string }) => void; operation: (step: number) => string }
-const Nodes = z.object({ core: z.array(z.object({ seat: z.string(), voter: z.boolean(), alive: z.boolean() })), seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })) })
+interface Core {
+  ask: (
+    method: 'GET' | 'PATCH' | 'POST',
+    path: string,
+    body?: string,
+    headers?: Record<string, string>,
+  ) => Promise<{ status: number; body: string }>
+}
+interface Hands {
+  core: Core
+  nowMs: () => number
+  pause: (waitMs: number) => Promise<void>
+  say: (line: string) => void
+  record: (entry: { step: number; title: string; ended: 'done' | 'failed'; saw: string }) => void
+  operation: (step: number) => string
+}
+const Nodes = z.object({
+  core: z.array(z.object({ seat: z.string(), voter: z.boolean(), alive: z.boolean() })),
+  seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })),
+})
 const Servers = z.array(z.object({ name: z.string(), draining: z.boolean() }))
 const betweenChecksMs = 250
 
@@ -20,12 +37,18 @@
   if (check.kind === 'leaf') {
     const reply = await core.ask('GET', '/charter')
     const value = Tree.at(Tree.read(reply.body), check.path.split('.'))
-    return { holds: reply.status === 200 && JSON.stringify(value) === JSON.stringify(check.equals), saw: `${check.path} is ${JSON.stringify(value) ?? 'not there'}` }
+    return {
+      holds: reply.status === 200 && JSON.stringify(value) === JSON.stringify(check.equals),
+      saw: `${check.path} is ${JSON.stringify(value) ?? 'not there'}`,
+    }
   }
   if (check.kind === 'server') {
     const reply = await core.ask('GET', '/servers')
     const server = Servers.safeParse(Tree.read(reply.body)).data?.find((one) => one.name === check.server)
-    return { holds: server?.draining === check.draining, saw: server === undefined ? `${check.server} is not listed` : `${check.server} ${server.draining ? 'drains' : 'does not drain'}` }
+    return {
+      holds: server?.draining === check.draining,
+      saw: server === undefined ? `${check.server} is not listed` : `${check.server} ${server.draining ? 'drains' : 'does not drain'}`,
+    }
   }
   const reply = await core.ask('GET', '/nodes')
   const nodes = Nodes.safeParse(Tree.read(reply.body)).data
@@ -36,7 +59,10 @@
   }
   const list = check.kind === 'core' ? nodes.core : nodes.seats
   const alive = list.filter((one) => one.alive).length
-  return { holds: check.alive === 'all' ? alive === list.length && alive > 0 : alive * 2 > list.length, saw: `${String(alive)} of ${String(list.length)} alive` }
+  return {
+    holds: check.alive === 'all' ? alive === list.length && alive > 0 : alive * 2 > list.length,
+    saw: `${String(alive)} of ${String(list.length)} alive`,
+  }
 }
 
 export async function runRunbook(book: Runbook, from: number, hands: Hands): Promise<boolean> {
@@ -49,9 +75,12 @@
       hands.say(`     please: ${step.ask}`)
     } else if ('do' in step) {
       const headers = { 'operation-id': hands.operation(at) }
-      const reply = step.do.kind === 'patch'
-        ? await hands.core.ask('PATCH', '/charter', JSON.stringify(step.do.tree), headers)
-        : step.do.kind === 'rollback' ? await hands.core.ask('POST', '/charter/rollback', step.do.stamp, headers) : await hands.core.ask('POST', '/seats/retire', step.do.seat, headers)
+      const reply =
+        step.do.kind === 'patch'
+          ? await hands.core.ask('PATCH', '/charter', JSON.stringify(step.do.tree), headers)
+          : step.do.kind === 'rollback'
+            ? await hands.core.ask('POST', '/charter/rollback', step.do.stamp, headers)
+            : await hands.core.ask('POST', '/seats/retire', step.do.seat, headers)
       holds = reply.status === 200
       saw = `${String(reply.status)} ${reply.body.trim()}`
     } else {
@@ -78,14 +107,29 @@
   const core: Core = {
     ask: (method, path) => {
       asked.push(`${method} ${path}`)
-      return Promise.resolve({ status: 200, body: path === '/nodes' ? JSON.stringify({ core: [], seats: [{ seat: 'a', alive: alive() }] }) : '{"zones":{"b":{"emptied":true}}}' })
+      return Promise.resolve({
+        status: 200,
+        body: path === '/nodes' ? JSON.stringify({ core: [], seats: [{ seat: 'a', alive: alive() }] }) : '{"zones":{"b":{"emptied":true}}}',
+      })
+    },
+  }
+  const hands: Hands = {
+    core,
+    nowMs: () => nowMs,
+    pause: (waitMs) => {
+      nowMs += waitMs
+      return Promise.resolve()
     },
+    say: () => undefined,
+    record: (entry) => records.push(`${String(entry.step)} ${entry.ended}`),
+    operation: (step) => `r-${String(step)}`,
   }
-  const hands: Hands = { core, nowMs: () => nowMs, pause: (waitMs) => { nowMs += waitMs; return Promise.resolve() }, say: () => undefined, record: (entry) => records.push(`${String(entry.step)} ${entry.ended}`), operation: (step) => `r-${String(step)}` }
   return { hands, asked, records }
 }
 const book: Runbook = {
-  about: '', variables: {}, steps: [
+  about: '',
+  variables: {},
+  steps: [
     { title: 'seats', check: { kind: 'seats', alive: 'all' }, withinMs: 1000 },
     { title: 'empty', do: { kind: 'patch', tree: { zones: { b: { emptied: true } } } } },
     { title: 'said', check: { kind: 'leaf', path: 'zones.b.emptied', equals: true }, withinMs: 1000 },
--- a/src/telegraph/Codec.ts
+++ b/src/telegraph/Codec.ts
@@ -78,7 +78,11 @@
   /** Gives nothing for bytes that are no message of this kind; never throws. */
   decode(bytes: Uint8Array): T | undefined {
     try {
-      const plain: Record<string, unknown> = this.#envelope.toObject(this.#envelope.decode(bytes), { oneofs: true, defaults: true, arrays: true })
+      const plain: Record<string, unknown> = this.#envelope.toObject(this.#envelope.decode(bytes), {
+        oneofs: true,
+        defaults: true,
+        arrays: true,
+      })
       const kind = plain['body']
       if (typeof kind !== 'string') return undefined
       const body: unknown = plain[kind]
@@ -92,7 +96,13 @@
 
 proof(import.meta.url, {
   'messages come back as they were sent, and hostile bytes give nothing': () => {
-    const one = z.object({ kind: z.literal('one'), name: z.string(), at: z.number(), note: z.string().optional(), rows: z.array(z.object({ key: z.string(), value: Bytes })) })
+    const one = z.object({
+      kind: z.literal('one'),
+      name: z.string(),
+      at: z.number(),
+      note: z.string().optional(),
+      rows: z.array(z.object({ key: z.string(), value: Bytes })),
+    })
     const two = z.object({ kind: z.literal('two'), yes: z.boolean(), names: z.array(z.string()) })
     const codec = new Codec(z.discriminatedUnion('kind', [one, two]), [one, two])
     const sent = { kind: 'one' as const, name: 'x', at: 2 ** 50, rows: [{ key: 'k', value: new Uint8Array([1, 2]) }] }
--- a/src/telegraph/Message.ts
+++ b/src/telegraph/Message.ts
@@ -14,13 +14,39 @@
 const options = [
   // Finding one another.
   kind('hail', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer) }),
-  kind('hailed', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), empty: z.boolean(), leader: z.string(), known: z.array(Peer) }),
+  kind('hailed', {
+    nonce: z.number(),
+    role: Role,
+    zone: z.string(),
+    identity: z.string(),
+    empty: z.boolean(),
+    leader: z.string(),
+    known: z.array(Peer),
+  }),
   // Agreement among the core.
   kind('ballotAsk', { to: z.string(), from: z.string(), term: z.number(), lastIndex: z.number(), lastTerm: z.number(), pre: z.boolean() }),
   kind('ballotGive', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
-  kind('append', { to: z.string(), from: z.string(), term: z.number(), prevIndex: z.number(), prevTerm: z.number(), commit: z.number(), round: z.number(), entries: z.array(Entry) }),
+  kind('append', {
+    to: z.string(),
+    from: z.string(),
+    term: z.number(),
+    prevIndex: z.number(),
+    prevTerm: z.number(),
+    commit: z.number(),
+    round: z.number(),
+    entries: z.array(Entry),
+  }),
   kind('appended', { to: z.string(), from: z.string(), term: z.number(), ok: z.boolean(), match: z.number(), round: z.number() }),
-  kind('view', { to: z.string(), from: z.string(), term: z.number(), index: z.number(), lastTerm: z.number(), round: z.number(), members: z.string(), state: Bytes }),
+  kind('view', {
+    to: z.string(),
+    from: z.string(),
+    term: z.number(),
+    index: z.number(),
+    lastTerm: z.number(),
+    round: z.number(),
+    members: z.string(),
+    state: Bytes,
+  }),
   kind('propose', { id: z.string(), command: Bytes }),
   // Licences.
   kind('renew', { seat: z.string(), role: Role, zone: z.string(), session: z.string(), sentMs: z.number(), adopted: z.number() }),
@@ -39,13 +65,24 @@
   kind('peerTell', { sentMs: z.number(), stamp: z.number() }),
   // What the data plane sees.
   kind('tally', {
-    seat: z.string(), session: z.string(), adopted: z.number(), atMs: z.number(),
+    seat: z.string(),
+    session: z.string(),
+    adopted: z.number(),
+    atMs: z.number(),
     arrivals: z.array(z.object({ model: z.string(), adapter: z.string(), count: z.number(), agoMs: z.number() })),
     held: z.array(z.object({ model: z.string(), adapter: z.string(), count: z.number(), dueInMs: z.number() })),
     flights: z.array(z.object({ server: z.string(), model: z.string(), adapter: z.string(), count: z.number() })),
   }),
   // Operators.
-  kind('operate', { id: z.string(), action: z.string(), branch: z.string(), text: z.string(), ifMatch: z.number(), operation: z.string(), waitMs: z.number() }),
+  kind('operate', {
+    id: z.string(),
+    action: z.string(),
+    branch: z.string(),
+    text: z.string(),
+    ifMatch: z.number(),
+    operation: z.string(),
+    waitMs: z.number(),
+  }),
   kind('operated', { id: z.string(), status: z.number(), stamp: z.number(), text: z.string() }),
 ] as const
 
--- a/src/telegraph/telegraphContract.ts
+++ b/src/telegraph/telegraphContract.ts
@@ -6,7 +6,10 @@
 import type { Message } from './Message.js'
 import type { Telegraph } from './Telegraph.js'
 
-export async function telegraphContract(open: (name: string) => Promise<Telegraph>, until: (ready: () => boolean) => Promise<void>): Promise<void> {
+export async function telegraphContract(
+  open: (name: string) => Promise<Telegraph>,
+  until: (ready: () => boolean) => Promise<void>,
+): Promise<void> {
   const a = await open('a')
   const b = await open('b')
   const heard: [string, string, Message][] = []
@@ -19,7 +22,10 @@
   a.send('127.0.0.1:1', { kind: 'peerAsk', sentMs: 0, stamp: 0 })
   for (let n = 1; n <= 50; n++) a.send(b.address, { kind: 'peerAsk', sentMs: n, stamp: n })
   await until(() => answered.length === 50)
-  deepStrictEqual(heard.map(([, , message]) => message.kind === 'peerAsk' && message.sentMs), Array.from({ length: 50 }, (_, at) => at + 1))
+  deepStrictEqual(
+    heard.map(([, , message]) => message.kind === 'peerAsk' && message.sentMs),
+    Array.from({ length: 50 }, (_, at) => at + 1),
+  )
   deepStrictEqual(heard[0]?.slice(0, 2), ['a', a.address])
   await b.close()
   a.send(b.address, { kind: 'peerAsk', sentMs: 51, stamp: 51 })
--- a/src/testtrack/Callers.ts
+++ b/src/testtrack/Callers.ts
@@ -28,7 +28,13 @@
   #count = 0
   #stopped = false
 
-  constructor(deployment: Deployment, seed: number, addresses: () => string[], isWarm: (model: string, adapter: string) => boolean, see: (sighting: Sighting) => void) {
+  constructor(
+    deployment: Deployment,
+    seed: number,
+    addresses: () => string[],
+    isWarm: (model: string, adapter: string) => boolean,
+    see: (sighting: Sighting) => void,
+  ) {
     this.#isWarm = isWarm
     this.#deployment = deployment
     this.#addresses = addresses
@@ -55,11 +61,14 @@
 
   #next(course: Deployment['courses'][number]): void {
     if (this.#stopped) return
-    const timer = setTimeout(() => {
-      this.#timers.splice(this.#timers.indexOf(timer), 1)
-      if (this.#underWay < mostUnderWay) void this.ask(course)
-      this.#next(course)
-    }, this.#chance.exponential(1000 / course.perS))
+    const timer = setTimeout(
+      () => {
+        this.#timers.splice(this.#timers.indexOf(timer), 1)
+        if (this.#underWay < mostUnderWay) void this.ask(course)
+        this.#next(course)
+      },
+      this.#chance.exponential(1000 / course.perS),
+    )
     this.#timers.push(timer)
   }
 
@@ -69,20 +78,41 @@
     this.#count += 1
     this.#underWay += 1
     const name = `${course.service}-${String(this.#count)}`
-    const service = Object.values(this.#deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
+    const service = Object.values(this.#deployment.charter.partners)
+      .map((branch) => branch.services[course.service])
+      .find((one) => one !== undefined)
     const adapter = course.adapters.length > 0 && this.#chance.hit(0.5) ? this.#chance.pick(course.adapters) : undefined
     if (course.kind === 'model') {
       this.modelAsks += 1
       if (!this.#isWarm(course.service, adapter ?? '')) this.coldAsks += 1
     }
     const askedMs = clockMs()
-    this.#see({ kind: 'asked', atMs: askedMs, request: name, service: course.service, repeatable: service?.repeatable ?? false, dueMs: askedMs + dueMs, proper: true })
+    this.#see({
+      kind: 'asked',
+      atMs: askedMs,
+      request: name,
+      service: course.service,
+      repeatable: service?.repeatable ?? false,
+      dueMs: askedMs + dueMs,
+      proper: true,
+    })
     const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
     const body = course.kind === 'service' ? '' : JSON.stringify({ adapter: adapter ?? '', parts })
     const path = course.kind === 'service' ? `/v1/services/${course.service}/check` : `/v1/models/${course.service}`
     let headed = false
     try {
-      const reply = await call(`http://${address}${path}`, { dispatcher: this.#agent, method: 'POST', body, headers: { 'request-id': name, 'service-name': course.service, 'due-ms': String(dueMs), lines: String(course.lines), 'content-type': 'application/json' } })
+      const reply = await call(`http://${address}${path}`, {
+        dispatcher: this.#agent,
+        method: 'POST',
+        body,
+        headers: {
+          'request-id': name,
+          'service-name': course.service,
+          'due-ms': String(dueMs),
+          lines: String(course.lines),
+          'content-type': 'application/json',
+        },
+      })
       headed = true
       const text = await reply.body.text()
       const verdict = reply.headers[CallerFormat.verdictHeader]
@@ -91,7 +121,16 @@
         const waits = this.waits.get(course.service) ?? []
         this.waits.set(course.service, waits)
         waits.push(clockMs() - askedMs)
-      } else this.#see({ kind: 'turnedAway', atMs: clockMs(), request: name, status: reply.statusCode, verdict: Object.values(Verdict).find((one) => one === verdict), retryAfter: reply.headers['retry-after'] !== undefined, wokeMs: 0 })
+      } else
+        this.#see({
+          kind: 'turnedAway',
+          atMs: clockMs(),
+          request: name,
+          status: reply.statusCode,
+          verdict: Object.values(Verdict).find((one) => one === verdict),
+          retryAfter: reply.headers['retry-after'] !== undefined,
+          wokeMs: 0,
+        })
     } catch {
       this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name })
     } finally {
--- a/src/testtrack/Daemon.ts
+++ b/src/testtrack/Daemon.ts
@@ -27,7 +27,11 @@
     const file = join(this.#folder, `${this.name}.json`)
     await writeFile(file, JSON.stringify(this.startup, null, 2))
     const log = openSync(join(this.#folder, `${this.name}.log`), 'a')
-    this.#child = spawn(process.execPath, [fileURLToPath(new URL(`../${this.program}/main.js`, import.meta.url)), 'run', '--startup', file], { stdio: ['ignore', log, log] })
+    this.#child = spawn(
+      process.execPath,
+      [fileURLToPath(new URL(`../${this.program}/main.js`, import.meta.url)), 'run', '--startup', file],
+      { stdio: ['ignore', log, log] },
+    )
     closeSync(log)
   }
 
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -9,8 +9,34 @@
 import { Charter } from '../gauge/Charter.js'
 import { proof } from '../gauge/proof.js'
 
-interface Course { service: string; kind: 'model' | 'service'; perS: number; adapters: string[]; lines: number; prefix: number; steady: boolean }
-interface Shape { partner: string; other: string; boxes: number; turnouts: number; modelServers: number; serviceServers: number; models: number; adapters: number; service: string; servicePerS: number; busy: [string, number, number]; middle: [string, number, number]; rare: [string, number, number]; storePace: number; modelRunMs: number; places: number; steady: boolean }
+interface Course {
+  service: string
+  kind: 'model' | 'service'
+  perS: number
+  adapters: string[]
+  lines: number
+  prefix: number
+  steady: boolean
+}
+interface Shape {
+  partner: string
+  other: string
+  boxes: number
+  turnouts: number
+  modelServers: number
+  serviceServers: number
+  models: number
+  adapters: number
+  service: string
+  servicePerS: number
+  busy: [string, number, number]
+  middle: [string, number, number]
+  rare: [string, number, number]
+  storePace: number
+  modelRunMs: number
+  places: number
+  steady: boolean
+}
 
 export interface Deployment {
   name: string
@@ -26,11 +52,101 @@
 }
 
 const shapes: Record<string, Shape> = {
-  siding: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 5, modelServers: 4, serviceServers: 3, models: 12, adapters: 8, service: 'lobby', servicePerS: 10, busy: ['pairing', 3, 8], middle: ['seeding', 4, 1], rare: ['replay', 5, 0.2], storePace: 20_000, modelRunMs: 40, places: 8, steady: false },
-  tight: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 4, modelServers: 2, serviceServers: 2, models: 14, adapters: 20, service: 'booking', servicePerS: 10, busy: ['conflict', 3, 6], middle: ['roster', 5, 1], rare: ['calendar', 6, 1], storePace: 5000, modelRunMs: 300, places: 4, steady: false },
-  'tight-steady': { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 4, modelServers: 2, serviceServers: 2, models: 14, adapters: 20, service: 'booking', servicePerS: 10, busy: ['conflict', 3, 6], middle: ['roster', 5, 1], rare: ['calendar', 6, 1], storePace: 5000, modelRunMs: 300, places: 4, steady: true },
-  gopherline: { partner: 'gopherline', other: 'cascade', boxes: 3, turnouts: 9, modelServers: 8, serviceServers: 3, models: 36, adapters: 40, service: 'lobby', servicePerS: 30, busy: ['pairing', 6, 20], middle: ['seeding', 10, 1], rare: ['replay', 20, 0.2], storePace: 20_000, modelRunMs: 40, places: 8, steady: false },
-  cascade: { partner: 'cascade', other: 'gopherline', boxes: 3, turnouts: 8, modelServers: 13, serviceServers: 3, models: 30, adapters: 55, service: 'booking', servicePerS: 45, busy: ['conflict', 8, 15], middle: ['roster', 10, 2], rare: ['calendar', 12, 0.2], storePace: 20_000, modelRunMs: 40, places: 8, steady: false },
+  siding: {
+    partner: 'gopherline',
+    other: 'cascade',
+    boxes: 3,
+    turnouts: 5,
+    modelServers: 4,
+    serviceServers: 3,
+    models: 12,
+    adapters: 8,
+    service: 'lobby',
+    servicePerS: 10,
+    busy: ['pairing', 3, 8],
+    middle: ['seeding', 4, 1],
+    rare: ['replay', 5, 0.2],
+    storePace: 20_000,
+    modelRunMs: 40,
+    places: 8,
+    steady: false,
+  },
+  tight: {
+    partner: 'cascade',
+    other: 'gopherline',
+    boxes: 3,
+    turnouts: 4,
+    modelServers: 2,
+    serviceServers: 2,
+    models: 14,
+    adapters: 20,
+    service: 'booking',
+    servicePerS: 10,
+    busy: ['conflict', 3, 6],
+    middle: ['roster', 5, 1],
+    rare: ['calendar', 6, 1],
+    storePace: 5000,
+    modelRunMs: 300,
+    places: 4,
+    steady: false,
+  },
+  'tight-steady': {
+    partner: 'cascade',
+    other: 'gopherline',
+    boxes: 3,
+    turnouts: 4,
+    modelServers: 2,
+    serviceServers: 2,
+    models: 14,
+    adapters: 20,
+    service: 'booking',
+    servicePerS: 10,
+    busy: ['conflict', 3, 6],
+    middle: ['roster', 5, 1],
+    rare: ['calendar', 6, 1],
+    storePace: 5000,
+    modelRunMs: 300,
+    places: 4,
+    steady: true,
+  },
+  gopherline: {
+    partner: 'gopherline',
+    other: 'cascade',
+    boxes: 3,
+    turnouts: 9,
+    modelServers: 8,
+    serviceServers: 3,
+    models: 36,
+    adapters: 40,
+    service: 'lobby',
+    servicePerS: 30,
+    busy: ['pairing', 6, 20],
+    middle: ['seeding', 10, 1],
+    rare: ['replay', 20, 0.2],
+    storePace: 20_000,
+    modelRunMs: 40,
+    places: 8,
+    steady: false,
+  },
+  cascade: {
+    partner: 'cascade',
+    other: 'gopherline',
+    boxes: 3,
+    turnouts: 8,
+    modelServers: 13,
+    serviceServers: 3,
+    models: 30,
+    adapters: 55,
+    service: 'booking',
+    servicePerS: 45,
+    busy: ['conflict', 8, 15],
+    middle: ['roster', 10, 2],
+    rare: ['calendar', 12, 0.2],
+    storePace: 20_000,
+    modelRunMs: 40,
+    places: 8,
+    steady: false,
+  },
 }
 
 export const Deployment = {
@@ -42,15 +158,22 @@
     const chance = new Chance(7)
     const zones = ['a', 'b', 'c']
     const zone = (at: number) => zones[at % 3] ?? 'a'
-    const list = (count: number, prefix: string) => Array.from({ length: count }, (_, at) => ({ name: `${prefix}-${String(at + 1)}`, zone: zone(at) }))
+    const list = (count: number, prefix: string) =>
+      Array.from({ length: count }, (_, at) => ({ name: `${prefix}-${String(at + 1)}`, zone: zone(at) }))
     const servers = [
       ...list(shape.modelServers, 'ms').map((one) => ({ ...one, kind: 'model' as const, roomMb: 24_000, places: shape.places })),
       ...list(shape.serviceServers, shape.service).map((one) => ({ ...one, kind: 'service' as const, roomMb: 0, places: 0 })),
     ]
     const models: Record<string, { sizeMb: number; adapters: string[]; adapterMb: number; limits?: { intent: { weight: number } } }> = {}
-    const courses: Course[] = [{ service: shape.service, kind: 'service', perS: shape.servicePerS, adapters: [], lines: 1, prefix: 0, steady: false }]
+    const courses: Course[] = [
+      { service: shape.service, kind: 'service', perS: shape.servicePerS, adapters: [], lines: 1, prefix: 0, steady: false },
+    ]
     let adaptersLeft = shape.adapters
-    const kinds: [[string, number, number], number, number, number][] = [[shape.busy, 1, 3, 3], [shape.middle, 2, 4, 2], [shape.rare, 8, 20, 1]]
+    const kinds: [[string, number, number], number, number, number][] = [
+      [shape.busy, 1, 3, 3],
+      [shape.middle, 2, 4, 2],
+      [shape.rare, 8, 20, 1],
+    ]
     for (const [[prefix, count, perS], lines, share, weight] of kinds) {
       for (let at = 0; at < count; at++) {
         const model = `${prefix}-${String(at + 1)}`
@@ -63,27 +186,68 @@
       }
     }
     const charter = Charter.check({
-      defaults: { dueMs: 8000, bodyLimitBytes: 2_000_000, retryRatio: 0.15, retryAllowance: 9, coldLimit: 4, warmMs: 2000, serverLimit: 180, intent: { weight: 1, coldStartCost: 1, hours: [] } },
+      defaults: {
+        dueMs: 8000,
+        bodyLimitBytes: 2_000_000,
+        retryRatio: 0.15,
+        retryAllowance: 9,
+        coldLimit: 4,
+        warmMs: 2000,
+        serverLimit: 180,
+        intent: { weight: 1, coldStartCost: 1, hours: [] },
+      },
       partners: {
-        [shape.partner]: { limits: { dueMs: 10_000 }, services: { [shape.service]: { servers: servers.filter((one) => one.kind === 'service').map((one) => one.name), repeatable: shape.service === 'lobby' } }, models },
+        [shape.partner]: {
+          limits: { dueMs: 10_000 },
+          services: {
+            [shape.service]: {
+              servers: servers.filter((one) => one.kind === 'service').map((one) => one.name),
+              repeatable: shape.service === 'lobby',
+            },
+          },
+          models,
+        },
         [shape.other]: {},
       },
-      fleet: { servers: Object.fromEntries(servers.map((one) => [one.name, { kind: one.kind, roomMb: one.roomMb, places: one.places }])), storePaceMbPerS: shape.storePace, storeBurstMb: 2 * shape.storePace },
+      fleet: {
+        servers: Object.fromEntries(servers.map((one) => [one.name, { kind: one.kind, roomMb: one.roomMb, places: one.places }])),
+        storePaceMbPerS: shape.storePace,
+        storeBurstMb: 2 * shape.storePace,
+      },
     })
     return {
-      name, zones, boxes: list(shape.boxes, 'box'), turnouts: list(shape.turnouts, 'post'), servers, courses, loadMbPerS: 20_000, serviceRunMs: 5, modelRunMs: shape.modelRunMs,
-      charter: charter.caseOf<Charter>({ Left: (errors) => { throw new Error(errors.join('\n')) }, Right: (tree) => tree }),
+      name,
+      zones,
+      boxes: list(shape.boxes, 'box'),
+      turnouts: list(shape.turnouts, 'post'),
+      servers,
+      courses,
+      loadMbPerS: 20_000,
+      serviceRunMs: 5,
+      modelRunMs: shape.modelRunMs,
+      charter: charter.caseOf<Charter>({
+        Left: (errors) => {
+          throw new Error(errors.join('\n'))
+        },
+        Right: (tree) => tree,
+      }),
     }
   },
 }
 
 proof(import.meta.url, {
   'both deployments have the sizes of today': () => {
-    for (const [name, models, adapters, servers] of [['gopherline', 36, 40, 11], ['cascade', 30, 55, 16]] as const) {
+    for (const [name, models, adapters, servers] of [
+      ['gopherline', 36, 40, 11],
+      ['cascade', 30, 55, 16],
+    ] as const) {
       const deployment = Deployment.of(name)
       const branch = deployment?.charter.partners[name]
       strictEqual(Object.keys(branch?.models ?? {}).length, models)
-      strictEqual(Object.values(branch?.models ?? {}).reduce((sum, model) => sum + model.adapters.length, 0), adapters)
+      strictEqual(
+        Object.values(branch?.models ?? {}).reduce((sum, model) => sum + model.adapters.length, 0),
+        adapters,
+      )
       strictEqual(deployment?.servers.length, servers)
     }
   },
--- a/src/testtrack/Fleet.ts
+++ b/src/testtrack/Fleet.ts
@@ -19,7 +19,12 @@
 import type { Sighting } from './Sighting.js'
 import { StandInHttp } from './StandInHttp.js'
 
-const Nodes = z.object({ leader: z.string(), core: z.array(z.object({ identity: z.string(), seat: z.string(), voter: z.boolean() })), dispatcher: z.object({ holder: z.string(), tenure: z.number() }).nullable(), seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })) })
+const Nodes = z.object({
+  leader: z.string(),
+  core: z.array(z.object({ identity: z.string(), seat: z.string(), voter: z.boolean() })),
+  dispatcher: z.object({ holder: z.string(), tenure: z.number() }).nullable(),
+  seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })),
+})
 
 export class Fleet {
   readonly deployment: Deployment
@@ -39,7 +44,14 @@
     this.deployment = deployment
     this.folder = folder
     const { warmMs, coldLimit } = deployment.charter.defaults
-    this.servers = deployment.servers.map((one) => new StandInHttp({ ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, enforcesTenure: true, warmMs, coldLimit }, one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs, this.see))
+    this.servers = deployment.servers.map(
+      (one) =>
+        new StandInHttp(
+          { ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, enforcesTenure: true, warmMs, coldLimit },
+          one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs,
+          this.see,
+        ),
+    )
   }
 
   readonly see = (sighting: Sighting): void => {
@@ -58,13 +70,32 @@
     boxes.forEach((box, at) => {
       const operators = port()
       this.operatorAddresses.set(box.name, operators)
-      this.boxes.push(new Daemon('signalbox', this.folder, { ...box, telegraph: boxAddresses[at], operators, seeds: boxAddresses, seats: boxes.map((one) => one.name), data: join(this.folder, box.name), platform }))
+      this.boxes.push(
+        new Daemon('signalbox', this.folder, {
+          ...box,
+          telegraph: boxAddresses[at],
+          operators,
+          seeds: boxAddresses,
+          seats: boxes.map((one) => one.name),
+          data: join(this.folder, box.name),
+          platform,
+        }),
+      )
     })
     for (const post of turnouts) {
       const [lineman, turnout, callers] = [port(), port(), port()]
       this.callerAddresses.set(`${post.name}-turnout`, callers)
       this.linemen.push(new Daemon('lineman', this.folder, { ...post, telegraph: lineman, turnout, seeds: boxAddresses }))
-      this.turnouts.push(new Daemon('turnout', this.folder, { name: `${post.name}-turnout`, seat: post.name, zone: post.zone, telegraph: turnout, lineman, callers }))
+      this.turnouts.push(
+        new Daemon('turnout', this.folder, {
+          name: `${post.name}-turnout`,
+          seat: post.name,
+          zone: post.zone,
+          telegraph: turnout,
+          lineman,
+          callers,
+        }),
+      )
     }
     for (const daemon of [...this.boxes, ...this.linemen, ...this.turnouts]) await daemon.start()
   }
@@ -78,7 +109,9 @@
 
   async #openPlatform(address: string): Promise<void> {
     const server = createServer((_request, response) => {
-      const servers = this.servers.filter((one) => !this.unlisted.has(one.name)).map((one) => ({ name: one.name, address: one.address, zone: one.state.plan.zone, draining: this.draining.has(one.name) }))
+      const servers = this.servers
+        .filter((one) => !this.unlisted.has(one.name))
+        .map((one) => ({ name: one.name, address: one.address, zone: one.state.plan.zone, draining: this.draining.has(one.name) }))
       response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ servers }))
     })
     server.listen(Number(address.split(':')[1]), '127.0.0.1')
@@ -122,9 +155,14 @@
     if (input !== undefined) await writeFile(join(this.folder, 'input.json'), input)
     const program = fileURLToPath(new URL('../springpaddle/main.js', import.meta.url))
     return new Promise((resolve) => {
-      execFile(process.execPath, [program, ...args], { env: { ...process.env, SPRINGPADDLE_CORE: [...this.operatorAddresses.values()].join(',') }, maxBuffer: 64_000_000 }, (error, out, err) => {
-        resolve({ code: error === null ? 0 : typeof error.code === 'number' ? error.code : 1, out, error: err })
-      })
+      execFile(
+        process.execPath,
+        [program, ...args],
+        { env: { ...process.env, SPRINGPADDLE_CORE: [...this.operatorAddresses.values()].join(',') }, maxBuffer: 64_000_000 },
+        (error, out, err) => {
+          resolve({ code: error === null ? 0 : typeof error.code === 'number' ? error.code : 1, out, error: err })
+        },
+      )
     })
   }
 
--- a/src/testtrack/SimClock.ts
+++ b/src/testtrack/SimClock.ts
@@ -44,7 +44,9 @@
 
   until(endMs: number): void {
     let open = true
-    this.at(endMs, () => { open = false })
+    this.at(endMs, () => {
+      open = false
+    })
     while (open && this.turn());
   }
 }
--- a/src/testtrack/SimDisk.ts
+++ b/src/testtrack/SimDisk.ts
@@ -28,7 +28,10 @@
     const power = this.#power
     const tookMs = records.length === 0 ? 0 : this.#chance.between(0.3, 3)
     this.#freeAtMs = Math.max(this.#freeAtMs, this.#clock.nowMs, this.stalledUntilMs) + tookMs
-    if (this.lies) this.#clock.after(0, () => { if (power === this.#power) done() })
+    if (this.lies)
+      this.#clock.after(0, () => {
+        if (power === this.#power) done()
+      })
     this.#clock.at(this.lies ? this.#freeAtMs + 3000 : this.#freeAtMs, () => {
       if (power !== this.#power) return
       this.records = rewrite ? [...records] : [...this.records, ...records]
@@ -51,19 +54,28 @@
   'passes the contract of stores': async () => {
     const clock = new SimClock()
     const disk = new SimDisk(clock, new Chances(1))
-    const write = (records: readonly Uint8Array[], rewrite: boolean) => new Promise<void>((resolve) => { disk.write(records, rewrite, resolve) })
+    const write = (records: readonly Uint8Array[], rewrite: boolean) =>
+      new Promise<void>((resolve) => {
+        disk.write(records, rewrite, resolve)
+      })
     await waybillContract(() => {
       const waybill: Waybill = {
         records: [...disk.records],
-        get bytes() { return disk.records.reduce((sum, record) => sum + record.length, 0) },
+        get bytes() {
+          return disk.records.reduce((sum, record) => sum + record.length, 0)
+        },
         append: (records) => {
           const done = write(records, false)
-          setImmediate(() => { clock.until(clock.nowMs + 100) })
+          setImmediate(() => {
+            clock.until(clock.nowMs + 100)
+          })
           return done
         },
         rewrite: (records) => {
           const done = write(records, true)
-          setImmediate(() => { clock.until(clock.nowMs + 100) })
+          setImmediate(() => {
+            clock.until(clock.nowMs + 100)
+          })
           return done
         },
         close: () => Promise.resolve(),
--- a/src/testtrack/SimNetwork.ts
+++ b/src/testtrack/SimNetwork.ts
@@ -77,11 +77,17 @@
       (name) => {
         const address = `10.0.0.1:${String(name.charCodeAt(0))}`
         const listeners: Listener[] = []
-        network.open(address, name, (from, fromAddress, message) => { for (const listener of listeners) listener(from, fromAddress, message) })
+        network.open(address, name, (from, fromAddress, message) => {
+          for (const listener of listeners) listener(from, fromAddress, message)
+        })
         const telegraph: Telegraph = {
           address,
-          send: (toAddress, message) => { network.send(name, name, address, toAddress, message) },
-          hear: (listener) => { listeners.push(listener) },
+          send: (toAddress, message) => {
+            network.send(name, name, address, toAddress, message)
+          },
+          hear: (listener) => {
+            listeners.push(listener)
+          },
           close: () => {
             network.close(address)
             return Promise.resolve()
--- a/src/testtrack/SimProcess.ts
+++ b/src/testtrack/SimProcess.ts
@@ -23,7 +23,15 @@
   /** When it last woke, by the world's time: nothing could leave it before. */
   wokeMs = 0
 
-  constructor(name: string, host: string, clock: SimClock, chance: Chance, tickMs: number, tick: () => Input, perform: (effect: Effect, life: number) => void) {
+  constructor(
+    name: string,
+    host: string,
+    clock: SimClock,
+    chance: Chance,
+    tickMs: number,
+    tick: () => Input,
+    perform: (effect: Effect, life: number) => void,
+  ) {
     this.name = name
     this.host = host
     this.#clock = clock
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -31,8 +31,21 @@
 const keptParts = 60
 const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
 type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
-interface Flight { server: SimServer; state: StandInServer; cancelled: boolean; end: () => void }
-interface Ask { service: string; kind: 'model' | 'service'; adapter: string; chain: string[]; lines: number; dueMs: number; request: string }
+interface Flight {
+  server: SimServer
+  state: StandInServer
+  cancelled: boolean
+  end: () => void
+}
+interface Ask {
+  service: string
+  kind: 'model' | 'service'
+  adapter: string
+  chain: string[]
+  lines: number
+  dueMs: number
+  request: string
+}
 
 export class Simulation {
   readonly options: SimOptions
@@ -44,7 +57,16 @@
   readonly sightings: Sighting[] = []
   readonly boxes = new Map<string, { process: Box; disk: SimDisk; address: string; zone: string }>()
   readonly linemen = new Map<string, { process: SimProcess<LinemanInput, LinemanEffect, LinemanMachine>; address: string; zone: string }>()
-  readonly turnouts = new Map<string, { process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>; address: string; zone: string; asks: Map<string, Ask>; flights: Map<string, Flight> }>()
+  readonly turnouts = new Map<
+    string,
+    {
+      process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>
+      address: string
+      zone: string
+      asks: Map<string, Ask>
+      flights: Map<string, Flight>
+    }
+  >()
   readonly servers = new Map<string, SimServer>()
   readonly waits: number[] = []
   readonly modelWaits: number[] = []
@@ -71,12 +93,39 @@
     this.#seeds = [...this.boxes.values()].map((box) => box.address)
     for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
     for (const server of deployment.servers) {
-      this.servers.set(server.name, { name: server.name, host: server.name, zone: server.zone, kind: server.kind, address: this.freshAddress(server.name), state: undefined, dark: false, lives: 0, draining: false, listed: true, lagMs: 200, orderLoss: 0, orderSlowMs: 0, breaksRuns: 0, kept: new Map(), watchers: new Set() })
+      this.servers.set(server.name, {
+        name: server.name,
+        host: server.name,
+        zone: server.zone,
+        kind: server.kind,
+        address: this.freshAddress(server.name),
+        state: undefined,
+        dark: false,
+        lives: 0,
+        draining: false,
+        listed: true,
+        lagMs: 200,
+        orderLoss: 0,
+        orderSlowMs: 0,
+        breaksRuns: 0,
+        kept: new Map(),
+        watchers: new Set(),
+      })
       this.startServer(server.name)
     }
     this.clock.every(50, () => {
-      const up = [...this.boxes.values()].filter(({ process }) => process.alive && !process.frozen && [...this.boxes.keys()].every((other) => this.network.connected(process.host, other)))
-      const heard = up.some(({ process }) => [...this.linemen.values()].some((post) => post.process.alive && this.network.connected(process.host, post.process.host) && this.network.connected(post.process.host, process.host)))
+      const up = [...this.boxes.values()].filter(
+        ({ process }) =>
+          process.alive && !process.frozen && [...this.boxes.keys()].every((other) => this.network.connected(process.host, other)),
+      )
+      const heard = up.some(({ process }) =>
+        [...this.linemen.values()].some(
+          (post) =>
+            post.process.alive &&
+            this.network.connected(process.host, post.process.host) &&
+            this.network.connected(post.process.host, process.host),
+        ),
+      )
       const down = up.length * 2 <= this.boxes.size || !heard || this.network.lossRatio > 0
       if (down && this.#downFromMs === undefined) this.#downFromMs = this.clock.nowMs
       else if (!down && this.#downFromMs !== undefined) {
@@ -84,7 +133,9 @@
         this.#downFromMs = undefined
       }
     })
-    this.clock.every(50, () => { for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs) })
+    this.clock.every(50, () => {
+      for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs)
+    })
     for (const name of this.boxes.keys()) this.startBox(name)
     for (const name of this.linemen.keys()) this.startPost(name)
   }
@@ -104,7 +155,17 @@
   #makeBox(name: string, zone: string): { process: Box; disk: SimDisk; address: string; zone: string } {
     const disk = new SimDisk(this.clock, this.chance.fork())
     disk.lies = this.options.broken === 'sync'
-    const process: Box = new SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>(name, name, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick', hour: 12 }), (effect, life) => { this.#performBox(name, effect, life) })
+    const process: Box = new SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>(
+      name,
+      name,
+      this.clock,
+      this.chance.fork(),
+      this.pace.tickMs,
+      () => ({ kind: 'tick', hour: 12 }),
+      (effect, life) => {
+        this.#performBox(name, effect, life)
+      },
+    )
     return { process, disk, address: this.freshAddress(name), zone }
   }
 
@@ -112,8 +173,24 @@
     const box = this.boxes.get(name)
     if (box === undefined || box.process.alive) return
     const { deployment } = this.options
-    const machine = new SignalboxMachine({ name, zone: box.zone, address: box.address, seeds: this.#seeds, seats: deployment.boxes.map((one) => one.name), rewriteBytes: 60_000, policy: this.options.policy }, this.pace, this.chance.fork(), box.disk.records, box.process.nowMs)
-    this.network.open(box.address, name, (from, fromAddress, message) => { box.process.deliver({ kind: 'message', from, fromAddress, message }) })
+    const machine = new SignalboxMachine(
+      {
+        name,
+        zone: box.zone,
+        address: box.address,
+        seeds: this.#seeds,
+        seats: deployment.boxes.map((one) => one.name),
+        rewriteBytes: 60_000,
+        policy: this.options.policy,
+      },
+      this.pace,
+      this.chance.fork(),
+      box.disk.records,
+      box.process.nowMs,
+    )
+    this.network.open(box.address, name, (from, fromAddress, message) => {
+      box.process.deliver({ kind: 'message', from, fromAddress, message })
+    })
     box.process.start(machine, machine.begin())
   }
 
@@ -140,9 +217,15 @@
     const box = this.boxes.get(name)
     if (box === undefined) return
     const { process } = box
-    const back = (waitMs: number, input: SignalboxInput) => { this.clock.after(waitMs, () => { if (process.life === life) process.deliver(input) }) }
+    const back = (waitMs: number, input: SignalboxInput) => {
+      this.clock.after(waitMs, () => {
+        if (process.life === life) process.deliver(input)
+      })
+    }
     switch (effect.kind) {
-      case 'send': this.network.send(name, name, box.address, effect.toAddress, effect.message); break
+      case 'send':
+        this.network.send(name, name, box.address, effect.toAddress, effect.message)
+        break
       case 'write': {
         box.disk.write(effect.records, effect.rewrite, () => {
           if (process.life !== life) return
@@ -157,35 +240,63 @@
         break
       }
       case 'askPlatform': {
-        const servers = [...this.servers.values()].filter((one) => one.listed).map((one) => ({ name: one.name, address: one.address, zone: one.zone, draining: one.draining && this.options.broken !== 'drain' }))
+        const servers = [...this.servers.values()]
+          .filter((one) => one.listed)
+          .map((one) => ({
+            name: one.name,
+            address: one.address,
+            zone: one.zone,
+            draining: one.draining && this.options.broken !== 'drain',
+          }))
         back(this.chance.between(2, 40), { kind: 'platform', servers })
         break
       }
       case 'ask': {
         const server = this.#serverAt(effect.address, name)
         if (server?.state === undefined) {
-          back(server === undefined ? 2 : this.pace.reportStaleMs / 2, { kind: 'reported', server: effect.server, report: undefined, askedMs: effect.askedMs })
+          back(server === undefined ? 2 : this.pace.reportStaleMs / 2, {
+            kind: 'reported',
+            server: effect.server,
+            report: undefined,
+            askedMs: effect.askedMs,
+          })
           break
         }
         const report = this.#bend(server.state.report(effect.tenure, this.clock.nowMs))
-        back(this.chance.between(1, 3) + server.lagMs * this.chance.between(0.5, 1.5), { kind: 'reported', server: effect.server, report, askedMs: effect.askedMs })
+        back(this.chance.between(1, 3) + server.lagMs * this.chance.between(0.5, 1.5), {
+          kind: 'reported',
+          server: effect.server,
+          report,
+          askedMs: effect.askedMs,
+        })
         break
       }
-      case 'order': this.#order(name, effect, back); break
-      case 'say': this.clock.note(effect.sentence); break
+      case 'order':
+        this.#order(name, effect, back)
+        break
+      case 'say':
+        this.clock.note(effect.sentence)
+        break
     }
   }
 
   /** Where a run is to break a rule of the dispatcher, its reports are bent. */
   #bend(report: Report): Report {
     if (this.options.broken === 'room') return { ...report, models: report.models.map((one) => ({ ...one, sizeMb: 0 })) }
-    if (this.options.broken === 'flights') return { ...report, models: report.models.map((one) => ({ ...one, flights: 0 })), adapters: report.adapters.map((one) => ({ ...one, flights: 0 })) }
+    if (this.options.broken === 'flights')
+      return {
+        ...report,
+        models: report.models.map((one) => ({ ...one, flights: 0 })),
+        adapters: report.adapters.map((one) => ({ ...one, flights: 0 })),
+      }
     return report
   }
 
   #order(name: string, effect: Extract<SignalboxEffect, { kind: 'order' }>, back: (waitMs: number, input: SignalboxInput) => void): void {
     const server = this.#serverAt(effect.address, name)
-    const reply = (kind: 'accepted' | 'turnedAway' | 'unknown', waitMs: number) => { back(waitMs, { kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply: kind }) }
+    const reply = (kind: 'accepted' | 'turnedAway' | 'unknown', waitMs: number) => {
+      back(waitMs, { kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply: kind })
+    }
     if (server === undefined || this.chance.hit(server.orderLoss / 2)) {
       reply('unknown', this.pace.reportStaleMs)
       return
@@ -200,11 +311,36 @@
   #makePost(name: string, zone: string): void {
     const host = `host-${name}`
     const turnout = `${name}-turnout`
-    const lineman = new SimProcess<LinemanInput, LinemanEffect, LinemanMachine>(name, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect) => {
-      if (effect.kind === 'send') this.network.send(name, host, this.linemen.get(name)?.address ?? '', effect.toAddress, this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message)
-      else this.clock.note(effect.sentence)
-    })
-    const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(turnout, host, this.clock, this.chance.fork(), this.pace.tickMs, () => ({ kind: 'tick' }), (effect, life) => { this.#performTurnout(name, effect, life) })
+    const lineman = new SimProcess<LinemanInput, LinemanEffect, LinemanMachine>(
+      name,
+      host,
+      this.clock,
+      this.chance.fork(),
+      this.pace.tickMs,
+      () => ({ kind: 'tick' }),
+      (effect) => {
+        if (effect.kind === 'send')
+          this.network.send(
+            name,
+            host,
+            this.linemen.get(name)?.address ?? '',
+            effect.toAddress,
+            this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message,
+          )
+        else this.clock.note(effect.sentence)
+      },
+    )
+    const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(
+      turnout,
+      host,
+      this.clock,
+      this.chance.fork(),
+      this.pace.tickMs,
+      () => ({ kind: 'tick' }),
+      (effect, life) => {
+        this.#performTurnout(name, effect, life)
+      },
+    )
     this.linemen.set(name, { process: lineman, address: this.freshAddress(host), zone })
     this.turnouts.set(name, { process: proxy, address: this.freshAddress(host), zone, asks: new Map(), flights: new Map() })
   }
@@ -214,12 +350,29 @@
     const turnout = this.turnouts.get(name)
     if (lineman === undefined || turnout === undefined) return
     if (!lineman.process.alive) {
-      lineman.process.start(new LinemanMachine({ name, zone: lineman.zone, address: lineman.address, seeds: this.#seeds, turnout: turnout.address }, this.pace, this.chance.fork(), lineman.process.nowMs))
-      this.network.open(lineman.address, lineman.process.host, (from, fromAddress, message) => { lineman.process.deliver({ kind: 'message', from, fromAddress, message }) })
+      lineman.process.start(
+        new LinemanMachine(
+          { name, zone: lineman.zone, address: lineman.address, seeds: this.#seeds, turnout: turnout.address },
+          this.pace,
+          this.chance.fork(),
+          lineman.process.nowMs,
+        ),
+      )
+      this.network.open(lineman.address, lineman.process.host, (from, fromAddress, message) => {
+        lineman.process.deliver({ kind: 'message', from, fromAddress, message })
+      })
     }
     if (turnout.process.alive) return
-    turnout.process.start(new TurnoutMachine({ name: `${name}-turnout`, seat: name, zone: turnout.zone, lineman: lineman.address }, this.pace, this.chance.fork()))
-    this.network.open(turnout.address, turnout.process.host, (from, fromAddress, message) => { turnout.process.deliver({ kind: 'message', from, fromAddress, message: this.#forTurnout(message) }) })
+    turnout.process.start(
+      new TurnoutMachine(
+        { name: `${name}-turnout`, seat: name, zone: turnout.zone, lineman: lineman.address },
+        this.pace,
+        this.chance.fork(),
+      ),
+    )
+    this.network.open(turnout.address, turnout.process.host, (from, fromAddress, message) => {
+      turnout.process.deliver({ kind: 'message', from, fromAddress, message: this.#forTurnout(message) })
+    })
   }
 
   /** Where a run is to break a rule of the turnouts, their news are bent. */
@@ -227,7 +380,10 @@
     const { broken } = this.options
     if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
     if ((broken === 'budget' || broken === 'emptied') && (message.kind === 'news' || message.kind === 'mend')) {
-      const bent = (value: string) => (broken === 'budget' ? value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000') : value.replaceAll('"emptied":true', '"emptied":false'))
+      const bent = (value: string) =>
+        broken === 'budget'
+          ? value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000')
+          : value.replaceAll('"emptied":true', '"emptied":false')
       return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: bent(row.value) } : row)) }
     }
     return message
@@ -264,7 +420,19 @@
     server.kept.clear()
     server.dark = false
     const { warmMs, coldLimit } = this.options.deployment.charter.defaults
-    server.state = new StandInServer({ ...plan, loadMbPerS: this.options.deployment.loadMbPerS, checksTenure: !this.options.uncheckedTenure, enforcesTenure: this.options.broken !== 'staleOrders' && !this.options.uncheckedTenure, warmMs, coldLimit }, `${name}.${String(server.lives)}`, this.clock.nowMs, this.see)
+    server.state = new StandInServer(
+      {
+        ...plan,
+        loadMbPerS: this.options.deployment.loadMbPerS,
+        checksTenure: !this.options.uncheckedTenure,
+        enforcesTenure: this.options.broken !== 'staleOrders' && !this.options.uncheckedTenure,
+        warmMs,
+        coldLimit,
+      },
+      `${name}.${String(server.lives)}`,
+      this.clock.nowMs,
+      this.see,
+    )
     this.see({ kind: 'serverUp', atMs: this.clock.nowMs, server: name, zone: server.zone })
   }
 
@@ -278,7 +446,10 @@
 
   #serverAt(address: string, fromHost: string): SimServer | undefined {
     for (const server of this.servers.values()) {
-      if (server.address === address) return this.network.connected(fromHost, server.host) && this.network.connected(server.host, fromHost) && !server.dark ? server : { ...server, state: undefined, dark: true }
+      if (server.address === address)
+        return this.network.connected(fromHost, server.host) && this.network.connected(server.host, fromHost) && !server.dark
+          ? server
+          : { ...server, state: undefined, dark: true }
     }
     return undefined
   }
@@ -289,10 +460,18 @@
     const turnout = this.turnouts.get(name)
     if (turnout === undefined) return
     const { process, asks, flights } = turnout
-    const back = (waitMs: number, input: TurnoutInput) => { this.clock.after(waitMs, () => { if (process.life === life) process.deliver(input) }) }
+    const back = (waitMs: number, input: TurnoutInput) => {
+      this.clock.after(waitMs, () => {
+        if (process.life === life) process.deliver(input)
+      })
+    }
     switch (effect.kind) {
-      case 'send': this.network.send(process.name, process.host, turnout.address, effect.toAddress, effect.message); break
-      case 'say': this.clock.note(effect.sentence); break
+      case 'send':
+        this.network.send(process.name, process.host, turnout.address, effect.toAddress, effect.message)
+        break
+      case 'say':
+        this.clock.note(effect.sentence)
+        break
       case 'attempt': {
         const server = this.#serverAt(effect.address, process.host)
         if (server?.dark === true) break
@@ -308,12 +487,22 @@
           if (real.state !== state || real.dark) return
           flights.set(effect.id, { server: real, state, cancelled: false, end: () => undefined })
           const said = this.options.broken === 'identity' ? effect.server : server.name
-          back(this.chance.between(0.2, 1), { kind: 'identified', id: effect.id, attempt: effect.attempt, server: said, incarnation: state.incarnation, upMs: this.options.broken === 'cold' ? 1e9 : state.upMs(this.clock.nowMs) })
+          back(this.chance.between(0.2, 1), {
+            kind: 'identified',
+            id: effect.id,
+            attempt: effect.attempt,
+            server: said,
+            incarnation: state.incarnation,
+            upMs: this.options.broken === 'cold' ? 1e9 : state.upMs(this.clock.nowMs),
+          })
         })
         break
       }
-      case 'go': this.#go(name, effect.id, effect.attempt, back); break
-      case 'relay': break
+      case 'go':
+        this.#go(name, effect.id, effect.attempt, back)
+        break
+      case 'relay':
+        break
       case 'release': {
         const flight = flights.get(effect.id)
         flights.delete(effect.id)
@@ -327,7 +516,16 @@
       case 'turnAway': {
         const ask = asks.get(effect.id)
         asks.delete(effect.id)
-        if (ask !== undefined) this.see({ kind: 'turnedAway', atMs: this.clock.nowMs, request: ask.request, status: effect.status, verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict, retryAfter: effect.retryAfterS > 0, wokeMs: process.wokeMs })
+        if (ask !== undefined)
+          this.see({
+            kind: 'turnedAway',
+            atMs: this.clock.nowMs,
+            request: ask.request,
+            status: effect.status,
+            verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict,
+            retryAfter: effect.retryAfterS > 0,
+            wokeMs: process.wokeMs,
+          })
         break
       }
       case 'breakOff': {
@@ -349,7 +547,9 @@
     const { server, state } = flight
     const { deployment } = this.options
     const broken = this.options.broken === 'verdict' ? Verdict.notRun : Verdict.mayHaveRun
-    const lost = () => { back(this.chance.between(0.2, 1), { kind: 'defect', id, attempt, verdict: broken, why: 'the connection broke' }) }
+    const lost = () => {
+      back(this.chance.between(0.2, 1), { kind: 'defect', id, attempt, verdict: broken, why: 'the connection broke' })
+    }
     this.clock.after(this.chance.between(0.2, 1), () => {
       if (flight.cancelled) return
       if (server.state !== state) {
@@ -363,7 +563,15 @@
       }
       const run = `${state.incarnation} ${ask.request} ${String(this.clock.nowMs)}`
       const sum = digest(run)
-      this.see({ kind: 'ran', atMs: this.clock.nowMs, request: ask.request, server: server.name, service: ask.service, sum, incarnation: state.incarnation })
+      this.see({
+        kind: 'ran',
+        atMs: this.clock.nowMs,
+        request: ask.request,
+        server: server.name,
+        service: ask.service,
+        sum,
+        incarnation: state.incarnation,
+      })
       state.begin(model, ask.adapter, this.clock.nowMs)
       this.#keep(server, ask)
       let open = true
@@ -399,15 +607,19 @@
         })
       }
       const runMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
-      this.clock.after(runMs / ask.lines, () => { 
+      this.clock.after(runMs / ask.lines, () => {
         if (!open || server.dark) return
         back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
-        this.clock.after(1.1, () => { headed = true })
+        this.clock.after(1.1, () => {
+          headed = true
+        })
       })
       this.clock.after(runMs + 1, () => {
         if (!open || server.dark) return
         flight.end()
-        this.clock.after(1.2, () => { finish(sum) })
+        this.clock.after(1.2, () => {
+          finish(sum)
+        })
       })
     })
   }
@@ -436,18 +648,47 @@
     this.#asked += 1
     const id = String(this.#asked)
     const request = `${course.service}-${id}`
-    const service = Object.values(this.options.deployment.charter.partners).map((branch) => branch.services[course.service]).find((one) => one !== undefined)
-    const adapter = course.adapters.length > 0 && chance.hit(0.5) ? chance.pick(course.adapters) ?? '' : ''
+    const service = Object.values(this.options.deployment.charter.partners)
+      .map((branch) => branch.services[course.service])
+      .find((one) => one !== undefined)
+    const adapter = course.adapters.length > 0 && chance.hit(0.5) ? (chance.pick(course.adapters) ?? '') : ''
     if (course.kind === 'model') {
       this.modelAsks += 1
-      if (![...this.servers.values()].some((one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true)) this.coldAsks += 1
+      if (
+        ![...this.servers.values()].some(
+          (one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true,
+        )
+      )
+        this.coldAsks += 1
     }
     const talk = chance.below(8)
-    const chain = course.kind === 'service' ? [] : Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(talk)}-${String(at)}`).concat(request)
+    const chain =
+      course.kind === 'service'
+        ? []
+        : Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(talk)}-${String(at)}`).concat(request)
     const dueInMs = 8000
-    turnout.asks.set(id, { service: course.service, kind: course.kind, adapter, chain, lines: course.lines, dueMs: this.clock.nowMs + dueInMs, request })
-    this.see({ kind: 'asked', atMs: this.clock.nowMs, request, service: course.service, repeatable: service?.repeatable ?? false, dueMs: this.clock.nowMs + dueInMs, proper: true })
-    const target = course.kind === 'model' ? { kind: 'model' as const, name: course.service, adapter, chain } : { kind: 'service' as const, name: course.service }
+    turnout.asks.set(id, {
+      service: course.service,
+      kind: course.kind,
+      adapter,
+      chain,
+      lines: course.lines,
+      dueMs: this.clock.nowMs + dueInMs,
+      request,
+    })
+    this.see({
+      kind: 'asked',
+      atMs: this.clock.nowMs,
+      request,
+      service: course.service,
+      repeatable: service?.repeatable ?? false,
+      dueMs: this.clock.nowMs + dueInMs,
+      proper: true,
+    })
+    const target =
+      course.kind === 'model'
+        ? { kind: 'model' as const, name: course.service, adapter, chain }
+        : { kind: 'service' as const, name: course.service }
     turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: this.options.broken === 'early' ? dueInMs / 100 : dueInMs })
   }
 
@@ -473,7 +714,9 @@
     this.clock.after(this.boxes.get(box)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
       if (this.#operations.delete(id)) done(504, 0, '')
     })
-    this.clock.after(1, () => { this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation }) })
+    this.clock.after(1, () => {
+      this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation })
+    })
   }
 
   /** Reads the charter's stamp at some core machine; nothing when it could not tell in time. */
@@ -484,26 +727,42 @@
       if (machine !== undefined) got(machine.register.charterStamp)
       return
     }
-    this.operate(box, { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.pace.askMs }, (status, stamp) => { if (status === 200) got(stamp) })
+    this.operate(
+      box,
+      { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.pace.askMs },
+      (status, stamp) => {
+        if (status === 200) got(stamp)
+      },
+    )
   }
 
   /** Writes as an operator who asks again, by the same operation id, until told how it ended. */
-  write(operation: string, action: 'charter.put' | 'charter.patch', text: string, ifMatch: number, settled: (status: number, stamp: number) => void): void {
+  write(
+    operation: string,
+    action: 'charter.put' | 'charter.patch',
+    text: string,
+    ifMatch: number,
+    settled: (status: number, stamp: number) => void,
+  ): void {
     this.see({ kind: 'wrote', atMs: this.clock.nowMs, operation, text, branch: '', action })
     const names = [...this.boxes.keys()]
     let at = this.chance.below(names.length)
     const again = () => {
       at += 1
-      this.operate(names[at % names.length] ?? '', { action, branch: '', text, ifMatch, operation, waitMs: this.pace.askMs }, (status, stamp) => {
-        if (status === 504) {
-          this.see({ kind: 'undecided', atMs: this.clock.nowMs, operation })
-          again()
-        } else {
-          if (status === 200) this.see({ kind: 'acknowledged', atMs: this.clock.nowMs, operation, stamp })
-          else this.see({ kind: 'notTaken', atMs: this.clock.nowMs, operation, status })
-          settled(status, stamp)
-        }
-      })
+      this.operate(
+        names[at % names.length] ?? '',
+        { action, branch: '', text, ifMatch, operation, waitMs: this.pace.askMs },
+        (status, stamp) => {
+          if (status === 504) {
+            this.see({ kind: 'undecided', atMs: this.clock.nowMs, operation })
+            again()
+          } else {
+            if (status === 200) this.see({ kind: 'acknowledged', atMs: this.clock.nowMs, operation, stamp })
+            else this.see({ kind: 'notTaken', atMs: this.clock.nowMs, operation, status })
+            settled(status, stamp)
+          }
+        },
+      )
     }
     again()
   }
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -43,7 +43,9 @@
 
   async open(port = 0): Promise<void> {
     this.state = this.#fresh()
-    const server = createServer((request, response) => { void this.#serve(request, response) })
+    const server = createServer((request, response) => {
+      void this.#serve(request, response)
+    })
     server.listen(port, '127.0.0.1')
     await once(server, 'listening')
     const bound = server.address()
@@ -96,10 +98,21 @@
     const lines = Number(request.headers['lines'] ?? 1)
     const text = Array.from({ length: lines }, (_, at) => `${run} line ${String(at + 1)} of ${String(lines)}\n`)
     const name = request.headers['request-id']
-    if (typeof name === 'string') this.#see({ kind: 'ran', atMs: clockMs(), request: name, server: this.name, service: model === '' ? String(request.headers['service-name']) : model, sum: digest(text.join('')), incarnation: state.incarnation })
+    if (typeof name === 'string')
+      this.#see({
+        kind: 'ran',
+        atMs: clockMs(),
+        request: name,
+        server: this.name,
+        service: model === '' ? String(request.headers['service-name']) : model,
+        sum: digest(text.join('')),
+        incarnation: state.incarnation,
+      })
     state.begin(model, adapter, clockMs())
     let here = true
-    const gone = once(response, 'close').then(() => { here = false })
+    const gone = once(response, 'close').then(() => {
+      here = false
+    })
     for (const line of text) {
       await pause(this.#runMs / lines)
       if (!here) break
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -9,7 +9,17 @@
 import type { Report } from '../gauge/Report.js'
 import type { Sighting } from './Sighting.js'
 
-interface Plan { name: string; zone: string; roomMb: number; places: number; loadMbPerS: number; checksTenure: boolean; enforcesTenure: boolean; warmMs: number; coldLimit: number }
+interface Plan {
+  name: string
+  zone: string
+  roomMb: number
+  places: number
+  loadMbPerS: number
+  checksTenure: boolean
+  enforcesTenure: boolean
+  warmMs: number
+  coldLimit: number
+}
 
 export class StandInServer {
   readonly plan: Plan
@@ -49,12 +59,14 @@
     else if (order.kind === 'attach') this.#land(this.#adapters, key, order.state)
     else if (order.kind === 'unload') {
       const model = this.#models.get(order.model)
-      if (model !== undefined && model.flights > 0) this.#broke('flights', `${order.model} was unloaded under ${String(model.flights)} streams`, nowMs)
+      if (model !== undefined && model.flights > 0)
+        this.#broke('flights', `${order.model} was unloaded under ${String(model.flights)} streams`, nowMs)
       this.#models.delete(order.model)
       for (const [name, adapter] of this.#adapters) if (adapter.model === order.model) this.#adapters.delete(name)
     } else {
       const adapter = this.#adapters.get(key)
-      if (adapter !== undefined && adapter.flights > 0) this.#broke('flights', `${key} was detached under ${String(adapter.flights)} streams`, nowMs)
+      if (adapter !== undefined && adapter.flights > 0)
+        this.#broke('flights', `${key} was detached under ${String(adapter.flights)} streams`, nowMs)
       this.#adapters.delete(key)
     }
   }
@@ -72,7 +84,18 @@
 
   take(order: Order, nowMs: number): number {
     this.advance(nowMs)
-    const seen = (taken: boolean) => { this.#see({ kind: 'ordered', atMs: nowMs, server: this.plan.name, incarnation: this.incarnation, tenure: order.tenure, number: order.number, order: `${order.kind} ${order.model}/${order.adapter}`, taken }) }
+    const seen = (taken: boolean) => {
+      this.#see({
+        kind: 'ordered',
+        atMs: nowMs,
+        server: this.plan.name,
+        incarnation: this.incarnation,
+        tenure: order.tenure,
+        number: order.number,
+        order: `${order.kind} ${order.model}/${order.adapter}`,
+        taken,
+      })
+    }
     if (this.#order?.tenure === order.tenure && this.#order.number === order.number) return 202
     const late = this.#order?.tenure === order.tenure && order.number < this.#order.number
     if (this.plan.enforcesTenure && (order.tenure < this.#tenure || late)) {
@@ -102,7 +125,8 @@
         this.#see({ kind: 'drew', atMs: nowMs, mb: order.sizeMb })
       }
       tookMs = 50
-      if (this.#adapters.size > this.plan.places) this.#broke('places', `${String(this.#adapters.size)} adapters in ${String(this.plan.places)} places`, nowMs)
+      if (this.#adapters.size > this.plan.places)
+        this.#broke('places', `${String(this.#adapters.size)} adapters in ${String(this.plan.places)} places`, nowMs)
     } else if (order.kind === 'unload') {
       const model = this.#models.get(order.model)
       if (model !== undefined) model.state = 'unloading'
@@ -143,7 +167,15 @@
     if (weights !== undefined) weights.flights += 1
     const attached = this.#adapters.get(`${model}/${adapter}`)
     if (attached !== undefined) attached.flights += 1
-    if (this.upMs(nowMs) < this.plan.warmMs) this.#see({ kind: 'coldRun', atMs: nowMs, server: this.plan.name, incarnation: this.incarnation, flights: this.#flights, limit: this.plan.coldLimit })
+    if (this.upMs(nowMs) < this.plan.warmMs)
+      this.#see({
+        kind: 'coldRun',
+        atMs: nowMs,
+        server: this.plan.name,
+        incarnation: this.incarnation,
+        flights: this.#flights,
+        limit: this.plan.coldLimit,
+      })
   }
 
   end(model: string, adapter: string): void {
@@ -158,8 +190,14 @@
 proof(import.meta.url, {
   'it writes down an order over its room, a second order, and a stale tenure it turned away': () => {
     const seen: Sighting[] = []
-    const server = new StandInServer({ name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, enforcesTenure: true, warmMs: 0, coldLimit: 1 }, 'i', 0, (one) => seen.push(one))
-    const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) => server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
+    const server = new StandInServer(
+      { name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, enforcesTenure: true, warmMs: 0, coldLimit: 1 },
+      'i',
+      0,
+      (one) => seen.push(one),
+    )
+    const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) =>
+      server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
     strictEqual(order(5, 1, 'a', 8, 0), 202)
     strictEqual(order(5, 2, 'b', 8, 1), 409)
     strictEqual(server.allows('a', '', 799), false)
@@ -167,6 +205,12 @@
     strictEqual(order(4, 9, 'b', 1, 900), 409)
     strictEqual(order(5, 3, 'b', 8, 900), 202)
     strictEqual(order(5, 2, 'c', 1, 901), 409)
-    strictEqual(seen.filter((one) => one.kind === 'broke').map((one) => one.rule).join(), 'twoOrders,room')
+    strictEqual(
+      seen
+        .filter((one) => one.kind === 'broke')
+        .map((one) => one.rule)
+        .join(),
+      'twoOrders,room',
+    )
   },
 })
--- a/src/testtrack/brokenRules.ts
+++ b/src/testtrack/brokenRules.ts
@@ -8,7 +8,17 @@
 import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
 
-interface BrokenRule { broken: string; rule: string; faults: string[]; deployment: string; together?: boolean; faultMs?: number; crowd?: number; seeds: number[]; spares?: string[] }
+interface BrokenRule {
+  broken: string
+  rule: string
+  faults: string[]
+  deployment: string
+  together?: boolean
+  faultMs?: number
+  crowd?: number
+  seeds: number[]
+  spares?: string[]
+}
 
 export const brokenRules: readonly BrokenRule[] = [
   { broken: 'verdict', rule: 'ranTwice', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
@@ -16,28 +26,76 @@
   { broken: 'whole', rule: 'whole', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'early', rule: 'turnedAway', faults: ['crowd'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'identity', rule: 'stray', faults: ['reuse-address'], deployment: 'siding', seeds: [1, 2, 3, 4, 5, 6, 7, 8] },
-  { broken: 'licence', rule: 'charter', faults: ['cut-post-from-system'], deployment: 'siding', faultMs: 12_000, seeds: [1, 2, 3, 4, 5, 6] },
+  {
+    broken: 'licence',
+    rule: 'charter',
+    faults: ['cut-post-from-system'],
+    deployment: 'siding',
+    faultMs: 12_000,
+    seeds: [1, 2, 3, 4, 5, 6],
+  },
   { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'reads', rule: 'reads', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'emptied', rule: 'emptied', faults: ['kill-turnout'], deployment: 'siding', seeds: [1, 2, 3] },
-  { broken: 'budget', rule: 'retries', faults: ['crowd', 'break-runs'], deployment: 'siding', together: true, crowd: 400, seeds: [9, 12, 16] },
+  {
+    broken: 'budget',
+    rule: 'retries',
+    faults: ['crowd', 'break-runs'],
+    deployment: 'siding',
+    together: true,
+    crowd: 400,
+    seeds: [9, 12, 16],
+  },
   { broken: 'cold', rule: 'cold', faults: ['crash-server', 'crowd'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'room', rule: 'room', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2], spares: ['recovery'] },
   { broken: 'places', rule: 'room', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2, 3, 4, 5, 6], spares: ['recovery'] },
   { broken: 'flights', rule: 'flights', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2, 3, 4, 5, 6], spares: ['recovery'] },
   { broken: 'store', rule: 'store', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2], spares: ['recovery'] },
-  { broken: 'staleOrders', rule: 'controllers', faults: ['order-trouble', 'kill-dispatcher'], deployment: 'tight', together: true, seeds: [1, 2, 3, 4, 5, 6, 7, 8], spares: ['recovery'] },
+  {
+    broken: 'staleOrders',
+    rule: 'controllers',
+    faults: ['order-trouble', 'kill-dispatcher'],
+    deployment: 'tight',
+    together: true,
+    seeds: [1, 2, 3, 4, 5, 6, 7, 8],
+    spares: ['recovery'],
+  },
 ]
 
 function run(one: BrokenRule, seed: number, broken: string): string[] {
   const deployment = Deployment.of(one.deployment)
   if (deployment === undefined) throw new Error(`no deployment is named ${one.deployment}`)
-  return runSimulation({ deployment, seed, faults: one.faults, calmMs: 6000, faultMs: one.faultMs ?? 4000, quietMs: 16_000, broken, crowd: one.crowd ?? 150, together: one.together ?? false, uncheckedTenure: false, policy: edgeMulti }).broken
+  return runSimulation({
+    deployment,
+    seed,
+    faults: one.faults,
+    calmMs: 6000,
+    faultMs: one.faultMs ?? 4000,
+    quietMs: 16_000,
+    broken,
+    crowd: one.crowd ?? 150,
+    together: one.together ?? false,
+    uncheckedTenure: false,
+    policy: edgeMulti,
+  }).broken
 }
 
-proof(import.meta.url, Object.fromEntries(brokenRules.map((one) => [`${one.rule} bites when ${one.broken} is broken, and only then`, () => {
-  const seed = one.seeds.find((at) => run(one, at, one.broken).includes(one.rule))
-  ok(seed !== undefined, `no seed of ${one.seeds.join()} broke ${one.rule}`)
-  strictEqual(run(one, seed, '').filter((rule) => one.spares?.includes(rule) !== true).join(), '')
-}])))
+proof(
+  import.meta.url,
+  Object.fromEntries(
+    brokenRules.map((one) => [
+      `${one.rule} bites when ${one.broken} is broken, and only then`,
+      () => {
+        const seed = one.seeds.find((at) => run(one, at, one.broken).includes(one.rule))
+        ok(seed !== undefined, `no seed of ${one.seeds.join()} broke ${one.rule}`)
+        strictEqual(
+          run(one, seed, '')
+            .filter((rule) => one.spares?.includes(rule) !== true)
+            .join(),
+          '',
+        )
+      },
+    ]),
+  ),
+)
