--- a/src/testtrack/judge.ts
+++ b/src/testtrack/judge.ts
@@ -8,7 +8,17 @@
 import { Verdict } from '../gauge/Verdict.js'
 import type { Sighting } from './Sighting.js'
 
-interface Case { sightings: readonly Sighting[]; bounds: Bounds; zones: ReadonlyMap<string, string>; allowed: (service: string, server: string, atMs: number) => boolean; paceMbPerS: number; burstMb: number; retryRatio: number; retryAllowance: number; slackMs: number }
+interface Case {
+  sightings: readonly Sighting[]
+  bounds: Bounds
+  zones: ReadonlyMap<string, string>
+  allowed: (service: string, server: string, atMs: number) => boolean
+  paceMbPerS: number
+  burstMb: number
+  retryRatio: number
+  retryAllowance: number
+  slackMs: number
+}
 type Kind<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
 
 const retryWindowMs = 5000
@@ -35,64 +45,124 @@
   const asked = new Map(of('asked').map((one) => [one.request, one]))
   const runs = new Map<string, Kind<'ran'>[]>()
   for (const ran of of('ran')) runs.set(ran.request, [...(runs.get(ran.request) ?? []), ran])
-  const rules: Record<string, string[]> = { ranTwice: [], notRunRan: [], whole: [], turnedAway: [], stray: [], charter: [], reads: [], drain: [], emptied: [], retries: [], cold: [], room: [], flights: [], store: [], controllers: [], recovery: [] }
-  const tell = (rule: string, what: string) => { rules[rule]?.push(what) }
+  const rules: Record<string, string[]> = {
+    ranTwice: [],
+    notRunRan: [],
+    whole: [],
+    turnedAway: [],
+    stray: [],
+    charter: [],
+    reads: [],
+    drain: [],
+    emptied: [],
+    retries: [],
+    cold: [],
+    room: [],
+    flights: [],
+    store: [],
+    controllers: [],
+    recovery: [],
+  }
+  const tell = (rule: string, what: string) => {
+    rules[rule]?.push(what)
+  }
 
   for (const [request, list] of runs) {
     const ask = asked.get(request)
     if (ask === undefined) tell('stray', `${request} was never asked`)
     else if (!ask.repeatable && list.length > 1) tell('ranTwice', `${request} ran ${String(list.length)} times`)
-    for (const ran of list) if (!given.allowed(ran.service, ran.server, ran.atMs)) tell('stray', `${request} for ${ran.service} ran at ${ran.server}`)
+    for (const ran of list)
+      if (!given.allowed(ran.service, ran.server, ran.atMs)) tell('stray', `${request} for ${ran.service} ran at ${ran.server}`)
   }
   for (const away of of('turnedAway')) {
     const ask = asked.get(away.request)
     const ran = runs.get(away.request)
-    if ((away.verdict === Verdict.notRun || (away.status >= 400 && away.status < 500)) && ran !== undefined) tell('notRunRan', `${away.request} was told ${String(away.status)} NotRun and ran`)
+    if ((away.verdict === Verdict.notRun || (away.status >= 400 && away.status < 500)) && ran !== undefined)
+      tell('notRunRan', `${away.request} was told ${String(away.status)} NotRun and ran`)
     if (away.verdict === undefined) tell('turnedAway', `${away.request} got ${String(away.status)} without a verdict`)
     if (ask?.proper !== true) continue
     if (away.status < 500) tell('turnedAway', `${away.request} is proper and got ${String(away.status)}`)
     if (!away.retryAfter) tell('turnedAway', `${away.request} was not told when to come back`)
-    if (away.verdict === Verdict.notRun && away.atMs < ask.dueMs - slackMs) tell('turnedAway', `${away.request} was given up ${String(Math.round(ask.dueMs - away.atMs))} ms before its due`)
-    if (away.atMs > Math.max(ask.dueMs, away.wokeMs + (ask.atMs < away.wokeMs ? ask.dueMs - ask.atMs : 0)) + slackMs) tell('turnedAway', `${away.request} was told ${String(Math.round(away.atMs - ask.dueMs))} ms after its due`)
+    if (away.verdict === Verdict.notRun && away.atMs < ask.dueMs - slackMs)
+      tell('turnedAway', `${away.request} was given up ${String(Math.round(ask.dueMs - away.atMs))} ms before its due`)
+    if (away.atMs > Math.max(ask.dueMs, away.wokeMs + (ask.atMs < away.wokeMs ? ask.dueMs - ask.atMs : 0)) + slackMs)
+      tell('turnedAway', `${away.request} was told ${String(Math.round(away.atMs - ask.dueMs))} ms after its due`)
   }
   for (const whole of of('whole')) {
-    if (whole.status < 300 && !(runs.get(whole.request) ?? []).some((ran) => ran.sum === whole.sum)) tell('whole', `${whole.request} got what no server said`)
+    if (whole.status < 300 && !(runs.get(whole.request) ?? []).some((ran) => ran.sum === whole.sum))
+      tell('whole', `${whole.request} got what no server said`)
   }
   const operations = new Map(of('wrote').map((one) => [one.operation, one]))
   const back = new Map(of('readBack').map((one) => [one.stamp, one.text]))
   for (const ack of of('acknowledged')) {
     const wrote = operations.get(ack.operation)
-    if (wrote !== undefined && back.size > 0 && back.get(ack.stamp) !== wrote.text) tell('charter', `${ack.operation} at stamp ${String(ack.stamp)} does not read back`)
+    if (wrote !== undefined && back.size > 0 && back.get(ack.stamp) !== wrote.text)
+      tell('charter', `${ack.operation} at stamp ${String(ack.stamp)} does not read back`)
   }
   const histories = of('history').map((one) => one.operations)
   const last = histories.at(-1)
   if (last !== undefined) {
-    for (const ack of of('acknowledged')) if (!last.includes(ack.operation)) tell('charter', `${ack.operation} was acknowledged and is gone`)
-    for (const not of of('notTaken')) if (last.includes(not.operation)) tell('charter', `${not.operation} was told ${String(not.status)} and took effect`)
+    for (const ack of of('acknowledged'))
+      if (!last.includes(ack.operation)) tell('charter', `${ack.operation} was acknowledged and is gone`)
+    for (const not of of('notTaken'))
+      if (last.includes(not.operation)) tell('charter', `${not.operation} was told ${String(not.status)} and took effect`)
   }
   const acks = of('acknowledged')
   const reads = of('read')
   for (const read of reads) {
-    const least = Math.max(0, ...acks.filter((ack) => ack.atMs < read.fromMs).map((ack) => ack.stamp), ...reads.filter((one) => one.atMs < read.fromMs).map((one) => one.stamp))
+    const least = Math.max(
+      0,
+      ...acks.filter((ack) => ack.atMs < read.fromMs).map((ack) => ack.stamp),
+      ...reads.filter((one) => one.atMs < read.fromMs).map((one) => one.stamp),
+    )
     if (read.stamp < least) tell('reads', `a read gave stamp ${String(read.stamp)} after ${String(least)} had been seen`)
   }
   const downs = of('coreDown')
   /** A bound on news runs from when there was a core that could give them. */
-  const heard = (atMs: number, graceMs: number) => Math.max(atMs, ...downs.filter((down) => down.fromMs < atMs + graceMs && down.atMs > atMs).map((down) => down.atMs))
-  const spans = (events: { atMs: number; on: boolean; ackedMs?: number }[], graceMs: number) => events.flatMap((event, at) => (event.on ? [{ fromMs: Math.min(heard(event.atMs, graceMs) + graceMs, (event.ackedMs ?? Infinity) + bounds.charterMs), toMs: events[at + 1]?.atMs ?? Infinity }] : []))
+  const heard = (atMs: number, graceMs: number) =>
+    Math.max(atMs, ...downs.filter((down) => down.fromMs < atMs + graceMs && down.atMs > atMs).map((down) => down.atMs))
+  const spans = (events: { atMs: number; on: boolean; ackedMs?: number }[], graceMs: number) =>
+    events.flatMap((event, at) =>
+      event.on
+        ? [
+            {
+              fromMs: Math.min(heard(event.atMs, graceMs) + graceMs, (event.ackedMs ?? Infinity) + bounds.charterMs),
+              toMs: events[at + 1]?.atMs ?? Infinity,
+            },
+          ]
+        : [],
+    )
   const bars = new Map<string, { atMs: number; on: boolean; ackedMs: number }[]>()
-  for (const one of of('barred')) bars.set(`${one.service} ${one.server}`, [...(bars.get(`${one.service} ${one.server}`) ?? []), { atMs: one.atMs, on: one.barred, ackedMs: one.ackedMs }])
+  for (const one of of('barred'))
+    bars.set(`${one.service} ${one.server}`, [
+      ...(bars.get(`${one.service} ${one.server}`) ?? []),
+      { atMs: one.atMs, on: one.barred, ackedMs: one.ackedMs },
+    ])
   for (const [key, events] of bars) {
     const closed = spans(events, 1e9)
-    for (const ran of of('ran')) if (`${ran.service} ${ran.server}` === key && closed.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('charter', `${ran.request} ran at ${ran.server}, which its charter had barred`)
+    for (const ran of of('ran'))
+      if (`${ran.service} ${ran.server}` === key && closed.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs))
+        tell('charter', `${ran.request} ran at ${ran.server}, which its charter had barred`)
   }
   for (const server of given.zones.keys()) {
-    const drains = spans(of('platform').filter((one) => one.server === server).map((one) => ({ atMs: one.atMs, on: one.draining || !one.listed })), bounds.drainMs)
-    const empties = spans(of('emptied').filter((one) => one.zone === given.zones.get(server)).map((one) => ({ atMs: one.atMs, on: one.emptied, ackedMs: one.ackedMs })), bounds.emptyMs)
+    const drains = spans(
+      of('platform')
+        .filter((one) => one.server === server)
+        .map((one) => ({ atMs: one.atMs, on: one.draining || !one.listed })),
+      bounds.drainMs,
+    )
+    const empties = spans(
+      of('emptied')
+        .filter((one) => one.zone === given.zones.get(server))
+        .map((one) => ({ atMs: one.atMs, on: one.emptied, ackedMs: one.ackedMs })),
+      bounds.emptyMs,
+    )
     for (const ran of of('ran')) {
       if (ran.server !== server) continue
-      if (drains.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('drain', `${ran.request} ran at ${server} while it drains`)
-      if (empties.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs)) tell('emptied', `${ran.request} ran at ${server} in an emptied zone`)
+      if (drains.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs))
+        tell('drain', `${ran.request} ran at ${server} while it drains`)
+      if (empties.some((span) => ran.atMs > span.fromMs && ran.atMs < span.toMs))
+        tell('emptied', `${ran.request} ran at ${server} in an emptied zone`)
     }
   }
   const tries = new Map<string, { atMs: number; again: boolean }[]>()
@@ -103,10 +173,13 @@
   }
   for (const [service, list] of tries) {
     const worst = mostAgain(list, given.retryRatio)
-    if (worst > given.retryAllowance) tell('retries', `${service} got ${worst.toFixed(1)} further tries over the ratio within ${String(retryWindowMs)} ms`)
+    if (worst > given.retryAllowance)
+      tell('retries', `${service} got ${worst.toFixed(1)} further tries over the ratio within ${String(retryWindowMs)} ms`)
   }
-  for (const cold of of('coldRun')) if (cold.flights > cold.limit) tell('cold', `${cold.server} had ${String(cold.flights)} requests of ${String(cold.limit)} while cold`)
-  for (const broke of of('broke')) tell(broke.rule === 'flights' ? 'flights' : broke.rule === 'twoOrders' ? 'controllers' : 'room', `${broke.server}: ${broke.what}`)
+  for (const cold of of('coldRun'))
+    if (cold.flights > cold.limit) tell('cold', `${cold.server} had ${String(cold.flights)} requests of ${String(cold.limit)} while cold`)
+  for (const broke of of('broke'))
+    tell(broke.rule === 'flights' ? 'flights' : broke.rule === 'twoOrders' ? 'controllers' : 'room', `${broke.server}: ${broke.what}`)
   const drew = of('drew')
   drew.forEach((from, at) => {
     let mb = 0
@@ -121,7 +194,8 @@
   const tenures = new Map<string, number>()
   for (const order of of('ordered')) {
     if (!order.taken) continue
-    if (order.tenure < (tenures.get(order.server) ?? 0)) tell('controllers', `${order.server} took an order of tenure ${String(order.tenure)} after a newer one`)
+    if (order.tenure < (tenures.get(order.server) ?? 0))
+      tell('controllers', `${order.server} took an order of tenure ${String(order.tenure)} after a newer one`)
     tenures.set(order.server, order.tenure)
   }
   const closed = of('faultClosed')
@@ -130,22 +204,62 @@
     const toMs = closed[at + 1]?.atMs ?? Infinity
     for (const away of [...of('turnedAway'), ...of('brokenOff')]) {
       const ask = asked.get(away.request)
-      if (ask?.proper === true && ask.atMs > fromMs && away.atMs < toMs) tell('recovery', `${away.request} failed after ${fault.fault} had been over for ${String(bounds.recoverMs)} ms`)
+      if (ask?.proper === true && ask.atMs > fromMs && away.atMs < toMs)
+        tell('recovery', `${away.request} failed after ${fault.fault} had been over for ${String(bounds.recoverMs)} ms`)
     }
   })
   return rules
 }
 
 const verdict = (sightings: Sighting[]) => {
-  const rules = judge({ sightings, bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }, zones: new Map([['s', 'a']]), allowed: (_service, server) => server === 's', paceMbPerS: 10, burstMb: 20, retryRatio: 0.2, retryAllowance: 0, slackMs: 100 })
-  return Object.entries(rules).filter(([, list]) => list.length > 0).map(([rule]) => rule)
+  const rules = judge({
+    sightings,
+    bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
+    zones: new Map([['s', 'a']]),
+    allowed: (_service, server) => server === 's',
+    paceMbPerS: 10,
+    burstMb: 20,
+    retryRatio: 0.2,
+    retryAllowance: 0,
+    slackMs: 100,
+  })
+  return Object.entries(rules)
+    .filter(([, list]) => list.length > 0)
+    .map(([rule]) => rule)
 }
-const ask = (request: string, more: object = {}): Sighting => ({ kind: 'asked', atMs: 0, request, service: 'x', repeatable: false, dueMs: 1000, proper: true, ...more })
-const ran = (request: string, more: object = {}): Sighting => ({ kind: 'ran', atMs: 10, request, server: 's', service: 'x', sum: 1, incarnation: 'i', ...more })
+const ask = (request: string, more: object = {}): Sighting => ({
+  kind: 'asked',
+  atMs: 0,
+  request,
+  service: 'x',
+  repeatable: false,
+  dueMs: 1000,
+  proper: true,
+  ...more,
+})
+const ran = (request: string, more: object = {}): Sighting => ({
+  kind: 'ran',
+  atMs: 10,
+  request,
+  server: 's',
+  service: 'x',
+  sum: 1,
+  incarnation: 'i',
+  ...more,
+})
 proof(import.meta.url, {
   'each checker bites, and a clean run passes': () => {
     const whole: Sighting = { kind: 'whole', atMs: 20, request: 'r', status: 200, sum: 1 }
-    const away = (more: object): Sighting => ({ kind: 'turnedAway', atMs: 1000, request: 'r', status: 503, verdict: 'NotRun', retryAfter: true, wokeMs: 0, ...more })
+    const away = (more: object): Sighting => ({
+      kind: 'turnedAway',
+      atMs: 1000,
+      request: 'r',
+      status: 503,
+      verdict: 'NotRun',
+      retryAfter: true,
+      wokeMs: 0,
+      ...more,
+    })
     deepStrictEqual(verdict([ask('r'), ran('r'), whole]), [])
     deepStrictEqual(verdict([ask('r'), ran('r'), ran('r'), whole]), ['ranTwice', 'retries'])
     deepStrictEqual(verdict([ask('r'), ran('r'), { ...whole, sum: 2 }]), ['whole'])
@@ -156,23 +270,77 @@
     deepStrictEqual(verdict([ask('r'), away({ status: 404 })]), ['turnedAway'])
     deepStrictEqual(verdict([ask('r'), ran('r', { server: 't' }), whole]), ['stray'])
     deepStrictEqual(verdict([ran('r')]), ['stray'])
-    deepStrictEqual(verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, ask('r'), ran('r', { atMs: 3001 })]), ['drain'])
-    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['emptied'])
-    deepStrictEqual(verdict([{ kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), ['charter'])
-    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 0, operation: 'o', stamp: 1 }, { kind: 'history', atMs: 9, operations: ['p'] }]), ['charter'])
+    deepStrictEqual(
+      verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, ask('r'), ran('r', { atMs: 3001 })]),
+      ['drain'],
+    )
+    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), [
+      'emptied',
+    ])
+    deepStrictEqual(
+      verdict([{ kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]),
+      ['charter'],
+    )
+    deepStrictEqual(
+      verdict([
+        { kind: 'acknowledged', atMs: 0, operation: 'o', stamp: 1 },
+        { kind: 'history', atMs: 9, operations: ['p'] },
+      ]),
+      ['charter'],
+    )
     const read = (fromMs: number, atMs: number, stamp: number): Sighting => ({ kind: 'read', fromMs, atMs, stamp })
     deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(4, 9, 2)]), [])
     deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(6, 9, 2)]), ['reads'])
     deepStrictEqual(verdict([read(1, 2, 7), read(3, 4, 6)]), ['reads'])
-    deepStrictEqual(verdict([{ kind: 'notTaken', atMs: 0, operation: 'o', status: 412 }, { kind: 'history', atMs: 9, operations: ['o'] }]), ['charter'])
-    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, ask('r'), ran('r', { atMs: 5001 })]), ['emptied'])
+    deepStrictEqual(
+      verdict([
+        { kind: 'notTaken', atMs: 0, operation: 'o', status: 412 },
+        { kind: 'history', atMs: 9, operations: ['o'] },
+      ]),
+      ['charter'],
+    )
+    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, ask('r'), ran('r', { atMs: 5001 })]), [
+      'emptied',
+    ])
     deepStrictEqual(verdict([{ kind: 'coldRun', atMs: 0, server: 's', incarnation: 'i', flights: 3, limit: 2 }]), ['cold'])
-    deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 900, mb: 20 }]), ['store'])
-    deepStrictEqual(verdict([{ kind: 'drew', atMs: 0, mb: 20 }, { kind: 'drew', atMs: 2000, mb: 20 }]), [])
-    for (const rule of ['room', 'flights'] as const) deepStrictEqual(verdict([{ kind: 'broke', atMs: 0, server: 's', rule, what: '' }]), [rule])
-    const order = (tenure: number): Sighting => ({ kind: 'ordered', atMs: 0, server: 's', incarnation: 'i', tenure, number: 1, order: '', taken: true })
+    deepStrictEqual(
+      verdict([
+        { kind: 'drew', atMs: 0, mb: 20 },
+        { kind: 'drew', atMs: 900, mb: 20 },
+      ]),
+      ['store'],
+    )
+    deepStrictEqual(
+      verdict([
+        { kind: 'drew', atMs: 0, mb: 20 },
+        { kind: 'drew', atMs: 2000, mb: 20 },
+      ]),
+      [],
+    )
+    for (const rule of ['room', 'flights'] as const)
+      deepStrictEqual(verdict([{ kind: 'broke', atMs: 0, server: 's', rule, what: '' }]), [rule])
+    const order = (tenure: number): Sighting => ({
+      kind: 'ordered',
+      atMs: 0,
+      server: 's',
+      incarnation: 'i',
+      tenure,
+      number: 1,
+      order: '',
+      taken: true,
+    })
     deepStrictEqual(verdict([order(2), order(1)]), ['controllers'])
-    deepStrictEqual(verdict([{ kind: 'wrote', atMs: 0, operation: 'o', text: 'a', branch: '', action: 'put' }, { kind: 'acknowledged', atMs: 1, operation: 'o', stamp: 5 }, { kind: 'readBack', atMs: 9, stamp: 5, text: 'b' }]), ['charter'])
-    deepStrictEqual(verdict([{ kind: 'faultClosed', atMs: 0, fault: 'f' }, ask('r', { atMs: 12500, dueMs: 13500 }), away({ atMs: 13500 })]), ['recovery'])
+    deepStrictEqual(
+      verdict([
+        { kind: 'wrote', atMs: 0, operation: 'o', text: 'a', branch: '', action: 'put' },
+        { kind: 'acknowledged', atMs: 1, operation: 'o', stamp: 5 },
+        { kind: 'readBack', atMs: 9, stamp: 5, text: 'b' },
+      ]),
+      ['charter'],
+    )
+    deepStrictEqual(
+      verdict([{ kind: 'faultClosed', atMs: 0, fault: 'f' }, ask('r', { atMs: 12500, dueMs: 13500 }), away({ atMs: 13500 })]),
+      ['recovery'],
+    )
   },
 })
--- a/src/testtrack/keptSeeds.ts
+++ b/src/testtrack/keptSeeds.ts
@@ -9,26 +9,84 @@
 import { runSimulation } from './runSimulation.js'
 import { simFaults } from './simFaults.js'
 
-interface KeptSeed { seed: number; faults: string[]; together: boolean; was: string; unchecked?: boolean }
+interface KeptSeed {
+  seed: number
+  faults: string[]
+  together: boolean
+  was: string
+  unchecked?: boolean
+}
 
 export const keptSeeds: readonly KeptSeed[] = [
   ...Object.keys(simFaults).map((name) => ({ seed: 1, faults: [name], together: false, was: '' })),
-  { seed: 13, faults: ['cut-leader-off', 'kill-leader'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
-  { seed: 17, faults: ['kill-dispatcher', 'freeze-post'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
-  { seed: 23, faults: ['freeze-dispatcher', 'kill-box'], together: false, was: 'an operator waited 9 s for a machine that could not answer' },
-  { seed: 19, faults: ['order-trouble', 'kill-turnout'], together: false, was: 'a late copy of an older order was taken for a second order' },
+  {
+    seed: 13,
+    faults: ['cut-leader-off', 'kill-leader'],
+    together: false,
+    was: 'an operator waited 9 s for a machine that could not answer',
+  },
+  {
+    seed: 17,
+    faults: ['kill-dispatcher', 'freeze-post'],
+    together: false,
+    was: 'an operator waited 9 s for a machine that could not answer',
+  },
+  {
+    seed: 23,
+    faults: ['freeze-dispatcher', 'kill-box'],
+    together: false,
+    was: 'an operator waited 9 s for a machine that could not answer',
+  },
+  {
+    seed: 19,
+    faults: ['order-trouble', 'kill-turnout'],
+    together: false,
+    was: 'a late copy of an older order was taken for a second order',
+  },
   { seed: 22, faults: ['split-core', 'order-trouble'], together: false, was: 'a late copy of an older order was taken for a second order' },
   { seed: 4, faults: ['break-runs'], together: false, was: 'a request that had run was told NotRun when its due passed' },
-  ...[2, 12, 21].map((seed) => ({ seed, faults: ['split-core', 'order-trouble'], together: true, unchecked: true, was: 'a second copy of an order came late to a server that cannot check' })),
-  { seed: 1, faults: ['kill-dispatcher'], together: false, unchecked: true, was: 'the first dispatcher there ever was waited for orders of a predecessor' },
+  ...[2, 12, 21].map((seed) => ({
+    seed,
+    faults: ['split-core', 'order-trouble'],
+    together: true,
+    unchecked: true,
+    was: 'a second copy of an order came late to a server that cannot check',
+  })),
+  {
+    seed: 1,
+    faults: ['kill-dispatcher'],
+    together: false,
+    unchecked: true,
+    was: 'the first dispatcher there ever was waited for orders of a predecessor',
+  },
   { seed: 105, faults: ['break-runs', 'freeze-turnout'], together: true, was: 'the judge held a frozen turnout to its dues' },
   { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the judge wanted a drain obeyed that no core could tell' },
 ]
 
-proof(import.meta.url, Object.fromEntries(keptSeeds.map(({ seed, faults, together, was, unchecked }) => [`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
-  const deployment = Deployment.of('siding')
-  if (deployment === undefined) throw new Error('no siding')
-  const result = runSimulation({ deployment, seed, faults, calmMs: 6000, faultMs: 4000, quietMs: 22_000, broken: '', crowd: 150, together, uncheckedTenure: unchecked ?? false, policy: edgeMulti })
-  strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
-  strictEqual(result.whole > 300, true)
-}])))
+proof(
+  import.meta.url,
+  Object.fromEntries(
+    keptSeeds.map(({ seed, faults, together, was, unchecked }) => [
+      `${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`,
+      () => {
+        const deployment = Deployment.of('siding')
+        if (deployment === undefined) throw new Error('no siding')
+        const result = runSimulation({
+          deployment,
+          seed,
+          faults,
+          calmMs: 6000,
+          faultMs: 4000,
+          quietMs: 22_000,
+          broken: '',
+          crowd: 150,
+          together,
+          uncheckedTenure: unchecked ?? false,
+          policy: edgeMulti,
+        })
+        strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
+        strictEqual(result.whole > 300, true)
+      },
+    ]),
+  ),
+)
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -14,8 +14,12 @@
 import { simFaults } from './simFaults.js'
 import { sweep } from './sweep.js'
 
-const say = (line: string) => { process.stdout.write(`${line}\n`) }
-process.stdout.on('error', () => { process.exit(1) })
+const say = (line: string) => {
+  process.stdout.write(`${line}\n`)
+}
+process.stdout.on('error', () => {
+  process.exit(1)
+})
 const unknown = (what: string, known: readonly string[]) => {
   process.stderr.write(`testtrack: ${what}; known are: ${known.join(', ')}\n`)
   process.exitCode = 2
@@ -27,7 +31,12 @@
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
-    faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${runFleet.faults.join(', ')}, or all` }),
+    faults: option({
+      long: 'faults',
+      type: string,
+      defaultValue: () => '',
+      description: `comma-separated: ${runFleet.faults.join(', ')}, or all`,
+    }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
     folder: option({ long: 'folder', type: optional(string), description: 'where startup files, logs and data go' }),
   },
@@ -38,7 +47,7 @@
     if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
     else if (strange !== undefined) unknown(`no fault is named ${strange}`, runFleet.faults)
     else {
-      const folder = given.folder ?? await mkdtemp(join(tmpdir(), 'testtrack-'))
+      const folder = given.folder ?? (await mkdtemp(join(tmpdir(), 'testtrack-')))
       say(`startup files, logs and data: ${folder}`)
       const passes = await runFleet.run({ deployment, folder, seconds: Math.min(given.seconds, 600), faults, seed: given.seed, say })
       process.exitCode = passes ? 0 : 1
@@ -52,7 +61,12 @@
     deployment: positional({ type: string, displayName: 'deployment' }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
     seeds: option({ long: 'seeds', type: number, defaultValue: () => 1, description: 'how many seeds' }),
-    faults: option({ long: 'faults', type: string, defaultValue: () => '', description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs` }),
+    faults: option({
+      long: 'faults',
+      type: string,
+      defaultValue: () => '',
+      description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs`,
+    }),
     together: flag({ long: 'together', description: 'all the faults at once instead of one after another' }),
     faultMs: option({ long: 'fault-ms', type: number, defaultValue: () => 4000, description: 'how long each fault lasts' }),
     broken: option({ long: 'broken', type: string, defaultValue: () => '', description: 'a rule to break on purpose' }),
@@ -78,7 +92,16 @@
   handler: (given) => {
     const deployment = Deployment.of(given.deployment)
     if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
-    else compare(deployment, Array.from({ length: given.seeds }, (_, at) => given.seed + at), given.minutes, say)
+    else
+      compare(
+        deployment,
+        Array.from({ length: given.seeds }, (_, at) => given.seed + at),
+        given.minutes,
+        say,
+      )
   },
 })
-await runCommand(subcommands({ name: 'testtrack', description: "Tries springpaddle out against stand-ins.", cmds: { fleet, sim, compare: versus } }), process.argv.slice(2))
+await runCommand(
+  subcommands({ name: 'testtrack', description: 'Tries springpaddle out against stand-ins.', cmds: { fleet, sim, compare: versus } }),
+  process.argv.slice(2),
+)
--- a/src/testtrack/proxyProof.ts
+++ b/src/testtrack/proxyProof.ts
@@ -15,10 +15,19 @@
 import { CallersDesk } from '../turnout/CallersDesk.js'
 import { TurnoutTask } from '../turnout/TurnoutTask.js'
 
-interface Scene { address: string; runs: () => number; heads: string[]; close: () => Promise<void> }
+interface Scene {
+  address: string
+  runs: () => number
+  heads: string[]
+  close: () => Promise<void>
+}
 
 /** A turnout that may work, and one service `s` whose only server answers by the given script. */
-export async function proxyProof(script: (request: IncomingMessage, response: ServerResponse, run: number) => void, name = 's-1', repeatable = false): Promise<Scene> {
+export async function proxyProof(
+  script: (request: IncomingMessage, response: ServerResponse, run: number) => void,
+  name = 's-1',
+  repeatable = false,
+): Promise<Scene> {
   let runs = 0
   const heads: string[] = []
   const server: Server = createServer((request, response) => {
@@ -38,20 +47,44 @@
   const lineman = await TcpTelegraph.open('post', '127.0.0.1:0')
   const row = (key: string, value: unknown) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) })
   const charter = {
-    defaults: { dueMs: 5000, bodyLimitBytes: 1_000_000, retryRatio: 0.2, retryAllowance: 4, coldLimit: 4, warmMs: 0, serverLimit: 50, intent: { weight: 1, coldStartCost: 1, hours: [] } },
-    partners: { g: { services: { s: { servers: ['s-1'], repeatable } } } }, fleet: { servers: { 's-1': { kind: 'service' } }, storePaceMbPerS: 1, storeBurstMb: 1 },
+    defaults: {
+      dueMs: 5000,
+      bodyLimitBytes: 1_000_000,
+      retryRatio: 0.2,
+      retryAllowance: 4,
+      coldLimit: 4,
+      warmMs: 0,
+      serverLimit: 50,
+      intent: { weight: 1, coldStartCost: 1, hours: [] },
+    },
+    partners: { g: { services: { s: { servers: ['s-1'], repeatable } } } },
+    fleet: { servers: { 's-1': { kind: 'service' } }, storePaceMbPerS: 1, storeBurstMb: 1 },
   }
-  const rows = [row('charter', charter), row('server/s-1', { name: 's-1', address, zone: 'a', draining: false }), row('seat/post', { role: 'lineman', zone: 'a', retired: false })]
+  const rows = [
+    row('charter', charter),
+    row('server/s-1', { name: 's-1', address, zone: 'a', draining: false }),
+    row('seat/post', { role: 'lineman', zone: 'a', retired: false }),
+  ]
   lineman.hear((_from, fromAddress, message) => {
     if (message.kind !== 'follow') return
     lineman.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
     lineman.send(fromAddress, { kind: 'permit', sentMs: message.sentMs, forMs: 60_000 })
   })
-  const startup = Startup.turnout.parse({ name: 'post-turnout', seat: 'post', zone: 'a', telegraph: '127.0.0.1:0', lineman: lineman.address, callers: '127.0.0.1:0', logLevel: 'silent' })
+  const startup = Startup.turnout.parse({
+    name: 'post-turnout',
+    seat: 'post',
+    zone: 'a',
+    telegraph: '127.0.0.1:0',
+    lineman: lineman.address,
+    callers: '127.0.0.1:0',
+    logLevel: 'silent',
+  })
   const task = new TurnoutTask(startup, new Logbook('turnout', 'post', 'silent'), await TcpTelegraph.open('post-turnout', '127.0.0.1:0'))
   const desk = new CallersDesk(startup, task)
   return {
-    address: await desk.open(), runs: () => runs, heads,
+    address: await desk.open(),
+    runs: () => runs,
+    heads,
     close: async () => {
       server.close()
       server.closeAllConnections()
@@ -62,14 +95,19 @@
   }
 }
 
-const post = (scene: Scene, body = '', dispatcher = new Agent({ keepAliveTimeout: 1 })) => call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', body, dispatcher, headers: { 'due-ms': '4000' } })
-const turns = async (ready: () => boolean) => { while (!ready()) await new Promise((resolve) => setImmediate(resolve)) }
+const post = (scene: Scene, body = '', dispatcher = new Agent({ keepAliveTimeout: 1 })) =>
+  call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', body, dispatcher, headers: { 'due-ms': '4000' } })
+const turns = async (ready: () => boolean) => {
+  while (!ready()) await new Promise((resolve) => setImmediate(resolve))
+}
 
 proof(import.meta.url, {
   'a large body goes up and a long stream comes down whole, also to a slow reader': async () => {
     const scene = await proxyProof((request, response) => {
       let bytes = 0
-      request.on('data', (chunk: Buffer) => { bytes += chunk.length })
+      request.on('data', (chunk: Buffer) => {
+        bytes += chunk.length
+      })
       request.on('end', () => {
         response.write(`${String(bytes)}\n`)
         let at = 0
@@ -98,10 +136,14 @@
   },
   'a response that ends short breaks off the caller, chunked or by length, and is not run again': async () => {
     for (const head of [{}, { 'content-length': '1000' }]) {
-      const scene = await proxyProof((_request, response) => {
-        response.writeHead(200, head)
-        response.write('part', () => response.destroy())
-      }, 's-1', true)
+      const scene = await proxyProof(
+        (_request, response) => {
+          response.writeHead(200, head)
+          response.write('part', () => response.destroy())
+        },
+        's-1',
+        true,
+      )
       const reply = await post(scene)
       strictEqual(await reply.body.text().catch(() => 'broken off'), 'broken off')
       strictEqual(scene.runs(), 1)
@@ -118,7 +160,9 @@
     await scene.close()
   },
   'a connection that breaks before a head: told MayHaveRun, or run again if repeatable': async () => {
-    const once1 = await proxyProof((_request, response) => { response.destroy() })
+    const once1 = await proxyProof((_request, response) => {
+      response.destroy()
+    })
     const reply = await post(once1)
     strictEqual(reply.statusCode, 502)
     strictEqual(reply.headers['verdict'], 'MayHaveRun')
@@ -126,13 +170,22 @@
     strictEqual(once1.runs(), 1)
     await reply.body.dump()
     await once1.close()
-    const again = await proxyProof((_request, response, run) => { if (run === 1) response.destroy(); else response.end('whole') }, 's-1', true)
+    const again = await proxyProof(
+      (_request, response, run) => {
+        if (run === 1) response.destroy()
+        else response.end('whole')
+      },
+      's-1',
+      true,
+    )
     strictEqual(await (await post(again)).body.text(), 'whole')
     strictEqual(again.runs(), 2)
     await again.close()
   },
   'another server at the address gets no request': async () => {
-    const scene = await proxyProof((_request, response) => { response.end('wrong') }, 's-2')
+    const scene = await proxyProof((_request, response) => {
+      response.end('wrong')
+    }, 's-2')
     const reply = await call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', headers: { 'due-ms': '600' } })
     strictEqual(reply.statusCode, 503)
     strictEqual(reply.headers['verdict'], 'NotRun')
@@ -144,7 +197,9 @@
     let gone = false
     const scene = await proxyProof((_request, response) => {
       response.write('first')
-      response.on('close', () => { gone = true })
+      response.on('close', () => {
+        gone = true
+      })
     })
     const cut = scene.address.lastIndexOf(':')
     const socket = connect(Number(scene.address.slice(cut + 1)), '127.0.0.1')
@@ -155,7 +210,9 @@
     await scene.close()
   },
   'a kept connection serves again, identified anew where a request may not be repeated': async () => {
-    const scene = await proxyProof((_request, response) => { response.end('ok') })
+    const scene = await proxyProof((_request, response) => {
+      response.end('ok')
+    })
     const dispatcher = new Agent()
     for (let n = 0; n < 3; n++) strictEqual(await (await post(scene, '', dispatcher)).body.text(), 'ok')
     strictEqual(scene.heads.filter((url) => url === ServerFormat.identityPath).length, 3)
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -12,7 +12,14 @@
 import { judge } from './judge.js'
 import { quantile } from './quantile.js'
 
-interface FleetRun { deployment: Deployment; folder: string; seconds: number; faults: readonly string[]; seed: number; say: (line: string) => void }
+interface FleetRun {
+  deployment: Deployment
+  folder: string
+  seconds: number
+  faults: readonly string[]
+  seed: number
+  say: (line: string) => void
+}
 const faultsByName: Record<string, (fleet: Fleet, say: (line: string) => void) => Promise<void>> = {
   'kill-leader': async (fleet) => {
     const nodes = await fleet.nodes()
@@ -50,7 +57,7 @@
     await pause(5000)
     fleet.drain(server.name, false)
   },
-  'runbooks': async (fleet, say) => {
+  runbooks: async (fleet, say) => {
     const run = async (...args: string[]) => {
       const done = await fleet.operate(['runbook', 'run', ...args])
       say(`runbook ${args.slice(0, 1).join()}: exit ${String(done.code)}`)
@@ -101,12 +108,23 @@
 
   async run({ deployment, folder, seconds, faults, seed, say }: FleetRun): Promise<boolean> {
     const fleet = new Fleet(deployment, folder)
-    const callers = new Callers(deployment, seed, () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''), (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.allows(model, adapter, clockMs())), fleet.see)
+    const callers = new Callers(
+      deployment,
+      seed,
+      () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''),
+      (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.allows(model, adapter, clockMs())),
+      fleet.see,
+    )
     try {
       await fleet.start()
       await fleet.until('every seat is alive', async () => {
         const nodes = await fleet.nodes()
-        return nodes !== undefined && nodes.dispatcher !== null && nodes.seats.length === deployment.turnouts.length && nodes.seats.every((seat) => seat.alive)
+        return (
+          nodes !== undefined &&
+          nodes.dispatcher !== null &&
+          nodes.seats.length === deployment.turnouts.length &&
+          nodes.seats.every((seat) => seat.alive)
+        )
       })
       say(`${deployment.name}: ${String(fleet.boxes.length + fleet.linemen.length + fleet.turnouts.length)} processes are up`)
       const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
@@ -141,23 +159,40 @@
     const { deployment, sightings } = fleet
     const { defaults, fleet: plan, partners } = deployment.charter
     const kinds = new Map(deployment.servers.map((one) => [one.name, one.kind]))
-    const services = new Map(Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])))
+    const services = new Map(
+      Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])),
+    )
     const rules = judge({
-      sightings, bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }, zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
-      allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model', paceMbPerS: plan.storePaceMbPerS, burstMb: plan.storeBurstMb, retryRatio: 0.2, retryAllowance: defaults.retryAllowance, slackMs: 1500,
+      sightings,
+      bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
+      zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
+      allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
+      paceMbPerS: plan.storePaceMbPerS,
+      burstMb: plan.storeBurstMb,
+      retryRatio: 0.2,
+      retryAllowance: defaults.retryAllowance,
+      slackMs: 1500,
     })
     const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
-    say(`requests: ${String(count('asked'))} asked, ${String(count('whole'))} whole, ${String(count('turnedAway'))} turned away, ${String(count('brokenOff'))} broken off, ${String(count('left'))} left by the line`)
+    say(
+      `requests: ${String(count('asked'))} asked, ${String(count('whole'))} whole, ${String(count('turnedAway'))} turned away, ${String(count('brokenOff'))} broken off, ${String(count('left'))} left by the line`,
+    )
     const reasons = new Map<string, number>()
-    for (const one of sightings) if (one.kind === 'turnedAway') reasons.set(`${String(one.status)} ${String(one.verdict)}`, (reasons.get(`${String(one.status)} ${String(one.verdict)}`) ?? 0) + 1)
+    for (const one of sightings)
+      if (one.kind === 'turnedAway')
+        reasons.set(`${String(one.status)} ${String(one.verdict)}`, (reasons.get(`${String(one.status)} ${String(one.verdict)}`) ?? 0) + 1)
     for (const [reason, times] of reasons) say(`  turned away ${reason}: ${String(times)}`)
     const waits = [...callers.waits.values()].flat()
     const loads = sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
     const mb = sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
-    say(`waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; cold starts: ${String(callers.coldAsks)} of ${String(callers.modelAsks)}; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`)
+    say(
+      `waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; cold starts: ${String(callers.coldAsks)} of ${String(callers.modelAsks)}; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`,
+    )
     let passes = count('whole') > 0
     for (const [rule, defects] of Object.entries(rules)) {
-      say(`${defects.length === 0 ? 'pass' : 'FAIL'} ${rule}${defects.length === 0 ? '' : `: ${String(defects.length)}, first: ${defects.slice(0, 3).join('; ')}`}`)
+      say(
+        `${defects.length === 0 ? 'pass' : 'FAIL'} ${rule}${defects.length === 0 ? '' : `: ${String(defects.length)}, first: ${defects.slice(0, 3).join('; ')}`}`,
+      )
       if (defects.length > 0) passes = false
     }
     return passes
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -15,7 +15,26 @@
 import type { SimOptions } from './SimOptions.js'
 import { Simulation } from './Simulation.js'
 
-interface Result { rules: Record<string, string[]>; broken: string[]; trace: number; asked: number; whole: number; turnedAway: number; brokenOff: number; p50Ms: number; p99Ms: number; loads: number; weightsMb: number; ackMs: number[]; recoverMs: number; modelAsks: number; coldAsks: number; modelP50Ms: number; modelP99Ms: number; partsKept: number }
+interface Result {
+  rules: Record<string, string[]>
+  broken: string[]
+  trace: number
+  asked: number
+  whole: number
+  turnedAway: number
+  brokenOff: number
+  p50Ms: number
+  p99Ms: number
+  loads: number
+  weightsMb: number
+  ackMs: number[]
+  recoverMs: number
+  modelAsks: number
+  coldAsks: number
+  modelP50Ms: number
+  modelP99Ms: number
+  partsKept: number
+}
 
 export function runSimulation(options: SimOptions): Result {
   const sim = new Simulation(options)
@@ -24,7 +43,9 @@
   const charter = bentCharter(deployment.charter, options.broken)
   const text = `${JSON.stringify(charter, null, 2)}\n`
   let stamp = 0
-  sim.write('first', 'charter.put', text, -1, (status, at) => { if (status === 200) stamp = at })
+  sim.write('first', 'charter.put', text, -1, (status, at) => {
+    if (status === 200) stamp = at
+  })
   while (stamp === 0 && clock.nowMs < 60_000 && clock.turn());
   if (stamp === 0) throw new Error('the first charter was not acknowledged within a minute')
   const startMs = clock.nowMs
@@ -51,30 +72,59 @@
   readAll(sim)
   const { defaults, fleet, partners } = deployment.charter
   const kinds = new Map(deployment.servers.map((one) => [one.name, one.kind]))
-  const services = new Map(Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])))
+  const services = new Map(
+    Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])),
+  )
   const rules = judge({
-    sightings, bounds: sim.bounds, zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
+    sightings,
+    bounds: sim.bounds,
+    zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
     allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
-    paceMbPerS: fleet.storePaceMbPerS, burstMb: fleet.storeBurstMb, retryRatio: 0.2, retryAllowance: defaults.retryAllowance, slackMs: 150,
+    paceMbPerS: fleet.storePaceMbPerS,
+    burstMb: fleet.storeBurstMb,
+    retryRatio: 0.2,
+    retryAllowance: defaults.retryAllowance,
+    slackMs: 150,
   })
   const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
   const wrote = new Map(sightings.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
   return {
-    rules, broken: Object.entries(rules).filter(([, defects]) => defects.length > 0).map(([rule]) => rule), trace: clock.trace,
-    asked: count('asked'), whole: count('whole'), turnedAway: count('turnedAway'), brokenOff: count('brokenOff'), p50Ms: quantile(sim.waits, 0.5), p99Ms: quantile(sim.waits, 0.99),
+    rules,
+    broken: Object.entries(rules)
+      .filter(([, defects]) => defects.length > 0)
+      .map(([rule]) => rule),
+    trace: clock.trace,
+    asked: count('asked'),
+    whole: count('whole'),
+    turnedAway: count('turnedAway'),
+    brokenOff: count('brokenOff'),
+    p50Ms: quantile(sim.waits, 0.5),
+    p99Ms: quantile(sim.waits, 0.99),
     loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
     weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
     ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
-    recoverMs: recovery(sim), modelAsks: sim.modelAsks, coldAsks: sim.coldAsks, modelP50Ms: quantile(sim.modelWaits, 0.5), modelP99Ms: quantile(sim.modelWaits, 0.99), partsKept: sim.partsKept / Math.max(1, sim.parts),
+    recoverMs: recovery(sim),
+    modelAsks: sim.modelAsks,
+    coldAsks: sim.coldAsks,
+    modelP50Ms: quantile(sim.modelWaits, 0.5),
+    modelP99Ms: quantile(sim.modelWaits, 0.99),
+    partsKept: sim.partsKept / Math.max(1, sim.parts),
   }
 }
 
 /** Where a run is to break the room, places or pace of the charter, the system is told a charter that is too generous. */
 function bentCharter(charter: Charter, broken: string): Charter {
   const { fleet } = charter
-  if (broken === 'store') return { ...charter, fleet: { ...fleet, storePaceMbPerS: 100 * fleet.storePaceMbPerS, storeBurstMb: 100 * fleet.storeBurstMb } }
+  if (broken === 'store')
+    return { ...charter, fleet: { ...fleet, storePaceMbPerS: 100 * fleet.storePaceMbPerS, storeBurstMb: 100 * fleet.storeBurstMb } }
   if (broken !== 'places') return charter
-  return { ...charter, fleet: { ...fleet, servers: Object.fromEntries(Object.entries(fleet.servers).map(([name, server]) => [name, { ...server, places: 10 * server.places }])) } }
+  return {
+    ...charter,
+    fleet: {
+      ...fleet,
+      servers: Object.fromEntries(Object.entries(fleet.servers).map(([name, server]) => [name, { ...server, places: 10 * server.places }])),
+    },
+  }
 }
 
 /** Operators who read and write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
@@ -87,12 +137,18 @@
   const patch = (tree: object, settled: (askedMs: number) => void, ifMatch = -1) => {
     count += 1
     const askedMs = clock.nowMs
-    sim.write(`operation-${String(count)}`, 'charter.patch', JSON.stringify(tree), ifMatch, (status) => { if (status === 200) settled(askedMs) })
+    sim.write(`operation-${String(count)}`, 'charter.patch', JSON.stringify(tree), ifMatch, (status) => {
+      if (status === 200) settled(askedMs)
+    })
   }
   const race = () => {
     if (clock.nowMs > untilMs) return
     patch({ partners: { [partner]: { limits: { dueMs: 9000 + chance.below(1000) } } } }, () => undefined)
-    patch({ partners: { [partner]: { limits: { warmMs: deployment.charter.defaults.warmMs } } } }, () => undefined, chance.hit(0.5) ? 3 : -1)
+    patch(
+      { partners: { [partner]: { limits: { warmMs: deployment.charter.defaults.warmMs } } } },
+      () => undefined,
+      chance.hit(0.5) ? 3 : -1,
+    )
     clock.after(chance.between(1500, 5000), race)
   }
   const zone = () => {
@@ -102,26 +158,37 @@
       see({ kind: 'emptied', atMs: askedMs, zone: name, emptied: true, ackedMs: clock.nowMs })
       clock.after(4000, () => {
         see({ kind: 'emptied', atMs: clock.nowMs, zone: name, emptied: false, ackedMs: 0 })
-        patch({ zones: { [name]: { emptied: false } } }, () => { clock.after(3000, zone) })
+        patch({ zones: { [name]: { emptied: false } } }, () => {
+          clock.after(3000, zone)
+        })
       })
     })
   }
   const bar = () => {
     if (clock.nowMs > untilMs || plan === undefined || plan.servers.length < 2) return
     const server = chance.pick(plan.servers) ?? ''
-    const write = (servers: readonly string[], settled: (askedMs: number) => void) => { patch({ partners: { [partner]: { services: { [service]: { servers } } } } }, settled) }
-    write(plan.servers.filter((one) => one !== server), (askedMs) => {
-      see({ kind: 'barred', atMs: askedMs, service, server, barred: true, ackedMs: clock.nowMs })
-      clock.after(3500, () => {
-        see({ kind: 'barred', atMs: clock.nowMs, service, server, barred: false, ackedMs: 0 })
-        write(plan.servers, () => { clock.after(2000, bar) })
-      })
-    })
+    const write = (servers: readonly string[], settled: (askedMs: number) => void) => {
+      patch({ partners: { [partner]: { services: { [service]: { servers } } } } }, settled)
+    }
+    write(
+      plan.servers.filter((one) => one !== server),
+      (askedMs) => {
+        see({ kind: 'barred', atMs: askedMs, service, server, barred: true, ackedMs: clock.nowMs })
+        clock.after(3500, () => {
+          see({ kind: 'barred', atMs: clock.nowMs, service, server, barred: false, ackedMs: 0 })
+          write(plan.servers, () => {
+            clock.after(2000, bar)
+          })
+        })
+      },
+    )
   }
   const read = () => {
     if (clock.nowMs > untilMs) return
     const readMs = clock.nowMs
-    sim.readStamp((stamp) => { see({ kind: 'read', fromMs: readMs, atMs: clock.nowMs, stamp }) })
+    sim.readStamp((stamp) => {
+      see({ kind: 'read', fromMs: readMs, atMs: clock.nowMs, stamp })
+    })
     clock.after(chance.between(100, 600), read)
   }
   clock.at(fromMs, read)
@@ -135,10 +202,14 @@
   const read = (action: 'charter.get' | 'charter.history', text: string, branch: string): string | undefined => {
     let got: string | undefined
     let open = true
-    sim.operate(sim.chance.pick([...sim.boxes.keys()]) ?? '', { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.pace.operateMs }, (status, _stamp, body) => {
-      got = status === 200 ? body : undefined
-      open = false
-    })
+    sim.operate(
+      sim.chance.pick([...sim.boxes.keys()]) ?? '',
+      { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.pace.operateMs },
+      (status, _stamp, body) => {
+        got = status === 200 ? body : undefined
+        open = false
+      },
+    )
     while (open && clock.turn());
     return got
   }
@@ -163,7 +234,23 @@
   return worst
 }
 
-const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({ deployment: Deployment.of('siding') ?? (() => { throw new Error('no siding') })(), seed, faults, calmMs: 5000, faultMs: 4000, quietMs: 25_000, broken, crowd: 100, together: false, uncheckedTenure: false, policy: edgeMulti })
+const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({
+  deployment:
+    Deployment.of('siding') ??
+    (() => {
+      throw new Error('no siding')
+    })(),
+  seed,
+  faults,
+  calmMs: 5000,
+  faultMs: 4000,
+  quietMs: 25_000,
+  broken,
+  crowd: 100,
+  together: false,
+  uncheckedTenure: false,
+  policy: edgeMulti,
+})
 proof(import.meta.url, {
   'a calm run keeps every rule, and a second run of its seed is the same': () => {
     const one = runSimulation(base(1, []))
--- a/src/testtrack/simFaults.ts
+++ b/src/testtrack/simFaults.ts
@@ -15,27 +15,42 @@
   }
   return best.name
 }
-const dispatcher = (sim: Simulation): string => [...sim.boxes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
+const dispatcher = (sim: Simulation): string =>
+  [...sim.boxes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
 const anyBox = (sim: Simulation): string => sim.chance.pick([...sim.boxes.keys()]) ?? ''
 const anyPost = (sim: Simulation): string => sim.chance.pick([...sim.turnouts.keys()]) ?? ''
-const anyServer = (sim: Simulation, kind?: 'model' | 'service'): string => sim.chance.pick([...sim.servers.values()].filter((one) => one.state !== undefined && (kind === undefined || one.kind === kind)).map((one) => one.name)) ?? ''
+const anyServer = (sim: Simulation, kind?: 'model' | 'service'): string =>
+  sim.chance.pick(
+    [...sim.servers.values()].filter((one) => one.state !== undefined && (kind === undefined || one.kind === kind)).map((one) => one.name),
+  ) ?? ''
 
 function cutBoth(sim: Simulation, some: readonly string[], others: readonly string[]): () => void {
-  for (const one of some) for (const other of others) {
-    sim.network.cut(one, other)
-    sim.network.cut(other, one)
+  for (const one of some)
+    for (const other of others) {
+      sim.network.cut(one, other)
+      sim.network.cut(other, one)
+    }
+  return () => {
+    sim.network.heal()
   }
-  return () => { sim.network.heal() }
 }
-const hosts = (sim: Simulation): string[] => [...sim.boxes.keys(), ...[...sim.linemen.keys()].map((name) => `host-${name}`), ...sim.servers.keys()]
+const hosts = (sim: Simulation): string[] => [
+  ...sim.boxes.keys(),
+  ...[...sim.linemen.keys()].map((name) => `host-${name}`),
+  ...sim.servers.keys(),
+]
 
 function killed(sim: Simulation, box: string, power: boolean): () => void {
   sim.killBox(box, power)
-  return () => { sim.startBox(box) }
+  return () => {
+    sim.startBox(box)
+  }
 }
 function frozen(process: { freeze: () => void; wake: () => void } | undefined): () => void {
   process?.freeze()
-  return () => { process?.wake() }
+  return () => {
+    process?.wake()
+  }
 }
 
 function moveServer(sim: Simulation, name: string, address: string): void {
@@ -53,7 +68,9 @@
   'lose-disk': (sim) => {
     const box = sim.chance.hit(0.5) ? leader(sim) : anyBox(sim)
     sim.replaceBox(box)
-    return () => { sim.startBox(box) }
+    return () => {
+      sim.startBox(box)
+    }
   },
   'stall-disk': (sim) => {
     const disk = sim.boxes.get(leader(sim))?.disk
@@ -64,61 +81,102 @@
     for (const { disk } of sim.boxes.values()) disk.stalledUntilMs = sim.clock.nowMs + sim.options.faultMs / 4
     return nothing
   },
-  'split-core': (sim) => cutBoth(sim, [leader(sim)], [...sim.boxes.keys()].filter((one) => one !== leader(sim))),
-  'cut-leader-off': (sim) => cutBoth(sim, [leader(sim)], hosts(sim).filter((one) => one !== leader(sim))),
-  'cut-core-off': (sim) => cutBoth(sim, [...sim.boxes.keys()], hosts(sim).filter((one) => !sim.boxes.has(one))),
+  'split-core': (sim) =>
+    cutBoth(
+      sim,
+      [leader(sim)],
+      [...sim.boxes.keys()].filter((one) => one !== leader(sim)),
+    ),
+  'cut-leader-off': (sim) =>
+    cutBoth(
+      sim,
+      [leader(sim)],
+      hosts(sim).filter((one) => one !== leader(sim)),
+    ),
+  'cut-core-off': (sim) =>
+    cutBoth(
+      sim,
+      [...sim.boxes.keys()],
+      hosts(sim).filter((one) => !sim.boxes.has(one)),
+    ),
   'cut-one-way': (sim) => {
-    const from = sim.chance.hit(0.5) ? leader(sim) : sim.chance.pick(hosts(sim)) ?? ''
+    const from = sim.chance.hit(0.5) ? leader(sim) : (sim.chance.pick(hosts(sim)) ?? '')
     for (const other of hosts(sim)) if (other !== from) sim.network.cut(from, other)
-    return () => { sim.network.heal() }
+    return () => {
+      sim.network.heal()
+    }
   },
   'cut-post': (sim) => {
     const post = `host-${anyPost(sim)}`
-    return cutBoth(sim, [post], hosts(sim).filter((one) => one !== post))
+    return cutBoth(
+      sim,
+      [post],
+      hosts(sim).filter((one) => one !== post),
+    )
   },
   'cut-post-from-core': (sim) => cutBoth(sim, [`host-${anyPost(sim)}`], [...sim.boxes.keys()]),
   'cut-post-from-system': (sim) => {
     const post = `host-${anyPost(sim)}`
-    return cutBoth(sim, [post], hosts(sim).filter((one) => one !== post && !sim.servers.has(one)))
+    return cutBoth(
+      sim,
+      [post],
+      hosts(sim).filter((one) => one !== post && !sim.servers.has(one)),
+    )
   },
   'break-runs': (sim) => {
     for (const server of sim.servers.values()) server.breaksRuns = 0.5
-    return () => { for (const server of sim.servers.values()) server.breaksRuns = 0 }
+    return () => {
+      for (const server of sim.servers.values()) server.breaksRuns = 0
+    }
   },
   'slow-links': (sim) => {
     for (const host of hosts(sim)) if (sim.chance.hit(0.4)) sim.network.slowMs.set(host, sim.chance.between(5, 60))
-    return () => { sim.network.heal() }
+    return () => {
+      sim.network.heal()
+    }
   },
   'lossy-links': (sim) => {
     sim.network.lossRatio = 0.1
-    return () => { sim.network.heal() }
+    return () => {
+      sim.network.heal()
+    }
   },
   'kill-turnout': (sim) => {
     const post = anyPost(sim)
     sim.killTurnout(post)
-    return () => { sim.startPost(post) }
+    return () => {
+      sim.startPost(post)
+    }
   },
   'kill-lineman': (sim) => {
     const post = anyPost(sim)
     sim.killLineman(post)
-    return () => { sim.startPost(post) }
+    return () => {
+      sim.startPost(post)
+    }
   },
   'freeze-turnout': (sim) => frozen(sim.turnouts.get(anyPost(sim))?.process),
   'freeze-lineman': (sim) => frozen(sim.linemen.get(anyPost(sim))?.process),
   'freeze-post': (sim) => {
     const post = anyPost(sim)
     const ends = [frozen(sim.turnouts.get(post)?.process), frozen(sim.linemen.get(post)?.process)]
-    return () => { for (const end of ends) end() }
+    return () => {
+      for (const end of ends) end()
+    }
   },
   'crash-server': (sim) => {
     const name = anyServer(sim)
     sim.crashServer(name)
-    return () => { sim.startServer(name) }
+    return () => {
+      sim.startServer(name)
+    }
   },
   'dark-server': (sim) => {
     const server = sim.servers.get(anyServer(sim))
     if (server !== undefined) server.dark = true
-    return () => { if (server !== undefined) server.dark = false }
+    return () => {
+      if (server !== undefined) server.dark = false
+    }
   },
   'vanish-server': (sim) => {
     const name = anyServer(sim)
@@ -141,7 +199,9 @@
     moveServer(sim, heir, address)
     moveServer(sim, old, heirs)
     sim.startServer(heir)
-    return () => { sim.startServer(old) }
+    return () => {
+      sim.startServer(old)
+    }
   },
   'drain-server': (sim) => {
     const name = anyServer(sim)
@@ -223,12 +283,19 @@
       }
     }
   },
-  'crowd': (sim) => {
-    for (const course of sim.options.deployment.courses.slice(0, 3)) for (let n = 0; n < sim.options.crowd; n++) sim.clock.after(sim.chance.between(0, 200), () => { sim.ask(course) })
+  crowd: (sim) => {
+    for (const course of sim.options.deployment.courses.slice(0, 3))
+      for (let n = 0; n < sim.options.crowd; n++)
+        sim.clock.after(sim.chance.between(0, 200), () => {
+          sim.ask(course)
+        })
     return nothing
   },
   'rare-rush': (sim) => {
-    for (const course of sim.options.deployment.courses) sim.clock.after(sim.chance.between(0, 500), () => { sim.ask(course) })
+    for (const course of sim.options.deployment.courses)
+      sim.clock.after(sim.chance.between(0, 500), () => {
+        sim.ask(course)
+      })
     return nothing
   },
 }
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -27,8 +27,25 @@
   held: { model: string; adapter: string; count: number; dueInMs: number }[]
   flights: { server: string; model: string; adapter: string; count: number }[]
 }
-interface Want { model: string; adapter: string; partner: string; held: boolean; dueInMs: number; urgency: number; nextMs: number; deltaMs: number; why: string }
-interface Reason { atMs: number; server: string; kind: string; model: string; adapter: string; why: string }
+interface Want {
+  model: string
+  adapter: string
+  partner: string
+  held: boolean
+  dueInMs: number
+  urgency: number
+  nextMs: number
+  deltaMs: number
+  why: string
+}
+interface Reason {
+  atMs: number
+  server: string
+  kind: string
+  model: string
+  adapter: string
+  why: string
+}
 
 const SavedOrder = z.object({ order: OrderSchema, incarnation: z.string() })
 const keptReasons = 200
@@ -73,7 +90,12 @@
     return [...this.#yards.values()]
   }
 
-  tally(seat: string, tally: Omit<Tally, 'heardMs'>, arrivals: readonly { model: string; adapter: string; count: number; agoMs: number }[], nowMs: number): void {
+  tally(
+    seat: string,
+    tally: Omit<Tally, 'heardMs'>,
+    arrivals: readonly { model: string; adapter: string; count: number; agoMs: number }[],
+    nowMs: number,
+  ): void {
     this.#tallies.set(seat, { ...tally, heardMs: nowMs })
     for (const one of arrivals) {
       this.#predictor.arrived(one.model, one.count, nowMs - one.agoMs)
@@ -118,7 +140,10 @@
     const stamp = copy.stampOf('charter')
     if (stamp !== this.#charterStamp) {
       this.#charterStamp = stamp
-      this.#charter = Charter.check(JSON.parse(copy.get('charter') ?? 'null')).toMaybe().extractNullable() ?? undefined
+      this.#charter =
+        Charter.check(JSON.parse(copy.get('charter') ?? 'null'))
+          .toMaybe()
+          .extractNullable() ?? undefined
     }
     const listed = new Map(copy.under('server/').map(([name, value]) => [name, PlatformServer.parse(JSON.parse(value))]))
     for (const [name, plan] of Object.entries(this.#charter?.fleet.servers ?? {})) {
@@ -127,7 +152,20 @@
       let yard = this.#yards.get(name)
       if (yard === undefined) {
         if (server === undefined) continue
-        yard = { name, address: server.address, zone: server.zone, roomMb: 0, places: 0, open: false, report: undefined, askedMs: -Infinity, answeredMs: nowMs, task: undefined, plan: undefined, backoffUntilMs: 0 }
+        yard = {
+          name,
+          address: server.address,
+          zone: server.zone,
+          roomMb: 0,
+          places: 0,
+          open: false,
+          report: undefined,
+          askedMs: -Infinity,
+          answeredMs: nowMs,
+          task: undefined,
+          plan: undefined,
+          backoffUntilMs: 0,
+        }
         this.#adoptOrder(yard, copy, nowMs)
         this.#yards.set(name, yard)
       }
@@ -166,7 +204,8 @@
 
   /** Read under this tenure, lately: only then is the server known well enough to be ordered. */
   #known(yard: Yard, nowMs: number): yard is Yard & { report: NonNullable<Yard['report']> } {
-    if (yard.report === undefined || yard.report.askedMs < this.#beganMs || nowMs - yard.report.askedMs > this.#pace.reportStaleMs) return false
+    if (yard.report === undefined || yard.report.askedMs < this.#beganMs || nowMs - yard.report.askedMs > this.#pace.reportStaleMs)
+      return false
     if (yard.report.tenure !== undefined) return yard.report.tenure <= this.#tenure
     return this.#first || nowMs - this.#beganMs > this.#pace.dutyLicenceMs + this.#pace.orderMs
   }
@@ -175,7 +214,8 @@
     for (const yard of this.#yards.values()) {
       const { task } = yard
       if (task === undefined || task.phase !== 'sent') {
-        if (task === undefined && copy.get(`order/${yard.name}`) !== undefined) this.#publish(out, copy, `order/${yard.name}`, undefined, nowMs)
+        if (task === undefined && copy.get(`order/${yard.name}`) !== undefined)
+          this.#publish(out, copy, `order/${yard.name}`, undefined, nowMs)
         continue
       }
       if (!this.#known(yard, nowMs) || yard.report.askedMs <= task.sentMs) continue
@@ -185,9 +225,17 @@
       if (yard.report.incarnation !== task.incarnation || (same && seen.state !== 'running')) {
         const done = same && seen.state === 'done'
         if (done && order.kind === 'load' && task.order.tenure === this.#tenure) this.#learn(order.model, yard.report.heardMs - task.sentMs)
-        this.#reason(yard.name, order, done ? 'done' : yard.report.incarnation !== task.incarnation ? 'the server restarted' : 'the server could not', nowMs)
+        this.#reason(
+          yard.name,
+          order,
+          done ? 'done' : yard.report.incarnation !== task.incarnation ? 'the server restarted' : 'the server could not',
+          nowMs,
+        )
         this.#drop(yard, nowMs, done)
-      } else if (!same && (order.tenure !== this.#tenure || (seen !== undefined && seen.tenure === order.tenure && seen.number > order.number))) {
+      } else if (
+        !same &&
+        (order.tenure !== this.#tenure || (seen !== undefined && seen.tenure === order.tenure && seen.number > order.number))
+      ) {
         this.#reason(yard.name, order, 'never reached the server', nowMs)
         this.#drop(yard, nowMs, false, false)
       }
@@ -202,7 +250,8 @@
   #drop(yard: Yard, nowMs: number, done = false, mayHaveDrawn = true): void {
     const order = yard.task?.order
     const fleet = this.#charter?.fleet
-    if (fleet !== undefined && (order?.kind === 'load' || order?.kind === 'attach')) this.#bucket.settle(order.sizeMb, mayHaveDrawn, fleet.storePaceMbPerS, fleet.storeBurstMb, nowMs)
+    if (fleet !== undefined && (order?.kind === 'load' || order?.kind === 'attach'))
+      this.#bucket.settle(order.sizeMb, mayHaveDrawn, fleet.storePaceMbPerS, fleet.storeBurstMb, nowMs)
     yard.task = undefined
     if (done) return
     yard.plan = undefined
@@ -234,8 +283,15 @@
       const detaching = task?.kind === 'detach' ? keyOf(task.model, task.adapter) : ''
       const binding: BindingRow = {
         incarnation: report.incarnation,
-        models: report.models.filter((one) => one.state === 'loaded' && one.model !== leaving).map((one) => one.model).sort(),
-        adapters: report.adapters.filter((one) => one.state === 'loaded' && one.model !== leaving).map((one) => keyOf(one.model, one.adapter)).filter((key) => key !== detaching).sort(),
+        models: report.models
+          .filter((one) => one.state === 'loaded' && one.model !== leaving)
+          .map((one) => one.model)
+          .sort(),
+        adapters: report.adapters
+          .filter((one) => one.state === 'loaded' && one.model !== leaving)
+          .map((one) => keyOf(one.model, one.adapter))
+          .filter((key) => key !== detaching)
+          .sort(),
       }
       this.#publish(out, copy, `binding/${yard.name}`, JSON.stringify(binding), nowMs)
     }
@@ -253,7 +309,8 @@
     const held = new Map<string, number>()
     for (const tally of this.#tallies.values()) {
       if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
-      for (const one of tally.held) held.set(keyOf(one.model, one.adapter), Math.min(held.get(keyOf(one.model, one.adapter)) ?? Infinity, one.dueInMs))
+      for (const one of tally.held)
+        held.set(keyOf(one.model, one.adapter), Math.min(held.get(keyOf(one.model, one.adapter)) ?? Infinity, one.dueInMs))
     }
     const wants: Want[] = []
     for (const [partner, branch] of Object.entries(charter.partners)) {
@@ -268,12 +325,38 @@
           const thetaMs = this.#thetaMs(model, plan.sizeMb)
           const base = { model, adapter, partner, urgency: intent.weight * (1 + intent.coldStartCost) }
           if (dueInMs !== undefined && (copies.length === 0 || this.#crowded(copies, model))) {
-            wants.push({ ...base, held: true, dueInMs, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there' })
+            wants.push({
+              ...base,
+              held: true,
+              dueInMs,
+              nextMs: nowMs,
+              deltaMs: forecast?.deltaMs ?? 0,
+              why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there',
+            })
           } else if (!this.#policy.foresees) continue
-          else if (copies.length === 0 && forecast !== undefined && nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs) {
-            wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: forecast.nextMs, deltaMs: forecast.deltaMs, why: 'a request is forecast' })
+          else if (
+            copies.length === 0 &&
+            forecast !== undefined &&
+            nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs &&
+            nowMs <= forecast.nextMs + forecast.deltaMs
+          ) {
+            wants.push({
+              ...base,
+              held: false,
+              dueInMs: Infinity,
+              nextMs: forecast.nextMs,
+              deltaMs: forecast.deltaMs,
+              why: 'a request is forecast',
+            })
           } else if (copies.length === 0 && inHours && adapter === '') {
-            wants.push({ ...base, held: false, dueInMs: Infinity, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, why: 'its partner wants it in these hours' })
+            wants.push({
+              ...base,
+              held: false,
+              dueInMs: Infinity,
+              nextMs: nowMs,
+              deltaMs: forecast?.deltaMs ?? 0,
+              why: 'its partner wants it in these hours',
+            })
           }
         }
       }
@@ -290,7 +373,8 @@
   #coming(model: string, adapter: string): boolean {
     for (const { plan, task } of this.#yards.values()) {
       if (plan?.model === model && (plan.adapter === '' || plan.adapter === adapter)) return true
-      if (task?.order.model === model && (task.order.kind === 'load' || (task.order.kind === 'attach' && task.order.adapter === adapter))) return true
+      if (task?.order.model === model && (task.order.kind === 'load' || (task.order.kind === 'attach' && task.order.adapter === adapter)))
+        return true
     }
     return false
   }
@@ -332,7 +416,15 @@
       const plan = charter.partners[want.partner]?.models[want.model]
       if (plan === undefined) continue
       if (this.#coming(want.model, want.adapter)) continue
-      const free = [...this.#yards.values()].filter((yard) => yard.open && yard.task === undefined && yard.plan === undefined && nowMs >= yard.backoffUntilMs && this.#known(yard, nowMs) && (plan.servers?.includes(yard.name) ?? true))
+      const free = [...this.#yards.values()].filter(
+        (yard) =>
+          yard.open &&
+          yard.task === undefined &&
+          yard.plan === undefined &&
+          nowMs >= yard.backoffUntilMs &&
+          this.#known(yard, nowMs) &&
+          (plan.servers?.includes(yard.name) ?? true),
+      )
       const withModel = free.filter((yard) => this.#holds(yard, want.model, ''))
       const attach = want.adapter !== '' && [...this.#yards.values()].some((yard) => yard.open && this.#holds(yard, want.model, ''))
       const fitting = attach
@@ -342,11 +434,19 @@
       const size = attach ? 1 : plan.sizeMb
       if (this.#choose(step, fitting, size, historyMs, 'nothing', nowMs)) continue
       if (want.dueInMs > this.#pace.reportStaleMs + 2 * this.#thetaMs(want.model, plan.sizeMb) + this.#pace.reportStaleMs) continue
-      for (const relaxed of ['history', 'overlap', 'doubles'] as const) if (this.#choose(step, fitting, size, historyMs, relaxed, nowMs)) break
+      for (const relaxed of ['history', 'overlap', 'doubles'] as const)
+        if (this.#choose(step, fitting, size, historyMs, relaxed, nowMs)) break
     }
   }
 
-  #choose(want: Want, yards: readonly Yard[], size: number, historyMs: number, relaxed: 'nothing' | 'history' | 'overlap' | 'doubles', nowMs: number): boolean {
+  #choose(
+    want: Want,
+    yards: readonly Yard[],
+    size: number,
+    historyMs: number,
+    relaxed: 'nothing' | 'history' | 'overlap' | 'doubles',
+    nowMs: number,
+  ): boolean {
     let best: { yard: Yard; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
     for (const yard of yards) {
@@ -368,21 +468,39 @@
 
   #tenants(yard: Yard, report: Report, adapters: boolean, nowMs: number): Tenant[] {
     const holds = adapters
-      ? report.adapters.map((one) => ({ key: keyOf(one.model, one.adapter), model: one.model, adapter: one.adapter, state: one.state, flights: one.flights, size: 1, thetaMs: 0 }))
-      : report.models.map((one) => ({ key: one.model, model: one.model, adapter: '', state: one.state, flights: one.flights, size: one.sizeMb, thetaMs: this.#thetaMs(one.model, one.sizeMb) }))
-    return holds.filter((one) => one.state === 'loaded' && one.flights === 0).map((one) => {
-      const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + 24 * 3_600_000, deltaMs: 0 }
-      return {
-        key: one.key,
-        nextMs: forecast.nextMs,
-        windowFromMs: forecast.nextMs - forecast.deltaMs - one.thetaMs,
-        windowToMs: forecast.nextMs + forecast.deltaMs,
-        lastMs: this.#predictor.lastMs(one.key),
-        surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
-        size: one.size,
-        doubled: [...this.#yards.values()].some((other) => other !== yard && other.open && this.#holds(other, one.model, one.adapter)),
-      }
-    })
+      ? report.adapters.map((one) => ({
+          key: keyOf(one.model, one.adapter),
+          model: one.model,
+          adapter: one.adapter,
+          state: one.state,
+          flights: one.flights,
+          size: 1,
+          thetaMs: 0,
+        }))
+      : report.models.map((one) => ({
+          key: one.model,
+          model: one.model,
+          adapter: '',
+          state: one.state,
+          flights: one.flights,
+          size: one.sizeMb,
+          thetaMs: this.#thetaMs(one.model, one.sizeMb),
+        }))
+    return holds
+      .filter((one) => one.state === 'loaded' && one.flights === 0)
+      .map((one) => {
+        const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + 24 * 3_600_000, deltaMs: 0 }
+        return {
+          key: one.key,
+          nextMs: forecast.nextMs,
+          windowFromMs: forecast.nextMs - forecast.deltaMs - one.thetaMs,
+          windowToMs: forecast.nextMs + forecast.deltaMs,
+          lastMs: this.#predictor.lastMs(one.key),
+          surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
+          size: one.size,
+          doubled: [...this.#yards.values()].some((other) => other !== yard && other.open && this.#holds(other, one.model, one.adapter)),
+        }
+      })
   }
 
   #order(copy: Copy, out: DispatcherOut, nowMs: number): void {
@@ -402,7 +520,12 @@
         const saved = JSON.stringify({ order: task.order, incarnation: task.incarnation })
         if (copy.get(`order/${yard.name}`) !== saved) this.#publish(out, copy, `order/${yard.name}`, saved, nowMs)
         else this.#send(yard, out, nowMs)
-      } else if (task.phase === 'sent' && nowMs - task.sentMs > this.#pace.orderMs / 8 && this.#known(yard, nowMs) && yard.report.askedMs > task.sentMs) {
+      } else if (
+        task.phase === 'sent' &&
+        nowMs - task.sentMs > this.#pace.orderMs / 8 &&
+        this.#known(yard, nowMs) &&
+        yard.report.askedMs > task.sentMs
+      ) {
         const seen = yard.report.order
         if (seen?.tenure === task.order.tenure && seen.number >= task.order.number) continue
         if (yard.report.tenure !== undefined) this.#send(yard, out, nowMs)
@@ -433,10 +556,20 @@
         yard.plan = undefined
         return
       }
-      this.#begin(yard, adapter === '' ? 'unload' : 'detach', model, adapter, 0, `makes way for ${keyOf(plan.model, plan.adapter)}: ${plan.why}`, nowMs)
+      this.#begin(
+        yard,
+        adapter === '' ? 'unload' : 'detach',
+        model,
+        adapter,
+        0,
+        `makes way for ${keyOf(plan.model, plan.adapter)}: ${plan.why}`,
+        nowMs,
+      )
       return
     }
-    const model = Object.values(this.#charter?.partners ?? {}).map((branch) => branch.models[plan.model]).find((one) => one !== undefined)
+    const model = Object.values(this.#charter?.partners ?? {})
+      .map((branch) => branch.models[plan.model])
+      .find((one) => one !== undefined)
     const fleet = this.#charter?.fleet
     if (model === undefined || fleet === undefined) {
       yard.plan = undefined
@@ -466,7 +599,13 @@
     this.#number += 1
     const order: Order = { tenure: this.#tenure, number: this.#number, kind, model, adapter, sizeMb }
     const takesAway = kind === 'unload' || kind === 'detach'
-    yard.task = { order, phase: takesAway ? 'withdrawing' : 'proposed', sinceMs: nowMs, sentMs: 0, incarnation: yard.report?.incarnation ?? '' }
+    yard.task = {
+      order,
+      phase: takesAway ? 'withdrawing' : 'proposed',
+      sinceMs: nowMs,
+      sentMs: 0,
+      incarnation: yard.report?.incarnation ?? '',
+    }
     this.#reason(yard.name, order, why, nowMs)
   }
 
@@ -476,7 +615,8 @@
     if (value !== undefined) {
       const holds: unknown = JSON.parse(value)
       const binding = z.object({ models: z.array(z.string()), adapters: z.array(z.string()) }).parse(holds)
-      if (order.adapter === '' ? binding.models.includes(order.model) : binding.adapters.includes(keyOf(order.model, order.adapter))) return false
+      if (order.adapter === '' ? binding.models.includes(order.model) : binding.adapters.includes(keyOf(order.model, order.adapter)))
+        return false
     }
     const stamp = copy.stampOf(`binding/${yard.name}`)
     for (const [seat] of copy.under('seat/')) {
@@ -484,7 +624,16 @@
       const heardMs = Math.max(tally?.heardMs ?? -Infinity, this.#beganMs)
       if (nowMs - heardMs > 2 * this.#pace.licenceMs) continue
       if (tally === undefined || tally.adopted < stamp) return false
-      if (tally.flights.some((one) => one.server === yard.name && one.model === order.model && (order.adapter === '' || one.adapter === order.adapter) && one.count > 0)) return false
+      if (
+        tally.flights.some(
+          (one) =>
+            one.server === yard.name &&
+            one.model === order.model &&
+            (order.adapter === '' || one.adapter === order.adapter) &&
+            one.count > 0,
+        )
+      )
+        return false
     }
     const { report } = yard
     if (report === undefined || report.askedMs <= (yard.task?.sinceMs ?? 0)) return false
--- a/src/timetable/Predictor.ts
+++ b/src/timetable/Predictor.ts
@@ -9,7 +9,12 @@
 import { ok, strictEqual } from 'node:assert'
 import { proof } from '../gauge/proof.js'
 
-interface Course { lastMs: number; gapMs: number; missMs: number; count: number }
+interface Course {
+  lastMs: number
+  gapMs: number
+  missMs: number
+  count: number
+}
 const freshWeight = 0.1
 const memorylessMiss = 2 / Math.E
 const lateRatio = 4
--- a/src/timetable/Yard.ts
+++ b/src/timetable/Yard.ts
@@ -16,6 +16,7 @@
   askedMs: number
   answeredMs: number
   task: { order: Order; phase: 'withdrawing' | 'proposed' | 'sent'; sinceMs: number; sentMs: number; incarnation: string } | undefined
-  plan: { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'history' | 'overlap' | 'doubles' } | undefined
+  plan:
+    { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'history' | 'overlap' | 'doubles' } | undefined
   backoffUntilMs: number
 }
--- a/src/turnout/CallersDesk.ts
+++ b/src/turnout/CallersDesk.ts
@@ -17,7 +17,18 @@
 import { TurnoutTask } from './TurnoutTask.js'
 
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
-const ownHeaders = new Set(['host', 'connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'content-length', 'upgrade', 'te', 'trailer', 'expect'])
+const ownHeaders = new Set([
+  'host',
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'transfer-encoding',
+  'content-length',
+  'upgrade',
+  'te',
+  'trailer',
+  'expect',
+])
 
 @singleton()
 export class CallersDesk {
@@ -33,7 +44,9 @@
     this.#task = task
     const app = new App({
       settings: { xPoweredBy: false },
-      noMatchHandler: (_request, response) => { TurnoutTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...') },
+      noMatchHandler: (_request, response) => {
+        TurnoutTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...')
+      },
     })
     app.get('/health', (_request, response) => {
       const current = task.machine.current(performance.now())
@@ -56,13 +69,17 @@
     const server = this.#server
     if (server === undefined) return
     await new Promise<void>((resolve) => {
-      server.close(() => { resolve() })
+      server.close(() => {
+        resolve()
+      })
       server.closeIdleConnections()
     })
   }
 
   async #serve(request: Request, response: ServerResponse): Promise<void> {
-    const turnAway = (status: number, why: string) => { TurnoutTask.answer(response, status, Verdict.notRun, undefined, why) }
+    const turnAway = (status: number, why: string) => {
+      TurnoutTask.answer(response, status, Verdict.notRun, undefined, why)
+    }
     const path = CallerFormat.path(request.originalUrl)
     const method = methods.find((one) => one === request.method)
     const due = CallerFormat.due(request.headers[CallerFormat.dueHeader])
@@ -90,14 +107,27 @@
     this.#hold(body.length, response)
     const left = known.ms === undefined ? undefined : known.ms - (performance.now() - arrivedMs)
     const headers: Record<string, string> = {}
-    for (const [name, value] of Object.entries(request.headers)) if (value !== undefined && !ownHeaders.has(name)) headers[name] = Array.isArray(value) ? value.join(', ') : value
+    for (const [name, value] of Object.entries(request.headers))
+      if (value !== undefined && !ownHeaders.has(name)) headers[name] = Array.isArray(value) ? value.join(', ') : value
     if (path.kind === 'service') {
-      this.#task.allow({ kind: 'service', name: path.name }, method, path.rest.startsWith('/') ? path.rest : `/${path.rest}`, headers, body, left, response)
+      this.#task.allow(
+        { kind: 'service', name: path.name },
+        method,
+        path.rest.startsWith('/') ? path.rest : `/${path.rest}`,
+        headers,
+        body,
+        left,
+        response,
+      )
       return
     }
     CallerFormat.model(path.name, body).caseOf({
-      Left: (why) => { turnAway(400, why) },
-      Right: (target) => { if (target.kind === 'model') this.#task.allow(target, method, ServerFormat.modelPath(path.name), headers, body, left, response) },
+      Left: (why) => {
+        turnAway(400, why)
+      },
+      Right: (target) => {
+        if (target.kind === 'model') this.#task.allow(target, method, ServerFormat.modelPath(path.name), headers, body, left, response)
+      },
     })
   }
 
--- a/src/turnout/Line.ts
+++ b/src/turnout/Line.ts
@@ -31,8 +31,12 @@
         connector(options, callback)
       },
     })
-    this.#client.on('disconnect', () => { this.spent = true })
-    this.#client.on('connectionError', () => { this.spent = true })
+    this.#client.on('disconnect', () => {
+      this.spent = true
+    })
+    this.#client.on('connectionError', () => {
+      this.spent = true
+    })
   }
 
   async identify(waitMs: number): Promise<ServerFormat> {
--- a/src/turnout/TurnoutInput.ts
+++ b/src/turnout/TurnoutInput.ts
@@ -7,7 +7,13 @@
 export type TurnoutInput =
   | { kind: 'tick' }
   | { kind: 'message'; from: string; fromAddress: string; message: Message }
-  | { kind: 'arrived'; id: string; target: { kind: 'model'; name: string; adapter: string; chain: string[] } | { kind: 'service'; name: string }; bytes: number; dueInMs: number | undefined }
+  | {
+      kind: 'arrived'
+      id: string
+      target: { kind: 'model'; name: string; adapter: string; chain: string[] } | { kind: 'service'; name: string }
+      bytes: number
+      dueInMs: number | undefined
+    }
   | { kind: 'identified'; id: string; attempt: number; server: string; incarnation: string; upMs: number }
   | { kind: 'sent'; id: string; attempt: number }
   | { kind: 'head'; id: string; attempt: number; notRun: boolean }
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -20,8 +20,19 @@
 import type { TurnoutEffect } from './TurnoutEffect.js'
 import type { TurnoutInput } from './TurnoutInput.js'
 
-interface Plan { name: string; seat: string; zone: string; lineman: string }
-interface Terms { partner: string; limits: ReturnType<typeof Charter.limits>; repeatable: boolean; servers: readonly string[] | undefined; adapters: readonly string[] }
+interface Plan {
+  name: string
+  seat: string
+  zone: string
+  lineman: string
+}
+interface Terms {
+  partner: string
+  limits: ReturnType<typeof Charter.limits>
+  repeatable: boolean
+  servers: readonly string[] | undefined
+  adapters: readonly string[]
+}
 const keptChains = 4096
 
 export class TurnoutMachine {
@@ -60,11 +71,20 @@
 
   step(input: TurnoutInput, nowMs: number): TurnoutEffect[] {
     switch (input.kind) {
-      case 'tick': this.#tick(nowMs); break
-      case 'message': this.#message(input.message, nowMs); break
-      case 'arrived': this.#arrived(input, nowMs); break
-      case 'callerGone': this.#callerGone(input.id); break
-      default: this.#attempted(input, nowMs)
+      case 'tick':
+        this.#tick(nowMs)
+        break
+      case 'message':
+        this.#message(input.message, nowMs)
+        break
+      case 'arrived':
+        this.#arrived(input, nowMs)
+        break
+      case 'callerGone':
+        this.#callerGone(input.id)
+        break
+      default:
+        this.#attempted(input, nowMs)
     }
     const effects = this.#effects
     this.#effects = []
@@ -75,7 +95,17 @@
     if (nowMs >= this.#followAtMs) {
       this.#followAtMs = nowMs + this.#pace.renewMs / 2
       this.#follows += 1
-      this.#effects.push({ kind: 'send', toAddress: this.#plan.lineman, message: { kind: 'follow', seat: this.#plan.seat, stamp: this.copy.stamp, sentMs: nowMs, digests: this.#follows % 8 === 0 ? this.copy.digests : [] } })
+      this.#effects.push({
+        kind: 'send',
+        toAddress: this.#plan.lineman,
+        message: {
+          kind: 'follow',
+          seat: this.#plan.seat,
+          stamp: this.copy.stamp,
+          sentMs: nowMs,
+          digests: this.#follows % 8 === 0 ? this.copy.digests : [],
+        },
+      })
     }
     if (nowMs >= this.#tallyAtMs) this.#tell(nowMs)
     this.#giveUp(nowMs)
@@ -94,10 +124,17 @@
 
   #message(message: Message, nowMs: number): void {
     switch (message.kind) {
-      case 'permit': this.#permitUntilMs = Math.max(this.#permitUntilMs, message.sentMs + message.forMs); break
-      case 'news': if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#adopted(nowMs); break
-      case 'mend': if (message.stamp === this.copy.stamp && this.copy.mend(message.range, message.rows).length > 0) this.#adopted(nowMs); break
-      default: return
+      case 'permit':
+        this.#permitUntilMs = Math.max(this.#permitUntilMs, message.sentMs + message.forMs)
+        break
+      case 'news':
+        if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#adopted(nowMs)
+        break
+      case 'mend':
+        if (message.stamp === this.copy.stamp && this.copy.mend(message.range, message.rows).length > 0) this.#adopted(nowMs)
+        break
+      default:
+        return
     }
     if (message.kind === 'permit') return
     this.#bindAll(nowMs)
@@ -108,13 +145,27 @@
     this.#followAtMs = nowMs
     this.#tallyAtMs = Math.min(this.#tallyAtMs, nowMs)
     const text = this.copy.get('charter')
-    const charter = text === undefined ? undefined : Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined
+    const charter = text === undefined ? undefined : (Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined)
     this.#terms = new Map()
     this.#places.clear()
     for (const [partner, branch] of Object.entries(charter?.partners ?? {})) {
       if (charter === undefined) break
-      for (const [name, service] of Object.entries(branch.services)) this.#terms.set(`service ${name}`, { partner, limits: Charter.limits(charter, partner, service.limits), repeatable: service.repeatable, servers: service.servers, adapters: [] })
-      for (const [name, model] of Object.entries(branch.models)) this.#terms.set(`model ${name}`, { partner, limits: Charter.limits(charter, partner, model.limits), repeatable: model.repeatable, servers: model.servers, adapters: model.adapters })
+      for (const [name, service] of Object.entries(branch.services))
+        this.#terms.set(`service ${name}`, {
+          partner,
+          limits: Charter.limits(charter, partner, service.limits),
+          repeatable: service.repeatable,
+          servers: service.servers,
+          adapters: [],
+        })
+      for (const [name, model] of Object.entries(branch.models))
+        this.#terms.set(`model ${name}`, {
+          partner,
+          limits: Charter.limits(charter, partner, model.limits),
+          repeatable: model.repeatable,
+          servers: model.servers,
+          adapters: model.adapters,
+        })
     }
     const listed = new Set<string>()
     for (const [name, value] of this.copy.under('server/')) {
@@ -122,7 +173,20 @@
       listed.add(name)
       let platform = this.#platforms.get(name)
       if (platform === undefined) {
-        platform = { name, address: server.address, zone: server.zone, open: false, models: new Set(), adapters: new Set(), flights: 0, incarnation: '', coldUntilMs: Infinity, suspectUntilMs: 0, defects: 0, kept: new Map() }
+        platform = {
+          name,
+          address: server.address,
+          zone: server.zone,
+          open: false,
+          models: new Set(),
+          adapters: new Set(),
+          flights: 0,
+          incarnation: '',
+          coldUntilMs: Infinity,
+          suspectUntilMs: 0,
+          defects: 0,
+          kept: new Map(),
+        }
         this.#platforms.set(name, platform)
       }
       if (platform.address !== server.address) {
@@ -153,7 +217,10 @@
   #share(limit: number, server: string): number {
     let place = this.#places.get(server)
     if (place === undefined) {
-      const seats = this.copy.under('seat/').map(([name]) => name).sort((a, b) => digest(a + server) - digest(b + server))
+      const seats = this.copy
+        .under('seat/')
+        .map(([name]) => name)
+        .sort((a, b) => digest(a + server) - digest(b + server))
       place = { at: seats.indexOf(this.#plan.seat), of: seats.length }
       this.#places.set(server, place)
     }
@@ -175,9 +242,22 @@
     const { target } = input
     const terms = this.#terms.get(`${target.kind} ${target.name}`)
     const traveller: Traveller = {
-      id: input.id, target, partner: terms?.partner ?? '', bytes: input.bytes, arrivedMs: nowMs,
-      dueMs: nowMs + (input.dueInMs ?? terms?.limits.dueMs ?? this.#pace.operateMs), dueGiven: input.dueInMs !== undefined,
-      phase: 'arrived', attempt: 0, server: '', cold: false, sends: 0, mayHaveRun: false, notBeforeMs: 0, boundMs: 0, lastWhy: '',
+      id: input.id,
+      target,
+      partner: terms?.partner ?? '',
+      bytes: input.bytes,
+      arrivedMs: nowMs,
+      dueMs: nowMs + (input.dueInMs ?? terms?.limits.dueMs ?? this.#pace.operateMs),
+      dueGiven: input.dueInMs !== undefined,
+      phase: 'arrived',
+      attempt: 0,
+      server: '',
+      cold: false,
+      sends: 0,
+      mayHaveRun: false,
+      notBeforeMs: 0,
+      boundMs: 0,
+      lastWhy: '',
     }
     this.#travellers.set(input.id, traveller)
     if (target.kind === 'model') {
@@ -208,7 +288,10 @@
     if (traveller.server !== '') this.#unbind(traveller)
     this.#to(traveller, 'turnedAway')
     const told = traveller.mayHaveRun ? Verdict.mayHaveRun : verdict
-    const retryAfterS = Math.max(1, Math.ceil((this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)?.limits.dueMs ?? 1000) / 4000))
+    const retryAfterS = Math.max(
+      1,
+      Math.ceil((this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)?.limits.dueMs ?? 1000) / 4000),
+    )
     this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict: told, retryAfterS, why })
   }
 
@@ -217,7 +300,12 @@
       if (nowMs < traveller.dueMs || traveller.phase === 'streaming') continue
       const ran = traveller.phase === 'sent' || traveller.mayHaveRun
       if (traveller.server !== '') this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-      this.#turnAway(traveller, ran ? 504 : 503, ran ? Verdict.mayHaveRun : Verdict.notRun, `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`)
+      this.#turnAway(
+        traveller,
+        ran ? 504 : 503,
+        ran ? Verdict.mayHaveRun : Verdict.notRun,
+        `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`,
+      )
     }
   }
 
@@ -242,13 +330,20 @@
 
   #bind(traveller: Traveller, nowMs: number): void {
     const terms = this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
-    const unknown = terms === undefined || (traveller.target.kind === 'model' && traveller.target.adapter !== '' && !terms.adapters.includes(traveller.target.adapter))
+    const unknown =
+      terms === undefined ||
+      (traveller.target.kind === 'model' && traveller.target.adapter !== '' && !terms.adapters.includes(traveller.target.adapter))
     if (!this.current(nowMs)) {
       this.#hold(traveller)
       return
     }
     if (unknown) {
-      this.#turnAway(traveller, 404, Verdict.notRun, terms === undefined ? `no ${traveller.target.kind} is named ${traveller.target.name}` : 'no such adapter')
+      this.#turnAway(
+        traveller,
+        404,
+        Verdict.notRun,
+        terms === undefined ? `no ${traveller.target.kind} is named ${traveller.target.name}` : 'no such adapter',
+      )
       return
     }
     if (traveller.partner === '') {
@@ -274,7 +369,14 @@
     traveller.attempt += 1
     traveller.boundMs = nowMs
     this.#to(traveller, 'connecting')
-    this.#effects.push({ kind: 'attempt', id: traveller.id, attempt: traveller.attempt, server: platform.name, address: platform.address, fresh: !terms.repeatable })
+    this.#effects.push({
+      kind: 'attempt',
+      id: traveller.id,
+      attempt: traveller.attempt,
+      server: platform.name,
+      address: platform.address,
+      fresh: !terms.repeatable,
+    })
   }
 
   #hold(traveller: Traveller): void {
@@ -344,8 +446,11 @@
     const platform = this.#platforms.get(traveller.server)
     const terms = this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
     switch (input.kind) {
-      case 'identified': this.#identified(traveller, platform, terms, input, nowMs); break
-      case 'sent': break
+      case 'identified':
+        this.#identified(traveller, platform, terms, input, nowMs)
+        break
+      case 'sent':
+        break
       case 'head': {
         if (input.notRun && traveller.phase === 'sent') {
           this.#effects.push({ kind: 'release', id: input.id, attempt: input.attempt })
@@ -362,11 +467,19 @@
         this.#to(traveller, 'responded')
         break
       }
-      case 'defect': this.#defected(traveller, platform, terms, input, nowMs); break
+      case 'defect':
+        this.#defected(traveller, platform, terms, input, nowMs)
+        break
     }
   }
 
-  #identified(traveller: Traveller, platform: Platform | undefined, terms: Terms | undefined, input: Extract<TurnoutInput, { kind: 'identified' }>, nowMs: number): void {
+  #identified(
+    traveller: Traveller,
+    platform: Platform | undefined,
+    terms: Terms | undefined,
+    input: Extract<TurnoutInput, { kind: 'identified' }>,
+    nowMs: number,
+  ): void {
     this.#to(traveller, 'identified')
     const release = (why: string) => {
       this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
@@ -408,7 +521,8 @@
 
   #suspect(platform: Platform, nowMs: number): void {
     platform.defects += 1
-    platform.suspectUntilMs = nowMs + Math.min(this.#pace.reportStaleMs, this.#pace.heartbeatMs * 2 ** Math.min(platform.defects, 4) * (0.5 + this.#chance.next()))
+    platform.suspectUntilMs =
+      nowMs + Math.min(this.#pace.reportStaleMs, this.#pace.heartbeatMs * 2 ** Math.min(platform.defects, 4) * (0.5 + this.#chance.next()))
   }
 
   /** Back to waiting: it surely did not run, or may be repeated. */
@@ -419,7 +533,13 @@
     this.#to(traveller, 'held')
   }
 
-  #defected(traveller: Traveller, platform: Platform | undefined, terms: Terms | undefined, input: Extract<TurnoutInput, { kind: 'defect' }>, nowMs: number): void {
+  #defected(
+    traveller: Traveller,
+    platform: Platform | undefined,
+    terms: Terms | undefined,
+    input: Extract<TurnoutInput, { kind: 'defect' }>,
+    nowMs: number,
+  ): void {
     if (traveller.phase === 'streaming') {
       if (platform !== undefined) this.#suspect(platform, nowMs)
       this.#unbind(traveller)
@@ -453,8 +573,26 @@
         flights.set(key, { ...old, count: old.count + 1 })
       }
     }
-    const arrivals = [...this.#arrivals.values()].map(({ model, adapter, count, lastMs }) => ({ model, adapter, count, agoMs: nowMs - lastMs }))
+    const arrivals = [...this.#arrivals.values()].map(({ model, adapter, count, lastMs }) => ({
+      model,
+      adapter,
+      count,
+      agoMs: nowMs - lastMs,
+    }))
     this.#arrivals.clear()
-    this.#effects.push({ kind: 'send', toAddress: this.#plan.lineman, message: { kind: 'tally', seat: this.#plan.seat, session: this.#session, adopted: this.copy.stamp, atMs: nowMs, arrivals, held: [...held.values()], flights: [...flights.values()] } })
+    this.#effects.push({
+      kind: 'send',
+      toAddress: this.#plan.lineman,
+      message: {
+        kind: 'tally',
+        seat: this.#plan.seat,
+        session: this.#session,
+        adopted: this.copy.stamp,
+        atMs: nowMs,
+        arrivals,
+        held: [...held.values()],
+        flights: [...flights.values()],
+      },
+    })
   }
 }
--- a/src/turnout/TurnoutTask.ts
+++ b/src/turnout/TurnoutTask.ts
@@ -46,20 +46,51 @@
   readonly #ticker: NodeJS.Timeout
   #count = 0
 
-  constructor(@inject('startup') startup: Startup['turnout'], @inject('logbook') logbook: Logbook, @inject('telegraph') telegraph: Telegraph) {
+  constructor(
+    @inject('startup') startup: Startup['turnout'],
+    @inject('logbook') logbook: Logbook,
+    @inject('telegraph') telegraph: Telegraph,
+  ) {
     this.#logbook = logbook
     this.#telegraph = telegraph
     this.pace = Pace(startup.bounds)
-    this.machine = new TurnoutMachine({ name: startup.name, seat: startup.seat, zone: startup.zone, lineman: startup.lineman }, this.pace, new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0))
-    telegraph.hear((from, fromAddress, message) => { this.#step({ kind: 'message', from, fromAddress, message }) })
-    this.#ticker = setInterval(() => { this.#step({ kind: 'tick' }) }, this.pace.tickMs)
+    this.machine = new TurnoutMachine(
+      { name: startup.name, seat: startup.seat, zone: startup.zone, lineman: startup.lineman },
+      this.pace,
+      new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
+    )
+    telegraph.hear((from, fromAddress, message) => {
+      this.#step({ kind: 'message', from, fromAddress, message })
+    })
+    this.#ticker = setInterval(() => {
+      this.#step({ kind: 'tick' })
+    }, this.pace.tickMs)
   }
 
   /** Takes a caller's request on its way; the ticket is kept until the caller has its final answer. */
-  allow(target: Extract<TurnoutInput, { kind: 'arrived' }>['target'], method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: Buffer, dueInMs: number | undefined, response: ServerResponse): void {
+  allow(
+    target: Extract<TurnoutInput, { kind: 'arrived' }>['target'],
+    method: Dispatcher.HttpMethod,
+    path: string,
+    headers: Record<string, string>,
+    body: Buffer,
+    dueInMs: number | undefined,
+    response: ServerResponse,
+  ): void {
     this.#count += 1
     const id = String(this.#count)
-    this.#tickets.set(id, { response, method, path, headers, body, line: undefined, attempt: 0, controller: undefined, relaying: false, done: false })
+    this.#tickets.set(id, {
+      response,
+      method,
+      path,
+      headers,
+      body,
+      line: undefined,
+      attempt: 0,
+      controller: undefined,
+      relaying: false,
+      done: false,
+    })
     response.on('close', () => {
       if (this.#tickets.has(id)) this.#step({ kind: 'callerGone', id })
       this.#tickets.delete(id)
@@ -83,17 +114,29 @@
 
   #carryOut(effect: TurnoutEffect): void {
     switch (effect.kind) {
-      case 'send': this.#telegraph.send(effect.toAddress, effect.message); break
-      case 'say': this.#logbook.say(effect.part, effect.sentence); break
-      case 'attempt': void this.#attempt(effect); break
-      case 'go': this.#go(effect.id, effect.attempt); break
+      case 'send':
+        this.#telegraph.send(effect.toAddress, effect.message)
+        break
+      case 'say':
+        this.#logbook.say(effect.part, effect.sentence)
+        break
+      case 'attempt':
+        void this.#attempt(effect)
+        break
+      case 'go':
+        this.#go(effect.id, effect.attempt)
+        break
       case 'relay': {
         const ticket = this.#tickets.get(effect.id)
         if (ticket !== undefined) ticket.relaying = true
         break
       }
-      case 'release': this.#release(effect.id); break
-      case 'turnAway': this.#turnAway(effect); break
+      case 'release':
+        this.#release(effect.id)
+        break
+      case 'turnAway':
+        this.#turnAway(effect)
+        break
       case 'breakOff': {
         const ticket = this.#tickets.get(effect.id)
         this.#tickets.delete(effect.id)
@@ -135,45 +178,57 @@
     let begun = false
     let framed = true
     const live = () => ticket.attempt === attempt && ticket.line === line && this.#tickets.get(id) === ticket
-    line.dispatch({ path: ticket.path, method: ticket.method, headers: ticket.headers, body: ticket.body.length > 0 ? ticket.body : null }, {
-      onRequestStart: (controller) => {
-        begun = true
-        ticket.controller = controller
-        if (live()) this.#step({ kind: 'sent', id, attempt })
-        else controller.abort(new Error('released'))
-      },
-      onResponseStart: (controller, status, headers) => {
-        if (status < 200 || !live()) return
-        this.#step({ kind: 'head', id, attempt, notRun: headers[CallerFormat.verdictHeader] === Verdict.notRun })
-        if (!ticket.relaying || !live()) return
-        framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || status === 204 || status === 304
-        ticket.response.statusCode = status
-        for (const [name, value] of Object.entries(headers)) if (value !== undefined && !hopHeaders.has(name)) ticket.response.setHeader(name, value)
-        ticket.response.on('drain', () => { controller.resume() })
-        ticket.response.flushHeaders()
-      },
-      onResponseData: (controller, chunk) => {
-        if (ticket.relaying && live() && !ticket.response.write(chunk)) controller.pause()
-      },
-      onResponseEnd: () => {
-        if (!live() || !ticket.relaying) return
-        if (!framed) {
+    line.dispatch(
+      { path: ticket.path, method: ticket.method, headers: ticket.headers, body: ticket.body.length > 0 ? ticket.body : null },
+      {
+        onRequestStart: (controller) => {
+          begun = true
+          ticket.controller = controller
+          if (live()) this.#step({ kind: 'sent', id, attempt })
+          else controller.abort(new Error('released'))
+        },
+        onResponseStart: (controller, status, headers) => {
+          if (status < 200 || !live()) return
+          this.#step({ kind: 'head', id, attempt, notRun: headers[CallerFormat.verdictHeader] === Verdict.notRun })
+          if (!ticket.relaying || !live()) return
+          framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || status === 204 || status === 304
+          ticket.response.statusCode = status
+          for (const [name, value] of Object.entries(headers))
+            if (value !== undefined && !hopHeaders.has(name)) ticket.response.setHeader(name, value)
+          ticket.response.on('drain', () => {
+            controller.resume()
+          })
+          ticket.response.flushHeaders()
+        },
+        onResponseData: (controller, chunk) => {
+          if (ticket.relaying && live() && !ticket.response.write(chunk)) controller.pause()
+        },
+        onResponseEnd: () => {
+          if (!live() || !ticket.relaying) return
+          if (!framed) {
+            line.close()
+            this.#step({
+              kind: 'defect',
+              id,
+              attempt,
+              verdict: Verdict.mayHaveRun,
+              why: 'the response had neither a length nor a last chunk',
+            })
+            return
+          }
+          this.#tickets.delete(id)
+          ticket.response.end()
+          this.#giveBack(line)
+          this.#step({ kind: 'ended', id, attempt })
+        },
+        onResponseError: (_controller, error) => {
           line.close()
-          this.#step({ kind: 'defect', id, attempt, verdict: Verdict.mayHaveRun, why: 'the response had neither a length nor a last chunk' })
-          return
-        }
-        this.#tickets.delete(id)
-        ticket.response.end()
-        this.#giveBack(line)
-        this.#step({ kind: 'ended', id, attempt })
-      },
-      onResponseError: (_controller, error) => {
-        line.close()
-        if (!live()) return
-        ticket.line = undefined
-        this.#step({ kind: 'defect', id, attempt, verdict: begun ? Verdict.mayHaveRun : Verdict.notRun, why: error.message })
+          if (!live()) return
+          ticket.line = undefined
+          this.#step({ kind: 'defect', id, attempt, verdict: begun ? Verdict.mayHaveRun : Verdict.notRun, why: error.message })
+        },
       },
-    })
+    )
   }
 
   #giveBack(line: Line): void {
--- a/src/turnout/main.ts
+++ b/src/turnout/main.ts
@@ -11,8 +11,13 @@
 import { TurnoutTask } from './TurnoutTask.js'
 
 const fields = {
-  name: 'its name', seat: "its lineman's name, the seat in the data plane", zone: 'its zone', telegraph: 'address for its lineman', lineman: "the lineman's telegraph address",
-  callers: 'address for callers', logLevel: 'how much to log',
+  name: 'its name',
+  seat: "its lineman's name, the seat in the data plane",
+  zone: 'its zone',
+  telegraph: 'address for its lineman',
+  lineman: "the lineman's telegraph address",
+  callers: 'address for callers',
+  logLevel: 'how much to log',
 }
 
 await startDaemon('turnout', 'A proxy of springpaddle.', Startup.turnout, fields, async (startup, logbook) => {
--- a/src/waybill/FileWaybill.ts
+++ b/src/waybill/FileWaybill.ts
@@ -26,7 +26,11 @@
 function alive(pid: number): boolean {
   try {
     process.kill(pid, 0)
-    return readFileSync(`/proc/${String(pid)}/stat`, 'utf8').split(') ')[1]?.startsWith('Z') !== true
+    return (
+      readFileSync(`/proc/${String(pid)}/stat`, 'utf8')
+        .split(') ')[1]
+        ?.startsWith('Z') !== true
+    )
   } catch {
     return false
   }
@@ -53,7 +57,8 @@
     await mkdir(folder, { recursive: true })
     const lock = join(folder, 'lock')
     const held = Number(await readFile(lock, 'utf8').catch(() => ''))
-    if (held > 0 && held !== process.pid && alive(held)) throw new Error(`${folder} is held by process ${String(held)}; stop it or choose another data folder`)
+    if (held > 0 && held !== process.pid && alive(held))
+      throw new Error(`${folder} is held by process ${String(held)}; stop it or choose another data folder`)
     await writeFile(lock, String(process.pid))
     const path = join(folder, name)
     const handle = await open(path, 'a+')
@@ -61,12 +66,20 @@
     const scan = Record.scan(file)
     if (scan.corruptAt !== undefined) {
       await handle.close()
-      throw new Error(`${path} is damaged at offset ${String(scan.corruptAt)} before a valid record; keep the file for study, empty the folder, and let this machine catch up as a new replica`)
+      throw new Error(
+        `${path} is damaged at offset ${String(scan.corruptAt)} before a valid record; keep the file for study, empty the folder, and let this machine catch up as a new replica`,
+      )
     }
     if (scan.end < file.length) await handle.truncate(scan.end)
     await handle.sync()
     await syncFolder(folder)
-    return new FileWaybill(folder, path, handle, scan.records.map((record) => new Uint8Array(record)), scan.end)
+    return new FileWaybill(
+      folder,
+      path,
+      handle,
+      scan.records.map((record) => new Uint8Array(record)),
+      scan.end,
+    )
   }
 
   get bytes(): number {
