--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
   sidings: ['gauge'],
   signalbox: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings'],
   turnout: ['gauge', 'telegraph', 'interlocking', 'sidings'],
-  lineman: ['gauge', 'telegraph', 'interlocking'],
+  lineman: ['gauge', 'telegraph', 'interlocking', 'sidings'],
   springpaddle: ['gauge', 'sidings'],
   testtrack: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings', 'signalbox', 'turnout', 'lineman'],
 }
--- a/src/gauge/Pace.ts
+++ b/src/gauge/Pace.ts
@@ -19,10 +19,13 @@
   operateMs: number
   askMs: number
   platformMs: number
+  platformSilentMs: number
   reportMs: number
   reportStaleMs: number
   dutyLicenceMs: number
   orderMs: number
+  firstByteMs: number
+  retryWindowMs: number
   parentSilentMs: number
   frozenMs: number
 }
@@ -42,10 +45,13 @@
     operateMs: 0.75 * bounds.recoverMs,
     askMs: 0.2 * bounds.recoverMs,
     platformMs: 0.15 * bounds.drainMs,
+    platformSilentMs: 0.45 * bounds.drainMs,
     reportMs: 0.1 * bounds.drainMs,
     reportStaleMs: 0.5 * bounds.drainMs,
     dutyLicenceMs: 0.1 * bounds.recoverMs,
     orderMs: 0.5 * bounds.recoverMs,
+    firstByteMs: 0.2 * bounds.recoverMs,
+    retryWindowMs: bounds.emptyMs,
     parentSilentMs: 0.3 * licenceMs,
     frozenMs: 0.4 * licenceMs,
   }
--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -30,7 +30,7 @@
   platform: Address.optional(),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
-const lineman = z.strictObject({ ...common, seeds, turnout: Address })
+const lineman = z.strictObject({ ...common, seeds, turnout: Address, platform: Address.optional() })
 const turnout = z.strictObject({
   ...common,
   seat: Name,
--- a/src/interlocking/Licences.ts
+++ b/src/interlocking/Licences.ts
@@ -34,6 +34,11 @@
     this.#graceUntilMs = nowMs + this.#pace.electionMs + margin * this.#pace.licenceMs
   }
 
+  /** Until then a licence of an earlier leader may be alive. */
+  get graceUntilMs(): number {
+    return this.#graceUntilMs
+  }
+
   charterMade(stamp: number, nowMs: number): void {
     this.#behindSince.set(stamp, nowMs)
   }
--- a/src/lineman/LinemanEffect.ts
+++ b/src/lineman/LinemanEffect.ts
@@ -3,4 +3,5 @@
  */
 import type { Message } from '../telegraph/Message.js'
 
-export type LinemanEffect = { kind: 'send'; toAddress: string; message: Message } | { kind: 'say'; part: string; sentence: string }
+export type LinemanEffect =
+  { kind: 'send'; toAddress: string; message: Message } | { kind: 'say'; part: string; sentence: string } | { kind: 'askPlatform' }
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -11,6 +11,7 @@
 import { Relay } from '../interlocking/Relay.js'
 import { Roster } from '../interlocking/Roster.js'
 import type { Message } from '../telegraph/Message.js'
+import { Barrier } from './Barrier.js'
 import type { LinemanEffect } from './LinemanEffect.js'
 import type { LinemanInput } from './LinemanInput.js'
 
@@ -42,7 +43,12 @@
   #shunned = new Map<string, number>()
   #coreStamp = 0
   #levelMs: number
-  #turnout = { stamp: 0, permitUntilMs: -Infinity }
+  #turnout = { stamp: 0, permitUntilMs: -Infinity, followSentMs: 0, followedMs: -Infinity }
+  readonly #barrier: Barrier
+  #ask: Extract<Message, { kind: 'ask' }> = { kind: 'ask', asks: [], echo: 0, again: [], firsts: [] }
+  #firsts = new Map<string, number>()
+  #lent: Pick<Extract<Message, { kind: 'licence' }>, 'serial' | 'shares' | 'again'> = { serial: 0, shares: [], again: [] }
+  #renewedMs = -Infinity
   #hailAtMs = -Infinity
   #renewAtMs = -Infinity
   #followAtMs = -Infinity
@@ -57,6 +63,7 @@
       4 * pace.hailMs,
     )
     this.#relay = new Relay(pace.licenceMs)
+    this.#barrier = new Barrier(pace, nowMs)
     this.#nonce = chance.below(1e9)
     this.#session = this.#nonce.toString(36)
     this.#levelMs = nowMs
@@ -68,6 +75,7 @@
 
   step(input: LinemanInput, nowMs: number): LinemanEffect[] {
     if (input.kind === 'tick') this.#tick(nowMs)
+    else if (input.kind === 'platform') this.#barrier.told(input.servers)
     else this.#message(input.from, input.fromAddress, input.message, nowMs)
     const effects = this.#effects
     this.#effects = []
@@ -95,22 +103,34 @@
           known: [],
         })
     }
-    if (nowMs >= this.#renewAtMs) {
-      this.#renewAtMs = nowMs + this.#pace.renewMs
-      this.#send(this.#leaderAddress, {
-        kind: 'renew',
-        seat: this.#plan.name,
-        role: 'lineman',
-        zone: this.#plan.zone,
-        session: this.#session,
-        sentMs: nowMs,
-        adopted: this.#adopted(nowMs),
-      })
-      if (nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
-    }
+    if (nowMs >= this.#renewAtMs) this.#renew(nowMs)
+    if (this.#barrier.asks(nowMs)) this.#effects.push({ kind: 'askPlatform' })
     if (nowMs >= this.#followAtMs) this.#follow(nowMs)
   }
 
+  /** Renews the licence, and with it asks for what the turnout wants of shared limits. */
+  #renew(nowMs: number): void {
+    this.#renewAtMs = nowMs + this.#pace.renewMs
+    this.#renewedMs = nowMs
+    const { asks, echo, again } = this.#ask
+    const firsts = [...this.#firsts].map(([key, count]) => ({ key, count }))
+    if (this.#leaderAddress !== '') this.#firsts.clear()
+    this.#send(this.#leaderAddress, {
+      kind: 'renew',
+      seat: this.#plan.name,
+      role: 'lineman',
+      zone: this.#plan.zone,
+      session: this.#session,
+      sentMs: nowMs,
+      adopted: this.#adopted(nowMs),
+      asks,
+      echo,
+      again,
+      firsts,
+    })
+    if (nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
+  }
+
   /** What this seat as a whole works by: the turnout's stamp for as long as the turnout may be at work. */
   #adopted(nowMs: number): number {
     return nowMs < this.#turnout.permitUntilMs ? Math.min(this.copy.stamp, this.#turnout.stamp) : this.copy.stamp
@@ -219,6 +239,9 @@
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
         this.#peers = message.peers
         this.#roster.hearsay(message.peers, nowMs)
+        if (message.forMs > 0) this.#lent = message
+        this.#barrier.core(message.sentMs - message.platformAgeMs, message.stamp)
+        this.#permit(nowMs)
         break
       }
       case 'peerAsk':
@@ -227,6 +250,18 @@
       case 'peerTell':
         this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
         break
+      case 'ask': {
+        if (fromAddress !== this.#plan.turnout) break
+        this.#ask = message
+        for (const { key, count } of message.firsts) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + count)
+        if (message.again.length > 0 || message.asks.some((one) => one.want > one.held)) {
+          this.#renewAtMs = Math.min(this.#renewAtMs, this.#renewedMs + this.#pace.renewMs / 4)
+        }
+        break
+      }
+      case 'outlook':
+        this.#send(this.#plan.turnout, message)
+        break
       case 'follow':
         this.#followed(fromAddress, message, nowMs)
         break
@@ -254,14 +289,32 @@
   }
 
   #followed(fromAddress: string, follow: Extract<Message, { kind: 'follow' }>, nowMs: number): void {
-    if (fromAddress === this.#plan.turnout) {
+    const own = fromAddress === this.#plan.turnout
+    if (own) {
       this.#turnout.stamp = follow.stamp
+      this.#turnout.followSentMs = follow.sentMs
+      this.#turnout.followedMs = nowMs
     }
     for (const send of this.#relay.followed(fromAddress, follow, this.copy, nowMs)) this.#send(send.toAddress, send.message)
-    if (fromAddress !== this.#plan.turnout) return
-    const forMs = Math.max(0, Math.max(this.#licenceUntilMs, this.#peerUntilMs) - nowMs)
-    this.#turnout.permitUntilMs = Math.max(this.#turnout.permitUntilMs, nowMs + forMs)
-    this.#send(fromAddress, { kind: 'permit', sentMs: follow.sentMs, forMs })
+    if (own) this.#permit(nowMs)
+  }
+
+  /** Lets the turnout work on, counted on the turnout's own clock from its last question. */
+  #permit(nowMs: number): void {
+    const { followedMs, followSentMs } = this.#turnout
+    if (nowMs - followedMs > this.#pace.licenceMs) return
+    const forMs = Math.max(0, Math.max(this.#licenceUntilMs, this.#peerUntilMs) - followedMs)
+    this.#turnout.permitUntilMs = Math.max(this.#turnout.permitUntilMs, followedMs + forMs)
+    this.#send(this.#plan.turnout, {
+      kind: 'permit',
+      sentMs: followSentMs,
+      forMs,
+      lentMs: Math.max(0, this.#licenceUntilMs - followedMs),
+      serial: this.#lent.serial,
+      shares: this.#lent.shares,
+      again: this.#lent.again,
+      barred: this.#barrier.barred(this.copy, nowMs),
+    })
   }
 
   #spread(nowMs: number): void {
--- a/src/lineman/LinemanTask.ts
+++ b/src/lineman/LinemanTask.ts
@@ -8,6 +8,7 @@
 import { Logbook } from '../gauge/Logbook.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
+import { readPlatform } from '../sidings/readPlatform.js'
 import type { Telegraph } from '../telegraph/Telegraph.js'
 import type { LinemanInput } from './LinemanInput.js'
 import { LinemanMachine } from './LinemanMachine.js'
@@ -17,6 +18,8 @@
   readonly machine: LinemanMachine
   readonly #logbook: Logbook
   readonly #telegraph: Telegraph
+  readonly #platform: string | undefined
+  readonly #pace: Pace
   readonly #ticker: NodeJS.Timeout
 
   constructor(
@@ -27,6 +30,8 @@
     this.#logbook = logbook
     this.#telegraph = telegraph
     const pace = Pace(startup.bounds)
+    this.#pace = pace
+    this.#platform = startup.platform
     const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     this.machine = new LinemanMachine(
       { name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, turnout: startup.turnout },
@@ -45,10 +50,17 @@
   #step(input: LinemanInput): void {
     for (const effect of this.machine.step(input, clockMs())) {
       if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
-      else this.#logbook.say(effect.part, effect.sentence)
+      else if (effect.kind === 'say') this.#logbook.say(effect.part, effect.sentence)
+      else void this.#readPlatform()
     }
   }
 
+  async #readPlatform(): Promise<void> {
+    if (this.#platform === undefined) return
+    const servers = await readPlatform(this.#platform, this.#pace.platformMs)
+    if (servers !== undefined) this.#step({ kind: 'platform', servers })
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
     await this.#telegraph.close()
--- a/src/lineman/main.ts
+++ b/src/lineman/main.ts
@@ -15,6 +15,7 @@
   telegraph: 'address for the other processes',
   seeds: 'addresses of other processes, comma-separated',
   turnout: "the turnout's telegraph address on this machine",
+  platform: "the platform's address, read only while the core is silent",
   logLevel: 'how much to log',
 }
 
--- /dev/null
+++ b/src/sidings/readPlatform.ts
@@ -0,0 +1,16 @@
+/**
+ * Reads the platform's list of servers, bounded in time; nothing when it cannot be had whole.
+ */
+import { request } from 'undici'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
+import { PlatformFormat } from './PlatformFormat.js'
+
+export async function readPlatform(address: string, waitMs: number): Promise<PlatformServer[] | undefined> {
+  try {
+    const reply = await request(`http://${address}${PlatformFormat.path}`, { signal: AbortSignal.timeout(waitMs) })
+    const body = await reply.body.text()
+    return reply.statusCode === 200 ? PlatformFormat.read(body) : undefined
+  } catch {
+    return undefined
+  }
+}
--- a/src/signalbox/OutsideCalls.ts
+++ b/src/signalbox/OutsideCalls.ts
@@ -1,20 +1,13 @@
 /**
- * The signalbox's calls to the platform and to model servers, each bounded in time. Whatever goes
+ * The signalbox's calls to model servers, each bounded in time. Whatever goes
  * wrong becomes an outcome; nothing throws.
  */
 import { request } from 'undici'
 import type { Order } from '../gauge/Order.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
 import { ModelServerFormat } from '../sidings/ModelServerFormat.js'
-import { PlatformFormat } from '../sidings/PlatformFormat.js'
 
 export class OutsideCalls {
-  async platform(address: string, waitMs: number): Promise<PlatformServer[] | undefined> {
-    const reply = await this.#call(address, PlatformFormat.path, 'GET', undefined, waitMs)
-    return reply?.status === 200 ? PlatformFormat.read(reply.body) : undefined
-  }
-
   async holds(address: string, tenure: number, waitMs: number): Promise<Report | undefined> {
     const reply = await this.#call(address, ModelServerFormat.holdsPath(tenure), 'GET', undefined, waitMs)
     return reply?.status === 200 ? ModelServerFormat.report(reply.body) : undefined
--- /dev/null
+++ b/src/signalbox/SeatDesk.ts
@@ -0,0 +1,134 @@
+/**
+ * The leader's side of the seats: their licences, and what rides on a renewal: shares of limits, and
+ * tokens for further tries. The pools follow the charter in force.
+ */
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { Charter } from '../gauge/Charter.js'
+import { Pace } from '../gauge/Pace.js'
+import { proof } from '../gauge/proof.js'
+import { Terms } from '../gauge/Terms.js'
+import { Copy } from '../interlocking/Copy.js'
+import { Licences } from '../interlocking/Licences.js'
+import { Retries } from '../interlocking/Retries.js'
+import { Shares } from '../interlocking/Shares.js'
+import type { Message } from '../telegraph/Message.js'
+
+type Renew = Extract<Message, { kind: 'renew' }>
+type Licence = Extract<Message, { kind: 'licence' }>
+
+export class SeatDesk {
+  readonly licences: Licences
+  readonly #pace: Pace
+  readonly #shares: Shares
+  readonly #retries: Retries
+  #charterStamp = -1
+  #charter: Charter | undefined
+  #terms = new Map<string, Terms>()
+  #seats = 0
+
+  constructor(pace: Pace) {
+    this.#pace = pace
+    this.licences = new Licences(pace)
+    this.#shares = new Shares(pace.licenceMs)
+    this.#retries = new Retries(pace.retryWindowMs)
+  }
+
+  begin(term: number, nowMs: number): void {
+    this.licences.begin(nowMs)
+    this.#shares.begin(term, this.licences.graceUntilMs)
+    this.#retries.begin()
+  }
+
+  /** The licence for a renewal; a seat that may not have one is lent nothing. */
+  renew(renew: Renew, fromAddress: string, copy: Copy, platformAgeMs: number, nowMs: number): Licence {
+    this.#follow(copy)
+    const granted = this.licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
+    const peers = this.licences.seats
+      .filter(([seat]) => this.licences.alive(seat, nowMs))
+      .map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
+    const licence = { kind: 'licence' as const, sentMs: renew.sentMs, stamp: copy.stamp, peers, platformAgeMs }
+    if (!granted) return { ...licence, forMs: 0, serial: 0, shares: [], again: [] }
+    for (const { key, count } of renew.firsts) {
+      const limits = this.#terms.get(key)?.limits
+      if (limits !== undefined) this.#retries.earn(key, count, limits.retryRatio, limits.retryAllowance, nowMs)
+    }
+    const again = renew.again.filter(({ id, key }) => {
+      const limits = this.#terms.get(key)?.limits
+      return limits !== undefined && this.#retries.give(id, key, limits.retryAllowance, nowMs)
+    })
+    const lent = this.#shares.renew(renew.seat, renew.asks, renew.echo, (key) => this.#pool(key), nowMs)
+    return { ...licence, forMs: this.#pace.licenceMs, ...lent, again: again.map((one) => one.id) }
+  }
+
+  /** Shared limits that are lent out while some seat wants more. */
+  get exhausted(): string[] {
+    return this.#shares.exhausted((key) => this.#pool(key))
+  }
+
+  #follow(copy: Copy): void {
+    this.#seats = copy.under('seat/').length
+    const stamp = copy.stampOf('charter')
+    if (stamp === this.#charterStamp) return
+    this.#charterStamp = stamp
+    this.#charter =
+      Charter.check(JSON.parse(copy.get('charter') ?? 'null'))
+        .toMaybe()
+        .extractNullable() ?? undefined
+    this.#terms = this.#charter === undefined ? new Map<string, Terms>() : Terms.of(this.#charter)
+  }
+
+  /** What of a limit is there to lend: what the even parts leave. */
+  #pool(key: string): number {
+    const [kind, server = ''] = key.split('/')
+    if (this.#charter?.fleet.servers[server] === undefined) return 0
+    const { coldLimit, serverLimit } = this.#charter.defaults
+    const limit = kind === 'cold' ? Math.min(coldLimit, serverLimit) : serverLimit
+    return limit - this.#seats * Shares.even(limit, this.#seats)
+  }
+}
+
+proof(import.meta.url, {
+  'a small limit goes to who asks, a big one is half dealt out; nothing is lent for a server no charter names': () => {
+    const copy = new Copy()
+    const charter = {
+      defaults: {
+        dueMs: 1000,
+        bodyLimitBytes: 10,
+        retryRatio: 0.2,
+        retryAllowance: 10,
+        coldLimit: 2,
+        warmMs: 100,
+        serverLimit: 12,
+        intent: { weight: 1, coldStartCost: 1, hours: [] },
+      },
+      partners: { c: { services: { b: { servers: ['s'], repeatable: true } } } },
+      fleet: { servers: { s: { kind: 'service' } }, storePaceMbPerS: 1, storeBurstMb: 99 },
+    }
+    copy.set({ key: 'charter', stamp: 1, gone: false, value: JSON.stringify(charter) })
+    for (const seat of ['p', 'q', 'r']) copy.set({ key: `seat/${seat}`, stamp: 1, gone: false, value: '{}' })
+    const desk = new SeatDesk(Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }))
+    desk.begin(1, 0)
+    const later = desk.licences.graceUntilMs + 1
+    const asks = ['cold/s/1', 'serve/s', 'serve/nobody'].map((key) => ({ key, want: 9, held: 0 }))
+    const renew = (again: string[]): Renew => ({
+      kind: 'renew',
+      seat: 'p',
+      role: 'lineman',
+      zone: 'a',
+      session: 'x',
+      sentMs: 0,
+      adopted: 1,
+      asks,
+      echo: 0,
+      again: again.map((id) => ({ id, key: 'service b' })),
+      firsts: [{ key: 'service b', count: 10 }],
+    })
+    const licence = desk.renew(renew(['1', '2', '3']), 'x', copy, 0, later)
+    deepStrictEqual(licence.shares, [
+      { key: 'cold/s/1', count: 2 },
+      { key: 'serve/s', count: 6 },
+    ])
+    deepStrictEqual(licence.again, ['1', '2'])
+    strictEqual(desk.exhausted.includes('cold/s/1'), true)
+  },
+})
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -10,7 +10,6 @@
 import { Agreement } from '../interlocking/Agreement.js'
 import { Ballots } from '../interlocking/Ballots.js'
 import { Command } from '../interlocking/Command.js'
-import { Licences } from '../interlocking/Licences.js'
 import type { Outcome } from '../interlocking/Outcome.js'
 import { Register } from '../interlocking/Register.js'
 import { Relay } from '../interlocking/Relay.js'
@@ -20,6 +19,7 @@
 import { Dispatcher } from '../timetable/Dispatcher.js'
 import type { Policy } from '../timetable/Policy.js'
 import { Operation } from './Operation.js'
+import { SeatDesk } from './SeatDesk.js'
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
 
@@ -40,6 +40,7 @@
   proposed: boolean
 }
 const dispatcherDuty = 'dispatcher'
+const unreadMs = 1e9
 
 export class SignalboxMachine {
   readonly agreement: Agreement
@@ -47,7 +48,7 @@
   readonly roster: Roster
   readonly #plan: Plan
   readonly #pace: Pace
-  readonly #licences: Licences
+  readonly #desk: SeatDesk
   readonly #ballots: Ballots
   readonly #relay: Relay
   readonly #pending = new Map<string, Pending>()
@@ -61,6 +62,8 @@
   #leaderAddress = ''
   #hailAtMs = -Infinity
   #platformAtMs = -Infinity
+  /** When the platform's list was asked for that the table was last found to be level with. */
+  #platformFreshMs = -Infinity
   #lastTickMs: number
   #seatsAsked = new Map<string, number>()
   #platformSeen = ''
@@ -76,7 +79,7 @@
       plan.seeds.filter((seed) => seed !== plan.address),
       4 * pace.hailMs,
     )
-    this.#licences = new Licences(pace)
+    this.#desk = new SeatDesk(pace)
     this.#ballots = new Ballots(plan.name, pace, chance.fork())
     this.#relay = new Relay(pace.licenceMs)
     this.#nonce = chance.below(1e9)
@@ -163,7 +166,7 @@
       const before = this.register.charterStamp
       if (entry.type === 'command') this.register.apply(entry.index, entry.bytes)
       this.#applied = entry.index
-      if (this.register.charterStamp !== before) this.#licences.charterMade(this.register.charterStamp, nowMs)
+      if (this.register.charterStamp !== before) this.#desk.licences.charterMade(this.register.charterStamp, nowMs)
     }
     if (out.applied.length > 0 || out.adopted !== undefined) {
       this.#duty(nowMs)
@@ -177,8 +180,9 @@
     if ((this.agreement.phase === 'leader') !== this.#leading) {
       this.#leading = !this.#leading
       if (this.#leading) {
-        this.#licences.begin(nowMs)
-        this.#licences.charterMade(this.register.charterStamp, nowMs)
+        this.#desk.begin(this.agreement.term, nowMs)
+        this.#platformFreshMs = -Infinity
+        this.#desk.licences.charterMade(this.register.charterStamp, nowMs)
         this.#dutyHeardMs.clear()
         this.#leaderAddress = this.#plan.address
       }
@@ -397,17 +401,8 @@
       }
       return
     }
-    const granted = this.#licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
-    const peers = this.#licences.seats
-      .filter(([seat]) => this.#licences.alive(seat, nowMs))
-      .map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
-    this.#send(fromAddress, {
-      kind: 'licence',
-      sentMs: renew.sentMs,
-      forMs: granted ? this.#pace.licenceMs : 0,
-      stamp: this.register.copy.stamp,
-      peers,
-    })
+    const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
+    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.register.copy, ageMs, nowMs))
     this.#finishWrites(nowMs)
   }
 
@@ -475,6 +470,7 @@
     if (!this.#leading || !this.agreement.settled) return
     const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
     const held = JSON.stringify(this.register.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
+    if (listed === held) this.#platformFreshMs = this.#platformAtMs - this.#pace.platformMs
     if (listed === held || (listed === this.#platformSeen && this.agreement.commit < this.agreement.lastIndex)) return
     this.#platformSeen = listed
     this.#propose({ kind: 'platform', servers: listed }, nowMs)
@@ -560,7 +556,7 @@
   }
 
   #delivered(outcome: Outcome, nowMs: number): boolean {
-    return this.#licences.delivered(outcome.stamp, this.#seats, nowMs)
+    return this.#desk.licences.delivered(outcome.stamp, this.#seats, nowMs)
   }
 
   #respond(id: string, status: number, stamp: number, text: string): void {
@@ -654,7 +650,7 @@
   }
 
   #nodes(nowMs: number): unknown {
-    const seats = new Map(this.#licences.seats)
+    const seats = new Map(this.#desk.licences.seats)
     return {
       leader: this.agreement.leader,
       term: this.agreement.term,
@@ -670,7 +666,7 @@
         zone: seats.get(seat)?.zone ?? '',
         address: seats.get(seat)?.address ?? '',
         adopted: seats.get(seat)?.adopted ?? 0,
-        alive: this.#licences.alive(seat, nowMs),
+        alive: this.#desk.licences.alive(seat, nowMs),
       })),
       stamp: this.register.copy.stamp,
     }
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -10,6 +10,7 @@
 import { Logbook } from '../gauge/Logbook.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
+import { readPlatform } from '../sidings/readPlatform.js'
 import type { Telegraph } from '../telegraph/Telegraph.js'
 import type { Waybill } from '../waybill/Waybill.js'
 import { edgeMulti } from '../timetable/edgeMulti.js'
@@ -95,7 +96,7 @@
           break
         case 'askPlatform': {
           if (this.#startup.platform === undefined) break
-          void this.#calls.platform(this.#startup.platform, this.pace.platformMs).then((servers) => {
+          void readPlatform(this.#startup.platform, this.pace.platformMs).then((servers) => {
             if (servers !== undefined) this.step({ kind: 'platform', servers })
           })
           break
--- a/src/telegraph/Frame.ts
+++ b/src/telegraph/Frame.ts
@@ -49,7 +49,7 @@
 proof(import.meta.url, {
   'frames are read however the bytes are cut': () => {
     const frame = new Frame()
-    const bytes = Buffer.concat([1, 2].map((sentMs) => Frame.write('a', '127.0.0.1:1', { kind: 'permit', sentMs, forMs: 5 })))
+    const bytes = Buffer.concat([1, 2].map((sentMs) => Frame.write('a', '127.0.0.1:1', { kind: 'peerTell', sentMs, stamp: 5 })))
     let seen = 0
     for (const byte of bytes) {
       const read = frame.read(new Uint8Array([byte]))
--- a/src/telegraph/Message.ts
+++ b/src/telegraph/Message.ts
@@ -10,6 +10,9 @@
 const Peer = z.object({ name: z.string(), address: z.string(), role: Role, zone: z.string() })
 const Entry = z.object({ index: z.number(), term: z.number(), type: z.enum(['noop', 'members', 'command']), bytes: Bytes })
 const Row = z.object({ key: z.string(), stamp: z.number(), gone: z.boolean(), value: z.string() })
+const Ask = z.object({ key: z.string(), want: z.number(), held: z.number() })
+const Again = z.object({ id: z.string(), key: z.string() })
+const Count = z.object({ key: z.string(), count: z.number() })
 
 const options = [
   // Finding one another.
@@ -49,8 +52,28 @@
   }),
   kind('propose', { id: z.string(), command: Bytes }),
   // Licences.
-  kind('renew', { seat: z.string(), role: Role, zone: z.string(), session: z.string(), sentMs: z.number(), adopted: z.number() }),
-  kind('licence', { sentMs: z.number(), forMs: z.number(), stamp: z.number(), peers: z.array(Peer) }),
+  kind('renew', {
+    seat: z.string(),
+    role: Role,
+    zone: z.string(),
+    session: z.string(),
+    sentMs: z.number(),
+    adopted: z.number(),
+    asks: z.array(Ask),
+    echo: z.number(),
+    again: z.array(Again),
+    firsts: z.array(Count),
+  }),
+  kind('licence', {
+    sentMs: z.number(),
+    forMs: z.number(),
+    stamp: z.number(),
+    peers: z.array(Peer),
+    serial: z.number(),
+    shares: z.array(Count),
+    again: z.array(z.string()),
+    platformAgeMs: z.number(),
+  }),
   // Duties.
   kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
   kind('ballot', { duty: z.string(), vacancy: z.number(), round: z.number(), given: z.boolean() }),
@@ -60,7 +83,15 @@
   kind('follow', { seat: z.string(), stamp: z.number(), sentMs: z.number(), digests: z.array(z.number()) }),
   kind('news', { stamp: z.number(), since: z.number(), rows: z.array(Row) }),
   kind('mend', { stamp: z.number(), range: z.number(), rows: z.array(Row) }),
-  kind('permit', { sentMs: z.number(), forMs: z.number() }),
+  kind('permit', {
+    sentMs: z.number(),
+    forMs: z.number(),
+    lentMs: z.number(),
+    serial: z.number(),
+    shares: z.array(Count),
+    again: z.array(z.string()),
+    barred: z.array(z.string()),
+  }),
   kind('peerAsk', { sentMs: z.number(), stamp: z.number() }),
   kind('peerTell', { sentMs: z.number(), stamp: z.number() }),
   // What the data plane sees.
@@ -84,6 +115,11 @@
     waitMs: z.number(),
   }),
   kind('operated', { id: z.string(), status: z.number(), stamp: z.number(), text: z.string() }),
+  // Shares of limits, and what waiting requests may expect.
+  kind('ask', { asks: z.array(Ask), echo: z.number(), again: z.array(Again), firsts: z.array(Count) }),
+  kind('outlook', {
+    models: z.array(z.object({ model: z.string(), adapter: z.string(), readyInMs: z.number(), neverBeforeMs: z.number() })),
+  }),
 ] as const
 
 export const Message = { schema: z.discriminatedUnion('kind', options), options }
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -36,6 +36,7 @@
   modelRunMs: number
   places: number
   steady: boolean
+  coldLimit: number
 }
 
 export interface Deployment {
@@ -54,6 +55,7 @@
 const shapes: Record<string, Shape> = {
   siding: {
     partner: 'gopherline',
+    coldLimit: 2,
     other: 'cascade',
     boxes: 3,
     turnouts: 5,
@@ -73,6 +75,7 @@
   },
   tight: {
     partner: 'cascade',
+    coldLimit: 4,
     other: 'gopherline',
     boxes: 3,
     turnouts: 4,
@@ -92,6 +95,7 @@
   },
   'tight-steady': {
     partner: 'cascade',
+    coldLimit: 4,
     other: 'gopherline',
     boxes: 3,
     turnouts: 4,
@@ -111,6 +115,7 @@
   },
   gopherline: {
     partner: 'gopherline',
+    coldLimit: 2,
     other: 'cascade',
     boxes: 3,
     turnouts: 9,
@@ -130,6 +135,7 @@
   },
   cascade: {
     partner: 'cascade',
+    coldLimit: 4,
     other: 'gopherline',
     boxes: 3,
     turnouts: 8,
@@ -190,10 +196,10 @@
         dueMs: 8000,
         bodyLimitBytes: 2_000_000,
         retryRatio: 0.15,
-        retryAllowance: 9,
-        coldLimit: 4,
+        retryAllowance: 3,
+        coldLimit: shape.coldLimit,
         warmMs: 2000,
-        serverLimit: 180,
+        serverLimit: 64,
         intent: { weight: 1, coldStartCost: 1, hours: [] },
       },
       partners: {
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -6,6 +6,7 @@
 import { Chance } from '../gauge/Chance.js'
 import { digest } from '../gauge/digest.js'
 import { Pace } from '../gauge/Pace.js'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
 import { Verdict } from '../gauge/Verdict.js'
 import type { LinemanEffect } from '../lineman/LinemanEffect.js'
 import type { LinemanInput } from '../lineman/LinemanInput.js'
@@ -240,14 +241,7 @@
         break
       }
       case 'askPlatform': {
-        const servers = [...this.servers.values()]
-          .filter((one) => one.listed)
-          .map((one) => ({
-            name: one.name,
-            address: one.address,
-            zone: one.zone,
-            draining: one.draining && this.options.broken !== 'drain',
-          }))
+        const servers = this.#platformList()
         back(this.chance.between(2, 40), { kind: 'platform', servers })
         break
       }
@@ -308,6 +302,12 @@
     })
   }
 
+  #platformList(): PlatformServer[] {
+    return [...this.servers.values()]
+      .filter((one) => one.listed)
+      .map((one) => ({ name: one.name, address: one.address, zone: one.zone, draining: one.draining && this.options.broken !== 'drain' }))
+  }
+
   #makePost(name: string, zone: string): void {
     const host = `host-${name}`
     const turnout = `${name}-turnout`
@@ -327,7 +327,11 @@
             effect.toAddress,
             this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message,
           )
-        else this.clock.note(effect.sentence)
+        else if (effect.kind === 'say') this.clock.note(effect.sentence)
+        else
+          this.clock.after(this.chance.between(2, 40), () => {
+            lineman.deliver({ kind: 'platform', servers: this.#platformList() })
+          })
       },
     )
     const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(
--- a/src/testtrack/proxyProof.ts
+++ b/src/testtrack/proxyProof.ts
@@ -68,7 +68,16 @@
   lineman.hear((_from, fromAddress, message) => {
     if (message.kind !== 'follow') return
     lineman.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
-    lineman.send(fromAddress, { kind: 'permit', sentMs: message.sentMs, forMs: 60_000 })
+    lineman.send(fromAddress, {
+      kind: 'permit',
+      sentMs: message.sentMs,
+      forMs: 60_000,
+      lentMs: 60_000,
+      serial: 1,
+      shares: [],
+      again: [],
+      barred: [],
+    })
   })
   const startup = Startup.turnout.parse({
     name: 'post-turnout',
--- a/src/testtrack/simFaults.ts
+++ b/src/testtrack/simFaults.ts
@@ -233,6 +233,15 @@
     })
     return nothing
   },
+  'restart-servers': (sim) => {
+    for (const name of sim.servers.keys()) {
+      sim.crashServer(name)
+      sim.clock.after(sim.chance.between(200, 1000), () => {
+        sim.startServer(name)
+      })
+    }
+    return nothing
+  },
   'lose-zone': (sim) => {
     const zone = sim.chance.pick(sim.options.deployment.zones) ?? ''
     const boxes = [...sim.boxes].filter(([, box]) => box.zone === zone).map(([name]) => name)
--- a/src/turnout/Traveller.ts
+++ b/src/turnout/Traveller.ts
@@ -14,10 +14,14 @@
   phase: Phase
   attempt: number
   server: string
-  cold: boolean
   sends: number
   mayHaveRun: boolean
+  /** A further try has been granted. */
+  pass: boolean
+  /** Sent, may be repeated, and without a first byte for too long. */
+  impatient: boolean
   notBeforeMs: number
   boundMs: number
+  sentMs: number
   lastWhy: string
 }
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -6,16 +6,14 @@
  */
 import { Charter } from '../gauge/Charter.js'
 import type { Chance } from '../gauge/Chance.js'
-import { digest } from '../gauge/digest.js'
 import type { Pace } from '../gauge/Pace.js'
+import { Terms } from '../gauge/Terms.js'
 import { Verdict } from '../gauge/Verdict.js'
-import { BindingRow } from '../interlocking/BindingRow.js'
 import { Copy } from '../interlocking/Copy.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Message } from '../telegraph/Message.js'
-import { Budget } from './Budget.js'
 import { Phase } from './Phase.js'
 import type { Platform } from './Platform.js'
+import { Platforms } from './Platforms.js'
 import type { Traveller } from './Traveller.js'
 import type { TurnoutEffect } from './TurnoutEffect.js'
 import type { TurnoutInput } from './TurnoutInput.js'
@@ -26,26 +24,25 @@
   zone: string
   lineman: string
 }
-interface Terms {
-  partner: string
-  limits: ReturnType<typeof Charter.limits>
-  repeatable: boolean
-  servers: readonly string[] | undefined
-  adapters: readonly string[]
+interface Outlook {
+  heardMs: number
+  readyAtMs: number
+  neverBeforeMs: number
 }
-const keptChains = 4096
 
 export class TurnoutMachine {
   readonly copy = new Copy()
   readonly #plan: Plan
   readonly #pace: Pace
-  readonly #chance: Chance
   readonly #session: string
   readonly #travellers = new Map<string, Traveller>()
-  readonly #platforms = new Map<string, Platform>()
-  readonly #budgets = new Map<string, Budget>()
+  readonly #platforms: Platforms
+  readonly #outlooks = new Map<string, Outlook>()
+  #firsts = new Map<string, number>()
+  #asked = ''
+  #charter: Charter | undefined
+  #charterStamp = -1
   #terms = new Map<string, Terms>()
-  readonly #places = new Map<string, { at: number; of: number }>()
   #effects: TurnoutEffect[] = []
   #permitUntilMs = -Infinity
   #followAtMs = -Infinity
@@ -57,7 +54,7 @@
   constructor(plan: Plan, pace: Pace, chance: Chance) {
     this.#plan = plan
     this.#pace = pace
-    this.#chance = chance
+    this.#platforms = new Platforms(plan.zone, pace, chance)
     this.#session = chance.below(4294967296).toString(36)
   }
 
@@ -107,26 +104,48 @@
         },
       })
     }
-    if (nowMs >= this.#tallyAtMs) this.#tell(nowMs)
+    const tell = nowMs >= this.#tallyAtMs
+    if (tell) this.#tell(nowMs)
     this.#giveUp(nowMs)
     this.#leaveDark(nowMs)
     this.#bindAll(nowMs)
+    this.#ask(nowMs, tell)
   }
 
-  /** An attempt that a server leaves without an identity for too long surely did not run; it goes elsewhere. */
+  /** A server that leaves an attempt without an identity, or a request without a first byte, for too long is not trusted. */
   #leaveDark(nowMs: number): void {
     for (const traveller of this.#travellers.values()) {
-      if (traveller.phase !== 'connecting' || nowMs - traveller.boundMs < this.#pace.reportMs) continue
-      this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-      this.#again(traveller, this.#platforms.get(traveller.server), 'the server did not say who it is', nowMs)
+      const platform = this.#platforms.get(traveller.server)
+      if (traveller.phase === 'connecting' && nowMs - traveller.boundMs >= this.#pace.reportMs) {
+        this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
+        this.#again(traveller, platform, 'the server did not say who it is', nowMs)
+      } else if (traveller.phase === 'sent' && nowMs - traveller.sentMs >= this.#pace.firstByteMs)
+        this.#leaveSilent(traveller, platform, nowMs)
     }
   }
 
+  /** Without a first byte a repeatable request goes elsewhere, once a further try is granted; another waits, for it may have run. */
+  #leaveSilent(traveller: Traveller, platform: Platform | undefined, nowMs: number): void {
+    const terms = this.#termsOf(traveller)
+    if (platform !== undefined && nowMs >= platform.suspectUntilMs) this.#platforms.suspect(platform, nowMs)
+    traveller.impatient = terms?.repeatable === true
+    if (terms === undefined || !traveller.impatient || !traveller.pass) return
+    if (this.#platforms.choose(traveller.target, terms, nowMs) === undefined) return
+    traveller.mayHaveRun = true
+    this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
+    this.#again(traveller, platform, 'the server gave no first byte', nowMs)
+  }
+
   #message(message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'permit':
-        this.#permitUntilMs = Math.max(this.#permitUntilMs, message.sentMs + message.forMs)
+        this.#permit(message)
         break
+      case 'outlook':
+        for (const { model, adapter, readyInMs, neverBeforeMs } of message.models) {
+          this.#outlooks.set(`${model}/${adapter}`, { heardMs: nowMs, readyAtMs: nowMs + readyInMs, neverBeforeMs: nowMs + neverBeforeMs })
+        }
+        return
       case 'news':
         if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#adopted(nowMs)
         break
@@ -136,106 +155,49 @@
       default:
         return
     }
-    if (message.kind === 'permit') return
     this.#bindAll(nowMs)
   }
 
-  /** Brings the tables in line with the copy. */
-  #adopted(nowMs: number): void {
-    this.#followAtMs = nowMs
-    this.#tallyAtMs = Math.min(this.#tallyAtMs, nowMs)
-    const text = this.copy.get('charter')
-    const charter = text === undefined ? undefined : (Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined)
-    this.#terms = new Map()
-    this.#places.clear()
-    for (const [partner, branch] of Object.entries(charter?.partners ?? {})) {
-      if (charter === undefined) break
-      for (const [name, service] of Object.entries(branch.services))
-        this.#terms.set(`service ${name}`, {
-          partner,
-          limits: Charter.limits(charter, partner, service.limits),
-          repeatable: service.repeatable,
-          servers: service.servers,
-          adapters: [],
-        })
-      for (const [name, model] of Object.entries(branch.models))
-        this.#terms.set(`model ${name}`, {
-          partner,
-          limits: Charter.limits(charter, partner, model.limits),
-          repeatable: model.repeatable,
-          servers: model.servers,
-          adapters: model.adapters,
-        })
-    }
-    const listed = new Set<string>()
-    for (const [name, value] of this.copy.under('server/')) {
-      const server = PlatformServer.parse(JSON.parse(value))
-      listed.add(name)
-      let platform = this.#platforms.get(name)
-      if (platform === undefined) {
-        platform = {
-          name,
-          address: server.address,
-          zone: server.zone,
-          open: false,
-          models: new Set(),
-          adapters: new Set(),
-          flights: 0,
-          incarnation: '',
-          coldUntilMs: Infinity,
-          suspectUntilMs: 0,
-          defects: 0,
-          kept: new Map(),
-        }
-        this.#platforms.set(name, platform)
-      }
-      if (platform.address !== server.address) {
-        platform.address = server.address
-        platform.suspectUntilMs = 0
-        platform.defects = 0
-      }
-      platform.zone = server.zone
-      platform.open = !server.draining && charter?.zones[server.zone]?.emptied !== true && charter?.fleet.servers[name] !== undefined
-      const binding = this.copy.get(`binding/${name}`)
-      const row = binding === undefined ? undefined : BindingRow.parse(JSON.parse(binding))
-      platform.models = new Set(row?.models)
-      platform.adapters = new Set(row?.adapters)
-      if (row !== undefined && platform.incarnation !== '' && row.incarnation !== platform.incarnation) {
-        platform.incarnation = ''
-        platform.coldUntilMs = Infinity
-        platform.kept.clear()
-      }
-    }
-    for (const [name, platform] of this.#platforms) {
-      if (listed.has(name)) continue
-      platform.open = false
-      if (platform.flights === 0) this.#platforms.delete(name)
-    }
+  #permit(permit: Extract<Message, { kind: 'permit' }>): void {
+    this.#permitUntilMs = Math.max(this.#permitUntilMs, permit.sentMs + permit.forMs)
+    this.#platforms.barred = new Set(permit.barred)
+    this.#platforms.lent.take(permit.serial, permit.sentMs + permit.lentMs, permit.shares)
+    const granted = new Set(permit.again)
+    for (const traveller of this.#travellers.values()) if (traveller.sends > 0 && granted.has(this.#tryOf(traveller))) traveller.pass = true
   }
 
-  /** How many turnouts share what is shared out, and which of them this one is. */
-  #share(limit: number, server: string): number {
-    let place = this.#places.get(server)
-    if (place === undefined) {
-      const seats = this.copy
-        .under('seat/')
-        .map(([name]) => name)
-        .sort((a, b) => digest(a + server) - digest(b + server))
-      place = { at: seats.indexOf(this.#plan.seat), of: seats.length }
-      this.#places.set(server, place)
-    }
-    if (place.at < 0) return 0
-    return Math.floor(limit / place.of) + (place.at < limit % place.of ? 1 : 0)
+  #tryOf(traveller: Traveller): string {
+    return `${this.#session}.${traveller.id}.${String(traveller.sends)}`
   }
 
-  /** This turnout's share of what a server bears. One never met counts as cold, and is met by one attempt. */
-  #limit(platform: Platform, terms: Terms, nowMs: number): number {
-    const { coldLimit, serverLimit } = terms.limits
-    return this.#share(nowMs < platform.coldUntilMs ? Math.min(coldLimit, serverLimit) : serverLimit, platform.name)
+  /** Tells the lineman what this turnout wants of shared limits, at once when it wants more than it said. */
+  #ask(nowMs: number, tell: boolean): void {
+    const asks = this.#platforms.asks(nowMs)
+    const again = [...this.#travellers.values()]
+      .filter((one) => one.sends > 0 && !one.pass && (one.phase === 'held' || one.impatient))
+      .map((one) => ({ id: this.#tryOf(one), key: `${one.target.kind} ${one.target.name}` }))
+    const asked = JSON.stringify([asks.map((one) => [one.key, one.want]), again])
+    if (!tell && asked === this.#asked) return
+    if (!tell && again.length === 0 && asks.every((one) => one.want <= one.held)) return
+    this.#asked = asked
+    const firsts = [...this.#firsts].map(([key, count]) => ({ key, count }))
+    this.#firsts.clear()
+    const message: Message = { kind: 'ask', asks, echo: this.#platforms.lent.serial, again, firsts }
+    this.#effects.push({ kind: 'send', toAddress: this.#plan.lineman, message })
   }
 
-  #allowance(terms: Terms, key: string): number {
-    return this.#share(terms.limits.retryAllowance, key)
+  /** Brings the tables in line with the copy. */
+  #adopted(nowMs: number): void {
+    this.#followAtMs = nowMs
+    this.#tallyAtMs = Math.min(this.#tallyAtMs, nowMs)
+    const stamp = this.copy.stampOf('charter')
+    if (stamp !== this.#charterStamp) {
+      this.#charterStamp = stamp
+      const text = this.copy.get('charter')
+      this.#charter = text === undefined ? undefined : (Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined)
+      this.#terms = this.#charter === undefined ? new Map<string, Terms>() : Terms.of(this.#charter)
+    }
+    this.#platforms.adopt(this.copy, this.#charter, this.#plan.seat, nowMs)
   }
 
   #arrived(input: Extract<TurnoutInput, { kind: 'arrived' }>, nowMs: number): void {
@@ -252,11 +214,13 @@
       phase: 'arrived',
       attempt: 0,
       server: '',
-      cold: false,
       sends: 0,
       mayHaveRun: false,
+      pass: false,
+      impatient: false,
       notBeforeMs: 0,
       boundMs: 0,
+      sentMs: 0,
       lastWhy: '',
     }
     this.#travellers.set(input.id, traveller)
@@ -284,33 +248,60 @@
     traveller.server = ''
   }
 
-  #turnAway(traveller: Traveller, status: number, verdict: Verdict, why: string): void {
+  #turnAway(traveller: Traveller, status: number, verdict: Verdict, why: string, nowMs: number): void {
     if (traveller.server !== '') this.#unbind(traveller)
     this.#to(traveller, 'turnedAway')
     const told = traveller.mayHaveRun ? Verdict.mayHaveRun : verdict
-    const retryAfterS = Math.max(
-      1,
-      Math.ceil((this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)?.limits.dueMs ?? 1000) / 4000),
-    )
-    this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict: told, retryAfterS, why })
+    this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict: told, retryAfterS: this.#comeBackS(traveller, nowMs), why })
   }
 
+  /** When to come back: the load under way or in turn, the election, or the first server that is trusted again. */
+  #comeBackS(traveller: Traveller, nowMs: number): number {
+    const { target } = traveller
+    let waitMs = this.#pace.reportMs
+    const terms = this.#termsOf(traveller)
+    if (!this.current(nowMs)) waitMs = this.#pace.electionMs + this.#pace.electionSpreadMs + this.#pace.licenceMs
+    else if (terms !== undefined) {
+      const trustedAtMs = this.#platforms.trustedAtMs(target, terms)
+      const outlook = this.#outlook(target, nowMs)
+      if (trustedAtMs !== undefined) waitMs = Math.max(waitMs, trustedAtMs - nowMs)
+      else if (outlook !== undefined) waitMs = outlook.readyAtMs - nowMs
+      else waitMs = this.#pace.reportStaleMs
+    }
+    return Math.max(1, Math.ceil(waitMs / 1000))
+  }
+
+  /** What the dispatcher last said of a model that requests wait for. */
+  #outlook(target: Traveller['target'], nowMs: number): Outlook | undefined {
+    const outlook = target.kind === 'model' ? this.#outlooks.get(`${target.name}/${target.adapter}`) : undefined
+    return outlook !== undefined && nowMs - outlook.heardMs < this.#pace.licenceMs ? outlook : undefined
+  }
+
+  #termsOf(traveller: Traveller): Terms | undefined {
+    return this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
+  }
+
+  /** Ends what is due, and at once what certainly cannot be served by its due. */
   #giveUp(nowMs: number): void {
     for (const traveller of this.#travellers.values()) {
-      if (nowMs < traveller.dueMs || traveller.phase === 'streaming') continue
+      if (traveller.phase === 'streaming') continue
+      if (nowMs < traveller.dueMs) {
+        if (traveller.phase !== 'held' || traveller.mayHaveRun || !this.current(nowMs)) continue
+        const outlook = this.#outlook(traveller.target, nowMs)
+        if (outlook === undefined || outlook.neverBeforeMs <= traveller.dueMs) continue
+        this.#turnAway(traveller, 503, Verdict.notRun, 'the weight store cannot give the model before the due', nowMs)
+        continue
+      }
       const ran = traveller.phase === 'sent' || traveller.mayHaveRun
       if (traveller.server !== '') this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-      this.#turnAway(
-        traveller,
-        ran ? 504 : 503,
-        ran ? Verdict.mayHaveRun : Verdict.notRun,
-        `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`,
-      )
+      const why = `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`
+      this.#turnAway(traveller, ran ? 504 : 503, ran ? Verdict.mayHaveRun : Verdict.notRun, why, nowMs)
     }
   }
 
   /** Waiting requests in turn by partner, each partner's by due. */
   #bindAll(nowMs: number): void {
+    this.#platforms.recount()
     const waiting = [...this.#travellers.values()].filter((one) => one.phase === 'held')
     if (waiting.length === 0) return
     waiting.sort((a, b) => a.dueMs - b.dueMs)
@@ -329,7 +320,7 @@
   }
 
   #bind(traveller: Traveller, nowMs: number): void {
-    const terms = this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
+    const terms = this.#termsOf(traveller)
     const unknown =
       terms === undefined ||
       (traveller.target.kind === 'model' && traveller.target.adapter !== '' && !terms.adapters.includes(traveller.target.adapter))
@@ -343,6 +334,7 @@
         404,
         Verdict.notRun,
         terms === undefined ? `no ${traveller.target.kind} is named ${traveller.target.name}` : 'no such adapter',
+        nowMs,
       )
       return
     }
@@ -351,14 +343,14 @@
       if (!traveller.dueGiven) traveller.dueMs = traveller.arrivedMs + terms.limits.dueMs
     }
     if (traveller.bytes > terms.limits.bodyLimitBytes) {
-      this.#turnAway(traveller, 413, Verdict.notRun, `the body is over ${String(terms.limits.bodyLimitBytes)} bytes`)
+      this.#turnAway(traveller, 413, Verdict.notRun, `the body is over ${String(terms.limits.bodyLimitBytes)} bytes`, nowMs)
       return
     }
-    if (nowMs >= traveller.dueMs || nowMs < traveller.notBeforeMs) {
+    if (nowMs >= traveller.dueMs || nowMs < traveller.notBeforeMs || (traveller.sends > 0 && !traveller.pass)) {
       this.#hold(traveller)
       return
     }
-    const platform = this.#choose(traveller, terms, nowMs)
+    const platform = this.#platforms.choose(traveller.target, terms, nowMs)
     if (platform === undefined) {
       this.#hold(traveller)
       return
@@ -383,53 +375,6 @@
     if (traveller.phase !== 'held') this.#to(traveller, 'held')
   }
 
-  #mayUse(platform: Platform, traveller: Traveller, terms: Terms): boolean {
-    const { target } = traveller
-    if (!platform.open || terms.servers?.includes(platform.name) === false) return false
-    if (target.kind === 'service') return true
-    return platform.models.has(target.name) && (target.adapter === '' || platform.adapters.has(`${target.name}/${target.adapter}`))
-  }
-
-  #choose(traveller: Traveller, terms: Terms, nowMs: number): Platform | undefined {
-    let best: Platform[] = []
-    let bestRank = -Infinity
-    for (const platform of this.#platforms.values()) {
-      if (!this.#mayUse(platform, traveller, terms) || nowMs < platform.suspectUntilMs) continue
-      const limit = this.#limit(platform, terms, nowMs)
-      const unmet = platform.incarnation === '' && platform.flights === 0
-      if (platform.flights >= limit && !unmet) continue
-      const kept = traveller.target.kind === 'model' ? this.#kept(platform, traveller.target.chain) : 0
-      const rank = 4 * kept - (4 * platform.flights) / Math.max(1, limit) + (platform.zone === this.#plan.zone ? 0.5 : 0)
-      if (rank > bestRank + 1e-9) {
-        best = [platform]
-        bestRank = rank
-      } else if (Math.abs(rank - bestRank) <= 1e-9) best.push(platform)
-    }
-    const one = this.#chance.pick(best)
-    const other = this.#chance.pick(best)
-    return one !== undefined && other !== undefined && other.flights < one.flights ? other : one
-  }
-
-  /** The share of the chain that was sent to this server lately enough to be kept there. */
-  #kept(platform: Platform, chain: readonly string[]): number {
-    for (let at = chain.length; at > 0; at--) {
-      const link = chain[at - 1]
-      if (link !== undefined && platform.kept.has(link)) return at / chain.length
-    }
-    return 0
-  }
-
-  #remember(platform: Platform, chain: readonly string[], nowMs: number): void {
-    for (const link of chain) {
-      platform.kept.delete(link)
-      platform.kept.set(link, nowMs)
-    }
-    for (const oldest of platform.kept.keys()) {
-      if (platform.kept.size <= keptChains) break
-      platform.kept.delete(oldest)
-    }
-  }
-
   #callerGone(id: string): void {
     const traveller = this.#travellers.get(id)
     if (traveller === undefined) return
@@ -444,7 +389,7 @@
     const traveller = this.#travellers.get(input.id)
     if (traveller === undefined || traveller.attempt !== input.attempt || traveller.server === '') return
     const platform = this.#platforms.get(traveller.server)
-    const terms = this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
+    const terms = this.#termsOf(traveller)
     switch (input.kind) {
       case 'identified':
         this.#identified(traveller, platform, terms, input, nowMs)
@@ -486,48 +431,39 @@
       this.#again(traveller, platform, why, nowMs, false)
     }
     if (platform === undefined || terms === undefined || input.server !== traveller.server) {
-      if (platform !== undefined) this.#suspect(platform, nowMs)
+      if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
       release('another server has its address')
       return
     }
-    if (platform.incarnation !== input.incarnation) {
-      platform.incarnation = input.incarnation
-      platform.kept.clear()
-      platform.coldUntilMs = nowMs + Math.max(0, terms.limits.warmMs - input.upMs)
-    } else if (platform.coldUntilMs === Infinity) platform.coldUntilMs = nowMs + Math.max(0, terms.limits.warmMs - input.upMs)
-    if (!this.current(nowMs) || !this.#mayUse(platform, traveller, terms)) {
+    this.#platforms.met(platform, input.incarnation, input.upMs, terms.limits.warmMs, nowMs)
+    if (!this.current(nowMs) || !this.#platforms.mayUse(platform, traveller.target, terms)) {
       release('no longer allowed there')
       return
     }
+    if (traveller.target.kind === 'model' && platform.said !== input.incarnation) {
+      release('the server has started anew and holds nothing until it says so')
+      traveller.notBeforeMs = nowMs + this.#pace.heartbeatMs
+      return
+    }
     if (nowMs >= traveller.dueMs) return
-    if (platform.flights > this.#limit(platform, terms, nowMs)) {
+    if (platform.flights > this.#platforms.limit(platform, terms, nowMs)) {
       release('the server is still cold')
       return
     }
     const key = `${traveller.target.kind} ${traveller.target.name}`
-    const budget = this.#budgets.get(key) ?? new Budget()
-    this.#budgets.set(key, budget)
-    if (traveller.sends === 0) budget.first(terms.limits.retryRatio, this.#allowance(terms, key))
-    else if (!budget.again(this.#allowance(terms, key))) {
-      release('no further try is left in the budget')
-      traveller.notBeforeMs = nowMs + this.#pace.heartbeatMs
-      return
-    }
+    if (traveller.sends === 0) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + 1)
+    traveller.pass = false
+    traveller.impatient = false
+    traveller.sentMs = nowMs
     traveller.sends += 1
     this.#to(traveller, 'sent')
-    if (traveller.target.kind === 'model') this.#remember(platform, traveller.target.chain, nowMs)
+    if (traveller.target.kind === 'model') this.#platforms.remember(platform, traveller.target.chain, nowMs)
     this.#effects.push({ kind: 'go', id: traveller.id, attempt: traveller.attempt })
   }
 
-  #suspect(platform: Platform, nowMs: number): void {
-    platform.defects += 1
-    platform.suspectUntilMs =
-      nowMs + Math.min(this.#pace.reportStaleMs, this.#pace.heartbeatMs * 2 ** Math.min(platform.defects, 4) * (0.5 + this.#chance.next()))
-  }
-
   /** Back to waiting: it surely did not run, or may be repeated. */
   #again(traveller: Traveller, platform: Platform | undefined, why: string, nowMs: number, suspect = true): void {
-    if (platform !== undefined && suspect) this.#suspect(platform, nowMs)
+    if (platform !== undefined && suspect) this.#platforms.suspect(platform, nowMs)
     this.#unbind(traveller)
     traveller.lastWhy = why
     this.#to(traveller, 'held')
@@ -541,7 +477,7 @@
     nowMs: number,
   ): void {
     if (traveller.phase === 'streaming') {
-      if (platform !== undefined) this.#suspect(platform, nowMs)
+      if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
       this.#unbind(traveller)
       this.#to(traveller, 'defected')
       this.#effects.push({ kind: 'breakOff', id: traveller.id, why: input.why })
@@ -552,8 +488,8 @@
       this.#again(traveller, platform, input.why, nowMs)
       return
     }
-    if (platform !== undefined) this.#suspect(platform, nowMs)
-    this.#turnAway(traveller, 502, input.verdict, input.why)
+    if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
+    this.#turnAway(traveller, 502, input.verdict, input.why, nowMs)
   }
 
   #tell(nowMs: number): void {
