--- a/src/interlocking/Shares.ts
+++ b/src/interlocking/Shares.ts
@@ -138,6 +138,7 @@
     shares.begin(2, 1000)
     deepStrictEqual(shares.renew('a', [{ key: 'serve/s', want: 4, held: 3 }], 0, () => 4, 10).shares, [{ key: 'serve/s', count: 3 }])
     deepStrictEqual(shares.renew('b', [{ key: 'serve/s', want: 4, held: 0 }], 0, () => 4, 20).shares, [])
+    shares.renew('a', [{ key: 'serve/s', want: 4, held: 3 }], 0, () => 4, 900)
     deepStrictEqual(shares.renew('b', [{ key: 'serve/s', want: 4, held: 0 }], 0, () => 4, 1020).shares, [{ key: 'serve/s', count: 1 }])
   },
   'however renewals are lost, late and interleaved, the sum in use stays within the pool': () => {
@@ -152,7 +153,7 @@
         use: 0,
         serial: 0,
         untilMs: 0,
-        late: [][{ serial: 0, count: 0, untilMs: 0 }],
+        late: [{ serial: 0, count: 0, untilMs: 0 }],
       }))
       let most = 0
       for (let nowMs = 0; nowMs < 20_000; nowMs += 25) {
@@ -169,7 +170,7 @@
           nowMs,
         )
         if (!chance.hit(0.2)) one.late.push({ serial: reply.serial, count: reply.shares[0]?.count ?? 0, untilMs: nowMs + 800 })
-        const came = chance.hit(0.6) ? one.late.shift() : undefined
+        const came = chance.hit(0.95) ? one.late.shift() : undefined
         if (came !== undefined && nowMs < came.untilMs && came.serial > one.serial)
           Object.assign(one, { serial: came.serial, count: came.count, untilMs: came.untilMs })
         const used = holders.reduce((sum, holder) => sum + (nowMs < holder.untilMs ? holder.count : 0), 0)
