Spares in other zones, kept parts as reported, outlooks, a deaf dispatcher passes on

Cause: a model had one copy, so a lost zone made all of its models cold; kept parts were only what a turnout itself had sent; Retry-After was a fixed ratio of the due; a dispatcher cut off from servers withdrew every binding.

--- a/src/gauge/Pace.ts
+++ b/src/gauge/Pace.ts
@@ -22,10 +22,12 @@
   platformSilentMs: number
   reportMs: number
   reportStaleMs: number
+  partsMs: number
   dutyLicenceMs: number
   orderMs: number
   firstByteMs: number
   retryWindowMs: number
+  recoverMs: number
   parentSilentMs: number
   frozenMs: number
 }
@@ -48,10 +50,12 @@
     platformSilentMs: 0.45 * bounds.drainMs,
     reportMs: 0.1 * bounds.drainMs,
     reportStaleMs: 0.5 * bounds.drainMs,
+    partsMs: bounds.drainMs,
     dutyLicenceMs: 0.1 * bounds.recoverMs,
     orderMs: 0.5 * bounds.recoverMs,
     firstByteMs: 0.2 * bounds.recoverMs,
     retryWindowMs: bounds.emptyMs,
+    recoverMs: bounds.recoverMs,
     parentSilentMs: 0.3 * licenceMs,
     frozenMs: 0.4 * licenceMs,
   }
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -56,6 +56,7 @@
   #dispatcher: Dispatcher | undefined
   #dutySureMs = -Infinity
   #dutyAskMs = -Infinity
+  #standsFromMs = -Infinity
   #dutyHeardMs = new Map<number, number>()
   #effects: SignalboxEffect[] = []
   #leading = false
@@ -372,6 +373,7 @@
           message.arrivals,
           nowMs,
         )
+        this.#tellOutlook(message.held, fromAddress, nowMs)
         break
       case 'operate': {
         const read = Operation.safeParse(message)
@@ -388,6 +390,11 @@
     }
   }
 
+  #tellOutlook(held: readonly { model: string; adapter: string }[], toAddress: string, nowMs: number): void {
+    if (this.#dispatcher === undefined || held.length === 0 || nowMs - this.#dutySureMs >= this.#pace.dutyLicenceMs) return
+    this.#send(toAddress, { kind: 'outlook', models: this.#dispatcher.outlook(held, nowMs) })
+  }
+
   #renew(from: string, fromAddress: string, renew: Extract<Message, { kind: 'renew' }>, nowMs: number): void {
     this.roster.heard(
       { name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false },
@@ -428,7 +435,7 @@
 
   #standForDuty(nowMs: number): void {
     const voter = this.agreement.members.some((one) => one.identity === this.agreement.identity && one.voter)
-    const vacant = voter && this.agreement.leader !== '' && this.register.duty(dispatcherDuty) === undefined
+    const vacant = nowMs >= this.#standsFromMs && voter && this.agreement.leader !== '' && this.register.duty(dispatcherDuty) === undefined
     const vacancy = this.register.copy.stampOf(`duty/${dispatcherDuty}`)
     const round = this.#ballots.tick(vacant ? vacancy : undefined, nowMs)
     if (round === undefined) return
@@ -460,12 +467,21 @@
       }
     }
     const sure = nowMs - this.#dutySureMs < this.#pace.dutyLicenceMs
+    if (sure && dispatcher.deaf(nowMs)) this.#passOn(dispatcher.tenure, nowMs)
     const out = dispatcher.tick(this.register.copy, sure, hour, nowMs)
     if (out.rows.length > 0) this.#propose({ kind: 'dispatch', tenure: dispatcher.tenure, rows: out.rows }, nowMs)
     for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, tenure: dispatcher.tenure, askedMs: nowMs })
     for (const order of out.orders) this.#effects.push({ kind: 'order', ...order })
   }
 
+  /** A dispatcher that hears no servers leaves the duty to another core machine, and does not stand for a while. */
+  #passOn(tenure: number, nowMs: number): void {
+    if (nowMs < this.#standsFromMs) return
+    this.#standsFromMs = nowMs + 4 * this.#pace.dutyLicenceMs
+    this.#say('dispatcher', 'Hears no servers; leaves the duty to another core machine.')
+    this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure }, nowMs)
+  }
+
   #platform(servers: PlatformServer[], nowMs: number): void {
     if (!this.#leading || !this.agreement.settled) return
     const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -50,6 +50,7 @@
   loadMbPerS: number
   serviceRunMs: number
   modelRunMs: number
+  sizes: ReadonlyMap<string, number>
 }
 
 const shapes: Record<string, Shape> = {
@@ -231,6 +232,7 @@
       loadMbPerS: 20_000,
       serviceRunMs: 5,
       modelRunMs: shape.modelRunMs,
+      sizes: new Map(Object.entries(models).map(([model, { sizeMb }]) => [model, sizeMb])),
       charter: charter.caseOf<Charter>({
         Left: (errors) => {
           throw new Error(errors.join('\n'))
--- a/src/testtrack/SimServer.ts
+++ b/src/testtrack/SimServer.ts
@@ -19,6 +19,5 @@
   orderLoss: number
   orderSlowMs: number
   breaksRuns: number
-  kept: Map<string, number>
   watchers: Set<() => void>
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -29,7 +29,6 @@
 import type { SimServer } from './SimServer.js'
 import { StandInServer } from './StandInServer.js'
 
-const keptParts = 60
 const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
 type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
 interface Flight {
@@ -71,6 +70,10 @@
   readonly servers = new Map<string, SimServer>()
   readonly waits: number[] = []
   readonly modelWaits: number[] = []
+  /** Waits of model requests, and cold ones among the asked, from the first fault on. */
+  readonly hurtWaits: number[] = []
+  hurtColdAsks = 0
+  hurtFromMs = Infinity
   modelAsks = 0
   /** Prompt parts that came to servers, and those of them that the server had kept. */
   parts = 0
@@ -109,7 +112,6 @@
         orderLoss: 0,
         orderSlowMs: 0,
         breaksRuns: 0,
-        kept: new Map(),
         watchers: new Set(),
       })
       this.startServer(server.name)
@@ -421,7 +423,6 @@
     const plan = this.options.deployment.servers.find((one) => one.name === name)
     if (server === undefined || plan === undefined || server.state !== undefined) return
     server.lives += 1
-    server.kept.clear()
     server.dark = false
     const { warmMs, coldLimit } = this.options.deployment.charter.defaults
     server.state = new StandInServer(
@@ -577,7 +578,8 @@
         incarnation: state.incarnation,
       })
       state.begin(model, ask.adapter, this.clock.nowMs)
-      this.#keep(server, ask)
+      this.parts += ask.chain.length
+      this.partsKept += state.keep(model, ask.chain)
       let open = true
       const finish = (got: number) => {
         if (flight.cancelled || turnout.asks.get(id) !== ask) return
@@ -586,6 +588,7 @@
         this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum: got })
         this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
         if (ask.kind === 'model') this.modelWaits.push(this.clock.nowMs - (ask.dueMs - 8000))
+        if (ask.kind === 'model' && ask.dueMs - 8000 >= this.hurtFromMs) this.hurtWaits.push(this.clock.nowMs - (ask.dueMs - 8000))
         turnout.process.deliver({ kind: 'ended', id, attempt })
       }
       let headed = false
@@ -628,21 +631,6 @@
     })
   }
 
-  /** The server's cache of prompt parts: the oldest leave when it is full. */
-  #keep(server: SimServer, ask: Ask): void {
-    this.parts += ask.chain.length
-    const known = ask.chain.findIndex((link) => !server.kept.has(link))
-    this.partsKept += known < 0 ? ask.chain.length : known
-    for (const link of ask.chain) {
-      server.kept.delete(link)
-      server.kept.set(link, this.clock.nowMs)
-    }
-    for (const oldest of server.kept.keys()) {
-      if (server.kept.size <= keptParts) break
-      server.kept.delete(oldest)
-    }
-  }
-
   // Callers.
 
   ask(course: SimOptions['deployment']['courses'][number], chance = this.chance): void {
@@ -663,7 +651,7 @@
           (one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true,
         )
       )
-        this.coldAsks += 1
+        this.#cold()
     }
     const talk = chance.below(8)
     const chain =
@@ -696,6 +684,11 @@
     turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: this.options.broken === 'early' ? dueInMs / 100 : dueInMs })
   }
 
+  #cold(): void {
+    this.coldAsks += 1
+    if (this.clock.nowMs >= this.hurtFromMs) this.hurtColdAsks += 1
+  }
+
   beginTraffic(untilMs: number): void {
     this.options.deployment.courses.forEach((course, at) => {
       const chance = new Chance(this.options.seed * 1000 + at)
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -108,6 +108,7 @@
         sum: digest(text.join('')),
         incarnation: state.incarnation,
       })
+    if (target?.kind === 'model') state.keep(model, target.chain)
     state.begin(model, adapter, clockMs())
     let here = true
     const gone = once(response, 'close').then(() => {
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -21,6 +21,8 @@
   coldLimit: number
 }
 
+const keptParts = 60
+
 export class StandInServer {
   readonly plan: Plan
   readonly incarnation: string
@@ -31,6 +33,7 @@
   #tenure = 0
   #order: (Order & { state: 'running' | 'done' | 'defect'; endsMs: number }) | undefined
   #flights = 0
+  readonly #kept = new Map<string, string>()
   /** Faults that a test sets: loads that end badly, orders that take longer. */
   failsLoads = false
   slowdown = 1
@@ -149,7 +152,7 @@
       models: [...this.#models].map(([model, held]) => ({ model, ...held })),
       adapters: [...this.#adapters.values()].map((held) => ({ ...held })),
       ...(this.#order === undefined ? {} : { order: { tenure: this.#order.tenure, number: this.#order.number, state: this.#order.state } }),
-      parts: [],
+      parts: [...this.#kept].map(([chain, model]) => ({ model, chain })),
     }
   }
 
@@ -161,6 +164,20 @@
     return weights?.state === 'loaded' && (adapter === '' || this.#adapters.get(`${model}/${adapter}`)?.state === 'loaded')
   }
 
+  /** Takes a chain of prompt parts into its cache, whose oldest parts leave; gives how many of them it had kept. */
+  keep(model: string, chain: readonly string[]): number {
+    const unknown = chain.findIndex((link) => !this.#kept.has(link))
+    for (const link of chain) {
+      this.#kept.delete(link)
+      this.#kept.set(link, model)
+    }
+    for (const oldest of this.#kept.keys()) {
+      if (this.#kept.size <= keptParts) break
+      this.#kept.delete(oldest)
+    }
+    return unknown < 0 ? chain.length : unknown
+  }
+
   begin(model: string, adapter: string, nowMs: number): void {
     this.#flights += 1
     const weights = this.#models.get(model)
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -69,6 +69,7 @@
     }),
     together: flag({ long: 'together', description: 'all the faults at once instead of one after another' }),
     faultMs: option({ long: 'fault-ms', type: number, defaultValue: () => 4000, description: 'how long each fault lasts' }),
+    calmMs: option({ long: 'calm-ms', type: number, defaultValue: () => 6000, description: 'how long it is calm before the first fault' }),
     broken: option({ long: 'broken', type: string, defaultValue: () => '', description: 'a rule to break on purpose' }),
   },
   handler: (given) => {
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -166,6 +166,7 @@
       sightings,
       bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
       zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
+      sizes: deployment.sizes,
       allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
       paceMbPerS: plan.storePaceMbPerS,
       burstMb: plan.storeBurstMb,
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -33,6 +33,8 @@
   coldAsks: number
   modelP50Ms: number
   modelP99Ms: number
+  hurtColdAsks: number
+  hurtP99Ms: number
   partsKept: number
 }
 
@@ -59,6 +61,7 @@
     const fromMs = startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + chance.between(0, options.faultMs * 0.4)
     clock.at(fromMs, () => {
       clock.note(`fault ${name}`)
+      sim.hurtFromMs = Math.min(sim.hurtFromMs, clock.nowMs)
       const end = fault(sim)
       clock.at(fromMs + options.faultMs, () => {
         end()
@@ -79,6 +82,7 @@
     sightings,
     bounds: sim.bounds,
     zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
+    sizes: deployment.sizes,
     allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
     paceMbPerS: fleet.storePaceMbPerS,
     burstMb: fleet.storeBurstMb,
@@ -108,6 +112,8 @@
     coldAsks: sim.coldAsks,
     modelP50Ms: quantile(sim.modelWaits, 0.5),
     modelP99Ms: quantile(sim.modelWaits, 0.99),
+    hurtColdAsks: sim.hurtColdAsks,
+    hurtP99Ms: quantile(sim.hurtWaits, 0.99),
     partsKept: sim.partsKept / Math.max(1, sim.parts),
   }
 }
--- a/src/testtrack/sweep.ts
+++ b/src/testtrack/sweep.ts
@@ -17,10 +17,11 @@
   broken: string
   together: boolean
   faultMs: number
+  calmMs: number
   say: (line: string) => void
 }
 
-export function sweep({ deployment, seed, seeds, faults, broken, together, faultMs, say }: Sweep): boolean {
+export function sweep({ deployment, seed, seeds, faults, broken, together, faultMs, calmMs, say }: Sweep): boolean {
   const names = Object.keys(simFaults)
   let runs = 0
   let failures = 0
@@ -36,13 +37,13 @@
       if (list.filter((one) => one === 'lose-disk').length > 1) continue
       runs += 1
       const atOnce = together || (faults === 'pairs' && chance.hit(0.5))
-      const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}${faultMs === 4000 ? '' : ` --fault-ms ${String(faultMs)}`}`
+      const replay = `testtrack sim ${deployment.name} --seed ${String(at)}${list.length > 0 ? ` --faults ${list.join(',')}` : ''}${broken === '' ? '' : ` --broken ${broken}`}${atOnce ? ' --together' : ''}${faultMs === 4000 ? '' : ` --fault-ms ${String(faultMs)}`}${calmMs === 6000 ? '' : ` --calm-ms ${String(calmMs)}`}`
       try {
         const result = runSimulation({
           deployment,
           seed: at,
           faults: list,
-          calmMs: 6000,
+          calmMs,
           faultMs,
           quietMs: 26_000,
           broken,
@@ -53,7 +54,7 @@
         })
         const acks = [...result.ackMs].sort((a, b) => a - b)
         say(
-          `${result.broken.length === 0 ? 'pass' : 'FAIL'} seed ${String(at)} ${list.join('+')}: ${String(result.asked)} asked, ${String(result.whole)} whole, ${String(result.turnedAway)} turned away, ${String(result.brokenOff)} broken off, p50 ${String(result.p50Ms)} p99 ${String(result.p99Ms)} ms, ${String(result.loads)} loads, ack p50 ${String(acks[Math.floor(acks.length / 2)] ?? 0)} max ${String(acks.at(-1) ?? 0)} ms, back after ${String(result.recoverMs)} ms, trace ${result.trace.toString(16)}`,
+          `${result.broken.length === 0 ? 'pass' : 'FAIL'} seed ${String(at)} ${list.join('+')}: ${String(result.asked)} asked, ${String(result.whole)} whole, ${String(result.turnedAway)} turned away, ${String(result.brokenOff)} broken off, p50 ${String(result.p50Ms)} p99 ${String(result.p99Ms)} ms, ${String(result.loads)} loads, ack p50 ${String(acks[Math.floor(acks.length / 2)] ?? 0)} max ${String(acks.at(-1) ?? 0)} ms, back after ${String(result.recoverMs)} ms, since the fault ${String(result.hurtColdAsks)} cold starts and p99 wait of models ${String(result.hurtP99Ms)} ms, trace ${result.trace.toString(16)}`,
         )
         if (result.broken.length === 0) continue
         for (const rule of result.broken)
--- a/src/timetable/Predictor.ts
+++ b/src/timetable/Predictor.ts
@@ -56,6 +56,12 @@
     return { nextMs: steady * steadyMs + (1 - steady) * memorylessMs, deltaMs }
   }
 
+  /** Requests a millisecond, falling while a model stays away. */
+  rate(key: string, nowMs: number): number {
+    const course = this.#courses.get(key)
+    return course === undefined || course.gapMs === 0 ? 0 : 1 / Math.max(course.gapMs, nowMs - course.lastMs)
+  }
+
   lastMs(key: string): number {
     return this.#courses.get(key)?.lastMs ?? -Infinity
   }
--- a/src/timetable/Yard.ts
+++ b/src/timetable/Yard.ts
@@ -17,6 +17,35 @@
   answeredMs: number
   task: { order: Order; phase: 'withdrawing' | 'proposed' | 'sent'; sinceMs: number; sentMs: number; incarnation: string } | undefined
   plan:
-    { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'history' | 'overlap' | 'doubles' } | undefined
+    | { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' }
+    | undefined
   backoffUntilMs: number
 }
+
+export const Yard = {
+  /** True when requests may use it there: loaded, and not on its way out. */
+  holds({ report, task }: Yard, model: string, adapter: string): boolean {
+    if (report === undefined) return false
+    if (task?.order.kind === 'unload' && task.order.model === model) return false
+    if (!report.models.some((one) => one.model === model && one.state === 'loaded')) return false
+    if (adapter === '') return true
+    if (task?.order.kind === 'detach' && task.order.model === model && task.order.adapter === adapter) return false
+    return report.adapters.some((one) => one.model === model && one.adapter === adapter && one.state === 'loaded')
+  },
+
+  /** Configured size, less every weight reported, less every load not known to have ended. */
+  freeMb({ roomMb, report, task }: Yard): number {
+    let room = roomMb
+    for (const one of report?.models ?? []) room -= one.sizeMb
+    const order = task?.order
+    if (order?.kind === 'load' && report?.models.some((one) => one.model === order.model) !== true) room -= order.sizeMb
+    return room
+  },
+
+  freePlaces({ places, report, task }: Yard): number {
+    const order = task?.order
+    const coming =
+      order?.kind === 'attach' && report?.adapters.some((one) => one.model === order.model && one.adapter === order.adapter) !== true
+    return places - (report?.adapters.length ?? 0) - (coming ? 1 : 0)
+  },
+}
--- a/src/timetable/evict.ts
+++ b/src/timetable/evict.ts
@@ -4,8 +4,9 @@
  * overlaps the newcomer's are dropped; the rest is scored and taken from a max-heap, counting what
  * each would free, until the newcomer fits. Gives the victims in score order, or nothing when it
  * does not fit: then no one leaves. Each replacement is an unload, as a server holds one version.
- * `relaxed` is for the last resort alone, never for the ordinary path: it lets go of the history
- * window, then of the overlap too, then takes even from within a window what another server holds too.
+ * `relaxed` is never for the ordinary path. When nothing fits there, `spares` takes only what another
+ * server holds too, so that no model loses its last copy; the last resort lets go of the history window,
+ * then of the overlap too, then takes even from within a window what another server holds too.
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { proof } from '../gauge/proof.js'
@@ -18,12 +19,15 @@
   free: number,
   historyMs: number,
   nowMs: number,
-  relaxed: 'nothing' | 'history' | 'overlap' | 'doubles' = 'nothing',
+  relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' = 'nothing',
 ): { key: string; score: number }[] | undefined {
-  const minimalist = tenants.filter((one) => nowMs < one.windowFromMs || nowMs > one.windowToMs || (relaxed === 'doubles' && one.doubled))
+  const spares = relaxed === 'spares'
+  const minimalist = tenants.filter((one) =>
+    spares ? one.doubled : nowMs < one.windowFromMs || nowMs > one.windowToMs || (relaxed === 'doubles' && one.doubled),
+  )
   const unrequested = relaxed === 'nothing' ? minimalist.filter((one) => nowMs - one.lastMs > historyMs) : minimalist
   const apart =
-    relaxed === 'overlap' || relaxed === 'doubles'
+    spares || relaxed === 'overlap' || relaxed === 'doubles'
       ? unrequested
       : unrequested.filter((one) => one.windowFromMs > newcomer.windowToMs || one.windowToMs < newcomer.windowFromMs)
   const farthest = Math.max(...apart.map((one) => one.nextMs - newcomer.nextMs))
@@ -95,6 +99,16 @@
       'double',
     )
   },
+  'a spare makes way from within its window, a last copy never does': () => {
+    const tenants = [tenant('in', 70), tenant('far', 500), tenant('spare', 70, { doubled: true, lastMs: 65 })]
+    strictEqual(
+      evict(newcomer, tenants, 10, 50, 65, 'spares')
+        ?.map((one) => one.key)
+        .join(),
+      'spare',
+    )
+    strictEqual(evict({ ...newcomer, size: 30 }, tenants, 10, 50, 65, 'spares'), undefined)
+  },
   'when it does not fit nobody leaves; when it fits already nobody does either': () => {
     strictEqual(evict(newcomer, [tenant('a', 500)], 5, 50, 70), undefined)
     deepStrictEqual(evict(newcomer, [tenant('a', 500)], 20, 50, 70), [])
