--- a/src/gauge/Pace.ts
+++ b/src/gauge/Pace.ts
@@ -26,6 +26,7 @@
   dutyLicenceMs: number
   orderMs: number
   firstByteMs: number
+  streamIdleMs: number
   retryWindowMs: number
   recoverMs: number
   parentSilentMs: number
@@ -54,6 +55,7 @@
     dutyLicenceMs: 0.1 * bounds.recoverMs,
     orderMs: 0.5 * bounds.recoverMs,
     firstByteMs: 0.2 * bounds.recoverMs,
+    streamIdleMs: 0.5 * bounds.recoverMs,
     retryWindowMs: bounds.emptyMs,
     recoverMs: bounds.recoverMs,
     parentSilentMs: 0.3 * licenceMs,
--- a/src/interlocking/Licences.ts
+++ b/src/interlocking/Licences.ts
@@ -39,8 +39,9 @@
     return this.#graceUntilMs
   }
 
-  charterMade(stamp: number, nowMs: number): void {
-    this.#behindSince.set(stamp, nowMs)
+  /** A charter that may have been acknowledged by an earlier leader is required at once: it was made long ago. */
+  charterMade(stamp: number, atMs: number): void {
+    this.#behindSince.set(stamp, atMs)
   }
 
   get seats(): readonly [string, Held][] {
@@ -52,7 +53,7 @@
     return held !== undefined && nowMs - held.heardMs <= margin * this.#pace.licenceMs
   }
 
-  /** Grants a licence, unless the seat has been behind an unfinished charter for too long. */
+  /** Grants a licence, unless the seat has been behind a charter for too long. */
   renew(seat: string, session: string, address: string, zone: string, adopted: number, nowMs: number): boolean {
     const old = this.#held.get(seat)
     let granted = true
@@ -70,8 +71,10 @@
   delivered(stamp: number, seats: readonly string[], nowMs: number): boolean {
     const behind = seats.filter((seat) => (this.#held.get(seat)?.adopted ?? 0) < stamp)
     const done = (seats.length === 0 || behind.length * 2 < seats.length) && behind.every((seat) => this.#surelyLost(seat, nowMs))
-    if (done) for (const older of this.#behindSince.keys()) if (older <= stamp) this.#behindSince.delete(older)
-    return done
+    if (!done) return false
+    for (const older of this.#behindSince.keys()) if (older < stamp) this.#behindSince.delete(older)
+    if (this.#behindSince.has(stamp)) this.#behindSince.set(stamp, -Infinity)
+    return true
   }
 }
 
@@ -91,6 +94,19 @@
     strictEqual(licences.renew('c', 's', 'x', 'z', 1, later + pace.adoptMs + 1), false)
     strictEqual(licences.delivered(5, seats, later + 1.2 * pace.licenceMs), true)
   },
+  'a seat that forgot an acknowledged charter gets no licence until it has it again': () => {
+    const pace = Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 })
+    const licences = new Licences(pace)
+    licences.begin(0)
+    licences.charterMade(5, 0)
+    const later = 10 * pace.licenceMs
+    for (const seat of ['a', 'b']) strictEqual(licences.renew(seat, 's', 'x', 'z', 5, later), true)
+    strictEqual(licences.delivered(5, ['a', 'b'], later), true)
+    strictEqual(licences.renew('a', 'again', 'x', 'z', 4, later + 1), false)
+    licences.begin(later)
+    licences.charterMade(5, -Infinity)
+    strictEqual(licences.renew('a', 'again', 'x', 'z', 4, later + 2), false)
+  },
   'a new leader waits for licences it never saw': () => {
     const pace = Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 })
     const licences = new Licences(pace)
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -28,12 +28,13 @@
   texts: z.array(Text),
   outcomes: z.array(z.tuple([z.string(), Outcome])),
 })
-const keptTexts = 128
-const keptOutcomes = 512
+const keptTexts = { least: 64, most: 4096, bytes: 24_000_000 }
+const keptOutcomes = 4096
 
 export class Register {
   readonly copy = new Copy()
   #texts: z.infer<typeof Text>[] = []
+  #textBytes = 0
   readonly #outcomes = new Map<string, Outcome>()
 
   static restore(state: Uint8Array): Register {
@@ -41,6 +42,7 @@
     const register = new Register()
     register.copy.adopt(0, read.stamp, read.rows)
     register.#texts = read.texts
+    register.#textBytes = read.texts.reduce((sum, one) => sum + one.text.length + one.whole.length, 0)
     for (const [operation, outcome] of read.outcomes) register.#outcomes.set(operation, outcome)
     return register
   }
@@ -63,6 +65,39 @@
     return this.#texts
   }
 
+  /** The whole charter at a stamp: kept where it was sent whole, else made again from the last one that was. */
+  whole(stamp: number): string | undefined {
+    const at = this.#texts.findIndex((one) => one.stamp === stamp)
+    const wanted = this.#texts[at]
+    if (wanted === undefined || wanted.whole !== '') return wanted?.whole
+    let from = at
+    while (from > 0 && this.#texts[from]?.whole === '') from -= 1
+    let tree = Tree.read(this.#texts[from]?.whole ?? '')
+    for (const one of this.#texts.slice(from + 1, at + 1))
+      tree = Register.#carryOut(tree, one.action, one.branch, Tree.read(one.text) ?? null)
+    return `${JSON.stringify(tree, null, 2)}\n`
+  }
+
+  static #carryOut(base: Tree | undefined, action: string, branch: string, sent: Tree): Tree {
+    const path = branch === '' ? [] : branch.split('.')
+    return action === 'patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
+  }
+
+  /** Texts are kept for as long as they are few or small; the oldest kept one is always whole. */
+  #keep(text: z.infer<typeof Text>): void {
+    this.#texts.push(text)
+    this.#textBytes += text.text.length + text.whole.length
+    while (this.#texts.length > keptTexts.most || (this.#textBytes > keptTexts.bytes && this.#texts.length > keptTexts.least)) {
+      const next = this.#texts[1]
+      if (next?.whole === '') {
+        next.whole = this.whole(next.stamp) ?? ''
+        this.#textBytes += next.whole.length
+      }
+      const oldest = this.#texts.shift()
+      this.#textBytes -= (oldest?.text.length ?? 0) + (oldest?.whole.length ?? 0)
+    }
+  }
+
   outcome(operation: string): Outcome | undefined {
     return this.#outcomes.get(operation)
   }
@@ -139,19 +174,17 @@
     if (command.action === 'rollback') {
       const earlier = this.#texts.find((one) => one.stamp === Number(command.text))
       if (earlier === undefined) return { status: 404, stamp, errors: [`stamp ${command.text} is not kept`] }
-      text = earlier.whole
+      text = this.whole(earlier.stamp) ?? ''
     }
     const sent = Tree.read(text)
     if (sent === undefined) return { status: 422, stamp, errors: ['charter: not JSON'] }
-    const path = command.branch === '' ? [] : command.branch.split('.')
-    const tree =
-      command.action === 'patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
+    const tree = Register.#carryOut(base, command.action, command.branch, sent)
     return Charter.check(tree).caseOf<Outcome>({
       Left: (errors) => ({ status: 422, stamp, errors }),
       Right: () => {
         this.copy.set({ key: 'charter', stamp: index, gone: false, value: JSON.stringify(tree) })
-        const whole = command.action !== 'patch' && path.length === 0 ? text : `${JSON.stringify(tree, null, 2)}\n`
-        this.#texts.push({
+        const whole = command.action !== 'patch' && command.branch === '' ? text : ''
+        this.#keep({
           stamp: index,
           action: command.action,
           branch: command.branch,
@@ -159,7 +192,6 @@
           text: command.text,
           whole,
         })
-        if (this.#texts.length > keptTexts) this.#texts.shift()
         return { status: 200, stamp: index, errors: [] }
       },
     })
@@ -215,10 +247,29 @@
       again.texts.map((one) => one.stamp),
       [1, 2],
     )
-    strictEqual(again.texts[0]?.whole, text)
+    strictEqual(again.whole(1), text)
+    strictEqual(Tree.read(again.whole(2) ?? '') !== undefined, true)
     deepStrictEqual(again.copy.digests, register.copy.digests)
     register.apply(7, Command.encode({ kind: 'charter', operation: 'f', action: 'rollback', branch: '', text: '1', ifMatch: -1 }))
-    strictEqual(register.texts.at(-1)?.whole, text)
+    strictEqual(register.whole(7), text)
+  },
+  'more patches than are kept leave whole charters behind, each as it was': () => {
+    const register = new Register()
+    register.apply(
+      1,
+      Command.encode({ kind: 'charter', operation: '1', action: 'put', branch: '', text: JSON.stringify(tree), ifMatch: -1 }),
+    )
+    const wholes = new Map<number, string | undefined>()
+    for (let index = 2; index <= keptTexts.most + 40; index++) {
+      const text = JSON.stringify({ partners: { c: { limits: { dueMs: index + 10 } } } })
+      register.apply(index, Command.encode({ kind: 'charter', operation: String(index), action: 'patch', branch: '', text, ifMatch: -1 }))
+      if (index > keptTexts.most - 3) wholes.set(index, register.whole(index))
+    }
+    strictEqual(register.texts.length, keptTexts.most)
+    const again = Register.restore(register.save())
+    for (const [stamp, whole] of wholes) strictEqual(again.whole(stamp), whole)
+    strictEqual(again.whole(41)?.includes('"dueMs": 51'), true)
+    strictEqual(again.whole(40), undefined)
   },
   'a duty is won once a vacancy, and another tenure writes nothing': () => {
     const register = new Register()
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -43,6 +43,8 @@
   #shunned = new Map<string, number>()
   #coreStamp = 0
   #levelMs: number
+  /** The stamp that the core told first in this life: before it is reached this seat vouches for nothing, for it may have forgotten. */
+  #firstStamp: number | undefined
   #turnout = { stamp: 0, permitUntilMs: -Infinity, followSentMs: 0, followedMs: -Infinity }
   readonly #barrier: Barrier
   #ask: Extract<Message, { kind: 'ask' }> = { kind: 'ask', asks: [], echo: 0, again: [], firsts: [] }
@@ -181,11 +183,15 @@
     return others[0]?.address ?? boxes[0]?.address ?? ''
   }
 
+  get #sure(): boolean {
+    return this.#firstStamp !== undefined && this.copy.stamp >= this.#firstStamp
+  }
+
   #askPeers(nowMs: number): void {
     const stamp = this.copy.stampOf('charter')
     for (const peer of this.#roster.of('lineman')) this.#send(peer.address, { kind: 'peerAsk', sentMs: nowMs, stamp })
     const seats = this.copy.under('seat/').length
-    if (seats === 1 && stamp > 0) this.#peerUntilMs = nowMs + this.#pace.licenceMs
+    if (seats === 1 && stamp > 0 && this.#sure) this.#peerUntilMs = nowMs + this.#pace.licenceMs
   }
 
   #peerTold(from: string, sentMs: number, stamp: number, fromAddress: string): void {
@@ -201,7 +207,7 @@
       .filter((seat) => seat !== this.#plan.name)
       .map((seat) => this.#peerReplies.get(seat))
       .filter((reply) => reply !== undefined && reply.stamp <= own)
-    const needed = Math.floor(seats.length / 2) + 1 - (seats.includes(this.#plan.name) ? 1 : 0)
+    const needed = Math.floor(seats.length / 2) + 1 - (this.#sure && seats.includes(this.#plan.name) ? 1 : 0)
     const oldest = replies.map((reply) => reply?.sentMs ?? -Infinity).sort((a, b) => b - a)[needed - 1]
     const newer = seats.some((seat) => (this.#peerReplies.get(seat)?.stamp ?? 0) > own)
     if (oldest !== undefined && own > 0 && !newer) this.#peerUntilMs = Math.max(this.#peerUntilMs, oldest + this.#pace.licenceMs)
@@ -210,7 +216,7 @@
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'hail': {
-        this.#roster.hearsay(message.known, nowMs)
+        this.#roster.hearsay([...message.known, { name: from, address: fromAddress, role: message.role, zone: message.zone }], nowMs)
         this.#send(fromAddress, {
           kind: 'hailed',
           nonce: message.nonce,
@@ -237,6 +243,7 @@
       case 'licence': {
         this.#licenceUntilMs = Math.max(this.#licenceUntilMs, message.sentMs + message.forMs)
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
+        this.#firstStamp ??= message.stamp
         this.#peers = message.peers
         this.#roster.hearsay(message.peers, nowMs)
         if (message.forMs > 0) this.#lent = message
@@ -245,7 +252,7 @@
         break
       }
       case 'peerAsk':
-        this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') })
+        if (this.#sure) this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') })
         break
       case 'peerTell':
         this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -167,7 +167,9 @@
       const before = this.register.charterStamp
       if (entry.type === 'command') this.register.apply(entry.index, entry.bytes)
       this.#applied = entry.index
-      if (this.register.charterStamp !== before) this.#desk.licences.charterMade(this.register.charterStamp, nowMs)
+      if (this.register.charterStamp !== before) {
+        this.#desk.licences.charterMade(this.register.charterStamp, entry.term < this.agreement.term ? -Infinity : nowMs)
+      }
     }
     if (out.applied.length > 0 || out.adopted !== undefined) {
       this.#duty(nowMs)
@@ -183,7 +185,7 @@
       if (this.#leading) {
         this.#desk.begin(this.agreement.term, nowMs)
         this.#platformFreshMs = -Infinity
-        this.#desk.licences.charterMade(this.register.charterStamp, nowMs)
+        this.#desk.licences.charterMade(this.register.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
         this.#leaderAddress = this.#plan.address
       }
@@ -596,9 +598,9 @@
           operation.text === '' ? this.register.texts.at(-1) : this.register.texts.find((one) => one.stamp === Number(operation.text))
         if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
         else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
-        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, wanted.whole)
+        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.register.whole(wanted.stamp) ?? '')
         else {
-          const branch = Tree.at(Tree.read(wanted.whole), operation.branch.split('.'))
+          const branch = Tree.at(Tree.read(this.register.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
           if (branch === undefined) json(404, { errors: [`${operation.branch}: not in the charter`] })
           else this.#respond(id, 200, wanted.stamp, `${JSON.stringify(branch, null, 2)}\n`)
         }
--- a/src/testtrack/Callers.ts
+++ b/src/testtrack/Callers.ts
@@ -94,6 +94,7 @@
       service: course.service,
       repeatable: service?.repeatable ?? false,
       dueMs: askedMs + dueMs,
+      leastDueMs: askedMs + dueMs,
       proper: true,
     })
     const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
@@ -130,6 +131,7 @@
           verdict: Object.values(Verdict).find((one) => one === verdict),
           retryAfter: reply.headers['retry-after'] !== undefined,
           wokeMs: 0,
+          why: text.slice(0, 200),
         })
     } catch {
       this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name })
--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -5,26 +5,46 @@
 import type { Verdict } from '../gauge/Verdict.js'
 
 export type Sighting =
-  | { kind: 'asked'; atMs: number; request: string; service: string; repeatable: boolean; dueMs: number; proper: boolean }
+  | {
+      kind: 'asked'
+      atMs: number
+      request: string
+      service: string
+      repeatable: boolean
+      dueMs: number
+      leastDueMs: number
+      proper: boolean
+    }
   | { kind: 'whole'; atMs: number; request: string; status: number; sum: number }
   | { kind: 'brokenOff'; atMs: number; request: string }
-  | { kind: 'turnedAway'; atMs: number; request: string; status: number; verdict: Verdict | undefined; retryAfter: boolean; wokeMs: number }
+  | {
+      kind: 'turnedAway'
+      atMs: number
+      request: string
+      status: number
+      verdict: Verdict | undefined
+      retryAfter: boolean
+      wokeMs: number
+      why: string
+    }
   | { kind: 'left'; atMs: number; request: string }
-  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string }
+  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; wokeMs: number }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
   | { kind: 'ordered'; atMs: number; server: string; incarnation: string; tenure: number; number: number; order: string; taken: boolean }
   | { kind: 'broke'; atMs: number; server: string; rule: 'room' | 'places' | 'flights' | 'twoOrders'; what: string }
   | { kind: 'drew'; atMs: number; mb: number }
   | { kind: 'platform'; atMs: number; server: string; draining: boolean; listed: boolean }
-  | { kind: 'wrote'; atMs: number; operation: string; text: string; branch: string; action: string }
+  | { kind: 'wrote'; atMs: number; operation: string; text: string; branch: string; action: string; ifMatch: number }
   | { kind: 'acknowledged'; atMs: number; operation: string; stamp: number }
   | { kind: 'undecided'; atMs: number; operation: string }
   | { kind: 'notTaken'; atMs: number; operation: string; status: number }
+  | { kind: 'wholeBack'; atMs: number; stamp: number; text: string }
   | { kind: 'readBack'; atMs: number; stamp: number; text: string }
-  | { kind: 'read'; atMs: number; fromMs: number; stamp: number }
+  | { kind: 'read'; atMs: number; fromMs: number; stamp: number; sum: number }
   | { kind: 'emptied'; atMs: number; zone: string; emptied: boolean; ackedMs: number }
   | { kind: 'barred'; atMs: number; service: string; server: string; barred: boolean; ackedMs: number }
-  | { kind: 'history'; atMs: number; operations: string[] }
+  | { kind: 'history'; atMs: number; entries: readonly { stamp: number; operation: string }[] }
   | { kind: 'coreDown'; atMs: number; fromMs: number }
   | { kind: 'serverUp'; atMs: number; server: string; zone: string }
+  | { kind: 'faultBegan'; atMs: number; fault: string }
   | { kind: 'faultClosed'; atMs: number; fault: string }
--- a/src/testtrack/SimDisk.ts
+++ b/src/testtrack/SimDisk.ts
@@ -18,6 +18,9 @@
   readonly #chance: Chance
   #freeAtMs = 0
   #power = 0
+  /** Told of each write as it begins. */
+  watch: (() => void) | undefined
+  #inFlight: { records: readonly Uint8Array[]; rewrite: boolean }[] = []
 
   constructor(clock: SimClock, chance: Chance) {
     this.#clock = clock
@@ -25,7 +28,10 @@
   }
 
   write(records: readonly Uint8Array[], rewrite: boolean, done: () => void): void {
+    this.watch?.()
     const power = this.#power
+    const job = { records, rewrite }
+    this.#inFlight.push(job)
     const tookMs = records.length === 0 ? 0 : this.#chance.between(0.3, 3)
     this.#freeAtMs = Math.max(this.#freeAtMs, this.#clock.nowMs, this.stalledUntilMs) + tookMs
     if (this.lies)
@@ -34,12 +40,18 @@
       })
     this.#clock.at(this.lies ? this.#freeAtMs + 3000 : this.#freeAtMs, () => {
       if (power !== this.#power) return
+      this.#inFlight = this.#inFlight.filter((one) => one !== job)
       this.records = rewrite ? [...records] : [...this.records, ...records]
       if (!this.lies) done()
     })
   }
 
+  /** What was being written may be there in part: whole records from its front, never of a rewrite. */
   cutPower(): void {
+    const torn = this.#inFlight[0]
+    if (torn !== undefined && !torn.rewrite && !this.lies)
+      this.records = [...this.records, ...torn.records.slice(0, this.#chance.below(torn.records.length + 1))]
+    this.#inFlight = []
     this.#power += 1
     this.#freeAtMs = 0
   }
--- /dev/null
+++ b/src/testtrack/SimFault.ts
@@ -0,0 +1,51 @@
+/**
+ * A fault of a storm: which, how long after the first of them it begins, and how long it lasts.
+ */
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { Chance } from '../gauge/Chance.js'
+import { proof } from '../gauge/proof.js'
+
+export interface SimFault {
+  name: string
+  fromMs: number
+  lastsMs: number
+}
+/** A core that lost two disks of three at once stops rather than forgets, so a storm takes one disk at the most. */
+const diskTakers = ['lose-disk', 'swap-seeds']
+
+export const SimFault = {
+  storm(names: readonly string[], seed: number, count: number, spanMs: number): SimFault[] {
+    const chance = new Chance(seed * 104_729)
+    const faults: SimFault[] = []
+    while (faults.length < count) {
+      const name = chance.pick(names) ?? ''
+      if (diskTakers.includes(name) && faults.some((one) => diskTakers.includes(one.name))) continue
+      faults.push({ name, fromMs: Math.round(chance.between(0, spanMs)), lastsMs: Math.round(chance.between(500, 9000)) })
+    }
+    return faults.sort((a, b) => a.fromMs - b.fromMs)
+  },
+
+  write(faults: readonly SimFault[]): string {
+    return faults.map((one) => `${one.name}@${String(one.fromMs)}+${String(one.lastsMs)}`).join(',')
+  },
+
+  read(text: string): SimFault[] | undefined {
+    const faults = text.split(',').map((part) => {
+      const [, name, fromMs, lastsMs] = /^([a-z-]+)@(\d+)\+(\d+)$/.exec(part) ?? []
+      return name === undefined ? undefined : { name, fromMs: Number(fromMs), lastsMs: Number(lastsMs) }
+    })
+    const read = faults.filter((one) => one !== undefined)
+    return read.length === faults.length ? read : undefined
+  },
+}
+
+proof(import.meta.url, {
+  'a storm is the same for its seed, takes one disk at the most, and reads back from its text': () => {
+    const names = ['lose-disk', 'swap-seeds', 'crowd', 'kill-leader']
+    const storm = SimFault.storm(names, 3, 12, 40_000)
+    deepStrictEqual(SimFault.storm(names, 3, 12, 40_000), storm)
+    strictEqual(storm.filter((one) => diskTakers.includes(one.name)).length <= 1, true)
+    deepStrictEqual(SimFault.read(SimFault.write(storm)), storm)
+    strictEqual(SimFault.read('crowd'), undefined)
+  },
+})
--- a/src/testtrack/SimNetwork.ts
+++ b/src/testtrack/SimNetwork.ts
@@ -18,7 +18,7 @@
   readonly #chance: Chance
   readonly #listeners = new Map<string, { host: string; listener: Listener }>()
   readonly #lastMs = new Map<string, number>()
-  readonly #cuts = new Set<string>()
+  readonly #cuts = new Map<string, number>()
   /** Extra delay by host, for slow links. */
   readonly slowMs = new Map<string, number>()
   lossRatio = 0
@@ -36,14 +36,15 @@
     this.#listeners.delete(address)
   }
 
-  cut(fromHost: string, toHost: string): void {
-    this.#cuts.add(`${fromHost}>${toHost}`)
-  }
-
-  heal(): void {
-    this.#cuts.clear()
-    this.slowMs.clear()
-    this.lossRatio = 0
+  /** Cuts the way from one host to another; several faults may cut it, and it is whole once each has mended it. */
+  cut(fromHost: string, toHost: string): () => void {
+    const way = `${fromHost}>${toHost}`
+    this.#cuts.set(way, (this.#cuts.get(way) ?? 0) + 1)
+    return () => {
+      const left = (this.#cuts.get(way) ?? 1) - 1
+      if (left === 0) this.#cuts.delete(way)
+      else this.#cuts.set(way, left)
+    }
   }
 
   connected(fromHost: string, toHost: string): boolean {
--- a/src/testtrack/SimOptions.ts
+++ b/src/testtrack/SimOptions.ts
@@ -2,6 +2,7 @@
  * What a simulated run is made of. `broken` names a rule to break on purpose, so that the judge can be
  * seen to bite.
  */
+import type { SimFault } from './SimFault.js'
 import type { Policy } from '../timetable/Policy.js'
 import type { Deployment } from './Deployment.js'
 
@@ -14,7 +15,11 @@
   quietMs: number
   broken: string
   crowd: number
+  /** How many models and services a growing charter gains. */
+  grows: number
   together: boolean
   uncheckedTenure: boolean
   policy: Policy
+  /** Faults at their own times, in the place of `faults`: a storm. */
+  storm?: readonly SimFault[]
 }
--- a/src/testtrack/SimServer.ts
+++ b/src/testtrack/SimServer.ts
@@ -19,5 +19,11 @@
   orderLoss: number
   orderSlowMs: number
   breaksRuns: number
+  /** How much longer than usual its runs take. */
+  slowness: number
+  /** Another server's name that it claims to have. */
+  claims: string | undefined
+  /** Its reports cannot be read. */
+  nonsense: boolean
   watchers: Set<() => void>
 }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -13,7 +13,6 @@
 import { LinemanMachine } from '../lineman/LinemanMachine.js'
 import type { Report } from '../gauge/Report.js'
 import type { Message } from '../telegraph/Message.js'
-import type { Operation } from '../signalbox/Operation.js'
 import type { SignalboxEffect } from '../signalbox/SignalboxEffect.js'
 import type { SignalboxInput } from '../signalbox/SignalboxInput.js'
 import { SignalboxMachine } from '../signalbox/SignalboxMachine.js'
@@ -21,9 +20,12 @@
 import type { TurnoutInput } from '../turnout/TurnoutInput.js'
 import { TurnoutMachine } from '../turnout/TurnoutMachine.js'
 import type { Sighting } from './Sighting.js'
+import type { SimAsk } from './SimAsk.js'
+import { SimCallers } from './SimCallers.js'
 import { SimClock } from './SimClock.js'
 import { SimDisk } from './SimDisk.js'
 import { SimNetwork } from './SimNetwork.js'
+import { SimOperators } from './SimOperators.js'
 import type { SimOptions } from './SimOptions.js'
 import { SimProcess } from './SimProcess.js'
 import type { SimServer } from './SimServer.js'
@@ -37,16 +39,6 @@
   cancelled: boolean
   end: () => void
 }
-interface Ask {
-  service: string
-  kind: 'model' | 'service'
-  adapter: string
-  chain: string[]
-  lines: number
-  dueMs: number
-  request: string
-}
-
 export class Simulation {
   readonly options: SimOptions
   readonly bounds = bounds
@@ -63,38 +55,30 @@
       process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>
       address: string
       zone: string
-      asks: Map<string, Ask>
+      asks: Map<string, SimAsk>
       flights: Map<string, Flight>
     }
   >()
   readonly servers = new Map<string, SimServer>()
-  readonly waits: number[] = []
-  readonly modelWaits: number[] = []
-  /** Waits of model requests, and cold ones among the asked, from the first fault on. */
-  readonly hurtWaits: number[] = []
-  hurtColdAsks = 0
-  hurtFromMs = Infinity
-  modelAsks = 0
-  /** Prompt parts that came to servers, and those of them that the server had kept. */
-  parts = 0
-  partsKept = 0
-  /** Model requests that came when no server held their model and adapter. */
-  coldAsks = 0
-  #operations = new Map<string, (status: number, stamp: number, text: string) => void>()
-  #asked = 0
-  #operated = 0
+  readonly callers: SimCallers
+  readonly operators: SimOperators
+  /** Where processes that start now look first. */
+  seeds: string[] = []
+  /** How far a core machine's wall clock is off, in hours. */
+  readonly hoursOff = new Map<string, number>()
   /** Since when the core lacks a majority that can act and be heard. */
   #downFromMs: number | undefined
   #ports = 1000
-  #seeds: string[] = []
 
   constructor(options: SimOptions) {
     this.options = options
     this.chance = new Chance(options.seed)
     this.network = new SimNetwork(this.clock, this.chance.fork())
+    this.callers = new SimCallers(this)
+    this.operators = new SimOperators(this)
     const { deployment } = options
     for (const box of deployment.boxes) this.boxes.set(box.name, this.#makeBox(box.name, box.zone))
-    this.#seeds = [...this.boxes.values()].map((box) => box.address)
+    this.seeds = [...this.boxes.values()].map((box) => box.address)
     for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
     for (const server of deployment.servers) {
       this.servers.set(server.name, {
@@ -112,6 +96,9 @@
         orderLoss: 0,
         orderSlowMs: 0,
         breaksRuns: 0,
+        slowness: 1,
+        claims: undefined,
+        nonsense: false,
         watchers: new Set(),
       })
       this.startServer(server.name)
@@ -164,7 +151,7 @@
       this.clock,
       this.chance.fork(),
       this.pace.tickMs,
-      () => ({ kind: 'tick', hour: 12 }),
+      () => ({ kind: 'tick', hour: this.#hour(name) }),
       (effect, life) => {
         this.#performBox(name, effect, life)
       },
@@ -172,6 +159,10 @@
     return { process, disk, address: this.freshAddress(name), zone }
   }
 
+  #hour(name: string): number {
+    return (12 + this.clock.nowMs / 3_600_000 + (this.hoursOff.get(name) ?? 0) + 24) % 24
+  }
+
   startBox(name: string): void {
     const box = this.boxes.get(name)
     if (box === undefined || box.process.alive) return
@@ -181,7 +172,7 @@
         name,
         zone: box.zone,
         address: box.address,
-        seeds: this.#seeds,
+        seeds: this.seeds,
         seats: deployment.boxes.map((one) => one.name),
         rewriteBytes: 60_000,
         policy: this.options.policy,
@@ -213,7 +204,7 @@
     box.disk.lose()
     const old = box.address
     box.address = this.freshAddress(name)
-    this.#seeds = this.#seeds.map((seed) => (seed === old ? box.address : seed))
+    this.seeds = this.seeds.map((seed) => (seed === old ? box.address : seed))
   }
 
   #performBox(name: string, effect: SignalboxEffect, life: number): void {
@@ -238,8 +229,7 @@
         break
       }
       case 'respond': {
-        this.#operations.get(effect.id)?.(effect.status, effect.stamp, effect.text)
-        this.#operations.delete(effect.id)
+        this.operators.responded(effect.id, effect.status, effect.stamp, effect.text)
         break
       }
       case 'askPlatform': {
@@ -258,7 +248,7 @@
           })
           break
         }
-        const report = this.#bend(server.state.report(effect.tenure, this.clock.nowMs))
+        const report = server.nonsense ? undefined : this.#bend(server.state.report(effect.tenure, this.clock.nowMs))
         back(this.chance.between(1, 3) + server.lagMs * this.chance.between(0.5, 1.5), {
           kind: 'reported',
           server: effect.server,
@@ -358,7 +348,7 @@
     if (!lineman.process.alive) {
       lineman.process.start(
         new LinemanMachine(
-          { name, zone: lineman.zone, address: lineman.address, seeds: this.#seeds, turnout: turnout.address },
+          { name, zone: lineman.zone, address: lineman.address, seeds: this.seeds, turnout: turnout.address },
           this.pace,
           this.chance.fork(),
           lineman.process.nowMs,
@@ -385,11 +375,9 @@
   #forTurnout(message: Message): Message {
     const { broken } = this.options
     if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
-    if ((broken === 'budget' || broken === 'emptied') && (message.kind === 'news' || message.kind === 'mend')) {
-      const bent = (value: string) =>
-        broken === 'budget'
-          ? value.replace(/"retryAllowance":\d+/, '"retryAllowance":1000')
-          : value.replaceAll('"emptied":true', '"emptied":false')
+    if (broken === 'recovery' && message.kind === 'permit' && this.clock.nowMs > this.callers.hurtFromMs) return { ...message, forMs: 0 }
+    if (broken === 'emptied' && (message.kind === 'news' || message.kind === 'mend')) {
+      const bent = (value: string) => value.replaceAll('"emptied":true', '"emptied":false')
       return { ...message, rows: message.rows.map((row) => (row.key === 'charter' ? { ...row, value: bent(row.value) } : row)) }
     }
     return message
@@ -409,6 +397,16 @@
     turnout.asks.clear()
   }
 
+  /** A caller who goes away before its answer. */
+  leave(post: string, id: string): void {
+    const turnout = this.turnouts.get(post)
+    const ask = turnout?.asks.get(id)
+    if (turnout === undefined || ask === undefined) return
+    turnout.asks.delete(id)
+    this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request })
+    turnout.process.deliver({ kind: 'callerGone', id })
+  }
+
   killLineman(name: string): void {
     const lineman = this.linemen.get(name)
     if (lineman === undefined) return
@@ -491,7 +489,7 @@
           if (process.life !== life) return
           if (real.state !== state || real.dark) return
           flights.set(effect.id, { server: real, state, cancelled: false, end: () => undefined })
-          const said = this.options.broken === 'identity' ? effect.server : server.name
+          const said = this.options.broken === 'identity' ? effect.server : (server.claims ?? server.name)
           back(this.chance.between(0.2, 1), {
             kind: 'identified',
             id: effect.id,
@@ -530,6 +528,7 @@
             verdict: this.options.broken === 'told' ? Verdict.notRun : effect.verdict,
             retryAfter: effect.retryAfterS > 0,
             wokeMs: process.wokeMs,
+            why: effect.why,
           })
         break
       }
@@ -576,19 +575,18 @@
         service: ask.service,
         sum,
         incarnation: state.incarnation,
+        wokeMs: turnout.process.wokeMs,
       })
       state.begin(model, ask.adapter, this.clock.nowMs)
-      this.parts += ask.chain.length
-      this.partsKept += state.keep(model, ask.chain)
+      this.callers.parts += ask.chain.length
+      this.callers.partsKept += state.keep(model, ask.chain)
       let open = true
       const finish = (got: number) => {
         if (flight.cancelled || turnout.asks.get(id) !== ask) return
         turnout.asks.delete(id)
         turnout.flights.delete(id)
         this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum: got })
-        this.waits.push(this.clock.nowMs - (ask.dueMs - 8000))
-        if (ask.kind === 'model') this.modelWaits.push(this.clock.nowMs - (ask.dueMs - 8000))
-        if (ask.kind === 'model' && ask.dueMs - 8000 >= this.hurtFromMs) this.hurtWaits.push(this.clock.nowMs - (ask.dueMs - 8000))
+        this.callers.waited(ask, this.clock.nowMs - ask.askedMs)
         turnout.process.deliver({ kind: 'ended', id, attempt })
       }
       let headed = false
@@ -613,154 +611,38 @@
           crashed()
         })
       }
-      const runMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
+      const usualMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
+      const startMs = this.clock.nowMs
+      const runMs = (ask.runMs ?? usualMs) * server.slowness
+      /** What a dark server would have sent comes once it is lit again, unless the line was given up as idle before. */
+      const lit = (idle: boolean, sinceMs: number, then: () => void) => {
+        if (!open) return
+        if (!server.dark) then()
+        else if (idle && this.clock.nowMs - sinceMs > this.pace.streamIdleMs) {
+          flight.end()
+          lost()
+        } else
+          this.clock.after(100, () => {
+            lit(idle, sinceMs, then)
+          })
+      }
       this.clock.after(runMs / ask.lines, () => {
-        if (!open || server.dark) return
-        back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
-        this.clock.after(1.1, () => {
-          headed = true
-        })
-      })
-      this.clock.after(runMs + 1, () => {
-        if (!open || server.dark) return
-        flight.end()
-        this.clock.after(1.2, () => {
-          finish(sum)
+        lit(false, 0, () => {
+          back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
+          this.clock.after(1.1, () => {
+            headed = true
+          })
+          const endsMs = startMs + runMs + 1
+          this.clock.at(Math.max(endsMs, this.clock.nowMs + 1.2), () => {
+            lit(true, this.clock.nowMs, () => {
+              flight.end()
+              this.clock.after(1.2, () => {
+                finish(sum)
+              })
+            })
+          })
         })
       })
     })
   }
-
-  // Callers.
-
-  ask(course: SimOptions['deployment']['courses'][number], chance = this.chance): void {
-    const open = [...this.turnouts.values()].filter((one) => one.process.alive)
-    const turnout = chance.pick(open)
-    if (turnout === undefined) return
-    this.#asked += 1
-    const id = String(this.#asked)
-    const request = `${course.service}-${id}`
-    const service = Object.values(this.options.deployment.charter.partners)
-      .map((branch) => branch.services[course.service])
-      .find((one) => one !== undefined)
-    const adapter = course.adapters.length > 0 && chance.hit(0.5) ? (chance.pick(course.adapters) ?? '') : ''
-    if (course.kind === 'model') {
-      this.modelAsks += 1
-      if (
-        ![...this.servers.values()].some(
-          (one) => one.kind === 'model' && one.state?.allows(course.service, adapter, this.clock.nowMs) === true,
-        )
-      )
-        this.#cold()
-    }
-    const talk = chance.below(8)
-    const chain =
-      course.kind === 'service'
-        ? []
-        : Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(talk)}-${String(at)}`).concat(request)
-    const dueInMs = 8000
-    turnout.asks.set(id, {
-      service: course.service,
-      kind: course.kind,
-      adapter,
-      chain,
-      lines: course.lines,
-      dueMs: this.clock.nowMs + dueInMs,
-      request,
-    })
-    this.see({
-      kind: 'asked',
-      atMs: this.clock.nowMs,
-      request,
-      service: course.service,
-      repeatable: service?.repeatable ?? false,
-      dueMs: this.clock.nowMs + dueInMs,
-      proper: true,
-    })
-    const target =
-      course.kind === 'model'
-        ? { kind: 'model' as const, name: course.service, adapter, chain }
-        : { kind: 'service' as const, name: course.service }
-    turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: this.options.broken === 'early' ? dueInMs / 100 : dueInMs })
-  }
-
-  #cold(): void {
-    this.coldAsks += 1
-    if (this.clock.nowMs >= this.hurtFromMs) this.hurtColdAsks += 1
-  }
-
-  beginTraffic(untilMs: number): void {
-    this.options.deployment.courses.forEach((course, at) => {
-      const chance = new Chance(this.options.seed * 1000 + at)
-      const gapMs = () => (course.steady ? (1000 / course.perS) * chance.between(0.9, 1.1) : chance.exponential(1000 / course.perS))
-      const next = () => {
-        if (this.clock.nowMs >= untilMs) return
-        this.ask(course, chance)
-        this.clock.after(gapMs(), next)
-      }
-      this.clock.after(chance.next() * gapMs(), next)
-    })
-  }
-
-  // Operators.
-
-  operate(box: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
-    this.#operated += 1
-    const id = `${operation.operation}-${String(this.#operated)}`
-    this.#operations.set(id, done)
-    this.clock.after(this.boxes.get(box)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
-      if (this.#operations.delete(id)) done(504, 0, '')
-    })
-    this.clock.after(1, () => {
-      this.boxes.get(box)?.process.deliver({ kind: 'operate', id, operation })
-    })
-  }
-
-  /** Reads the charter's stamp at some core machine; nothing when it could not tell in time. */
-  readStamp(got: (stamp: number) => void): void {
-    const box = this.chance.pick([...this.boxes.keys()]) ?? ''
-    if (this.options.broken === 'reads') {
-      const machine = this.boxes.get(box)?.process.machine
-      if (machine !== undefined) got(machine.register.charterStamp)
-      return
-    }
-    this.operate(
-      box,
-      { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.pace.askMs },
-      (status, stamp) => {
-        if (status === 200) got(stamp)
-      },
-    )
-  }
-
-  /** Writes as an operator who asks again, by the same operation id, until told how it ended. */
-  write(
-    operation: string,
-    action: 'charter.put' | 'charter.patch',
-    text: string,
-    ifMatch: number,
-    settled: (status: number, stamp: number) => void,
-  ): void {
-    this.see({ kind: 'wrote', atMs: this.clock.nowMs, operation, text, branch: '', action })
-    const names = [...this.boxes.keys()]
-    let at = this.chance.below(names.length)
-    const again = () => {
-      at += 1
-      this.operate(
-        names[at % names.length] ?? '',
-        { action, branch: '', text, ifMatch, operation, waitMs: this.pace.askMs },
-        (status, stamp) => {
-          if (status === 504) {
-            this.see({ kind: 'undecided', atMs: this.clock.nowMs, operation })
-            again()
-          } else {
-            if (status === 200) this.see({ kind: 'acknowledged', atMs: this.clock.nowMs, operation, stamp })
-            else this.see({ kind: 'notTaken', atMs: this.clock.nowMs, operation, status })
-            settled(status, stamp)
-          }
-        },
-      )
-    }
-    again()
-  }
 }
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -107,6 +107,7 @@
         service: model === '' ? String(request.headers['service-name']) : model,
         sum: digest(text.join('')),
         incarnation: state.incarnation,
+        wokeMs: 0,
       })
     if (target?.kind === 'model') state.keep(model, target.chain)
     state.begin(model, adapter, clockMs())
--- a/src/testtrack/brokenRules.ts
+++ b/src/testtrack/brokenRules.ts
@@ -16,6 +16,7 @@
   together?: boolean
   faultMs?: number
   crowd?: number
+  quietMs?: number
   seeds: number[]
   spares?: string[]
 }
@@ -25,7 +26,13 @@
   { broken: 'told', rule: 'notRunRan', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'whole', rule: 'whole', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'early', rule: 'turnedAway', faults: ['crowd'], deployment: 'siding', seeds: [1, 2] },
-  { broken: 'identity', rule: 'stray', faults: ['reuse-address'], deployment: 'siding', seeds: [1, 2, 3, 4, 5, 6, 7, 8] },
+  {
+    broken: 'identity',
+    rule: 'stray',
+    faults: ['reuse-address'],
+    deployment: 'siding',
+    seeds: [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20],
+  },
   {
     broken: 'licence',
     rule: 'charter',
@@ -34,8 +41,9 @@
     faultMs: 12_000,
     seeds: [1, 2, 3, 4, 5, 6],
   },
+  { broken: 'recovery', rule: 'recovery', faults: ['crash-server'], deployment: 'siding', quietMs: 30_000, seeds: [1, 2] },
   { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'siding', seeds: [1, 2, 3, 4] },
-  { broken: 'reads', rule: 'reads', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
+  { broken: 'reads', rule: 'linear', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'emptied', rule: 'emptied', faults: ['kill-turnout'], deployment: 'siding', seeds: [1, 2, 3] },
   {
@@ -72,9 +80,10 @@
     faults: one.faults,
     calmMs: 6000,
     faultMs: one.faultMs ?? 4000,
-    quietMs: 16_000,
+    quietMs: one.quietMs ?? 16_000,
     broken,
     crowd: one.crowd ?? 150,
+    grows: 400,
     together: one.together ?? false,
     uncheckedTenure: false,
     policy: edgeMulti,
--- a/src/testtrack/compare.ts
+++ b/src/testtrack/compare.ts
@@ -22,6 +22,7 @@
         quietMs: minutes * 60_000,
         broken: '',
         crowd: 0,
+        grows: 400,
         together: false,
         uncheckedTenure: false,
         policy,
--- a/src/testtrack/judge.ts
+++ b/src/testtrack/judge.ts
@@ -6,12 +6,17 @@
 import type { Bounds } from '../gauge/Bounds.js'
 import { proof } from '../gauge/proof.js'
 import { Verdict } from '../gauge/Verdict.js'
+import { linear } from './linear.js'
 import type { Sighting } from './Sighting.js'
 
 interface Case {
   sightings: readonly Sighting[]
   bounds: Bounds
   zones: ReadonlyMap<string, string>
+  /** The least that must have been asked for the run to say anything. */
+  leastAsked: number
+  /** The longest that a request may run at a server. */
+  longestRunMs: number
   sizes: ReadonlyMap<string, number>
   allowed: (service: string, server: string, atMs: number) => boolean
   paceMbPerS: number
@@ -72,7 +77,10 @@
     turnedAway: [],
     stray: [],
     charter: [],
-    reads: [],
+    linear: linear(sightings),
+    asked: [],
+    unanswered: [],
+    late: [],
     drain: [],
     emptied: [],
     retries: [],
@@ -103,7 +111,7 @@
     if (ask?.proper !== true) continue
     if (away.status < 500) tell('turnedAway', `${away.request} is proper and got ${String(away.status)}`)
     if (!away.retryAfter) tell('turnedAway', `${away.request} was not told when to come back`)
-    if (away.verdict === Verdict.notRun && away.atMs < ask.dueMs - slackMs && couldServe(given, ask.service, away.atMs, ask.dueMs))
+    if (away.verdict === Verdict.notRun && away.atMs < ask.leastDueMs - slackMs && couldServe(given, ask.service, away.atMs, ask.dueMs))
       tell('turnedAway', `${away.request} was given up ${String(Math.round(ask.dueMs - away.atMs))} ms before its due`)
     if (away.atMs > Math.max(ask.dueMs, away.wokeMs + (ask.atMs < away.wokeMs ? ask.dueMs - ask.atMs : 0)) + slackMs)
       tell('turnedAway', `${away.request} was told ${String(Math.round(away.atMs - ask.dueMs))} ms after its due`)
@@ -112,6 +120,19 @@
     if (whole.status < 300 && !(runs.get(whole.request) ?? []).some((ran) => ran.sum === whole.sum))
       tell('whole', `${whole.request} got what no server said`)
   }
+  if (asked.size < given.leastAsked) tell('asked', `only ${String(asked.size)} requests were asked of at least ${String(given.leastAsked)}`)
+  const answered = new Set([...of('whole'), ...of('brokenOff'), ...of('turnedAway'), ...of('left')].map((one) => one.request))
+  const lastMs = sightings.reduce((latest, one) => Math.max(latest, one.atMs), 0)
+  for (const ask of asked.values()) {
+    const ran = runs.get(ask.request)
+    const untilMs =
+      Math.max(ask.dueMs, ...(ran ?? []).map((one) => Math.max(one.wokeMs, one.atMs) + bounds.recoverMs + given.longestRunMs)) + slackMs
+    if (!answered.has(ask.request) && untilMs < lastMs) tell('unanswered', `${ask.request} never got a final answer`)
+    for (const one of ran ?? []) {
+      const dueMs = Math.max(ask.dueMs, ask.atMs < one.wokeMs ? one.wokeMs + ask.dueMs - ask.atMs : 0)
+      if (one.atMs > dueMs + slackMs) tell('late', `${ask.request} ran ${String(Math.round(one.atMs - ask.dueMs))} ms after its due`)
+    }
+  }
   const operations = new Map(of('wrote').map((one) => [one.operation, one]))
   const back = new Map(of('readBack').map((one) => [one.stamp, one.text]))
   for (const ack of of('acknowledged')) {
@@ -119,7 +140,7 @@
     if (wrote !== undefined && back.size > 0 && back.get(ack.stamp) !== wrote.text)
       tell('charter', `${ack.operation} at stamp ${String(ack.stamp)} does not read back`)
   }
-  const histories = of('history').map((one) => one.operations)
+  const histories = of('history').map((one) => one.entries.map((entry) => entry.operation))
   const last = histories.at(-1)
   if (last !== undefined) {
     for (const ack of of('acknowledged'))
@@ -127,27 +148,17 @@
     for (const not of of('notTaken'))
       if (last.includes(not.operation)) tell('charter', `${not.operation} was told ${String(not.status)} and took effect`)
   }
-  const acks = of('acknowledged')
-  const reads = of('read')
-  for (const read of reads) {
-    const least = Math.max(
-      0,
-      ...acks.filter((ack) => ack.atMs < read.fromMs).map((ack) => ack.stamp),
-      ...reads.filter((one) => one.atMs < read.fromMs).map((one) => one.stamp),
-    )
-    if (read.stamp < least) tell('reads', `a read gave stamp ${String(read.stamp)} after ${String(least)} had been seen`)
-  }
   const downs = of('coreDown')
-  /** A bound on news runs from when there was a core that could give them. */
-  const heard = (atMs: number, graceMs: number) =>
-    Math.max(atMs, ...downs.filter((down) => down.fromMs < atMs + graceMs && down.atMs > atMs).map((down) => down.atMs))
-  const spans = (events: { atMs: number; on: boolean; ackedMs?: number }[], graceMs: number) =>
+  /** The bound on emptying runs from when there was a core that could be asked. */
+  const heard = (atMs: number) =>
+    Math.max(atMs, ...downs.filter((down) => down.fromMs < atMs + bounds.emptyMs && down.atMs > atMs).map((down) => down.atMs))
+  const spans = (events: { atMs: number; on: boolean; ackedMs?: number }[], graceMs: number, from = (atMs: number) => atMs) =>
     events.flatMap((event, at) =>
       event.on
         ? [
             {
-              fromMs: Math.min(heard(event.atMs, graceMs) + graceMs, (event.ackedMs ?? Infinity) + bounds.charterMs),
-              toMs: events[at + 1]?.atMs ?? Infinity,
+              fromMs: Math.min(from(event.atMs) + graceMs, (event.ackedMs ?? Infinity) + bounds.charterMs),
+              toMs: events.slice(at + 1).find((later) => !later.on)?.atMs ?? Infinity,
             },
           ]
         : [],
@@ -176,6 +187,7 @@
         .filter((one) => one.zone === given.zones.get(server))
         .map((one) => ({ atMs: one.atMs, on: one.emptied, ackedMs: one.ackedMs })),
       bounds.emptyMs,
+      heard,
     )
     for (const ran of of('ran')) {
       if (ran.server !== server) continue
@@ -221,11 +233,15 @@
   const closed = of('faultClosed')
   closed.forEach((fault, at) => {
     const fromMs = fault.atMs + bounds.recoverMs
-    const toMs = closed[at + 1]?.atMs ?? Infinity
+    const began = of('faultBegan').find((one) => one.atMs > fault.atMs)
+    const toMs = Math.min(closed[at + 1]?.atMs ?? Infinity, began?.atMs ?? Infinity)
     for (const away of [...of('turnedAway'), ...of('brokenOff')]) {
       const ask = asked.get(away.request)
       if (ask?.proper === true && ask.atMs > fromMs && away.atMs < toMs)
-        tell('recovery', `${away.request} failed after ${fault.fault} had been over for ${String(bounds.recoverMs)} ms`)
+        tell(
+          'recovery',
+          `${away.request} failed after ${fault.fault} had been over for ${String(bounds.recoverMs)} ms: ${away.kind === 'turnedAway' ? away.why : 'broken off'}`,
+        )
     }
   })
   return rules
@@ -237,6 +253,8 @@
     bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
     zones: new Map([['s', 'a']]),
     allowed: (_service, server) => server === 's',
+    leastAsked: 0,
+    longestRunMs: 100,
     sizes: new Map([['x', 15]]),
     paceMbPerS: 10,
     burstMb: 20,
@@ -248,6 +266,7 @@
     .filter(([, list]) => list.length > 0)
     .map(([rule]) => rule)
 }
+const askedAt = (atMs: number): Sighting => ask('r', { atMs, dueMs: atMs + 1000, leastDueMs: atMs + 1000 })
 const ask = (request: string, more: object = {}): Sighting => ({
   kind: 'asked',
   atMs: 0,
@@ -255,6 +274,7 @@
   service: 'x',
   repeatable: false,
   dueMs: 1000,
+  leastDueMs: 1000,
   proper: true,
   ...more,
 })
@@ -266,6 +286,7 @@
   service: 'x',
   sum: 1,
   incarnation: 'i',
+  wokeMs: 0,
   ...more,
 })
 const order = (tenure: number, what = ''): Sighting => ({
@@ -289,16 +310,29 @@
       verdict: 'NotRun',
       retryAfter: true,
       wokeMs: 0,
+      why: '',
       ...more,
     })
     deepStrictEqual(verdict([ask('r'), ran('r'), whole]), [])
     deepStrictEqual(verdict([ask('r'), ran('r'), ran('r'), whole]), ['ranTwice', 'retries'])
+    deepStrictEqual(verdict([ask('r'), { ...whole, request: 'other', status: 404, atMs: 2000 }]), ['unanswered'])
+    deepStrictEqual(verdict([ask('r'), ran('r', { atMs: 1200 }), whole]), ['late'])
+    deepStrictEqual(verdict([ask('r'), ran('r', { atMs: 1200, wokeMs: 300 }), whole]), [])
+    deepStrictEqual(
+      verdict([
+        { kind: 'platform', atMs: 0, server: 's', draining: true, listed: true },
+        { kind: 'platform', atMs: 2000, server: 's', draining: true, listed: false },
+        askedAt(3001),
+        ran('r', { atMs: 3001 }),
+      ]),
+      ['drain'],
+    )
     deepStrictEqual(verdict([ask('r'), ran('r'), { ...whole, sum: 2 }]), ['whole'])
     deepStrictEqual(verdict([ask('r'), ran('r'), away({})]), ['notRunRan'])
     deepStrictEqual(verdict([ask('r'), away({ atMs: 500 })]), ['turnedAway'])
     const drew = (atMs: number): Sighting => ({ kind: 'drew', atMs, mb: 20 })
     deepStrictEqual(verdict([ask('r'), drew(400), away({ atMs: 500 })]), [])
-    deepStrictEqual(verdict([ask('r', { dueMs: 2000 }), drew(400), away({ atMs: 500 })]), ['turnedAway'])
+    deepStrictEqual(verdict([ask('r', { dueMs: 2000, leastDueMs: 2000 }), drew(400), away({ atMs: 500 })]), ['turnedAway'])
     deepStrictEqual(verdict([ask('r'), drew(400), order(1, 'load x/'), away({ atMs: 500 })]), ['turnedAway'])
     deepStrictEqual(verdict([ask('r'), away({ atMs: 1500 })]), ['turnedAway'])
     deepStrictEqual(verdict([ask('r'), away({ retryAfter: false })]), ['turnedAway'])
@@ -306,37 +340,39 @@
     deepStrictEqual(verdict([ask('r'), ran('r', { server: 't' }), whole]), ['stray'])
     deepStrictEqual(verdict([ran('r')]), ['stray'])
     deepStrictEqual(
-      verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, ask('r'), ran('r', { atMs: 3001 })]),
+      verdict([{ kind: 'platform', atMs: 0, server: 's', draining: true, listed: true }, askedAt(3001), ran('r', { atMs: 3001 })]),
       ['drain'],
     )
-    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]), [
-      'emptied',
-    ])
     deepStrictEqual(
-      verdict([{ kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 }, ask('r'), ran('r', { atMs: 2101 })]),
+      verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 100 }, askedAt(2101), ran('r', { atMs: 2101 })]),
+      ['emptied'],
+    )
+    deepStrictEqual(
+      verdict([
+        { kind: 'barred', atMs: 0, service: 'x', server: 's', barred: true, ackedMs: 100 },
+        askedAt(2101),
+        ran('r', { atMs: 2101 }),
+      ]),
       ['charter'],
     )
     deepStrictEqual(
       verdict([
         { kind: 'acknowledged', atMs: 0, operation: 'o', stamp: 1 },
-        { kind: 'history', atMs: 9, operations: ['p'] },
+        { kind: 'history', atMs: 9, entries: [{ stamp: 1, operation: 'p' }] },
       ]),
-      ['charter'],
+      ['charter', 'linear'],
     )
-    const read = (fromMs: number, atMs: number, stamp: number): Sighting => ({ kind: 'read', fromMs, atMs, stamp })
-    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(4, 9, 2)]), [])
-    deepStrictEqual(verdict([{ kind: 'acknowledged', atMs: 5, operation: 'o', stamp: 3 }, read(6, 9, 2)]), ['reads'])
-    deepStrictEqual(verdict([read(1, 2, 7), read(3, 4, 6)]), ['reads'])
     deepStrictEqual(
       verdict([
         { kind: 'notTaken', atMs: 0, operation: 'o', status: 412 },
-        { kind: 'history', atMs: 9, operations: ['o'] },
+        { kind: 'history', atMs: 9, entries: [{ stamp: 1, operation: 'o' }] },
       ]),
-      ['charter'],
+      ['charter', 'linear'],
+    )
+    deepStrictEqual(
+      verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, askedAt(5001), ran('r', { atMs: 5001 })]),
+      ['emptied'],
     )
-    deepStrictEqual(verdict([{ kind: 'emptied', atMs: 0, zone: 'a', emptied: true, ackedMs: 9000 }, ask('r'), ran('r', { atMs: 5001 })]), [
-      'emptied',
-    ])
     deepStrictEqual(verdict([{ kind: 'coldRun', atMs: 0, server: 's', incarnation: 'i', flights: 3, limit: 2 }]), ['cold'])
     deepStrictEqual(
       verdict([
@@ -357,14 +393,18 @@
     deepStrictEqual(verdict([order(2), order(1)]), ['controllers'])
     deepStrictEqual(
       verdict([
-        { kind: 'wrote', atMs: 0, operation: 'o', text: 'a', branch: '', action: 'put' },
+        { kind: 'wrote', atMs: 0, operation: 'o', text: 'a', branch: '', action: 'put', ifMatch: -1 },
         { kind: 'acknowledged', atMs: 1, operation: 'o', stamp: 5 },
         { kind: 'readBack', atMs: 9, stamp: 5, text: 'b' },
       ]),
       ['charter'],
     )
     deepStrictEqual(
-      verdict([{ kind: 'faultClosed', atMs: 0, fault: 'f' }, ask('r', { atMs: 12500, dueMs: 13500 }), away({ atMs: 13500 })]),
+      verdict([
+        { kind: 'faultClosed', atMs: 0, fault: 'f' },
+        ask('r', { atMs: 12500, dueMs: 13500, leastDueMs: 13500 }),
+        away({ atMs: 13500 }),
+      ]),
       ['recovery'],
     )
   },
--- a/src/testtrack/keptSeeds.ts
+++ b/src/testtrack/keptSeeds.ts
@@ -7,6 +7,7 @@
 import { Deployment } from './Deployment.js'
 import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
+import { SimFault } from './SimFault.js'
 import { simFaults } from './simFaults.js'
 
 interface KeptSeed {
@@ -15,6 +16,7 @@
   together: boolean
   was: string
   unchecked?: boolean
+  deployment?: string
 }
 
 export const keptSeeds: readonly KeptSeed[] = [
@@ -61,25 +63,40 @@
   },
   { seed: 105, faults: ['break-runs', 'freeze-turnout'], together: true, was: 'the judge held a frozen turnout to its dues' },
   { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the judge wanted a drain obeyed that no core could tell' },
+  {
+    seed: 16,
+    faults: ['swap-seeds@1539+1507', 'stop-all@5255+3027'],
+    together: false,
+    was: 'seeds that were linemen knew no core after all had stopped',
+  },
+  {
+    seed: 45,
+    faults: ['swap-seeds@5856+5165', 'stop-all@34390+1559'],
+    together: false,
+    was: 'seats that had forgotten an acknowledged charter vouched for an older one',
+  },
 ]
 
 proof(
   import.meta.url,
   Object.fromEntries(
-    keptSeeds.map(({ seed, faults, together, was, unchecked }) => [
+    keptSeeds.map(({ seed, faults, together, was, unchecked, deployment: where }) => [
       `${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`,
       () => {
-        const deployment = Deployment.of('siding')
-        if (deployment === undefined) throw new Error('no siding')
+        const deployment = Deployment.of(where ?? 'siding')
+        if (deployment === undefined) throw new Error(`no ${where ?? 'siding'}`)
+        const storm = SimFault.read(faults.join(','))
         const result = runSimulation({
           deployment,
           seed,
-          faults,
+          faults: storm === undefined ? faults : [],
+          ...(storm === undefined ? {} : { storm }),
           calmMs: 6000,
           faultMs: 4000,
           quietMs: 22_000,
           broken: '',
           crowd: 150,
+          grows: 400,
           together,
           uncheckedTenure: unchecked ?? false,
           policy: edgeMulti,
--- /dev/null
+++ b/src/testtrack/linear.ts
@@ -0,0 +1,148 @@
+/**
+ * Judges a history of the operators' reads and writes for linearizability. Each write that took effect
+ * carries a stamp, which witnesses the order; so the history is linearizable exactly when (1) that order
+ * agrees with real time: what ended before another began comes before it; (2) carrying the writes out one
+ * after the other gives, at every stamp, the very content that was read; (3) each conditional write that
+ * took effect met the stamp it named, and each one turned away for its condition had a moment, between its
+ * beginning and its end, at which the stamp was another. That all
+ * acknowledged writes are in the history is judged beside it.
+ */
+import { deepStrictEqual } from 'node:assert'
+import { digest } from '../gauge/digest.js'
+import { proof } from '../gauge/proof.js'
+import { Tree } from '../gauge/Tree.js'
+import type { Sighting } from './Sighting.js'
+
+type Of<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
+
+export function linear(sightings: readonly Sighting[]): string[] {
+  const defects: string[] = []
+  const of = <K extends Sighting['kind']>(kind: K): Of<K>[] => sightings.filter((one): one is Of<K> => one.kind === kind)
+  const history = of('history').at(-1)?.entries
+  if (history === undefined) return defects
+  const wrote = new Map(of('wrote').map((one) => [one.operation, one]))
+  const ended = new Map(of('acknowledged').map((one) => [one.operation, one]))
+  const wholes = new Map(of('wholeBack').map((one) => [one.stamp, one.text]))
+
+  let before = 0
+  let content: string | undefined
+  const stamps = new Map<string, number>()
+  for (const { stamp, operation } of history) {
+    const write = wrote.get(operation)
+    const whole = wholes.get(stamp)
+    if (write === undefined) defects.push(`${operation} at stamp ${String(stamp)} was never written`)
+    else if (stamps.has(operation)) defects.push(`${operation} took effect twice`)
+    else {
+      if (write.ifMatch >= 0 && write.ifMatch !== before)
+        defects.push(`${operation} took effect at ${String(before)}, though it named ${String(write.ifMatch)}`)
+      content = carryOut(content, write, wholes)
+      if (whole === undefined) defects.push(`stamp ${String(stamp)} cannot be read back`)
+      else if (!same(content, whole)) defects.push(`stamp ${String(stamp)} is not what ${operation} makes of ${String(before)}`)
+    }
+    stamps.set(operation, stamp)
+    content = whole ?? content
+    before = stamp
+  }
+
+  const done = [...stamps].flatMap(([operation, stamp]) => {
+    const fromMs = wrote.get(operation)?.atMs
+    return fromMs === undefined ? [] : [{ what: operation, stamp, fromMs, toMs: ended.get(operation)?.atMs ?? Infinity, writes: true }]
+  })
+  const reads = of('read').map((one) => ({
+    what: `a read of ${String(one.stamp)}`,
+    stamp: one.stamp,
+    fromMs: one.fromMs,
+    toMs: one.atMs,
+    writes: false,
+  }))
+  const all = [...done, ...reads].sort((a, b) => a.fromMs - b.fromMs)
+  const ends = [...all].sort((a, b) => a.toMs - b.toMs)
+  let seen = 0
+  let highest = { stamp: 0, what: '' }
+  for (const one of all) {
+    for (let next = ends[seen]; next !== undefined && next.toMs < one.fromMs; next = ends[++seen])
+      if (next.stamp > highest.stamp) highest = next
+    if (one.stamp < highest.stamp || (one.writes && one.stamp === highest.stamp))
+      defects.push(`${one.what} comes before ${highest.what}, which had ended when it began`)
+  }
+  for (const read of of('read')) {
+    const whole = wholes.get(read.stamp)
+    if (whole !== undefined && digest(whole) !== read.sum) defects.push(`a read gave other content than stamp ${String(read.stamp)} has`)
+    if (whole === undefined && read.stamp > 0) defects.push(`a read gave stamp ${String(read.stamp)}, which no write made`)
+  }
+  for (const not of of('notTaken')) {
+    const write = wrote.get(not.operation)
+    if (write === undefined || not.status !== 412) continue
+    const least = Math.max(0, ...done.filter((one) => one.toMs < write.atMs).map((one) => one.stamp))
+    const later = done.some((one) => one.fromMs < not.atMs && one.stamp > write.ifMatch)
+    if (least === write.ifMatch && !later)
+      defects.push(`${not.operation} was turned away for stamp ${String(write.ifMatch)}, which was the current one all the while`)
+  }
+  return defects
+}
+
+function carryOut(content: string | undefined, write: Of<'wrote'>, wholes: ReadonlyMap<number, string>): string | undefined {
+  if (write.action === 'charter.rollback') return wholes.get(Number(write.text))
+  const base = content === undefined ? undefined : Tree.read(content)
+  const sent = Tree.read(write.text)
+  if (sent === undefined) return undefined
+  const path = write.branch === '' ? [] : write.branch.split('.')
+  if (write.action === 'charter.put' && path.length === 0) return write.text
+  const tree =
+    write.action === 'charter.patch' ? Tree.replace(base, path, Tree.merge(Tree.at(base, path), sent)) : Tree.replace(base, path, sent)
+  return `${JSON.stringify(tree, null, 2)}\n`
+}
+
+function same(one: string | undefined, other: string): boolean {
+  return one === other
+}
+
+const write = (operation: string, atMs: number, text: string, more: Partial<Of<'wrote'>> = {}): Of<'wrote'> => ({
+  kind: 'wrote',
+  atMs,
+  operation,
+  action: 'charter.put',
+  branch: '',
+  text,
+  ifMatch: -1,
+  ...more,
+})
+const ack = (operation: string, atMs: number, stamp: number): Sighting => ({ kind: 'acknowledged', atMs, operation, stamp })
+const whole = (stamp: number, text: string): Sighting => ({ kind: 'wholeBack', atMs: 99, stamp, text })
+const made = (...entries: [number, string][]): Sighting => ({
+  kind: 'history',
+  atMs: 99,
+  entries: entries.map(([stamp, operation]) => ({ stamp, operation })),
+})
+const read = (fromMs: number, atMs: number, stamp: number, text: string): Sighting => ({
+  kind: 'read',
+  fromMs,
+  atMs,
+  stamp,
+  sum: digest(text),
+})
+proof(import.meta.url, {
+  'an orderly history passes, and each way out of order is told': () => {
+    const base = [write('a', 0, '{"x":1}'), ack('a', 5, 1), write('b', 6, '{"y":2}', { action: 'charter.patch' }), ack('b', 9, 2)]
+    const merged = `${JSON.stringify({ x: 1, y: 2 }, null, 2)}\n`
+    const back = [whole(1, '{"x":1}'), whole(2, merged), made([1, 'a'], [2, 'b'])]
+    deepStrictEqual(linear([...base, read(1, 4, 0, ''), read(6, 8, 1, '{"x":1}'), ...back]), [])
+    const told = (...more: Sighting[]) => linear(more).length
+    deepStrictEqual(told(...base, whole(1, '{"x":1}'), whole(2, '{"x":1}'), made([1, 'a'], [2, 'b'])), 1)
+    deepStrictEqual(told(...base, whole(1, '{"x":1}'), made([1, 'a'])), 0)
+    deepStrictEqual(told(...base, read(10, 12, 1, '{"x":1}'), ...back), 1)
+    deepStrictEqual(told(...base, read(6, 8, 2, '{"x":1}'), ...back), 1)
+    deepStrictEqual(told(...base, whole(1, merged), whole(2, '{"x":1}'), made([1, 'b'], [2, 'a'])) > 0, true)
+    deepStrictEqual(told(...base, ...back.slice(0, 2), made([1, 'a'], [2, 'b'], [3, 'c'])), 1)
+  },
+  'a condition is judged by the moments it could have been met': () => {
+    const base = [write('a', 0, '{}'), ack('a', 5, 1), whole(1, '{}')]
+    const not = (atMs: number): Sighting => ({ kind: 'notTaken', atMs, operation: 'c', status: 412 })
+    deepStrictEqual(linear([...base, write('c', 6, '{}', { ifMatch: 1 }), not(9), made([1, 'a'])]).length, 1)
+    deepStrictEqual(
+      linear([...base, write('c', 6, '{}', { ifMatch: 1 }), not(9), write('b', 7, '{}'), whole(2, '{}'), made([1, 'a'], [2, 'b'])]).length,
+      0,
+    )
+    deepStrictEqual(linear([...base, write('c', 6, '{}', { ifMatch: 7 }), whole(2, '{}'), made([1, 'a'], [2, 'c'])]).length, 1)
+  },
+})
--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -11,6 +11,7 @@
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
+import { SimFault } from './SimFault.js'
 import { simFaults } from './simFaults.js'
 import { sweep } from './sweep.js'
 
@@ -65,7 +66,7 @@
       long: 'faults',
       type: string,
       defaultValue: () => '',
-      description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs`,
+      description: `comma-separated: ${Object.keys(simFaults).join(', ')}; or each, or pairs, or storm, or a storm's own text`,
     }),
     together: flag({ long: 'together', description: 'all the faults at once instead of one after another' }),
     faultMs: option({ long: 'fault-ms', type: number, defaultValue: () => 4000, description: 'how long each fault lasts' }),
@@ -75,7 +76,9 @@
   handler: (given) => {
     const deployment = Deployment.of(given.deployment)
     const names = Object.keys(simFaults)
-    const strange = ['', 'each', 'pairs'].includes(given.faults) ? undefined : given.faults.split(',').find((one) => !names.includes(one))
+    const strange = ['', 'each', 'pairs', 'storm'].includes(given.faults)
+      ? undefined
+      : (SimFault.read(given.faults)?.map((one) => one.name) ?? given.faults.split(',')).find((one) => !names.includes(one))
     if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
     else if (strange !== undefined) unknown(`no fault is named ${strange}`, names)
     else if (!sweep({ ...given, deployment, say })) process.exitCode = 1
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -128,7 +128,7 @@
       })
       say(`${deployment.name}: ${String(fleet.boxes.length + fleet.linemen.length + fleet.turnouts.length)} processes are up`)
       const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
-      fleet.see({ kind: 'wrote', atMs: clockMs(), operation: 'first', text, branch: '', action: 'put' })
+      fleet.see({ kind: 'wrote', atMs: clockMs(), operation: 'first', text, branch: '', action: 'charter.put', ifMatch: -1 })
       const put = await fleet.operate(['charter', 'put', fleet.inputFile, '--operation', 'first', '--json'], text)
       if (put.code !== 0) throw new Error(`charter put ended with ${String(put.code)}: ${put.out}${put.error}`)
       const stamp = /"stamp":(\d+)/.exec(put.out)?.[1] ?? '0'
@@ -167,6 +167,8 @@
       bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
       zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
       sizes: deployment.sizes,
+      leastAsked: 10,
+      longestRunMs: 2000,
       allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
       paceMbPerS: plan.storePaceMbPerS,
       burstMb: plan.storeBurstMb,
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -12,11 +12,13 @@
 import { judge } from './judge.js'
 import { quantile } from './quantile.js'
 import { simFaults } from './simFaults.js'
+import type { Sighting } from './Sighting.js'
 import type { SimOptions } from './SimOptions.js'
 import { Simulation } from './Simulation.js'
 
 interface Result {
   rules: Record<string, string[]>
+  sightings: readonly Sighting[]
   broken: string[]
   trace: number
   asked: number
@@ -45,30 +47,39 @@
   const charter = bentCharter(deployment.charter, options.broken)
   const text = `${JSON.stringify(charter, null, 2)}\n`
   let stamp = 0
-  sim.write('first', 'charter.put', text, -1, (status, at) => {
+  sim.operators.write({ operation: 'first', action: 'charter.put', branch: '', text, ifMatch: -1 }, (status, at) => {
     if (status === 200) stamp = at
   })
   while (stamp === 0 && clock.nowMs < 60_000 && clock.turn());
   if (stamp === 0) throw new Error('the first charter was not acknowledged within a minute')
   const startMs = clock.nowMs
-  const quietFromMs = startMs + options.calmMs + faults.length * options.faultMs * 1.5
+  const stormMs = Math.max(0, ...(options.storm ?? []).map((one) => one.fromMs + one.lastsMs))
+  const quietFromMs = startMs + options.calmMs + (options.storm === undefined ? faults.length * options.faultMs * 1.5 : stormMs)
   const endMs = quietFromMs + options.quietMs
-  sim.beginTraffic(endMs - 8500)
+  sim.callers.begin(endMs - 8500)
 
-  faults.forEach((name, at) => {
+  const bring = (name: string, fromMs: number, lastsMs: number) => {
     const fault = simFaults[name]
     if (fault === undefined) throw new Error(`no fault is named ${name}`)
-    const fromMs = startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + chance.between(0, options.faultMs * 0.4)
     clock.at(fromMs, () => {
       clock.note(`fault ${name}`)
-      sim.hurtFromMs = Math.min(sim.hurtFromMs, clock.nowMs)
+      see({ kind: 'faultBegan', atMs: clock.nowMs, fault: name })
+      sim.callers.hurtFromMs = Math.min(sim.callers.hurtFromMs, clock.nowMs)
       const end = fault(sim)
-      clock.at(fromMs + options.faultMs, () => {
+      clock.at(fromMs + lastsMs, () => {
         end()
         see({ kind: 'faultClosed', atMs: clock.nowMs, fault: name })
       })
     })
-  })
+  }
+  for (const one of options.storm ?? []) bring(one.name, startMs + options.calmMs + one.fromMs, one.lastsMs)
+  if (options.storm === undefined) {
+    faults.forEach((name, at) => {
+      const fromMs =
+        startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + chance.between(0, options.faultMs * 0.4)
+      bring(name, fromMs, options.faultMs)
+    })
+  }
   operators(sim, startMs + options.calmMs / 2, quietFromMs)
   clock.until(endMs)
 
@@ -83,6 +94,8 @@
     bounds: sim.bounds,
     zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
     sizes: deployment.sizes,
+    leastAsked: leastAsked(sim, endMs - 8500 - startMs),
+    longestRunMs: sim.callers.longestRunMs,
     allowed: (service, server) => services.get(service)?.includes(server) ?? kinds.get(server) === 'model',
     paceMbPerS: fleet.storePaceMbPerS,
     burstMb: fleet.storeBurstMb,
@@ -94,6 +107,7 @@
   const wrote = new Map(sightings.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
   return {
     rules,
+    sightings,
     broken: Object.entries(rules)
       .filter(([, defects]) => defects.length > 0)
       .map(([rule]) => rule),
@@ -102,27 +116,39 @@
     whole: count('whole'),
     turnedAway: count('turnedAway'),
     brokenOff: count('brokenOff'),
-    p50Ms: quantile(sim.waits, 0.5),
-    p99Ms: quantile(sim.waits, 0.99),
+    p50Ms: quantile(sim.callers.waits, 0.5),
+    p99Ms: quantile(sim.callers.waits, 0.99),
     loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
     weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
     ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
     recoverMs: recovery(sim),
-    modelAsks: sim.modelAsks,
-    coldAsks: sim.coldAsks,
-    modelP50Ms: quantile(sim.modelWaits, 0.5),
-    modelP99Ms: quantile(sim.modelWaits, 0.99),
-    hurtColdAsks: sim.hurtColdAsks,
-    hurtP99Ms: quantile(sim.hurtWaits, 0.99),
-    partsKept: sim.partsKept / Math.max(1, sim.parts),
+    modelAsks: sim.callers.modelAsks,
+    coldAsks: sim.callers.coldAsks,
+    modelP50Ms: quantile(sim.callers.modelWaits, 0.5),
+    modelP99Ms: quantile(sim.callers.modelWaits, 0.99),
+    hurtColdAsks: sim.callers.hurtColdAsks,
+    hurtP99Ms: quantile(sim.callers.hurtWaits, 0.99),
+    partsKept: sim.callers.partsKept / Math.max(1, sim.callers.parts),
   }
 }
 
-/** Where a run is to break the room, places or pace of the charter, the system is told a charter that is too generous. */
+/** Half of what the courses would bring while some turnout is up, so that a run that asked almost nothing proves nothing. */
+function leastAsked(sim: Simulation, trafficMs: number): number {
+  const perS = sim.options.deployment.courses.reduce((sum, course) => sum + course.perS, 0)
+  return (
+    0.5 *
+    perS *
+    (Math.max(0, trafficMs - sim.options.faultMs) / 1000) *
+    (sim.options.faults.includes('stop-all') || sim.options.storm !== undefined ? 0.5 : 1)
+  )
+}
+
+/** Where a run is to break the places, pace or allowance of the charter, the system is told a charter that is too generous. */
 function bentCharter(charter: Charter, broken: string): Charter {
   const { fleet } = charter
   if (broken === 'store')
     return { ...charter, fleet: { ...fleet, storePaceMbPerS: 100 * fleet.storePaceMbPerS, storeBurstMb: 100 * fleet.storeBurstMb } }
+  if (broken === 'budget') return { ...charter, defaults: { ...charter.defaults, retryAllowance: 1000 } }
   if (broken !== 'places') return charter
   return {
     ...charter,
@@ -143,9 +169,12 @@
   const patch = (tree: object, settled: (askedMs: number) => void, ifMatch = -1) => {
     count += 1
     const askedMs = clock.nowMs
-    sim.write(`operation-${String(count)}`, 'charter.patch', JSON.stringify(tree), ifMatch, (status) => {
-      if (status === 200) settled(askedMs)
-    })
+    sim.operators.write(
+      { operation: `operation-${String(count)}`, action: 'charter.patch', branch: '', text: JSON.stringify(tree), ifMatch },
+      (status) => {
+        if (status === 200) settled(askedMs)
+      },
+    )
   }
   const race = () => {
     if (clock.nowMs > untilMs) return
@@ -191,10 +220,7 @@
   }
   const read = () => {
     if (clock.nowMs > untilMs) return
-    const readMs = clock.nowMs
-    sim.readStamp((stamp) => {
-      see({ kind: 'read', fromMs: readMs, atMs: clock.nowMs, stamp })
-    })
+    sim.operators.read()
     clock.after(chance.between(100, 600), read)
   }
   clock.at(fromMs, read)
@@ -208,7 +234,7 @@
   const read = (action: 'charter.get' | 'charter.history', text: string, branch: string): string | undefined => {
     let got: string | undefined
     let open = true
-    sim.operate(
+    sim.operators.operate(
       sim.chance.pick([...sim.boxes.keys()]) ?? '',
       { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.pace.operateMs },
       (status, _stamp, body) => {
@@ -222,10 +248,12 @@
   const listed = read('charter.history', '', '')
   if (listed === undefined) throw new Error('the core did not answer at the end of the run')
   const history = z.array(z.object({ stamp: z.number(), operation: z.string() })).parse(JSON.parse(listed))
-  see({ kind: 'history', atMs: clock.nowMs, operations: history.map((one) => one.operation) })
+  see({ kind: 'history', atMs: clock.nowMs, entries: history })
   for (const one of history) {
     const text = read('charter.get', String(one.stamp), 'sent')
     if (text !== undefined) see({ kind: 'readBack', atMs: clock.nowMs, stamp: one.stamp, text })
+    const whole = read('charter.get', String(one.stamp), '')
+    if (whole !== undefined) see({ kind: 'wholeBack', atMs: clock.nowMs, stamp: one.stamp, text: whole })
   }
 }
 
@@ -253,6 +281,7 @@
   quietMs: 25_000,
   broken,
   crowd: 100,
+  grows: 400,
   together: false,
   uncheckedTenure: false,
   policy: edgeMulti,
--- a/src/testtrack/simFaults.ts
+++ b/src/testtrack/simFaults.ts
@@ -2,9 +2,12 @@
  * The faults that a simulated run can bring about. Each begins when it is called and returns what
  * ends it; a fault picks its victim by the run's seed.
  */
+import { callerFaults } from './callerFaults.js'
+import { charterFaults } from './charterFaults.js'
+import type { Fault } from './Fault.js'
+import { serverFaults } from './serverFaults.js'
 import type { Simulation } from './Simulation.js'
 
-type Fault = (sim: Simulation) => () => void
 const nothing = () => undefined
 
 function leader(sim: Simulation): string {
@@ -19,21 +22,18 @@
   [...sim.boxes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
 const anyBox = (sim: Simulation): string => sim.chance.pick([...sim.boxes.keys()]) ?? ''
 const anyPost = (sim: Simulation): string => sim.chance.pick([...sim.turnouts.keys()]) ?? ''
-const anyServer = (sim: Simulation, kind?: 'model' | 'service'): string =>
-  sim.chance.pick(
-    [...sim.servers.values()].filter((one) => one.state !== undefined && (kind === undefined || one.kind === kind)).map((one) => one.name),
-  ) ?? ''
-
-function cutBoth(sim: Simulation, some: readonly string[], others: readonly string[]): () => void {
-  for (const one of some)
-    for (const other of others) {
-      sim.network.cut(one, other)
-      sim.network.cut(other, one)
-    }
+function cutWays(sim: Simulation, ways: readonly (readonly [string, string])[]): () => void {
+  const mends = ways.map(([from, to]) => sim.network.cut(from, to))
   return () => {
-    sim.network.heal()
+    for (const mend of mends) mend()
   }
 }
+function cutBoth(sim: Simulation, some: readonly string[], others: readonly string[]): () => void {
+  return cutWays(
+    sim,
+    some.flatMap((one) => others.flatMap((other) => [[one, other] as const, [other, one] as const])),
+  )
+}
 const hosts = (sim: Simulation): string[] => [
   ...sim.boxes.keys(),
   ...[...sim.linemen.keys()].map((name) => `host-${name}`),
@@ -53,12 +53,107 @@
   }
 }
 
-function moveServer(sim: Simulation, name: string, address: string): void {
-  const server = sim.servers.get(name)
-  if (server !== undefined) server.address = address
-}
-
-export const simFaults: Record<string, Fault> = {
+const systemFaults: Record<string, Fault> = {
+  'jump-clocks': (sim) => {
+    for (const box of sim.boxes.keys()) sim.hoursOff.set(box, sim.chance.between(-30, 30))
+    return () => {
+      sim.hoursOff.clear()
+    }
+  },
+  'cut-dispatcher-from-servers': (sim) => cutBoth(sim, [dispatcher(sim)], [...sim.servers.keys()]),
+  'cut-posts-from-core': (sim) => {
+    const posts = [...sim.linemen.keys()].map((name) => `host-${name}`)
+    return cutBoth(
+      sim,
+      posts.filter((_, at) => at * 2 <= posts.length),
+      [...sim.boxes.keys()],
+    )
+  },
+  'swap-seeds': (sim) => {
+    const box = anyBox(sim)
+    sim.replaceBox(box)
+    const [post, lineman] = sim.chance.pick([...sim.linemen]) ?? []
+    if (post === undefined || lineman === undefined) return nothing
+    const others = [...sim.linemen].filter(([name]) => name !== post).map(([, one]) => one.address)
+    sim.seeds = others.slice(0, 3)
+    sim.killTurnout(post)
+    sim.killLineman(post)
+    sim.clock.after(sim.options.faultMs / 4, () => {
+      sim.startPost(post)
+      sim.startBox(box)
+    })
+    return () => {
+      sim.startPost(post)
+      sim.startBox(box)
+    }
+  },
+  'power-at-write': (sim) => {
+    let open = true
+    for (const [name, box] of sim.boxes) {
+      let left = sim.chance.below(12)
+      box.disk.watch = () => {
+        left -= 1
+        if (!open || left >= 0) return
+        box.disk.watch = undefined
+        const alive = [...sim.boxes.values()].filter((one) => one.process.alive).length
+        if (alive < sim.boxes.size) return
+        sim.clock.after(sim.chance.hit(0.3) ? 0 : sim.chance.between(0, 4), () => {
+          sim.killBox(name, true)
+          sim.clock.after(sim.chance.between(100, 900), () => {
+            sim.startBox(name)
+          })
+        })
+      }
+    }
+    return () => {
+      open = false
+    }
+  },
+  'fail-disk': (sim) => {
+    const name = sim.chance.hit(0.5) ? leader(sim) : anyBox(sim)
+    const box = sim.boxes.get(name)
+    if (box === undefined) return nothing
+    box.disk.watch = () => {
+      box.disk.watch = undefined
+      sim.killBox(name, false)
+    }
+    return () => {
+      box.disk.watch = undefined
+      sim.startBox(name)
+    }
+  },
+  'roll-processes': (sim) => {
+    const waitMs = sim.options.faultMs / (sim.boxes.size + sim.linemen.size)
+    let atMs = 0
+    const next = (stop: () => void, start: () => void) => {
+      sim.clock.after(atMs, () => {
+        stop()
+        sim.clock.after(waitMs / 3, start)
+      })
+      atMs += waitMs
+    }
+    for (const box of sim.boxes.keys())
+      next(
+        () => {
+          sim.killBox(box, false)
+        },
+        () => {
+          sim.startBox(box)
+        },
+      )
+    for (const post of sim.linemen.keys()) {
+      next(
+        () => {
+          sim.killTurnout(post)
+          sim.killLineman(post)
+        },
+        () => {
+          sim.startPost(post)
+        },
+      )
+    }
+    return nothing
+  },
   'kill-leader': (sim) => killed(sim, leader(sim), true),
   'kill-box': (sim) => killed(sim, anyBox(sim), sim.chance.hit(0.5)),
   'freeze-leader': (sim) => frozen(sim.boxes.get(leader(sim))?.process),
@@ -101,10 +196,12 @@
     ),
   'cut-one-way': (sim) => {
     const from = sim.chance.hit(0.5) ? leader(sim) : (sim.chance.pick(hosts(sim)) ?? '')
-    for (const other of hosts(sim)) if (other !== from) sim.network.cut(from, other)
-    return () => {
-      sim.network.heal()
-    }
+    return cutWays(
+      sim,
+      hosts(sim)
+        .filter((other) => other !== from)
+        .map((other) => [from, other] as const),
+    )
   },
   'cut-post': (sim) => {
     const post = `host-${anyPost(sim)}`
@@ -123,22 +220,16 @@
       hosts(sim).filter((one) => one !== post && !sim.servers.has(one)),
     )
   },
-  'break-runs': (sim) => {
-    for (const server of sim.servers.values()) server.breaksRuns = 0.5
-    return () => {
-      for (const server of sim.servers.values()) server.breaksRuns = 0
-    }
-  },
   'slow-links': (sim) => {
     for (const host of hosts(sim)) if (sim.chance.hit(0.4)) sim.network.slowMs.set(host, sim.chance.between(5, 60))
     return () => {
-      sim.network.heal()
+      sim.network.slowMs.clear()
     }
   },
   'lossy-links': (sim) => {
     sim.network.lossRatio = 0.1
     return () => {
-      sim.network.heal()
+      sim.network.lossRatio = 0
     }
   },
   'kill-turnout': (sim) => {
@@ -164,84 +255,6 @@
       for (const end of ends) end()
     }
   },
-  'crash-server': (sim) => {
-    const name = anyServer(sim)
-    sim.crashServer(name)
-    return () => {
-      sim.startServer(name)
-    }
-  },
-  'dark-server': (sim) => {
-    const server = sim.servers.get(anyServer(sim))
-    if (server !== undefined) server.dark = true
-    return () => {
-      if (server !== undefined) server.dark = false
-    }
-  },
-  'vanish-server': (sim) => {
-    const name = anyServer(sim)
-    const server = sim.servers.get(name)
-    sim.crashServer(name)
-    if (server !== undefined) server.listed = false
-    return () => {
-      if (server !== undefined) server.listed = true
-      moveServer(sim, name, sim.freshAddress(name))
-      sim.startServer(name)
-    }
-  },
-  'reuse-address': (sim) => {
-    const [old, heir] = [anyServer(sim, sim.chance.hit(0.7) ? 'service' : 'model'), anyServer(sim, 'model')]
-    const address = sim.servers.get(old)?.address ?? ''
-    if (old === heir) return nothing
-    sim.crashServer(old)
-    sim.crashServer(heir)
-    const heirs = sim.servers.get(heir)?.address ?? ''
-    moveServer(sim, heir, address)
-    moveServer(sim, old, heirs)
-    sim.startServer(heir)
-    return () => {
-      sim.startServer(old)
-    }
-  },
-  'drain-server': (sim) => {
-    const name = anyServer(sim)
-    const server = sim.servers.get(name)
-    if (server === undefined) return nothing
-    server.draining = true
-    sim.see({ kind: 'platform', atMs: sim.clock.nowMs, server: name, draining: true, listed: true })
-    return () => {
-      server.draining = false
-      sim.see({ kind: 'platform', atMs: sim.clock.nowMs, server: name, draining: false, listed: true })
-    }
-  },
-  'roll-servers': (sim) => {
-    const names = [...sim.servers.keys()]
-    names.forEach((name, at) => {
-      sim.clock.after((at * sim.options.faultMs) / names.length, () => {
-        const server = sim.servers.get(name)
-        if (server === undefined) return
-        server.draining = true
-        sim.see({ kind: 'platform', atMs: sim.clock.nowMs, server: name, draining: true, listed: true })
-        sim.clock.after(sim.options.faultMs / names.length / 2, () => {
-          sim.crashServer(name)
-          moveServer(sim, name, sim.freshAddress(name))
-          server.draining = false
-          sim.see({ kind: 'platform', atMs: sim.clock.nowMs, server: name, draining: false, listed: true })
-          sim.startServer(name)
-        })
-      })
-    })
-    return nothing
-  },
-  'restart-servers': (sim) => {
-    for (const name of sim.servers.keys()) {
-      sim.crashServer(name)
-      sim.clock.after(sim.chance.between(200, 1000), () => {
-        sim.startServer(name)
-      })
-    }
-    return nothing
-  },
   'lose-zone': (sim) => {
     const zone = sim.chance.pick(sim.options.deployment.zones) ?? ''
     const boxes = [...sim.boxes].filter(([, box]) => box.zone === zone).map(([name]) => name)
@@ -270,41 +283,6 @@
       for (const post of sim.turnouts.keys()) sim.startPost(post)
     }
   },
-  'order-trouble': (sim) => {
-    for (const server of sim.servers.values()) {
-      server.orderLoss = 0.3
-      server.orderSlowMs = 3000
-      server.lagMs = 600
-      if (server.state !== undefined) {
-        server.state.slowdown = 4
-        server.state.failsLoads = sim.chance.hit(0.3)
-      }
-    }
-    return () => {
-      for (const server of sim.servers.values()) {
-        server.orderLoss = 0
-        server.orderSlowMs = 0
-        server.lagMs = 200
-        if (server.state !== undefined) {
-          server.state.slowdown = 1
-          server.state.failsLoads = false
-        }
-      }
-    }
-  },
-  crowd: (sim) => {
-    for (const course of sim.options.deployment.courses.slice(0, 3))
-      for (let n = 0; n < sim.options.crowd; n++)
-        sim.clock.after(sim.chance.between(0, 200), () => {
-          sim.ask(course)
-        })
-    return nothing
-  },
-  'rare-rush': (sim) => {
-    for (const course of sim.options.deployment.courses)
-      sim.clock.after(sim.chance.between(0, 500), () => {
-        sim.ask(course)
-      })
-    return nothing
-  },
 }
+
+export const simFaults: Readonly<Record<string, Fault>> = { ...systemFaults, ...serverFaults, ...callerFaults, ...charterFaults }
--- a/src/turnout/Line.ts
+++ b/src/turnout/Line.ts
@@ -13,14 +13,14 @@
   spent = false
   identity: ServerFormat | undefined
 
-  constructor(address: string, waitMs: number) {
+  constructor(address: string, waitMs: number, idleMs: number) {
     this.address = address
     const connector = buildConnector({ timeout: waitMs })
     let used = false
     this.#client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
-      bodyTimeout: 0,
+      bodyTimeout: idleMs,
       keepAliveTimeout: 600_000,
       connect: (options, callback) => {
         if (used) {
--- a/src/turnout/TurnoutTask.ts
+++ b/src/turnout/TurnoutTask.ts
@@ -156,7 +156,7 @@
     let line = pool.pop()
     while (line?.spent === true) line = pool.pop()
     const reused = line !== undefined
-    line ??= new Line(address, this.pace.reportMs)
+    line ??= new Line(address, this.pace.reportMs, this.pace.streamIdleMs)
     ticket.line = line
     try {
       const identity = reused && !fresh && line.identity !== undefined ? line.identity : await line.identify(this.pace.reportMs)
