Health and figures on every daemon, traces in OpenTelemetry JSON, one id for a request's way

Cause: linemen had no health, no daemon had figures, and a request could not be followed through logs, answer and trace. Change: prom-client behind /metrics, watch address for linemen, request-id accepted, given back, passed on, logged and traced (OpenTelemetry's own SDK and JSON form, off unless a file is named); byte-path tests for 5xx, closed idle lines, late answers, cut chunks and heads that are no HTTP. Excluded: an own text form for figures, and traces over the network.

--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -30,12 +30,13 @@
   platform: Address.optional(),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
-const lineman = z.strictObject({ ...common, seeds, turnout: Address, platform: Address.optional() })
+const lineman = z.strictObject({ ...common, seeds, turnout: Address, platform: Address.optional(), watch: Address.optional() })
 const turnout = z.strictObject({
   ...common,
   seat: Name,
   lineman: Address,
   callers: Address,
+  traces: z.string().min(1).optional(),
   holdBytes: z.number().int().positive().default(64_000_000),
 })
 
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -75,6 +75,16 @@
     return nowMs < this.#licenceUntilMs || nowMs < this.#peerUntilMs
   }
 
+  figures(nowMs: number): Record<string, number> {
+    return {
+      licence_left_ms: Math.max(0, this.#licenceUntilMs - nowMs),
+      peers_left_ms: Math.max(0, this.#peerUntilMs - nowMs),
+      stamp: this.copy.stamp,
+      core_stamp: this.#coreStamp,
+      barred: this.#barrier.barred(this.copy, nowMs).length,
+    }
+  }
+
   step(input: LinemanInput, nowMs: number): LinemanEffect[] {
     if (input.kind === 'tick') this.#tick(nowMs)
     else if (input.kind === 'platform') this.#barrier.told(input.servers)
--- a/src/lineman/LinemanTask.ts
+++ b/src/lineman/LinemanTask.ts
@@ -47,6 +47,14 @@
     }, pace.tickMs)
   }
 
+  get figures(): Record<string, number> {
+    return this.machine.figures(clockMs())
+  }
+
+  get current(): boolean {
+    return this.machine.current(clockMs())
+  }
+
   #step(input: LinemanInput): void {
     for (const effect of this.machine.step(input, clockMs())) {
       if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
--- a/src/lineman/main.ts
+++ b/src/lineman/main.ts
@@ -7,7 +7,9 @@
 import { startDaemon } from '../gauge/startDaemon.js'
 import { Startup } from '../gauge/Startup.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
+import { Meters } from '../gauge/Meters.js'
 import { LinemanTask } from './LinemanTask.js'
+import { WatchDesk } from './WatchDesk.js'
 
 const fields = {
   name: "this machine's seat in the data plane",
@@ -16,14 +18,24 @@
   seeds: 'addresses of other processes, comma-separated',
   turnout: "the turnout's telegraph address on this machine",
   platform: "the platform's address, read only while the core is silent",
+  watch: 'address for health and figures',
   logLevel: 'how much to log',
 }
 
 await startDaemon('lineman', 'The agent beside a turnout.', Startup.lineman, fields, async (startup, logbook) => {
   container.registerInstance('startup', startup)
   container.registerInstance('logbook', logbook)
+  container.registerInstance(Meters, new Meters('lineman', startup.name))
   container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
   const task = container.resolve(LinemanTask)
   logbook.say('lineman', `Listens on ${startup.telegraph}.`)
-  return { stop: () => task.stop() }
+  const desk = container.resolve(WatchDesk)
+  const watched = await desk.open()
+  if (watched !== undefined) logbook.say('lineman', `Tells its health on ${watched}.`)
+  return {
+    stop: async () => {
+      desk.close()
+      await task.stop()
+    },
+  }
 })
--- a/src/sidings/CallerFormat.ts
+++ b/src/sidings/CallerFormat.ts
@@ -2,7 +2,8 @@
  * What callers say and hear. A model request is `POST /v1/models/NAME` with JSON that names an
  * adapter or none and a chain of prompt parts; a service request is any method on
  * `/v1/services/NAME/...`. `due-ms` is how long the caller will wait. A request that got no whole
- * answer is told by a status, `verdict`, and `retry-after` in seconds.
+ * answer is told by a status, `verdict`, and `retry-after` in seconds. `request-id` is the caller's own, or
+ * is given here; it comes back with the answer and stands in logs and traces.
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Either, Left, Right } from 'purify-ts'
@@ -16,6 +17,12 @@
 export const CallerFormat = {
   verdictHeader: 'verdict',
   dueHeader: 'due-ms',
+  idHeader: 'request-id',
+
+  /** The caller's own id for a request, if it is a plain one. */
+  id(header: string | string[] | undefined): string | undefined {
+    return typeof header === 'string' && /^[A-Za-z0-9._:-]{1,100}$/.test(header) ? header : undefined
+  },
 
   /** A model's or a service's name out of the path, or nothing. */
   path(url: string): { kind: 'model'; name: string } | { kind: 'service'; name: string; rest: string } | undefined {
--- a/src/signalbox/OperatorsDesk.ts
+++ b/src/signalbox/OperatorsDesk.ts
@@ -8,8 +8,10 @@
 import { App } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
 import { listen } from '../gauge/listen.js'
+import { Meters } from '../gauge/Meters.js'
 import { readBody } from '../gauge/readBody.js'
 import type { Startup } from '../gauge/Startup.js'
+import { watchRoutes } from '../gauge/watchRoutes.js'
 import type { Operation } from './Operation.js'
 import { SignalboxTask } from './SignalboxTask.js'
 
@@ -24,7 +26,11 @@
   #server: Server | undefined
   #count = 0
 
-  constructor(@inject('startup') startup: Startup['signalbox'], @inject(SignalboxTask) task: SignalboxTask) {
+  constructor(
+    @inject('startup') startup: Startup['signalbox'],
+    @inject(SignalboxTask) task: SignalboxTask,
+    @inject(Meters) meters: Meters,
+  ) {
     this.#startup = startup
     this.#task = task
     const app = new App({ settings: { xPoweredBy: false } })
@@ -58,20 +64,9 @@
       this.#read(request, response, () => ({ action: 'placement' }))
     })
     app.post('/seats/retire', (request, response) => this.#write(request, response, 'seat.retire'))
-    app.get('/health', (_request, response) => {
-      const { agreement, register } = task.machine
-      this.#reply(
-        response,
-        agreement.leader === '' ? 503 : 200,
-        register.charterStamp,
-        JSON.stringify({
-          name: startup.name,
-          phase: agreement.phase,
-          term: agreement.term,
-          commit: agreement.commit,
-          leader: agreement.leader,
-        }),
-      )
+    watchRoutes(app, meters, () => {
+      const { phase, term, commit, leader } = task.machine.agreement
+      return { well: leader !== '', name: startup.name, phase, term, commit, leader }
     })
     this.#app = app
     task.bell.on('responded', ({ id, status, stamp, text: body }) => {
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -93,6 +93,18 @@
     return this.#dispatcher
   }
 
+  figures(nowMs: number): Record<string, number> {
+    return {
+      term: this.agreement.term,
+      commit: this.agreement.commit,
+      leads: this.#leading ? 1 : 0,
+      dispatches: this.#dispatcher === undefined ? 0 : 1,
+      seats_alive: this.#seats.filter((seat) => this.#desk.licences.alive(seat, nowMs)).length,
+      operations_open: this.#pending.size,
+      log_bytes: this.#logBytes,
+    }
+  }
+
   /** What the constructor already asks for: the identity's first write. */
   begin(): SignalboxEffect[] {
     return this.#take()
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -8,6 +8,7 @@
 import { Chance } from '../gauge/Chance.js'
 import { clockMs } from '../gauge/clockMs.js'
 import { Logbook } from '../gauge/Logbook.js'
+import { Meters } from '../gauge/Meters.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
 import { readPlatform } from '../sidings/readPlatform.js'
@@ -33,6 +34,8 @@
   readonly #telegraph: Telegraph
   readonly #waybill: Waybill
   readonly #calls: OutsideCalls
+  readonly #ordered: (values: Record<string, string>) => void
+  readonly #synced: (spanMs: number) => void
   readonly #ticker: NodeJS.Timeout
 
   constructor(
@@ -41,6 +44,7 @@
     @inject('telegraph') telegraph: Telegraph,
     @inject('waybill') waybill: Waybill,
     @inject(OutsideCalls) calls: OutsideCalls,
+    @inject(Meters) meters: Meters,
   ) {
     this.#startup = startup
     this.#logbook = logbook
@@ -48,6 +52,20 @@
     this.#waybill = waybill
     this.#calls = calls
     this.pace = Pace(startup.bounds)
+    this.#ordered = meters.counter('orders', 'orders sent to servers, by kind', ['kind'])
+    this.#synced = meters.span('sync', 'how long a write took to be synced')
+    meters.gauges(
+      {
+        term: 'the term of the agreement',
+        commit: 'the last index committed',
+        leads: '1 while this machine leads the core',
+        dispatches: '1 while this machine holds the dispatcher duty',
+        seats_alive: 'seats whose licence is alive, as the leader sees them',
+        operations_open: 'operations of operators under way',
+        log_bytes: 'size of the log since it was last rewritten',
+      },
+      () => this.machine.figures(clockMs()),
+    )
     this.machine = new SignalboxMachine(
       {
         name: startup.name,
@@ -110,6 +128,7 @@
         }
         case 'order': {
           const { server, address, order } = effect
+          this.#ordered({ kind: order.kind })
           void this.#calls.order(address, order, this.pace.reportStaleMs).then((reply) => {
             this.step({ kind: 'replied', server, tenure: order.tenure, number: order.number, reply })
           })
@@ -123,9 +142,11 @@
   }
 
   #write(effect: Extract<SignalboxEffect, { kind: 'write' }>): void {
+    const fromMs = clockMs()
     const synced = effect.rewrite ? this.#waybill.rewrite(effect.records) : this.#waybill.append(effect.records)
     synced.then(
       () => {
+        this.#synced(clockMs() - fromMs)
         for (const send of effect.then) this.#telegraph.send(send.toAddress, send.message)
         this.step({ kind: 'written' })
       },
--- a/src/signalbox/main.ts
+++ b/src/signalbox/main.ts
@@ -5,6 +5,7 @@
  */
 import 'reflect-metadata'
 import { container } from 'tsyringe'
+import { Meters } from '../gauge/Meters.js'
 import { startDaemon } from '../gauge/startDaemon.js'
 import { Startup } from '../gauge/Startup.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
@@ -28,6 +29,7 @@
   const waybill = await FileWaybill.open(startup.data)
   container.registerInstance('startup', startup)
   container.registerInstance('logbook', logbook)
+  container.registerInstance(Meters, new Meters('signalbox', startup.name))
   container.registerInstance('waybill', waybill)
   container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
   const task = container.resolve(SignalboxTask)
--- a/src/testtrack/Fleet.ts
+++ b/src/testtrack/Fleet.ts
@@ -62,7 +62,7 @@
     const { boxes, turnouts } = this.deployment
     await mkdir(this.folder, { recursive: true })
     for (const server of this.servers) await server.open()
-    const ports = (await freePorts(1 + 2 * boxes.length + 3 * turnouts.length)).map((port) => `127.0.0.1:${String(port)}`)
+    const ports = (await freePorts(1 + 2 * boxes.length + 4 * turnouts.length)).map((port) => `127.0.0.1:${String(port)}`)
     const port = () => ports.pop() ?? ''
     const platform = port()
     await this.#openPlatform(platform)
@@ -83,9 +83,9 @@
       )
     })
     for (const post of turnouts) {
-      const [lineman, turnout, callers] = [port(), port(), port()]
+      const [lineman, turnout, callers, watch] = [port(), port(), port(), port()]
       this.callerAddresses.set(`${post.name}-turnout`, callers)
-      this.linemen.push(new Daemon('lineman', this.folder, { ...post, telegraph: lineman, turnout, seeds: boxAddresses }))
+      this.linemen.push(new Daemon('lineman', this.folder, { ...post, telegraph: lineman, turnout, seeds: boxAddresses, platform, watch }))
       this.turnouts.push(
         new Daemon('turnout', this.folder, {
           name: `${post.name}-turnout`,
--- a/src/testtrack/proxyProof.ts
+++ b/src/testtrack/proxyProof.ts
@@ -5,10 +5,12 @@
 import { once } from 'node:events'
 import { createServer, type Server, type ServerResponse, type IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
-import { ok, strictEqual } from 'node:assert'
+import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
 import { Agent, request as call } from 'undici'
+import { z } from 'zod'
 import { Logbook } from '../gauge/Logbook.js'
 import { proof } from '../gauge/proof.js'
+import { Meters } from '../gauge/Meters.js'
 import { Startup } from '../gauge/Startup.js'
 import { ServerFormat } from '../sidings/ServerFormat.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
@@ -65,8 +67,23 @@
     row('server/s-1', { name: 's-1', address, zone: 'a', draining: false }),
     row('seat/post', { role: 'lineman', zone: 'a', retired: false }),
   ]
+  let followedMs = 0
   lineman.hear((_from, fromAddress, message) => {
+    if (message.kind === 'ask') {
+      const again = message.again.map((one) => one.id)
+      lineman.send(fromAddress, {
+        kind: 'permit',
+        sentMs: followedMs,
+        forMs: 60_000,
+        lentMs: 60_000,
+        serial: 1,
+        shares: [],
+        again,
+        barred: [],
+      })
+    }
     if (message.kind !== 'follow') return
+    followedMs = message.sentMs
     lineman.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
     lineman.send(fromAddress, {
       kind: 'permit',
@@ -88,8 +105,14 @@
     callers: '127.0.0.1:0',
     logLevel: 'silent',
   })
-  const task = new TurnoutTask(startup, new Logbook('turnout', 'post', 'silent'), await TcpTelegraph.open('post-turnout', '127.0.0.1:0'))
-  const desk = new CallersDesk(startup, task)
+  const meters = new Meters('turnout', 'post')
+  const task = new TurnoutTask(
+    startup,
+    new Logbook('turnout', 'post', 'silent'),
+    await TcpTelegraph.open('post-turnout', '127.0.0.1:0'),
+    meters,
+  )
+  const desk = new CallersDesk(startup, task, meters)
   return {
     address: await desk.open(),
     runs: () => runs,
@@ -228,4 +251,72 @@
     await dispatcher.destroy()
     await scene.close()
   },
+  "a server's own 5xx is its whole answer, and the request's id goes there and back": async () => {
+    const ids: unknown[] = []
+    const scene = await proxyProof((request, response) => {
+      ids.push(request.headers['request-id'])
+      response.writeHead(503, { 'content-length': 4 }).end('busy')
+    })
+    const reply = await call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', headers: { 'request-id': 'mine-1' } })
+    deepStrictEqual(
+      [reply.statusCode, await reply.body.text(), reply.headers['request-id'], scene.runs(), ids],
+      [503, 'busy', 'mine-1', 1, ['mine-1']],
+    )
+    const figures = async () => (await call(`http://${scene.address}/metrics`)).body.text()
+    while (!/springpaddle_requests\{[^}]*status="503"/.test(await figures()));
+    await scene.close()
+  },
+  'a server that closes its idle line just as a request goes runs it once or never, and the caller is told which': async () => {
+    const scene = await proxyProof((request, response, run) => {
+      response.writeHead(200, { 'content-length': 2 }).end('ok', () => {
+        if (run % 2 === 1) request.socket.destroy()
+      })
+    })
+    const told: string[] = []
+    for (let n = 0; n < 20; n++) {
+      const reply = await post(scene)
+      const text = await reply.body.text()
+      told.push(reply.statusCode === 200 ? 'Ran' : z.object({ verdict: z.string() }).parse(JSON.parse(text)).verdict)
+    }
+    strictEqual(scene.runs() <= 20, true)
+    strictEqual(told.filter((one) => one !== 'NotRun').length >= scene.runs(), true)
+    await scene.close()
+  },
+  'an answer that comes after the due is told as MayHaveRun at the due, with when to come back': async () => {
+    const scene = await proxyProof((request, response) => {
+      request.socket.on('close', () => {
+        response.destroy()
+      })
+    })
+    const reply = await call(`http://${scene.address}/v1/services/s/x`, { method: 'POST', headers: { 'due-ms': '300' } })
+    const told = z.object({ verdict: z.string() }).parse(await reply.body.json())
+    deepStrictEqual([reply.statusCode, told.verdict, Number(reply.headers['retry-after']) >= 1, scene.runs()], [504, 'MayHaveRun', true, 1])
+    await scene.close()
+  },
+  'chunks cut in the middle, a sender that stops halfway, and a head that is no HTTP end visibly and run once': async () => {
+    for (const wrong of [
+      'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nff\r\nhalf',
+      'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhal',
+      'NONSENSE\r\n\r\n',
+    ]) {
+      const scene = await proxyProof((request) => {
+        request.socket.write(wrong, () => {
+          request.socket.destroy()
+        })
+      })
+      const outcome = await post(scene).then(
+        async (reply) =>
+          reply.statusCode === 200
+            ? reply.body.text().then(
+                () => 'whole',
+                () => 'brokenOff',
+              )
+            : z.object({ verdict: z.string() }).parse(await reply.body.json()).verdict,
+        () => 'brokenOff',
+      )
+      match(outcome, /^(brokenOff|MayHaveRun)$/)
+      strictEqual(scene.runs(), 1)
+      await scene.close()
+    }
+  },
 })
--- a/src/turnout/CallersDesk.ts
+++ b/src/turnout/CallersDesk.ts
@@ -9,9 +9,11 @@
 import { inject, singleton } from 'tsyringe'
 import type { Dispatcher } from 'undici'
 import { listen } from '../gauge/listen.js'
+import { Meters } from '../gauge/Meters.js'
 import { readBody } from '../gauge/readBody.js'
 import type { Startup } from '../gauge/Startup.js'
 import { Verdict } from '../gauge/Verdict.js'
+import { watchRoutes } from '../gauge/watchRoutes.js'
 import { CallerFormat } from '../sidings/CallerFormat.js'
 import { ServerFormat } from '../sidings/ServerFormat.js'
 import { TurnoutTask } from './TurnoutTask.js'
@@ -39,7 +41,7 @@
   #server: Server | undefined
   #heldBytes = 0
 
-  constructor(@inject('startup') startup: Startup['turnout'], @inject(TurnoutTask) task: TurnoutTask) {
+  constructor(@inject('startup') startup: Startup['turnout'], @inject(TurnoutTask) task: TurnoutTask, @inject(Meters) meters: Meters) {
     this.#startup = startup
     this.#task = task
     const app = new App({
@@ -48,10 +50,14 @@
         TurnoutTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...')
       },
     })
-    app.get('/health', (_request, response) => {
+    meters.gauges({ waiting: 'requests on their way', held_bytes: 'bytes of bodies held', stamp: 'the stamp of the copy' }, () => ({
+      waiting: task.waiting,
+      held_bytes: this.#heldBytes,
+      stamp: task.machine.copy.stamp,
+    }))
+    watchRoutes(app, meters, () => {
       const current = task.machine.current(performance.now())
-      const body = JSON.stringify({ name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting })
-      response.writeHead(current ? 200 : 503, { 'content-type': 'application/json' }).end(body)
+      return { well: current, name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting }
     })
     app.all('/v1/*', (request, response) => this.#serve(request, response))
     this.#app = app
--- a/src/turnout/TurnoutTask.ts
+++ b/src/turnout/TurnoutTask.ts
@@ -5,11 +5,13 @@
  */
 import 'reflect-metadata'
 import type { ServerResponse } from 'node:http'
+import type { Span } from '@opentelemetry/api'
 import { inject, singleton } from 'tsyringe'
 import type { Dispatcher } from 'undici'
 import { Chance } from '../gauge/Chance.js'
 import { clockMs } from '../gauge/clockMs.js'
 import { Logbook } from '../gauge/Logbook.js'
+import { Meters } from '../gauge/Meters.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
 import { Verdict } from '../gauge/Verdict.js'
@@ -18,9 +20,14 @@
 import { Line } from './Line.js'
 import type { TurnoutEffect } from './TurnoutEffect.js'
 import type { TurnoutInput } from './TurnoutInput.js'
+import { Traces } from './Traces.js'
 import { TurnoutMachine } from './TurnoutMachine.js'
 
 interface Ticket {
+  requestId: string
+  arrivedMs: number
+  way: Span
+  tryWay: Span | undefined
   response: ServerResponse
   method: Dispatcher.HttpMethod
   path: string
@@ -30,7 +37,6 @@
   attempt: number
   controller: Dispatcher.DispatchController | undefined
   relaying: boolean
-  done: boolean
 }
 const idleLines = 8
 const hopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer'])
@@ -44,16 +50,26 @@
   readonly #tickets = new Map<string, Ticket>()
   readonly #idle = new Map<string, Line[]>()
   readonly #ticker: NodeJS.Timeout
+  readonly #traces: Traces
+  readonly #session = crypto.randomUUID().slice(0, 8)
+  readonly #outcome: (values: Record<string, string>) => void
+  readonly #tried: (values: Record<string, string>) => void
+  readonly #took: (spanMs: number) => void
   #count = 0
 
   constructor(
     @inject('startup') startup: Startup['turnout'],
     @inject('logbook') logbook: Logbook,
     @inject('telegraph') telegraph: Telegraph,
+    @inject(Meters) meters: Meters,
   ) {
     this.#logbook = logbook
     this.#telegraph = telegraph
     this.pace = Pace(startup.bounds)
+    this.#traces = new Traces(startup.name, startup.traces)
+    this.#outcome = meters.counter('requests', 'final answers, by outcome, status and verdict', ['outcome', 'status', 'verdict'])
+    this.#tried = meters.counter('attempts', 'attempts at servers, by server', ['server'])
+    this.#took = meters.span('request', 'from the arrival of a request to its final answer')
     this.machine = new TurnoutMachine(
       { name: startup.name, seat: startup.seat, zone: startup.zone, lineman: startup.lineman },
       this.pace,
@@ -79,21 +95,28 @@
   ): void {
     this.#count += 1
     const id = String(this.#count)
+    const requestId = CallerFormat.id(headers[CallerFormat.idHeader]) ?? `${this.#session}-${id}`
+    const way = this.#traces.begin('request', { 'request.id': requestId, 'springpaddle.target': `${target.kind} ${target.name}` })
+    response.setHeader(CallerFormat.idHeader, requestId)
     this.#tickets.set(id, {
+      requestId,
+      arrivedMs: clockMs(),
+      way,
+      tryWay: undefined,
       response,
       method,
       path,
-      headers,
+      headers: { ...headers, [CallerFormat.idHeader]: requestId },
       body,
       line: undefined,
       attempt: 0,
       controller: undefined,
       relaying: false,
-      done: false,
     })
     response.on('close', () => {
-      if (this.#tickets.has(id)) this.#step({ kind: 'callerGone', id })
-      this.#tickets.delete(id)
+      if (!this.#tickets.has(id)) return
+      this.#step({ kind: 'callerGone', id })
+      this.#over(id, 'left', {}, 'the caller went away')
     })
     this.#step({ kind: 'arrived', id, target, bytes: body.length, dueInMs })
   }
@@ -106,6 +129,7 @@
     clearInterval(this.#ticker)
     for (const lines of this.#idle.values()) for (const line of lines) line.close()
     await this.#telegraph.close()
+    await this.#traces.close()
   }
 
   #step(input: TurnoutInput): void {
@@ -138,19 +162,21 @@
         this.#turnAway(effect)
         break
       case 'breakOff': {
-        const ticket = this.#tickets.get(effect.id)
-        this.#tickets.delete(effect.id)
+        const ticket = this.#over(effect.id, 'brokenOff', {}, effect.why)
         ticket?.response.destroy()
-        this.#logbook.warn('turnout', `Broke off a response: ${effect.why}.`)
+        this.#logbook.warn('turnout', `Broke off the response to ${ticket?.requestId ?? ''}: ${effect.why}.`)
         break
       }
     }
   }
 
-  async #attempt({ id, attempt, address, fresh }: Extract<TurnoutEffect, { kind: 'attempt' }>): Promise<void> {
+  async #attempt({ id, attempt, server, address, fresh }: Extract<TurnoutEffect, { kind: 'attempt' }>): Promise<void> {
     const ticket = this.#tickets.get(id)
     if (ticket === undefined) return
     ticket.attempt = attempt
+    this.#traces.end(ticket.tryWay, {}, 'released')
+    ticket.tryWay = this.#traces.begin('attempt', { 'springpaddle.server': server }, ticket.way)
+    this.#tried({ server })
     ticket.relaying = false
     const pool = this.#idle.get(address) ?? []
     let line = pool.pop()
@@ -194,7 +220,7 @@
           framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || status === 204 || status === 304
           ticket.response.statusCode = status
           for (const [name, value] of Object.entries(headers))
-            if (value !== undefined && !hopHeaders.has(name)) ticket.response.setHeader(name, value)
+            if (value !== undefined && name !== CallerFormat.idHeader && !hopHeaders.has(name)) ticket.response.setHeader(name, value)
           ticket.response.on('drain', () => {
             controller.resume()
           })
@@ -216,7 +242,7 @@
             })
             return
           }
-          this.#tickets.delete(id)
+          this.#over(id, 'responded', { status: String(ticket.response.statusCode) }, '')
           ticket.response.end()
           this.#giveBack(line)
           this.#step({ kind: 'ended', id, attempt })
@@ -250,13 +276,25 @@
   }
 
   #turnAway({ id, status, verdict, retryAfterS, why }: Extract<TurnoutEffect, { kind: 'turnAway' }>): void {
-    const ticket = this.#tickets.get(id)
-    this.#tickets.delete(id)
+    const ticket = this.#over(id, 'turnedAway', { status: String(status), verdict }, why)
     if (ticket === undefined || ticket.response.destroyed) return
+    this.#logbook.say('turnout', `Turned ${ticket.requestId} away with ${String(status)} ${verdict}: ${why}.`)
     ticket.line?.close()
     TurnoutTask.answer(ticket.response, status, verdict, retryAfterS, why)
   }
 
+  /** The one place where a ticket ends: counted, measured, traced. */
+  #over(id: string, outcome: string, values: Record<string, string>, why: string): Ticket | undefined {
+    const ticket = this.#tickets.get(id)
+    if (ticket === undefined) return undefined
+    this.#tickets.delete(id)
+    this.#outcome({ outcome, status: '', verdict: '', ...values })
+    this.#took(clockMs() - ticket.arrivedMs)
+    this.#traces.end(ticket.tryWay, {}, why)
+    this.#traces.end(ticket.way, { outcome, ...values }, why)
+    return ticket
+  }
+
   /** A final answer that is not a server's: its status, its verdict and when to come back. */
   static answer(response: ServerResponse, status: number, verdict: Verdict, retryAfterS: number | undefined, why: string): void {
     const body = JSON.stringify({ verdict, why })
--- a/src/turnout/main.ts
+++ b/src/turnout/main.ts
@@ -4,6 +4,7 @@
  */
 import 'reflect-metadata'
 import { container } from 'tsyringe'
+import { Meters } from '../gauge/Meters.js'
 import { startDaemon } from '../gauge/startDaemon.js'
 import { Startup } from '../gauge/Startup.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
@@ -17,12 +18,14 @@
   telegraph: 'address for its lineman',
   lineman: "the lineman's telegraph address",
   callers: 'address for callers',
+  traces: 'a file for traces of requests in OpenTelemetry JSON',
   logLevel: 'how much to log',
 }
 
 await startDaemon('turnout', 'A proxy of springpaddle.', Startup.turnout, fields, async (startup, logbook) => {
   container.registerInstance('startup', startup)
   container.registerInstance('logbook', logbook)
+  container.registerInstance(Meters, new Meters('turnout', startup.name))
   container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
   const task = container.resolve(TurnoutTask)
   const desk = container.resolve(CallersDesk)
