Found a core again from one disk; doctor tells of shares, disk, clock and room

Cause: with the disks of two of three core machines gone for good there was no way on but an empty system.

--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -28,9 +28,17 @@
   data: z.string().min(1),
   seats: z.array(Name).min(1).max(9),
   platform: Address.optional(),
+  system: z.string().default(''),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
-const lineman = z.strictObject({ ...common, seeds, turnout: Address, platform: Address.optional(), watch: Address.optional() })
+const lineman = z.strictObject({
+  ...common,
+  seeds,
+  turnout: Address,
+  platform: Address.optional(),
+  watch: Address.optional(),
+  system: z.string().default(''),
+})
 const turnout = z.strictObject({
   ...common,
   seat: Name,
--- a/src/interlocking/Agreement.ts
+++ b/src/interlocking/Agreement.ts
@@ -29,11 +29,15 @@
 
 export class Agreement {
   readonly identity: string
+  /** The system that this disk belongs to, once it is known. */
+  system = ''
   term = 0
   commit = 0
   leader = ''
   phase: 'follower' | 'prospect' | 'candidate' | 'leader' = 'follower'
   leadingSinceMs = 0
+  /** How long a write took to be synced of late. */
+  syncMs = 0
   readonly #pace: Pace
   readonly #chance: Chance
   #ballot = ''
@@ -63,8 +67,10 @@
       const sheet = Sheet.decode(record)
       if (sheet === undefined)
         throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
-      if (sheet.kind === 'identity') identity = sheet.identity
-      else if (sheet.kind === 'term') {
+      if (sheet.kind === 'identity') {
+        identity = sheet.identity
+        this.system = sheet.system
+      } else if (sheet.kind === 'term') {
         this.term = sheet.term
         this.#ballot = sheet.ballot
       } else if (sheet.kind === 'view') {
@@ -77,7 +83,7 @@
       }
     }
     this.identity = identity === '' ? `${seat}.${chance.below(4294967296).toString(16)}${chance.below(4294967296).toString(16)}` : identity
-    if (identity === '') this.#write([Sheet.encode({ kind: 'identity', identity: this.identity })], [], nowMs)
+    if (identity === '') this.#write([this.#identitySheet()], [], nowMs)
     this.#findMembers()
     this.#electionAtMs = nowMs + pace.electionMs + chance.next() * pace.electionSpreadMs
     if (this.#view.index > 0) {
@@ -140,6 +146,13 @@
     this.#out.says.push('Founded a new core.')
   }
 
+  /** Writes down which system this disk belongs to. */
+  belong(system: string, nowMs: number): void {
+    if (system === this.system) return
+    this.system = system
+    this.#write([this.#identitySheet()], [], nowMs)
+  }
+
   propose(bytes: Uint8Array, nowMs: number): number | undefined {
     if (this.phase !== 'leader') return undefined
     return this.#lead('command', bytes, nowMs)
@@ -163,6 +176,7 @@
 
   written(nowMs: number): void {
     const done = this.#outstanding.shift()
+    if (done !== undefined) this.syncMs += 0.1 * (nowMs - done.atMs - this.syncMs)
     if (done === undefined || this.phase !== 'leader' || done.term !== this.term) return
     const own = this.#replicas.get(this.identity)
     if (own !== undefined) own.match = Math.max(own.match, done.index)
@@ -260,7 +274,7 @@
   #rewrite(then: { to: string; message: Message }[], nowMs: number): void {
     this.#outstanding.push({ index: this.lastIndex, term: this.term, atMs: nowMs })
     const records = [
-      Sheet.encode({ kind: 'identity', identity: this.identity }),
+      this.#identitySheet(),
       this.#termSheet(),
       Sheet.encode({
         kind: 'view',
@@ -274,6 +288,10 @@
     this.#out.writes.push({ records, rewrite: true, then })
   }
 
+  #identitySheet(): Uint8Array {
+    return Sheet.encode({ kind: 'identity', identity: this.identity, system: this.system })
+  }
+
   #termSheet(): Uint8Array {
     return Sheet.encode({ kind: 'term', term: this.term, ballot: this.#ballot })
   }
--- a/src/interlocking/Command.ts
+++ b/src/interlocking/Command.ts
@@ -19,6 +19,7 @@
   kind('duty', { duty: z.string(), vacancy: z.number(), holder: z.string(), address: z.string() }),
   kind('vacate', { duty: z.string(), tenure: z.number() }),
   kind('dispatch', { tenure: z.number(), rows: z.array(z.object({ key: z.string(), gone: z.boolean(), value: z.string() })) }),
+  kind('found', { system: z.string(), again: z.boolean() }),
 ] as const
 
 export const Command = new Codec<Command>(z.discriminatedUnion('kind', options), options)
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -150,6 +150,11 @@
           this.copy.set({ key: `duty/${command.duty}`, stamp: index, gone: true, value: '' })
         break
       }
+      case 'found': {
+        if (command.again || this.copy.get('system') === undefined)
+          this.copy.set({ key: 'system', stamp: index, gone: false, value: command.system })
+        break
+      }
       case 'dispatch': {
         if (this.duty('dispatcher')?.tenure !== command.tenure) break
         for (const row of command.rows) this.copy.set({ ...row, stamp: index })
--- a/src/interlocking/Sheet.ts
+++ b/src/interlocking/Sheet.ts
@@ -8,7 +8,7 @@
 import { Codec } from '../telegraph/Codec.js'
 
 const options = [
-  z.object({ kind: z.literal('identity'), identity: z.string() }),
+  z.object({ kind: z.literal('identity'), identity: z.string(), system: z.string() }),
   z.object({ kind: z.literal('term'), term: z.number(), ballot: z.string() }),
   z.object({ kind: z.literal('entry'), index: z.number(), term: z.number(), type: z.enum(['noop', 'members', 'command']), bytes: Bytes }),
   z.object({ kind: z.literal('view'), index: z.number(), term: z.number(), members: z.string(), state: Bytes }),
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -21,6 +21,8 @@
   address: string
   seeds: readonly string[]
   turnout: string
+  /** The system to follow; else the first whose leader grants a licence. */
+  system: string
 }
 const fanout = 3
 
@@ -34,6 +36,7 @@
   readonly #nonce: number
   #effects: LinemanEffect[] = []
   #leaderAddress = ''
+  #system = ''
   #peers: { name: string; address: string; zone: string }[] = []
   #licenceUntilMs = -Infinity
   #peerUntilMs = -Infinity
@@ -58,6 +61,7 @@
 
   constructor(plan: Plan, pace: Pace, chance: Chance, nowMs: number) {
     this.#plan = plan
+    this.#system = plan.system
     this.#pace = pace
     this.#roster = new Roster(
       plan.name,
@@ -113,6 +117,7 @@
           zone: this.#plan.zone,
           identity: this.#session,
           known: [],
+          system: this.#system,
         })
     }
     if (nowMs >= this.#renewAtMs) this.#renew(nowMs)
@@ -193,6 +198,11 @@
     return others[0]?.address ?? boxes[0]?.address ?? ''
   }
 
+  /** True of a core that is not the one this machine follows, or a machine that follows such a one. */
+  #strange(system: string): boolean {
+    return system !== '' && this.#system !== '' && system !== this.#system
+  }
+
   get #sure(): boolean {
     return this.#firstStamp !== undefined && this.copy.stamp >= this.#firstStamp
   }
@@ -226,6 +236,7 @@
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'hail': {
+        if (this.#strange(message.system)) break
         this.#roster.hearsay([...message.known, { name: from, address: fromAddress, role: message.role, zone: message.zone }], nowMs)
         this.#send(fromAddress, {
           kind: 'hailed',
@@ -236,11 +247,12 @@
           empty: false,
           leader: this.#leaderAddress,
           known: this.#roster.known,
+          system: this.#system,
         })
         break
       }
       case 'hailed': {
-        if (message.nonce !== this.#nonce) break
+        if (message.nonce !== this.#nonce || this.#strange(message.system)) break
         this.#roster.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
@@ -251,6 +263,8 @@
         break
       }
       case 'licence': {
+        if (this.#strange(message.system)) break
+        if (this.#system === '') this.#system = message.system
         this.#licenceUntilMs = Math.max(this.#licenceUntilMs, message.sentMs + message.forMs)
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
         this.#firstStamp ??= message.stamp
--- a/src/lineman/LinemanTask.ts
+++ b/src/lineman/LinemanTask.ts
@@ -34,7 +34,14 @@
     this.#platform = startup.platform
     const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     this.machine = new LinemanMachine(
-      { name: startup.name, zone: startup.zone, address: telegraph.address, seeds: startup.seeds, turnout: startup.turnout },
+      {
+        name: startup.name,
+        zone: startup.zone,
+        address: telegraph.address,
+        seeds: startup.seeds,
+        turnout: startup.turnout,
+        system: startup.system,
+      },
       pace,
       chance,
       clockMs(),
--- a/src/lineman/main.ts
+++ b/src/lineman/main.ts
@@ -18,6 +18,7 @@
   seeds: 'addresses of other processes, comma-separated',
   turnout: "the turnout's telegraph address on this machine",
   platform: "the platform's address, read only while the core is silent",
+  system: 'the system to follow, once a core was founded again',
   watch: 'address for health and figures',
   logLevel: 'how much to log',
 }
--- a/src/signalbox/SeatDesk.ts
+++ b/src/signalbox/SeatDesk.ts
@@ -46,7 +46,14 @@
     const peers = this.licences.seats
       .filter(([seat]) => this.licences.alive(seat, nowMs))
       .map(([name, held]) => ({ name, address: held.address, role: 'lineman' as const, zone: held.zone }))
-    const licence = { kind: 'licence' as const, sentMs: renew.sentMs, stamp: copy.stamp, peers, platformAgeMs }
+    const licence = {
+      kind: 'licence' as const,
+      sentMs: renew.sentMs,
+      stamp: copy.stamp,
+      peers,
+      platformAgeMs,
+      system: copy.get('system') ?? '',
+    }
     if (!granted) return { ...licence, forMs: 0, serial: 0, shares: [], again: [] }
     for (const { key, count } of renew.firsts) {
       const limits = this.#terms.get(key)?.limits
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -31,6 +31,8 @@
   seats: readonly string[]
   rewriteBytes: number
   policy: Policy
+  /** The system that an empty machine may join; any, if empty. */
+  system: string
 }
 interface Pending {
   operation: Operation
@@ -41,6 +43,8 @@
 }
 const dispatcherDuty = 'dispatcher'
 const unreadMs = 1e9
+const hourMs = 3_600_000
+const jumpMs = 120_000
 
 export class SignalboxMachine {
   readonly agreement: Agreement
@@ -62,6 +66,7 @@
   #leading = false
   #leaderAddress = ''
   #hailAtMs = -Infinity
+  #foundAtMs = -Infinity
   #platformAtMs = -Infinity
   /** When the platform's list was asked for that the table was last found to be level with. */
   #platformFreshMs = -Infinity
@@ -70,6 +75,8 @@
   #platformSeen = ''
   #applied = 0
   #logBytes = 0
+  #clock: { hour: number; atMs: number } | undefined
+  #jumped: { atMs: number; byMs: number } | undefined
 
   constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
@@ -113,6 +120,7 @@
   step(input: SignalboxInput, nowMs: number): SignalboxEffect[] {
     switch (input.kind) {
       case 'tick':
+        this.#watchClock(input.hour, nowMs)
         this.#tick(input.hour, nowMs)
         break
       case 'message':
@@ -184,6 +192,8 @@
       }
     }
     if (out.applied.length > 0 || out.adopted !== undefined) {
+      const system = this.register.copy.get('system')
+      if (system !== undefined) this.agreement.belong(system, nowMs)
       this.#duty(nowMs)
       for (const send of this.#relay.push(this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
     }
@@ -207,6 +217,18 @@
     if ((this.agreement.phase !== 'leader') === this.#leading) this.#collect(nowMs)
   }
 
+  /** The wall clock counts for the hours of intents alone; still, operators should know when it jumps. */
+  #watchClock(hour: number, nowMs: number): void {
+    if (this.#clock !== undefined) {
+      const offHours = ((hour - this.#clock.hour - (nowMs - this.#clock.atMs) / hourMs + 36) % 24) - 12
+      if (Math.abs(offHours * hourMs) > jumpMs) {
+        this.#jumped = { atMs: nowMs, byMs: Math.round(offHours * hourMs) }
+        this.#say('signalbox', `The wall clock jumped by ${String(this.#jumped.byMs)} ms; only hours of intents go by it.`)
+      }
+    }
+    this.#clock = { hour, atMs: nowMs }
+  }
+
   #tick(hour: number, nowMs: number): void {
     const late = nowMs - this.#lastTickMs
     this.#lastTickMs = nowMs
@@ -240,6 +262,7 @@
         zone: this.#plan.zone,
         identity: this.agreement.identity,
         known,
+        system: this.#system,
       })
     }
   }
@@ -271,6 +294,10 @@
         this.#dutyHeardMs.set(duty.tenure, nowMs)
       }
     }
+    if (this.register.copy.get('system') === undefined && this.agreement.settled && nowMs >= this.#foundAtMs) {
+      this.#foundAtMs = nowMs + this.#pace.electionMs
+      this.#propose({ kind: 'found', system: this.agreement.identity, again: false }, nowMs)
+    }
     this.#seatReplicas(nowMs)
   }
 
@@ -316,6 +343,7 @@
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'hail': {
+        if (this.#strange(message.system)) break
         const before = this.roster.get(from)
         const empty = before?.identity === message.identity && before.empty
         if (message.role === 'signalbox')
@@ -334,11 +362,12 @@
           empty: agreement.empty,
           leader: this.#leaderAddress,
           known: this.roster.known,
+          system: this.#system,
         })
         break
       }
       case 'hailed': {
-        if (message.nonce !== this.#nonce) break
+        if (message.nonce !== this.#nonce || this.#strange(message.system)) break
         this.roster.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
@@ -409,6 +438,15 @@
     this.#send(toAddress, { kind: 'outlook', models: this.#dispatcher.outlook(held, nowMs) })
   }
 
+  get #system(): string {
+    return this.agreement.system === '' ? this.#plan.system : this.agreement.system
+  }
+
+  /** True of a machine that belongs to another core: one that was founded again from this one's disks, or that this one was. */
+  #strange(system: string): boolean {
+    return system !== '' && this.#system !== '' && system !== this.#system
+  }
+
   #renew(from: string, fromAddress: string, renew: Extract<Message, { kind: 'renew' }>, nowMs: number): void {
     this.roster.heard(
       { name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false },
@@ -662,6 +700,7 @@
     return {
       tenure: duty?.tenure ?? 0,
       holder: duty?.holder ?? '',
+      unmet: this.#dispatcher?.unmet ?? [],
       reasons: this.#dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [],
     }
   }
@@ -699,6 +738,10 @@
         alive: this.#desk.licences.alive(seat, nowMs),
       })),
       stamp: this.register.copy.stamp,
+      system: this.#system,
+      exhausted: this.#desk.exhausted,
+      syncMs: this.agreement.syncMs,
+      jumped: this.#jumped === undefined ? null : { byMs: this.#jumped.byMs, agoMs: Math.round(nowMs - this.#jumped.atMs) },
     }
   }
 
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -75,6 +75,7 @@
         seats: startup.seats,
         rewriteBytes: startup.rewriteBytes,
         policy: edgeMulti,
+        system: startup.system,
       },
       this.pace,
       new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
--- a/src/springpaddle/diagnose.ts
+++ b/src/springpaddle/diagnose.ts
@@ -15,6 +15,9 @@
   stamp: z.number(),
   core: z.array(z.object({ seat: z.string(), voter: z.boolean(), alive: z.boolean() })),
   dispatcher: z.object({ holder: z.string() }).nullable(),
+  exhausted: z.array(z.string()).default([]),
+  syncMs: z.number().default(0),
+  jumped: z.object({ byMs: z.number(), agoMs: z.number() }).nullable().default(null),
   seats: z.array(z.object({ seat: z.string(), zone: z.string(), alive: z.boolean(), adopted: z.number() })),
 })
 const Servers = z.array(z.object({ name: z.string(), zone: z.string(), draining: z.boolean(), binding: z.unknown(), order: z.unknown() }))
@@ -23,7 +26,17 @@
   zones: z.record(z.string(), z.object({ emptied: z.boolean() })).default({}),
 })
 
-export function diagnose(nodes: Tree | undefined, servers: Tree | undefined, charter: Tree | undefined, earlier: number): Finding[] {
+const Placement = z.object({ unmet: z.array(z.object({ model: z.string(), adapter: z.string(), why: z.string() })).default([]) })
+const slowSyncMs = 100
+const recentMs = 600_000
+
+export function diagnose(
+  nodes: Tree | undefined,
+  servers: Tree | undefined,
+  charter: Tree | undefined,
+  earlier: number,
+  placement?: Tree,
+): Finding[] {
   const findings: Finding[] = []
   const find = (what: string, todo: string) => {
     findings.push({ what, todo })
@@ -37,6 +50,21 @@
   }
   if (core.dispatcher === null)
     find('nobody holds the dispatcher duty', 'nothing is loaded or unloaded until a core machine wins it; look at the core first')
+  for (const key of core.exhausted) {
+    const [kind = '', server = ''] = key.split('/')
+    const limit = kind === 'cold' ? 'coldLimit' : 'serverLimit'
+    find(
+      `what ${server} bears${kind === 'cold' ? ' while cold' : ''} is lent out while turnouts want more`,
+      `wait, or raise defaults.${limit} if the server bears more`,
+    )
+  }
+  if (core.syncMs > slowSyncMs)
+    find(
+      `the leader's disk takes ${String(Math.round(core.syncMs))} ms for a sync`,
+      'charters and orders wait for it; look at the disk, or stop that signalbox so that another leads',
+    )
+  if (core.jumped !== null && core.jumped.agoMs < recentMs)
+    find(`the leader's wall clock jumped by ${String(core.jumped.byMs)} ms`, 'hours of intents go by it; mend the clock')
   const alive = core.seats.filter((one) => one.alive)
   for (const one of core.seats) {
     if (!one.alive)
@@ -57,6 +85,12 @@
     find('there is no charter yet', 'charter put FILE')
     return findings
   }
+  for (const { model, adapter, why } of Placement.safeParse(placement).data?.unmet ?? []) {
+    find(
+      `${adapter === '' ? model : `${model} with ${adapter}`} fits nowhere for now: ${why}`,
+      'it waits for a window to close; more room, places or servers, or fewer models, would help',
+    )
+  }
   const listed = new Map((Servers.safeParse(servers).data ?? []).map((one) => [one.name, one]))
   for (const [name, plan] of Object.entries(fleet.fleet.servers)) {
     const server = listed.get(name)
@@ -102,6 +136,17 @@
       'seat post-1 works by stamp 5 of 9',
     )
     strictEqual(diagnose({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: false, adopted: 9 }] }, servers, charter, 8).length, 2)
+    strictEqual(
+      found({ ...nodes, exhausted: ['cold/ms-1/i'] }, servers, charter),
+      'what ms-1 bears while cold is lent out while turnouts want more',
+    )
+    strictEqual(found({ ...nodes, syncMs: 400 }, servers, charter), "the leader's disk takes 400 ms for a sync")
+    strictEqual(
+      found({ ...nodes, jumped: { byMs: -7_200_000, agoMs: 5 } }, servers, charter),
+      "the leader's wall clock jumped by -7200000 ms",
+    )
+    const unmet = { unmet: [{ model: 'm', adapter: 'a', why: 'a request waits' }] }
+    strictEqual(diagnose(nodes, servers, charter, 8, unmet)[0]?.what, 'm with a fits nowhere for now: a request waits')
     strictEqual(found(nodes, [], charter), 'server ms-1 is in the charter but the platform does not list it')
     strictEqual(found(nodes, [{ ...servers[0], binding: null }], charter), 'model server ms-1 has not reported lately')
     strictEqual(found(nodes, servers, { ...charter, zones: { b: { emptied: true } } }), 'zone b is emptied')
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -213,7 +213,9 @@
         await pause(adoptMs)
         const replies = [await core.ask('GET', '/nodes'), await core.ask('GET', '/servers'), await core.ask('GET', '/charter')]
         const [nodes, servers, tree] = replies.map((reply) => (reply.status === 200 ? Tree.read(reply.body) : undefined))
-        const findings = diagnose(nodes, servers, tree, z.object({ stamp: z.number() }).safeParse(Tree.read(first.body)).data?.stamp ?? 0)
+        const placement = Tree.read((await core.ask('GET', '/placement')).body)
+        const earlier = z.object({ stamp: z.number() }).safeParse(Tree.read(first.body)).data?.stamp ?? 0
+        const findings = diagnose(nodes, servers, tree, earlier, placement)
         process.exitCode = findings.length === 0 ? 0 : 3
         if (given.json) out(JSON.stringify(findings))
         else out(findings.length === 0 ? 'sound' : findings.map((one) => `${one.what}\n    ${one.todo}`).join('\n'))
--- a/src/telegraph/Message.ts
+++ b/src/telegraph/Message.ts
@@ -16,7 +16,7 @@
 
 const options = [
   // Finding one another.
-  kind('hail', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer) }),
+  kind('hail', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer), system: z.string() }),
   kind('hailed', {
     nonce: z.number(),
     role: Role,
@@ -25,6 +25,7 @@
     empty: z.boolean(),
     leader: z.string(),
     known: z.array(Peer),
+    system: z.string(),
   }),
   // Agreement among the core.
   kind('ballotAsk', { to: z.string(), from: z.string(), term: z.number(), lastIndex: z.number(), lastTerm: z.number(), pre: z.boolean() }),
@@ -73,6 +74,7 @@
     shares: z.array(Count),
     again: z.array(z.string()),
     platformAgeMs: z.number(),
+    system: z.string(),
   }),
   // Duties.
   kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
--- a/src/testtrack/SimFault.ts
+++ b/src/testtrack/SimFault.ts
@@ -11,7 +11,7 @@
   lastsMs: number
 }
 /** A core that lost two disks of three at once stops rather than forgets, so a storm takes one disk at the most. */
-const diskTakers = ['lose-disk', 'swap-seeds']
+const diskTakers = ['lose-disk', 'swap-seeds', 'lose-two-disks']
 
 export const SimFault = {
   storm(names: readonly string[], seed: number, count: number, spanMs: number): SimFault[] {
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -8,6 +8,7 @@
 import { Pace } from '../gauge/Pace.js'
 import type { PlatformServer } from '../gauge/PlatformServer.js'
 import { Verdict } from '../gauge/Verdict.js'
+import { refound } from '../interlocking/refound.js'
 import type { LinemanEffect } from '../lineman/LinemanEffect.js'
 import type { LinemanInput } from '../lineman/LinemanInput.js'
 import { LinemanMachine } from '../lineman/LinemanMachine.js'
@@ -33,6 +34,12 @@
 
 const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
 type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
+interface SimBox {
+  process: Box
+  disk: SimDisk
+  address: string
+  zone: string
+}
 interface Flight {
   server: SimServer
   state: StandInServer
@@ -47,7 +54,7 @@
   readonly chance: Chance
   readonly network: SimNetwork
   readonly sightings: Sighting[] = []
-  readonly boxes = new Map<string, { process: Box; disk: SimDisk; address: string; zone: string }>()
+  readonly boxes = new Map<string, SimBox>()
   readonly linemen = new Map<string, { process: SimProcess<LinemanInput, LinemanEffect, LinemanMachine>; address: string; zone: string }>()
   readonly turnouts = new Map<
     string,
@@ -64,6 +71,8 @@
   readonly operators: SimOperators
   /** Where processes that start now look first. */
   seeds: string[] = []
+  /** The system that linemen which start now are told to follow; any, at first. */
+  system = ''
   /** How far a core machine's wall clock is off, in hours. */
   readonly hoursOff = new Map<string, number>()
   /** Since when the core lacks a majority that can act and be heard. */
@@ -142,21 +151,30 @@
 
   // Processes.
 
-  #makeBox(name: string, zone: string): { process: Box; disk: SimDisk; address: string; zone: string } {
+  #makeBox(name: string, zone: string, host = name): SimBox {
     const disk = new SimDisk(this.clock, this.chance.fork())
     disk.lies = this.options.broken === 'sync'
+    const tick = () => ({ kind: 'tick' as const, hour: this.#hour(name) })
     const process: Box = new SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>(
       name,
-      name,
+      host,
       this.clock,
       this.chance.fork(),
       this.pace.tickMs,
-      () => ({ kind: 'tick', hour: this.#hour(name) }),
+      tick,
       (effect, life) => {
-        this.#performBox(name, effect, life)
+        this.#performBox(box, effect, life)
       },
     )
-    return { process, disk, address: this.freshAddress(name), zone }
+    const box = { process, disk, address: this.freshAddress(host), zone }
+    return box
+  }
+
+  /** A machine that was given up wakes, with the disk that it had, beside whatever stands in its seat now. */
+  wakeOld(name: string, records: readonly Uint8Array[]): void {
+    const box = this.#makeBox(name, this.boxes.get(name)?.zone ?? '', `old-${name}`)
+    box.disk.records = [...records]
+    this.#start(name, box)
   }
 
   #hour(name: string): number {
@@ -165,7 +183,10 @@
 
   startBox(name: string): void {
     const box = this.boxes.get(name)
-    if (box === undefined || box.process.alive) return
+    if (box !== undefined && !box.process.alive) this.#start(name, box)
+  }
+
+  #start(name: string, box: SimBox): void {
     const { deployment } = this.options
     const machine = new SignalboxMachine(
       {
@@ -176,13 +197,14 @@
         seats: deployment.boxes.map((one) => one.name),
         rewriteBytes: 60_000,
         policy: this.options.policy,
+        system: box.process.host === name ? this.system : '',
       },
       this.pace,
       this.chance.fork(),
       box.disk.records,
       box.process.nowMs,
     )
-    this.network.open(box.address, name, (from, fromAddress, message) => {
+    this.network.open(box.address, box.process.host, (from, fromAddress, message) => {
       box.process.deliver({ kind: 'message', from, fromAddress, message })
     })
     box.process.start(machine, machine.begin())
@@ -207,10 +229,18 @@
     this.seeds = this.seeds.map((seed) => (seed === old ? box.address : seed))
   }
 
-  #performBox(name: string, effect: SignalboxEffect, life: number): void {
+  /** Founds the core again from the disk of one stopped machine. */
+  refoundBox(name: string): void {
     const box = this.boxes.get(name)
-    if (box === undefined) return
+    if (box === undefined || box.process.alive) return
+    this.system = `again-${String(Math.round(this.clock.nowMs))}`
+    const again = refound(box.disk.records, { seat: name, address: box.address, system: this.system })
+    if (again !== undefined) box.disk.records = again.records
+  }
+
+  #performBox(box: SimBox, effect: SignalboxEffect, life: number): void {
     const { process } = box
+    const { name, host } = process
     const back = (waitMs: number, input: SignalboxInput) => {
       this.clock.after(waitMs, () => {
         if (process.life === life) process.deliver(input)
@@ -218,12 +248,12 @@
     }
     switch (effect.kind) {
       case 'send':
-        this.network.send(name, name, box.address, effect.toAddress, effect.message)
+        this.network.send(name, host, box.address, effect.toAddress, effect.message)
         break
       case 'write': {
         box.disk.write(effect.records, effect.rewrite, () => {
           if (process.life !== life) return
-          for (const send of effect.then) this.network.send(name, name, box.address, send.toAddress, send.message)
+          for (const send of effect.then) this.network.send(name, host, box.address, send.toAddress, send.message)
           process.deliver({ kind: 'written' })
         })
         break
@@ -238,7 +268,7 @@
         break
       }
       case 'ask': {
-        const server = this.#serverAt(effect.address, name)
+        const server = this.#serverAt(effect.address, host)
         if (server?.state === undefined) {
           back(server === undefined ? 2 : this.pace.reportStaleMs / 2, {
             kind: 'reported',
@@ -258,7 +288,7 @@
         break
       }
       case 'order':
-        this.#order(name, effect, back)
+        this.#order(host, effect, back)
         break
       case 'say':
         this.clock.note(effect.sentence)
@@ -278,8 +308,8 @@
     return report
   }
 
-  #order(name: string, effect: Extract<SignalboxEffect, { kind: 'order' }>, back: (waitMs: number, input: SignalboxInput) => void): void {
-    const server = this.#serverAt(effect.address, name)
+  #order(host: string, effect: Extract<SignalboxEffect, { kind: 'order' }>, back: (waitMs: number, input: SignalboxInput) => void): void {
+    const server = this.#serverAt(effect.address, host)
     const reply = (kind: 'accepted' | 'turnedAway' | 'unknown', waitMs: number) => {
       back(waitMs, { kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply: kind })
     }
@@ -348,7 +378,7 @@
     if (!lineman.process.alive) {
       lineman.process.start(
         new LinemanMachine(
-          { name, zone: lineman.zone, address: lineman.address, seeds: this.seeds, turnout: turnout.address },
+          { name, zone: lineman.zone, address: lineman.address, seeds: this.seeds, turnout: turnout.address, system: this.system },
           this.pace,
           this.chance.fork(),
           lineman.process.nowMs,
--- a/src/testtrack/simFaults.ts
+++ b/src/testtrack/simFaults.ts
@@ -122,6 +122,23 @@
       sim.startBox(name)
     }
   },
+  'lose-two-disks': (sim) => {
+    const survivor = leader(sim)
+    const lost = [...sim.boxes.keys()].filter((name) => name !== survivor)
+    const kept = lost.map((name) => ({ name, records: sim.boxes.get(name)?.disk.records ?? [] }))
+    for (const name of lost) sim.replaceBox(name)
+    sim.killBox(survivor, false)
+    return () => {
+      sim.refoundBox(survivor)
+      for (const name of sim.linemen.keys()) {
+        sim.killTurnout(name)
+        sim.killLineman(name)
+        sim.startPost(name)
+      }
+      for (const name of sim.boxes.keys()) sim.startBox(name)
+      if (sim.chance.hit(0.7)) for (const old of kept) sim.wakeOld(old.name, old.records)
+    }
+  },
   'roll-processes': (sim) => {
     const waitMs = sim.options.faultMs / (sim.boxes.size + sim.linemen.size)
     let atMs = 0
