Runbooks for rolls, disks and refounding, done by the fleet; the core machine split along its purposes

Change: steps for each server, core machine or seat; roll-servers, restart-system, recover-disk, after-refound; the fleet does what a runbook asks by reading its record, with no timing of its own; OperatorsBook and CoreAccount leave the machine.

--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -3,14 +3,11 @@
  * ballots, the operators' desk and, while it holds the duty, the dispatcher. It is told what happened
  * and returns what to send, write, answer and ask.
  */
-import { Charter } from '../gauge/Charter.js'
 import type { Chance } from '../gauge/Chance.js'
 import type { Pace } from '../gauge/Pace.js'
-import { Tree } from '../gauge/Tree.js'
 import { Agreement } from '../interlocking/Agreement.js'
 import { Ballots } from '../interlocking/Ballots.js'
 import { Command } from '../interlocking/Command.js'
-import type { Outcome } from '../interlocking/Outcome.js'
 import { Register } from '../interlocking/Register.js'
 import { Relay } from '../interlocking/Relay.js'
 import { Roster } from '../interlocking/Roster.js'
@@ -18,7 +15,9 @@
 import type { Message } from '../telegraph/Message.js'
 import { Dispatcher } from '../timetable/Dispatcher.js'
 import type { Policy } from '../timetable/Policy.js'
+import { CoreAccount } from './CoreAccount.js'
 import { Operation } from './Operation.js'
+import { OperatorsBook } from './OperatorsBook.js'
 import { SeatDesk } from './SeatDesk.js'
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
@@ -34,13 +33,6 @@
   /** The system that an empty machine may join; any, if empty. */
   system: string
 }
-interface Pending {
-  operation: Operation
-  dueMs: number
-  askedMs: number
-  respondTo: string | undefined
-  proposed: boolean
-}
 const dispatcherDuty = 'dispatcher'
 const unreadMs = 1e9
 const hourMs = 3_600_000
@@ -55,7 +47,8 @@
   readonly #desk: SeatDesk
   readonly #ballots: Ballots
   readonly #relay: Relay
-  readonly #pending = new Map<string, Pending>()
+  readonly #book: OperatorsBook
+  readonly #account: CoreAccount
   readonly #nonce: number
   #dispatcher: Dispatcher | undefined
   #dutySureMs = -Infinity
@@ -76,7 +69,6 @@
   #applied = 0
   #logBytes = 0
   #clock: { hour: number; atMs: number } | undefined
-  #jumped: { atMs: number; byMs: number } | undefined
 
   constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
@@ -91,11 +83,50 @@
     this.#ballots = new Ballots(plan.name, pace, chance.fork())
     this.#relay = new Relay(pace.licenceMs)
     this.#nonce = chance.below(1e9)
+    this.#account = new CoreAccount(pace, this.agreement, this.#desk, (identity) => this.#addressOf(identity))
+    this.#book = new OperatorsBook(pace, this.#host())
     this.#lastTickMs = nowMs
     this.#logBytes = disk.reduce((sum, record) => sum + record.length, 0)
     this.#collect(nowMs)
   }
 
+  #host(): ConstructorParameters<typeof OperatorsBook>[1] {
+    const register = () => this.register
+    const leading = () => this.#leading
+    const leaderAddress = () => this.#leaderAddress
+    const dispatches = () => this.#dispatcher !== undefined
+    return {
+      agreement: this.agreement,
+      roster: this.roster,
+      get register() {
+        return register()
+      },
+      get leading() {
+        return leading()
+      },
+      get leaderAddress() {
+        return leaderAddress()
+      },
+      get dispatches() {
+        return dispatches()
+      },
+      propose: (command, nowMs) => {
+        this.#propose(command, nowMs)
+      },
+      send: (toAddress, message) => {
+        this.#send(toAddress, message)
+      },
+      respond: (id, status, stamp, text) => {
+        this.#effects.push({ kind: 'respond', id, status, stamp, text })
+      },
+      delivered: (outcome, nowMs) => this.#desk.licences.delivered(outcome.stamp, this.#seats, nowMs),
+      nodes: (nowMs) => this.#account.nodes(this.register, nowMs),
+      servers: () => this.#account.servers(this.register),
+      leaves: () => this.#account.leaves(this.register),
+      placement: (nowMs) => this.#account.placement(this.register, this.#dispatcher, nowMs),
+    }
+  }
+
   get dispatcher(): Dispatcher | undefined {
     return this.#dispatcher
   }
@@ -107,7 +138,7 @@
       leads: this.#leading ? 1 : 0,
       dispatches: this.#dispatcher === undefined ? 0 : 1,
       seats_alive: this.#seats.filter((seat) => this.#desk.licences.alive(seat, nowMs)).length,
-      operations_open: this.#pending.size,
+      operations_open: this.#book.open,
       log_bytes: this.#logBytes,
     }
   }
@@ -130,7 +161,7 @@
         this.agreement.written(nowMs)
         break
       case 'operate':
-        this.#operate(input.id, input.operation, undefined, nowMs)
+        this.#book.operate(input.id, input.operation, undefined, nowMs)
         break
       case 'platform':
         this.#platform(input.servers, nowMs)
@@ -198,10 +229,9 @@
       for (const send of this.#relay.push(this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
     }
     for (const id of out.lostReads) {
-      const pending = this.#pending.get(id)
-      if (pending !== undefined) pending.proposed = false
+      this.#book.lost(id)
     }
-    for (const id of out.readable) this.#readNow(id, nowMs)
+    for (const id of out.readable) this.#book.readable(id, nowMs)
     if ((this.agreement.phase === 'leader') !== this.#leading) {
       this.#leading = !this.#leading
       if (this.#leading) {
@@ -213,7 +243,7 @@
       }
     } else if (this.agreement.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.agreement.leader)
     if (this.agreement.leader === '' && !this.#leading) this.#leaderAddress = ''
-    this.#finishWrites(nowMs)
+    this.#book.finish(nowMs)
     if ((this.agreement.phase !== 'leader') === this.#leading) this.#collect(nowMs)
   }
 
@@ -222,8 +252,8 @@
     if (this.#clock !== undefined) {
       const offHours = ((hour - this.#clock.hour - (nowMs - this.#clock.atMs) / hourMs + 36) % 24) - 12
       if (Math.abs(offHours * hourMs) > jumpMs) {
-        this.#jumped = { atMs: nowMs, byMs: Math.round(offHours * hourMs) }
-        this.#say('signalbox', `The wall clock jumped by ${String(this.#jumped.byMs)} ms; only hours of intents go by it.`)
+        this.#account.jumped = { atMs: nowMs, byMs: Math.round(offHours * hourMs) }
+        this.#say('signalbox', `The wall clock jumped by ${String(this.#account.jumped.byMs)} ms; only hours of intents go by it.`)
       }
     }
     this.#clock = { hour, atMs: nowMs }
@@ -244,11 +274,7 @@
       this.agreement.compact(this.#applied, this.register.save(), nowMs)
       this.#logBytes = 0
     }
-    for (const [id, pending] of this.#pending) {
-      if (nowMs >= pending.dueMs)
-        this.#respond(id, 504, 0, JSON.stringify({ outcome: 'undecided', operation: pending.operation.operation }))
-      else if (!pending.proposed || nowMs - pending.askedMs > this.#pace.electionMs) this.#push(id, pending, nowMs)
-    }
+    this.#book.tick(nowMs)
   }
 
   #hail(nowMs: number): void {
@@ -420,13 +446,11 @@
         break
       case 'operate': {
         const read = Operation.safeParse(message)
-        if (read.success) this.#operate(message.id, read.data, fromAddress, nowMs)
+        if (read.success) this.#book.operate(message.id, read.data, fromAddress, nowMs)
         break
       }
       case 'operated': {
-        const pending = this.#pending.get(message.id)
-        if (pending !== undefined && (pending.respondTo === undefined || pending.operation.action === 'placement'))
-          this.#respond(message.id, message.status, message.stamp, message.text)
+        this.#book.operated(message)
         break
       }
       default:
@@ -462,7 +486,7 @@
     }
     const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
     this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.register.copy, ageMs, nowMs))
-    this.#finishWrites(nowMs)
+    this.#book.finish(nowMs)
   }
 
   get #seats(): string[] {
@@ -543,216 +567,4 @@
     this.#platformSeen = listed
     this.#propose({ kind: 'platform', servers: listed }, nowMs)
   }
-
-  // The operators' desk.
-
-  #operate(id: string, operation: Operation, respondTo: string | undefined, nowMs: number): void {
-    if (this.#pending.has(id)) return
-    if (operation.branch === 'passed on' && respondTo !== undefined) {
-      this.#send(respondTo, {
-        kind: 'operated',
-        id,
-        status: 200,
-        stamp: this.register.charterStamp,
-        text: JSON.stringify(this.#placement(nowMs)),
-      })
-      return
-    }
-    const pending: Pending = { operation, dueMs: nowMs + operation.waitMs, askedMs: -Infinity, respondTo, proposed: false }
-    this.#pending.set(id, pending)
-    this.#push(id, pending, nowMs)
-  }
-
-  /** Takes a pending operation one step on: to the log or a read here, or to the leader. */
-  #push(id: string, pending: Pending, nowMs: number): void {
-    const { operation } = pending
-    if (!this.#leading) {
-      if (pending.respondTo !== undefined) {
-        this.#pending.delete(id)
-        return
-      }
-      if (nowMs - pending.askedMs < this.#pace.heartbeatMs) return
-      pending.askedMs = nowMs
-      this.#send(this.#leaderAddress, { kind: 'operate', id, ...operation, waitMs: pending.dueMs - nowMs })
-      return
-    }
-    pending.askedMs = nowMs
-    switch (operation.action) {
-      case 'charter.put':
-      case 'charter.patch':
-      case 'charter.rollback': {
-        if (pending.proposed || this.register.outcome(operation.operation) !== undefined) break
-        const action = operation.action === 'charter.put' ? 'put' : operation.action === 'charter.patch' ? 'patch' : 'rollback'
-        pending.proposed = true
-        this.#propose(
-          {
-            kind: 'charter',
-            operation: operation.operation,
-            action,
-            branch: operation.branch,
-            text: operation.text,
-            ifMatch: operation.ifMatch,
-          },
-          nowMs,
-        )
-        break
-      }
-      case 'seat.retire': {
-        if (pending.proposed || this.register.outcome(operation.operation) !== undefined) break
-        pending.proposed = true
-        this.#propose({ kind: 'seat', name: operation.text, role: '', zone: '', retired: true, operation: operation.operation }, nowMs)
-        break
-      }
-      default:
-        if (pending.proposed) break
-        pending.proposed = true
-        this.agreement.read(id, nowMs)
-    }
-  }
-
-  /** Answers the writes whose outcome is known and, where they took effect, obeyed everywhere. */
-  #finishWrites(nowMs: number): void {
-    if (!this.#leading || !this.agreement.settled) return
-    for (const [id, { operation }] of this.#pending) {
-      const outcome = this.register.outcome(operation.operation)
-      if (outcome === undefined || operation.operation === '' || operation.action === 'outcome') continue
-      if (outcome.status !== 200)
-        this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp }))
-      else if (operation.action === 'seat.retire' || this.#delivered(outcome, nowMs))
-        this.#respond(id, 200, outcome.stamp, JSON.stringify({ stamp: outcome.stamp, operation: operation.operation }))
-    }
-  }
-
-  #delivered(outcome: Outcome, nowMs: number): boolean {
-    return this.#desk.licences.delivered(outcome.stamp, this.#seats, nowMs)
-  }
-
-  #respond(id: string, status: number, stamp: number, text: string): void {
-    const pending = this.#pending.get(id)
-    if (pending === undefined) return
-    this.#pending.delete(id)
-    if (pending.respondTo === undefined) this.#effects.push({ kind: 'respond', id, status, stamp, text })
-    else this.#send(pending.respondTo, { kind: 'operated', id, status, stamp, text })
-  }
-
-  #readNow(id: string, nowMs: number): void {
-    const operation = this.#pending.get(id)?.operation
-    if (operation === undefined) return
-    const stamp = this.register.charterStamp
-    const json = (status: number, value: unknown) => {
-      this.#respond(id, status, stamp, JSON.stringify(value))
-    }
-    switch (operation.action) {
-      case 'charter.get': {
-        const wanted =
-          operation.text === '' ? this.register.texts.at(-1) : this.register.texts.find((one) => one.stamp === Number(operation.text))
-        if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
-        else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
-        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.register.whole(wanted.stamp) ?? '')
-        else {
-          const branch = Tree.at(Tree.read(this.register.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
-          if (branch === undefined) json(404, { errors: [`${operation.branch}: not in the charter`] })
-          else this.#respond(id, 200, wanted.stamp, `${JSON.stringify(branch, null, 2)}\n`)
-        }
-        break
-      }
-      case 'charter.history':
-        json(
-          200,
-          this.register.texts.map(({ stamp: at, action, branch, operation: name }) => ({ stamp: at, action, branch, operation: name })),
-        )
-        break
-      case 'charter.leaves':
-        json(200, this.#leaves())
-        break
-      case 'outcome': {
-        const outcome = this.register.outcome(operation.text)
-        if (outcome === undefined) json(404, { outcome: 'unknown', operation: operation.text })
-        else
-          json(200, { outcome: outcome.status !== 200 ? 'turnedAway' : this.#delivered(outcome, nowMs) ? 'done' : 'undecided', ...outcome })
-        break
-      }
-      case 'nodes':
-        json(200, this.#nodes(nowMs))
-        break
-      case 'servers':
-        json(200, this.#servers())
-        break
-      case 'placement': {
-        const duty = this.register.duty(dispatcherDuty)
-        if (duty !== undefined && this.#dispatcher === undefined && operation.branch !== 'passed on') {
-          const holder = this.roster.get(duty.holder)
-          if (holder !== undefined) {
-            this.#send(holder.address, { kind: 'operate', id, ...operation, branch: 'passed on' })
-            break
-          }
-        }
-        json(200, this.#placement(nowMs))
-        break
-      }
-      default:
-        json(400, { errors: ['not a read'] })
-    }
-  }
-
-  #placement(nowMs: number): unknown {
-    const duty = this.register.duty(dispatcherDuty)
-    return {
-      tenure: duty?.tenure ?? 0,
-      holder: duty?.holder ?? '',
-      unmet: this.#dispatcher?.unmet ?? [],
-      reasons: this.#dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [],
-    }
-  }
-
-  #leaves(): { path: string; value: Tree; from: string }[] {
-    const tree = Tree.read(this.register.copy.get('charter') ?? 'null') ?? null
-    const charter = Charter.check(tree).toMaybe().extractNullable()
-    const leaves = Tree.leaves(tree).map(([path, value]) => ({ path, value, from: path }))
-    for (const partner of Object.keys(charter?.partners ?? {})) {
-      for (const [path, value] of Tree.leaves(Tree.at(tree, ['defaults']) ?? null)) {
-        const own = Tree.at(tree, ['partners', partner, 'limits', ...path.split('.')])
-        if (own === undefined) leaves.push({ path: `partners.${partner}.limits.${path}`, value, from: `defaults.${path}` })
-      }
-    }
-    return leaves
-  }
-
-  #nodes(nowMs: number): unknown {
-    const seats = new Map(this.#desk.licences.seats)
-    return {
-      leader: this.agreement.leader,
-      term: this.agreement.term,
-      commit: this.agreement.commit,
-      core: this.agreement.members.map((one) => ({
-        ...one,
-        address: this.#addressOf(one.identity),
-        alive: one.identity === this.agreement.identity || nowMs - this.agreement.heardMs(one.identity) < this.#pace.electionMs,
-      })),
-      dispatcher: this.register.duty(dispatcherDuty) ?? null,
-      seats: this.#seats.map((seat) => ({
-        seat,
-        zone: seats.get(seat)?.zone ?? '',
-        address: seats.get(seat)?.address ?? '',
-        adopted: seats.get(seat)?.adopted ?? 0,
-        alive: this.#desk.licences.alive(seat, nowMs),
-      })),
-      stamp: this.register.copy.stamp,
-      system: this.#system,
-      exhausted: this.#desk.exhausted,
-      syncMs: this.agreement.syncMs,
-      jumped: this.#jumped === undefined ? null : { byMs: this.#jumped.byMs, agoMs: Math.round(nowMs - this.#jumped.atMs) },
-    }
-  }
-
-  #servers(): unknown {
-    const { copy } = this.register
-    return copy.under('server/').map(([name, value]) => {
-      const binding = copy.get(`binding/${name}`)
-      const order = copy.get(`order/${name}`)
-      const binds: unknown = binding === undefined ? null : JSON.parse(binding)
-      const under: unknown = order === undefined ? null : JSON.parse(order)
-      return { ...PlatformServer.parse(JSON.parse(value)), binding: binds, order: under }
-    })
-  }
 }
--- a/src/springpaddle/Runbook.ts
+++ b/src/springpaddle/Runbook.ts
@@ -21,11 +21,14 @@
   z.strictObject({ kind: z.literal('rollback'), stamp: z.string() }),
   z.strictObject({ kind: z.literal('retire'), seat: z.string() }),
 ])
+/** A step for each server, core machine or seat there is; neighbours of one kind go together, name by name. */
+const each = z.enum(['server', 'core', 'seat']).optional()
 const Step = z.union([
-  z.strictObject({ title: z.string(), do: Do }),
-  z.strictObject({ title: z.string(), ask: z.string() }),
-  z.strictObject({ title: z.string(), check: Check, withinMs: z.number().positive().max(3_600_000) }),
+  z.strictObject({ title: z.string(), each, do: Do }),
+  z.strictObject({ title: z.string(), each, ask: z.string() }),
+  z.strictObject({ title: z.string(), each, check: Check, withinMs: z.number().positive().max(3_600_000) }),
 ])
+type Step = z.infer<typeof Step>
 const Shape = z.strictObject({
   about: z.string(),
   variables: z
@@ -45,6 +48,23 @@
   return 1
 }
 
+/** Writes out the steps that are meant for each of several names. */
+function repeat(steps: readonly Step[], exists: Record<string, readonly string[]> | undefined): Step[] {
+  const out: Step[] = []
+  for (let at = 0; at < steps.length;) {
+    const kind = steps[at]?.each
+    let end = at + 1
+    while (kind !== undefined && steps[end]?.each === kind) end += 1
+    const block = steps.slice(at, end)
+    const names = kind === undefined ? undefined : exists?.[kind]
+    if (names === undefined) out.push(...block)
+    else
+      for (const name of names) out.push(...block.map((step) => Step.parse(JSON.parse(JSON.stringify(step).replaceAll('${each}', name)))))
+    at = end
+  }
+  return out
+}
+
 export const Runbook = {
   /** Reads a runbook, fills its variables in, and checks it against what exists. */
   read(text: string, given: Record<string, string>, exists: Record<string, readonly string[]> | undefined): Either<string[], Runbook> {
@@ -75,6 +95,7 @@
       if (!Object.hasOwn(plain.data.variables, name)) errors.push(`line 1: no variable is named ${name}`)
     plain.data.steps.forEach((step, at) => {
       for (const [, name] of JSON.stringify(step).matchAll(/\$\{([^}]*)\}/g)) {
+        if (name === 'each' && step.each !== undefined) continue
         if (name !== undefined && !Object.hasOwn(plain.data.variables, name))
           errors.push(`line ${String(lineOf(text, at))}: ${name} is not among the variables`)
       }
@@ -84,7 +105,8 @@
       const value = given[name]
       return value === undefined ? whole : JSON.stringify(value).slice(1, -1)
     })
-    return Right(Shape.parse(JSON.parse(filled)))
+    const book = Shape.parse(JSON.parse(filled))
+    return Right({ ...book, steps: repeat(book.steps, exists) })
   },
 }
 export type Runbook = z.infer<typeof Shape>
@@ -100,6 +122,24 @@
       .extractNullable()
     deepStrictEqual(book?.steps[0], { title: 'one', do: { kind: 'patch', tree: { zones: { b: {} } } } })
   },
+  'steps for each name are written out name by name': () => {
+    const body = JSON.stringify({
+      about: 'x',
+      steps: [
+        { title: 'drain ${each}', each: 'server', ask: 'a ${each}' },
+        { title: 'swap ${each}', each: 'server', ask: 'b ${each}' },
+        { title: 'end', ask: 'c' },
+      ],
+    })
+    const book = Runbook.read(body, {}, { server: ['s', 't'] })
+      .toMaybe()
+      .extractNullable()
+    deepStrictEqual(
+      book?.steps.map((step) => step.title),
+      ['drain s', 'swap s', 'drain t', 'swap t', 'end'],
+    )
+    match(Runbook.read(body.replace('"c"', '"${each}"'), {}, {}).swap().orDefault([]).join(), /each is not among the variables/)
+  },
   'an unknown step, a missing variable and a target that is not there are told with line and reason': () => {
     const errors = (body: string, given: Record<string, string>) =>
       Runbook.read(body, given, { zone: ['a', 'b'] })
--- a/src/testtrack/Daemon.ts
+++ b/src/testtrack/Daemon.ts
@@ -2,7 +2,7 @@
  * One real process of the system as a child of the fleet: started from its startup file, signalled by
  * its own process id, its log kept in a file.
  */
-import { spawn, type ChildProcess } from 'node:child_process'
+import { execFile, spawn, type ChildProcess } from 'node:child_process'
 import { openSync, closeSync } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
@@ -35,6 +35,18 @@
     closeSync(log)
   }
 
+  /** Runs another command of the stopped daemon to its end and gives what it printed. */
+  async once(...args: string[]): Promise<string> {
+    const program = fileURLToPath(new URL(`../${this.program}/main.js`, import.meta.url))
+    const [command = '', ...flags] = args
+    return new Promise((resolve, reject) => {
+      execFile(process.execPath, [program, command, '--startup', join(this.#folder, `${this.name}.json`), ...flags], (error, out, err) => {
+        if (error === null) resolve(out)
+        else reject(new Error(`${command} ended badly: ${out}${err}`))
+      })
+    })
+  }
+
   get running(): boolean {
     return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null
   }
--- a/src/testtrack/StandInHttp.ts
+++ b/src/testtrack/StandInHttp.ts
@@ -54,6 +54,11 @@
     this.#see({ kind: 'serverUp', atMs: clockMs(), server: this.name, zone: this.#plan.zone })
   }
 
+  /** Waits until nothing runs here any more. */
+  async idle(): Promise<void> {
+    while (this.state.flights > 0) await pause(20)
+  }
+
   async crash(): Promise<void> {
     const server = this.#server
     this.#server = undefined
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -2,9 +2,10 @@
  * One fleet run from start to verdict: bring the deployment up, put its charter, drive its traffic
  * for a bounded time while faults come and go, read everything back, and judge.
  */
-import { rm } from 'node:fs/promises'
+import { readFile, rm } from 'node:fs/promises'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
+import { z } from 'zod'
 import { clockMs } from '../gauge/clockMs.js'
 import { Callers } from './Callers.js'
 import type { Deployment } from './Deployment.js'
@@ -20,6 +21,83 @@
   seed: number
   say: (line: string) => void
 }
+/** What a person would do when a runbook asks, by the words it asks in. */
+const hands: [RegExp, (fleet: Fleet, name: string) => Promise<void>][] = [
+  [
+    /^Stop the signalbox at (\S+) /,
+    async (fleet, name) => {
+      await fleet.boxes.find((one) => one.name === name)?.stop('SIGKILL')
+    },
+  ],
+  [
+    /^Start a signalbox named (\S+) with an empty/,
+    async (fleet, name) => {
+      await rm(join(fleet.folder, name), { recursive: true, force: true })
+      await fleet.boxes.find((one) => one.name === name)?.start()
+    },
+  ],
+  [/^Mark (\S+) as draining/, (fleet, name) => Promise.resolve(fleet.drain(name, true))],
+  [
+    /replace (\S+) and take the mark away/,
+    async (fleet, name) => {
+      const server = fleet.servers.find((one) => one.name === name)
+      await server?.idle()
+      await server?.crash()
+      await server?.open()
+      fleet.drain(name, false)
+    },
+  ],
+  [
+    /^Restart the signalbox at (\S+)\./,
+    async (fleet, name) => {
+      const box = fleet.boxes.find((one) => one.name === name)
+      await box?.stop('SIGTERM')
+      await box?.start()
+    },
+  ],
+  [/^Restart the turnout and the lineman of (\S+)\./, (fleet, name) => restartPost(fleet, name)],
+  [
+    /^Restart every lineman/,
+    async (fleet) => {
+      for (const one of fleet.linemen) await restartPost(fleet, one.name)
+    },
+  ],
+]
+
+async function restartPost(fleet: Fleet, name: string): Promise<void> {
+  const turnout = fleet.turnouts.find((one) => one.name === `${name}-turnout`)
+  const lineman = fleet.linemen.find((one) => one.name === name)
+  await turnout?.stop('SIGTERM')
+  await lineman?.stop('SIGTERM')
+  await lineman?.start()
+  await turnout?.start()
+}
+
+/** Runs a runbook and does by hand whatever it asks for. */
+async function runbook(fleet: Fleet, say: (line: string) => void, name: string, args: string[]): Promise<void> {
+  const record = join(fleet.folder, `${name}.jsonl`)
+  const running = { open: true, handled: 0 }
+  const ends = fleet.operate(['runbook', 'run', name, ...args, '--record', record]).finally(() => {
+    running.open = false
+  })
+  while (running.open) {
+    const lines = (await readFile(record, 'utf8').catch(() => '')).split('\n').slice(0, -1)
+    for (const line of lines.slice(running.handled)) {
+      running.handled += 1
+      const { saw = '' } = Saw.parse(JSON.parse(line))
+      for (const [words, act] of hands) {
+        const found = words.exec(saw)
+        if (found !== null) await act(fleet, found[1] ?? '')
+      }
+    }
+    await pause(50)
+  }
+  const done = await ends
+  say(`runbook ${name}: exit ${String(done.code)}`)
+  if (done.code !== 0) throw new Error(`runbook ${name} failed:\n${done.out}${done.error}`)
+}
+const Saw = z.object({ saw: z.string().optional() })
+
 const faultsByName: Record<string, (fleet: Fleet, say: (line: string) => void) => Promise<void>> = {
   'kill-leader': async (fleet) => {
     const nodes = await fleet.nodes()
@@ -58,39 +136,49 @@
     fleet.drain(server.name, false)
   },
   runbooks: async (fleet, say) => {
-    const run = async (...args: string[]) => {
-      const done = await fleet.operate(['runbook', 'run', ...args])
-      say(`runbook ${args.slice(0, 1).join()}: exit ${String(done.code)}`)
-      if (done.code !== 0) throw new Error(`runbook ${args.join(' ')} failed:\n${done.out}${done.error}`)
-    }
-    const record = (name: string) => ['--record', join(fleet.folder, `${name}.jsonl`)]
+    const run = (name: string, ...args: string[]) => runbook(fleet, say, name, args)
     const askedMs = clockMs()
-    await run('empty-zone', '--set', 'zone=c', ...record('empty-zone'))
+    await run('empty-zone', '--set', 'zone=c')
     fleet.see({ kind: 'emptied', atMs: askedMs, zone: 'c', emptied: true, ackedMs: clockMs() })
     await pause(3000)
     fleet.see({ kind: 'emptied', atMs: clockMs(), zone: 'c', emptied: false, ackedMs: 0 })
-    await run('refill-zone', '--set', 'zone=c', ...record('refill-zone'))
-    const box = fleet.boxes[2]
-    if (box === undefined) return
-    const replaced = run('replace-core', '--set', `seat=${box.name}`, ...record('replace-core'))
-    await pause(1500)
-    await box.stop('SIGKILL')
-    await pause(4000)
-    await rm(join(fleet.folder, box.name), { recursive: true })
-    await box.start()
-    await replaced
-    const server = fleet.servers[2]
-    if (server === undefined) return
-    const swapped = run('replace-server', '--set', `server=${server.name}`, ...record('replace-server'))
-    await pause(500)
-    fleet.drain(server.name, true)
-    await pause(3000)
-    await server.crash()
-    await server.open()
-    fleet.drain(server.name, false)
-    await swapped
+    await run('refill-zone', '--set', 'zone=c')
+    await run('replace-core', '--set', `seat=${fleet.boxes[2]?.name ?? ''}`)
+    await run('replace-server', '--set', `server=${fleet.servers[2]?.name ?? ''}`)
     const stamp = fleet.sightings.find((one) => one.kind === 'acknowledged')?.stamp ?? 0
-    await run('roll-back-charter', '--set', `stamp=${String(stamp)}`, ...record('roll-back-charter'))
+    await run('roll-back-charter', '--set', `stamp=${String(stamp)}`)
+  },
+  'roll-all': async (fleet, say) => {
+    await runbook(fleet, say, 'roll-servers', [])
+    await runbook(fleet, say, 'restart-system', [])
+  },
+  'lose-disk': async (fleet, say) => {
+    const box = fleet.boxes[1]
+    await box?.stop('SIGKILL')
+    await rm(join(fleet.folder, box?.name ?? ''), { recursive: true })
+    await runbook(fleet, say, 'recover-disk', ['--set', `seat=${box?.name ?? ''}`])
+  },
+  'lose-two-disks': async (fleet, say) => {
+    const [survivor, one, other] = fleet.boxes
+    if (survivor === undefined || one === undefined || other === undefined) return
+    for (const box of fleet.boxes) await box.stop('SIGKILL')
+    for (const box of [one, other]) await rm(join(fleet.folder, box.name), { recursive: true })
+    const told = await survivor.once('refound', '--yes')
+    const system = /as system (\S+)\./.exec(told)?.[1] ?? ''
+    say(`refound: system ${system}`)
+    for (const daemon of [...fleet.boxes, ...fleet.linemen]) daemon.startup['system'] = system
+    await survivor.start()
+    await fleet.until('the survivor leads', async () => (await fleet.nodes())?.leader !== undefined)
+    await runbook(fleet, say, 'after-refound', [
+      '--set',
+      `survivor=${survivor.name}`,
+      '--set',
+      `one=${one.name}`,
+      '--set',
+      `other=${other.name}`,
+      '--set',
+      `system=${system}`,
+    ])
   },
   'empty-zone': async (fleet, say) => {
     const askedMs = clockMs()
