--- a/src/interlocking/Roster.ts
+++ b/src/interlocking/Roster.ts
@@ -17,11 +17,14 @@
   heardMs: number
 }
 
+const toldAtOnce = 4
+
 export class Roster {
   readonly #self: string
   readonly #seeds: readonly string[]
   readonly #staleMs: number
   readonly #peers = new Map<string, Peer>()
+  #turn = 0
 
   constructor(self: string, seeds: readonly string[], staleMs: number) {
     this.#self = self
@@ -57,8 +60,15 @@
     return [...this.#peers.values()].filter((peer) => peer.role === role).sort((a, b) => (a.name < b.name ? -1 : 1))
   }
 
+  /** What others are told: every core machine, and a few of the rest in turn, so that it does not grow with the system. */
   get known(): { name: string; address: string; role: Role; zone: string }[] {
-    return [...this.#peers.values()].map(({ name, address, role, zone }) => ({ name, address, role, zone }))
+    const rest = [...this.#peers.values()].filter((peer) => peer.role !== 'signalbox')
+    this.#turn += 1
+    const some =
+      rest.length <= toldAtOnce ? rest : Array.from({ length: toldAtOnce }, (_, at) => rest[(this.#turn * toldAtOnce + at) % rest.length])
+    return [...this.of('signalbox'), ...some].flatMap((peer) =>
+      peer === undefined ? [] : [{ name: peer.name, address: peer.address, role: peer.role, zone: peer.zone }],
+    )
   }
 
   /** Where to ask for the core: the seeds, and every signalbox ever learned of. */
--- a/src/testtrack/scale.ts
+++ b/src/testtrack/scale.ts
@@ -46,6 +46,7 @@
   for (const factor of factors) {
     const grown = times(deployment, factor)
     const counts = new Map<string, { messages: number; bytes: number }>()
+    const kinds = new Map<string, number>()
     let mends = 0
     const parents = new Map<string, string>()
     const meter = (fromHost: string, toHost: string, message: Message) => {
@@ -53,8 +54,10 @@
       if (message.kind === 'follow' && fromHost !== toHost) parents.set(fromHost, toHost)
       for (const host of [fromHost, toHost]) {
         if (!host.startsWith('box-')) continue
+        const bytes = Frame.write(fromHost, '10.0.0.1:1000', message).length
+        kinds.set(message.kind, (kinds.get(message.kind) ?? 0) + bytes)
         const seen = counts.get(host) ?? { messages: 0, bytes: 0 }
-        counts.set(host, { messages: seen.messages + 1, bytes: seen.bytes + Frame.write(fromHost, '10.0.0.1:1000', message).length })
+        counts.set(host, { messages: seen.messages + 1, bytes: seen.bytes + bytes })
       }
     }
     const options = {
@@ -77,9 +80,14 @@
     const busiest = [...counts.values()].sort((a, b) => b.bytes - a.bytes)[0] ?? { messages: 0, bytes: 0 }
     const perS = (count: number) => Math.round((count * 1000) / result.lastedMs)
     const acks = [...result.ackMs]
+    const all = [...kinds.values()].reduce((sum, one) => sum + one, 0)
+    const most = [...kinds]
+      .sort((a, b) => b[1] - a[1])
+      .slice(0, 3)
+      .map(([kind, bytes]) => `${kind} ${String(Math.round((100 * bytes) / all))} %`)
     say(
       `${deployment.name} x${String(factor)}: ${String(grown.turnouts.length)} proxy machines, ${String(grown.servers.length)} servers, charter ${String(JSON.stringify(grown.charter).length)} bytes: ` +
-        `busiest core machine ${String(perS(busiest.messages))} messages/s, ${String(perS(busiest.bytes))} bytes/s; relay depth ${String(deepest)}; ${String(mends)} repairs; ` +
+        `busiest core machine ${String(perS(busiest.messages))} messages/s, ${String(perS(busiest.bytes))} bytes/s (of the core: ${most.join(', ')}); relay depth ${String(deepest)}; ${String(mends)} repairs; ` +
         `acknowledged p50 ${String(quantile(acks, 0.5))} p99 ${String(quantile(acks, 0.99))} ms over ${String(acks.length)} writes`,
     )
   }
