A dispatcher that restarts within its licence no longer takes its old tenure up

Change: the duty row names the life of the machine that won it; a later life does not hold it, so it falls vacant and is won under a new tenure. Excluded: vacating at the start by index alone, since an entry may be applied before this machine's own disk has it.

--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -502,9 +502,14 @@
 
   // The duty.
 
+  /** This life of this machine: a duty won in an earlier one is not taken up again, for its orders are forgotten. */
+  get #life(): string {
+    return `${this.agreement.identity}/${String(this.#nonce)}`
+  }
+
   #duty(nowMs: number): void {
     const duty = this.register.duty(dispatcherDuty)
-    const mine = duty?.holder === this.#plan.name && duty.address === this.agreement.identity
+    const mine = duty?.holder === this.#plan.name && duty.address === this.#life
     if (mine && this.#dispatcher?.tenure !== duty.tenure) {
       this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, duty.vacancy === 0, this.#plan.policy, nowMs)
       this.#dutySureMs = -Infinity
@@ -534,7 +539,7 @@
   }
 
   #win(vacancy: number, nowMs: number): void {
-    this.#propose({ kind: 'duty', duty: dispatcherDuty, vacancy, holder: this.#plan.name, address: this.agreement.identity }, nowMs)
+    this.#propose({ kind: 'duty', duty: dispatcherDuty, vacancy, holder: this.#plan.name, address: this.#life }, nowMs)
   }
 
   #dispatch(hour: number, nowMs: number): void {
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -302,4 +302,15 @@
   'a hail that crosses the answer to another does not keep an empty core from being founded': () => {
     strictEqual(runSimulation({ ...base(11, []), quietMs: 9000 }).broken.join(), '')
   },
+  'a dispatcher that dies and is back before its duty falls vacant takes up no forgotten orders': () => {
+    const storm = [
+      { name: 'kill-dispatcher', fromMs: 2000, lastsMs: 300 },
+      { name: 'rare-rush', fromMs: 5000, lastsMs: 500 },
+    ]
+    for (const seed of [1, 2]) {
+      const orders = runSimulation({ ...base(seed, []), quietMs: 9000, storm }).sightings.filter((one) => one.kind === 'ordered')
+      strictEqual(orders.length > 10, true)
+      strictEqual(orders.filter((one) => !one.taken).length, 0)
+    }
+  },
 })
