--- a/src/gauge/Charter.ts
+++ b/src/gauge/Charter.ts
@@ -6,6 +6,7 @@
  */
 import { Either, Left, Right } from 'purify-ts'
 import { z } from 'zod'
+import { sampleDefaults } from './sampleDefaults.js'
 import { proof } from './proof.js'
 import { deepStrictEqual, strictEqual } from 'node:assert'
 
@@ -114,16 +115,7 @@
 
 proof(import.meta.url, {
   'dangling names, doubles and a model too large are all told at once': () => {
-    const defaults = {
-      dueMs: 1000,
-      bodyLimitBytes: 10,
-      retryRatio: 0.2,
-      retryAllowance: 4,
-      coldLimit: 2,
-      warmMs: 0,
-      serverLimit: 8,
-      intent: { weight: 1, coldStartCost: 1, hours: [] },
-    }
+    const defaults = sampleDefaults
     const tree = {
       defaults,
       partners: {
@@ -150,16 +142,7 @@
   },
   'limits are inherited leaf by leaf': () => {
     const charter = Charter.check({
-      defaults: {
-        dueMs: 1000,
-        bodyLimitBytes: 10,
-        retryRatio: 0.2,
-        retryAllowance: 4,
-        coldLimit: 2,
-        warmMs: 0,
-        serverLimit: 8,
-        intent: { weight: 1, coldStartCost: 1, hours: [] },
-      },
+      defaults: sampleDefaults,
       partners: { c: { limits: { dueMs: 50, intent: { weight: 3 } } } },
       fleet: { servers: {}, storePaceMbPerS: 1, storeBurstMb: 99 },
     })
--- a/src/gauge/Terms.ts
+++ b/src/gauge/Terms.ts
@@ -4,6 +4,7 @@
  */
 import { deepStrictEqual } from 'node:assert'
 import { Charter } from './Charter.js'
+import { sampleDefaults } from './sampleDefaults.js'
 import { proof } from './proof.js'
 
 export interface Terms {
@@ -33,16 +34,7 @@
 proof(import.meta.url, {
   'each service and model has its own, inherited leaf by leaf': () => {
     const tree = Charter.check({
-      defaults: {
-        dueMs: 1000,
-        bodyLimitBytes: 10,
-        retryRatio: 0.2,
-        retryAllowance: 4,
-        coldLimit: 2,
-        warmMs: 0,
-        serverLimit: 8,
-        intent: { weight: 1, coldStartCost: 1, hours: [] },
-      },
+      defaults: sampleDefaults,
       partners: { c: { limits: { dueMs: 50 }, models: { one: { sizeMb: 1, adapters: ['a'], limits: { coldLimit: 1 } } } } },
       fleet: { servers: { s: { kind: 'model', roomMb: 9, places: 1 } }, storePaceMbPerS: 1, storeBurstMb: 99 },
     })
--- /dev/null
+++ b/src/gauge/sampleDefaults.ts
@@ -0,0 +1,13 @@
+/**
+ * Defaults of a charter for the proofs at the feet of files.
+ */
+export const sampleDefaults = {
+  dueMs: 1000,
+  bodyLimitBytes: 10,
+  retryRatio: 0.2,
+  retryAllowance: 4,
+  coldLimit: 2,
+  warmMs: 0,
+  serverLimit: 8,
+  intent: { weight: 1, coldStartCost: 1, hours: [] },
+}
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod'
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Charter } from '../gauge/Charter.js'
+import { sampleDefaults } from '../gauge/sampleDefaults.js'
 import { proof } from '../gauge/proof.js'
 import { Tree } from '../gauge/Tree.js'
 import { Command } from './Command.js'
@@ -219,16 +220,7 @@
 }
 
 const tree = {
-  defaults: {
-    dueMs: 1000,
-    bodyLimitBytes: 10,
-    retryRatio: 0.2,
-    retryAllowance: 4,
-    coldLimit: 2,
-    warmMs: 0,
-    serverLimit: 8,
-    intent: { weight: 1, coldStartCost: 1, hours: [] },
-  },
+  defaults: sampleDefaults,
   partners: { g: { models: { one: { sizeMb: 1 } } }, c: {} },
   fleet: { servers: { 'ms-1': { kind: 'model', roomMb: 10, places: 1 } }, storePaceMbPerS: 1, storeBurstMb: 9 },
 }
--- a/src/signalbox/SeatDesk.ts
+++ b/src/signalbox/SeatDesk.ts
@@ -6,6 +6,7 @@
 import { Charter } from '../gauge/Charter.js'
 import { Pace } from '../gauge/Pace.js'
 import { digest } from '../gauge/digest.js'
+import { sampleDefaults } from '../gauge/sampleDefaults.js'
 import { proof } from '../gauge/proof.js'
 import { Terms } from '../gauge/Terms.js'
 import { Copy } from '../interlocking/Copy.js'
@@ -103,16 +104,7 @@
   'a small limit goes to who asks, a big one is half dealt out; nothing is lent for a server no charter names': () => {
     const copy = new Copy()
     const charter = {
-      defaults: {
-        dueMs: 1000,
-        bodyLimitBytes: 10,
-        retryRatio: 0.2,
-        retryAllowance: 10,
-        coldLimit: 2,
-        warmMs: 100,
-        serverLimit: 12,
-        intent: { weight: 1, coldStartCost: 1, hours: [] },
-      },
+      defaults: { ...sampleDefaults, retryAllowance: 10, warmMs: 100, serverLimit: 12 },
       partners: { c: { services: { b: { servers: ['s'], repeatable: true } } } },
       fleet: { servers: { s: { kind: 'service' } }, storePaceMbPerS: 1, storeBurstMb: 99 },
     }
--- a/src/turnout/Platforms.ts
+++ b/src/turnout/Platforms.ts
@@ -8,6 +8,7 @@
 import { Charter } from '../gauge/Charter.js'
 import { Pace } from '../gauge/Pace.js'
 import { PlatformServer } from '../gauge/PlatformServer.js'
+import { sampleDefaults } from '../gauge/sampleDefaults.js'
 import { proof } from '../gauge/proof.js'
 import { Terms } from '../gauge/Terms.js'
 import { BindingRow } from '../interlocking/BindingRow.js'
@@ -233,16 +234,7 @@
 function given(): { platforms: Platforms; copy: Copy; terms: Terms; set: (key: string, value: unknown) => void } {
   const copy = new Copy()
   const tree = Charter.check({
-    defaults: {
-      dueMs: 1000,
-      bodyLimitBytes: 10,
-      retryRatio: 0.2,
-      retryAllowance: 4,
-      coldLimit: 2,
-      warmMs: 100,
-      serverLimit: 8,
-      intent: { weight: 1, coldStartCost: 1, hours: [] },
-    },
+    defaults: { ...sampleDefaults, warmMs: 100 },
     partners: { c: { models: { m: { sizeMb: 1 } } } },
     fleet: { servers: { s: { kind: 'model', roomMb: 9 }, t: { kind: 'model', roomMb: 9 } }, storePaceMbPerS: 1, storeBurstMb: 99 },
   })
