A turnout that stops says so by its health first; callers of the fleet go by it

Change: health 503 and a moment of grace before the listener closes; the fleet's callers use a restarted turnout once it is well.

--- a/src/testtrack/Callers.ts
+++ b/src/testtrack/Callers.ts
@@ -133,8 +133,9 @@
           wokeMs: 0,
           why: text.slice(0, 200),
         })
-    } catch {
-      this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name })
+    } catch (error) {
+      const why = error instanceof Error ? error.message.replace(/\d+\.\d+\.\d+\.\d+:\d+/g, 'a turnout') : String(error)
+      this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name, why })
     } finally {
       this.#underWay -= 1
     }
--- a/src/testtrack/Daemon.ts
+++ b/src/testtrack/Daemon.ts
@@ -24,6 +24,7 @@
   }
 
   async start(): Promise<void> {
+    this.leaving = false
     const file = join(this.#folder, `${this.name}.json`)
     await writeFile(file, JSON.stringify(this.startup, null, 2))
     const log = openSync(join(this.#folder, `${this.name}.log`), 'a')
@@ -55,9 +56,13 @@
     if (this.running) this.#child?.kill(signal)
   }
 
+  /** Stops, or starts, in a planned way: whoever looks at its health goes elsewhere. */
+  leaving = false
+
   async stop(signal: NodeJS.Signals): Promise<void> {
     const child = this.#child
     if (child === undefined || !this.running) return
+    this.leaving = signal === 'SIGTERM'
     const gone = once(child, 'exit')
     child.kill('SIGCONT')
     child.kill(signal)
--- a/src/testtrack/Sighting.ts
+++ b/src/testtrack/Sighting.ts
@@ -27,7 +27,7 @@
       wokeMs: number
       why: string
     }
-  | { kind: 'left'; atMs: number; request: string }
+  | { kind: 'left'; atMs: number; request: string; why: string }
   | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; wokeMs: number }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
   | { kind: 'ordered'; atMs: number; server: string; incarnation: string; tenure: number; number: number; order: string; taken: boolean }
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -423,7 +423,7 @@
       flight.cancelled = true
       flight.end()
     }
-    for (const ask of turnout.asks.values()) this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request })
+    for (const ask of turnout.asks.values()) this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request, why: '' })
     turnout.flights.clear()
     turnout.asks.clear()
   }
@@ -434,7 +434,7 @@
     const ask = turnout?.asks.get(id)
     if (turnout === undefined || ask === undefined) return
     turnout.asks.delete(id)
-    this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request })
+    this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request, why: '' })
     turnout.process.deliver({ kind: 'callerGone', id })
   }
 
--- a/src/testtrack/runFleet.ts
+++ b/src/testtrack/runFleet.ts
@@ -5,6 +5,7 @@
 import { readFile, rm } from 'node:fs/promises'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
+import { request } from 'undici'
 import { z } from 'zod'
 import { clockMs } from '../gauge/clockMs.js'
 import { Callers } from './Callers.js'
@@ -73,6 +74,16 @@
   await lineman?.stop('SIGTERM')
   await lineman?.start()
   await turnout?.start()
+  if (turnout === undefined) return
+  turnout.leaving = true
+  const address = fleet.callerAddresses.get(turnout.name) ?? ''
+  await fleet.until(`${turnout.name} is well`, () =>
+    request(`http://${address}/health`).then(
+      async (reply) => (await reply.body.dump(), reply.statusCode === 200),
+      () => false,
+    ),
+  )
+  turnout.leaving = false
 }
 
 /** Runs a runbook and does by hand whatever it asks for. */
@@ -204,7 +215,7 @@
     const callers = new Callers(
       deployment,
       seed,
-      () => fleet.turnouts.filter((one) => one.running).map((one) => fleet.callerAddresses.get(one.name) ?? ''),
+      () => fleet.turnouts.filter((one) => one.running && !one.leaving).map((one) => fleet.callerAddresses.get(one.name) ?? ''),
       (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.allows(model, adapter, clockMs())),
       fleet.see,
     )
@@ -277,7 +288,8 @@
     for (const one of sightings)
       if (one.kind === 'turnedAway')
         reasons.set(`${String(one.status)} ${String(one.verdict)}`, (reasons.get(`${String(one.status)} ${String(one.verdict)}`) ?? 0) + 1)
-    for (const [reason, times] of reasons) say(`  turned away ${reason}: ${String(times)}`)
+    for (const one of sightings) if (one.kind === 'left') reasons.set(`left: ${one.why}`, (reasons.get(`left: ${one.why}`) ?? 0) + 1)
+    for (const [reason, times] of reasons) say(`  no whole answer, ${reason}: ${String(times)}`)
     const waits = [...callers.waits.values()].flat()
     const loads = sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
     const mb = sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
--- a/src/turnout/CallersDesk.ts
+++ b/src/turnout/CallersDesk.ts
@@ -5,6 +5,7 @@
  */
 import 'reflect-metadata'
 import type { Server, ServerResponse } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
 import { App, type Request } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
 import type { Dispatcher } from 'undici'
@@ -64,7 +65,7 @@
     }))
     watchRoutes(app, meters, () => {
       const current = task.machine.current(performance.now())
-      return { well: current, name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting }
+      return { well: current && !this.#draining, name: startup.name, current, stamp: task.machine.copy.stamp, waiting: task.waiting }
     })
     app.all('/v1/*', (request, response) => this.#serve(request, response))
     this.#app = app
@@ -77,12 +78,16 @@
     return address
   }
 
-  /** Takes no further callers, sends those that are here elsewhere after their answers, and waits for the last. */
+  /**
+   * Tells by its health that it stops, and for a moment still takes who comes, so that nobody who looks at it is refused;
+   * then takes no further callers, sends those that are here elsewhere after their answers, and waits for the last.
+   */
   async drain(): Promise<void> {
     const server = this.#server
     if (server === undefined) return
     this.#draining = true
     for (const response of this.#open) lastOf(response)
+    await pause(this.#task.pace.hailMs)
     const closed = new Promise<void>((resolve) => {
       server.close(() => {
         resolve()
