--- a/src/interlocking/Agreement.ts
+++ b/src/interlocking/Agreement.ts
@@ -35,7 +35,6 @@
   commit = 0
   leader = ''
   phase: 'follower' | 'prospect' | 'candidate' | 'leader' = 'follower'
-  leadingSinceMs = 0
   /** How long a write took to be synced of late. */
   syncMs = 0
   readonly #pace: Pace
@@ -362,7 +361,6 @@
     } else if (this.phase === 'candidate') {
       this.phase = 'leader'
       this.leader = this.identity
-      this.leadingSinceMs = nowMs
       this.#sureMs = -Infinity
       this.#roundSentMs.clear()
       this.#replicas = new Map(this.#members.map((one) => [one.identity, { next: this.lastIndex + 1, match: 0, round: 0, heardMs: nowMs }]))
--- a/src/signalbox/SeatDesk.ts
+++ b/src/signalbox/SeatDesk.ts
@@ -3,12 +3,11 @@
  * tokens for further tries. The pools follow the charter in force.
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import { Charter } from '../gauge/Charter.js'
 import { Pace } from '../gauge/Pace.js'
 import { digest } from '../gauge/digest.js'
 import { sampleDefaults } from '../gauge/sampleDefaults.js'
 import { proof } from '../gauge/proof.js'
-import { Terms } from '../gauge/Terms.js'
+import { CharterReader } from '../interlocking/CharterReader.js'
 import { Copy } from '../interlocking/Copy.js'
 import { Licences } from '../interlocking/Licences.js'
 import { Retries } from '../interlocking/Retries.js'
@@ -23,9 +22,7 @@
   readonly #pace: Pace
   readonly #shares: Shares
   readonly #retries: Retries
-  #charterStamp = -1
-  #charter: Charter | undefined
-  #terms = new Map<string, Terms>()
+  readonly #reader = new CharterReader()
   #seats = 0
 
   constructor(pace: Pace) {
@@ -43,7 +40,8 @@
 
   /** The licence for a renewal; a seat that may not have one is lent nothing. */
   renew(renew: Renew, fromAddress: string, copy: Copy, platformAgeMs: number, nowMs: number): Licence {
-    this.#follow(copy)
+    this.#reader.follow(copy)
+    this.#seats = copy.under('seat/').length
     const granted = this.licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
     const alive = this.licences.seats
       .filter(([seat]) => this.licences.alive(seat, nowMs))
@@ -62,11 +60,11 @@
     }
     if (!granted) return { ...licence, forMs: 0, serial: 0, shares: [], again: [] }
     for (const { key, count } of renew.firsts) {
-      const limits = this.#terms.get(key)?.limits
+      const limits = this.#reader.terms.get(key)?.limits
       if (limits !== undefined) this.#retries.earn(key, count, limits.retryRatio, limits.retryAllowance, nowMs)
     }
     const again = renew.again.filter(({ id, key }) => {
-      const limits = this.#terms.get(key)?.limits
+      const limits = this.#reader.terms.get(key)?.limits
       return limits !== undefined && this.#retries.give(id, key, limits.retryAllowance, nowMs)
     })
     const lent = this.#shares.renew(renew.seat, renew.asks, renew.echo, (key) => this.#pool(key), nowMs)
@@ -78,23 +76,11 @@
     return this.#shares.exhausted((key) => this.#pool(key))
   }
 
-  #follow(copy: Copy): void {
-    this.#seats = copy.under('seat/').length
-    const stamp = copy.stampOf('charter')
-    if (stamp === this.#charterStamp) return
-    this.#charterStamp = stamp
-    this.#charter =
-      Charter.check(JSON.parse(copy.get('charter') ?? 'null'))
-        .toMaybe()
-        .extractNullable() ?? undefined
-    this.#terms = this.#charter === undefined ? new Map<string, Terms>() : Terms.of(this.#charter)
-  }
-
   /** What of a limit is there to lend: what the even parts leave. */
   #pool(key: string): number {
     const [kind, server = ''] = key.split('/')
-    if (this.#charter?.fleet.servers[server] === undefined) return 0
-    const { coldLimit, serverLimit } = this.#charter.defaults
+    if (this.#reader.charter?.fleet.servers[server] === undefined) return 0
+    const { coldLimit, serverLimit } = this.#reader.charter.defaults
     const limit = kind === 'cold' ? Math.min(coldLimit, serverLimit) : serverLimit
     return limit - this.#seats * Shares.even(limit, this.#seats)
   }
--- a/src/testtrack/linear.ts
+++ b/src/testtrack/linear.ts
@@ -37,7 +37,7 @@
         defects.push(`${operation} took effect at ${String(before)}, though it named ${String(write.ifMatch)}`)
       content = carryOut(content, write, wholes)
       if (whole === undefined) defects.push(`stamp ${String(stamp)} cannot be read back`)
-      else if (!same(content, whole)) defects.push(`stamp ${String(stamp)} is not what ${operation} makes of ${String(before)}`)
+      else if (content !== whole) defects.push(`stamp ${String(stamp)} is not what ${operation} makes of ${String(before)}`)
     }
     stamps.set(operation, stamp)
     content = whole ?? content
@@ -93,10 +93,6 @@
   return `${JSON.stringify(tree, null, 2)}\n`
 }
 
-function same(one: string | undefined, other: string): boolean {
-  return one === other
-}
-
 const write = (operation: string, atMs: number, text: string, more: Partial<Of<'wrote'>> = {}): Of<'wrote'> => ({
   kind: 'wrote',
   atMs,
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -65,10 +65,6 @@
     return this.#reasons
   }
 
-  get yards(): readonly Yard[] {
-    return this.#yards.all
-  }
-
   /** Wanted and not to be had anywhere yet: what operators see as out of room. */
   get unmet(): readonly { model: string; adapter: string; why: string }[] {
     return this.#planner.wants
@@ -99,9 +95,7 @@
     if (charter === undefined) return []
     const { storePaceMbPerS, storeBurstMb } = charter.fleet
     return held.flatMap(({ model, adapter }) => {
-      const plan = Object.values(charter.partners)
-        .map((branch) => branch.models[model])
-        .find((one) => one !== undefined)
+      const plan = this.#yards.planOf(model)
       if (plan === undefined) return []
       const certain = this.#nowhere(model, nowMs)
       const neverBeforeMs = certain ? this.#bucket.earliestMs(plan.sizeMb, storePaceMbPerS, storeBurstMb, nowMs) : 0
@@ -291,9 +285,7 @@
       )
       return
     }
-    const model = Object.values(this.#yards.charter?.partners ?? {})
-      .map((branch) => branch.models[plan.model])
-      .find((one) => one !== undefined)
+    const model = this.#yards.planOf(plan.model)
     const fleet = this.#yards.charter?.fleet
     if (model === undefined || fleet === undefined) {
       yard.plan = undefined
--- a/src/timetable/Yards.ts
+++ b/src/timetable/Yards.ts
@@ -2,11 +2,12 @@
  * The dispatcher's table of model servers, and the systems that keep it true: the census of charter and
  * platform, whom to read, who is known well enough to be ordered, and the bindings that reports make.
  */
-import { Charter } from '../gauge/Charter.js'
+import type { Charter } from '../gauge/Charter.js'
 import type { Pace } from '../gauge/Pace.js'
 import { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
 import type { BindingRow } from '../interlocking/BindingRow.js'
+import { CharterReader } from '../interlocking/CharterReader.js'
 import type { Copy } from '../interlocking/Copy.js'
 import type { PartsRow } from '../interlocking/PartsRow.js'
 import type { DispatcherOut } from './DispatcherOut.js'
@@ -16,7 +17,6 @@
 const keptLinks = 128
 
 export class Yards {
-  charter: Charter | undefined
   readonly #pace: Pace
   readonly #tenure: number
   /** No dispatcher was there before, so none of its orders can be under way. */
@@ -25,7 +25,7 @@
   readonly #table = new Map<string, Yard>()
   readonly #published = new Map<string, { value: string; atMs: number }>()
   readonly #partsAtMs = new Map<string, number>()
-  #charterStamp = -1
+  readonly #reader = new CharterReader()
   #copyStamp = -1
 
   constructor(pace: Pace, tenure: number, first: boolean, nowMs: number) {
@@ -35,6 +35,17 @@
     this.#beganMs = nowMs
   }
 
+  get charter(): Charter | undefined {
+    return this.#reader.charter
+  }
+
+  /** What the charter says of a model, whichever partner's it is. */
+  planOf(model: string): Charter['partners'][string]['models'][string] | undefined {
+    return Object.values(this.charter?.partners ?? {})
+      .map((branch) => branch.models[model])
+      .find((one) => one !== undefined)
+  }
+
   get all(): readonly Yard[] {
     return [...this.#table.values()]
   }
@@ -47,14 +58,7 @@
   census(copy: Copy, nowMs: number, joins: (yard: Yard) => void, leaves: (yard: Yard) => void): void {
     if (copy.stamp === this.#copyStamp) return
     this.#copyStamp = copy.stamp
-    const stamp = copy.stampOf('charter')
-    if (stamp !== this.#charterStamp) {
-      this.#charterStamp = stamp
-      this.charter =
-        Charter.check(JSON.parse(copy.get('charter') ?? 'null'))
-          .toMaybe()
-          .extractNullable() ?? undefined
-    }
+    this.#reader.follow(copy)
     const listed = new Map(copy.under('server/').map(([name, value]) => [name, PlatformServer.parse(JSON.parse(value))]))
     for (const [name, plan] of Object.entries(this.charter?.fleet.servers ?? {})) {
       if (plan.kind !== 'model') continue
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/turnout/TurnoutMachine.ts
@@ -4,11 +4,11 @@
  * work starts only while the charter is current. A request is sent again only when it surely did not
  * run, or may be repeated, and never once a byte of a response went to its caller.
  */
-import { Charter } from '../gauge/Charter.js'
 import type { Chance } from '../gauge/Chance.js'
 import type { Pace } from '../gauge/Pace.js'
-import { Terms } from '../gauge/Terms.js'
+import type { Terms } from '../gauge/Terms.js'
 import { Verdict } from '../gauge/Verdict.js'
+import { CharterReader } from '../interlocking/CharterReader.js'
 import { Copy } from '../interlocking/Copy.js'
 import type { Message } from '../telegraph/Message.js'
 import { Phase } from './Phase.js'
@@ -40,9 +40,7 @@
   readonly #outlooks = new Map<string, Outlook>()
   #firsts = new Map<string, number>()
   #asked = ''
-  #charter: Charter | undefined
-  #charterStamp = -1
-  #terms = new Map<string, Terms>()
+  readonly #reader = new CharterReader()
   #effects: TurnoutEffect[] = []
   #permitUntilMs = -Infinity
   #followAtMs = -Infinity
@@ -62,10 +60,6 @@
     return nowMs < this.#permitUntilMs && this.copy.get('charter') !== undefined
   }
 
-  get travellers(): number {
-    return this.#travellers.size
-  }
-
   step(input: TurnoutInput, nowMs: number): TurnoutEffect[] {
     switch (input.kind) {
       case 'tick':
@@ -190,19 +184,13 @@
   #adopted(nowMs: number): void {
     this.#followAtMs = nowMs
     this.#tallyAtMs = Math.min(this.#tallyAtMs, nowMs)
-    const stamp = this.copy.stampOf('charter')
-    if (stamp !== this.#charterStamp) {
-      this.#charterStamp = stamp
-      const text = this.copy.get('charter')
-      this.#charter = text === undefined ? undefined : (Charter.check(JSON.parse(text)).toMaybe().extractNullable() ?? undefined)
-      this.#terms = this.#charter === undefined ? new Map<string, Terms>() : Terms.of(this.#charter)
-    }
-    this.#platforms.adopt(this.copy, this.#charter, this.#plan.seat, nowMs)
+    this.#reader.follow(this.copy)
+    this.#platforms.adopt(this.copy, this.#reader.charter, this.#plan.seat, nowMs)
   }
 
   #arrived(input: Extract<TurnoutInput, { kind: 'arrived' }>, nowMs: number): void {
     const { target } = input
-    const terms = this.#terms.get(`${target.kind} ${target.name}`)
+    const terms = this.#reader.terms.get(`${target.kind} ${target.name}`)
     const traveller: Traveller = {
       id: input.id,
       target,
@@ -278,7 +266,7 @@
   }
 
   #termsOf(traveller: Traveller): Terms | undefined {
-    return this.#terms.get(`${traveller.target.kind} ${traveller.target.name}`)
+    return this.#reader.terms.get(`${traveller.target.kind} ${traveller.target.name}`)
   }
 
   /** Ends what is due, and at once what certainly cannot be served by its due. */
@@ -499,7 +487,7 @@
     for (const { target, phase, server, dueMs } of this.#travellers.values()) {
       if (target.kind !== 'model') continue
       const { name, adapter } = target
-      if (phase === 'held' && this.#terms.has(`model ${name}`)) {
+      if (phase === 'held' && this.#reader.terms.has(`model ${name}`)) {
         const key = `${name}/${adapter}`
         const old = held.get(key) ?? { model: name, adapter, count: 0, dueInMs: Infinity }
         held.set(key, { ...old, count: old.count + 1, dueInMs: Math.min(old.dueInMs, dueMs - nowMs) })
