--- a/src/gauge/Order.ts
+++ b/src/gauge/Order.ts
@@ -1,6 +1,7 @@
 /**
  * An order to a model server. Tenure and number together name it: a server that can check turns away
- * an older tenure, and takes a number that it has seen for the same order again.
+ * an older tenure, and takes a number that it has seen for the same order again. To a server that counts
+ * its orders, `expected` says how many it had taken when this one was decided on.
  */
 import { z } from 'zod'
 
@@ -11,5 +12,6 @@
   model: z.string(),
   adapter: z.string(),
   sizeMb: z.number(),
+  expected: z.number().optional(),
 })
 export type Order = z.infer<typeof Order>
--- a/src/gauge/Pace.ts
+++ b/src/gauge/Pace.ts
@@ -33,6 +33,10 @@
   recoverMs: number
   parentSilentMs: number
   frozenMs: number
+  /** The longest that a network's write waits for machines that have not adopted it. */
+  deliverMs: number
+  /** A core machine that has been silent for so long is given up. */
+  memberGoneMs: number
 }
 
 export function Pace(bounds: Bounds): Pace {
@@ -63,5 +67,7 @@
     recoverMs: bounds.recoverMs,
     parentSilentMs: 0.3 * licenceMs,
     frozenMs: 0.4 * licenceMs,
+    deliverMs: 0.4 * bounds.charterMs,
+    memberGoneMs: 0.67 * bounds.recoverMs,
   }
 }
--- a/src/gauge/Report.ts
+++ b/src/gauge/Report.ts
@@ -1,6 +1,7 @@
 /**
  * What a model server says that it holds: which weights and adapters, in which state, how many
  * streams use each, and the last order it took. `madeMs` is the server's own clock since its start.
+ * A server that counts its orders instead of naming the last one gives `sequence` and `busy`.
  */
 import { z } from 'zod'
 
@@ -17,5 +18,11 @@
   ),
   order: z.object({ tenure: z.number(), number: z.number(), state: z.enum(['running', 'done', 'defect']) }).optional(),
   parts: z.array(z.object({ model: z.string(), chain: z.string() })).default([]),
+  /** Orders that this life of the server has taken. */
+  sequence: z.number().optional(),
+  /** An order is being carried out. */
+  busy: z.boolean().optional(),
+  running: z.number().optional(),
+  queued: z.number().optional(),
 })
 export type Report = z.infer<typeof Report>
--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -26,7 +26,9 @@
   seeds,
   operators: Address,
   data: z.string().min(1),
-  seats: z.array(Name).min(1).max(9),
+  /** Empty for a network, whose core is whoever joins; only with `bootstrap` may this machine then found one. */
+  seats: z.array(Name).max(9).default([]),
+  bootstrap: z.boolean().default(false),
   platform: Address.optional(),
   system: z.string().default(''),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
--- a/src/interlocking/Command.ts
+++ b/src/interlocking/Command.ts
@@ -20,6 +20,15 @@
   kind('vacate', { duty: z.string(), tenure: z.number() }),
   kind('dispatch', { tenure: z.number(), rows: z.array(z.object({ key: z.string(), gone: z.boolean(), value: z.string() })) }),
   kind('found', { system: z.string(), again: z.boolean() }),
+  // `operation` names what is written, `proposal` the one request that asks for it.
+  kind('network', {
+    operation: z.string(),
+    proposal: z.string(),
+    action: z.enum(['put', 'patch']),
+    text: z.string(),
+    ifMatch: z.number(),
+  }),
+  kind('zone', { zone: z.string(), emptied: z.boolean(), proposal: z.string() }),
 ] as const
 
 export const Command = new Codec<Command>(z.discriminatedUnion('kind', options), options)
--- a/src/interlocking/Licences.ts
+++ b/src/interlocking/Licences.ts
@@ -16,6 +16,7 @@
   heardMs: number
 }
 const margin = 1.1
+const forgetAfter = 10
 
 export class Licences {
   readonly #pace: Pace
@@ -62,6 +63,18 @@
     return granted
   }
 
+  /** Forgets seats that are long gone, where they come and go. */
+  forget(nowMs: number): void {
+    for (const [seat, held] of this.#held) if (nowMs - held.heardMs > forgetAfter * this.#pace.licenceMs) this.#held.delete(seat)
+  }
+
+  /** True once every seat whose licence may be alive works by this stamp, or has been waited for long enough. */
+  adopted(stamp: number, sinceMs: number, nowMs: number): boolean {
+    if (nowMs - sinceMs >= this.#pace.deliverMs) return true
+    if (nowMs <= this.#graceUntilMs) return false
+    return [...this.#held].every(([seat, held]) => held.adopted >= stamp || this.#surelyLost(seat, nowMs))
+  }
+
   #surelyLost(seat: string, nowMs: number): boolean {
     const held = this.#held.get(seat)
     return nowMs > this.#graceUntilMs && (held === undefined || nowMs - held.grantedMs > margin * this.#pace.licenceMs)
--- a/src/interlocking/Register.ts
+++ b/src/interlocking/Register.ts
@@ -1,11 +1,12 @@
 /**
  * What the agreed log adds up to: the shared table, the charter with the texts that made it, and the
- * outcome of each operation. Applying is deterministic, so that every replica comes to the same
+ * outcome of each operation, and the network that stands in the table as rows. Applying is deterministic, so that every replica comes to the same
  * state; whether a write is proper is judged here, in log order, and nowhere else.
  */
 import { z } from 'zod'
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Charter } from '../gauge/Charter.js'
+import { Network } from '../gauge/Network.js'
 import { sampleDefaults } from '../gauge/sampleDefaults.js'
 import { proof } from '../gauge/proof.js'
 import { Tree } from '../gauge/Tree.js'
@@ -28,6 +29,7 @@
   stamp: z.number(),
   texts: z.array(Text),
   outcomes: z.array(z.tuple([z.string(), Outcome])),
+  network: z.string().default(''),
 })
 const keptTexts = { least: 64, most: 4096, bytes: 24_000_000 }
 const keptOutcomes = 4096
@@ -37,6 +39,7 @@
   #texts: z.infer<typeof Text>[] = []
   #textBytes = 0
   readonly #outcomes = new Map<string, Outcome>()
+  #network: Network | undefined
 
   static restore(state: Uint8Array): Register {
     const read = State.parse(JSON.parse(Buffer.from(state).toString()))
@@ -45,6 +48,14 @@
     register.#texts = read.texts
     register.#textBytes = read.texts.reduce((sum, one) => sum + one.text.length + one.whole.length, 0)
     for (const [operation, outcome] of read.outcomes) register.#outcomes.set(operation, outcome)
+    if (read.network !== '') {
+      register.#network = Network.check(JSON.parse(read.network), 0).caseOf<Network>({
+        Left: (errors) => {
+          throw new Error(`the saved network is none that this program knows: ${errors.join('; ')}`)
+        },
+        Right: (network) => network,
+      })
+    }
     return register
   }
 
@@ -54,6 +65,7 @@
       stamp: this.copy.stamp,
       texts: this.#texts,
       outcomes: [...this.#outcomes],
+      network: this.#network === undefined ? '' : JSON.stringify(this.#network),
     }
     return Buffer.from(JSON.stringify(state))
   }
@@ -62,6 +74,10 @@
     return this.copy.stampOf('charter')
   }
 
+  get network(): Network | undefined {
+    return this.#network
+  }
+
   get texts(): readonly z.infer<typeof Text>[] {
     return this.#texts
   }
@@ -156,6 +172,20 @@
           this.copy.set({ key: 'system', stamp: index, gone: false, value: command.system })
         break
       }
+      case 'network': {
+        if (this.#outcomes.has(command.operation) || this.#outcomes.has(command.proposal)) break
+        const outcome = this.#applyNetwork(index, command)
+        this.#settle(outcome.status === 200 ? command.operation : command.proposal, outcome)
+        break
+      }
+      case 'zone': {
+        if (this.#outcomes.has(command.proposal)) break
+        const key = `zone/${command.zone}`
+        if ((this.copy.get(key) !== undefined) !== command.emptied)
+          this.copy.set({ key, stamp: index, gone: !command.emptied, value: command.emptied ? '{"emptied":true}' : '' })
+        this.#settle(command.proposal, { status: 200, stamp: this.copy.stampOf(key), errors: [] })
+        break
+      }
       case 'dispatch': {
         if (this.duty('dispatcher')?.tenure !== command.tenure) break
         for (const row of command.rows) this.copy.set({ ...row, stamp: index })
@@ -203,6 +233,40 @@
     })
   }
 
+  #applyNetwork(index: number, command: Extract<Command, { kind: 'network' }>): Outcome {
+    const stamp = this.copy.stampOf('network')
+    const base = this.#network
+    const current = base?.revision ?? 0
+    if (command.ifMatch >= 0 && command.ifMatch !== current)
+      return { status: 412, stamp, errors: [`the network is at revision ${String(current)}, not ${String(command.ifMatch)}`] }
+    const sent = Tree.read(command.text)
+    if (sent === undefined) return { status: 422, stamp, errors: ['network: not JSON'] }
+    if (command.action === 'patch' && base === undefined) return { status: 422, stamp, errors: ['network: there is none to change yet'] }
+    const made = command.action === 'patch' && base !== undefined ? Network.patched(base, sent) : Network.check(sent, current)
+    return made.caseOf<Outcome>({
+      Left: (errors) => ({ status: 422, stamp, errors }),
+      Right: (network) => {
+        const { revision, limits, more } = network
+        this.#network = network
+        this.copy.set({ key: 'network', stamp: index, gone: false, value: JSON.stringify({ revision, limits, more }) })
+        this.#derive(index, 'route/', network.routes)
+        this.#derive(index, 'service/', network.services)
+        return { status: 200, stamp: index, errors: [] }
+      },
+    })
+  }
+
+  /** Sets the rows of named items that changed, and takes away those that are no more. */
+  #derive(index: number, prefix: string, items: readonly { name: string }[]): void {
+    const wanted = new Map(items.map((item) => [item.name, JSON.stringify(item)]))
+    for (const [name, value] of wanted) {
+      if (this.copy.get(prefix + name) !== value) this.copy.set({ key: prefix + name, stamp: index, gone: false, value })
+    }
+    for (const [name] of this.copy.under(prefix)) {
+      if (!wanted.has(name)) this.copy.set({ key: prefix + name, stamp: index, gone: true, value: '' })
+    }
+  }
+
   #applyPlatform(index: number, servers: string): void {
     const listed = new Map(
       z
--- a/src/interlocking/Roster.ts
+++ b/src/interlocking/Roster.ts
@@ -21,7 +21,7 @@
 
 export class Roster {
   readonly #self: string
-  readonly #seeds: readonly string[]
+  #seeds: readonly string[]
   readonly #staleMs: number
   readonly #peers = new Map<string, Peer>()
   #turn = 0
@@ -32,6 +32,11 @@
     this.#staleMs = staleMs
   }
 
+  /** Other seeds take the place of the old ones; whoever was learned of through those stays. */
+  reseed(seeds: readonly string[]): void {
+    this.#seeds = seeds
+  }
+
   /** The life that a process is in, by the number that it draws at its start. */
   readonly lives = new Map<string, number>()
 
--- /dev/null
+++ b/src/junction/JunctionInput.ts
@@ -0,0 +1,18 @@
+/**
+ * What a junction's machine is told. `defect` says what is known of the attempt that ended; `status` is a
+ * whole answer's, of which nothing has gone to the caller yet.
+ */
+import type { Verdict } from '../gauge/Verdict.js'
+import type { Arrival } from '../sidings/RouteWire.js'
+
+export type JunctionInput =
+  | { kind: 'tick' }
+  | { kind: 'adopted' }
+  | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
+  | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival; bodyBytes: number }
+  | { kind: 'sent'; id: string; attempt: number }
+  | { kind: 'head'; id: string; attempt: number; status: number; notRun: boolean }
+  | { kind: 'event'; id: string; attempt: number; event: string | undefined }
+  | { kind: 'ended'; id: string; attempt: number }
+  | { kind: 'defect'; id: string; attempt: number; verdict: Verdict; why: string }
+  | { kind: 'callerGone'; id: string }
--- /dev/null
+++ b/src/junction/JunctionMachine.test.ts
@@ -0,0 +1,220 @@
+import { deepStrictEqual, ok, strictEqual } from 'node:assert'
+import { test } from 'node:test'
+import { Chance } from '../gauge/Chance.js'
+import { Verdict } from '../gauge/Verdict.js'
+import { Copy } from '../interlocking/Copy.js'
+import type { JunctionEffect } from './JunctionEffect.js'
+import type { JunctionInput } from './JunctionInput.js'
+import { JunctionMachine } from './JunctionMachine.js'
+
+interface Given {
+  machine: JunctionMachine
+  set: (key: string, value: unknown) => void
+  drop: (key: string) => void
+  step: (input: JunctionInput) => JunctionEffect[]
+  arrive: (id: string, path: string, more?: { model?: string; adapter?: string; dueInMs?: number; resumeAfter?: string }) => JunctionEffect[]
+  pass: (ms: number) => JunctionEffect[]
+}
+
+const plan = {
+  name: 'j-1',
+  zone: 'a',
+  retryRatio: 0.2,
+  retryAllowance: 50,
+  retryWindowMs: 10_000,
+  suspectMs: 1400,
+  refillMs: 2000,
+  tallyMs: 250,
+}
+
+function given(more: Partial<typeof plan> = {}): Given {
+  const copy = new Copy()
+  const machine = new JunctionMachine({ ...plan, ...more }, copy, new Chance(1))
+  machine.servers.members = ['j-1', 'j-2']
+  let nowMs = 1000
+  const step = (input: JunctionInput) => machine.step(input, nowMs)
+  const put = (key: string, gone: boolean, value: string) => {
+    copy.set({ key, stamp: copy.stamp + 1, gone, value })
+    step({ kind: 'adopted' })
+  }
+  const set = (key: string, value: unknown) => {
+    put(key, false, JSON.stringify(value))
+  }
+  const route = (name: string, prefix: string, kind: string, service: string, extra: object = {}) => {
+    set(`route/${name}`, {
+      name,
+      host: 'h.example',
+      prefix,
+      kind,
+      timeoutMs: 5000,
+      aimMs: 500,
+      attempts: 2,
+      services: [{ service, weight: 1 }],
+      ...extra,
+    })
+  }
+  set('service/app', { name: 'app', connections: 100 })
+  set('service/llm', {
+    name: 'llm',
+    connections: 100,
+    batch: { capacity: 8, cacheTokens: 1000, roomMb: 100, adapterPlaces: 2, loadsPerS: 5, models: [] },
+  })
+  route('once', '/once/', 'once', 'app')
+  route('often', '/often/', 'repeatable', 'app')
+  route('stream', '/stream/', 'stream', 'llm', { resumable: true, gapMs: 600 })
+  route('single', '/single/', 'stream', 'llm')
+  for (const [at, zone] of ['a', 'b'].entries()) {
+    set(`server/app-${String(at)}`, { name: `app-${String(at)}`, address: `10.0.0.${String(at + 1)}:1`, zone, service: 'app', capacity: 4 })
+    set(`server/llm-${String(at)}`, { name: `llm-${String(at)}`, address: `10.0.1.${String(at + 1)}:1`, zone, service: 'llm', capacity: 8 })
+    set(`binding/llm-${String(at)}`, { incarnation: `llm-${String(at)}`, models: ['llm:m'], adapters: ['llm:m/a1'] })
+  }
+  return {
+    machine,
+    set,
+    drop: (key) => {
+      put(key, true, '')
+    },
+    step,
+    arrive: (id, path, { model = '', adapter = '', dueInMs = 4000, resumeAfter } = {}) =>
+      step({
+        kind: 'arrived',
+        id,
+        host: 'h.example',
+        path,
+        bodyBytes: 10,
+        arrival: { id: `r-${id}`, dueInMs, resumeAfter, model, adapter, promptTokens: 10, outputTokens: 10, parts: [] },
+      }),
+    pass: (ms) => {
+      const effects: JunctionEffect[] = []
+      for (let left = ms; left > 0; left -= 20) {
+        nowMs += Math.min(20, left)
+        effects.push(...step({ kind: 'tick' }))
+      }
+      return effects
+    },
+  }
+}
+
+const only = <K extends JunctionEffect['kind']>(effects: JunctionEffect[], kind: K) =>
+  effects.filter((one): one is Extract<JunctionEffect, { kind: K }> => one.kind === kind)
+
+test('a request that may run once is never sent a second time after it may have run', () => {
+  const { arrive, step } = given()
+  const [first] = only(arrive('1', '/once/x'), 'attempt')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  const after = step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
+  strictEqual(first?.attempt, 1)
+  strictEqual(only(after, 'attempt').length, 0)
+  strictEqual(only(after, 'turnAway')[0]?.status, 502)
+})
+
+test('a request that surely did not run goes to another server, and is refused as not run when none is left', () => {
+  const { arrive, step } = given()
+  const [first] = only(arrive('1', '/once/x'), 'attempt')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  const [second] = only(step({ kind: 'head', id: '1', attempt: 1, status: 503, notRun: true }), 'attempt')
+  ok(second !== undefined && second.server !== first?.server)
+  step({ kind: 'sent', id: '1', attempt: 2 })
+  const end = only(step({ kind: 'head', id: '1', attempt: 2, status: 503, notRun: true }), 'turnAway')
+  strictEqual(end[0]?.status, 503)
+  ok((end[0]?.comeBackMs ?? 0) > 0)
+})
+
+test('a repeatable request goes on after a silence, and never beyond its attempts', () => {
+  const { arrive, step, pass } = given()
+  arrive('1', '/often/x')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  const second = only(pass(400), 'attempt')
+  strictEqual(second.length, 1)
+  step({ kind: 'sent', id: '1', attempt: 2 })
+  strictEqual(only(pass(1000), 'attempt').length, 0)
+})
+
+test('a stream that may be resumed goes on after the last event passed on; another is broken off', () => {
+  const { arrive, step } = given()
+  arrive('1', '/stream/x', { model: 'm' })
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '1', attempt: 1, event: '4' })
+  const [next] = only(step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' }), 'attempt')
+  strictEqual(next?.resumeAfter, '4')
+  arrive('2', '/single/x', { model: 'm' })
+  step({ kind: 'sent', id: '2', attempt: 1 })
+  step({ kind: 'head', id: '2', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '2', attempt: 1, event: '4' })
+  const end = step({ kind: 'defect', id: '2', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
+  strictEqual(only(end, 'breakOff').length, 1)
+  strictEqual(only(end, 'attempt').length, 0)
+})
+
+test('a request for a model that nobody holds is told at once, waits, and goes when a binding comes', () => {
+  const { arrive, set, machine } = given()
+  const told = only(arrive('1', '/stream/x', { model: 'rare' }), 'tell')
+  deepStrictEqual(told[0]?.message.held.map((one) => one.model), ['llm:rare'])
+  strictEqual(machine.held, 1)
+  set('binding/llm-0', { incarnation: 'llm-0', models: ['llm:m', 'llm:rare'], adapters: [] })
+  strictEqual(machine.held, 0)
+})
+
+test('what nobody will hold in time is given up before half of the time that it had, as not run', () => {
+  const { arrive, pass } = given()
+  arrive('1', '/stream/x', { model: 'rare', dueInMs: 4000 })
+  strictEqual(only(pass(1000), 'turnAway').length, 0)
+  strictEqual(only(pass(1000), 'turnAway')[0]?.status, 503)
+})
+
+test('nothing goes to a draining server, to an emptied zone or to a barred server', () => {
+  const { arrive, set, machine } = given()
+  set('server/app-0', { name: 'app-0', address: '10.0.0.1:1', zone: 'a', service: 'app', capacity: 4, draining: true })
+  for (let at = 0; at < 4; at++) strictEqual(only(arrive(`d${String(at)}`, '/often/x'), 'attempt')[0]?.server, 'app-1')
+  set('zone/b', { emptied: true })
+  strictEqual(only(arrive('z', '/often/x'), 'attempt').length, 0)
+  strictEqual(only(arrive('m', '/stream/x', { model: 'm' }), 'attempt')[0]?.server, 'llm-0')
+  machine.servers.barred = new Set(['llm-0'])
+  strictEqual(only(arrive('n', '/stream/x', { model: 'm' }), 'attempt').length, 0)
+})
+
+test('a held request follows the network in force, not the one that it arrived under', () => {
+  const { arrive, drop, step } = given()
+  arrive('1', '/stream/x', { model: 'rare' })
+  drop('route/stream')
+  const after = step({ kind: 'tick' })
+  strictEqual(only(after, 'turnAway').length, 0)
+  strictEqual(only(arrive('2', '/stream/x', { model: 'rare' }), 'turnAway')[0]?.status, 404)
+})
+
+test('a cold server gets no more in a second than its bound over all junctions', () => {
+  const { arrive, set, pass, step } = given()
+  set('service/app', { name: 'app', connections: 1000, coldPerS: 20, warmMs: 3000 })
+  for (const at of [0, 1])
+    set(`server/app-${String(at)}`, { name: `app-${String(at)}`, address: `10.0.0.${String(at + 1)}:1`, zone: 'a', service: 'app', capacity: 400, cold: true })
+  let sent = 0
+  for (let at = 0; at < 100; at++) {
+    const id = String(at)
+    sent += only(arrive(id, '/once/x'), 'attempt').length
+    step({ kind: 'sent', id, attempt: 1 })
+    sent += only(pass(10), 'attempt').length
+  }
+  ok(sent <= 2 * (20 / 2 + 1), `sent ${String(sent)}`)
+  ok(sent >= 4)
+})
+
+test('further tries stay within the budget', () => {
+  const { arrive, step } = given({ retryAllowance: 10 })
+  let again = 0
+  for (let at = 0; at < 40; at++) {
+    const id = String(at)
+    if (only(arrive(id, '/often/x'), 'attempt').length === 0) continue
+    step({ kind: 'sent', id, attempt: 1 })
+    again += only(step({ kind: 'defect', id, attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' }), 'attempt').length
+  }
+  ok(again <= 5 + 0.2 * 40, `again ${String(again)}`)
+})
+
+test('an answer to an attempt that was left is not heard', () => {
+  const { arrive, step } = given()
+  arrive('1', '/often/x')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
+  deepStrictEqual(step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false }), [])
+})
--- /dev/null
+++ b/src/junction/JunctionMachine.ts
@@ -0,0 +1,461 @@
+/**
+ * A junction as one pure machine: it takes requests on the routes of the network in force and brings each
+ * to a server, within its attempts, its due and the budget for further tries. A request is sent again only
+ * when it surely did not run or may be repeated, and never once a byte of an answer went to its caller,
+ * but for a stream that may be resumed, which goes on after the last event passed on. A request waits only
+ * for what is expected in time; one that is given up gets its final answer at once.
+ */
+import type { Chance } from '../gauge/Chance.js'
+import { Verdict } from '../gauge/Verdict.js'
+import type { Copy } from '../interlocking/Copy.js'
+import type { JunctionEffect } from './JunctionEffect.js'
+import type { JunctionInput } from './JunctionInput.js'
+import { Passage } from './Passage.js'
+import { RouteTable } from './RouteTable.js'
+import type { Server } from './Server.js'
+import { ServerTable } from './ServerTable.js'
+import { TryBudget } from './TryBudget.js'
+
+interface Plan {
+  name: string
+  zone: string
+  retryRatio: number
+  retryAllowance: number
+  retryWindowMs: number
+  suspectMs: number
+  refillMs: number
+  tallyMs: number
+}
+type Attempted = Exclude<JunctionInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
+
+const defaultDueMs = 30_000
+/** Ratios of a request's aim or of the time that it has. */
+const holdRatio = 0.45
+const roomRatio = 0.2
+const connectRatio = 0.5
+const silentRatio = 0.7
+const gapRatio = 0.75
+
+export class JunctionMachine {
+  readonly copy: Copy
+  readonly servers: ServerTable
+  readonly routes = new RouteTable()
+  readonly #plan: Plan
+  readonly #session: string
+  readonly #budget: TryBudget
+  readonly #passages = new Map<string, Passage>()
+  readonly #held = new Set<Passage>()
+  readonly #outlooks = new Map<string, { heardMs: number; readyAtMs: number; neverBeforeMs: number }>()
+  #arrivals = new Map<string, { model: string; adapter: string; count: number; lastMs: number }>()
+  #effects: JunctionEffect[] = []
+  #tallyAtMs = 0
+  #urgent = false
+  #toldEmpty = false
+
+  constructor(plan: Plan, copy: Copy, chance: Chance) {
+    this.#plan = plan
+    this.copy = copy
+    this.servers = new ServerTable(plan, chance)
+    this.#budget = new TryBudget(plan.retryRatio, plan.retryAllowance, plan.retryWindowMs)
+    this.#session = chance.below(4294967296).toString(36)
+  }
+
+  get open(): number {
+    return this.#passages.size
+  }
+
+  get held(): number {
+    return this.#held.size
+  }
+
+  step(input: JunctionInput, nowMs: number): JunctionEffect[] {
+    switch (input.kind) {
+      case 'tick':
+        this.#tick(nowMs)
+        break
+      case 'adopted':
+        this.routes.adopt(this.copy)
+        this.servers.adopt(this.copy, nowMs)
+        this.#bindAll(nowMs)
+        break
+      case 'outlook':
+        for (const one of input.models)
+          this.#outlooks.set(`${one.model}/${one.adapter}`, {
+            heardMs: nowMs,
+            readyAtMs: nowMs + one.readyInMs,
+            neverBeforeMs: nowMs + one.neverBeforeMs,
+          })
+        this.#giveUp(nowMs)
+        break
+      case 'arrived':
+        this.#arrived(input, nowMs)
+        break
+      case 'callerGone':
+        this.#callerGone(input.id)
+        break
+      default:
+        this.#attempted(input, nowMs)
+    }
+    if (this.#urgent) this.#tell(nowMs)
+    const effects = this.#effects
+    this.#effects = []
+    return effects
+  }
+
+  get #members(): number {
+    return Math.max(1, this.servers.members.length)
+  }
+
+  #tick(nowMs: number): void {
+    for (const passage of this.#passages.values()) this.#watch(passage, nowMs)
+    this.#bindAll(nowMs)
+    this.#giveUp(nowMs)
+    if (nowMs >= this.#tallyAtMs) this.#tell(nowMs)
+  }
+
+  #to(passage: Passage, phase: Passage['phase']): void {
+    if (!Passage.allows(passage.phase, phase)) throw new Error(`a request may not go from ${passage.phase} to ${phase}`)
+    passage.phase = phase
+    if (phase === 'held') this.#held.add(passage)
+    else this.#held.delete(passage)
+    if (Passage.final(phase)) this.#passages.delete(passage.id)
+  }
+
+  #arrived(input: Extract<JunctionInput, { kind: 'arrived' }>, nowMs: number): void {
+    const { id, host, path, arrival, bodyBytes } = input
+    const passage: Passage = {
+      id,
+      host,
+      path,
+      arrival,
+      bodyBytes,
+      arrivedMs: nowMs,
+      dueMs: nowMs + (arrival.dueInMs ?? defaultDueMs),
+      phase: 'arrived',
+      route: undefined,
+      service: '',
+      model: '',
+      adapter: '',
+      attempt: 0,
+      server: '',
+      sends: 0,
+      avoid: new Set(),
+      mayHaveRun: false,
+      heldMs: nowMs,
+      boundMs: 0,
+      sentMs: 0,
+      movedMs: nowMs,
+      begun: false,
+      lastEvent: arrival.resumeAfter,
+      lastWhy: '',
+    }
+    this.#passages.set(id, passage)
+    if (!this.#find(passage)) return
+    this.#budget.earn(passage.service, this.#members, nowMs)
+    this.#count(passage, nowMs)
+    this.#bind(passage, nowMs)
+  }
+
+  /** Finds the route and the service by the network in force now; a request without one gets its 404. */
+  #find(passage: Passage): boolean {
+    const route = this.routes.find(passage.host, passage.path)
+    if (route === undefined) {
+      this.#turnAway(passage, 404, undefined, 'no route leads there')
+      return false
+    }
+    passage.route = route
+    passage.service = RouteTable.service(route, passage.arrival.id)
+    passage.dueMs = Math.min(passage.dueMs, passage.arrivedMs + route.timeoutMs)
+    const models = this.servers.service(passage.service)?.batch !== undefined && passage.arrival.model !== ''
+    passage.model = models ? `${passage.service}:${passage.arrival.model}` : ''
+    passage.adapter = models ? passage.arrival.adapter : ''
+    return true
+  }
+
+  #count(passage: Passage, nowMs: number): void {
+    if (passage.model === '') return
+    const key = `${passage.model}/${passage.adapter}`
+    const seen = this.#arrivals.get(key)
+    if (seen === undefined) this.#arrivals.set(key, { model: passage.model, adapter: passage.adapter, count: 1, lastMs: nowMs })
+    else {
+      seen.count += 1
+      seen.lastMs = nowMs
+    }
+  }
+
+  #repeatable(passage: Passage): boolean {
+    return passage.route !== undefined && (passage.route.kind === 'repeatable' || (passage.route.kind === 'stream' && passage.route.resumable))
+  }
+
+  #aimMs(passage: Passage): number {
+    return passage.route?.aimMs ?? 0.25 * (passage.dueMs - passage.arrivedMs)
+  }
+
+  #bindAll(nowMs: number): void {
+    if (this.#held.size === 0) return
+    const waiting = [...this.#held].sort(
+      (a, b) => (a.route?.urgency ?? 5) - (b.route?.urgency ?? 5) || a.arrivedMs + this.#aimMs(a) - (b.arrivedMs + this.#aimMs(b)),
+    )
+    for (const passage of waiting) {
+      if (passage.phase !== 'held' || (!passage.begun && !this.#find(passage))) continue
+      this.#bind(passage, nowMs)
+    }
+  }
+
+  #bind(passage: Passage, nowMs: number): void {
+    const server = nowMs < passage.dueMs ? this.servers.choose(passage, nowMs) : undefined
+    if (server === undefined) {
+      if (passage.phase !== 'held') {
+        this.#to(passage, 'held')
+        passage.heldMs = nowMs
+        if (passage.model !== '' && this.servers.holders(passage).length === 0) this.#urgent = true
+        this.#giveUpOne(passage, nowMs)
+      }
+      return
+    }
+    if (passage.sends > 0 && !this.#budget.take(passage.service, this.#members, nowMs)) {
+      passage.lastWhy = `${passage.lastWhy}; no further try is left in the budget`
+      this.#end(passage, nowMs)
+      return
+    }
+    this.#to(passage, 'connecting')
+    server.flights += 1
+    passage.server = server.name
+    passage.attempt += 1
+    passage.boundMs = nowMs
+    const { route } = passage
+    this.#effects.push({
+      kind: 'attempt',
+      id: passage.id,
+      attempt: passage.attempt,
+      server: server.name,
+      address: server.address,
+      leftMs: passage.dueMs - nowMs,
+      urgency: route?.urgency ?? 5,
+      resumeAfter: passage.lastEvent,
+      model: passage.model !== '',
+      connections: this.servers.connections(server),
+    })
+  }
+
+  #unbind(passage: Passage): Server | undefined {
+    const server = this.servers.get(passage.server)
+    if (server !== undefined) server.flights -= 1
+    passage.server = ''
+    return server
+  }
+
+  #release(passage: Passage): void {
+    if (passage.server === '') return
+    this.#effects.push({ kind: 'release', id: passage.id, attempt: passage.attempt })
+    this.#unbind(passage)
+  }
+
+  /** The final answer, as far as one can be given: a stream that began can only be broken off. */
+  #end(passage: Passage, nowMs: number): void {
+    this.#release(passage)
+    if (passage.begun) {
+      this.#to(passage, 'defected')
+      this.#effects.push({ kind: 'breakOff', id: passage.id, why: passage.lastWhy })
+      return
+    }
+    const why = passage.lastWhy === '' ? 'no server can take it in time' : passage.lastWhy
+    if (passage.mayHaveRun) this.#turnAway(passage, nowMs >= passage.dueMs ? 504 : 502, undefined, why)
+    else this.#turnAway(passage, 503, this.#comeBackMs(passage, nowMs), why)
+  }
+
+  #turnAway(passage: Passage, status: number, comeBackMs: number | undefined, why: string): void {
+    this.#to(passage, 'turnedAway')
+    this.#effects.push({ kind: 'turnAway', id: passage.id, status, comeBackMs, why })
+  }
+
+  #outlook(passage: Passage, nowMs: number): { readyAtMs: number; neverBeforeMs: number } | undefined {
+    const outlook = this.#outlooks.get(`${passage.model}/${passage.adapter}`)
+    return outlook !== undefined && nowMs - outlook.heardMs < 2 * this.#plan.suspectMs ? outlook : undefined
+  }
+
+  /** When to come back: the load under way, or a moment in which places come free. */
+  #comeBackMs(passage: Passage, nowMs: number): number {
+    const outlook = passage.model === '' ? undefined : this.#outlook(passage, nowMs)
+    if (outlook !== undefined && outlook.readyAtMs > nowMs) return outlook.readyAtMs - nowMs
+    return Math.min(0.25 * this.#aimMs(passage), 0.1 * Math.max(0, passage.dueMs - nowMs))
+  }
+
+  #giveUp(nowMs: number): void {
+    for (const passage of [...this.#held]) this.#giveUpOne(passage, nowMs)
+  }
+
+  /** Ends a held request that is due, or for which nothing is expected in time. */
+  #giveUpOne(passage: Passage, nowMs: number): void {
+    if (passage.phase !== 'held') return
+    const hadMs = passage.dueMs - passage.arrivedMs
+    const waitedMs = nowMs - passage.heldMs
+    const late = nowMs >= passage.arrivedMs + 0.9 * hadMs
+    const holders = passage.model === '' ? this.servers.openServers(passage.service) : this.servers.holders(passage).length
+    const outlook = passage.model === '' || holders > 0 ? undefined : this.#outlook(passage, nowMs)
+    let patienceMs = roomRatio * this.#aimMs(passage)
+    if (passage.begun) patienceMs = holdRatio * hadMs
+    else if (holders === 0 && passage.model !== '') {
+      patienceMs = holdRatio * hadMs
+      if (outlook !== undefined && outlook.neverBeforeMs > passage.dueMs) patienceMs = 0
+    }
+    if (late || waitedMs >= patienceMs) {
+      if (passage.lastWhy === '') passage.lastWhy = holders === 0 ? 'no server holds what it needs' : 'no place is free'
+      this.#end(passage, nowMs)
+    }
+  }
+
+  /** Attempts that are silent for too long: connecting, before the first byte, in the midst of a stream. */
+  #watch(passage: Passage, nowMs: number): void {
+    const { phase } = passage
+    if (phase === 'held' || phase === 'arrived') return
+    if (nowMs >= passage.dueMs && phase !== 'streaming') {
+      passage.mayHaveRun ||= phase === 'sent'
+      passage.lastWhy = 'due passed'
+      this.#end(passage, nowMs)
+      return
+    }
+    const aimMs = this.#aimMs(passage)
+    if (phase === 'connecting') {
+      if (nowMs - passage.boundMs >= Math.min(connectRatio * aimMs, this.#plan.suspectMs / 4))
+        this.#failed(passage, Verdict.notRun, 'the server took no connection', nowMs)
+      return
+    }
+    if (!this.#repeatable(passage) || passage.sends >= this.#attempts(passage)) return
+    const silentMs = nowMs - passage.movedMs
+    const gapMs = passage.route?.gapMs
+    const most = phase === 'sent' ? Math.max(silentRatio * aimMs, 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
+    if (silentMs < most || !this.#elsewhere(passage, nowMs)) return
+    this.#failed(passage, Verdict.mayHaveRun, 'the server fell silent', nowMs)
+  }
+
+  #elsewhere(passage: Passage, nowMs: number): boolean {
+    return this.servers.holders(passage).some((one) => one.name !== passage.server && nowMs >= one.suspectUntilMs && !passage.avoid.has(one.name))
+  }
+
+  #attempts(passage: Passage): number {
+    return Math.max(1, passage.route?.attempts ?? 1)
+  }
+
+  #callerGone(id: string): void {
+    const passage = this.#passages.get(id)
+    if (passage === undefined) return
+    this.#release(passage)
+    this.#held.delete(passage)
+    this.#passages.delete(id)
+  }
+
+  #attempted(input: Attempted, nowMs: number): void {
+    const passage = this.#passages.get(input.id)
+    if (passage === undefined || passage.attempt !== input.attempt || passage.server === '') return
+    const server = this.servers.get(passage.server)
+    switch (input.kind) {
+      case 'sent':
+        if (passage.phase !== 'connecting') break
+        this.#to(passage, 'sent')
+        passage.sends += 1
+        passage.sentMs = nowMs
+        passage.movedMs = nowMs
+        if (server !== undefined) this.servers.remember(server, passage, nowMs)
+        break
+      case 'head':
+        this.#head(passage, server, input, nowMs)
+        break
+      case 'event':
+        passage.movedMs = nowMs
+        passage.begun = true
+        if (input.event !== undefined) passage.lastEvent = input.event
+        break
+      case 'ended':
+        this.#unbind(passage)
+        this.#to(passage, 'responded')
+        break
+      case 'defect':
+        this.#failed(passage, passage.phase === 'connecting' ? input.verdict : Verdict.mayHaveRun, input.why, nowMs)
+        break
+    }
+  }
+
+  #head(passage: Passage, server: Server | undefined, input: Extract<Attempted, { kind: 'head' }>, nowMs: number): void {
+    if (passage.phase !== 'sent') return
+    if (input.notRun) {
+      this.#failed(passage, Verdict.notRun, `the server turned it away with ${String(input.status)}`, nowMs)
+      return
+    }
+    if (input.status >= 500 && !passage.begun && this.#repeatable(passage) && this.#mayGoOn(passage, nowMs)) {
+      this.#failed(passage, Verdict.mayHaveRun, `the server answered ${String(input.status)}`, nowMs)
+      return
+    }
+    this.#to(passage, 'streaming')
+    passage.movedMs = nowMs
+    if (server !== undefined) this.servers.trust(server, nowMs - passage.sentMs)
+    this.#effects.push({ kind: 'relay', id: passage.id, attempt: passage.attempt })
+  }
+
+  #mayGoOn(passage: Passage, nowMs: number): boolean {
+    return passage.sends < this.#attempts(passage) && this.#elsewhere(passage, nowMs)
+  }
+
+  /** An attempt ended without an answer: back to waiting where that is allowed, else the final answer. */
+  #failed(passage: Passage, verdict: Verdict, why: string, nowMs: number): void {
+    const server = this.servers.get(passage.server)
+    const unsent = passage.phase === 'connecting'
+    this.#release(passage)
+    passage.lastWhy = why
+    if (server !== undefined) {
+      this.servers.suspect(server, nowMs)
+      passage.avoid.add(server.name)
+    }
+    if (verdict !== Verdict.notRun) passage.mayHaveRun = true
+    const again = verdict === Verdict.notRun || this.#repeatable(passage)
+    const kept = passage.phase !== 'streaming' || (passage.route?.kind === 'stream' && passage.route.resumable)
+    if (!again || !kept || (!unsent && passage.sends >= this.#attempts(passage))) {
+      this.#end(passage, nowMs)
+      return
+    }
+    this.#to(passage, 'held')
+    passage.heldMs = nowMs
+    if (this.servers.holders(passage).every((one) => passage.avoid.has(one.name))) passage.avoid.clear()
+    this.#bind(passage, nowMs)
+    this.#giveUpOne(passage, nowMs)
+  }
+
+  /** Tells whoever places the models what arrived, what waits for a holder and what is under way. */
+  #tell(nowMs: number): void {
+    this.#urgent = false
+    this.#tallyAtMs = nowMs + this.#plan.tallyMs
+    const held = new Map<string, { model: string; adapter: string; count: number; dueInMs: number }>()
+    const flights = new Map<string, { server: string; model: string; adapter: string; count: number }>()
+    for (const passage of this.#passages.values()) {
+      const { model, adapter, server, dueMs } = passage
+      if (model === '') continue
+      if (passage.phase === 'held') {
+        const key = `${model}/${adapter}`
+        const old = held.get(key)
+        held.set(key, { model, adapter, count: (old?.count ?? 0) + 1, dueInMs: Math.min(old?.dueInMs ?? Infinity, dueMs - nowMs) })
+      } else if (server !== '') {
+        const key = `${server} ${model}`
+        const old = flights.get(key)
+        flights.set(key, { server, model, adapter: '', count: (old?.count ?? 0) + 1 })
+      }
+    }
+    const arrivals = [...this.#arrivals.values()].map(({ lastMs, ...one }) => ({ ...one, agoMs: nowMs - lastMs }))
+    this.#arrivals = new Map()
+    const empty = arrivals.length === 0 && held.size === 0 && flights.size === 0
+    if (empty && this.#toldEmpty) return
+    this.#toldEmpty = empty
+    this.#effects.push({
+      kind: 'tell',
+      message: {
+        kind: 'tally',
+        seat: this.#plan.name,
+        session: this.#session,
+        adopted: this.copy.stamp,
+        atMs: nowMs,
+        arrivals,
+        held: [...held.values()],
+        flights: [...flights.values()],
+      },
+    })
+  }
+}
--- /dev/null
+++ b/src/junction/JunctionStartup.ts
@@ -0,0 +1,28 @@
+/**
+ * What a junction is told at its start, checked as a whole; every error is named by its path.
+ */
+import { z } from 'zod'
+import { Address } from '../gauge/Address.js'
+import { Bounds } from '../gauge/Bounds.js'
+
+export const JunctionStartup = z.strictObject({
+  name: z.string().min(1),
+  zone: z.string().min(1),
+  telegraph: Address,
+  /** Where callers come in, and where it says whether it is ready for them. */
+  callers: Address,
+  readiness: Address.optional(),
+  seeds: z.array(Address).min(1).max(9),
+  platform: Address.optional(),
+  system: z.string().default(''),
+  bounds: Bounds.prefault({}),
+  /** The budget for further tries over all junctions. */
+  retryRatio: z.number().min(0).max(1).default(0.2),
+  retryAllowance: z.number().min(0).default(50),
+  retryWindowMs: z.number().positive().default(10_000),
+  /** How long a stop may take, and how long callers may still come in after it was asked for. */
+  graceMs: z.number().positive().default(8000),
+  leaveMs: z.number().nonnegative().default(2500),
+  logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
+})
+export type JunctionStartup = z.infer<typeof JunctionStartup>
--- /dev/null
+++ b/src/junction/JunctionTask.ts
@@ -0,0 +1,328 @@
+/**
+ * Owns a junction's machine, the lineman's machine beside it, the telegraph, the callers and the pools of
+ * connections to servers. What the machines decide is carried out at once, in the same turn, so that an
+ * answer's head waits for the machine's word before a byte of it goes on.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Dispatcher } from 'undici'
+import { Chance } from '../gauge/Chance.js'
+import { clockMs } from '../gauge/clockMs.js'
+import type { Logbook } from '../gauge/Logbook.js'
+import { Pace } from '../gauge/Pace.js'
+import { Verdict } from '../gauge/Verdict.js'
+import { LinemanMachine } from '../lineman/LinemanMachine.js'
+import type { LinemanInput } from '../lineman/LinemanInput.js'
+import type { Outside } from '../sidings/Outside.js'
+import { passedOn } from '../sidings/passedOn.js'
+import type { RouteWire } from '../sidings/RouteWire.js'
+import type { Telegraph } from '../telegraph/Telegraph.js'
+import { EventScanner } from './EventScanner.js'
+import type { JunctionEffect } from './JunctionEffect.js'
+import type { JunctionInput } from './JunctionInput.js'
+import { JunctionMachine } from './JunctionMachine.js'
+import type { JunctionStartup } from './JunctionStartup.js'
+import type { Ticket } from './Ticket.js'
+import { Upstream } from './Upstream.js'
+
+const gatheredBytes = 1_000_000
+const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
+
+export class JunctionTask {
+  readonly machine: JunctionMachine
+  readonly lineman: LinemanMachine
+  readonly pace: Pace
+  readonly #startup: JunctionStartup
+  readonly #logbook: Logbook
+  readonly #telegraph: Telegraph
+  readonly #wire: RouteWire
+  readonly #outside: Outside
+  readonly #upstream: Upstream
+  readonly #tickets = new Map<string, Ticket>()
+  readonly #ticker: NodeJS.Timeout
+  #count = 0
+  #ticks = 0
+
+  constructor(startup: JunctionStartup, logbook: Logbook, telegraph: Telegraph, wire: RouteWire, outside: Outside) {
+    this.#startup = startup
+    this.#logbook = logbook
+    this.#telegraph = telegraph
+    this.#wire = wire
+    this.#outside = outside
+    this.pace = Pace(startup.bounds)
+    const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
+    const { name, zone, seeds, system, retryRatio, retryAllowance, retryWindowMs } = startup
+    this.lineman = new LinemanMachine({ name, zone, address: telegraph.address, seeds, turnout: '', system }, this.pace, chance, clockMs())
+    this.machine = new JunctionMachine(
+      {
+        name,
+        zone,
+        retryRatio,
+        retryAllowance,
+        retryWindowMs,
+        suspectMs: 0.7 * startup.bounds.charterMs,
+        refillMs: startup.bounds.charterMs,
+        tallyMs: 0.125 * startup.bounds.charterMs,
+      },
+      this.lineman.copy,
+      chance,
+    )
+    this.#upstream = new Upstream({ connectMs: 0.75 * startup.bounds.charterMs, idleMs: 0.5 * startup.bounds.charterMs })
+    telegraph.hear((from, fromAddress, message) => {
+      if (message.kind === 'outlook') this.step({ kind: 'outlook', models: message.models })
+      else this.#lineman({ kind: 'message', from, fromAddress, message })
+    })
+    this.#ticker = setInterval(() => {
+      this.#tick()
+    }, 1.5 * this.pace.tickMs)
+  }
+
+  /** True once the network in force is here and the core has been heard in this life. */
+  get ready(): boolean {
+    return this.lineman.copy.get('network') !== undefined && this.lineman.level
+  }
+
+  get waiting(): number {
+    return this.#tickets.size
+  }
+
+  /** Takes a request on its way; the ticket is kept until the caller has its final answer. */
+  allow(request: IncomingMessage, response: ServerResponse, body: Buffer, waitedMs: number): void {
+    const arrival = this.#wire.arrival(request.headers)
+    const method = methods.find((one) => one === request.method)
+    const path = request.url ?? '/'
+    if (method === undefined) {
+      this.answer(response, arrival.id, 405, undefined, 'method: not allowed here')
+      return
+    }
+    if (!this.ready) {
+      this.answer(response, arrival.id, 503, 2 * this.pace.electionMs, 'has no network in force yet')
+      return
+    }
+    if (arrival.dueInMs !== undefined) arrival.dueInMs -= waitedMs
+    this.#count += 1
+    const id = String(this.#count)
+    this.#tickets.set(id, {
+      requestId: arrival.id,
+      response,
+      method,
+      path,
+      headers: request.headers,
+      body,
+      attempt: 0,
+      controller: undefined,
+      head: undefined,
+      relaying: false,
+      scanner: undefined,
+      parts: undefined,
+      drains: false,
+    })
+    response.on('close', () => {
+      if (!this.#tickets.delete(id)) return
+      this.step({ kind: 'callerGone', id })
+    })
+    this.step({ kind: 'arrived', id, host: request.headers.host ?? '', path, arrival, bodyBytes: body.length })
+  }
+
+  answer(response: ServerResponse, id: string, status: number, comeBackMs: number | undefined, why: string): void {
+    if (response.headersSent || response.destroyed) return
+    const body = JSON.stringify({ why })
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      ...this.#wire.refusal(id, comeBackMs),
+    })
+    response.end(body)
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#ticker)
+    this.#upstream.close()
+    await this.#telegraph.close()
+  }
+
+  reseed(seeds: string[]): void {
+    this.lineman.reseed(seeds)
+  }
+
+  #tick(): void {
+    this.#lineman({ kind: 'tick' })
+    this.machine.servers.members = this.lineman.memberNames
+    this.#ticks += 1
+    if (this.#ticks % 8 === 0) {
+      this.machine.servers.barred = new Set(this.lineman.barred(clockMs()))
+      this.#upstream.sweep((server) => this.machine.servers.get(server) !== undefined)
+    }
+    this.step({ kind: 'tick' })
+  }
+
+  #lineman(input: LinemanInput): void {
+    for (const effect of this.lineman.step(input, clockMs())) {
+      if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
+      else if (effect.kind === 'say') this.#logbook.say(effect.part, effect.sentence)
+      else if (effect.kind === 'adopted') this.step({ kind: 'adopted' })
+      else void this.#readPlatform()
+    }
+  }
+
+  async #readPlatform(): Promise<void> {
+    const servers = await this.#outside.list(this.pace.platformMs)
+    if (servers !== undefined) this.#lineman({ kind: 'platform', servers })
+  }
+
+  step(input: JunctionInput): void {
+    for (const effect of this.machine.step(input, clockMs())) this.#carryOut(effect)
+  }
+
+  #carryOut(effect: JunctionEffect): void {
+    switch (effect.kind) {
+      case 'attempt':
+        this.#attempt(effect)
+        break
+      case 'relay': {
+        const ticket = this.#tickets.get(effect.id)
+        if (ticket !== undefined) ticket.relaying = true
+        break
+      }
+      case 'release': {
+        const ticket = this.#tickets.get(effect.id)
+        if (ticket === undefined) break
+        const { controller } = ticket
+        ticket.controller = undefined
+        ticket.attempt = -1
+        controller?.abort(new Error('released'))
+        break
+      }
+      case 'turnAway': {
+        const ticket = this.#tickets.get(effect.id)
+        this.#tickets.delete(effect.id)
+        if (ticket !== undefined) this.answer(ticket.response, ticket.requestId, effect.status, effect.comeBackMs, effect.why)
+        break
+      }
+      case 'breakOff': {
+        const ticket = this.#tickets.get(effect.id)
+        this.#tickets.delete(effect.id)
+        ticket?.response.destroy()
+        this.#logbook.say('junction', `Broke off the answer to ${ticket?.requestId ?? ''}: ${effect.why}.`)
+        break
+      }
+      case 'tell':
+        this.#lineman({ kind: 'message', from: this.#startup.name, fromAddress: '', message: effect.message })
+        break
+    }
+  }
+
+  #attempt(effect: Extract<JunctionEffect, { kind: 'attempt' }>): void {
+    const { id, attempt, server, address } = effect
+    const ticket = this.#tickets.get(id)
+    if (ticket === undefined) return
+    ticket.attempt = attempt
+    ticket.controller = undefined
+    ticket.relaying = false
+    ticket.scanner = undefined
+    ticket.parts = undefined
+    if (!ticket.response.headersSent) ticket.head = undefined
+    const live = () => ticket.attempt === attempt && this.#tickets.get(id) === ticket
+    const defect = (verdict: Verdict, why: string) => {
+      this.step({ kind: 'defect', id, attempt, verdict, why })
+    }
+    const startedMs = clockMs()
+    const headers = this.#wire.onward(ticket.headers, { ...effect, leftMs: effect.leftMs })
+    let begun = false
+    this.#upstream.dispatch(
+      server,
+      address,
+      effect.connections,
+      { path: ticket.path, method: ticket.method, headers, body: ticket.body.length > 0 ? ticket.body : null },
+      {
+        onRequestStart: (controller) => {
+          if (!live()) {
+            controller.abort(new Error('released'))
+            return
+          }
+          begun = true
+          ticket.controller = controller
+          this.step({ kind: 'sent', id, attempt })
+        },
+        onResponseStart: (_controller, status, replyHeaders) => {
+          if (status < 200 || !live()) return
+          const reply = this.#wire.reply(status, replyHeaders)
+          if (reply.id !== ticket.requestId || (status < 300 && !reply.sealed)) {
+            defect(Verdict.mayHaveRun, reply.id !== ticket.requestId ? 'an answer to another request' : 'the answer is not sealed')
+            return
+          }
+          if (ticket.response.headersSent && !reply.notRun && status !== 200) {
+            defect(Verdict.mayHaveRun, `the stream was not taken up: ${String(status)}`)
+            return
+          }
+          this.step({ kind: 'head', id, attempt, status, notRun: reply.notRun })
+          if (!ticket.relaying || !live()) return
+          const length = replyHeaders['content-length']
+          if (length === undefined && replyHeaders['transfer-encoding'] === undefined && status !== 204 && status !== 304) {
+            defect(Verdict.mayHaveRun, 'the answer has neither a length nor chunks')
+            return
+          }
+          const events = String(replyHeaders['content-type'] ?? '').startsWith('text/event-stream') && status === 200
+          if (events) ticket.scanner = new EventScanner()
+          else if (length === undefined || Number(length) <= gatheredBytes) ticket.parts = []
+          if (ticket.response.headersSent) return
+          ticket.head = { status, headers: passedOn(replyHeaders) }
+          if (!events && typeof length === 'string') ticket.head.headers['content-length'] = length
+          if (ticket.drains) return
+          ticket.drains = true
+          ticket.response.on('drain', () => {
+            ticket.controller?.resume()
+          })
+        },
+        onResponseData: (controller, chunk) => {
+          if (!ticket.relaying || !live()) return
+          this.#relay(ticket, id, attempt, controller, chunk)
+        },
+        onResponseEnd: () => {
+          if (!ticket.relaying || !live()) return
+          this.#finish(ticket, id, attempt)
+        },
+        onResponseError: (_controller, error) => {
+          if (!live()) return
+          ticket.controller = undefined
+          defect(begun ? Verdict.mayHaveRun : Verdict.notRun, error.message)
+        },
+      },
+      startedMs,
+    )
+  }
+
+  #relay(ticket: Ticket, id: string, attempt: number, controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (ticket.scanner !== undefined) {
+      for (const event of ticket.scanner.take(chunk)) {
+        this.#writeHead(ticket)
+        const taken = ticket.response.write(event.text, 'latin1')
+        this.step({ kind: 'event', id, attempt, event: event.id })
+        if (!taken) controller.pause()
+      }
+      return
+    }
+    if (ticket.parts !== undefined) {
+      ticket.parts.push(chunk)
+      return
+    }
+    this.#writeHead(ticket)
+    this.step({ kind: 'event', id, attempt, event: undefined })
+    if (!ticket.response.write(chunk)) controller.pause()
+  }
+
+  #finish(ticket: Ticket, id: string, attempt: number): void {
+    if (ticket.scanner?.partial === true) {
+      this.step({ kind: 'defect', id, attempt, verdict: Verdict.mayHaveRun, why: 'the stream ended within an event' })
+      return
+    }
+    this.#tickets.delete(id)
+    this.#writeHead(ticket)
+    ticket.response.end(ticket.parts === undefined ? undefined : Buffer.concat(ticket.parts))
+    this.step({ kind: 'ended', id, attempt })
+  }
+
+  #writeHead(ticket: Ticket): void {
+    if (ticket.response.headersSent || ticket.head === undefined) return
+    ticket.response.writeHead(ticket.head.status, ticket.head.headers)
+  }
+}
--- /dev/null
+++ b/src/junction/Passage.ts
@@ -0,0 +1,58 @@
+/**
+ * A request's way through a junction, as a state chart and an entity. `sent` is the one place where "may
+ * have run" begins; the last three states are final. A stream that may be resumed goes back from `streaming`
+ * to `held`.
+ */
+import type { Network } from '../gauge/Network.js'
+import type { Arrival } from '../sidings/RouteWire.js'
+
+const next = {
+  arrived: ['held', 'connecting', 'turnedAway'],
+  held: ['connecting', 'turnedAway', 'defected'],
+  connecting: ['sent', 'held', 'turnedAway', 'defected'],
+  sent: ['streaming', 'held', 'defected', 'turnedAway'],
+  streaming: ['responded', 'held', 'defected'],
+  responded: [],
+  defected: [],
+  turnedAway: [],
+} as const
+type Phase = keyof typeof next
+
+export const Passage = {
+  allows(from: Phase, to: Phase): boolean {
+    const targets: readonly Phase[] = next[from]
+    return targets.includes(to)
+  },
+  final(phase: Phase): boolean {
+    return next[phase].length === 0
+  },
+}
+export interface Passage {
+  id: string
+  host: string
+  path: string
+  arrival: Arrival
+  bodyBytes: number
+  arrivedMs: number
+  dueMs: number
+  phase: Phase
+  route: Network['routes'][number] | undefined
+  service: string
+  /** Key of the model in the shared table, and of the adapter on it; empty where the service has no models. */
+  model: string
+  adapter: string
+  attempt: number
+  server: string
+  /** Servers that were sent it, and those that failed it. */
+  sends: number
+  avoid: Set<string>
+  mayHaveRun: boolean
+  heldMs: number
+  boundMs: number
+  sentMs: number
+  /** When the stream last moved, and whether any of it went to the caller. */
+  movedMs: number
+  begun: boolean
+  lastEvent: string | undefined
+  lastWhy: string
+}
--- /dev/null
+++ b/src/junction/Server.ts
@@ -0,0 +1,22 @@
+/**
+ * The junction's entity for one life of a server: what the shared table says of it, what this junction has
+ * sent there, and what it has found out by itself. `kept` holds the chains of prompt parts that it sent there last.
+ */
+export interface Server {
+  name: string
+  address: string
+  zone: string
+  service: string
+  capacity: number
+  draining: boolean
+  cold: boolean
+  models: ReadonlySet<string>
+  adapters: ReadonlySet<string>
+  flights: number
+  firstByteMs: number
+  suspectUntilMs: number
+  defects: number
+  coldTokens: number
+  coldAtMs: number
+  kept: Map<string, number>
+}
--- /dev/null
+++ b/src/junction/ServerTable.ts
@@ -0,0 +1,258 @@
+/**
+ * The junction's table of servers and the systems over it: what the shared table makes of them, and which
+ * one a request goes to. Among those that may take it the one with the least expected time until its first
+ * token is chosen: what of the prompt is not kept there, what runs there, how it answered of late, and the
+ * way to its zone. All junctions rank the servers for a chain of prompt parts alike, by a digest, so that a
+ * chain comes back to where it is kept without a word between them.
+ */
+import type { Chance } from '../gauge/Chance.js'
+import { digest } from '../gauge/digest.js'
+import { Network } from '../gauge/Network.js'
+import { PlatformServer } from '../gauge/PlatformServer.js'
+import { BindingRow } from '../interlocking/BindingRow.js'
+import type { Copy } from '../interlocking/Copy.js'
+import type { Passage } from './Passage.js'
+import type { Server } from './Server.js'
+
+type Service = Network['services'][number]
+interface Plan {
+  name: string
+  zone: string
+  /** How long a server that failed is left alone at most. */
+  suspectMs: number
+  /** How long the servers of a zone that was filled again count as cold at least. */
+  refillMs: number
+}
+const keptChains = 2048
+/** Estimates to begin with; what is measured of a server's first bytes corrects them. */
+const tokensPerMs = 30
+const crossZoneMs = 4
+const perFlightMs = 2.5
+const keptMs = 20_000
+
+export class ServerTable {
+  /** Servers that the platform's own list takes away while the core is out of reach. */
+  barred: ReadonlySet<string> = new Set()
+  members: readonly string[] = []
+  readonly #plan: Plan
+  readonly #chance: Chance
+  readonly #table = new Map<string, Server>()
+  readonly #byService = new Map<string, Server[]>()
+  readonly #services = new Map<string, { stamp: number; service: Service }>()
+  #emptied = new Set<string>()
+  readonly #refilledMs = new Map<string, number>()
+
+  constructor(plan: Plan, chance: Chance) {
+    this.#plan = plan
+    this.#chance = chance
+  }
+
+  get(name: string): Server | undefined {
+    return this.#table.get(name)
+  }
+
+  service(name: string): Service | undefined {
+    return this.#services.get(name)?.service
+  }
+
+  adopt(copy: Copy, nowMs: number): void {
+    this.#adoptServices(copy)
+    const emptied = new Set(copy.under('zone/').map(([zone]) => zone))
+    for (const zone of this.#emptied) if (!emptied.has(zone)) this.#refilledMs.set(zone, nowMs)
+    this.#emptied = emptied
+    const listed = new Set<string>()
+    this.#byService.clear()
+    for (const [name, value] of copy.under('server/')) {
+      const read = PlatformServer.safeParse(JSON.parse(value))
+      if (!read.success) continue
+      const row = read.data
+      listed.add(name)
+      const server = this.#table.get(name) ?? this.#fresh(name, nowMs)
+      server.address = row.address
+      server.zone = row.zone
+      server.service = row.service ?? ''
+      server.capacity = Math.max(1, row.capacity ?? 1)
+      server.draining = row.draining
+      server.cold = row.cold === true
+      const binding = copy.get(`binding/${name}`)
+      const held = binding === undefined ? undefined : BindingRow.safeParse(JSON.parse(binding)).data
+      server.models = new Set(held?.models)
+      server.adapters = new Set(held?.adapters)
+      const group = this.#byService.get(server.service)
+      if (group === undefined) this.#byService.set(server.service, [server])
+      else group.push(server)
+    }
+    for (const [name, server] of this.#table) {
+      if (listed.has(name)) continue
+      server.draining = true
+      if (server.flights === 0) this.#table.delete(name)
+    }
+  }
+
+  #adoptServices(copy: Copy): void {
+    const listed = new Set<string>()
+    for (const [name, value] of copy.under('service/')) {
+      listed.add(name)
+      const stamp = copy.stampOf(`service/${name}`)
+      if (this.#services.get(name)?.stamp === stamp) continue
+      const read = Network.Service.safeParse(JSON.parse(value))
+      if (read.success) this.#services.set(name, { stamp, service: read.data })
+    }
+    for (const name of this.#services.keys()) if (!listed.has(name)) this.#services.delete(name)
+  }
+
+  #fresh(name: string, nowMs: number): Server {
+    const server: Server = {
+      name,
+      address: '',
+      zone: '',
+      service: '',
+      capacity: 1,
+      draining: false,
+      cold: false,
+      models: new Set(),
+      adapters: new Set(),
+      flights: 0,
+      firstByteMs: 0,
+      suspectUntilMs: 0,
+      defects: 0,
+      coldTokens: 0,
+      coldAtMs: nowMs,
+      kept: new Map(),
+    }
+    this.#table.set(name, server)
+    return server
+  }
+
+  suspect(server: Server, nowMs: number): void {
+    server.defects += 1
+    const waitMs = (this.#plan.suspectMs / 8) * 2 ** Math.min(server.defects - 1, 3) * (0.75 + 0.5 * this.#chance.next())
+    server.suspectUntilMs = nowMs + waitMs
+  }
+
+  trust(server: Server, firstByteMs: number): void {
+    server.defects = 0
+    server.suspectUntilMs = 0
+    server.firstByteMs += 0.15 * (firstByteMs - server.firstByteMs)
+  }
+
+  /** True of a server to which the request may go at all, by the service, the drains and the zones in force. */
+  open(server: Server): boolean {
+    return !server.draining && !this.#emptied.has(server.zone) && !this.barred.has(server.name)
+  }
+
+  holds(server: Server, passage: Passage): boolean {
+    if (passage.model === '') return true
+    return server.models.has(passage.model) && (passage.adapter === '' || server.adapters.has(`${passage.model}/${passage.adapter}`))
+  }
+
+  /** Open servers of the request's service that hold what it needs, whether they have room or not. */
+  holders(passage: Passage): Server[] {
+    return (this.#byService.get(passage.service) ?? []).filter((server) => this.open(server) && this.holds(server, passage))
+  }
+
+  openServers(service: string): number {
+    return (this.#byService.get(service) ?? []).filter((server) => this.open(server)).length
+  }
+
+  /** What this junction lets run at a server at once: its part of the places and of the queue behind them. */
+  limit(server: Server): number {
+    const members = Math.max(1, this.members.length)
+    return Math.max(2, Math.ceil((2.5 * server.capacity) / members) + 1)
+  }
+
+  connections(server: Server): number {
+    const most = this.#services.get(server.service)?.service.connections ?? 64
+    return Math.max(1, Math.floor((0.85 * most) / Math.max(1, this.members.length)))
+  }
+
+  choose(passage: Passage, nowMs: number): Server | undefined {
+    let best: Server | undefined
+    let bestMs = Infinity
+    const group = this.#byService.get(passage.service) ?? []
+    const home = this.#home(passage, group)
+    for (const server of group) {
+      if (!this.open(server) || !this.holds(server, passage) || passage.avoid.has(server.name)) continue
+      if (nowMs < server.suspectUntilMs || server.flights >= Math.min(this.limit(server), this.connections(server))) continue
+      if (this.#isCold(server, nowMs) && !this.#coldToken(server, nowMs)) continue
+      const costMs = this.#expectedMs(server, passage, home, nowMs) * (0.97 + 0.06 * this.#chance.next())
+      if (costMs < bestMs) {
+        best = server
+        bestMs = costMs
+      }
+    }
+    if (best !== undefined && this.#isCold(best, nowMs)) best.coldTokens -= 1
+    return best
+  }
+
+  #expectedMs(server: Server, passage: Passage, home: Server | undefined, nowMs: number): number {
+    const members = Math.max(1, this.members.length)
+    let costMs = server.firstByteMs + (server.zone === this.#plan.zone ? 0 : crossZoneMs)
+    if (passage.model === '') return costMs + ((server.flights * members) / server.capacity) * Math.max(20, server.firstByteMs)
+    costMs += perFlightMs * server.flights * Math.sqrt(members)
+    let unkept = passage.arrival.promptTokens
+    let chain = passage.model + passage.adapter
+    for (const part of passage.arrival.parts) {
+      chain = `${chain},${part.id}`
+      const sentMs = server.kept.get(chain)
+      if (sentMs === undefined || nowMs - sentMs > keptMs) {
+        if (home !== server) break
+        unkept -= 0.8 * part.tokens
+      } else unkept -= part.tokens
+    }
+    return costMs + Math.max(0, unkept) / tokensPerMs
+  }
+
+  /** The server that every junction ranks first for the longest chain that others may share. */
+  #home(passage: Passage, group: readonly Server[]): Server | undefined {
+    const { parts } = passage.arrival
+    if (passage.model === '' || parts.length === 0) return undefined
+    const chain = passage.model + passage.adapter + parts.map((part) => part.id).join(',')
+    let home: Server | undefined
+    let most = -1
+    for (const server of group) {
+      if (!this.open(server) || !this.holds(server, passage)) continue
+      const rank = digest(chain + server.name, 3)
+      if (rank > most) {
+        home = server
+        most = rank
+      }
+    }
+    return home
+  }
+
+  remember(server: Server, passage: Passage, nowMs: number): void {
+    if (passage.model === '') return
+    let chain = passage.model + passage.adapter
+    for (const part of passage.arrival.parts) {
+      chain = `${chain},${part.id}`
+      server.kept.delete(chain)
+      server.kept.set(chain, nowMs)
+    }
+    for (const oldest of server.kept.keys()) {
+      if (server.kept.size <= keptChains) break
+      server.kept.delete(oldest)
+    }
+  }
+
+  #isCold(server: Server, nowMs: number): boolean {
+    const service = this.#services.get(server.service)?.service
+    if (service === undefined || service.coldPerS <= 0) return false
+    return server.cold || nowMs - (this.#refilledMs.get(server.zone) ?? -Infinity) < Math.max(this.#plan.refillMs, service.warmMs)
+  }
+
+  /** A cold server's few requests a second are dealt to as many junctions as there are half of them, by rank. */
+  #coldToken(server: Server, nowMs: number): boolean {
+    const perS = 0.6 * (this.#services.get(server.service)?.service.coldPerS ?? 0)
+    const members = Math.max(1, this.members.length)
+    const among = Math.max(1, Math.min(members, Math.floor(perS / 2)))
+    if (members > among) {
+      const own = digest(this.#plan.name + server.name)
+      if (this.members.filter((one) => digest(one + server.name) < own).length >= among) return false
+    }
+    const refill = ((nowMs - server.coldAtMs) * perS) / among / 1000
+    server.coldTokens = Math.min(1, server.coldTokens + refill)
+    server.coldAtMs = nowMs
+    return server.coldTokens >= 1
+  }
+}
--- /dev/null
+++ b/src/lineman/LinemanMachine.network.test.ts
@@ -0,0 +1,123 @@
+/**
+ * A lineman inside a process that goes by its copy alone: it finds the core, tells of what it adopted, counts
+ * its fellows, and follows another parent when its own falls silent.
+ */
+import { deepStrictEqual, ok, strictEqual } from 'node:assert'
+import { test } from 'node:test'
+import { Bounds } from '../gauge/Bounds.js'
+import { Chance } from '../gauge/Chance.js'
+import { Pace } from '../gauge/Pace.js'
+import type { Message } from '../telegraph/Message.js'
+import type { LinemanEffect } from './LinemanEffect.js'
+import { LinemanMachine } from './LinemanMachine.js'
+
+const pace = Pace(Bounds.parse({}))
+
+class Core {
+  nowMs = 0
+  stamp = 3
+  readonly silent = new Set<string>()
+  peers = [{ name: 'edge', address: 'edge:7', role: 'lineman' as const, zone: 'z' }]
+  adopted = 0
+  adoptions = 0
+  readonly sent: { toAddress: string; message: Message }[] = []
+  readonly machine = new LinemanMachine(
+    { name: 'edge', zone: 'z', address: 'edge:7', seeds: ['a:7', 'b:7'], turnout: '', system: '' },
+    pace,
+    new Chance(3),
+    0,
+  )
+
+  run(spanMs: number, until: () => boolean = () => false): boolean {
+    for (const endMs = this.nowMs + spanMs; this.nowMs < endMs && !until();) {
+      this.nowMs += pace.tickMs
+      this.#perform(this.machine.step({ kind: 'tick' }, this.nowMs))
+    }
+    return until()
+  }
+
+  tell(from: string, message: Message): void {
+    this.#perform(this.machine.step({ kind: 'message', from, fromAddress: `${from}:7`, message }, this.nowMs))
+  }
+
+  #perform(effects: LinemanEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'adopted') this.adoptions += 1
+      if (effect.kind !== 'send') continue
+      const { toAddress, message } = effect
+      this.sent.push({ toAddress, message })
+      const box = toAddress.replace(':7', '')
+      if (!['a', 'b'].includes(box) || this.silent.has(box)) continue
+      const known = ['a', 'b'].map((name) => ({ name, address: `${name}:7`, role: 'signalbox' as const, zone: 'z' }))
+      if (message.kind === 'hail') {
+        const { nonce } = message
+        this.tell(box, {
+          kind: 'hailed',
+          nonce,
+          role: 'signalbox',
+          zone: 'z',
+          identity: box,
+          empty: false,
+          leader: 'b:7',
+          known,
+          system: 's',
+        })
+      } else if (message.kind === 'follow') {
+        const row = { key: 'network', stamp: this.stamp, gone: false, value: '{}' }
+        const rows = message.stamp < this.stamp ? [row] : []
+        this.tell(box, { kind: 'news', stamp: this.stamp, since: Math.min(message.stamp, this.stamp), rows })
+      } else if (message.kind === 'renew' && box === 'b') {
+        this.adopted = message.adopted
+        const { sentMs } = message
+        const lent = { serial: 0, shares: [], again: [], platformAgeMs: 0, system: 's', peersSum: this.peers.length }
+        this.tell(box, { kind: 'licence', sentMs, forMs: pace.licenceMs, stamp: this.stamp, peers: this.peers, ...lent })
+      }
+    }
+  }
+}
+
+void test('it is level, licensed and heard to have adopted soon after its start and after each change', () => {
+  const core = new Core()
+  ok(core.run(500, () => core.adopted === 3 && core.machine.current(core.nowMs) && core.machine.level))
+  strictEqual(core.adoptions, 1)
+  ok(core.machine.heardCoreMs > 0)
+  deepStrictEqual(core.machine.barred(core.nowMs), [])
+  core.stamp = 9
+  ok(core.run(250, () => core.adopted === 9))
+  strictEqual(core.adoptions, 2)
+  strictEqual(
+    core.sent.some((one) => one.message.kind === 'peerAsk' || one.toAddress === ''),
+    false,
+  )
+})
+
+void test('a silent core machine is left for another within half a second', () => {
+  for (const silent of ['a', 'b']) {
+    const core = new Core()
+    core.run(500)
+    core.silent.add(silent)
+    core.run(1000)
+    core.stamp = 12
+    ok(core.run(500, () => core.machine.copy.stamp === 12))
+  }
+})
+
+void test('members are counted, and a new leader that has not heard of all lowers the count only after a while', () => {
+  const core = new Core()
+  strictEqual(core.machine.members, 1)
+  core.peers = ['edge', 'other', 'third'].map((name) => ({ name, address: `${name}:7`, role: 'lineman' as const, zone: name }))
+  core.run(500)
+  strictEqual(core.machine.members, 3)
+  core.peers = core.peers.slice(0, 1)
+  core.run(pace.licenceMs)
+  strictEqual(core.machine.members, 3)
+  core.run(2 * pace.licenceMs)
+  deepStrictEqual(core.machine.memberNames, ['edge'])
+})
+
+void test('a tally goes to the leader where the holder of the duty is not known by name', () => {
+  const core = new Core()
+  core.run(500)
+  core.tell('edge', { kind: 'tally', seat: 'edge', session: 's', adopted: 3, atMs: 0, arrivals: [], held: [], flights: [] })
+  strictEqual(core.sent.at(-1)?.toAddress, 'b:7')
+})
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -20,11 +20,13 @@
   zone: string
   address: string
   seeds: readonly string[]
+  /** Empty in a process that does a turnout's work itself and goes by this copy alone. */
   turnout: string
   /** The system to follow; else the first whose leader grants a licence. */
   system: string
 }
 const fanout = 3
+const networkKeys = /^(network$|route\/|service\/|zone\/)/
 
 export class LinemanMachine {
   readonly copy = new Copy()
@@ -39,6 +41,10 @@
   #system = ''
   #peers: { name: string; address: string; zone: string }[] = []
   #peersSum = 0
+  #members = 1
+  #memberNames: readonly string[] = []
+  #membersMs = -Infinity
+  #heardCoreMs = -Infinity
   #licenceUntilMs = -Infinity
   #peerUntilMs = -Infinity
   #peerReplies = new Map<string, { sentMs: number; stamp: number }>()
@@ -80,6 +86,40 @@
     return nowMs < this.#licenceUntilMs || nowMs < this.#peerUntilMs
   }
 
+  /** Servers that the platform's list takes away while the core is silent about them. */
+  barred(nowMs: number): string[] {
+    return this.#barrier.barred(this.copy, nowMs)
+  }
+
+  /** How many seats there are; a new leader, which hears of them one by one, lowers it only after a while. */
+  get members(): number {
+    return this.#members
+  }
+
+  /** The names of the seats that were last told to be alive, this one among them. */
+  get memberNames(): readonly string[] {
+    return this.#memberNames
+  }
+
+  /** True once the core has been heard in this life and all that it told first is here. */
+  get level(): boolean {
+    return this.#sure
+  }
+
+  /** When a licence last came. */
+  get heardCoreMs(): number {
+    return this.#heardCoreMs
+  }
+
+  reseed(seeds: readonly string[]): void {
+    this.#roster.reseed(seeds.filter((seed) => seed !== this.#plan.address))
+    this.#hailAtMs = -Infinity
+  }
+
+  get #alone(): boolean {
+    return this.#plan.turnout === ''
+  }
+
   figures(nowMs: number): Record<string, number> {
     return {
       licence_left_ms: Math.max(0, this.#licenceUntilMs - nowMs),
@@ -107,7 +147,7 @@
     if (nowMs >= this.#hailAtMs) {
       this.#hailAtMs = nowMs + this.#pace.hailMs
       const asked =
-        this.#leaderAddress === '' || !this.current(nowMs)
+        this.#alone || this.#leaderAddress === '' || !this.current(nowMs)
           ? this.#roster.inquiries
           : [this.#leaderAddress, ...this.#roster.inquiries.slice(0, 2)]
       for (const address of new Set(asked))
@@ -147,7 +187,7 @@
       firsts,
       peersSum: this.#peersSum,
     })
-    if (nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
+    if (!this.#alone && nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
   }
 
   /** What this seat as a whole works by: the turnout's stamp for as long as the turnout may be at work. */
@@ -189,6 +229,7 @@
     if (above !== undefined && !this.#shunned.has(above) && this.current(nowMs)) return above
     const boxes = this.#roster
       .of('signalbox')
+      .filter((one) => !this.#alone || nowMs - one.heardMs <= 4 * this.#pace.hailMs)
       .sort(
         (a, b) =>
           Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) ||
@@ -260,6 +301,7 @@
           nowMs,
         )
         this.#roster.hearsay(message.known, nowMs)
+        if (this.#alone && message.leader !== '' && !this.current(nowMs)) this.#renewSoon()
         if (message.role === 'signalbox' && message.leader !== '') this.#leaderAddress = message.leader
         else if (message.leader !== '' && this.#leaderAddress === '') this.#leaderAddress = message.leader
         break
@@ -275,6 +317,8 @@
           this.#peersSum = message.peersSum
           this.#roster.hearsay(message.peers, nowMs)
         }
+        this.#heardCoreMs = nowMs
+        this.#count(nowMs)
         if (message.forMs > 0) this.#lent = message
         this.#barrier.core(message.sentMs - message.platformAgeMs, message.stamp)
         this.#permit(nowMs)
@@ -291,7 +335,7 @@
         this.#ask = message
         for (const { key, count } of message.firsts) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + count)
         if (message.again.length > 0 || message.asks.some((one) => one.want > one.held)) {
-          this.#renewAtMs = Math.min(this.#renewAtMs, this.#renewedMs + this.#pace.renewMs / 4)
+          this.#renewSoon()
         }
         break
       }
@@ -304,26 +348,50 @@
       case 'news': {
         if (fromAddress === this.#parent) this.#parentHeardMs = nowMs
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
-        if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#spread(nowMs)
+        this.#changed(this.copy.adopt(message.since, message.stamp, message.rows), nowMs)
         break
       }
       case 'mend': {
         if (message.stamp !== this.copy.stamp) break
         const changed = this.copy.mend(message.range, message.rows)
-        if (changed.length > 0)
-          this.#effects.push({ kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` })
+        if (changed.length === 0) break
+        this.#effects.push(
+          { kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` },
+          { kind: 'adopted' },
+        )
         break
       }
       case 'tally': {
         const duty = this.copy.get('duty/dispatcher')
         const holder = duty === undefined ? undefined : this.#roster.get(DutyRow.parse(JSON.parse(duty)).holder)
-        if (holder !== undefined) this.#send(holder.address, { ...message, seat: this.#plan.name })
+        const address = holder?.address ?? (this.#alone ? this.#leaderAddress : '')
+        this.#send(address, { ...message, seat: this.#plan.name })
         break
       }
       default:
     }
   }
 
+  #renewSoon(): void {
+    this.#renewAtMs = Math.min(this.#renewAtMs, this.#renewedMs + this.#pace.renewMs / 4)
+  }
+
+  #count(nowMs: number): void {
+    const told = Math.max(1, this.#peers.length)
+    if (told < this.#members && nowMs - this.#membersMs <= 2 * this.#pace.licenceMs) return
+    this.#members = told
+    this.#memberNames = this.#peers.map((peer) => peer.name)
+    this.#membersMs = nowMs
+  }
+
+  /** Rows changed: those who follow get them, and the core soon hears that this seat works by them. */
+  #changed(rows: readonly { key: string }[], nowMs: number): void {
+    if (rows.length === 0) return
+    this.#effects.push({ kind: 'adopted' })
+    if (this.#alone && rows.some((row) => networkKeys.test(row.key))) this.#renewSoon()
+    this.#spread(nowMs)
+  }
+
   #followed(fromAddress: string, follow: Extract<Message, { kind: 'follow' }>, nowMs: number): void {
     const own = fromAddress === this.#plan.turnout
     if (own) {
--- a/src/lineman/LinemanTask.ts
+++ b/src/lineman/LinemanTask.ts
@@ -8,7 +8,7 @@
 import { Logbook } from '../gauge/Logbook.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
-import { readPlatform } from '../sidings/readPlatform.js'
+import type { Outside } from '../sidings/Outside.js'
 import type { Telegraph } from '../telegraph/Telegraph.js'
 import type { LinemanInput } from './LinemanInput.js'
 import { LinemanMachine } from './LinemanMachine.js'
@@ -18,7 +18,7 @@
   readonly machine: LinemanMachine
   readonly #logbook: Logbook
   readonly #telegraph: Telegraph
-  readonly #platform: string | undefined
+  readonly #outside: Outside
   readonly #pace: Pace
   readonly #ticker: NodeJS.Timeout
 
@@ -26,12 +26,13 @@
     @inject('startup') startup: Startup['lineman'],
     @inject('logbook') logbook: Logbook,
     @inject('telegraph') telegraph: Telegraph,
+    @inject('outside') outside: Outside,
   ) {
     this.#logbook = logbook
     this.#telegraph = telegraph
     const pace = Pace(startup.bounds)
     this.#pace = pace
-    this.#platform = startup.platform
+    this.#outside = outside
     const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     this.machine = new LinemanMachine(
       {
@@ -66,13 +67,12 @@
     for (const effect of this.machine.step(input, clockMs())) {
       if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logbook.say(effect.part, effect.sentence)
-      else void this.#readPlatform()
+      else if (effect.kind === 'askPlatform') void this.#readPlatform()
     }
   }
 
   async #readPlatform(): Promise<void> {
-    if (this.#platform === undefined) return
-    const servers = await readPlatform(this.#platform, this.#pace.platformMs)
+    const servers = await this.#outside.list(this.#pace.platformMs)
     if (servers !== undefined) this.#step({ kind: 'platform', servers })
   }
 
--- a/src/lineman/main.ts
+++ b/src/lineman/main.ts
@@ -6,6 +6,7 @@
 import { container } from 'tsyringe'
 import { startDaemon } from '../gauge/startDaemon.js'
 import { Startup } from '../gauge/Startup.js'
+import { HttpOutside } from '../sidings/HttpOutside.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
 import { Meters } from '../gauge/Meters.js'
 import { LinemanTask } from './LinemanTask.js'
@@ -27,6 +28,7 @@
   container.registerInstance('startup', startup)
   container.registerInstance('logbook', logbook)
   container.registerInstance(Meters, new Meters('lineman', startup.name))
+  container.registerInstance('outside', new HttpOutside(startup.platform))
   container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
   const task = container.resolve(LinemanTask)
   logbook.say('lineman', `Listens on ${startup.telegraph}.`)
--- a/src/signalbox/OutsideCalls.ts
+++ b/src/sidings/HttpOutside.ts
@@ -1,19 +1,38 @@
 /**
- * The signalbox's calls to model servers, each bounded in time. Whatever goes
- * wrong becomes an outcome; nothing throws.
+ * The outside over HTTP: the platform's list where its address is known, and the model servers, each call
+ * bounded in time.
  */
 import { request } from 'undici'
 import type { Order } from '../gauge/Order.js'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
-import { ModelServerFormat } from '../sidings/ModelServerFormat.js'
+import { ModelServerFormat } from './ModelServerFormat.js'
+import type { Outside } from './Outside.js'
+import { readPlatform } from './readPlatform.js'
 
-export class OutsideCalls {
-  async holds(address: string, tenure: number, waitMs: number): Promise<Report | undefined> {
+export class HttpOutside implements Outside {
+  readonly #platform: string | undefined
+
+  constructor(platform: string | undefined) {
+    this.#platform = platform
+  }
+
+  async list(waitMs: number): Promise<PlatformServer[] | undefined> {
+    return this.#platform === undefined ? undefined : readPlatform(this.#platform, waitMs)
+  }
+
+  async holds(_server: string, address: string, tenure: number, waitMs: number): Promise<Report | undefined> {
     const reply = await this.#call(address, ModelServerFormat.holdsPath(tenure), 'GET', undefined, waitMs)
     return reply?.status === 200 ? ModelServerFormat.report(reply.body) : undefined
   }
 
-  async order(address: string, order: Order, waitMs: number): Promise<'accepted' | 'turnedAway' | 'unknown'> {
+  async order(
+    _server: string,
+    address: string,
+    order: Order,
+    _owner: string,
+    waitMs: number,
+  ): Promise<'accepted' | 'turnedAway' | 'unknown'> {
     const reply = await this.#call(address, ModelServerFormat.ordersPath, 'POST', JSON.stringify(order), waitMs)
     return reply === undefined ? 'unknown' : ModelServerFormat.reply(reply.status)
   }
--- a/src/signalbox/CoreAccount.ts
+++ b/src/signalbox/CoreAccount.ts
@@ -49,7 +49,7 @@
     return leaves
   }
 
-  nodes(register: Register, nowMs: number): unknown {
+  nodes(register: Register, names: readonly string[], nowMs: number): unknown {
     const seats = new Map(this.#desk.licences.seats)
     return {
       leader: this.#agreement.leader,
@@ -62,17 +62,14 @@
         alive: one.identity === this.#agreement.identity || nowMs - this.#agreement.heardMs(one.identity) < this.#pace.electionMs,
       })),
       dispatcher: register.duty('dispatcher') ?? null,
-      seats: register.copy
-        .under('seat/')
-        .map(([name]) => name)
-        .map((seat) => ({
-          seat,
-          zone: seats.get(seat)?.zone ?? '',
-          address: seats.get(seat)?.address ?? '',
-          session: seats.get(seat)?.session ?? '',
-          adopted: seats.get(seat)?.adopted ?? 0,
-          alive: this.#desk.licences.alive(seat, nowMs),
-        })),
+      seats: names.map((seat) => ({
+        seat,
+        zone: seats.get(seat)?.zone ?? '',
+        address: seats.get(seat)?.address ?? '',
+        session: seats.get(seat)?.session ?? '',
+        adopted: seats.get(seat)?.adopted ?? 0,
+        alive: this.#desk.licences.alive(seat, nowMs),
+      })),
       stamp: register.copy.stamp,
       system: this.#agreement.system,
       exhausted: this.#desk.exhausted,
--- a/src/signalbox/Operation.ts
+++ b/src/signalbox/Operation.ts
@@ -1,6 +1,8 @@
 /**
  * What an operator may ask of the core. `operation` names a write, so that a repeated one is answered
- * with the first outcome; `ifMatch` guards it by a stamp, -1 for no guard.
+ * with the first outcome; `ifMatch` guards it by a stamp, -1 for no guard. A network's write is guarded by
+ * its revision, and is named by what it says: a repeat of one that failed is judged anew. For a zone,
+ * `branch` is its name.
  */
 import { z } from 'zod'
 
@@ -17,6 +19,11 @@
     'servers',
     'placement',
     'seat.retire',
+    'network.put',
+    'network.patch',
+    'network.get',
+    'zone.empty',
+    'zone.fill',
   ]),
   branch: z.string(),
   text: z.string(),
--- a/src/signalbox/OperatorsBook.ts
+++ b/src/signalbox/OperatorsBook.ts
@@ -19,6 +19,8 @@
   askedMs: number
   respondTo: string | undefined
   proposed: boolean
+  /** The term in which a write to the network or a zone was put to the log. */
+  proposedTerm: number
 }
 /** What the book needs of the machine that it belongs to. */
 interface Host {
@@ -86,7 +88,7 @@
       })
       return
     }
-    const pending: Pending = { operation, dueMs: nowMs + operation.waitMs, askedMs: -Infinity, respondTo, proposed: false }
+    const pending: Pending = { operation, dueMs: nowMs + operation.waitMs, askedMs: -Infinity, respondTo, proposed: false, proposedTerm: 0 }
     this.#pending.set(id, pending)
     this.#push(id, pending, nowMs)
   }
@@ -131,6 +133,16 @@
         this.#host.propose({ kind: 'seat', name: operation.text, role: '', zone: '', retired: true, operation: operation.operation }, nowMs)
         break
       }
+      case 'network.put':
+      case 'network.patch':
+      case 'zone.empty':
+      case 'zone.fill': {
+        if (pending.proposedTerm === this.#host.agreement.term || this.#outcome(id, operation) !== undefined) break
+        pending.proposed = true
+        pending.proposedTerm = this.#host.agreement.term
+        this.#host.propose(OperatorsBook.#command(id, operation), nowMs)
+        break
+      }
       default:
         if (pending.proposed) break
         pending.proposed = true
@@ -138,14 +150,37 @@
     }
   }
 
+  static #command(id: string, operation: Operation): Command {
+    const { action, branch, text, ifMatch } = operation
+    if (action === 'zone.empty' || action === 'zone.fill')
+      return { kind: 'zone', zone: branch, emptied: action === 'zone.empty', proposal: id }
+    return {
+      kind: 'network',
+      operation: operation.operation,
+      proposal: id,
+      action: action === 'network.put' ? 'put' : 'patch',
+      text,
+      ifMatch,
+    }
+  }
+
+  /** How a write ended; a failed one of a network, and one of a zone, is known by its own request alone. */
+  #outcome(id: string, { action, operation }: Operation): Outcome | undefined {
+    if (action === 'zone.empty' || action === 'zone.fill') return this.#host.register.outcome(id)
+    if (operation === '' || action === 'outcome') return undefined
+    const known = this.#host.register.outcome(operation)
+    return known ?? (action === 'network.put' || action === 'network.patch' ? this.#host.register.outcome(id) : undefined)
+  }
+
   /** Answers the writes whose outcome is known and, where they took effect, obeyed everywhere. */
   finish(nowMs: number): void {
     if (!this.#host.leading || !this.#host.agreement.settled) return
     for (const [id, { operation }] of this.#pending) {
-      const outcome = this.#host.register.outcome(operation.operation)
-      if (outcome === undefined || operation.operation === '' || operation.action === 'outcome') continue
+      const outcome = this.#outcome(id, operation)
+      if (outcome === undefined) continue
+      const revision = operation.action.startsWith('network.') ? (this.#host.register.network?.revision ?? 0) : undefined
       if (outcome.status !== 200)
-        this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp }))
+        this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp, revision }))
       else if (operation.action === 'seat.retire' || this.#host.delivered(outcome, nowMs))
         this.#respond(id, 200, outcome.stamp, JSON.stringify({ stamp: outcome.stamp, operation: operation.operation }))
     }
@@ -182,6 +217,12 @@
         }
         break
       }
+      case 'network.get': {
+        const { network, copy } = this.#host.register
+        if (network === undefined) json(404, { errors: ['there is no network yet'] })
+        else this.#respond(id, 200, copy.stampOf('network'), JSON.stringify(network))
+        break
+      }
       case 'charter.history':
         json(
           200,
--- a/src/signalbox/OperatorsDesk.ts
+++ b/src/signalbox/OperatorsDesk.ts
@@ -24,6 +24,7 @@
   readonly #waiting = new Map<string, ServerResponse>()
   readonly #app: App
   #server: Server | undefined
+  readonly #life = crypto.randomUUID().slice(0, 8)
   #count = 0
 
   constructor(
@@ -64,6 +65,16 @@
       this.#read(request, response, () => ({ action: 'placement' }))
     })
     app.post('/seats/retire', (request, response) => this.#write(request, response, 'seat.retire'))
+    app.get('/network', (request, response) => {
+      this.#read(request, response, () => ({ action: 'network.get' }))
+    })
+    app.put('/network', (request, response) => this.#write(request, response, 'network.put'))
+    app.patch('/network', (request, response) => this.#write(request, response, 'network.patch'))
+    const zone =
+      (action: 'zone.empty' | 'zone.fill') => (request: IncomingMessage & { params: Record<string, string> }, response: ServerResponse) =>
+        this.#write(request, response, action, request.params['zone'] ?? '')
+    app.post('/zones/:zone/evacuation', zone('zone.empty'))
+    app.delete('/zones/:zone/evacuation', zone('zone.fill'))
     watchRoutes(app, meters, () => {
       const { phase, term, commit, leader } = task.machine.agreement
       return { well: leader !== '', name: startup.name, phase, term, commit, leader }
@@ -106,7 +117,7 @@
     this.#ask(request, response, { branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.#waitMs(request), ...what(url) })
   }
 
-  async #write(request: IncomingMessage, response: ServerResponse, action: Operation['action']): Promise<void> {
+  async #write(request: IncomingMessage, response: ServerResponse, action: Operation['action'], branch?: string): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://signalbox')
     const body = await readBody(request, bodyLimitBytes)
     const match = request.headers['if-match']
@@ -123,7 +134,7 @@
     const operation = request.headers['operation-id']
     this.#ask(request, response, {
       action,
-      branch: url.searchParams.get('branch') ?? '',
+      branch: branch ?? url.searchParams.get('branch') ?? '',
       text: body.toString(),
       ifMatch,
       operation: typeof operation === 'string' && operation !== '' ? operation : crypto.randomUUID(),
@@ -138,7 +149,7 @@
 
   #ask(request: IncomingMessage, response: ServerResponse, operation: Operation): void {
     this.#count += 1
-    const id = `${this.#startup.name}-${String(process.pid)}-${String(this.#count)}`
+    const id = `${this.#startup.name}-${this.#life}-${String(this.#count)}`
     this.#waiting.set(id, response)
     request.on('close', () => {
       if (!response.writableEnded && response.destroyed) this.#waiting.delete(id)
--- a/src/signalbox/SignalboxEffect.ts
+++ b/src/signalbox/SignalboxEffect.ts
@@ -9,7 +9,7 @@
   | { kind: 'send'; toAddress: string; message: Message }
   | { kind: 'write'; records: Uint8Array[]; rewrite: boolean; then: { toAddress: string; message: Message }[] }
   | { kind: 'respond'; id: string; status: number; stamp: number; text: string }
-  | { kind: 'askPlatform' }
+  | { kind: 'askPlatform'; askedMs: number }
   | { kind: 'ask'; server: string; address: string; tenure: number; askedMs: number }
   | { kind: 'order'; server: string; address: string; order: Order }
   | { kind: 'say'; part: string; sentence: string }
--- a/src/signalbox/SignalboxInput.ts
+++ b/src/signalbox/SignalboxInput.ts
@@ -11,6 +11,6 @@
   | { kind: 'message'; from: string; fromAddress: string; message: Message }
   | { kind: 'written' }
   | { kind: 'operate'; id: string; operation: Operation }
-  | { kind: 'platform'; servers: PlatformServer[] }
+  | { kind: 'platform'; servers: PlatformServer[]; askedMs: number }
   | { kind: 'reported'; server: string; report: Report | undefined; askedMs: number }
-  | { kind: 'replied'; server: string; tenure: number; number: number; reply: 'accepted' | 'turnedAway' | 'unknown' }
+  | { kind: 'replied'; server: string; tenure: number; number: number; reply: 'accepted' | 'held' | 'turnedAway' | 'unknown' }
--- /dev/null
+++ b/src/signalbox/SignalboxMachine.network.test.ts
@@ -0,0 +1,284 @@
+/**
+ * Core machines of a network, with disks that sync at once and telegraphs that lose nothing: founding,
+ * machines that are replaced or wiped, and writes that wait for those who must adopt them.
+ */
+import { deepStrictEqual, notStrictEqual, ok, strictEqual } from 'node:assert'
+import { test } from 'node:test'
+import { Bounds } from '../gauge/Bounds.js'
+import { Chance } from '../gauge/Chance.js'
+import { Network } from '../gauge/Network.js'
+import { Pace } from '../gauge/Pace.js'
+import type { Message } from '../telegraph/Message.js'
+import { edgeMulti } from '../timetable/edgeMulti.js'
+import type { Operation } from './Operation.js'
+import type { SignalboxEffect } from './SignalboxEffect.js'
+import { SignalboxMachine } from './SignalboxMachine.js'
+
+const pace = Pace(Bounds.parse({}))
+const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
+const network = (revision: number) => JSON.stringify({ revision, routes: [], services: [{ name: 's', connections: 1 }], limits })
+
+interface Box {
+  machine: SignalboxMachine
+  disk: Uint8Array[]
+  address: string
+}
+
+class World {
+  nowMs = 0
+  seeds = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
+  readonly boxes = new Map<string, Box>()
+  readonly heard = new Map<string, (message: Message) => void>()
+  readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
+  #seed = 1
+
+  start(name: string, address: string, bootstrap: boolean, disk: Uint8Array[] = []): Box {
+    this.#seed += 1
+    const plan = { name, zone: 'z', address, seeds: this.seeds, seats: [], bootstrap, rewriteBytes: 1e6, policy: edgeMulti, system: '' }
+    const box = { machine: new SignalboxMachine(plan, pace, new Chance(this.#seed), [...disk], this.nowMs), disk, address }
+    this.boxes.set(name, box)
+    this.#carryOut(name, box, box.machine.begin())
+    return box
+  }
+
+  three(bootstrap = true): void {
+    this.seeds.forEach((seed, at) => this.start(`box-${String(at + 1)}`, seed, bootstrap))
+  }
+
+  run(spanMs: number, until: () => boolean = () => false): boolean {
+    for (const endMs = this.nowMs + spanMs; this.nowMs < endMs;) {
+      if (until()) return true
+      this.nowMs += pace.tickMs
+      for (const [name, box] of [...this.boxes])
+        if (this.boxes.get(name) === box) this.#carryOut(name, box, box.machine.step({ kind: 'tick', hour: 0 }, this.nowMs))
+    }
+    return until()
+  }
+
+  tell(from: string, fromAddress: string, toAddress: string, message: Message): void {
+    const to = [...this.boxes].find(([, one]) => one.address === toAddress)
+    if (to === undefined) this.heard.get(toAddress)?.(message)
+    else this.#carryOut(to[0], to[1], to[1].machine.step({ kind: 'message', from, fromAddress, message }, this.nowMs))
+  }
+
+  ask(name: string, id: string, operation: Partial<Operation> & { action: Operation['action'] }): void {
+    const whole = { branch: '', text: '', ifMatch: -1, operation: '', waitMs: pace.operateMs, ...operation }
+    const box = this.boxes.get(name)
+    if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'operate', id, operation: whole }, this.nowMs))
+  }
+
+  answered(id: string, spanMs = 2000): { status: number; stamp: number; text: string } {
+    ok(
+      this.run(spanMs, () => this.responses.has(id)),
+      `${id} is not answered`,
+    )
+    return this.responses.get(id) ?? { status: 0, stamp: 0, text: '' }
+  }
+
+  get leader(): [string, Box] | undefined {
+    return [...this.boxes].find(([, one]) => one.machine.agreement.settled && one.machine.agreement.surelyLeads(this.nowMs))
+  }
+
+  get voters(): string[] {
+    return (this.leader?.[1].machine.agreement.members ?? [])
+      .filter((one) => one.voter)
+      .map((one) => one.seat)
+      .sort()
+  }
+
+  led(): string {
+    ok(
+      this.run(5000, () => this.leader !== undefined),
+      'nobody leads',
+    )
+    return this.leader?.[0] ?? ''
+  }
+
+  #carryOut(name: string, box: Box, effects: SignalboxEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'send') this.tell(name, box.address, effect.toAddress, effect.message)
+      else if (effect.kind === 'write') {
+        if (effect.rewrite) box.disk.length = 0
+        box.disk.push(...effect.records)
+        for (const send of effect.then) this.tell(name, box.address, send.toAddress, send.message)
+        this.#carryOut(name, box, box.machine.step({ kind: 'written' }, this.nowMs))
+      } else if (effect.kind === 'respond') this.responses.set(effect.id, effect)
+    }
+  }
+}
+
+void test('the lowest seed founds once all are there, the leader dispatches, and nobody founds without being told', () => {
+  const world = new World()
+  world.start('box-1', '10.0.0.1:7', true)
+  world.start('box-2', '10.0.0.2:7', true)
+  strictEqual(
+    world.run(3000, () => world.leader !== undefined),
+    false,
+  )
+  world.start('box-3', '10.0.0.3:7', true)
+  const leader = world.led()
+  deepStrictEqual(world.voters, ['box-1', 'box-2', 'box-3'])
+  ok(world.run(2000, () => world.boxes.get(leader)?.machine.dispatcher !== undefined))
+  const untold = new World()
+  untold.three(false)
+  strictEqual(
+    untold.run(5000, () => untold.leader !== undefined),
+    false,
+  )
+})
+
+void test('one seed founds alone', () => {
+  const world = new World()
+  world.seeds = ['10.0.0.1:7']
+  world.start('box-1', '10.0.0.1:7', true)
+  strictEqual(world.led(), 'box-1')
+  world.ask('box-1', 'get', { action: 'network.get' })
+  strictEqual(world.answered('get').status, 404)
+})
+
+void test('an empty machine elsewhere takes the place of one that is gone, also of the leader, time and again', () => {
+  const world = new World()
+  world.three()
+  for (let round = 0; round < 6; round++) {
+    const leader = world.led()
+    const gone = round % 2 === 0 ? leader : ([...world.boxes.keys()].find((name) => name !== leader) ?? '')
+    world.ask(leader, `put-${String(round)}`, {
+      action: 'network.put',
+      operation: `o${String(round)}`,
+      text: network(round + 1),
+      ifMatch: round,
+    })
+    strictEqual(world.answered(`put-${String(round)}`).status, 200)
+    const seat = world.seeds.indexOf(world.boxes.get(gone)?.address ?? '')
+    world.boxes.delete(gone)
+    world.seeds = world.seeds.map((seed, at) => (at === seat ? `10.0.1.${String(round)}:7` : seed))
+    world.start(`new-${String(round)}`, `10.0.1.${String(round)}:7`, false)
+    const wanted = [...world.boxes.keys()].sort()
+    ok(
+      world.run(10_000, () => JSON.stringify(world.voters) === JSON.stringify(wanted)),
+      `round ${String(round)}: ${world.voters.join()}`,
+    )
+    const now = world.leader
+    ok(world.run(4000, () => now?.[1].machine.dispatcher !== undefined))
+    const [first] = [...world.boxes.keys()]
+    world.ask(first ?? '', `get-${String(round)}`, { action: 'network.get' })
+    const read = Network.check(JSON.parse(world.answered(`get-${String(round)}`).text), 0)
+    strictEqual(read.map((one) => one.revision).orDefault(0), round + 1)
+  }
+})
+
+void test('a wiped machine returns under its name, and one with its disk under its identity, elsewhere and with other seeds', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  const [wiped = '', kept = ''] = [...world.boxes.keys()].filter((name) => name !== leader)
+  const before = world.boxes.get(wiped)
+  world.boxes.delete(wiped)
+  world.run(2000)
+  const again = world.start(wiped, before?.address ?? '', true)
+  const { identity } = again.machine.agreement
+  notStrictEqual(identity, before?.machine.agreement.identity)
+  const voter = (wanted: string) => () =>
+    world.leader?.[1].machine.agreement.members.some((one) => one.voter && one.identity === wanted) === true && world.voters.length === 3
+  ok(world.run(10_000, voter(identity)))
+  const old = world.boxes.get(kept)
+  world.boxes.delete(kept)
+  world.run(2000)
+  world.seeds = ['10.9.9.9:7']
+  const back = world.start(kept, '10.0.2.1:7', false, old?.disk ?? [])
+  strictEqual(back.machine.agreement.identity, old?.machine.agreement.identity)
+  ok(
+    world.run(
+      4000,
+      () => back.machine.agreement.leader !== '' && back.machine.agreement.commit === world.leader?.[1].machine.agreement.commit,
+    ),
+  )
+  strictEqual(world.voters.length, 3)
+})
+
+void test('of more than three, one that stays silent is given up; of three none', () => {
+  const world = new World()
+  world.three()
+  world.led()
+  world.start('box-4', '10.0.0.4:7', false)
+  ok(world.run(5000, () => world.voters.length === 4))
+  world.boxes.delete('box-4')
+  strictEqual(
+    world.run(0.9 * pace.memberGoneMs, () => world.voters.length === 3),
+    false,
+  )
+  ok(world.run(pace.memberGoneMs, () => world.voters.length === 3))
+  const leader = world.led()
+  world.boxes.delete([...world.boxes.keys()].find((name) => name !== leader) ?? '')
+  world.run(3 * pace.memberGoneMs)
+  strictEqual(world.voters.length, 3)
+})
+
+void test('any machine takes writes; guards, errors and repeats are answered, and waits end', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+  const put = (name: string, id: string, operation: string, text: string, ifMatch = -1) => {
+    world.ask(name, id, { action: 'network.put', operation, text, ifMatch })
+    return world.answered(id)
+  }
+  strictEqual(put(other, 'a', 'second', network(2), 1).status, 412)
+  strictEqual(put(other, 'b', 'first', network(1), 0).status, 200)
+  const late = put(leader, 'c', 'second', network(2), 1)
+  strictEqual(late.status, 200)
+  strictEqual(put(other, 'd', 'second', network(2), 1).stamp, late.stamp)
+  strictEqual(put(leader, 'e', 'third', '{"revision":0}').status, 422)
+  strictEqual(put(leader, 'f', 'third', '{').status, 422)
+  world.ask(other, 'g', { action: 'zone.empty', branch: 'z' })
+  const emptied = world.answered('g')
+  world.ask(leader, 'h', { action: 'zone.empty', branch: 'z' })
+  deepStrictEqual([emptied.status, world.answered('h').stamp], [200, emptied.stamp])
+  world.boxes.delete(other)
+  world.boxes.delete([...world.boxes.keys()].find((name) => name !== leader) ?? '')
+  world.ask(leader, 'i', { action: 'network.put', operation: 'cut', text: network(9) })
+  strictEqual(world.answered('i', 2 * pace.operateMs).status, 504)
+})
+
+void test('a write waits for a machine with a licence that has not adopted it, but not for long', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  const address = world.boxes.get(leader)?.address ?? ''
+  let stamp = 0
+  world.run(3000)
+  const licences: number[] = []
+  world.heard.set('edge:7', (message) => {
+    if (message.kind === 'licence') licences.push(message.forMs, message.peers.length)
+  })
+  const renew = () => {
+    world.tell('edge', 'edge:7', address, {
+      kind: 'renew',
+      seat: 'edge',
+      role: 'lineman',
+      zone: 'z',
+      session: 's',
+      sentMs: world.nowMs,
+      adopted: stamp,
+      asks: [],
+      echo: 0,
+      again: [],
+      firsts: [],
+      peersSum: 0,
+    })
+  }
+  renew()
+  deepStrictEqual(licences, [pace.licenceMs, 1])
+  world.ask(leader, 'a', { action: 'network.put', operation: 'a', text: network(1) })
+  world.run(200)
+  strictEqual(world.responses.has('a'), false)
+  stamp = 1e9
+  renew()
+  strictEqual(world.responses.get('a')?.status, 200)
+  stamp = 0
+  renew()
+  world.ask(leader, 'b', { action: 'network.put', operation: 'b', text: network(2) })
+  const sentMs = world.nowMs
+  strictEqual(world.answered('b').status, 200)
+  ok(world.nowMs - sentMs >= pace.deliverMs && world.nowMs - sentMs < pace.deliverMs + 200, String(world.nowMs - sentMs))
+})
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -6,6 +6,7 @@
 import type { Chance } from '../gauge/Chance.js'
 import type { Pace } from '../gauge/Pace.js'
 import { Agreement } from '../interlocking/Agreement.js'
+import type { Member } from '../interlocking/Member.js'
 import { Ballots } from '../interlocking/Ballots.js'
 import { Command } from '../interlocking/Command.js'
 import { Register } from '../interlocking/Register.js'
@@ -27,7 +28,9 @@
   zone: string
   address: string
   seeds: readonly string[]
+  /** Empty for a network: members are then whoever joins, and the seeds found where `bootstrap` is set. */
   seats: readonly string[]
+  bootstrap: boolean
   rewriteBytes: number
   policy: Policy
   /** The system that an empty machine may join; any, if empty. */
@@ -37,6 +40,8 @@
 const unreadMs = 1e9
 const hourMs = 3_600_000
 const jumpMs = 120_000
+const keptCommits = 4096
+const keptVoters = 3
 
 export class SignalboxMachine {
   readonly agreement: Agreement
@@ -68,10 +73,24 @@
   #platformSeen = ''
   #applied = 0
   #logBytes = 0
+  #seeds: readonly string[]
+  readonly #network: boolean
+  /** Where machines were when they last spoke of the agreement, by identity. */
+  readonly #spokeFrom = new Map<string, string>()
+  /** What system machines say that they belong to, by identity. */
+  readonly #systems = new Map<string, string>()
+  /** Since when this leader counts a member's silence. */
+  #countedMs = new Map<string, number>()
+  #committedMs = new Map<number, number>()
+  #settledMs: number | undefined
+  #vacateAtMs = -Infinity
+  #winAtMs = -Infinity
   #clock: { hour: number; atMs: number } | undefined
 
   constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
+    this.#seeds = plan.seeds
+    this.#network = plan.seats.length === 0
     this.#pace = pace
     this.agreement = new Agreement(plan.name, pace, chance.fork(), disk, nowMs)
     this.roster = new Roster(
@@ -123,16 +142,29 @@
         this.#send(toAddress, message)
       },
       respond: (id, status, stamp, text) => {
-        this.#effects.push({ kind: 'respond', id, status, stamp, text })
+        this.#effects.push({ kind: 'respond', id: this.#network ? id.slice(this.#life.length + 1) : id, status, stamp, text })
       },
-      delivered: (outcome, nowMs) => this.#desk.licences.delivered(outcome.stamp, this.#seats, nowMs),
-      nodes: (nowMs) => this.#account.nodes(this.register, nowMs),
+      delivered: (outcome, nowMs) => this.#delivered(outcome.stamp, nowMs),
+      nodes: (nowMs) => this.#account.nodes(this.register, this.#seats, nowMs),
       servers: () => this.#account.servers(this.register),
       leaves: () => this.#account.leaves(this.register),
       placement: (nowMs) => this.#account.placement(this.register, this.#dispatcher, nowMs),
     }
   }
 
+  /** Other seeds take the place of the old ones; whoever was learned of stays known. */
+  reseed(seeds: readonly string[]): void {
+    this.#seeds = seeds
+    this.roster.reseed(seeds.filter((seed) => seed !== this.#plan.address))
+    this.#hailAtMs = -Infinity
+  }
+
+  #delivered(stamp: number, nowMs: number): boolean {
+    if (!this.#network) return this.#desk.licences.delivered(stamp, this.#seats, nowMs)
+    const sinceMs = this.#committedMs.get(stamp) ?? this.#settledMs
+    return sinceMs !== undefined && this.#desk.licences.adopted(stamp, sinceMs, nowMs)
+  }
+
   get dispatcher(): Dispatcher | undefined {
     return this.#dispatcher
   }
@@ -167,16 +199,17 @@
         this.agreement.written(nowMs)
         break
       case 'operate':
-        this.#book.operate(input.id, input.operation, undefined, nowMs)
+        this.#book.operate(this.#network ? `${this.#life}/${input.id}` : input.id, input.operation, undefined, nowMs)
         break
       case 'platform':
-        this.#platform(input.servers, nowMs)
+        this.#platform(input.servers, input.askedMs, nowMs)
         break
       case 'reported':
         this.#dispatcher?.reported(input.server, input.report, input.askedMs, nowMs)
         break
       case 'replied':
-        if (this.#dispatcher?.tenure === input.tenure) this.#dispatcher.replied(input.server, input.number, input.reply, nowMs)
+        if (this.#dispatcher?.tenure === input.tenure)
+          this.#dispatcher.replied(input.server, input.number, input.reply === 'held' ? 'accepted' : input.reply, nowMs)
         break
     }
     this.#collect(nowMs)
@@ -198,7 +231,12 @@
   }
 
   #addressOf(identity: string): string {
-    return this.roster.addressOf(identity) ?? this.agreement.members.find((one) => one.identity === identity)?.address ?? ''
+    return (
+      this.roster.addressOf(identity) ??
+      this.#spokeFrom.get(identity) ??
+      this.agreement.members.find((one) => one.identity === identity)?.address ??
+      ''
+    )
   }
 
   /** Turns what the agreement asks for into effects, and applies what it committed. */
@@ -224,6 +262,7 @@
       const before = this.register.charterStamp
       if (entry.type === 'command') this.register.apply(entry.index, entry.bytes)
       this.#applied = entry.index
+      if (this.#network && this.agreement.phase === 'leader') this.#committed(entry.index, nowMs)
       if (this.register.charterStamp !== before) {
         this.#desk.licences.charterMade(this.register.charterStamp, entry.term < this.agreement.term ? -Infinity : nowMs)
       }
@@ -245,14 +284,25 @@
         this.#platformFreshMs = -Infinity
         this.#desk.licences.charterMade(this.register.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
+        this.#countedMs.clear()
+        this.#committedMs.clear()
+        this.#settledMs = undefined
+        this.#winAtMs = -Infinity
         this.#leaderAddress = this.#plan.address
       }
     } else if (this.agreement.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.agreement.leader)
     if (this.agreement.leader === '' && !this.#leading) this.#leaderAddress = ''
+    if (this.#leading && this.agreement.settled) this.#settledMs ??= nowMs
     this.#book.finish(nowMs)
     if ((this.agreement.phase !== 'leader') === this.#leading) this.#collect(nowMs)
   }
 
+  #committed(index: number, nowMs: number): void {
+    this.#committedMs.set(index, nowMs)
+    const oldest = this.#committedMs.keys().next().value
+    if (this.#committedMs.size > keptCommits && oldest !== undefined) this.#committedMs.delete(oldest)
+  }
+
   /** The wall clock counts for the hours of intents alone; still, operators should know when it jumps. */
   #watchClock(hour: number, nowMs: number): void {
     if (this.#clock !== undefined) {
@@ -286,7 +336,9 @@
   #hail(nowMs: number): void {
     this.#hailAtMs = nowMs + this.#pace.hailMs
     const known = this.roster.known
-    for (const address of this.roster.inquiries) {
+    const members = this.#network ? this.agreement.members.filter((one) => one.identity !== this.agreement.identity) : []
+    const addresses = new Set([...this.roster.inquiries, ...members.map((one) => this.#addressOf(one.identity))])
+    for (const address of addresses) {
       this.#send(address, {
         kind: 'hail',
         nonce: this.#nonce,
@@ -301,6 +353,10 @@
 
   /** Only the lowest of the configured seats founds, and only when all have said to this very start that they are empty. */
   #found(nowMs: number): void {
+    if (this.#network) {
+      this.#bootstrap(nowMs)
+      return
+    }
     const seats = [...this.#plan.seats].sort()
     if (!this.agreement.empty || this.#plan.name !== seats[0]) return
     const others = seats.slice(1).map((seat) => this.roster.get(seat))
@@ -312,15 +368,32 @@
     this.agreement.found(members, nowMs)
   }
 
+  /** Only the process at the lowest seed founds, and only when every other seed has said to this very start that it is empty. */
+  #bootstrap(nowMs: number): void {
+    const seeds = [...new Set(this.#seeds)].sort()
+    if (!this.#plan.bootstrap || !this.agreement.empty || this.#plan.address !== seeds[0]) return
+    const boxes = this.roster.of('signalbox')
+    const members = [{ identity: this.agreement.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
+    for (const seed of seeds.slice(1)) {
+      const peer = boxes.find(
+        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < 4 * this.#pace.hailMs,
+      )
+      if (peer === undefined) return
+      members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
+    }
+    this.agreement.found(members, nowMs)
+  }
+
   #lead(nowMs: number): void {
     if (nowMs >= this.#platformAtMs) {
       this.#platformAtMs = nowMs + this.#pace.platformMs
-      this.#effects.push({ kind: 'askPlatform' })
+      this.#effects.push({ kind: 'askPlatform', askedMs: nowMs })
     }
     const duty = this.register.duty(dispatcherDuty)
     if (duty !== undefined) {
       const heardMs = this.#dutyHeardMs.get(duty.tenure)
-      if (heardMs === undefined) this.#dutyHeardMs.set(duty.tenure, nowMs)
+      const forgotten = this.#network && duty.holder === this.#plan.name && duty.address !== this.#life && this.agreement.settled
+      if (heardMs === undefined) this.#dutyHeardMs.set(duty.tenure, forgotten ? -Infinity : nowMs)
       else if (nowMs - heardMs > 1.1 * this.#pace.dutyLicenceMs) {
         this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: duty.tenure }, nowMs)
         this.#dutyHeardMs.set(duty.tenure, nowMs)
@@ -330,7 +403,66 @@
       this.#foundAtMs = nowMs + this.#pace.electionMs
       this.#propose({ kind: 'found', system: this.agreement.identity, again: false }, nowMs)
     }
-    this.#seatReplicas(nowMs)
+    if (this.#network) {
+      this.#desk.licences.forget(nowMs)
+      this.#replaceMembers(nowMs)
+    } else this.#seatReplicas(nowMs)
+  }
+
+  /** How long a member has been silent to this leader, which counts from when it began to lead or took the member in. */
+  #silentMs(identity: string, nowMs: number): number {
+    if (identity === this.agreement.identity) return 0
+    return nowMs - Math.max(this.agreement.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
+  }
+
+  /** One change at a time: whoever comes is a learner first, and takes the place of who is gone. */
+  #replaceMembers(nowMs: number): void {
+    const members = [...this.agreement.members]
+    this.#countedMs = new Map(members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
+    if (!this.agreement.settled || this.agreement.changing) return
+    const change = (sentence: string, next: Member[]) => {
+      if (this.agreement.changeMembers(next, nowMs)) this.#say('agreement', sentence)
+    }
+    const silent = (one: Member, spanMs: number) => this.#silentMs(one.identity, nowMs) > spanMs
+    const without = (gone: Member) => members.filter((one) => one !== gone)
+    const lateMs = 2 * this.#pace.electionMs
+    const voters = members.filter((one) => one.voter)
+    const learners = members.filter((one) => !one.voter)
+    const goneLearner = learners.find((one) => silent(one, this.#pace.memberGoneMs))
+    if (goneLearner !== undefined) {
+      change(`Gives up ${goneLearner.seat}, which fell silent as a learner.`, without(goneLearner))
+      return
+    }
+    for (const learner of learners) {
+      if (silent(learner, lateMs) || !this.agreement.caughtUp(learner.identity)) continue
+      const old = members.find((one) => one.seat === learner.seat && one !== learner)
+      const gone = old ?? voters.find((one) => silent(one, lateMs))
+      const rest = voters.filter((one) => one !== gone)
+      if (gone === undefined) {
+        change(
+          `Gives ${learner.seat} its vote.`,
+          members.map((one) => (one === learner ? { ...one, voter: true } : one)),
+        )
+      } else if (rest.filter((one) => !silent(one, lateMs)).length * 2 > rest.length) {
+        change(`Retires an identity of ${gone.seat} that is gone; ${learner.seat} is there for it.`, without(gone))
+      } else continue
+      return
+    }
+    for (const peer of this.roster.of('signalbox')) {
+      if (peer.identity === '' || nowMs - peer.heardMs > 4 * this.#pace.hailMs) continue
+      if (members.some((one) => one.identity === peer.identity)) continue
+      const ours = this.agreement.system !== '' && this.#systems.get(peer.identity) === this.agreement.system
+      const old = members.find((one) => one.seat === peer.name)
+      if ((!peer.empty && !ours) || (old !== undefined && !silent(old, lateMs))) continue
+      change(`Takes ${peer.name} in as a learner.`, [
+        ...members,
+        { identity: peer.identity, seat: peer.name, address: peer.address, voter: false },
+      ])
+      return
+    }
+    const gone = voters.find((one) => silent(one, this.#pace.memberGoneMs))
+    if (gone === undefined || learners.length > 0 || voters.length <= keptVoters) return
+    if (voters.every((one) => one === gone || !silent(one, lateMs))) change(`Gives up ${gone.seat}, which fell silent.`, without(gone))
   }
 
   /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
@@ -376,6 +508,7 @@
     switch (message.kind) {
       case 'hail': {
         if (this.#strange(message.system)) break
+        if (message.role === 'signalbox') this.#systems.set(message.identity, message.system)
         if (message.role === 'signalbox') this.roster.lives.set(from, message.nonce)
         const before = this.roster.get(from)
         const empty = before?.identity === message.identity && before.empty
@@ -401,6 +534,7 @@
       }
       case 'hailed': {
         if (message.nonce !== this.#nonce || this.#strange(message.system)) break
+        if (message.role === 'signalbox') this.#systems.set(message.identity, message.system)
         this.roster.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
@@ -413,6 +547,7 @@
       case 'append':
       case 'appended':
       case 'view': {
+        if (this.#network) this.#spokeFrom.set(message.from, fromAddress)
         this.agreement.receive(message, nowMs)
         break
       }
@@ -484,7 +619,7 @@
       nowMs,
     )
     if (!this.agreement.surelyLeads(nowMs) || !this.agreement.settled) return
-    if (this.register.copy.get(`seat/${renew.seat}`) === undefined) {
+    if (!this.#network && this.register.copy.get(`seat/${renew.seat}`) === undefined) {
       if (nowMs - (this.#seatsAsked.get(renew.seat) ?? -Infinity) > this.#pace.electionMs) {
         this.#seatsAsked.set(renew.seat, nowMs)
         this.#propose({ kind: 'seat', name: renew.seat, role: renew.role, zone: renew.zone, retired: false, operation: '' }, nowMs)
@@ -497,6 +632,7 @@
   }
 
   get #seats(): string[] {
+    if (this.#network) return this.#desk.licences.seats.map(([seat]) => seat)
     return this.register.copy.under('seat/').map(([name]) => name)
   }
 
@@ -522,6 +658,10 @@
   }
 
   #standForDuty(nowMs: number): void {
+    if (this.#network) {
+      this.#leaderStands(nowMs)
+      return
+    }
     const voter = this.agreement.members.some((one) => one.identity === this.agreement.identity && one.voter)
     const vacant = nowMs >= this.#standsFromMs && voter && this.agreement.leader !== '' && this.register.duty(dispatcherDuty) === undefined
     const vacancy = this.register.copy.stampOf(`duty/${dispatcherDuty}`)
@@ -534,6 +674,14 @@
     if (this.agreement.members.length === 1) this.#win(vacancy, nowMs)
   }
 
+  /** In a network the leader alone dispatches; the log has the last word, so it needs no ballots. */
+  #leaderStands(nowMs: number): void {
+    if (!this.#leading || !this.agreement.settled || nowMs < this.#winAtMs) return
+    if (this.register.duty(dispatcherDuty) !== undefined) return
+    this.#winAtMs = nowMs + this.#pace.electionMs
+    this.#win(this.register.copy.stampOf(`duty/${dispatcherDuty}`), nowMs)
+  }
+
   #countBallot(vacancy: number, round: number, from: string, nowMs: number): void {
     if (this.#ballots.count(vacancy, round, from, this.agreement.members.filter((one) => one.voter).length)) this.#win(vacancy, nowMs)
   }
@@ -545,6 +693,12 @@
   #dispatch(hour: number, nowMs: number): void {
     const dispatcher = this.#dispatcher
     if (dispatcher === undefined) return
+    if (this.#network && !this.#leading) {
+      if (nowMs < this.#vacateAtMs) return
+      this.#vacateAtMs = nowMs + this.#pace.heartbeatMs
+      this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: dispatcher.tenure }, nowMs)
+      return
+    }
     if (nowMs - this.#dutyAskMs >= this.#pace.dutyLicenceMs / 6) {
       this.#dutyAskMs = nowMs
       const renew: Message = { kind: 'dutyRenew', duty: dispatcherDuty, tenure: dispatcher.tenure, sentMs: nowMs }
@@ -555,7 +709,7 @@
       }
     }
     const sure = nowMs - this.#dutySureMs < this.#pace.dutyLicenceMs
-    if (sure && dispatcher.deaf(nowMs)) this.#passOn(dispatcher.tenure, nowMs)
+    if (sure && !this.#network && dispatcher.deaf(nowMs)) this.#passOn(dispatcher.tenure, nowMs)
     const out = dispatcher.tick(this.register.copy, sure, hour, nowMs)
     if (out.rows.length > 0) this.#propose({ kind: 'dispatch', tenure: dispatcher.tenure, rows: out.rows }, nowMs)
     for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, tenure: dispatcher.tenure, askedMs: nowMs })
@@ -570,8 +724,10 @@
     this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure }, nowMs)
   }
 
-  #platform(servers: PlatformServer[], nowMs: number): void {
+  #platform(full: PlatformServer[], askedMs: number, nowMs: number): void {
+    if (this.#network) this.#dispatcher?.listed(full, askedMs, nowMs)
     if (!this.#leading || !this.agreement.settled) return
+    const servers = this.#network ? full.flatMap((one) => PlatformServer.safeParse({ ...one, models: undefined }).data ?? []) : full
     const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
     const held = JSON.stringify(this.register.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
     if (listed === held) this.#platformFreshMs = this.#platformAtMs - this.#pace.platformMs
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -11,11 +11,10 @@
 import { Meters } from '../gauge/Meters.js'
 import { Pace } from '../gauge/Pace.js'
 import type { Startup } from '../gauge/Startup.js'
-import { readPlatform } from '../sidings/readPlatform.js'
+import type { Outside } from '../sidings/Outside.js'
 import type { Telegraph } from '../telegraph/Telegraph.js'
 import type { Waybill } from '../waybill/Waybill.js'
 import { edgeMulti } from '../timetable/edgeMulti.js'
-import { OutsideCalls } from './OutsideCalls.js'
 import type { SignalboxEffect } from './SignalboxEffect.js'
 import type { SignalboxInput } from './SignalboxInput.js'
 import { SignalboxMachine } from './SignalboxMachine.js'
@@ -33,7 +32,7 @@
   readonly #logbook: Logbook
   readonly #telegraph: Telegraph
   readonly #waybill: Waybill
-  readonly #calls: OutsideCalls
+  readonly #outside: Outside
   readonly #ordered: (values: Record<string, string>) => void
   readonly #synced: (spanMs: number) => void
   readonly #ticker: NodeJS.Timeout
@@ -43,14 +42,14 @@
     @inject('logbook') logbook: Logbook,
     @inject('telegraph') telegraph: Telegraph,
     @inject('waybill') waybill: Waybill,
-    @inject(OutsideCalls) calls: OutsideCalls,
+    @inject('outside') outside: Outside,
     @inject(Meters) meters: Meters,
   ) {
     this.#startup = startup
     this.#logbook = logbook
     this.#telegraph = telegraph
     this.#waybill = waybill
-    this.#calls = calls
+    this.#outside = outside
     this.pace = Pace(startup.bounds)
     this.#ordered = meters.counter('orders', 'orders sent to servers, by kind', ['kind'])
     this.#synced = meters.span('sync', 'how long a write took to be synced')
@@ -73,6 +72,7 @@
         address: telegraph.address,
         seeds: startup.seeds,
         seats: startup.seats,
+        bootstrap: startup.bootstrap,
         rewriteBytes: startup.rewriteBytes,
         policy: edgeMulti,
         system: startup.system,
@@ -114,15 +114,15 @@
           this.bell.ring('responded', effect)
           break
         case 'askPlatform': {
-          if (this.#startup.platform === undefined) break
-          void readPlatform(this.#startup.platform, this.pace.platformMs).then((servers) => {
-            if (servers !== undefined) this.step({ kind: 'platform', servers })
+          const { askedMs } = effect
+          void this.#outside.list(this.pace.platformMs).then((servers) => {
+            if (servers !== undefined) this.step({ kind: 'platform', servers, askedMs })
           })
           break
         }
         case 'ask': {
           const { server, address, tenure, askedMs } = effect
-          void this.#calls.holds(address, tenure, this.pace.reportStaleMs / 2).then((report) => {
+          void this.#outside.holds(server, address, tenure, this.pace.reportStaleMs / 2).then((report) => {
             this.step({ kind: 'reported', server, report, askedMs })
           })
           break
@@ -130,7 +130,7 @@
         case 'order': {
           const { server, address, order } = effect
           this.#ordered({ kind: order.kind })
-          void this.#calls.order(address, order, this.pace.reportStaleMs).then((reply) => {
+          void this.#outside.order(server, address, order, this.#startup.name, this.pace.reportStaleMs).then((reply) => {
             this.step({ kind: 'replied', server, tenure: order.tenure, number: order.number, reply })
           })
           break
--- a/src/signalbox/main.ts
+++ b/src/signalbox/main.ts
@@ -8,6 +8,7 @@
 import { Meters } from '../gauge/Meters.js'
 import { startDaemon } from '../gauge/startDaemon.js'
 import { Startup } from '../gauge/Startup.js'
+import { HttpOutside } from '../sidings/HttpOutside.js'
 import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
 import { FileWaybill } from '../waybill/FileWaybill.js'
 import { foundAgain } from './foundAgain.js'
@@ -38,6 +39,7 @@
     container.registerInstance('logbook', logbook)
     container.registerInstance(Meters, new Meters('signalbox', startup.name))
     container.registerInstance('waybill', waybill)
+    container.registerInstance('outside', new HttpOutside(startup.platform))
     container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
     const task = container.resolve(SignalboxTask)
     const desk = container.resolve(OperatorsDesk)
--- a/src/springpaddle/CoreClient.ts
+++ b/src/springpaddle/CoreClient.ts
@@ -16,7 +16,7 @@
   }
 
   async ask(
-    method: 'GET' | 'PUT' | 'PATCH' | 'POST',
+    method: 'GET' | 'PUT' | 'PATCH' | 'POST' | 'DELETE',
     path: string,
     body?: string,
     headers: Record<string, string> = {},
--- a/src/springpaddle/main.ts
+++ b/src/springpaddle/main.ts
@@ -8,6 +8,7 @@
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { z } from 'zod'
 import { Charter } from '../gauge/Charter.js'
+import { Network } from '../gauge/Network.js'
 import { runCommand } from '../gauge/runCommand.js'
 import { Tree } from '../gauge/Tree.js'
 import { CoreClient } from './CoreClient.js'
@@ -63,7 +64,7 @@
 
 async function write(
   given: Common & { ifMatch: string | undefined; operation: string | undefined },
-  method: 'PUT' | 'PATCH' | 'POST',
+  method: 'PUT' | 'PATCH' | 'POST' | 'DELETE',
   path: string,
   body: string,
 ): Promise<void> {
@@ -189,11 +190,59 @@
     args: { ...writing, zone: positional({ type: string, displayName: 'zone' }) },
     handler: (given) => write(given, 'PATCH', '/charter', JSON.stringify({ zones: { [given.zone]: { emptied } } })),
   })
+const evacuation = (name: string, method: 'POST' | 'DELETE', description: string) =>
+  command({
+    name,
+    description,
+    args: { ...writing, zone: positional({ type: string, displayName: 'zone' }) },
+    handler: (given) => write(given, method, `/zones/${encodeURIComponent(given.zone)}/evacuation`, ''),
+  })
+const network = subcommands({
+  name: 'network',
+  description: 'Read and write the network of routes and services, where there is one.',
+  cmds: {
+    get: command({
+      name: 'get',
+      description: 'Print the network.',
+      args: common,
+      handler: async (given) => {
+        end(given, await clientOf(given).ask('GET', '/network'), (body) => body)
+      },
+    }),
+    put: command({
+      name: 'put',
+      description: 'Replace the network; --if-match takes its revision, 0 for none yet.',
+      args: { ...writing, file },
+      handler: (given) => write(given, 'PUT', '/network', read(given.file)),
+    }),
+    patch: command({
+      name: 'patch',
+      description: 'Set and drop named routes and services.',
+      args: { ...writing, file },
+      handler: (given) => write(given, 'PATCH', '/network', read(given.file)),
+    }),
+    check: command({
+      name: 'check',
+      description: 'Check a whole network file without sending it.',
+      args: { json: common.json, file },
+      handler: (given) => {
+        const tree = Tree.read(read(given.file))
+        const errors = tree === undefined ? ['network: not JSON'] : Network.check(tree, 0).swap().orDefault([])
+        process.exitCode = errors.length === 0 ? 0 : 3
+        if (given.json) out(JSON.stringify({ errors }))
+        else for (const error of errors.length === 0 ? ['proper'] : errors) out(error)
+      },
+    }),
+    empty: evacuation('empty', 'POST', 'No new work for the servers of a zone.'),
+    fill: evacuation('fill', 'DELETE', 'The servers of a zone may work again.'),
+  },
+})
 const app = subcommands({
   name: 'springpaddle',
   description: 'Operates a springpaddle system.',
   cmds: {
     charter,
+    network,
     zone: subcommands({
       name: 'zone',
       description: 'Empty a zone or fill it again.',
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -196,6 +196,7 @@
         address: box.address,
         seeds: this.seeds,
         seats: deployment.boxes.map((one) => one.name),
+        bootstrap: false,
         rewriteBytes: 60_000,
         policy: this.options.policy,
         system: box.process.host === name ? this.system : '',
@@ -265,7 +266,7 @@
       }
       case 'askPlatform': {
         const servers = this.#platformList()
-        back(this.chance.between(2, 40), { kind: 'platform', servers })
+        back(this.chance.between(2, 40), { kind: 'platform', servers, askedMs: effect.askedMs })
         break
       }
       case 'ask': {
@@ -351,7 +352,7 @@
             this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message,
           )
         else if (effect.kind === 'say') this.clock.note(effect.sentence)
-        else
+        else if (effect.kind === 'askPlatform')
           this.clock.after(this.chance.between(2, 40), () => {
             lineman.deliver({ kind: 'platform', servers: this.#platformList() })
           })
--- /dev/null
+++ b/src/timetable/Demand.ts
@@ -0,0 +1,406 @@
+/**
+ * What is wanted where in a network: a copy for every request that waits, as many copies as the requests
+ * at once call for, two in different zones for whatever is asked for steadily, and models ahead of their
+ * forecast windows. A copy makes way by the three rules; then one beyond what its model needs; the last
+ * resorts are for requests that wait. The wants are counted anew when something changed, or every 100 ms.
+ */
+import type { Pace } from '../gauge/Pace.js'
+import { keyOf } from './keyOf.js'
+import { Load } from './Load.js'
+import type { ModelPlan } from './ModelPlan.js'
+import type { Placer } from './Placer.js'
+import type { Policy } from './Policy.js'
+import { Predictor } from './Predictor.js'
+import type { Tally } from './Tally.js'
+import type { Tenant } from './Tenant.js'
+import type { Want } from './Want.js'
+import { Yard } from './Yard.js'
+import type { Yards } from './Yards.js'
+
+type Relaxed = NonNullable<Yard['plan']>['relaxed']
+
+const countMs = 100
+const unforeseenMs = 24 * 3_600_000
+const forgetMs = 600_000
+const steadyFromPerS = 0.3
+const reserveRatio = 1.3
+const fillRatio = 0.5
+/** A copy is beyond need only where that many times the requests would still fit. */
+const keptRatio = 1.5
+const rareRatio = 0.25
+const crowdedMs = 400
+const settleInMs = 1000
+const attachMs = 150
+const copiesAtOnce = 4
+
+export class Demand implements Placer {
+  readonly #pace: Pace
+  readonly #policy: Policy
+  readonly #yards: Yards
+  readonly #tallies: ReadonlyMap<string, Tally>
+  readonly #beganMs: number
+  readonly #predictor = new Predictor()
+  readonly #loads = new Map<string, Load>()
+  readonly #loadMs = new Map<string, number>()
+  readonly #heldSinceMs = new Map<string, number>()
+  readonly #adaptersOf = new Map<string, Set<string>>()
+  #holders = new Map<string, Yard[]>()
+  #busy = new Map<string, number>()
+  #flights = new Map<string, number>()
+  #capacities = new Map<string, number>()
+  #historyMs = 0
+  #wants: readonly Want[] = []
+  #countedMs = -Infinity
+  #countedTurn = -1
+  #urged = false
+
+  constructor(pace: Pace, policy: Policy, yards: Yards, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
+    this.#pace = pace
+    this.#policy = policy
+    this.#yards = yards
+    this.#tallies = tallies
+    this.#beganMs = nowMs
+  }
+
+  get wants(): readonly Want[] {
+    return this.#wants
+  }
+
+  /** Counts at the next tick, as some request waits. */
+  urge(): void {
+    this.#urged = true
+  }
+
+  arrived(model: string, adapter: string, count: number, atMs: number): void {
+    for (const key of adapter === '' ? [model] : [model, keyOf(model, adapter)]) {
+      this.#predictor.arrived(key, count, atMs)
+      this.#load(key, atMs).arrived(count, atMs)
+    }
+    if (adapter !== '') this.#adapterSet(model).add(adapter)
+  }
+
+  learn(model: string, tookMs: number): void {
+    const old = this.#loadMs.get(model)
+    this.#loadMs.set(model, old === undefined ? tookMs : old + 0.3 * (tookMs - old))
+  }
+
+  thetaMs(model: string): number {
+    return this.#loadMs.get(model) ?? this.#yards.planOf(model)?.loadMs ?? 1000
+  }
+
+  tick(_hour: number, nowMs: number): void {
+    if (!this.#urged && this.#countedTurn === this.#yards.turn && nowMs - this.#countedMs < countMs) return
+    const open = this.#yards.all.filter((yard) => yard.open)
+    if (nowMs - this.#beganMs < settleInMs && open.some((yard) => yard.report === undefined)) return
+    this.#urged = false
+    this.#countedTurn = this.#yards.turn
+    this.#countedMs = nowMs
+    this.#survey(open, nowMs)
+    this.#wants = this.#count(nowMs)
+    this.#plan(nowMs)
+  }
+
+  tenants(yard: Yard, adapters: boolean, nowMs: number, beyondNeed = false): Tenant[] {
+    const { report } = yard
+    if (report === undefined) return []
+    const holds = adapters
+      ? report.adapters.map((one) => ({ ...one, key: keyOf(one.model, one.adapter), size: 1 }))
+      : report.models.map((one) => ({ ...one, adapter: '', key: one.model, size: one.sizeMb }))
+    return holds
+      .filter((one) => one.state === 'loaded' && (this.#flights.get(`${yard.name} ${one.key}`) ?? 0) === 0)
+      .map((one) => {
+        const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + unforeseenMs, deltaMs: 0 }
+        const others = (this.#holders.get(one.key) ?? []).filter((other) => other !== yard && Yard.holds(other, one.model, one.adapter))
+        return {
+          key: one.key,
+          nextMs: forecast.nextMs,
+          windowFromMs: forecast.nextMs - forecast.deltaMs - (adapters ? attachMs : this.thetaMs(one.model)),
+          windowToMs: forecast.nextMs + forecast.deltaMs,
+          lastMs: this.#predictor.lastMs(one.key),
+          surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
+          size: one.size,
+          doubled: others.length >= (beyondNeed ? this.#needed(one.model, one.adapter, keptRatio) : 1),
+        }
+      })
+  }
+
+  stillMakesWay(yard: Yard, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
+    const tenant = this.tenants(yard, adapters, nowMs, relaxed === 'spares').find((one) => one.key === key)
+    if (tenant === undefined) return false
+    if (!this.#policy.foresees) return true
+    if (relaxed === 'spares') return tenant.doubled
+    const outside = nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs || (relaxed === 'doubles' && tenant.doubled)
+    return outside && (relaxed !== 'nothing' || nowMs - tenant.lastMs > this.#predictor.historyMs)
+  }
+
+  #load(key: string, nowMs: number): Load {
+    let load = this.#loads.get(key)
+    if (load === undefined) {
+      load = new Load(nowMs)
+      this.#loads.set(key, load)
+    }
+    return load
+  }
+
+  #adapterSet(model: string): Set<string> {
+    let known = this.#adaptersOf.get(model)
+    if (known === undefined) {
+      known = new Set()
+      this.#adaptersOf.set(model, known)
+    }
+    return known
+  }
+
+  /** Who holds what, who is how busy, and how many requests each model has at once. */
+  #survey(open: readonly Yard[], nowMs: number): void {
+    this.#historyMs = this.#predictor.historyMs
+    this.#holders = new Map()
+    this.#capacities = new Map()
+    for (const yard of open) {
+      const least = this.#capacities.get(yard.owner ?? '') ?? Infinity
+      this.#capacities.set(yard.owner ?? '', Math.min(least, yard.capacity))
+      const keys = (yard.report?.models ?? []).flatMap((one) => (Yard.holds(yard, one.model, '') ? [one.model] : []))
+      for (const one of yard.report?.adapters ?? []) if (Yard.holds(yard, one.model, one.adapter)) keys.push(keyOf(one.model, one.adapter))
+      for (const key of keys) {
+        const found = this.#holders.get(key)
+        if (found === undefined) this.#holders.set(key, [yard])
+        else found.push(yard)
+      }
+    }
+    this.#busy = new Map()
+    this.#flights = new Map()
+    const atOnce = new Map<string, number>()
+    const add = (map: Map<string, number>, key: string, count: number) => map.set(key, (map.get(key) ?? 0) + count)
+    for (const tally of this.#tallies.values()) {
+      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      for (const one of tally.flights) {
+        add(this.#busy, one.server, one.count)
+        for (const key of new Set([one.model, keyOf(one.model, one.adapter)])) {
+          add(atOnce, key, one.count)
+          add(this.#flights, `${one.server} ${key}`, one.count)
+        }
+      }
+      for (const one of tally.held) for (const key of new Set([one.model, keyOf(one.model, one.adapter)])) add(atOnce, key, one.count)
+    }
+    for (const key of atOnce.keys()) this.#load(key, nowMs)
+    for (const [key, load] of this.#loads) {
+      const count = atOnce.get(key) ?? 0
+      load.counted(count, nowMs)
+      if (count === 0 && nowMs - load.lastMs > forgetMs) this.#loads.delete(key)
+    }
+  }
+
+  /** Copies that the requests at once call for, two at least of what is asked for steadily. */
+  #needed(model: string, adapter: string, ratio: number): number {
+    const load = this.#loads.get(keyOf(model, adapter))
+    if (load === undefined) return 1
+    const capacity = this.#capacities.get(this.#yards.planOf(model)?.owner ?? '') ?? 1
+    const byCount = Math.ceil((ratio * load.expected) / (fillRatio * capacity))
+    const steady = Math.max(load.steadyPerS, ratio > reserveRatio ? 0 : load.perS * 0.5) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)
+    return Math.max(1, steady ? 2 : 1, byCount)
+  }
+
+  #held(nowMs: number): Map<string, { model: string; adapter: string; dueInMs: number; count: number }> {
+    const held = new Map<string, { model: string; adapter: string; dueInMs: number; count: number }>()
+    for (const tally of this.#tallies.values()) {
+      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      for (const { model, adapter, dueInMs, count } of tally.held) {
+        const key = keyOf(model, adapter)
+        const old = held.get(key)
+        const leftMs = dueInMs - (nowMs - tally.heardMs)
+        held.set(key, { model, adapter, dueInMs: Math.min(old?.dueInMs ?? Infinity, leftMs), count: (old?.count ?? 0) + count })
+      }
+    }
+    for (const key of this.#heldSinceMs.keys()) if (!held.has(key)) this.#heldSinceMs.delete(key)
+    for (const key of held.keys()) if (!this.#heldSinceMs.has(key)) this.#heldSinceMs.set(key, nowMs)
+    return held
+  }
+
+  #count(nowMs: number): Want[] {
+    const wants: Want[] = []
+    const held = this.#held(nowMs)
+    const urgent = new Set<string>()
+    const allZones = new Set(this.#yards.all.flatMap((yard) => (yard.open ? [yard.zone] : [])))
+    const base = (plan: ModelPlan, adapter: string) => ({
+      model: plan.key,
+      adapter,
+      partner: plan.owner,
+      dueInMs: Infinity,
+      nextMs: nowMs,
+      deltaMs: this.#predictor.forecast(keyOf(plan.key, adapter), nowMs)?.deltaMs ?? 0,
+      zones: [],
+    })
+    for (const [key, one] of held) {
+      const plan = this.#yards.planOf(one.model)
+      if (plan === undefined || (one.adapter !== '' && !plan.adapters.includes(one.adapter))) continue
+      const copies = this.#holders.get(key) ?? []
+      const waited = nowMs - (this.#heldSinceMs.get(key) ?? nowMs) > crowdedMs
+      const settled = copies.every((yard) => nowMs - yard.settledMs > crowdedMs)
+      if (copies.length > 0 && !(waited && settled && copies.length >= this.#needed(one.model, one.adapter, reserveRatio))) continue
+      urgent.add(key)
+      const why = copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there'
+      wants.push({ ...base(plan, one.adapter), kind: 'held', dueInMs: one.dueInMs, urgency: one.count / (1 + copies.length), why })
+    }
+    if (this.#policy.foresees)
+      for (const plan of this.#yards.fleet?.models ?? [])
+        for (const adapter of ['', ...(this.#adaptersOf.get(plan.key) ?? [])]) {
+          const key = keyOf(plan.key, adapter)
+          const load = this.#loads.get(key)
+          if (load === undefined || urgent.has(key)) continue
+          const copies = this.#holders.get(key) ?? []
+          const perS = Math.max(load.perS, load.steadyPerS)
+          if (copies.length === 0) {
+            const forecast = this.#predictor.forecast(key, nowMs)
+            if (perS > steadyFromPerS)
+              wants.push({ ...base(plan, adapter), kind: 'hours', urgency: perS, why: 'busy, and no copy is left' })
+            else if (forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
+              wants.push({ ...base(plan, adapter), kind: 'forecast', nextMs: forecast.nextMs, urgency: perS, why: 'a request is forecast' })
+            continue
+          }
+          const needed = this.#needed(plan.key, adapter, reserveRatio)
+          const roof = adapter === '' ? this.#yards.all.length : (this.#holders.get(plan.key)?.length ?? 0)
+          const zones = [...new Set(copies.map((yard) => yard.zone))]
+          const missing = Math.min(needed, roof) - copies.length
+          const urgency = perS / copies.length
+          const elsewhere = zones.length < allZones.size
+          if (missing > 0 && needed > 2)
+            for (let n = 0; n < Math.min(missing, copiesAtOnce); n++)
+              wants.push({ ...base(plan, adapter), kind: 'hours', urgency, why: 'more requests than its copies bear' })
+          else if (missing > 0 || (needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
+            wants.push({
+              ...base(plan, adapter),
+              kind: 'spare',
+              zones: elsewhere && adapter === '' ? zones : [],
+              urgency,
+              why: 'a spare in another zone',
+            })
+          else if (adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
+            wants.push({ ...base(plan, adapter), kind: 'spare', zones: [], urgency: urgency / 100, why: 'a server stands empty' })
+        }
+    const rank = { held: 3, hours: 2, forecast: 2, spare: 1 }
+    return wants.sort((a, b) => rank[b.kind] - rank[a.kind] || b.urgency - a.urgency || a.nextMs - b.nextMs)
+  }
+
+  #idles(plan: ModelPlan): boolean {
+    return this.#yards.all.some(
+      (yard) => yard.open && yard.owner === plan.owner && yard.report?.models.length === 0 && yard.task === undefined,
+    )
+  }
+
+  #opens(forecast: { nextMs: number; deltaMs: number }, model: string, adapter: string, nowMs: number): boolean {
+    const thetaMs = adapter === '' ? this.thetaMs(model) : attachMs
+    return nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs
+  }
+
+  #plan(nowMs: number): void {
+    const live = new Set(this.#wants.flatMap((want) => [want.model, keyOf(want.model, want.adapter)]))
+    const coming = new Map<string, number>()
+    const comes = (key: string, more: number) => coming.set(key, (coming.get(key) ?? 0) + more)
+    let spares = 0
+    for (const yard of this.#yards.all) {
+      if (yard.plan !== undefined && yard.task === undefined && !live.has(keyOf(yard.plan.model, yard.plan.adapter))) yard.plan = undefined
+      const order = yard.task?.order
+      if (yard.plan !== undefined) comes(keyOf(yard.plan.model, yard.plan.adapter), 1)
+      else if (order?.kind === 'load' || order?.kind === 'attach') comes(keyOf(order.model, order.adapter), 1)
+      if (yard.plan !== undefined || order !== undefined) spares += 1
+    }
+    for (const want of this.#wants) {
+      const plan = this.#yards.planOf(want.model)
+      if (plan === undefined) continue
+      const first = !this.#holders.has(want.model)
+      const key = first ? want.model : keyOf(want.model, want.adapter)
+      if ((coming.get(key) ?? 0) > 0) {
+        if (!first) comes(key, -1)
+        continue
+      }
+      if (want.kind === 'spare' && want.adapter === '' && spares > 0) continue
+      if (!this.#place(want, plan, nowMs)) continue
+      if (first) comes(key, 1)
+      spares += 1
+    }
+  }
+
+  /** Plans it where it does the least harm, if anywhere: an adapter's model first where no one holds that. */
+  #place(want: Want, plan: ModelPlan, nowMs: number): boolean {
+    const attach = want.adapter !== '' && (this.#holders.get(want.model)?.length ?? 0) > 0
+    const step = attach ? want : { ...want, adapter: '' }
+    const fitting = this.#yards.all.filter(
+      (yard) =>
+        yard.open &&
+        yard.owner === plan.owner &&
+        yard.task === undefined &&
+        yard.plan === undefined &&
+        nowMs >= yard.backoffUntilMs &&
+        this.#yards.known(yard, nowMs) &&
+        !want.zones.includes(yard.zone) &&
+        (attach
+          ? Yard.holds(yard, want.model, '') && !Yard.holds(yard, want.model, want.adapter)
+          : yard.roomMb >= plan.sizeMb && !yard.report.models.some((one) => one.model === want.model)),
+    )
+    const size = attach ? 1 : plan.sizeMb
+    if (!attach && this.#roomSoon(plan))
+      return this.#choose(
+        step,
+        plan,
+        fitting.filter((yard) => Yard.freeMb(yard) >= size),
+        size,
+        'nothing',
+        nowMs,
+      )
+    if (this.#choose(step, plan, fitting, size, 'nothing', nowMs)) return true
+    if (this.#choose(step, plan, fitting, size, 'spares', nowMs)) return true
+    if (want.dueInMs > this.#pace.makeRoomMs + 2 * this.thetaMs(want.model)) return false
+    for (const relaxed of ['history', 'overlap', 'doubles'] as const)
+      if (this.#choose(step, plan, fitting, size, relaxed, nowMs)) return true
+    return false
+  }
+
+  /** A server that an order keeps busy has room left for it: better to wait a moment than to take memory from another. */
+  #roomSoon(plan: ModelPlan): boolean {
+    return this.#yards.all.some((yard) => {
+      if (!yard.open || yard.owner !== plan.owner || (yard.task === undefined && yard.plan === undefined)) return false
+      if (yard.report === undefined || yard.report.models.some((one) => one.model === plan.key)) return false
+      const planned = yard.plan?.adapter === '' ? (this.#yards.planOf(yard.plan.model)?.sizeMb ?? 0) : 0
+      return Yard.freeMb(yard) - planned >= plan.sizeMb
+    })
+  }
+
+  #choose(want: Want, plan: ModelPlan, yards: readonly Yard[], size: number, relaxed: Relaxed, nowMs: number): boolean {
+    let best: { yard: Yard; victims: string[]; rank: number } | undefined
+    const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
+    const adapters = want.adapter !== ''
+    for (const yard of yards) {
+      const byRoom = plan.adapterMb > 0 ? Math.floor(Yard.freeMb(yard) / plan.adapterMb) : Infinity
+      const free = adapters ? Math.min(Yard.freePlaces(yard), byRoom) : Yard.freeMb(yard)
+      const tenants = free >= size ? [] : this.#mayLeave(want, this.tenants(yard, adapters, nowMs, relaxed === 'spares'))
+      const victims = this.#policy.evict(newcomer, tenants, free, this.#historyMs, nowMs, relaxed)
+      if (victims === undefined) continue
+      const calm = 1 - Math.min(1, (this.#busy.get(yard.name) ?? 0) / Math.max(1, yard.capacity))
+      const lowest = Math.min(...victims.map((one) => one.score))
+      const rank = (victims.length === 0 ? 2 : lowest) + 0.5 * calm - (yard.cold ? 0.3 : 0) + (adapters ? 0 : this.#apart(yard, want))
+      if (best === undefined || rank > best.rank) best = { yard, victims: victims.map((one) => one.key), rank }
+    }
+    if (best === undefined) return false
+    const why =
+      relaxed === 'nothing'
+        ? want.why
+        : relaxed === 'spares'
+          ? `${want.why}; a spare makes way`
+          : `${want.why}; last resort, lets go of ${relaxed}`
+    best.yard.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    return true
+  }
+
+  /** A copy in a zone that has none yet is worth something. */
+  #apart(yard: Yard, want: Want): number {
+    return (this.#holders.get(want.model) ?? []).some((other) => other.zone === yard.zone) ? 0 : 0.2
+  }
+
+  /** For a further copy only what is asked for far more seldom makes way, and no adapter. */
+  #mayLeave(want: Want, tenants: readonly Tenant[]): Tenant[] {
+    const others = tenants.filter((one) => one.key !== want.model)
+    if (want.kind === 'held' || want.kind === 'forecast') return others
+    if (want.adapter !== '') return []
+    return others.filter((one) => one.doubled || (this.#loads.get(one.key)?.steadyPerS ?? 0) < rareRatio * want.urgency)
+  }
+}
--- /dev/null
+++ b/src/timetable/Dispatcher.test.ts
@@ -0,0 +1,389 @@
+/**
+ * The placement in a network, against a small stand-in of servers that count their orders: they refuse what
+ * they did not expect, fall when ordered beyond their room, lose orders and answers, and restart.
+ */
+import { ok, strictEqual } from 'node:assert'
+import { test } from 'node:test'
+import { Chance } from '../gauge/Chance.js'
+import type { Order } from '../gauge/Order.js'
+import { Pace } from '../gauge/Pace.js'
+import { Copy } from '../interlocking/Copy.js'
+import { Dispatcher } from './Dispatcher.js'
+import { edgeMulti } from './edgeMulti.js'
+
+interface Held {
+  models: Map<string, Set<string>>
+  sequence: number
+  doing: { order: Order; untilMs: number } | undefined
+}
+const sizeMb = 70_000
+const roomMb = 220_000
+const adapterMb = 300
+const places = 4
+const loadMs = 600
+const loadsPerS = 7
+const names = (count: number) => Array.from({ length: count }, (_, at) => `m${String(at)}`)
+
+class Stand {
+  readonly copy = new Copy()
+  readonly servers = new Map<string, Held>()
+  readonly begun: number[] = []
+  readonly falls: string[] = []
+  readonly sent: { server: string; order: Order; atMs: number }[] = []
+  readonly overlaps: string[] = []
+  readonly dispatcher: Dispatcher
+  nowMs = 0
+  asked = 0
+  lose = 0
+  #stamp = 0
+  readonly #chance = new Chance(7)
+  readonly #later: { atMs: number; run: () => void }[] = []
+
+  constructor(models: number, servers: number) {
+    this.dispatcher = new Dispatcher(Pace({ charterMs: 5000, recoverMs: 5000, drainMs: 5000, emptyMs: 10_000 }), 1, true, edgeMulti, 0)
+    this.put('network', '{"revision":1}')
+    const batch = {
+      capacity: 32,
+      cacheTokens: 1000,
+      roomMb,
+      adapterPlaces: places,
+      loadsPerS,
+      models: names(models).map((name) => ({ name, sizeMb, loadMs, adapters: ['a1', 'a2', 'a3'], adapterMb })),
+    }
+    this.put('service/s', JSON.stringify({ name: 's', connections: 9, warmMs: 0, coldPerS: 0, batch }))
+    for (let at = 0; at < servers; at++) this.start(`i${String(at)}`, `z${String(at % 3)}`, [])
+  }
+
+  put(key: string, value: string | undefined): void {
+    this.#stamp += 1
+    this.copy.set({ key, stamp: this.#stamp, gone: value === undefined, value: value ?? '' })
+  }
+
+  start(name: string, zone: string, models: readonly string[]): void {
+    this.servers.set(name, { models: new Map(models.map((one) => [one, new Set<string>()])), sequence: 0, doing: undefined })
+    this.put(
+      `server/${name}`,
+      JSON.stringify({ name, address: '127.0.0.1:1', zone, service: 's', draining: false, capacity: 32, cold: false }),
+    )
+  }
+
+  end(name: string): void {
+    this.servers.delete(name)
+    this.put(`server/${name}`, undefined)
+  }
+
+  holders(model: string): string[] {
+    return [...this.servers].flatMap(([name, one]) => (one.models.has(model) ? [name] : []))
+  }
+
+  request(model: string, adapter: string, count: number, held: boolean, flights: { server: string; count: number }[] = []): void {
+    const key = `s:${model}`
+    this.dispatcher.tally(
+      'edge',
+      {
+        session: 'x',
+        adopted: 0,
+        held: held ? [{ model: key, adapter, count, dueInMs: 5000 }] : [],
+        flights: flights.map((one) => ({ ...one, model: key, adapter })),
+      },
+      count > 0 ? [{ model: key, adapter, count, agoMs: 0 }] : [],
+      this.nowMs,
+    )
+  }
+
+  quiet(): void {
+    this.dispatcher.tally('edge', { session: 'x', adopted: 0, held: [], flights: [] }, [], this.nowMs)
+  }
+
+  list(): void {
+    const servers = [...this.servers].map(([name, one]) => ({
+      name,
+      address: '127.0.0.1:1',
+      zone: '',
+      draining: false,
+      service: 's',
+      models: [...one.models].map(([model, adapters]) => ({ model, adapters: [...adapters] })),
+    }))
+    const askedMs = this.nowMs
+    this.#after(800, () => {
+      this.dispatcher.listed(servers, askedMs + 800, this.nowMs)
+    })
+  }
+
+  run(forMs: number, each: () => void = () => undefined): void {
+    const untilMs = this.nowMs + forMs
+    while (this.nowMs < untilMs) {
+      this.nowMs += 25
+      if (this.nowMs % 1000 === 0) this.list()
+      for (const one of this.#later.filter((due) => due.atMs <= this.nowMs)) {
+        this.#later.splice(this.#later.indexOf(one), 1)
+        one.run()
+      }
+      for (const [name, held] of this.servers) if (held.doing !== undefined && held.doing.untilMs <= this.nowMs) this.#finish(name, held)
+      each()
+      const out = this.dispatcher.tick(this.copy, true, 0, this.nowMs)
+      this.#after(25, () => {
+        for (const row of out.rows) this.put(row.key, row.gone ? undefined : row.value)
+      })
+      for (const ask of out.asks) this.#ask(ask.server)
+      for (const one of out.orders) this.#take(one.server, one.order)
+    }
+  }
+
+  #after(ms: number, run: () => void): void {
+    this.#later.push({ atMs: this.nowMs + ms, run })
+  }
+
+  #ask(server: string): void {
+    this.asked += 1
+    const held = this.servers.get(server)
+    const askedMs = this.nowMs
+    const report =
+      held === undefined
+        ? undefined
+        : {
+            server,
+            incarnation: server,
+            madeMs: this.nowMs,
+            models: [...held.models.keys()].map((model) => ({ model, state: 'loaded' as const, sizeMb: 0, flights: 0 })),
+            adapters: [...held.models].flatMap(([model, adapters]) =>
+              [...adapters].map((adapter) => ({ model, adapter, state: 'loaded' as const, flights: 0 })),
+            ),
+            parts: [],
+            sequence: held.sequence,
+            busy: held.doing !== undefined,
+          }
+    this.#after(this.#chance.between(5, 60), () => {
+      this.dispatcher.reported(server, report, askedMs, this.nowMs)
+    })
+  }
+
+  #take(server: string, order: Order): void {
+    this.sent.push({ server, order, atMs: this.nowMs })
+    const held = this.servers.get(server)
+    const tell = (reply: 'accepted' | 'turnedAway' | 'unknown' | 'held', ms = 25) => {
+      this.#after(ms, () => {
+        this.dispatcher.replied(server, order.number, reply, this.nowMs)
+      })
+    }
+    if (held === undefined || this.#chance.hit(this.lose)) {
+      tell('unknown', 400)
+      return
+    }
+    const answer = this.#chance.hit(this.lose) ? 'unknown' : undefined
+    if (held.doing !== undefined || order.expected !== held.sequence) {
+      if (held.doing !== undefined) this.overlaps.push(server)
+      tell(answer ?? 'turnedAway')
+      return
+    }
+    held.sequence += 1
+    const model = order.model.slice(2)
+    if (order.kind === 'load') {
+      this.begun.push(this.nowMs)
+      const adapters = [...held.models.values()].reduce((sum, one) => sum + one.size, 0)
+      if ((held.models.size + 1) * sizeMb + adapters * adapterMb > roomMb) this.falls.push(server)
+    }
+    if (order.kind === 'attach') {
+      const adapters = [...held.models.values()].reduce((sum, one) => sum + one.size, 0)
+      if (adapters + 1 > places || !held.models.has(model)) this.falls.push(server)
+    }
+    held.doing = { order, untilMs: this.nowMs + (order.kind === 'load' ? loadMs : 25) }
+    tell(answer ?? 'accepted')
+  }
+
+  #finish(_name: string, held: Held): void {
+    const order = held.doing?.order
+    held.doing = undefined
+    if (order === undefined) return
+    const model = order.model.slice(2)
+    if (order.kind === 'load') held.models.set(model, new Set())
+    if (order.kind === 'unload') held.models.delete(model)
+    if (order.kind === 'attach') held.models.get(model)?.add(order.adapter)
+    if (order.kind === 'detach') held.models.get(model)?.delete(order.adapter)
+  }
+}
+
+function pacedWell(begun: readonly number[]): void {
+  for (const from of begun) {
+    const within = begun.filter((atMs) => atMs >= from && atMs <= from + 5000).length
+    ok(within <= loadsPerS * 5 * 1.1 + 3, `${String(within)} loads from ${String(from)}`)
+  }
+}
+
+void test('a request that waits gets its model at once, its adapter next, and the binding names both', () => {
+  const stand = new Stand(4, 3)
+  stand.run(2000)
+  const fromMs = stand.nowMs
+  stand.request('m1', 'a2', 1, true)
+  stand.run(200)
+  strictEqual(stand.sent.filter((one) => one.order.kind === 'load').length, 1)
+  ok((stand.sent[0]?.atMs ?? Infinity) - fromMs <= 150)
+  stand.run(2500, () => {
+    if (stand.nowMs % 250 === 0) stand.request('m1', 'a2', 0, true)
+  })
+  const [holder = ''] = stand.holders('m1')
+  ok(stand.copy.get(`binding/${holder}`)?.includes('"s:m1/a2"'))
+})
+
+void test('what nothing happens at is not asked or ordered', () => {
+  const stand = new Stand(4, 3)
+  stand.run(20_000)
+  strictEqual(stand.sent.length, 0)
+  ok(stand.asked <= 6)
+})
+
+void test('under random demand, lost orders and restarts no room is exceeded, no order overlaps and the store keeps its pace', () => {
+  for (let seed = 1; seed <= 8; seed++) {
+    const chance = new Chance(seed)
+    const stand = new Stand(20, 5)
+    stand.lose = 0.15
+    let life = 0
+    stand.run(60_000, () => {
+      if (stand.nowMs % 250 === 0) {
+        const hot = chance.hit(0.6) ? Math.floor(stand.nowMs / 15_000) : Math.floor(chance.between(0, 20))
+        const model = `m${String(hot % 20)}`
+        const adapter = chance.hit(0.4) ? `a${String(1 + Math.floor(chance.between(0, 3)))}` : ''
+        const [server] = stand.holders(model)
+        if (server === undefined || adapter !== '') stand.request(model, adapter, 1, true)
+        else stand.request(model, adapter, 4, false, [{ server, count: 6 }])
+      }
+      if (stand.nowMs % 7000 === 0) {
+        const [name = ''] = [...stand.servers.keys()]
+        stand.end(name)
+        life += 1
+        stand.start(`n${String(seed)}-${String(life)}`, 'z0', [])
+      }
+    })
+    strictEqual(stand.falls.length, 0)
+    strictEqual(stand.overlaps.length, 0)
+    ok(stand.begun.length > 10)
+    pacedWell(stand.begun)
+  }
+})
+
+void test('every model asked for at once is loaded no faster than the store allows', () => {
+  const stand = new Stand(60, 24)
+  stand.run(2000)
+  const held = names(60).map((name) => ({ model: `s:${name}`, adapter: '', count: 1, dueInMs: 20_000 }))
+  stand.run(12_000, () => {
+    if (stand.nowMs % 250 !== 0) return
+    const waiting = held.filter((one) => stand.holders(one.model.slice(2)).length === 0)
+    stand.dispatcher.tally('edge', { session: 'x', adopted: 0, held: waiting, flights: [] }, [], stand.nowMs)
+  })
+  pacedWell(stand.begun)
+  ok(
+    names(60).every((name) => stand.holders(name).length > 0),
+    `${String(stand.begun.length)} begun`,
+  )
+  strictEqual(stand.overlaps.length, 0)
+  strictEqual(stand.sent.filter((one) => one.order.kind === 'load').length, 60)
+})
+
+void test('a busy model has two copies in different zones, and has them again after a server is lost', () => {
+  const stand = new Stand(6, 6)
+  const busy = () => {
+    if (stand.nowMs % 250 !== 0) return
+    const holders = stand.holders('m0')
+    if (holders.length === 0) stand.request('m0', '', 2, true)
+    else
+      stand.request(
+        'm0',
+        '',
+        2,
+        false,
+        holders.map((server) => ({ server, count: 2 })),
+      )
+  }
+  stand.run(10_000, busy)
+  ok(stand.holders('m0').length >= 2)
+  const [lost = ''] = stand.holders('m0')
+  stand.end(lost)
+  stand.run(5000, busy)
+  ok(stand.holders('m0').length >= 2)
+  const zones = new Set(stand.holders('m0').map((name) => Number(name.slice(1)) % 3))
+  ok(zones.size >= 2)
+  strictEqual(stand.copy.get(`binding/${lost}`), undefined)
+})
+
+void test('a crowd gets more copies, and once they are there no order follows', () => {
+  const stand = new Stand(6, 6)
+  const crowd = () => {
+    if (stand.nowMs % 250 !== 0) return
+    const holders = stand.holders('m0')
+    if (holders.length === 0) stand.request('m0', '', 20, true)
+    else
+      stand.request(
+        'm0',
+        '',
+        20,
+        false,
+        holders.map((server) => ({ server, count: Math.ceil(60 / holders.length) })),
+      )
+  }
+  stand.run(20_000, crowd)
+  ok(stand.holders('m0').length >= 5)
+  const orders = stand.sent.length
+  stand.run(20_000, crowd)
+  ok(stand.sent.length - orders <= 1, String(stand.sent.length - orders))
+})
+
+void test('room for a waiting request comes from a model outside its window, whose binding goes first', () => {
+  const stand = new Stand(4, 1)
+  for (const model of ['m0', 'm1', 'm2']) {
+    stand.request(model, '', 1, true)
+    stand.run(2500)
+    stand.quiet()
+  }
+  strictEqual(stand.servers.get('i0')?.models.size, 3)
+  stand.run(10_000, () => {
+    if (stand.nowMs % 250 === 0) stand.request('m2', '', 1, false, [{ server: 'i0', count: 1 }])
+  })
+  stand.request('m3', '', 1, true)
+  stand.run(250)
+  stand.request('m3', '', 0, true)
+  stand.run(2500)
+  const held = stand.servers.get('i0')?.models
+  ok(held?.has('m3') === true && held.has('m2'))
+  const unload = stand.sent.find((one) => one.order.kind === 'unload')
+  ok(unload !== undefined)
+  ok(!(stand.copy.get('binding/i0') ?? '').includes(`"${unload.order.model}"`))
+})
+
+void test('a copy without an answer is settled by reading, and one that was refused is decided anew', () => {
+  const stand = new Stand(2, 1)
+  stand.run(2000)
+  stand.lose = 1
+  stand.request('m0', '', 1, true)
+  stand.run(600)
+  stand.lose = 0
+  stand.run(4000, () => {
+    if (stand.nowMs % 250 === 0) stand.request('m0', '', 0, stand.holders('m0').length === 0)
+  })
+  strictEqual(stand.holders('m0').length, 1)
+  const held = stand.servers.get('i0')
+  if (held !== undefined) held.sequence += 1
+  stand.request('m1', '', 1, true)
+  stand.run(3000, () => {
+    if (stand.nowMs % 250 === 0) stand.request('m1', '', 0, stand.holders('m1').length === 0)
+  })
+  strictEqual(stand.holders('m1').length, 1)
+})
+
+void test('an outlook says when a copy is likely there', () => {
+  const stand = new Stand(2, 2)
+  stand.run(2000)
+  const [outlook] = stand.dispatcher.outlook([{ model: 's:m0', adapter: '' }], stand.nowMs)
+  ok(outlook !== undefined && outlook.readyInMs >= loadMs / 2 && outlook.readyInMs < 3000)
+})
+
+void test('a draining server and one in an emptied zone keep their binding and get no load', () => {
+  const stand = new Stand(3, 2)
+  stand.put('zone/z0', '{"emptied":true}')
+  stand.run(2000)
+  stand.request('m0', '', 1, true)
+  stand.run(1500)
+  ok(stand.sent.every((one) => one.server === 'i1') && stand.sent.length > 0)
+  stand.put('zone/z1', '{"emptied":true}')
+  stand.run(500)
+  ok(stand.copy.get('binding/i1')?.includes('"s:m0"'))
+})
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -8,11 +8,14 @@
 import type { Order } from '../gauge/Order.js'
 import { Order as OrderSchema } from '../gauge/Order.js'
 import type { Pace } from '../gauge/Pace.js'
+import type { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
 import type { Copy } from '../interlocking/Copy.js'
 import { Bucket } from './Bucket.js'
+import { Demand } from './Demand.js'
 import type { DispatcherOut } from './DispatcherOut.js'
 import { keyOf } from './keyOf.js'
+import type { Placer } from './Placer.js'
 import { Planner } from './Planner.js'
 import type { Policy } from './Policy.js'
 import type { Tally } from './Tally.js'
@@ -36,6 +39,13 @@
 
 const SavedOrder = z.object({ order: OrderSchema, incarnation: z.string() })
 const keptReasons = 200
+/** In a network: how old a list's word on holdings is, how old a report's is, and how soon a binding is known everywhere. */
+const listLagMs = 800
+const reportLagMs = 500
+const spreadMs = 100
+const attachAskMs = 50
+const unloadAskMs = 100
+const refusedMs = 100
 
 export class Dispatcher {
   readonly #pace: Pace
@@ -43,6 +53,7 @@
   readonly #beganMs: number
   readonly #yards: Yards
   readonly #planner: Planner
+  readonly #demand: Demand
   readonly #bucket: Bucket
   readonly #reasons: Reason[] = []
   #deafSinceMs: number | undefined
@@ -54,9 +65,18 @@
     this.#beganMs = nowMs
     this.#yards = new Yards(pace, tenure, first, nowMs)
     this.#planner = new Planner(pace, policy, this.#yards)
+    this.#demand = new Demand(pace, policy, this.#yards, this.#planner.tallies, nowMs)
     this.#bucket = new Bucket(nowMs)
   }
 
+  get #placer(): Placer {
+    return this.#counts ? this.#demand : this.#planner
+  }
+
+  get #counts(): boolean {
+    return this.#yards.fleet?.counts === true
+  }
+
   get tenure(): number {
     return this.#tenure
   }
@@ -67,7 +87,7 @@
 
   /** Wanted and not to be had anywhere yet: what operators see as out of room. */
   get unmet(): readonly { model: string; adapter: string; why: string }[] {
-    return this.#planner.wants
+    return this.#placer.wants
       .filter((want) => want.kind === 'held' && !this.#yards.coming(want.model, want.adapter))
       .map(({ model, adapter, why }) => ({ model, adapter, why }))
   }
@@ -86,26 +106,28 @@
     nowMs: number,
   ): void {
     this.#planner.tallies.set(seat, { ...tally, heardMs: nowMs })
-    for (const one of arrivals) this.#planner.arrived(one.model, one.adapter, one.count, nowMs - one.agoMs)
+    const placers = this.#yards.fleet === undefined ? [this.#planner, this.#demand] : [this.#placer]
+    for (const placer of placers) for (const one of arrivals) placer.arrived(one.model, one.adapter, one.count, nowMs - one.agoMs)
+    if (tally.held.length > 0) this.#demand.urge()
   }
 
   /** What requests that wait may expect: when a copy is likely ready, and before when there certainly is none. */
   outlook(held: readonly { model: string; adapter: string }[], nowMs: number): Outlook[] {
-    const { charter } = this.#yards
-    if (charter === undefined) return []
-    const { storePaceMbPerS, storeBurstMb } = charter.fleet
+    const { fleet } = this.#yards
+    if (fleet === undefined) return []
+    const { perS, burst, draw } = fleet.store
     return held.flatMap(({ model, adapter }) => {
       const plan = this.#yards.planOf(model)
       if (plan === undefined) return []
       const certain = this.#nowhere(model, nowMs)
-      const neverBeforeMs = certain ? this.#bucket.earliestMs(plan.sizeMb, storePaceMbPerS, storeBurstMb, nowMs) : 0
+      const neverBeforeMs = certain ? this.#bucket.earliestMs(draw({ kind: 'load', sizeMb: plan.sizeMb }), perS, burst, nowMs) : 0
       return [{ model, adapter, neverBeforeMs, readyInMs: Math.max(neverBeforeMs, this.#readyInMs(model, adapter, plan.sizeMb, nowMs)) }]
     })
   }
 
-  /** True when every server the charter names is known and none has the model in any state, nor is to get it. */
+  /** True when every server that the plan names is known and none has the model in any state, nor is to get it. */
   #nowhere(model: string, nowMs: number): boolean {
-    const named = Object.values(this.#yards.charter?.fleet.servers ?? {}).filter((one) => one.kind === 'model').length
+    const named = this.#yards.fleet?.servers.size ?? 0
     const yards = this.#yards.all
     return (
       yards.length === named &&
@@ -118,22 +140,26 @@
   #readyInMs(model: string, adapter: string, sizeMb: number, nowMs: number): number {
     const yards = this.#yards.all.filter((yard) => yard.open)
     if (yards.some((yard) => Yard.holds(yard, model, adapter))) return 0
-    const thetaMs = this.#planner.thetaMs(model, sizeMb)
+    if (this.#counts && adapter !== '' && yards.some((yard) => Yard.holds(yard, model, ''))) return 4 * attachAskMs
+    const thetaMs = this.#placer.thetaMs(model, sizeMb)
     for (const { task, plan } of yards) {
       if (task?.order.model === model && task.order.kind === 'load')
         return Math.max(0, thetaMs - (nowMs - task.sinceMs)) + this.#pace.reportMs
       if (plan?.model === model) return (1 + 2 * plan.victims.length) * this.#pace.reportMs + thetaMs
     }
-    const { charter } = this.#yards
-    const pace = charter?.fleet.storePaceMbPerS ?? 1
-    const ahead = this.#planner.wants.slice(
+    const { fleet } = this.#yards
+    const { wants } = this.#placer
+    const ahead = wants.slice(
       0,
-      this.#planner.wants.findIndex((want) => want.model === model),
+      wants.findIndex((want) => want.model === model),
     )
-    const aheadMb = ahead.reduce((sum, want) => sum + (charter?.partners[want.partner]?.models[want.model]?.sizeMb ?? 0), 0)
-    const queuedMs = (1000 * aheadMb) / pace + thetaMs
+    const drawn = ahead.reduce(
+      (sum, want) => sum + (fleet?.store.draw({ kind: 'load', sizeMb: this.#yards.planOf(want.model)?.sizeMb ?? 0 }) ?? 0),
+      0,
+    )
+    const queuedMs = (1000 * drawn) / (fleet?.store.perS ?? 1) + thetaMs
     if (yards.some((yard) => Yard.freeMb(yard) >= sizeMb)) return queuedMs
-    const closes = yards.flatMap((yard) => this.#planner.tenants(yard, false, nowMs).map((one) => Math.max(0, one.windowToMs - nowMs)))
+    const closes = yards.flatMap((yard) => this.#placer.tenants(yard, false, nowMs).map((one) => Math.max(0, one.windowToMs - nowMs)))
     return queuedMs + Math.min(this.#pace.orderMs, ...closes)
   }
 
@@ -141,15 +167,40 @@
     this.#yards.reported(server, report, askedMs, nowMs)
   }
 
-  replied(server: string, number: number, reply: 'accepted' | 'turnedAway' | 'unknown', nowMs: number): void {
+  /** The platform's list with what servers hold, as of `lagMs` before it was asked for. */
+  listed(servers: readonly PlatformServer[], askedMs: number, nowMs: number, lagMs = listLagMs): void {
+    this.#yards.listed(servers, askedMs - lagMs, lagMs, nowMs)
+  }
+
+  replied(server: string, number: number, reply: 'accepted' | 'turnedAway' | 'unknown' | 'held', nowMs: number): void {
     const yard = this.#yards.get(server)
     if (yard?.task === undefined || yard.task.order.number !== number || yard.task.phase !== 'sent') return
+    if (this.#counts) {
+      this.#repliedCounting(yard, reply, nowMs)
+      return
+    }
     if (reply === 'turnedAway') {
       this.#reason(yard.name, yard.task.order, 'the server turned it away', nowMs)
       this.#drop(yard, nowMs, false, false)
     }
   }
 
+  /** A load that was taken has begun, so the store's pace counts from then; what was refused or done already is read again first. */
+  #repliedCounting(yard: Yard, reply: 'accepted' | 'turnedAway' | 'unknown' | 'held', nowMs: number): void {
+    const { task } = yard
+    if (task === undefined) return
+    if (reply === 'accepted') {
+      if (task.takenMs === undefined) this.#giveBack(yard, true, nowMs)
+      task.takenMs ??= nowMs
+    } else if (reply === 'unknown') task.unansweredMs ??= nowMs
+    else {
+      this.#reason(yard.name, task.order, reply === 'held' ? 'it was so already' : 'the server turned it away', nowMs)
+      this.#drop(yard, nowMs, false, false)
+      yard.sequence = undefined
+      yard.askedMs = -Infinity
+    }
+  }
+
   tick(copy: Copy, sure: boolean, hour: number, nowMs: number): DispatcherOut {
     const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [] }
     const joins = (yard: Yard) => {
@@ -158,12 +209,12 @@
     this.#yards.census(copy, nowMs, joins, (yard) => {
       this.#drop(yard, nowMs)
     })
-    if (this.#yards.charter === undefined) return out
-    this.#yards.read(out, nowMs)
+    if (this.#yards.fleet === undefined) return out
+    this.#yards.read(out, (yard) => this.#settlesInMs(yard), nowMs)
     this.#settle(copy, out, nowMs)
     this.#yards.bind(copy, out, nowMs)
     if (sure) {
-      this.#planner.tick(hour, nowMs)
+      this.#placer.tick(hour, nowMs)
       this.#order(copy, out, nowMs)
     }
     return out
@@ -174,7 +225,7 @@
     const value = copy.get(`order/${yard.name}`)
     if (value === undefined) return
     const saved = SavedOrder.parse(JSON.parse(value))
-    if (saved.order.kind === 'load' || saved.order.kind === 'attach') this.#bucket.inherit(saved.order.sizeMb)
+    this.#bucket.inherit(this.#yards.fleet?.store.draw(saved.order) ?? 0)
     yard.task = { order: saved.order, phase: 'sent', sinceMs: nowMs, sentMs: nowMs, incarnation: saved.incarnation }
   }
 
@@ -186,6 +237,10 @@
           this.#yards.publish(out, copy, `order/${yard.name}`, undefined, nowMs)
         continue
       }
+      if (this.#counts) {
+        this.#settleCounting(yard, task, nowMs)
+        continue
+      }
       if (!this.#yards.known(yard, nowMs) || yard.report.askedMs <= task.sentMs) continue
       const { order } = task
       const seen = yard.report.order
@@ -212,14 +267,62 @@
   }
 
   #drop(yard: Yard, nowMs: number, done = false, mayHaveDrawn = true): void {
-    const order = yard.task?.order
-    const fleet = this.#yards.charter?.fleet
-    if (fleet !== undefined && (order?.kind === 'load' || order?.kind === 'attach'))
-      this.#bucket.settle(order.sizeMb, mayHaveDrawn, fleet.storePaceMbPerS, fleet.storeBurstMb, yard.task?.sentMs ?? nowMs, nowMs)
+    if (yard.task?.takenMs === undefined) this.#giveBack(yard, mayHaveDrawn, nowMs)
+    this.#yards.turn += 1
+    yard.settledMs = nowMs
     yard.task = undefined
     if (done) return
     yard.plan = undefined
-    yard.backoffUntilMs = nowMs + this.#pace.reportMs
+    yard.backoffUntilMs = nowMs + (this.#counts ? refusedMs : this.#pace.reportMs)
+  }
+
+  #giveBack(yard: Yard, mayHaveDrawn: boolean, nowMs: number): void {
+    const store = this.#yards.fleet?.store
+    if (store === undefined || yard.task === undefined) return
+    const { order } = yard.task
+    const drawn = store.draw(order)
+    if (drawn > 0 || (!this.#counts && (order.kind === 'load' || order.kind === 'attach')))
+      this.#bucket.settle(drawn, mayHaveDrawn, store.perS, store.burst, yard.task.sentMs, nowMs)
+  }
+
+  /** When reading a server that counts its orders is first likely to show the order done. */
+  #settlesInMs({ task }: Yard): number {
+    const order = task?.order
+    if (order === undefined) return 0
+    return order.kind === 'load' ? 0.8 * this.#demand.thetaMs(order.model) : order.kind === 'unload' ? unloadAskMs : attachAskMs
+  }
+
+  /**
+   * An order is settled by a report that counts it and is not busy; one that no answer told of, by a report
+   * that surely was made after it and does not count it; else by time, and then the server is read anew.
+   */
+  #settleCounting(yard: Yard, task: NonNullable<Yard['task']>, nowMs: number): void {
+    const { report } = yard
+    const { order } = task
+    const expected = order.expected
+    const unansweredMs = order.tenure === this.#tenure ? task.unansweredMs : task.sentMs
+    if (report?.sequence !== undefined && report.askedMs > task.sentMs && report.busy !== true && expected !== undefined) {
+      const there =
+        order.adapter === ''
+          ? report.models.some((one) => one.model === order.model)
+          : report.adapters.some((one) => one.model === order.model && one.adapter === order.adapter)
+      const done = there === (order.kind === 'load' || order.kind === 'attach')
+      if (report.sequence > expected) {
+        if (done && order.kind === 'load' && order.tenure === this.#tenure) this.#demand.learn(order.model, report.heardMs - task.sentMs)
+        this.#reason(yard.name, order, done ? 'done' : 'the server could not', nowMs)
+        this.#drop(yard, nowMs, done)
+        return
+      }
+      if (unansweredMs !== undefined && report.askedMs > unansweredMs + reportLagMs) {
+        this.#reason(yard.name, order, 'never reached the server', nowMs)
+        this.#drop(yard, nowMs)
+        return
+      }
+    }
+    if (nowMs - task.sentMs <= Math.max(this.#pace.orderMs, 4 * this.#demand.thetaMs(order.model))) return
+    this.#reason(yard.name, order, 'not known to have ended; the server is read anew', nowMs)
+    this.#drop(yard, nowMs)
+    yard.sequence = undefined
   }
 
   #order(copy: Copy, out: DispatcherOut, nowMs: number): void {
@@ -240,6 +343,7 @@
         if (copy.get(`order/${yard.name}`) !== saved) this.#yards.publish(out, copy, `order/${yard.name}`, saved, nowMs)
         else this.#send(yard, out, nowMs)
       } else if (
+        !this.#counts &&
         task.phase === 'sent' &&
         nowMs - task.sentMs > this.#pace.orderMs / 8 &&
         this.#yards.known(yard, nowMs) &&
@@ -267,10 +371,11 @@
   #next(yard: Yard, nowMs: number): void {
     const { plan } = yard
     if (plan === undefined || !this.#yards.known(yard, nowMs) || nowMs < yard.backoffUntilMs) return
+    if (this.#counts && yard.sequence === undefined) return
     const victim = plan.victims.shift()
     if (victim !== undefined) {
       const [model = '', adapter = ''] = victim.split('/')
-      if (!this.#planner.stillMakesWay(yard, victim, adapter !== '', plan.relaxed, nowMs)) {
+      if (!this.#placer.stillMakesWay(yard, victim, adapter !== '', plan.relaxed, nowMs)) {
         yard.plan = undefined
         return
       }
@@ -286,25 +391,45 @@
       return
     }
     const model = this.#yards.planOf(plan.model)
-    const fleet = this.#yards.charter?.fleet
+    const { fleet } = this.#yards
     if (model === undefined || fleet === undefined) {
       yard.plan = undefined
       return
     }
     const attach = plan.adapter !== ''
-    const fits = attach ? Yard.freePlaces(yard) >= 1 : Yard.freeMb(yard) >= model.sizeMb
-    if (!fits || !yard.open) {
+    const fits = attach
+      ? Yard.freePlaces(yard) >= 1 && (!this.#counts || Yard.freeMb(yard) >= model.adapterMb)
+      : Yard.freeMb(yard) >= model.sizeMb
+    const there = this.#counts && Yard.holds(yard, plan.model, plan.adapter)
+    if (!fits || !yard.open || there || (attach && this.#counts && !Yard.holds(yard, plan.model, ''))) {
       yard.plan = undefined
       return
     }
-    if (!this.#bucket.reserve(attach ? model.adapterMb : model.sizeMb, fleet.storePaceMbPerS, fleet.storeBurstMb, nowMs)) return
-    this.#begin(yard, attach ? 'attach' : 'load', plan.model, plan.adapter, attach ? model.adapterMb : model.sizeMb, plan.why, nowMs)
+    const { store } = fleet
+    const kind = attach ? 'attach' : 'load'
+    const sizeMb = attach ? model.adapterMb : model.sizeMb
+    if (kind === 'load' && this.#loading >= store.atOnce) return
+    const drawn = store.draw({ kind, sizeMb })
+    if ((drawn > 0 || !this.#counts) && !this.#bucket.reserve(drawn, store.perS, store.burst, nowMs)) return
+    this.#begin(yard, kind, plan.model, plan.adapter, sizeMb, plan.why, nowMs)
     yard.plan = undefined
   }
 
+  get #loading(): number {
+    return this.#yards.all.filter((yard) => yard.task?.order.kind === 'load').length
+  }
+
   #begin(yard: Yard, kind: Order['kind'], model: string, adapter: string, sizeMb: number, why: string, nowMs: number): void {
     this.#number += 1
-    const order: Order = { tenure: this.#tenure, number: this.#number, kind, model, adapter, sizeMb }
+    const order: Order = {
+      tenure: this.#tenure,
+      number: this.#number,
+      kind,
+      model,
+      adapter,
+      sizeMb,
+      ...(yard.sequence === undefined ? {} : { expected: yard.sequence }),
+    }
     const takesAway = kind === 'unload' || kind === 'detach'
     yard.task = {
       order,
@@ -313,6 +438,7 @@
       sentMs: 0,
       incarnation: yard.report?.incarnation ?? '',
     }
+    this.#yards.turn += 1
     this.#reason(yard.name, order, why, nowMs)
   }
 
@@ -325,6 +451,10 @@
       if (order.adapter === '' ? binding.models.includes(order.model) : binding.adapters.includes(keyOf(order.model, order.adapter)))
         return false
     }
+    if (this.#counts) {
+      if (yard.task !== undefined) yard.task.withdrawnMs ??= nowMs
+      return yard.task?.withdrawnMs !== undefined && nowMs - yard.task.withdrawnMs >= spreadMs
+    }
     const stamp = copy.stampOf(`binding/${yard.name}`)
     for (const [seat] of copy.under('seat/')) {
       const tally = this.#planner.tallies.get(seat)
--- a/src/timetable/Planner.ts
+++ b/src/timetable/Planner.ts
@@ -4,9 +4,9 @@
  * nothing fits there, a copy that another server holds too makes way first; only a request that would be
  * lost by its due goes on to the last resort.
  */
-import { Charter } from '../gauge/Charter.js'
 import type { Pace } from '../gauge/Pace.js'
 import { keyOf } from './keyOf.js'
+import type { ModelPlan } from './ModelPlan.js'
 import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tally } from './Tally.js'
@@ -50,7 +50,7 @@
   }
 
   thetaMs(model: string, sizeMb: number): number {
-    return this.#loadMs.get(model) ?? (1000 * sizeMb) / (this.#yards.charter?.fleet.storePaceMbPerS ?? 1)
+    return this.#loadMs.get(model) ?? (1000 * sizeMb) / (this.#yards.fleet?.store.perS ?? 1)
   }
 
   tick(hour: number, nowMs: number): void {
@@ -72,39 +72,37 @@
 
   /** The models and adapters that some request waits for, or whose window is open and that no open server holds, or that want a spare. */
   #count(hour: number, nowMs: number): Want[] {
-    const { charter } = this.#yards
-    if (charter === undefined) return []
+    const { fleet } = this.#yards
+    if (fleet === undefined) return []
     const held = this.#held(nowMs)
     const open = this.#yards.all.filter((yard) => yard.open)
     const wants: Want[] = []
-    for (const [partner, branch] of Object.entries(charter.partners)) {
-      for (const [model, plan] of Object.entries(branch.models)) {
-        const { intent } = Charter.limits(charter, partner, plan.limits)
-        const inHours = intent.hours.some((span) =>
-          span.from <= span.to ? hour >= span.from && hour < span.to : hour >= span.from || hour < span.to,
-        )
-        for (const adapter of ['', ...plan.adapters]) {
-          const copies = open.filter((yard) => Yard.holds(yard, model, adapter))
-          const dueInMs = held.get(keyOf(model, adapter))
-          const forecast = this.#predictor.forecast(keyOf(model, adapter), nowMs)
-          const urgency = intent.weight * (1 + intent.coldStartCost)
-          const base = { model, adapter, partner, urgency, dueInMs: Infinity, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, zones: [] }
-          if (dueInMs !== undefined && (copies.length === 0 || this.#crowded(copies, model))) {
-            wants.push({
-              ...base,
-              kind: 'held',
-              dueInMs,
-              why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there',
-            })
-          } else if (!this.#policy.foresees) continue
-          else if (copies.length === 0 && forecast !== undefined && this.#opens(forecast, model, plan.sizeMb, nowMs)) {
-            wants.push({ ...base, kind: 'forecast', nextMs: forecast.nextMs, why: 'a request is forecast' })
-          } else if (copies.length === 0 && inHours && adapter === '') {
-            wants.push({ ...base, kind: 'hours', why: 'its partner wants it in these hours' })
-          } else if (copies.length > 0 && this.#dear(model, adapter, urgency, nowMs)) {
-            const zones = [...new Set(copies.map((yard) => yard.zone))]
-            if (zones.length === 1) wants.push({ ...base, kind: 'spare', zones, why: 'a spare in another zone' })
-          }
+    for (const plan of fleet.models) {
+      const { key: model, owner: partner, intent } = plan
+      const inHours = intent.hours.some((span) =>
+        span.from <= span.to ? hour >= span.from && hour < span.to : hour >= span.from || hour < span.to,
+      )
+      for (const adapter of ['', ...plan.adapters]) {
+        const copies = open.filter((yard) => Yard.holds(yard, model, adapter))
+        const dueInMs = held.get(keyOf(model, adapter))
+        const forecast = this.#predictor.forecast(keyOf(model, adapter), nowMs)
+        const urgency = intent.weight * (1 + intent.coldStartCost)
+        const base = { model, adapter, partner, urgency, dueInMs: Infinity, nextMs: nowMs, deltaMs: forecast?.deltaMs ?? 0, zones: [] }
+        if (dueInMs !== undefined && (copies.length === 0 || this.#crowded(copies, model))) {
+          wants.push({
+            ...base,
+            kind: 'held',
+            dueInMs,
+            why: copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there',
+          })
+        } else if (!this.#policy.foresees) continue
+        else if (copies.length === 0 && forecast !== undefined && this.#opens(forecast, model, plan.sizeMb, nowMs)) {
+          wants.push({ ...base, kind: 'forecast', nextMs: forecast.nextMs, why: 'a request is forecast' })
+        } else if (copies.length === 0 && inHours && adapter === '') {
+          wants.push({ ...base, kind: 'hours', why: 'its partner wants it in these hours' })
+        } else if (copies.length > 0 && this.#dear(model, adapter, urgency, nowMs)) {
+          const zones = [...new Set(copies.map((yard) => yard.zone))]
+          if (zones.length === 1) wants.push({ ...base, kind: 'spare', zones, why: 'a spare in another zone' })
         }
       }
     }
@@ -129,20 +127,20 @@
   }
 
   #plan(nowMs: number): void {
-    const { charter } = this.#yards
-    if (charter === undefined) return
+    const { fleet } = this.#yards
+    if (fleet === undefined) return
     const live = new Set(this.#wants.map((want) => keyOf(want.model, want.adapter)))
     for (const yard of this.#yards.all) {
       if (yard.plan !== undefined && yard.task === undefined && !live.has(keyOf(yard.plan.model, yard.plan.adapter))) yard.plan = undefined
     }
     for (const want of this.#wants) {
-      const plan = charter.partners[want.partner]?.models[want.model]
+      const plan = fleet.model(want.model)
       if (plan === undefined || this.#yards.coming(want.model, want.adapter)) continue
       this.#place(want, plan, nowMs)
     }
   }
 
-  #place(want: Want, plan: Charter['partners'][string]['models'][string], nowMs: number): void {
+  #place(want: Want, plan: ModelPlan, nowMs: number): void {
     const may = (yard: Yard) => yard.open && yard.task === undefined && yard.plan === undefined && nowMs >= yard.backoffUntilMs
     const free = this.#yards.all.filter(
       (yard) =>
@@ -171,10 +169,7 @@
       this.#yards.all.some((yard) => yard.task !== undefined || yard.plan !== undefined)
     )
       return false
-    const sizes = Object.values(this.#yards.charter?.partners ?? {}).flatMap((branch) =>
-      Object.values(branch.models).map((one) => one.sizeMb),
-    )
-    const largest = Math.max(...sizes)
+    const largest = Math.max(...(this.#yards.fleet?.models ?? []).map((one) => one.sizeMb))
     const holes = this.#yards.all.filter((yard) => yard.open).map((yard) => Yard.freeMb(yard))
     const after = holes.sort((a, b) => b - a).map((free, at) => (at === 0 ? free - sizeMb : free))
     return after.some((free) => free >= largest)
--- a/src/timetable/Yard.ts
+++ b/src/timetable/Yard.ts
@@ -9,17 +9,40 @@
   name: string
   address: string
   zone: string
+  /** The service that it belongs to in a network, whose models alone it may hold. */
+  owner: string | undefined
+  /** Requests that it works on at once, and whether it bears only few for now. */
+  capacity: number
+  cold: boolean
   roomMb: number
   places: number
   open: boolean
   report: (Report & { askedMs: number; heardMs: number }) | undefined
   askedMs: number
   answeredMs: number
-  task: { order: Order; phase: 'withdrawing' | 'proposed' | 'sent'; sinceMs: number; sentMs: number; incarnation: string } | undefined
+  task:
+    | {
+        order: Order
+        phase: 'withdrawing' | 'proposed' | 'sent'
+        sinceMs: number
+        sentMs: number
+        incarnation: string
+        /** When the server took the order, and when sending it ended without an answer. */
+        takenMs?: number
+        unansweredMs?: number
+        /** When no binding named any more what is to go. */
+        withdrawnMs?: number
+      }
+    | undefined
   plan:
     | { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' }
     | undefined
   backoffUntilMs: number
+  /** Orders that it had taken when it was last read; unknown until then, and where a list differs from it. */
+  sequence: number | undefined
+  settledMs: number
+  /** What an adapter of each model takes of the room, where adapters count. */
+  adapterMb: ReadonlyMap<string, number>
 }
 
 export const Yard = {
@@ -34,10 +57,12 @@
   },
 
   /** Configured size, less every weight reported, less every load not known to have ended. */
-  freeMb({ roomMb, report, task }: Yard): number {
+  freeMb({ roomMb, report, task, adapterMb }: Yard): number {
     let room = roomMb
     for (const one of report?.models ?? []) room -= one.sizeMb
+    for (const one of report?.adapters ?? []) room -= adapterMb.get(one.model) ?? 0
     const order = task?.order
+    if (order?.kind === 'attach') room -= adapterMb.get(order.model) ?? 0
     if (order?.kind === 'load' && report?.models.some((one) => one.model === order.model) !== true) room -= order.sizeMb
     return room
   },
