--- a/src/timetable/Yards.ts
+++ b/src/timetable/Yards.ts
@@ -2,7 +2,8 @@
  * The dispatcher's table of model servers, and the systems that keep it true: the census of charter and
  * platform, whom to read, who is known well enough to be ordered, and the bindings that reports make.
  */
-import type { Charter } from '../gauge/Charter.js'
+import { z } from 'zod'
+import { Network } from '../gauge/Network.js'
 import type { Pace } from '../gauge/Pace.js'
 import { PlatformServer } from '../gauge/PlatformServer.js'
 import type { Report } from '../gauge/Report.js'
@@ -11,10 +12,23 @@
 import type { Copy } from '../interlocking/Copy.js'
 import type { PartsRow } from '../interlocking/PartsRow.js'
 import type { DispatcherOut } from './DispatcherOut.js'
+import { FleetPlan } from './FleetPlan.js'
 import { keyOf } from './keyOf.js'
+import type { ModelPlan } from './ModelPlan.js'
 import type { Yard } from './Yard.js'
 
 const keptLinks = 128
+/** In a network: how long after the tenure's begin or the last asking a server is asked for its report. */
+const unlistedMs = 300
+const askAgainMs = 150
+const silentMs = 1000
+const Emptied = z.object({ emptied: z.boolean() })
+const noneMb: ReadonlyMap<string, number> = new Map()
+
+function holdings(report: Report): string {
+  const keys = [...report.models.map((one) => one.model), ...report.adapters.map((one) => keyOf(one.model, one.adapter))]
+  return keys.sort().join(' ')
+}
 
 export class Yards {
   readonly #pace: Pace
@@ -27,6 +41,15 @@
   readonly #partsAtMs = new Map<string, number>()
   readonly #reader = new CharterReader()
   #copyStamp = -1
+  #charter: CharterReader['charter']
+  #fleet: FleetPlan | undefined
+  #networkText = ''
+  #adapterMb: ReadonlyMap<string, number> = noneMb
+  readonly #servers = new Map<string, { value: string; server: PlatformServer }>()
+  readonly #bindings = new Map<string, { report: Yard['report']; task: Yard['task']; value: string }>()
+  #boundStamp = -1
+  /** Grows whenever a holding, an order or the table changes. */
+  turn = 0
 
   constructor(pace: Pace, tenure: number, first: boolean, nowMs: number) {
     this.#pace = pace
@@ -35,15 +58,12 @@
     this.#beganMs = nowMs
   }
 
-  get charter(): Charter | undefined {
-    return this.#reader.charter
+  get fleet(): FleetPlan | undefined {
+    return this.#fleet
   }
 
-  /** What the charter says of a model, whichever partner's it is. */
-  planOf(model: string): Charter['partners'][string]['models'][string] | undefined {
-    return Object.values(this.charter?.partners ?? {})
-      .map((branch) => branch.models[model])
-      .find((one) => one !== undefined)
+  planOf(model: string): ModelPlan | undefined {
+    return this.#fleet?.model(model)
   }
 
   get all(): readonly Yard[] {
@@ -58,10 +78,11 @@
   census(copy: Copy, nowMs: number, joins: (yard: Yard) => void, leaves: (yard: Yard) => void): void {
     if (copy.stamp === this.#copyStamp) return
     this.#copyStamp = copy.stamp
-    this.#reader.follow(copy)
-    const listed = new Map(copy.under('server/').map(([name, value]) => [name, PlatformServer.parse(JSON.parse(value))]))
-    for (const [name, plan] of Object.entries(this.charter?.fleet.servers ?? {})) {
-      if (plan.kind !== 'model') continue
+    this.turn += 1
+    const listed = new Map(copy.under('server/').map(([name, value]) => [name, this.#parsed(name, value)]))
+    for (const name of this.#servers.keys()) if (!listed.has(name)) this.#servers.delete(name)
+    this.#follow(copy, listed)
+    for (const [name, plan] of this.#fleet?.servers ?? []) {
       const server = listed.get(name)
       let yard = this.#table.get(name)
       if (yard === undefined) {
@@ -72,17 +93,62 @@
       }
       yard.roomMb = plan.roomMb
       yard.places = plan.places
-      yard.open = server !== undefined && !server.draining && this.charter?.zones[server.zone]?.emptied !== true
+      yard.open = server !== undefined && !server.draining && this.#fleet?.emptied.has(server.zone) !== true
+      yard.cold = server?.cold === true
+      yard.adapterMb = this.#adapterMb
       if (server === undefined || (server.address === yard.address && server.zone === yard.zone)) continue
       yard.address = server.address
       yard.zone = server.zone
       yard.report = undefined
+      yard.sequence = undefined
     }
     for (const [name, yard] of this.#table) {
-      if (this.charter?.fleet.servers[name]?.kind === 'model' && listed.has(name)) continue
+      if (this.#fleet?.servers.has(name) === true && listed.has(name)) continue
       leaves(yard)
       this.#table.delete(name)
+      this.#bindings.delete(name)
+    }
+  }
+
+  #parsed(name: string, value: string): PlatformServer {
+    const old = this.#servers.get(name)
+    if (old?.value === value) return old.server
+    const server = PlatformServer.parse(JSON.parse(value))
+    this.#servers.set(name, { value, server })
+    return server
+  }
+
+  /** The plan of a charter, else of a network, made anew where their rows have changed. */
+  #follow(copy: Copy, listed: ReadonlyMap<string, PlatformServer>): void {
+    this.#reader.follow(copy)
+    const { charter } = this.#reader
+    if (charter !== undefined) {
+      if (charter !== this.#charter) this.#fleet = FleetPlan.ofCharter(charter)
+      this.#charter = charter
+      return
     }
+    if (this.#charter !== undefined || copy.get('network') === undefined) {
+      this.#charter = undefined
+      this.#fleet = undefined
+      this.#networkText = ''
+      if (copy.get('network') === undefined) return
+    }
+    const services = copy.under('service/').map(([, value]) => value)
+    const zones = copy.under('zone/')
+    const names = [...listed.values()].map((one) => `${one.name} ${one.service ?? ''}`)
+    const text = [...services, ...zones.flat(), ...names].join('\n')
+    if (text === this.#networkText) return
+    this.#networkText = text
+    const emptied = zones.filter(([, value]) => Emptied.safeParse(JSON.parse(value)).data?.emptied === true)
+    this.#fleet = FleetPlan.ofNetwork(
+      services.flatMap((value) => {
+        const read = Network.Service.safeParse(JSON.parse(value))
+        return read.success ? [read.data] : []
+      }),
+      [...listed.values()],
+      new Set(emptied.map(([zone]) => zone)),
+    )
+    this.#adapterMb = new Map(this.#fleet.models.map((one) => [one.key, one.adapterMb]))
   }
 
   #fresh(server: PlatformServer, nowMs: number): Yard {
@@ -90,6 +156,9 @@
       name: server.name,
       address: server.address,
       zone: server.zone,
+      owner: this.#fleet?.counts === true ? server.service : undefined,
+      capacity: server.capacity ?? 1,
+      cold: false,
       roomMb: 0,
       places: 0,
       open: false,
@@ -99,10 +168,18 @@
       task: undefined,
       plan: undefined,
       backoffUntilMs: 0,
+      sequence: undefined,
+      settledMs: -Infinity,
+      adapterMb: noneMb,
     }
   }
 
-  read(out: DispatcherOut, nowMs: number): void {
+  /** Whom to read now; `settlesInMs` says how long an order that a counting server carries out is likely to take. */
+  read(out: DispatcherOut, settlesInMs: (yard: Yard) => number, nowMs: number): void {
+    if (this.#fleet?.counts === true) {
+      this.#readCounting(out, settlesInMs, nowMs)
+      return
+    }
     for (const yard of this.#table.values()) {
       if (nowMs - yard.askedMs < (yard.task === undefined ? this.#pace.reportMs : this.#pace.reportMs / 6)) continue
       if (yard.task === undefined && yard.answeredMs < yard.askedMs && nowMs - yard.askedMs < this.#pace.reportStaleMs) continue
@@ -111,11 +188,81 @@
     }
   }
 
+  /** Only where something hangs on it: each reading of a counting server is paid for. */
+  #readCounting(out: DispatcherOut, settlesInMs: (yard: Yard) => number, nowMs: number): void {
+    for (const yard of this.#table.values()) {
+      if (nowMs - yard.askedMs < (yard.answeredMs < yard.askedMs ? silentMs : askAgainMs)) continue
+      const { task, report } = yard
+      const settles =
+        task?.phase === 'sent' && (task.unansweredMs !== undefined || nowMs - Math.max(task.sentMs, task.takenMs ?? 0) >= settlesInMs(yard))
+      const unknown =
+        task === undefined && (yard.plan !== undefined || report?.busy === true) && (yard.sequence === undefined || report?.busy === true)
+      const unlisted = report === undefined && nowMs - this.#beganMs > unlistedMs
+      if (!settles && !unknown && !unlisted) continue
+      yard.askedMs = nowMs
+      out.asks.push({ server: yard.name, address: yard.address })
+    }
+  }
+
+  /** What the platform's list says that servers hold, as of a moment; it yields to what a server itself said since its last order. */
+  listed(servers: readonly PlatformServer[], asOfMs: number, lagMs: number, nowMs: number): void {
+    for (const server of servers) {
+      const yard = this.#table.get(server.name)
+      if (yard === undefined || server.models === undefined || this.#fleet?.counts !== true) continue
+      if (asOfMs <= yard.settledMs + lagMs || (yard.task !== undefined && yard.report !== undefined)) continue
+      if (yard.report !== undefined && asOfMs <= yard.report.askedMs) continue
+      const said: Report = {
+        server: server.name,
+        incarnation: server.name,
+        madeMs: 0,
+        models: server.models.map((one) => ({ model: one.model, state: 'loaded', sizeMb: 0, flights: 0 })),
+        adapters: server.models.flatMap((one) =>
+          one.adapters.map((adapter) => ({ model: one.model, adapter, state: 'loaded' as const, flights: 0 })),
+        ),
+        parts: [],
+      }
+      const report = { ...this.#keyed(yard, said), askedMs: asOfMs, heardMs: nowMs }
+      if (yard.report !== undefined && holdings(yard.report) === holdings(report) && yard.report.busy !== true) continue
+      if (yard.report !== undefined) yard.sequence = undefined
+      yard.report = report
+      this.turn += 1
+    }
+  }
+
+  /** A network's report with the keys and sizes of the plan. */
+  #keyed(yard: Yard, report: Report): Report {
+    const prefix = `${yard.owner ?? ''}:`
+    const key = (model: string) => (model.startsWith(prefix) ? model : prefix + model)
+    return {
+      ...report,
+      incarnation: yard.name,
+      models: report.models.map((one) => {
+        const model = key(one.model)
+        const order = yard.task?.order
+        const comes = report.busy === true && order?.kind === 'load' && order.model === model
+        return { ...one, model, state: comes ? ('loading' as const) : one.state, sizeMb: this.planOf(model)?.sizeMb ?? one.sizeMb }
+      }),
+      adapters: report.adapters.map((one) => ({ ...one, model: key(one.model) })),
+    }
+  }
+
+  #reportedCounting(yard: Yard, report: Report, askedMs: number, nowMs: number): void {
+    if (yard.report !== undefined && yard.report.askedMs > askedMs) return
+    if (report.sequence !== undefined && yard.sequence !== undefined && report.sequence < yard.sequence) return
+    yard.report = { ...this.#keyed(yard, report), askedMs, heardMs: nowMs }
+    yard.sequence = report.sequence
+    this.turn += 1
+  }
+
   reported(server: string, report: Report | undefined, askedMs: number, nowMs: number): void {
     const yard = this.#table.get(server)
     if (yard === undefined) return
     yard.answeredMs = nowMs
     if (report === undefined || report.server !== server) return
+    if (this.#fleet?.counts === true) {
+      this.#reportedCounting(yard, report, askedMs, nowMs)
+      return
+    }
     const old = yard.report
     if (old !== undefined && old.incarnation === report.incarnation && old.madeMs > report.madeMs) return
     yard.report = { ...report, askedMs, heardMs: nowMs }
@@ -124,6 +271,7 @@
   /** Read under this tenure, lately: only then is the server known well enough to be ordered. */
   known(yard: Yard, nowMs: number): yard is Yard & { report: NonNullable<Yard['report']> } {
     const { report } = yard
+    if (this.#fleet?.counts === true) return report !== undefined && report.busy !== true
     if (report === undefined || report.askedMs < this.#beganMs || nowMs - report.askedMs > this.#pace.reportStaleMs) return false
     if (report.tenure !== undefined) return report.tenure <= this.#tenure
     return this.#first || nowMs - this.#beganMs > this.#pace.dutyLicenceMs + this.#pace.orderMs
@@ -133,6 +281,11 @@
   deaf(nowMs: number): boolean {
     if (nowMs - this.#beganMs < 0.7 * this.#pace.reportStaleMs) return false
     const open = this.all.filter((yard) => yard.open)
+    if (this.#fleet?.counts === true) {
+      const asked = open.filter((yard) => nowMs - yard.askedMs < 4 * this.#pace.reportStaleMs)
+      const mute = asked.filter((yard) => yard.askedMs - yard.answeredMs > 0.7 * this.#pace.reportStaleMs)
+      return asked.length > 1 && mute.length * 2 > asked.length
+    }
     const silent = open.filter((yard) => yard.report === undefined || nowMs - yard.report.askedMs > 0.7 * this.#pace.reportStaleMs)
     return open.length > 1 && silent.length * 2 > open.length
   }
@@ -161,6 +314,10 @@
 
   /** What each server may be used for; a server that fell silent for nothing, unless it is this side that is cut off. */
   bind(copy: Copy, out: DispatcherOut, nowMs: number): void {
+    if (this.#fleet?.counts === true) {
+      this.#bindCounting(copy, out, nowMs)
+      return
+    }
     const deaf = this.deaf(nowMs)
     for (const yard of this.#table.values()) {
       const { report } = yard
@@ -188,6 +345,35 @@
     for (const [name] of copy.under('parts/')) if (!this.#table.has(name)) this.publish(out, copy, `parts/${name}`, undefined, nowMs)
   }
 
+  /** As above, where reports come only at need: what is on its way in or out is not named. */
+  #bindCounting(copy: Copy, out: DispatcherOut, nowMs: number): void {
+    for (const yard of this.#table.values()) {
+      const { report, task } = yard
+      if (report === undefined) continue
+      let bound = this.#bindings.get(yard.name)
+      if (bound?.report !== report || bound.task !== task) {
+        const order = task?.order
+        const moves = order === undefined ? '' : keyOf(order.model, order.adapter)
+        const whole = order?.adapter === '' ? order.model : ''
+        const binding: BindingRow = {
+          incarnation: yard.name,
+          models: report.models.flatMap((one) => (one.state === 'loaded' && one.model !== moves ? [one.model] : [])).sort(),
+          adapters: report.adapters
+            .flatMap((one) => (one.state === 'loaded' && one.model !== whole ? [keyOf(one.model, one.adapter)] : []))
+            .filter((key) => key !== moves)
+            .sort(),
+        }
+        bound = { report, task, value: JSON.stringify(binding) }
+        this.#bindings.set(yard.name, bound)
+      }
+      this.publish(out, copy, `binding/${yard.name}`, bound.value, nowMs)
+    }
+    if (this.#boundStamp === copy.stamp) return
+    this.#boundStamp = copy.stamp
+    for (const prefix of ['binding/', 'order/'])
+      for (const [name] of copy.under(prefix)) if (!this.#table.has(name)) this.publish(out, copy, prefix + name, undefined, nowMs)
+  }
+
   /** The newest kept parts, seldom: each telling is a change of the log. */
   #tellParts(yard: Yard, report: Report, copy: Copy, out: DispatcherOut, nowMs: number): void {
     if (nowMs - (this.#partsAtMs.get(yard.name) ?? -Infinity) < this.#pace.partsMs) return
