--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,13 @@
   },
 }
 
+// Tests and what only they use; no other file may lean on these.
+const testFiles = ['src/**/*.test.ts', 'src/**/*Contract.ts', 'src/**/sampleDefaults.ts']
+const testCode = [
+  { group: ['*.test.js', '*Contract.js', 'sampleDefaults.js'], message: 'only tests may lean on test code' },
+  { regex: '^(node:)?(assert|test)(/|$)', message: 'only tests may assert' },
+]
+
 const folders = Object.keys(lower)
 export default tseslint.config(
   { ignores: ['dist/**', 'tools/**', 'eslint.config.js'] },
@@ -48,19 +55,20 @@
       '@typescript-eslint/no-non-null-assertion': 'error',
       '@typescript-eslint/no-redeclare': 'off',
       '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
-    },
-  },
-  ...folders.map((folder) => ({
-    files: [`src/${folder}/**/*.ts`],
-    rules: {
-      'no-restricted-imports': [
+      '@typescript-eslint/no-floating-promises': [
         'error',
-        {
-          patterns: folders
-            .filter((other) => other !== folder && !lower[folder].includes(other))
-            .map((other) => ({ group: [`../${other}/*`], message: `${folder} may not lean on ${other}` })),
-        },
+        { allowForKnownSafeCalls: [{ from: 'package', name: 'test', package: 'node:test' }] },
       ],
     },
-  })),
+  },
+  ...folders.flatMap((folder) => {
+    const above = folders
+      .filter((other) => other !== folder && !lower[folder].includes(other))
+      .map((other) => ({ group: [`../${other}/*`], message: `${folder} may not lean on ${other}` }))
+    const restrict = (patterns) => ({ 'no-restricted-imports': ['error', { patterns }] })
+    return [
+      { files: [`src/${folder}/**/*.ts`], ignores: testFiles, rules: restrict([...above, ...testCode]) },
+      { files: testFiles.map((name) => name.replace('src/**', `src/${folder}/**`)), rules: restrict(above) },
+    ]
+  }),
 )
--- a/src/gauge/Address.ts
+++ b/src/gauge/Address.ts
@@ -3,8 +3,6 @@
  */
 import { isIP } from 'node:net'
 import { z } from 'zod'
-import { proof } from './proof.js'
-import { strictEqual } from 'node:assert'
 
 export const Address = z.string().refine((text) => {
   const cut = text.lastIndexOf(':')
@@ -12,13 +10,3 @@
   return cut > 0 && isIP(text.slice(0, cut).replace(/^\[|\]$/g, '')) !== 0 && Number.isInteger(port) && port >= 0 && port < 65536
 }, 'must be an IP number and a port, such as 10.0.0.1:7000')
 export type Address = z.infer<typeof Address>
-
-proof(import.meta.url, {
-  'addresses are IP numbers with ports': () => {
-    strictEqual(Address.safeParse('127.0.0.1:7000').success, true)
-    strictEqual(Address.safeParse('[::1]:7000').success, true)
-    for (const wrong of ['localhost:70', '127.0.0.1', '127.0.0.1:x', '127.0.0.1:70000', ':1']) {
-      strictEqual(Address.safeParse(wrong).success, false, wrong)
-    }
-  },
-})
--- a/src/gauge/Chance.ts
+++ b/src/gauge/Chance.ts
@@ -2,8 +2,6 @@
  * A small seeded generator (mulberry32). State machines draw from one that they are handed, so that
  * a simulated run is the same for the same seed; daemons seed theirs from the system.
  */
-import { strictEqual } from 'node:assert'
-import { proof } from './proof.js'
 
 export class Chance {
   #state: number
@@ -44,14 +42,3 @@
     return new Chance(this.below(4294967296))
   }
 }
-
-proof(import.meta.url, {
-  'the same seed draws the same numbers, another seed others': () => {
-    const draw = (seed: number) => {
-      const chance = new Chance(seed)
-      return Array.from({ length: 20 }, () => chance.next()).join()
-    }
-    strictEqual(draw(7), draw(7))
-    strictEqual(draw(7) === draw(8), false)
-  },
-})
--- a/src/gauge/Meters.ts
+++ b/src/gauge/Meters.ts
@@ -2,9 +2,7 @@
  * A daemon's figures in Prometheus' text form, through its library: counters that tasks raise, spans of
  * time that they measure, and gauges that are read when they are asked for.
  */
-import { match } from 'node:assert'
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
-import { proof } from './proof.js'
 
 const spanBuckets = [1, 3, 10, 30, 100, 300, 1000, 3000, 10_000]
 
@@ -52,16 +50,3 @@
     }
   }
 }
-
-proof(import.meta.url, {
-  'what was counted, measured and read stands in the text': async () => {
-    const meters = new Meters('turnout', 'post-1')
-    meters.counter('requests', 'requests', ['outcome'])({ outcome: 'responded' })
-    meters.span('held', 'held')(42)
-    meters.gauges({ waiting: 'waiting' }, () => ({ waiting: 7 }))
-    const text = await meters.text()
-    match(text, /springpaddle_requests\{outcome="responded",program="turnout",name="post-1"\} 1/)
-    match(text, /springpaddle_held_ms_sum\{program="turnout",name="post-1"\} 42/)
-    match(text, /springpaddle_waiting\{program="turnout",name="post-1"\} 7/)
-  },
-})
--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -7,8 +7,6 @@
 import { z } from 'zod'
 import { Address } from './Address.js'
 import { Bounds } from './Bounds.js'
-import { proof } from './proof.js'
-import { deepStrictEqual, match, strictEqual } from 'node:assert'
 
 const Name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes')
 
@@ -74,30 +72,3 @@
   lineman: z.infer<typeof lineman>
   turnout: z.infer<typeof turnout>
 }
-
-proof(import.meta.url, {
-  'every error is named with its path, and nothing else is read': () => {
-    const read = Startup.read(Startup.lineman, undefined, {
-      name: 'L 1',
-      zone: 'a',
-      telegraph: 'nowhere',
-      seeds: ['127.0.0.1:1'],
-      turnout: '127.0.0.1:2',
-      bonds: {},
-    })
-    strictEqual(read.isLeft(), true)
-    const errors = read.swap().orDefault([])
-    deepStrictEqual(errors.map((line) => line.split(':')[0]).sort(), ['name', 'startup', 'telegraph'])
-    match(errors.join(), /bonds/)
-  },
-  'flags go before the file, and bounds have their defaults': () => {
-    const read = Startup.read(Startup.lineman, undefined, {
-      name: 'l-1',
-      zone: 'a',
-      telegraph: '127.0.0.1:1',
-      seeds: ['127.0.0.1:1'],
-      turnout: '127.0.0.1:2',
-    })
-    strictEqual(read.map((startup) => startup.bounds.charterMs).orDefault(0), 2000)
-  },
-})
--- a/src/gauge/Tree.ts
+++ b/src/gauge/Tree.ts
@@ -4,8 +4,6 @@
  * null takes a leaf or branch away.
  */
 import { z } from 'zod'
-import { proof } from './proof.js'
-import { deepStrictEqual } from 'node:assert'
 
 type Json = string | number | boolean | null | Json[] | { [key: string]: Json }
 const Json: z.ZodType<Json> = z.json()
@@ -51,21 +49,3 @@
   },
 }
 export type Tree = Json
-
-proof(import.meta.url, {
-  'a partial write changes only the leaves it names': () => {
-    const base: Tree = { a: { b: 1, c: [1, 2] }, d: 'x' }
-    deepStrictEqual(Tree.merge(base, { a: { b: 2 }, d: null, e: { f: true } }), { a: { b: 2, c: [1, 2] }, e: { f: true } })
-    deepStrictEqual(base, { a: { b: 1, c: [1, 2] }, d: 'x' })
-  },
-  'a branch is read and replaced by its path, and leaves are listed': () => {
-    const base: Tree = { a: { b: 1 }, d: {} }
-    deepStrictEqual(Tree.at(base, ['a', 'b']), 1)
-    deepStrictEqual(Tree.at(base, ['a', 'x', 'y']), undefined)
-    deepStrictEqual(Tree.replace(base, ['a', 'b'], 5), { a: { b: 5 }, d: {} })
-    deepStrictEqual(Tree.leaves(base), [
-      ['a.b', 1],
-      ['d', {}],
-    ])
-  },
-})
--- a/src/gauge/digest.ts
+++ b/src/gauge/digest.ts
@@ -1,8 +1,6 @@
 /**
  * A 53-bit digest of bytes or text, for comparing copies and for spreading keys. Not for secrets.
  */
-import { notStrictEqual, strictEqual } from 'node:assert'
-import { proof } from './proof.js'
 
 export function digest(text: string, seed = 0): number {
   let a = 0xdeadbeef ^ seed
@@ -16,11 +14,3 @@
   b = Math.imul(b ^ (b >>> 16), 2246822507) ^ Math.imul(a ^ (a >>> 13), 3266489909)
   return 4294967296 * (2097151 & b) + (a >>> 0)
 }
-
-proof(import.meta.url, {
-  'a digest is stable and tells texts apart': () => {
-    strictEqual(digest('ms-1'), digest('ms-1'))
-    notStrictEqual(digest('ms-1'), digest('ms-2'))
-    notStrictEqual(digest('ms-1'), digest('ms-1', 1))
-  },
-})
--- a/src/gauge/sampleDefaults.ts
+++ b/src/gauge/sampleDefaults.ts
@@ -1,5 +1,5 @@
 /**
- * Defaults of a charter for the proofs at the feet of files.
+ * Defaults of a charter for the tests.
  */
 export const sampleDefaults = {
   dueMs: 1000,
--- a/src/interlocking/Copy.ts
+++ b/src/interlocking/Copy.ts
@@ -3,9 +3,7 @@
  * is newer, gives what came since a stamp, and sums itself up in digests over ranges of keys, so that
  * two copies at the same stamp find where they differ and the newer row mends the older.
  */
-import { deepStrictEqual, notDeepStrictEqual, strictEqual } from 'node:assert'
 import { digest } from '../gauge/digest.js'
-import { proof } from '../gauge/proof.js'
 import type { Row } from './Row.js'
 
 const ranges = 16
@@ -95,32 +93,3 @@
     this.#digests[range] = mixed < 0 ? mixed + modulus : mixed
   }
 }
-
-proof(import.meta.url, {
-  'a copy follows by deltas, ignores gaps and doubles, and sums up alike': () => {
-    const core = new Copy()
-    const far = new Copy()
-    for (let stamp = 1; stamp <= 40; stamp++) core.set({ key: `k${String(stamp % 9)}`, stamp, gone: stamp % 5 === 0, value: String(stamp) })
-    strictEqual(far.adopt(7, core.stamp, core.since(7)).length, 0)
-    far.adopt(0, core.stamp, core.since(0))
-    far.adopt(0, core.stamp, core.since(0))
-    deepStrictEqual([far.stamp, far.digests, far.under('k')], [core.stamp, core.digests, core.under('k')])
-    core.set({ key: 'k1', stamp: 41, gone: false, value: 'x' })
-    strictEqual(far.adopt(40, 41, core.since(40)).length, 1)
-    deepStrictEqual(far.digests, core.digests)
-  },
-  'a damaged copy is found by its digests and mended': () => {
-    const core = new Copy()
-    const far = new Copy()
-    for (let stamp = 1; stamp <= 40; stamp++) {
-      core.set({ key: `k${String(stamp)}`, stamp, gone: false, value: 'right' })
-      if (stamp !== 17) far.set({ key: `k${String(stamp)}`, stamp, gone: false, value: stamp === 5 ? 'wrong' : 'right' })
-    }
-    notDeepStrictEqual(far.digests, core.digests)
-    far.digests.forEach((sum, range) => {
-      if (sum !== core.digests[range]) far.mend(range, core.inRange(range))
-    })
-    deepStrictEqual(far.digests, core.digests)
-    strictEqual(far.get('k5'), 'right')
-  },
-})
--- a/src/interlocking/Retries.ts
+++ b/src/interlocking/Retries.ts
@@ -5,8 +5,6 @@
  * too: what lies ready and what comes within a window add up to the allowance. A new leader starts with
  * none, for it cannot know what its predecessor has just given.
  */
-import { ok, strictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 
 interface Pool {
   tokens: number
@@ -56,22 +54,3 @@
     return pool
   }
 }
-
-proof(import.meta.url, {
-  'tries stay under the ratio plus the allowance, however they bunch': () => {
-    const retries = new Retries(5000)
-    let given = 0
-    for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
-      retries.earn('s', 1, 0.15, 3, nowMs)
-      if (nowMs % 5000 === 4000) for (let n = 0; n < 9; n++) if (retries.give(`${String(nowMs)}.${String(n)}`, 's', 3, nowMs)) given += 1
-    }
-    ok(given >= 12 * 2 && given <= 12 * 3)
-  },
-  'one try costs one token however often it asks, and a quiet service has some in time': () => {
-    const retries = new Retries(5000)
-    strictEqual(retries.give('a', 's', 3, 0), false)
-    strictEqual(retries.give('a', 's', 3, 10_000), true)
-    strictEqual(retries.give('a', 's', 3, 10_001), true)
-    strictEqual(retries.give('b', 's', 3, 10_002), false)
-  },
-})
--- a/src/interlocking/Roster.ts
+++ b/src/interlocking/Roster.ts
@@ -3,8 +3,6 @@
  * heard from its owner goes before hearsay; nothing learned is forgotten, so swapped seeds cut off
  * nobody.
  */
-import { deepStrictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 import type { Role } from '../gauge/Role.js'
 
 interface Peer {
@@ -76,20 +74,3 @@
     return [...new Set([...this.#seeds, ...this.of('signalbox').map((peer) => peer.address)])]
   }
 }
-
-proof(import.meta.url, {
-  'what the owner says goes before hearsay, until it is stale': () => {
-    const roster = new Roster('me', ['s1'], 100)
-    roster.heard({ name: 'box-a', address: '1', role: 'signalbox', zone: 'a', identity: 'i', empty: false }, 0)
-    roster.hearsay(
-      [
-        { name: 'box-a', address: '2', role: 'signalbox', zone: 'a' },
-        { name: 'me', address: '9', role: 'signalbox', zone: 'a' },
-      ],
-      50,
-    )
-    deepStrictEqual(roster.inquiries, ['s1', '1'])
-    roster.hearsay([{ name: 'box-a', address: '2', role: 'signalbox', zone: 'a' }], 150)
-    deepStrictEqual(roster.inquiries, ['s1', '2'])
-  },
-})
--- a/src/sidings/CallerFormat.ts
+++ b/src/sidings/CallerFormat.ts
@@ -5,11 +5,9 @@
  * answer is told by a status, `verdict`, and `retry-after` in seconds. `request-id` is the caller's own, or
  * is given here; it comes back with the answer and stands in logs and traces.
  */
-import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Either, Left, Right } from 'purify-ts'
 import { z } from 'zod'
 import { digest } from '../gauge/digest.js'
-import { proof } from '../gauge/proof.js'
 
 const Body = z.looseObject({ adapter: z.string().max(200).default(''), parts: z.array(z.string()).max(1000).default([]) })
 type Target = { kind: 'model'; name: string; adapter: string; chain: string[] } | { kind: 'service'; name: string; rest: string }
@@ -59,25 +57,3 @@
   },
 }
 export type CallerFormat = Target
-
-proof(import.meta.url, {
-  'paths, dues and bodies are read, improper ones told': () => {
-    deepStrictEqual(CallerFormat.path('/v1/services/lobby/ready?x=1'), { kind: 'service', name: 'lobby', rest: '/ready?x=1' })
-    deepStrictEqual(CallerFormat.path('/v1/models/pair'), { kind: 'model', name: 'pair' })
-    strictEqual(CallerFormat.path('/v1/models/pair/extra'), undefined)
-    strictEqual(CallerFormat.due('0').isLeft(), true)
-    strictEqual(CallerFormat.due('1e3').isLeft(), true)
-    strictEqual(CallerFormat.due('250').extract(), 250)
-    strictEqual(CallerFormat.model('pair', Buffer.from('{"adapter":5}')).isLeft(), true)
-  },
-  'chains with a shared prefix share their first links': () => {
-    const chain = (...parts: string[]) =>
-      CallerFormat.model('m', Buffer.from(JSON.stringify({ parts })))
-        .map((target) => (target.kind === 'model' ? target.chain : []))
-        .orDefault([])
-    const one = chain('a', 'b', 'c')
-    const other = chain('a', 'b', 'd')
-    deepStrictEqual(one.slice(0, 2), other.slice(0, 2))
-    strictEqual(one[2] === other[2], false)
-  },
-})
--- a/src/sidings/ModelServerFormat.ts
+++ b/src/sidings/ModelServerFormat.ts
@@ -5,8 +5,6 @@
  * an older tenure, and an older number of the same tenure, which is a copy that came late. How the
  * order ended is in the reports.
  */
-import { strictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 import { Report } from '../gauge/Report.js'
 
 export const ModelServerFormat = {
@@ -26,11 +24,3 @@
     return status === 202 ? 'accepted' : status === 409 ? 'turnedAway' : 'unknown'
   },
 }
-
-proof(import.meta.url, {
-  'a hostile report is no report': () => {
-    for (const wrong of ['', 'null', '{"server":"a"}', '{"server":"a","incarnation":"i","madeMs":"x","models":[],"adapters":[]}'])
-      strictEqual(ModelServerFormat.report(wrong), undefined)
-    strictEqual(ModelServerFormat.report('{"server":"a","incarnation":"i","madeMs":1,"models":[],"adapters":[]}')?.madeMs, 1)
-  },
-})
--- a/src/sidings/ServerFormat.ts
+++ b/src/sidings/ServerFormat.ts
@@ -3,9 +3,7 @@
  * before its first request. The reply names the server, its incarnation and how long it has been up.
  * A server that turns a request away without running it says so with `verdict: NotRun`.
  */
-import { strictEqual } from 'node:assert'
 import { z } from 'zod'
-import { proof } from '../gauge/proof.js'
 
 const Identity = z.object({ server: z.string(), incarnation: z.string(), upMs: z.number() })
 
@@ -26,10 +24,3 @@
   },
 }
 export type ServerFormat = z.infer<typeof Identity>
-
-proof(import.meta.url, {
-  'an identity is read or nothing is': () => {
-    strictEqual(ServerFormat.identity('{"server":"a","incarnation":"1","upMs":3}')?.server, 'a')
-    for (const wrong of ['', '{}', '[]', '{"server":1}']) strictEqual(ServerFormat.identity(wrong), undefined)
-  },
-})
--- a/src/springpaddle/RunbookRecord.ts
+++ b/src/springpaddle/RunbookRecord.ts
@@ -2,12 +2,8 @@
  * What a run of a runbook saw, one JSON line each: first the run itself, then its steps. A run goes on
  * from its record behind the last step that was done, under the same operation ids.
  */
-import { appendFileSync, mkdtempSync, readFileSync, rmSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
-import { deepStrictEqual, strictEqual } from 'node:assert'
+import { appendFileSync, readFileSync } from 'node:fs'
 import { z } from 'zod'
-import { proof } from '../gauge/proof.js'
 
 const Run = z.object({ run: z.string(), runbook: z.string(), variables: z.record(z.string(), z.string()), at: z.string() })
 const Step = z.object({ step: z.number(), title: z.string(), ended: z.enum(['done', 'failed']), saw: z.string(), at: z.string() })
@@ -45,18 +41,3 @@
     appendFileSync(this.#path, `${JSON.stringify({ ...entry, at: new Date().toISOString() })}\n`)
   }
 }
-
-proof(import.meta.url, {
-  'a run goes on behind the last step that was done': () => {
-    const folder = mkdtempSync(join(tmpdir(), 'record-'))
-    const path = join(folder, 'r.jsonl')
-    const record = RunbookRecord.begin(path, 'empty-zone', { zone: 'b' })
-    record.step({ step: 0, title: 'a', ended: 'done', saw: '' })
-    record.step({ step: 1, title: 'b', ended: 'failed', saw: '' })
-    const again = RunbookRecord.resume(path)
-    if (typeof again === 'string') throw new Error(again)
-    deepStrictEqual([again.next, again.run], [1, record.run])
-    strictEqual(typeof RunbookRecord.resume(join(folder, 'none')), 'string')
-    rmSync(folder, { recursive: true })
-  },
-})
--- a/src/springpaddle/diffLeaves.ts
+++ b/src/springpaddle/diffLeaves.ts
@@ -2,8 +2,6 @@
  * The leaves in which two trees differ, one line each: `-` only in the first, `+` only in the second,
  * `~` changed.
  */
-import { deepStrictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 import { Tree } from '../gauge/Tree.js'
 
 export function diffLeaves(before: Tree, after: Tree): string[] {
@@ -20,9 +18,3 @@
   }
   return lines
 }
-
-proof(import.meta.url, {
-  'leaves that came, went or changed are told': () => {
-    deepStrictEqual(diffLeaves({ a: 1, b: { c: 2 }, d: [1] }, { a: 1, b: { c: 3 }, e: 'x' }), ['~ b.c 2 -> 3', '- d [1]', '+ e "x"'])
-  },
-})
--- a/src/springpaddle/exitCode.ts
+++ b/src/springpaddle/exitCode.ts
@@ -2,8 +2,6 @@
  * What a script can tell from the exit code: 0 done, 1 the core was out of reach, 3 turned away with
  * errors, 4 another operator was first, 5 undecided (ask again by the operation id), 6 not found.
  */
-import { deepStrictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 
 export function exitCode(status: number): number {
   if (status >= 200 && status < 300) return 0
@@ -12,9 +10,3 @@
   if (status === 404) return 6
   return status === 0 ? 1 : 3
 }
-
-proof(import.meta.url, {
-  'each kind of end has its own code': () => {
-    deepStrictEqual([200, 0, 422, 412, 504, 404].map(exitCode), [0, 1, 3, 4, 5, 6])
-  },
-})
--- a/src/telegraph/TcpTelegraph.ts
+++ b/src/telegraph/TcpTelegraph.ts
@@ -5,12 +5,10 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
-import { proof } from '../gauge/proof.js'
 import type { Logbook } from '../gauge/Logbook.js'
 import { Frame } from './Frame.js'
 import type { Message } from './Message.js'
 import type { Telegraph } from './Telegraph.js'
-import { telegraphContract } from './telegraphContract.js'
 
 const backlogBytes = 16 * 1024 * 1024
 
@@ -92,14 +90,3 @@
     await once(this.#server, 'close')
   }
 }
-
-proof(import.meta.url, {
-  'passes the contract of transports': async () => {
-    await telegraphContract(
-      (name) => TcpTelegraph.open(name, '127.0.0.1:0'),
-      async (ready) => {
-        while (!ready()) await new Promise((resolve) => setImmediate(resolve))
-      },
-    )
-  },
-})
--- /dev/null
+++ b/src/telegraph/carriers.ts
@@ -0,0 +1,9 @@
+/**
+ * How a message goes in its frame: with the name and address of its sender around it.
+ */
+import { z } from 'zod'
+import { Bytes } from './Bytes.js'
+import { Codec } from './Codec.js'
+
+const Carrier = z.object({ kind: z.literal('carry'), from: z.string(), fromAddress: z.string(), body: Bytes })
+export const carriers = new Codec(Carrier, [Carrier])
--- a/src/testtrack/Deployment.ts
+++ b/src/testtrack/Deployment.ts
@@ -4,10 +4,8 @@
  * adapters, and the
  * mix of traffic. Sizes and rates that nobody stated are our own guesses, drawn from a fixed seed.
  */
-import { strictEqual } from 'node:assert'
 import { Chance } from '../gauge/Chance.js'
 import { Charter } from '../gauge/Charter.js'
-import { proof } from '../gauge/proof.js'
 
 interface Course {
   service: string
@@ -225,21 +223,3 @@
     }
   },
 }
-
-proof(import.meta.url, {
-  'both deployments have the sizes of today': () => {
-    for (const [name, models, adapters, servers] of [
-      ['gopherline', 36, 40, 11],
-      ['cascade', 30, 55, 16],
-    ] as const) {
-      const deployment = Deployment.of(name)
-      const branch = deployment?.charter.partners[name]
-      strictEqual(Object.keys(branch?.models ?? {}).length, models)
-      strictEqual(
-        Object.values(branch?.models ?? {}).reduce((sum, model) => sum + model.adapters.length, 0),
-        adapters,
-      )
-      strictEqual(deployment?.servers.length, servers)
-    }
-  },
-})
--- a/src/testtrack/SimClock.ts
+++ b/src/testtrack/SimClock.ts
@@ -2,9 +2,7 @@
  * Virtual time: events in a queue, carried out in order of their time and then of their making. It
  * keeps a running hash of what happened, so that two runs of a seed can be told to be the same.
  */
-import { deepStrictEqual, strictEqual } from 'node:assert'
 import { digest } from '../gauge/digest.js'
-import { proof } from '../gauge/proof.js'
 import { Heap } from '../timetable/Heap.js'
 
 export class SimClock {
@@ -50,20 +48,3 @@
     while (open && this.turn());
   }
 }
-
-proof(import.meta.url, {
-  'events run in order of time, then of making': () => {
-    const clock = new SimClock()
-    const seen: string[] = []
-    clock.after(5, () => seen.push('late'))
-    clock.after(1, () => {
-      seen.push('first')
-      clock.after(0, () => seen.push('third'))
-    })
-    clock.after(1, () => seen.push('second'))
-    clock.until(4)
-    deepStrictEqual(seen, ['first', 'second', 'third'])
-    clock.until(6)
-    strictEqual(seen.length, 4)
-  },
-})
--- a/src/testtrack/SimDisk.ts
+++ b/src/testtrack/SimDisk.ts
@@ -3,10 +3,6 @@
  * the power. It can stall, and it can be lost whole.
  */
 import type { Chance } from '../gauge/Chance.js'
-import { Chance as Chances } from '../gauge/Chance.js'
-import { proof } from '../gauge/proof.js'
-import type { Waybill } from '../waybill/Waybill.js'
-import { waybillContract } from '../waybill/waybillContract.js'
 import { SimClock } from './SimClock.js'
 
 export class SimDisk {
@@ -61,38 +57,3 @@
     this.records = []
   }
 }
-
-proof(import.meta.url, {
-  'passes the contract of stores': async () => {
-    const clock = new SimClock()
-    const disk = new SimDisk(clock, new Chances(1))
-    const write = (records: readonly Uint8Array[], rewrite: boolean) =>
-      new Promise<void>((resolve) => {
-        disk.write(records, rewrite, resolve)
-      })
-    await waybillContract(() => {
-      const waybill: Waybill = {
-        records: [...disk.records],
-        get bytes() {
-          return disk.records.reduce((sum, record) => sum + record.length, 0)
-        },
-        append: (records) => {
-          const done = write(records, false)
-          setImmediate(() => {
-            clock.until(clock.nowMs + 100)
-          })
-          return done
-        },
-        rewrite: (records) => {
-          const done = write(records, true)
-          setImmediate(() => {
-            clock.until(clock.nowMs + 100)
-          })
-          return done
-        },
-        close: () => Promise.resolve(),
-      }
-      return Promise.resolve(waybill)
-    })
-  },
-})
--- a/src/testtrack/SimFault.ts
+++ b/src/testtrack/SimFault.ts
@@ -1,17 +1,14 @@
 /**
  * A fault of a storm: which, how long after the first of them it begins, and how long it lasts.
  */
-import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Chance } from '../gauge/Chance.js'
-import { proof } from '../gauge/proof.js'
+import { diskTakers } from './diskTakers.js'
 
 export interface SimFault {
   name: string
   fromMs: number
   lastsMs: number
 }
-/** A core that lost two disks of three at once stops rather than forgets, so a storm takes one disk at the most. */
-const diskTakers = ['lose-disk', 'swap-seeds']
 
 export const SimFault = {
   storm(names: readonly string[], seed: number, count: number, spanMs: number): SimFault[] {
@@ -39,14 +36,3 @@
     return read.length === faults.length ? read : undefined
   },
 }
-
-proof(import.meta.url, {
-  'a storm is the same for its seed, takes one disk at the most, and reads back from its text': () => {
-    const names = ['lose-disk', 'swap-seeds', 'crowd', 'kill-leader']
-    const storm = SimFault.storm(names, 3, 12, 40_000)
-    deepStrictEqual(SimFault.storm(names, 3, 12, 40_000), storm)
-    strictEqual(storm.filter((one) => diskTakers.includes(one.name)).length <= 1, true)
-    deepStrictEqual(SimFault.read(SimFault.write(storm)), storm)
-    strictEqual(SimFault.read('crowd'), undefined)
-  },
-})
--- a/src/testtrack/SimNetwork.ts
+++ b/src/testtrack/SimNetwork.ts
@@ -4,11 +4,7 @@
  * and lossy by hosts.
  */
 import type { Chance } from '../gauge/Chance.js'
-import { Chance as Chances } from '../gauge/Chance.js'
-import { proof } from '../gauge/proof.js'
 import type { Message } from '../telegraph/Message.js'
-import type { Telegraph } from '../telegraph/Telegraph.js'
-import { telegraphContract } from '../telegraph/telegraphContract.js'
 import { SimClock } from './SimClock.js'
 
 type Listener = (from: string, fromAddress: string, message: Message) => void
@@ -71,37 +67,3 @@
     })
   }
 }
-
-proof(import.meta.url, {
-  'passes the contract of transports': async () => {
-    const clock = new SimClock()
-    const network = new SimNetwork(clock, new Chances(1))
-    await telegraphContract(
-      (name) => {
-        const address = `10.0.0.1:${String(name.charCodeAt(0))}`
-        const listeners: Listener[] = []
-        network.open(address, name, (from, fromAddress, message) => {
-          for (const listener of listeners) listener(from, fromAddress, message)
-        })
-        const telegraph: Telegraph = {
-          address,
-          send: (toAddress, message) => {
-            network.send(name, name, address, toAddress, message)
-          },
-          hear: (listener) => {
-            listeners.push(listener)
-          },
-          close: () => {
-            network.close(address)
-            return Promise.resolve()
-          },
-        }
-        return Promise.resolve(telegraph)
-      },
-      (ready) => {
-        while (!ready() && clock.turn());
-        return Promise.resolve()
-      },
-    )
-  },
-})
--- a/src/testtrack/StandInServer.ts
+++ b/src/testtrack/StandInServer.ts
@@ -3,9 +3,7 @@
  * takes one order at a time, reports what it holds, and writes down every rule that an order or a
  * request broke. Also stands in for plain service servers, which hold nothing.
  */
-import { strictEqual } from 'node:assert'
 import type { Order } from '../gauge/Order.js'
-import { proof } from '../gauge/proof.js'
 import type { Report } from '../gauge/Report.js'
 import type { Sighting } from './Sighting.js'
 
@@ -203,31 +201,3 @@
     if (attached !== undefined) attached.flights -= 1
   }
 }
-
-proof(import.meta.url, {
-  'it writes down an order over its room, a second order, and a stale tenure it turned away': () => {
-    const seen: Sighting[] = []
-    const server = new StandInServer(
-      { name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, enforcesTenure: true, warmMs: 0, coldLimit: 1 },
-      'i',
-      0,
-      (one) => seen.push(one),
-    )
-    const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) =>
-      server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
-    strictEqual(order(5, 1, 'a', 8, 0), 202)
-    strictEqual(order(5, 2, 'b', 8, 1), 409)
-    strictEqual(server.allows('a', '', 799), false)
-    strictEqual(server.allows('a', '', 800), true)
-    strictEqual(order(4, 9, 'b', 1, 900), 409)
-    strictEqual(order(5, 3, 'b', 8, 900), 202)
-    strictEqual(order(5, 2, 'c', 1, 901), 409)
-    strictEqual(
-      seen
-        .filter((one) => one.kind === 'broke')
-        .map((one) => one.rule)
-        .join(),
-      'twoOrders,room',
-    )
-  },
-})
--- a/src/testtrack/brokenRules.ts
+++ b/src/testtrack/brokenRules.test.ts
@@ -2,10 +2,10 @@
  * The judge seen to bite: for each rule, the system is run with that one rule broken at its edge, under
  * a fault that needs the rule. The run must fail by that rule, and pass with the rule unbroken.
  */
+import { test } from 'node:test'
 import { ok, strictEqual } from 'node:assert'
 import { edgeMulti } from '../timetable/edgeMulti.js'
 import { Deployment } from './Deployment.js'
-import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
 
 interface BrokenRule {
@@ -21,7 +21,7 @@
   spares?: string[]
 }
 
-export const brokenRules: readonly BrokenRule[] = [
+const brokenRules: readonly BrokenRule[] = [
   { broken: 'verdict', rule: 'ranTwice', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'told', rule: 'notRunRan', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
   { broken: 'whole', rule: 'whole', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
@@ -90,21 +90,15 @@
   }).broken
 }
 
-proof(
-  import.meta.url,
-  Object.fromEntries(
-    brokenRules.map((one) => [
-      `${one.rule} bites when ${one.broken} is broken, and only then`,
-      () => {
-        const seed = one.seeds.find((at) => run(one, at, one.broken).includes(one.rule))
-        ok(seed !== undefined, `no seed of ${one.seeds.join()} broke ${one.rule}`)
-        strictEqual(
-          run(one, seed, '')
-            .filter((rule) => one.spares?.includes(rule) !== true)
-            .join(),
-          '',
-        )
-      },
-    ]),
-  ),
-)
+for (const one of brokenRules) {
+  test(`${one.rule} bites when ${one.broken} is broken, and only then`, () => {
+    const seed = one.seeds.find((at) => run(one, at, one.broken).includes(one.rule))
+    ok(seed !== undefined, `no seed of ${one.seeds.join()} broke ${one.rule}`)
+    strictEqual(
+      run(one, seed, '')
+        .filter((rule) => one.spares?.includes(rule) !== true)
+        .join(),
+      '',
+    )
+  })
+}
--- a/src/testtrack/keptSeeds.ts
+++ b/src/testtrack/keptSeeds.test.ts
@@ -2,10 +2,10 @@
  * Runs that are kept: every fault once, and each run that a sweep found failing, with what was wrong
  * then. All of them must keep every rule.
  */
+import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
 import { edgeMulti } from '../timetable/edgeMulti.js'
 import { Deployment } from './Deployment.js'
-import { proof } from '../gauge/proof.js'
 import { runSimulation } from './runSimulation.js'
 import { SimFault } from './SimFault.js'
 import { simFaults } from './simFaults.js'
@@ -19,7 +19,7 @@
   deployment?: string
 }
 
-export const keptSeeds: readonly KeptSeed[] = [
+const keptSeeds: readonly KeptSeed[] = [
   ...Object.keys(simFaults).map((name) => ({ seed: 1, faults: [name], together: false, was: '' })),
   {
     seed: 13,
@@ -77,33 +77,27 @@
   },
 ]
 
-proof(
-  import.meta.url,
-  Object.fromEntries(
-    keptSeeds.map(({ seed, faults, together, was, unchecked, deployment: where }) => [
-      `${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`,
-      () => {
-        const deployment = Deployment.of(where ?? 'siding')
-        if (deployment === undefined) throw new Error(`no ${where ?? 'siding'}`)
-        const storm = SimFault.read(faults.join(','))
-        const result = runSimulation({
-          deployment,
-          seed,
-          faults: storm === undefined ? faults : [],
-          ...(storm === undefined ? {} : { storm }),
-          calmMs: 6000,
-          faultMs: 4000,
-          quietMs: 22_000,
-          broken: '',
-          crowd: 150,
-          grows: 400,
-          together,
-          uncheckedTenure: unchecked ?? false,
-          policy: edgeMulti,
-        })
-        strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
-        strictEqual(result.whole > 300, true)
-      },
-    ]),
-  ),
-)
+for (const { seed, faults, together, was, unchecked, deployment: where } of keptSeeds) {
+  test(`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
+    const deployment = Deployment.of(where ?? 'siding')
+    if (deployment === undefined) throw new Error(`no ${where ?? 'siding'}`)
+    const storm = SimFault.read(faults.join(','))
+    const result = runSimulation({
+      deployment,
+      seed,
+      faults: storm === undefined ? faults : [],
+      ...(storm === undefined ? {} : { storm }),
+      calmMs: 6000,
+      faultMs: 4000,
+      quietMs: 22_000,
+      broken: '',
+      crowd: 150,
+      grows: 400,
+      together,
+      uncheckedTenure: unchecked ?? false,
+      policy: edgeMulti,
+    })
+    strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
+    strictEqual(result.whole > 300, true)
+  })
+}
--- a/src/testtrack/runSimulation.ts
+++ b/src/testtrack/runSimulation.ts
@@ -3,12 +3,8 @@
  * traffic begins, faults come one after another while operators write, then it is quiet for longer
  * than the bound of recovery, everything is read back, and the judge is asked.
  */
-import { strictEqual } from 'node:assert'
 import { z } from 'zod'
 import type { Charter } from '../gauge/Charter.js'
-import { edgeMulti } from '../timetable/edgeMulti.js'
-import { Deployment } from './Deployment.js'
-import { proof } from '../gauge/proof.js'
 import { judge } from './judge.js'
 import { quantile } from './quantile.js'
 import { simFaults } from './simFaults.js'
@@ -269,48 +265,3 @@
   }
   return worst
 }
-
-const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({
-  deployment:
-    Deployment.of('siding') ??
-    (() => {
-      throw new Error('no siding')
-    })(),
-  seed,
-  faults,
-  calmMs: 5000,
-  faultMs: 4000,
-  quietMs: 25_000,
-  broken,
-  crowd: 100,
-  grows: 400,
-  together: false,
-  uncheckedTenure: false,
-  policy: edgeMulti,
-})
-proof(import.meta.url, {
-  'a calm run keeps every rule, and a second run of its seed is the same': () => {
-    const one = runSimulation(base(1, []))
-    const other = runSimulation(base(1, []))
-    strictEqual(JSON.stringify(one.rules), JSON.stringify(other.rules))
-    strictEqual(one.trace, other.trace)
-    strictEqual(one.broken.join(), '')
-    strictEqual(one.whole > 100, true)
-    strictEqual(runSimulation(base(2, [])).trace === one.trace, false)
-    strictEqual(one.turnedAway, 0)
-  },
-  'a hail that crosses the answer to another does not keep an empty core from being founded': () => {
-    strictEqual(runSimulation({ ...base(11, []), quietMs: 9000 }).broken.join(), '')
-  },
-  'a dispatcher that dies and is back before its duty falls vacant takes up no forgotten orders': () => {
-    const storm = [
-      { name: 'kill-dispatcher', fromMs: 2000, lastsMs: 300 },
-      { name: 'rare-rush', fromMs: 5000, lastsMs: 500 },
-    ]
-    for (const seed of [1, 2]) {
-      const orders = runSimulation({ ...base(seed, []), quietMs: 9000, storm }).sightings.filter((one) => one.kind === 'ordered')
-      strictEqual(orders.length > 10, true)
-      strictEqual(orders.filter((one) => !one.taken).length, 0)
-    }
-  },
-})
--- a/src/timetable/Heap.ts
+++ b/src/timetable/Heap.ts
@@ -1,8 +1,6 @@
 /**
  * A binary max-heap.
  */
-import { deepStrictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 
 export class Heap<T> {
   readonly #items: T[] = []
@@ -52,14 +50,3 @@
     this.#items[b] = one
   }
 }
-
-proof(import.meta.url, {
-  'items leave from the top down': () => {
-    const heap = new Heap<number>((a, b) => a - b)
-    for (const n of [5, 1, 9, 3, 7, 9, 0]) heap.push(n)
-    deepStrictEqual(
-      Array.from({ length: 8 }, () => heap.pop()),
-      [9, 9, 7, 5, 3, 1, 0, undefined],
-    )
-  },
-})
--- a/src/turnout/Lent.ts
+++ b/src/turnout/Lent.ts
@@ -2,8 +2,6 @@
  * What the leader has lent this turnout of the limits that all turnouts share. It dies with the
  * licence that it rode on; a permit from other seats does not renew it.
  */
-import { strictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 
 export class Lent {
   serial = 0
@@ -21,14 +19,3 @@
     return nowMs < this.#untilMs ? (this.#counts.get(key) ?? 0) : 0
   }
 }
-
-proof(import.meta.url, {
-  'a share is counted until its licence ends, and an older grant changes nothing': () => {
-    const lent = new Lent()
-    lent.take(5, 100, [{ key: 'serve/s', count: 3 }])
-    lent.take(4, 900, [{ key: 'serve/s', count: 9 }])
-    strictEqual(lent.of('serve/s', 99), 3)
-    strictEqual(lent.of('serve/s', 100), 0)
-    strictEqual(lent.of('serve/t', 1), 0)
-  },
-})
--- a/src/turnout/Phase.ts
+++ b/src/turnout/Phase.ts
@@ -2,8 +2,6 @@
  * The state chart of a request's way through a turnout. `sent` is the one place where "may have run"
  * begins; the last three states are final.
  */
-import { strictEqual } from 'node:assert'
-import { proof } from '../gauge/proof.js'
 
 const next = {
   arrived: ['bound', 'held', 'turnedAway'],
@@ -28,12 +26,3 @@
   },
 }
 export type Phase = keyof typeof next
-
-proof(import.meta.url, {
-  'nothing leaves a final state, and nothing streams unsent': () => {
-    strictEqual(Phase.allows('responded', 'held'), false)
-    strictEqual(Phase.allows('identified', 'streaming'), false)
-    strictEqual(Phase.allows('sent', 'streaming'), true)
-    strictEqual(Phase.final('turnedAway'), true)
-  },
-})
--- a/src/turnout/Platforms.ts
+++ b/src/turnout/Platforms.ts
@@ -3,13 +3,10 @@
  * is bound to, how much of a limit they may get from here, and which prompt parts they are likely to
  * have kept. A server that this turnout never met counts as cold, and is met by one attempt.
  */
-import { deepStrictEqual, strictEqual } from 'node:assert'
 import { Chance } from '../gauge/Chance.js'
 import { Charter } from '../gauge/Charter.js'
 import { Pace } from '../gauge/Pace.js'
 import { PlatformServer } from '../gauge/PlatformServer.js'
-import { sampleDefaults } from '../gauge/sampleDefaults.js'
-import { proof } from '../gauge/proof.js'
 import { Terms } from '../gauge/Terms.js'
 import { BindingRow } from '../interlocking/BindingRow.js'
 import { Copy } from '../interlocking/Copy.js'
@@ -229,62 +226,3 @@
     }
   }
 }
-
-const target = (chain: string[]): Traveller['target'] => ({ kind: 'model', name: 'm', adapter: '', chain })
-function given(): { platforms: Platforms; copy: Copy; terms: Terms; set: (key: string, value: unknown) => void } {
-  const copy = new Copy()
-  const tree = Charter.check({
-    defaults: { ...sampleDefaults, warmMs: 100 },
-    partners: { c: { models: { m: { sizeMb: 1 } } } },
-    fleet: { servers: { s: { kind: 'model', roomMb: 9 }, t: { kind: 'model', roomMb: 9 } }, storePaceMbPerS: 1, storeBurstMb: 99 },
-  })
-  const charter = tree.caseOf<Charter>({
-    Left: (errors) => {
-      throw new Error(errors.join())
-    },
-    Right: (one) => one,
-  })
-  const platforms = new Platforms('a', Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }), new Chance(1))
-  const set = (key: string, value: unknown) => {
-    copy.set({ key, stamp: copy.stamp + 1, gone: false, value: JSON.stringify(value) })
-    platforms.adopt(copy, charter, 'post-1', 10_000)
-  }
-  set('seat/post-1', {})
-  for (const name of ['s', 't']) {
-    set(`server/${name}`, { name, address: '127.0.0.1:1', zone: 'b', draining: false })
-    set(`binding/${name}`, { incarnation: '1', models: ['m'], adapters: [] })
-  }
-  const terms = Terms.of(charter).get('model m')
-  if (terms === undefined) throw new Error('no terms')
-  return { platforms, copy, terms, set }
-}
-proof(import.meta.url, {
-  'a report of kept parts draws a chain to its server, and what it lacks is forgotten': () => {
-    const { platforms, terms, set } = given()
-    for (const name of ['s', 't']) {
-      const platform = platforms.get(name)
-      if (platform !== undefined) platforms.met(platform, '1', 1e6, 100, 0)
-    }
-    const s = platforms.get('s')
-    if (s !== undefined) platforms.remember(s, ['x', 'y'], 0)
-    strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 's')
-    set('parts/t', { incarnation: '1', links: ['x', 'y'] })
-    set('parts/s', { incarnation: '1', links: [] })
-    strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
-    set('parts/t', { incarnation: 'earlier', links: [] })
-    strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
-  },
-  'a server that the platform takes away is not used, and none is wanted beyond what a limit leaves': () => {
-    const { platforms, terms } = given()
-    platforms.barred = new Set(['s'])
-    const t = platforms.get('t')
-    if (t !== undefined) {
-      platforms.met(t, '1', 0, 100, 10_000)
-      t.flights = 1
-    }
-    strictEqual(platforms.choose(target([]), terms, 10_000), undefined)
-    deepStrictEqual(platforms.asks(10_000), [{ key: 'cold/t/1', want: 1, held: 0 }])
-    platforms.lent.take(1, 20_000, [{ key: 'cold/t/1', count: 1 }])
-    strictEqual(platforms.choose(target([]), terms, 10_000)?.name, 't')
-  },
-})
