--- a/src/junction/JunctionMachine.ts
+++ b/src/junction/JunctionMachine.ts
@@ -218,6 +218,10 @@
       this.#end(passage, nowMs)
       return
     }
+    this.#send(passage, server, nowMs)
+  }
+
+  #send(passage: Passage, server: Server, nowMs: number): void {
     this.#to(passage, 'connecting')
     server.flights += 1
     passage.server = server.name
@@ -315,18 +319,36 @@
       this.#end(passage, nowMs)
       return
     }
-    const aimMs = this.#aimMs(passage)
     if (phase === 'connecting') {
-      if (nowMs - passage.boundMs >= Math.min(connectRatio * aimMs, this.#plan.suspectMs / 4))
+      if (nowMs - passage.boundMs >= Math.min(connectRatio * this.#aimMs(passage), this.#plan.suspectMs / 4))
         this.#failed(passage, Verdict.notRun, 'the server took no connection', nowMs)
       return
     }
-    if (!this.#repeatable(passage) || passage.sends >= this.#attempts(passage)) return
-    const silentMs = nowMs - passage.movedMs
+    this.#leaveSilent(passage, nowMs)
+  }
+
+  /**
+   * A repeatable request leaves a server that gave nothing to anyone here for too long, but only once another
+   * will take it: silence alone ends no answer.
+   */
+  #leaveSilent(passage: Passage, nowMs: number): void {
+    const server = this.servers.get(passage.server)
+    if (server === undefined || !this.#repeatable(passage) || passage.sends >= this.#attempts(passage)) return
     const gapMs = passage.route?.gapMs
-    const most = phase === 'sent' ? Math.max(silentRatio * aimMs, 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
-    if (silentMs < most || !this.#elsewhere(passage, nowMs)) return
-    this.#failed(passage, Verdict.mayHaveRun, 'the server fell silent', nowMs)
+    const most = passage.phase === 'sent' ? Math.max(silentRatio * this.#aimMs(passage), 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
+    if (nowMs - Math.max(passage.movedMs, server.heardMs) < most) return
+    passage.avoid.add(server.name)
+    const other = this.servers.choose(passage, nowMs)
+    if (other === undefined || !this.#budget.take(passage.service, this.#members, nowMs)) {
+      if (nowMs >= server.suspectUntilMs) this.servers.suspect(server, nowMs)
+      return
+    }
+    this.#release(passage)
+    this.servers.suspect(server, nowMs)
+    passage.mayHaveRun = true
+    passage.lastWhy = 'the server fell silent'
+    this.#to(passage, 'held')
+    this.#send(passage, other, nowMs)
   }
 
   #elsewhere(passage: Passage, nowMs: number): boolean {
@@ -349,6 +371,7 @@
     const passage = this.#passages.get(input.id)
     if (passage === undefined || passage.attempt !== input.attempt || passage.server === '') return
     const server = this.servers.get(passage.server)
+    if (server !== undefined && (input.kind === 'head' || input.kind === 'event')) server.heardMs = nowMs
     switch (input.kind) {
       case 'sent':
         if (passage.phase !== 'connecting') break
@@ -356,7 +379,9 @@
         passage.sends += 1
         passage.sentMs = nowMs
         passage.movedMs = nowMs
-        if (server !== undefined) this.servers.remember(server, passage, nowMs)
+        if (server === undefined) break
+        this.servers.remember(server, passage, nowMs)
+        if (server.flights === 1) server.heardMs = nowMs
         break
       case 'head':
         this.#head(passage, server, input, nowMs)
--- a/src/junction/Server.ts
+++ b/src/junction/Server.ts
@@ -14,6 +14,8 @@
   adapters: ReadonlySet<string>
   flights: number
   firstByteMs: number
+  /** When anything last came from it to this junction. */
+  heardMs: number
   suspectUntilMs: number
   defects: number
   coldTokens: number
--- a/src/junction/ServerTable.ts
+++ b/src/junction/ServerTable.ts
@@ -114,6 +114,7 @@
       adapters: new Set(),
       flights: 0,
       firstByteMs: 0,
+      heardMs: nowMs,
       suspectUntilMs: 0,
       defects: 0,
       coldTokens: 0,
