--- a/src/gauge/Startup.ts
+++ b/src/gauge/Startup.ts
@@ -27,6 +27,8 @@
   /** Empty for a network, whose core is whoever joins; only with `bootstrap` may this machine then found one. */
   seats: z.array(Name).max(9).default([]),
   bootstrap: z.boolean().default(false),
+  /** Model servers check tenures, so that a new dispatcher need not wait for the last one's licence to run out. */
+  fenced: z.boolean().default(false),
   platform: Address.optional(),
   system: z.string().default(''),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
--- a/src/junction/JunctionMachine.ts
+++ b/src/junction/JunctionMachine.ts
@@ -450,6 +450,7 @@
     this.#urgent = false
     this.#tallyAtMs = nowMs + this.#plan.tallyMs
     const held = new Map<string, { model: string; adapter: string; count: number; dueInMs: number }>()
+    for (const server of this.servers.all) server.toldFlights = server.flights
     const flights = new Map<string, { server: string; model: string; adapter: string; count: number }>()
     for (const passage of this.#passages.values()) {
       const { model, adapter, server, dueMs } = passage
--- a/src/junction/JunctionTask.ts
+++ b/src/junction/JunctionTask.ts
@@ -41,6 +41,7 @@
   readonly #ticker: NodeJS.Timeout
   #count = 0
   #ticks = 0
+  #loads: readonly { key: string; count: number }[] = []
 
   constructor(startup: JunctionStartup, logbook: Logbook, telegraph: Telegraph, wire: RouteWire, outside: Outside) {
     this.#startup = startup
@@ -147,6 +148,10 @@
   #tick(): void {
     this.#lineman({ kind: 'tick' })
     this.machine.servers.members = this.lineman.memberNames
+    if (this.#loads !== this.lineman.loads) {
+      this.#loads = this.lineman.loads
+      this.machine.servers.told(this.#loads)
+    }
     this.#ticks += 1
     if (this.#ticks % 8 === 0) {
       this.machine.servers.barred = new Set(this.lineman.barred(clockMs()))
--- a/src/junction/Server.ts
+++ b/src/junction/Server.ts
@@ -13,6 +13,9 @@
   models: ReadonlySet<string>
   adapters: ReadonlySet<string>
   flights: number
+  /** What this junction last told of its flights there, and what all others have there, as far as was told. */
+  toldFlights: number
+  others: number
   firstByteMs: number
   /** When anything last came from it to this junction. */
   heardMs: number
--- a/src/junction/ServerTable.ts
+++ b/src/junction/ServerTable.ts
@@ -29,6 +29,8 @@
 const crossZoneMs = 4
 const perFlightMs = 2.5
 const keptMs = 20_000
+/** Over all junctions no more is sent to a server than it runs at once and a few behind. */
+const fullRatio = 1.25
 
 export class ServerTable {
   /** Servers that the platform's own list takes away while the core is out of reach. */
@@ -47,6 +49,10 @@
     this.#chance = chance
   }
 
+  get all(): Iterable<Server> {
+    return this.#table.values()
+  }
+
   get(name: string): Server | undefined {
     return this.#table.get(name)
   }
@@ -113,6 +119,8 @@
       models: new Set(),
       adapters: new Set(),
       flights: 0,
+      toldFlights: 0,
+      others: 0,
       firstByteMs: 0,
       heardMs: nowMs,
       suspectUntilMs: 0,
@@ -125,6 +133,12 @@
     return server
   }
 
+  /** What all junctions together have at each server, this one's own last word taken off. */
+  told(loads: readonly { key: string; count: number }[]): void {
+    const counts = new Map(loads.map((one) => [one.key, one.count]))
+    for (const server of this.#table.values()) server.others = Math.max(0, (counts.get(server.name) ?? 0) - server.toldFlights)
+  }
+
   suspect(server: Server, nowMs: number): void {
     server.defects += 1
     const waitMs = (this.#plan.suspectMs / 8) * 2 ** Math.min(server.defects - 1, 3) * (0.75 + 0.5 * this.#chance.next())
@@ -175,6 +189,7 @@
     for (const server of group) {
       if (!this.open(server) || !this.holds(server, passage) || passage.avoid.has(server.name)) continue
       if (nowMs < server.suspectUntilMs || server.flights >= Math.min(this.limit(server), this.connections(server))) continue
+      if (server.flights + server.others >= fullRatio * server.capacity && server.flights > 0) continue
       if (this.#isCold(server, nowMs) && !this.#coldToken(server, nowMs)) continue
       const costMs = this.#expectedMs(server, passage, home, nowMs) * (0.97 + 0.06 * this.#chance.next())
       if (costMs < bestMs) {
@@ -190,7 +205,7 @@
     const members = Math.max(1, this.members.length)
     let costMs = server.firstByteMs + (server.zone === this.#plan.zone ? 0 : crossZoneMs)
     if (passage.model === '') return costMs + ((server.flights * members) / server.capacity) * Math.max(20, server.firstByteMs)
-    costMs += perFlightMs * server.flights * Math.sqrt(members)
+    costMs += perFlightMs * Math.max(server.flights + server.others, server.flights * Math.sqrt(members))
     let unkept = passage.arrival.promptTokens
     let chain = passage.model + passage.adapter
     for (const part of passage.arrival.parts) {
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -43,6 +43,8 @@
   #peersSum = 0
   #members = 1
   #memberNames: readonly string[] = []
+  /** Requests at each server over all junctions, as the leader told last. */
+  loads: readonly { key: string; count: number }[] = []
   #membersMs = -Infinity
   #heardCoreMs = -Infinity
   #licenceUntilMs = -Infinity
@@ -318,6 +320,7 @@
           this.#roster.hearsay(message.peers, nowMs)
         }
         this.#heardCoreMs = nowMs
+        this.loads = message.loads ?? []
         this.#count(nowMs)
         if (message.forMs > 0) this.#lent = message
         this.#barrier.core(message.sentMs - message.platformAgeMs, message.stamp)
--- a/src/signalbox/SeatDesk.ts
+++ b/src/signalbox/SeatDesk.ts
@@ -36,7 +36,7 @@
   }
 
   /** The licence for a renewal; a seat that may not have one is lent nothing. */
-  renew(renew: Renew, fromAddress: string, copy: Copy, platformAgeMs: number, nowMs: number): Licence {
+  renew(renew: Renew, fromAddress: string, copy: Copy, platformAgeMs: number, nowMs: number, loads: Licence['loads'] = []): Licence {
     this.#reader.follow(copy)
     this.#seats = copy.under('seat/').length
     const granted = this.licences.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
@@ -54,6 +54,7 @@
       platformAgeMs,
       system: copy.get('system') ?? '',
       peersSum,
+      loads,
     }
     if (!granted) return { ...licence, forMs: 0, serial: 0, shares: [], again: [] }
     for (const { key, count } of renew.firsts) {
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -32,6 +32,8 @@
   seats: readonly string[]
   bootstrap: boolean
   rewriteBytes: number
+  /** Model servers turn away the orders of an older tenure than one that they have seen. */
+  fenced: boolean
   policy: Policy
   /** The system that an empty machine may join; any, if empty. */
   system: string
@@ -394,7 +396,7 @@
       const heardMs = this.#dutyHeardMs.get(duty.tenure)
       const forgotten = this.#network && duty.holder === this.#plan.name && duty.address !== this.#life && this.agreement.settled
       if (heardMs === undefined) this.#dutyHeardMs.set(duty.tenure, forgotten ? -Infinity : nowMs)
-      else if (nowMs - heardMs > 1.1 * this.#pace.dutyLicenceMs) {
+      else if (nowMs - heardMs > 1.1 * this.#pace.dutyLicenceMs || this.#mayTakeOver(duty.holder)) {
         this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: duty.tenure }, nowMs)
         this.#dutyHeardMs.set(duty.tenure, nowMs)
       }
@@ -627,7 +629,7 @@
       return
     }
     const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
-    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.register.copy, ageMs, nowMs))
+    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.register.copy, ageMs, nowMs, this.#dispatcher?.loads(nowMs)))
     this.#book.finish(nowMs)
   }
 
@@ -643,6 +645,11 @@
     return `${this.agreement.identity}/${String(this.#nonce)}`
   }
 
+  /** Where servers check tenures an earlier leader's duty is ended at once: whatever it still sends is turned away. */
+  #mayTakeOver(holder: string): boolean {
+    return this.#network && this.#plan.fenced && this.agreement.settled && holder !== this.#plan.name
+  }
+
   #duty(nowMs: number): void {
     const duty = this.register.duty(dispatcherDuty)
     const mine = duty?.holder === this.#plan.name && duty.address === this.#life
--- a/src/signalbox/SignalboxTask.ts
+++ b/src/signalbox/SignalboxTask.ts
@@ -74,6 +74,7 @@
         seats: startup.seats,
         bootstrap: startup.bootstrap,
         rewriteBytes: startup.rewriteBytes,
+        fenced: startup.fenced,
         policy: edgeMulti,
         system: startup.system,
       },
--- a/src/telegraph/Message.ts
+++ b/src/telegraph/Message.ts
@@ -77,6 +77,8 @@
     platformAgeMs: z.number(),
     system: z.string(),
     peersSum: z.number(),
+    /** Requests that all junctions together have at each server. */
+    loads: z.array(Count).optional(),
   }),
   // Duties.
   kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
--- a/src/testtrack/Simulation.ts
+++ b/src/testtrack/Simulation.ts
@@ -197,6 +197,7 @@
         seeds: this.seeds,
         seats: deployment.boxes.map((one) => one.name),
         bootstrap: false,
+        fenced: false,
         rewriteBytes: 60_000,
         policy: this.options.policy,
         system: box.process.host === name ? this.system : '',
--- a/src/timetable/Demand.ts
+++ b/src/timetable/Demand.ts
@@ -24,7 +24,7 @@
 const forgetMs = 600_000
 const steadyFromPerS = 0.3
 const reserveRatio = 1.3
-const fillRatio = 0.5
+const fillRatio = 0.15
 /** A copy is beyond need only where that many times the requests would still fit. */
 const keptRatio = 1.5
 const rareRatio = 0.25
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -39,6 +39,7 @@
 
 const SavedOrder = z.object({ order: OrderSchema, incarnation: z.string() })
 const keptReasons = 200
+const loadsMs = 100
 /** In a network: how old a list's word on holdings is, how old a report's is, and how soon a binding is known everywhere. */
 const listLagMs = 800
 const reportLagMs = 500
@@ -57,6 +58,7 @@
   readonly #bucket: Bucket
   readonly #reasons: Reason[] = []
   #deafSinceMs: number | undefined
+  #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
 
   constructor(pace: Pace, tenure: number, first: boolean, policy: Policy, nowMs: number) {
@@ -111,6 +113,18 @@
     if (tally.held.length > 0) this.#demand.urge()
   }
 
+  /** Requests at each server over all who told of theirs lately. */
+  loads(nowMs: number): { key: string; count: number }[] {
+    if (nowMs - this.#loads.atMs < loadsMs) return this.#loads.counts
+    const sums = new Map<string, number>()
+    for (const tally of this.#planner.tallies.values()) {
+      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      for (const { server, count } of tally.flights) sums.set(server, (sums.get(server) ?? 0) + count)
+    }
+    this.#loads = { atMs: nowMs, counts: [...sums].map(([key, count]) => ({ key, count })) }
+    return this.#loads.counts
+  }
+
   /** What requests that wait may expect: when a copy is likely ready, and before when there certainly is none. */
   outlook(held: readonly { model: string; adapter: string }[], nowMs: number): Outlook[] {
     const { fleet } = this.#yards
