--- a/src/timetable/Demand.ts
+++ b/src/timetable/Demand.ts
@@ -29,6 +29,8 @@
 const keptRatio = 1.5
 const rareRatio = 0.25
 const crowdedMs = 400
+/** Requests a second from which a missing copy goes before a request that waits for a rare model. */
+const crowdPerS = 3
 const settleInMs = 1000
 const attachMs = 150
 const copiesAtOnce = 4
@@ -49,6 +51,7 @@
   #flights = new Map<string, number>()
   #capacities = new Map<string, number>()
   #historyMs = 0
+  #places = 1
   #wants: readonly Want[] = []
   #countedMs = -Infinity
   #countedTurn = -1
@@ -156,6 +159,7 @@
     this.#historyMs = this.#predictor.historyMs
     this.#holders = new Map()
     this.#capacities = new Map()
+    this.#places = Math.max(1, ...open.map((yard) => yard.places))
     for (const yard of open) {
       const least = this.#capacities.get(yard.owner ?? '') ?? Infinity
       this.#capacities.set(yard.owner ?? '', Math.min(least, yard.capacity))
@@ -197,7 +201,16 @@
     const capacity = this.#capacities.get(this.#yards.planOf(model)?.owner ?? '') ?? 1
     const byCount = Math.ceil((ratio * load.expected) / (fillRatio * capacity))
     const steady = Math.max(load.steadyPerS, ratio > reserveRatio ? 0 : load.perS * 0.5) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)
-    return Math.max(1, steady ? 2 : 1, byCount)
+    return Math.max(1, steady ? 2 : 1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
+  }
+
+  /** Copies of a model that have places for all of its adapters that are asked for steadily. */
+  #byAdapters(model: string, ratio: number): number {
+    const places = Math.max(1, this.#places)
+    let active = 0
+    for (const adapter of this.#adaptersOf.get(model) ?? [])
+      if ((this.#loads.get(keyOf(model, adapter))?.steadyPerS ?? 0) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)) active += 1
+    return Math.ceil(active / places)
   }
 
   #held(nowMs: number): Map<string, { model: string; adapter: string; dueInMs: number; count: number }> {
@@ -252,7 +265,7 @@
           if (copies.length === 0) {
             const forecast = this.#predictor.forecast(key, nowMs)
             if (perS > steadyFromPerS)
-              wants.push({ ...base(plan, adapter), kind: 'hours', urgency: perS, why: 'busy, and no copy is left' })
+              wants.push({ ...base(plan, adapter), kind: 'busy', urgency: perS, why: 'busy, and no copy is left' })
             else if (forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
               wants.push({ ...base(plan, adapter), kind: 'forecast', nextMs: forecast.nextMs, urgency: perS, why: 'a request is forecast' })
             continue
@@ -263,9 +276,9 @@
           const missing = Math.min(needed, roof) - copies.length
           const urgency = perS / copies.length
           const elsewhere = zones.length < allZones.size
-          if (missing > 0 && needed > 2)
+          if (missing > 0 && perS > crowdPerS)
             for (let n = 0; n < Math.min(missing, copiesAtOnce); n++)
-              wants.push({ ...base(plan, adapter), kind: 'hours', urgency, why: 'more requests than its copies bear' })
+              wants.push({ ...base(plan, adapter), kind: 'busy', urgency, why: 'more requests than its copies bear' })
           else if (missing > 0 || (needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
             wants.push({
               ...base(plan, adapter),
@@ -277,7 +290,7 @@
           else if (adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
             wants.push({ ...base(plan, adapter), kind: 'spare', zones: [], urgency: urgency / 100, why: 'a server stands empty' })
         }
-    const rank = { held: 3, hours: 2, forecast: 2, spare: 1 }
+    const rank = { busy: 4, held: 3, hours: 2, forecast: 2, spare: 1 }
     return wants.sort((a, b) => rank[b.kind] - rank[a.kind] || b.urgency - a.urgency || a.nextMs - b.nextMs)
   }
 
--- a/src/timetable/Planner.ts
+++ b/src/timetable/Planner.ts
@@ -106,7 +106,7 @@
         }
       }
     }
-    const rank = { held: 3, forecast: 2, hours: 2, spare: 1 }
+    const rank = { busy: 4, held: 3, forecast: 2, hours: 2, spare: 1 }
     return wants.sort((a, b) => rank[b.kind] - rank[a.kind] || b.urgency - a.urgency || a.nextMs - b.nextMs)
   }
 
