Loads follow one another at once; a copy bears fourteen requests; rare copies are left to who waits

Cause: a load for a waiting request was evicted before the request reached it; each unload waited 300 ms for a report; the hot models' copies took the rare ones' places. Excluded: the store's pace (below its bound).

--- a/src/junction/JunctionMachine.test.ts
+++ b/src/junction/JunctionMachine.test.ts
@@ -12,7 +12,11 @@
   set: (key: string, value: unknown) => void
   drop: (key: string) => void
   step: (input: JunctionInput) => JunctionEffect[]
-  arrive: (id: string, path: string, more?: { model?: string; adapter?: string; dueInMs?: number; resumeAfter?: string }) => JunctionEffect[]
+  arrive: (
+    id: string,
+    path: string,
+    more?: { model?: string; adapter?: string; dueInMs?: number; resumeAfter?: string },
+  ) => JunctionEffect[]
   pass: (ms: number) => JunctionEffect[]
 }
 
@@ -150,7 +154,10 @@
 test('a request for a model that nobody holds is told at once, waits, and goes when a binding comes', () => {
   const { arrive, set, machine } = given()
   const told = only(arrive('1', '/stream/x', { model: 'rare' }), 'tell')
-  deepStrictEqual(told[0]?.message.held.map((one) => one.model), ['llm:rare'])
+  deepStrictEqual(
+    told[0]?.message.held.map((one) => one.model),
+    ['llm:rare'],
+  )
   strictEqual(machine.held, 1)
   set('binding/llm-0', { incarnation: 'llm-0', models: ['llm:m', 'llm:rare'], adapters: [] })
   strictEqual(machine.held, 0)
@@ -187,7 +194,14 @@
   const { arrive, set, pass, step } = given()
   set('service/app', { name: 'app', connections: 1000, coldPerS: 20, warmMs: 3000 })
   for (const at of [0, 1])
-    set(`server/app-${String(at)}`, { name: `app-${String(at)}`, address: `10.0.0.${String(at + 1)}:1`, zone: 'a', service: 'app', capacity: 400, cold: true })
+    set(`server/app-${String(at)}`, {
+      name: `app-${String(at)}`,
+      address: `10.0.0.${String(at + 1)}:1`,
+      zone: 'a',
+      service: 'app',
+      capacity: 400,
+      cold: true,
+    })
   let sent = 0
   for (let at = 0; at < 100; at++) {
     const id = String(at)
--- a/src/junction/JunctionMachine.ts
+++ b/src/junction/JunctionMachine.ts
@@ -184,7 +184,9 @@
   }
 
   #repeatable(passage: Passage): boolean {
-    return passage.route !== undefined && (passage.route.kind === 'repeatable' || (passage.route.kind === 'stream' && passage.route.resumable))
+    return (
+      passage.route !== undefined && (passage.route.kind === 'repeatable' || (passage.route.kind === 'stream' && passage.route.resumable))
+    )
   }
 
   #aimMs(passage: Passage): number {
@@ -335,7 +337,8 @@
     const server = this.servers.get(passage.server)
     if (server === undefined || !this.#repeatable(passage) || passage.sends >= this.#attempts(passage)) return
     const gapMs = passage.route?.gapMs
-    const most = passage.phase === 'sent' ? Math.max(silentRatio * this.#aimMs(passage), 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
+    const most =
+      passage.phase === 'sent' ? Math.max(silentRatio * this.#aimMs(passage), 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
     if (nowMs - Math.max(passage.movedMs, server.heardMs) < most) return
     passage.avoid.add(server.name)
     const other = this.servers.choose(passage, nowMs)
@@ -352,7 +355,9 @@
   }
 
   #elsewhere(passage: Passage, nowMs: number): boolean {
-    return this.servers.holders(passage).some((one) => one.name !== passage.server && nowMs >= one.suspectUntilMs && !passage.avoid.has(one.name))
+    return this.servers
+      .holders(passage)
+      .some((one) => one.name !== passage.server && nowMs >= one.suspectUntilMs && !passage.avoid.has(one.name))
   }
 
   #attempts(passage: Passage): number {
--- a/src/sidings/Outside.ts
+++ b/src/sidings/Outside.ts
@@ -10,5 +10,11 @@
 export interface Outside {
   list(waitMs: number): Promise<PlatformServer[] | undefined>
   holds(server: string, address: string, tenure: number, waitMs: number): Promise<Report | undefined>
-  order(server: string, address: string, order: Order, owner: string, waitMs: number): Promise<'accepted' | 'held' | 'turnedAway' | 'unknown'>
+  order(
+    server: string,
+    address: string,
+    order: Order,
+    owner: string,
+    waitMs: number,
+  ): Promise<'accepted' | 'held' | 'turnedAway' | 'unknown'>
 }
--- a/src/signalbox/SignalboxMachine.network.test.ts
+++ b/src/signalbox/SignalboxMachine.network.test.ts
@@ -34,8 +34,18 @@
 
   start(name: string, address: string, bootstrap: boolean, disk: Uint8Array[] = []): Box {
     this.#seed += 1
-    const plan = { name, zone: 'z', address, seeds: this.seeds, seats: [], bootstrap,
-      fenced: false, rewriteBytes: 1e6, policy: edgeMulti, system: '' }
+    const plan = {
+      name,
+      zone: 'z',
+      address,
+      seeds: this.seeds,
+      seats: [],
+      bootstrap,
+      fenced: false,
+      rewriteBytes: 1e6,
+      policy: edgeMulti,
+      system: '',
+    }
     const box = { machine: new SignalboxMachine(plan, pace, new Chance(this.#seed), [...disk], this.nowMs), disk, address }
     this.boxes.set(name, box)
     this.#carryOut(name, box, box.machine.begin())
--- a/src/timetable/Demand.ts
+++ b/src/timetable/Demand.ts
@@ -24,9 +24,15 @@
 const forgetMs = 600_000
 const steadyFromPerS = 0.3
 const reserveRatio = 1.3
-const fillRatio = 0.15
+/** What a copy bears: a few requests at once that are read in, however many places the server has for those that run. */
+const bearsAtOnce = 14
+const bearsRatio = 0.3
+/** How long a copy that came for a request is left to it. */
+const freshMs = 700
 /** A copy is beyond need only where that many times the requests would still fit. */
 const keptRatio = 1.5
+/** In the last resort a copy makes way where those that stay bear the requests with nothing to spare. */
+const spareRatio = 0.5
 const rareRatio = 0.25
 const crowdedMs = 400
 /** Requests a second from which a missing copy goes before a request that waits for a rare model. */
@@ -51,6 +57,9 @@
   #flights = new Map<string, number>()
   #capacities = new Map<string, number>()
   #historyMs = 0
+  /** Since when each server holds what it holds, for what came under this tenure. */
+  #sinceMs = new Map<string, number>()
+  #surveyed = false
   #places = 1
   #wants: readonly Want[] = []
   #countedMs = -Infinity
@@ -110,7 +119,7 @@
       ? report.adapters.map((one) => ({ ...one, key: keyOf(one.model, one.adapter), size: 1 }))
       : report.models.map((one) => ({ ...one, adapter: '', key: one.model, size: one.sizeMb }))
     return holds
-      .filter((one) => one.state === 'loaded' && (this.#flights.get(`${yard.name} ${one.key}`) ?? 0) === 0)
+      .filter((one) => one.state === 'loaded' && !this.#inUse(yard, one.key, nowMs))
       .map((one) => {
         const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + unforeseenMs, deltaMs: 0 }
         const others = (this.#holders.get(one.key) ?? []).filter((other) => other !== yard && Yard.holds(other, one.model, one.adapter))
@@ -122,11 +131,17 @@
           lastMs: this.#predictor.lastMs(one.key),
           surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
           size: one.size,
-          doubled: others.length >= (beyondNeed ? this.#needed(one.model, one.adapter, keptRatio) : 1),
+          doubled: others.length >= Math.max(1, Math.ceil(this.#needed(one.model, one.adapter, beyondNeed ? keptRatio : spareRatio))),
         }
       })
   }
 
+  /** Requests run or wait for it, or it has only just come. */
+  #inUse(yard: Yard, key: string, nowMs: number): boolean {
+    if ((this.#flights.get(`${yard.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
+    return nowMs - (this.#sinceMs.get(`${yard.name} ${key}`) ?? -Infinity) < freshMs
+  }
+
   stillMakesWay(yard: Yard, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
     const tenant = this.tenants(yard, adapters, nowMs, relaxed === 'spares').find((one) => one.key === key)
     if (tenant === undefined) return false
@@ -171,6 +186,12 @@
         else found.push(yard)
       }
     }
+    const sinceMs = new Map<string, number>()
+    for (const [key, yards] of this.#holders)
+      for (const yard of yards)
+        sinceMs.set(`${yard.name} ${key}`, this.#sinceMs.get(`${yard.name} ${key}`) ?? (this.#surveyed ? nowMs : -Infinity))
+    this.#sinceMs = sinceMs
+    this.#surveyed = true
     this.#busy = new Map()
     this.#flights = new Map()
     const atOnce = new Map<string, number>()
@@ -199,7 +220,7 @@
     const load = this.#loads.get(keyOf(model, adapter))
     if (load === undefined) return 1
     const capacity = this.#capacities.get(this.#yards.planOf(model)?.owner ?? '') ?? 1
-    const byCount = Math.ceil((ratio * load.expected) / (fillRatio * capacity))
+    const byCount = Math.ceil((ratio * load.expected) / Math.min(bearsAtOnce, bearsRatio * capacity))
     const steady = Math.max(load.steadyPerS, ratio > reserveRatio ? 0 : load.perS * 0.5) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)
     return Math.max(1, steady ? 2 : 1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
   }
@@ -264,8 +285,13 @@
           const perS = Math.max(load.perS, load.steadyPerS)
           if (copies.length === 0) {
             const forecast = this.#predictor.forecast(key, nowMs)
-            if (perS > steadyFromPerS)
-              wants.push({ ...base(plan, adapter), kind: 'busy', urgency: perS, why: 'busy, and no copy is left' })
+            if (load.steadyPerS > steadyFromPerS)
+              wants.push({
+                ...base(plan, adapter),
+                kind: load.steadyPerS > crowdPerS ? 'busy' : 'hours',
+                urgency: perS,
+                why: 'busy, and no copy is left',
+              })
             else if (forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
               wants.push({ ...base(plan, adapter), kind: 'forecast', nextMs: forecast.nextMs, urgency: perS, why: 'a request is forecast' })
             continue
--- a/src/timetable/Dispatcher.ts
+++ b/src/timetable/Dispatcher.ts
@@ -43,10 +43,12 @@
 /** In a network: how old a list's word on holdings is, how old a report's is, and how soon a binding is known everywhere. */
 const listLagMs = 800
 const reportLagMs = 500
-const spreadMs = 100
+const spreadMs = 30
 const attachAskMs = 50
 const unloadAskMs = 100
 const refusedMs = 100
+const againMs = 60
+const followsMs = 3000
 
 export class Dispatcher {
   readonly #pace: Pace
@@ -206,8 +208,12 @@
     if (reply === 'accepted') {
       if (task.takenMs === undefined) this.#giveBack(yard, true, nowMs)
       task.takenMs ??= nowMs
+      if (task.order.tenure === this.#tenure) this.#takenAway(yard, task.order, nowMs)
     } else if (reply === 'unknown') task.unansweredMs ??= nowMs
-    else {
+    else if (reply === 'turnedAway' && nowMs - yard.leavingMs < followsMs) {
+      task.againMs = Math.min(4 * againMs, 2 * (task.againMs ?? againMs / 2))
+      task.sendAtMs = nowMs + task.againMs
+    } else {
       this.#reason(yard.name, task.order, reply === 'held' ? 'it was so already' : 'the server turned it away', nowMs)
       this.#drop(yard, nowMs, false, false)
       yard.sequence = undefined
@@ -215,6 +221,28 @@
     }
   }
 
+  /**
+   * A server carries out one order at a time and turns the next away until then. So what it has agreed to let
+   * go is gone for whoever comes next: the load that follows is sent at once, and again while it is turned away.
+   */
+  #takenAway(yard: Yard, order: Order, nowMs: number): void {
+    const { report } = yard
+    if (report === undefined || order.expected === undefined || (order.kind !== 'unload' && order.kind !== 'detach')) return
+    const whole = order.kind === 'unload'
+    yard.report = {
+      ...report,
+      models: whole ? report.models.filter((one) => one.model !== order.model) : report.models,
+      adapters: report.adapters.filter((one) => one.model !== order.model || (!whole && one.adapter !== order.adapter)),
+      askedMs: nowMs,
+      sequence: order.expected + 1,
+      busy: false,
+    }
+    yard.sequence = order.expected + 1
+    yard.leavingMs = nowMs
+    this.#reason(yard.name, order, 'agreed to', nowMs)
+    this.#drop(yard, nowMs, true)
+  }
+
   tick(copy: Copy, sure: boolean, hour: number, nowMs: number): DispatcherOut {
     const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [] }
     const joins = (yard: Yard) => {
@@ -356,6 +384,9 @@
         const saved = JSON.stringify({ order: task.order, incarnation: task.incarnation })
         if (copy.get(`order/${yard.name}`) !== saved) this.#yards.publish(out, copy, `order/${yard.name}`, saved, nowMs)
         else this.#send(yard, out, nowMs)
+      } else if (this.#counts && task.phase === 'sent' && task.sendAtMs !== undefined && nowMs >= task.sendAtMs) {
+        delete task.sendAtMs
+        this.#send(yard, out, nowMs)
       } else if (
         !this.#counts &&
         task.phase === 'sent' &&
@@ -422,15 +453,20 @@
     const { store } = fleet
     const kind = attach ? 'attach' : 'load'
     const sizeMb = attach ? model.adapterMb : model.sizeMb
-    if (kind === 'load' && this.#loading >= store.atOnce) return
+    if (kind === 'load' && this.#loading(nowMs) >= store.atOnce) return
     const drawn = store.draw({ kind, sizeMb })
     if ((drawn > 0 || !this.#counts) && !this.#bucket.reserve(drawn, store.perS, store.burst, nowMs)) return
     this.#begin(yard, kind, plan.model, plan.adapter, sizeMb, plan.why, nowMs)
     yard.plan = undefined
   }
 
-  get #loading(): number {
-    return this.#yards.all.filter((yard) => yard.task?.order.kind === 'load').length
+  /** Loads that the store is giving now: what was taken a load's time ago is there, though no report has told so yet. */
+  #loading(nowMs: number): number {
+    return this.#yards.all.filter(({ task }) => {
+      if (task?.order.kind !== 'load') return false
+      const loadMs = this.#counts ? (this.#yards.planOf(task.order.model)?.loadMs ?? Infinity) : Infinity
+      return task.takenMs === undefined || nowMs - task.takenMs < loadMs
+    }).length
   }
 
   #begin(yard: Yard, kind: Order['kind'], model: string, adapter: string, sizeMb: number, why: string, nowMs: number): void {
--- a/src/timetable/FleetPlan.ts
+++ b/src/timetable/FleetPlan.ts
@@ -96,7 +96,7 @@
       store: {
         perS,
         burst: Math.max(2, Math.floor(perS * loadsWindowS * loadsOverage + loadsBeyond - 0.5)),
-        atOnce: Math.max(1, Math.ceil(0.6 * perS)),
+        atOnce: Math.max(1, Math.floor(0.6 * perS)),
         draw: (order) => (order.kind === 'load' ? 1 : 0),
       },
     }
--- a/src/timetable/Yard.ts
+++ b/src/timetable/Yard.ts
@@ -30,6 +30,9 @@
         /** When the server took the order, and when sending it ended without an answer. */
         takenMs?: number
         unansweredMs?: number
+        /** When to send it again that was turned away, as the order before it was still being carried out. */
+        againMs?: number
+        sendAtMs?: number
         /** When no binding named any more what is to go. */
         withdrawnMs?: number
       }
@@ -41,6 +44,8 @@
   /** Orders that it had taken when it was last read; unknown until then, and where a list differs from it. */
   sequence: number | undefined
   settledMs: number
+  /** When it last agreed to let something go. */
+  leavingMs: number
   /** What an adapter of each model takes of the room, where adapters count. */
   adapterMb: ReadonlyMap<string, number>
 }
--- a/src/timetable/Yards.ts
+++ b/src/timetable/Yards.ts
@@ -169,6 +169,7 @@
       plan: undefined,
       backoffUntilMs: 0,
       sequence: undefined,
+      leavingMs: -Infinity,
       settledMs: -Infinity,
       adapterMb: noneMb,
     }
