--- a/src/junction/JunctionInput.ts
+++ b/src/junction/JunctionInput.ts
@@ -3,7 +3,7 @@
  * whole answer's, of which nothing has gone to the caller yet.
  */
 import type { Verdict } from '../gauge/Verdict.js'
-import type { Arrival } from '../sidings/RouteWire.js'
+import type { Arrival } from '../sidings/Arrival.js'
 
 export type JunctionInput =
   | { kind: 'tick' }
--- a/src/junction/Passage.ts
+++ b/src/junction/Passage.ts
@@ -4,7 +4,7 @@
  * to `held`.
  */
 import type { Network } from '../gauge/Network.js'
-import type { Arrival } from '../sidings/RouteWire.js'
+import type { Arrival } from '../sidings/Arrival.js'
 
 const next = {
   arrived: ['held', 'connecting', 'turnedAway'],
--- a/src/sidings/RouteFormat.ts
+++ b/src/sidings/RouteFormat.ts
@@ -6,7 +6,10 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { Verdict } from '../gauge/Verdict.js'
-import type { Arrival, Onward, Reply, RouteWire } from './RouteWire.js'
+import type { Arrival } from './Arrival.js'
+import type { Onward } from './Onward.js'
+import type { Reply } from './Reply.js'
+import type { RouteWire } from './RouteWire.js'
 import { passedOn } from './passedOn.js'
 
 const text = (value: string | string[] | undefined) => (typeof value === 'string' ? value : (value?.[0] ?? ''))
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/signalbox/SignalboxMachine.ts
@@ -542,6 +542,7 @@
           nowMs,
         )
         this.roster.hearsay(message.known, nowMs)
+        this.#joinSystem(message.system, nowMs)
         break
       }
       case 'ballotAsk':
@@ -610,6 +611,12 @@
     return this.agreement.system === '' ? this.#plan.system : this.agreement.system
   }
 
+  /** Once taken in, a new machine writes down whose it is, before it has applied the row that says so: it may be left out again. */
+  #joinSystem(system: string, nowMs: number): void {
+    if (!this.#network || system === '' || this.agreement.system !== '') return
+    if (this.agreement.members.some((one) => one.identity === this.agreement.identity)) this.agreement.belong(system, nowMs)
+  }
+
   /** True of a machine that belongs to another core: one that was founded again from this one's disks, or that this one was. */
   #strange(system: string): boolean {
     return system !== '' && this.#system !== '' && system !== this.#system
