--- a/src/junction/JunctionTask.ts
+++ b/src/junction/JunctionTask.ts
@@ -74,7 +74,7 @@
     })
     this.#ticker = setInterval(() => {
       this.#tick()
-    }, 1.5 * this.pace.tickMs)
+    }, 2.4 * this.pace.tickMs)
   }
 
   /** True once the network in force is here and the core has been heard in this life. */
--- a/src/lineman/LinemanMachine.ts
+++ b/src/lineman/LinemanMachine.ts
@@ -26,6 +26,8 @@
   system: string
 }
 const fanout = 3
+/** A process without a turnout, once it is level with the core, hails that many times less often. */
+const calmHails = 3
 const networkKeys = /^(network$|route\/|service\/|zone\/)/
 
 export class LinemanMachine {
@@ -147,7 +149,7 @@
 
   #tick(nowMs: number): void {
     if (nowMs >= this.#hailAtMs) {
-      this.#hailAtMs = nowMs + this.#pace.hailMs
+      this.#hailAtMs = nowMs + (this.#alone && this.current(nowMs) ? calmHails : 1) * this.#pace.hailMs
       const asked =
         this.#alone || this.#leaderAddress === '' || !this.current(nowMs)
           ? this.#roster.inquiries
@@ -198,10 +200,11 @@
   }
 
   #follow(nowMs: number): void {
-    this.#followAtMs = nowMs + this.#pace.renewMs / 2
+    this.#followAtMs = nowMs + (this.#alone ? 0.75 : 0.5) * this.#pace.renewMs
     if (this.copy.stamp >= this.#coreStamp) this.#levelMs = nowMs
-    const behind = nowMs - this.#levelMs > this.#pace.parentSilentMs
-    if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > this.#pace.parentSilentMs))
+    const silentMs = (this.#alone ? 1.4 : 1) * this.#pace.parentSilentMs
+    const behind = nowMs - this.#levelMs > silentMs
+    if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > silentMs))
       this.#shunned.set(this.#parent, nowMs + 2 * this.#pace.licenceMs)
     const chosen = this.#chooseParent(nowMs)
     if (chosen !== this.#parent) {
@@ -231,7 +234,7 @@
     if (above !== undefined && !this.#shunned.has(above) && this.current(nowMs)) return above
     const boxes = this.#roster
       .of('signalbox')
-      .filter((one) => !this.#alone || nowMs - one.heardMs <= 4 * this.#pace.hailMs)
+      .filter((one) => !this.#alone || nowMs - one.heardMs <= 3 * calmHails * this.#pace.hailMs)
       .sort(
         (a, b) =>
           Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) ||
--- a/src/timetable/Demand.ts
+++ b/src/timetable/Demand.ts
@@ -23,7 +23,7 @@
 const unforeseenMs = 24 * 3_600_000
 const forgetMs = 600_000
 const steadyFromPerS = 0.3
-const reserveRatio = 1.3
+const reserveRatio = 1.15
 /** What a copy bears: a few requests at once that are read in, however many places the server has for those that run. */
 const bearsAtOnce = 14
 const bearsRatio = 0.3
@@ -60,6 +60,8 @@
   /** Since when each server holds what it holds, for what came under this tenure. */
   #sinceMs = new Map<string, number>()
   #surveyed = false
+  /** What each server has held under this tenure: it loads that again from its own disk, sooner. */
+  #onDisk = new Map<string, Set<string>>()
   #places = 1
   #wants: readonly Want[] = []
   #countedMs = -Infinity
@@ -191,6 +193,12 @@
       for (const yard of yards)
         sinceMs.set(`${yard.name} ${key}`, this.#sinceMs.get(`${yard.name} ${key}`) ?? (this.#surveyed ? nowMs : -Infinity))
     this.#sinceMs = sinceMs
+    for (const name of this.#onDisk.keys()) if (!open.some((yard) => yard.name === name)) this.#onDisk.delete(name)
+    for (const yard of open) {
+      const known = this.#onDisk.get(yard.name) ?? new Set<string>()
+      this.#onDisk.set(yard.name, known)
+      for (const one of yard.report?.models ?? []) known.add(one.model)
+    }
     this.#surveyed = true
     this.#busy = new Map()
     this.#flights = new Map()
@@ -416,7 +424,11 @@
       if (victims === undefined) continue
       const calm = 1 - Math.min(1, (this.#busy.get(yard.name) ?? 0) / Math.max(1, yard.capacity))
       const lowest = Math.min(...victims.map((one) => one.score))
-      const rank = (victims.length === 0 ? 2 : lowest) + 0.5 * calm - (yard.cold ? 0.3 : 0) + (adapters ? 0 : this.#apart(yard, want))
+      const rank =
+        (victims.length === 0 ? 2 : lowest) +
+        0.5 * calm -
+        (yard.cold ? 0.3 : 0) +
+        (adapters ? 0 : this.#apart(yard, want) + this.#again(yard, want))
       if (best === undefined || rank > best.rank) best = { yard, victims: victims.map((one) => one.key), rank }
     }
     if (best === undefined) return false
@@ -430,6 +442,10 @@
     return true
   }
 
+  #again(yard: Yard, want: Want): number {
+    return this.#onDisk.get(yard.name)?.has(want.model) === true ? 0.25 : 0
+  }
+
   /** A copy in a zone that has none yet is worth something. */
   #apart(yard: Yard, want: Want): number {
     return (this.#holders.get(want.model) ?? []).some((other) => other.zone === yard.zone) ? 0 : 0.2
--- a/src/timetable/Load.ts
+++ b/src/timetable/Load.ts
@@ -43,7 +43,7 @@
   /** Requests at once to be ready for: more than now while arrivals grow, twice as many at most. */
   get expected(): number {
     const grows = this.#slowPerS <= 0 ? 1 : this.#quickPerS / this.#slowPerS
-    return this.#atOnce * (this.#quickPerS < 1 ? 1 : Math.min(1.5, Math.max(1, 0.5 + grows / 2)))
+    return this.#atOnce * (this.#quickPerS < 1 ? 1 : Math.min(1.3, Math.max(1, 0.5 + grows / 2)))
   }
 
   /** Requests a second, over a longer while. */
