An answer cut after its head no longer ends the junction; callers that leave end the attempt

Cause: the state chart had no way from streaming to turnedAway, so an answer cut before any of it was passed on ended the process; the ticket was dropped before the release that aborts the attempt; a chain's home was ranked by the request's own last part too.

--- a/src/junction/JunctionMachine.ts
+++ b/src/junction/JunctionMachine.ts
@@ -438,7 +438,7 @@
     }
     if (verdict !== Verdict.notRun) passage.mayHaveRun = true
     const again = verdict === Verdict.notRun || this.#repeatable(passage)
-    const kept = passage.phase !== 'streaming' || (passage.route?.kind === 'stream' && passage.route.resumable)
+    const kept = !passage.begun || (passage.route?.kind === 'stream' && passage.route.resumable)
     if (!again || !kept || (!unsent && passage.sends >= this.#attempts(passage))) {
       this.#end(passage, nowMs)
       return
--- a/src/junction/JunctionTask.ts
+++ b/src/junction/JunctionTask.ts
@@ -118,8 +118,9 @@
       drains: false,
     })
     response.on('close', () => {
-      if (!this.#tickets.delete(id)) return
+      if (!this.#tickets.has(id)) return
       this.step({ kind: 'callerGone', id })
+      this.#tickets.delete(id)
     })
     this.step({ kind: 'arrived', id, host: request.headers.host ?? '', path, arrival, bodyBytes: body.length })
   }
--- a/src/junction/Passage.ts
+++ b/src/junction/Passage.ts
@@ -1,7 +1,7 @@
 /**
  * A request's way through a junction, as a state chart and an entity. `sent` is the one place where "may
  * have run" begins; the last three states are final. A stream that may be resumed goes back from `streaming`
- * to `held`.
+ * to `held`, and so does any that may be repeated while none of its answer has gone to the caller.
  */
 import type { Network } from '../gauge/Network.js'
 import type { Arrival } from '../sidings/Arrival.js'
@@ -11,7 +11,7 @@
   held: ['connecting', 'turnedAway', 'defected'],
   connecting: ['sent', 'held', 'turnedAway', 'defected'],
   sent: ['streaming', 'held', 'defected', 'turnedAway'],
-  streaming: ['responded', 'held', 'defected'],
+  streaming: ['responded', 'held', 'defected', 'turnedAway'],
   responded: [],
   defected: [],
   turnedAway: [],
--- a/src/junction/ServerTable.ts
+++ b/src/junction/ServerTable.ts
@@ -208,22 +208,24 @@
     costMs += perFlightMs * Math.max(server.flights + server.others, server.flights * Math.sqrt(members))
     let unkept = passage.arrival.promptTokens
     let chain = passage.model + passage.adapter
-    for (const part of passage.arrival.parts) {
+    const { parts } = passage.arrival
+    for (const [at, part] of parts.entries()) {
       chain = `${chain},${part.id}`
       const sentMs = server.kept.get(chain)
       if (sentMs === undefined || nowMs - sentMs > keptMs) {
-        if (home !== server) break
+        if (home !== server || (at > 0 && at === parts.length - 1)) break
         unkept -= 0.8 * part.tokens
       } else unkept -= part.tokens
     }
     return costMs + Math.max(0, unkept) / tokensPerMs
   }
 
-  /** The server that every junction ranks first for the longest chain that others may share. */
+  /** The server that every junction ranks first for the longest chain that others may share: all parts but the request's own last. */
   #home(passage: Passage, group: readonly Server[]): Server | undefined {
     const { parts } = passage.arrival
     if (passage.model === '' || parts.length === 0) return undefined
-    const chain = passage.model + passage.adapter + parts.map((part) => part.id).join(',')
+    const shared = parts.length > 1 ? parts.slice(0, -1) : parts
+    const chain = passage.model + passage.adapter + shared.map((part) => part.id).join(',')
     let home: Server | undefined
     let most = -1
     for (const server of group) {
