--- /dev/null
+++ b/src/junction/JunctionTask.test.ts
@@ -0,0 +1,468 @@
+/**
+ * The byte path of a junction over real sockets: a task fed with news as its core would, a row of scripted
+ * servers behind it and plain callers before it. What callers see is held against what it must be, byte by byte.
+ */
+import { once } from 'node:events'
+import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
+import { connect, createServer, type Server as Listener, type Socket } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { clockMs } from '../gauge/clockMs.js'
+import { Logbook } from '../gauge/Logbook.js'
+import { RouteFormat } from '../sidings/RouteFormat.js'
+import type { Message } from '../telegraph/Message.js'
+import { CallersDesk } from './CallersDesk.js'
+import { JunctionStartup } from './JunctionStartup.js'
+import { JunctionTask } from './JunctionTask.js'
+
+interface Heard {
+  line: string
+  headers: Record<string, string>
+  body: string
+}
+type Script = (heard: Heard, socket: Socket, run: number) => void
+
+const date = 'date: Thu, 01 Jan 2026 00:00:00 GMT\r\n'
+const bodyLimit = 100_000
+
+/** A server that reads requests off raw sockets and answers as its script says. */
+class StandIn {
+  readonly heard: Heard[] = []
+  connections = 0
+  readonly #script: Script
+  readonly #sockets = new Set<Socket>()
+  readonly #listener: Listener
+
+  constructor(script: Script) {
+    this.#script = script
+    this.#listener = createServer((socket) => {
+      this.connections += 1
+      this.#sockets.add(socket)
+      socket.on('close', () => this.#sockets.delete(socket))
+      socket.on('error', () => socket.destroy())
+      let rest = ''
+      socket.on('data', (chunk) => {
+        rest = this.#take(rest + chunk.toString('latin1'), socket)
+      })
+    })
+  }
+
+  async open(): Promise<string> {
+    this.#listener.listen(0, '127.0.0.1')
+    await once(this.#listener, 'listening')
+    const bound = this.#listener.address()
+    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  }
+
+  close(): void {
+    this.#listener.close()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  #take(text: string, socket: Socket): string {
+    const end = text.indexOf('\r\n\r\n')
+    if (end < 0) return text
+    const [line = '', ...lines] = text.slice(0, end).split('\r\n')
+    const headers = Object.fromEntries(
+      lines.map((one) => [one.slice(0, one.indexOf(':')).toLowerCase(), one.slice(one.indexOf(':') + 1).trim()]),
+    )
+    const whole = end + 4 + Number(headers['content-length'] ?? 0)
+    if (text.length < whole) return text
+    const heard = { line, headers, body: text.slice(end + 4, whole) }
+    this.heard.push(heard)
+    this.#script(heard, socket, this.heard.length)
+    return this.#take(text.slice(whole), socket)
+  }
+}
+
+/** A caller's connection and all that came over it. */
+class Caller {
+  text = ''
+  closed = false
+  readonly #socket: Socket
+
+  constructor(address: string, sent: string) {
+    const cut = address.lastIndexOf(':')
+    this.#socket = connect(Number(address.slice(cut + 1)), address.slice(0, cut))
+    this.#socket.on('data', (chunk) => {
+      this.text += chunk.toString('latin1')
+    })
+    this.#socket.on('error', () => undefined)
+    this.#socket.on('close', () => {
+      this.closed = true
+    })
+    this.#socket.write(sent)
+  }
+
+  /** Waits until a part has come; false if the connection closed without it. */
+  async until(part: string): Promise<boolean> {
+    while (!this.text.includes(part) && !this.closed)
+      await Promise.race([once(this.#socket, 'data'), once(this.#socket, 'close')]).catch(() => undefined)
+    return this.text.includes(part)
+  }
+
+  async whole(): Promise<string> {
+    if (!this.closed) await once(this.#socket, 'close')
+    return this.text
+  }
+
+  leave(): void {
+    this.#socket.destroy()
+  }
+}
+
+interface Scene {
+  servers: StandIn[]
+  call: (path: string, more?: string, body?: string) => Caller
+  raw: (sent: string) => Caller
+  task: JunctionTask
+}
+
+const route = (name: string, kind: string, more: object = {}) => ({
+  name,
+  host: 'h.example',
+  prefix: `/${name}/`,
+  kind,
+  timeoutMs: 20_000,
+  aimMs: 4000,
+  attempts: 2,
+  services: [{ service: 'app', weight: 1 }],
+  ...more,
+})
+
+/** A junction with one server for each script, which it takes in that order. */
+async function scene(t: TestContext, scripts: Script[], told = true): Promise<Scene> {
+  const servers = scripts.map((script) => new StandIn(script))
+  const addresses = await Promise.all(servers.map((one) => one.open()))
+  const values: [string, object][] = [
+    ['network', { revision: 1, limits: { headerBytes: 16_384, bodyBytes: bodyLimit, headerMs: 5000, idleMs: 5000 } }],
+    ['service/app', { name: 'app', connections: 100 }],
+    ...[route('once', 'once'), route('often', 'repeatable'), route('stream', 'stream', { resumable: true }), route('single', 'stream')].map(
+      (one): [string, object] => [`route/${one.name}`, one],
+    ),
+    ...addresses.map((address, at): [string, object] => [
+      `server/s-${String(at)}`,
+      { name: `s-${String(at)}`, address, zone: at === 0 ? 'a' : 'b', service: 'app', capacity: 8 },
+    ]),
+  ]
+  const rows = values.map(([key, value]) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) }))
+  const startup = JunctionStartup.parse({
+    name: 'j-1',
+    zone: 'a',
+    telegraph: '127.0.0.1:0',
+    callers: '127.0.0.1:0',
+    seeds: ['127.0.0.1:1'],
+    graceMs: 1000,
+    leaveMs: 0,
+    logLevel: 'silent',
+  })
+  let hear: (from: string, fromAddress: string, message: Message) => void = () => undefined
+  const telegraph = {
+    address: '127.0.0.1:2',
+    send: () => undefined,
+    hear: (listener: typeof hear) => {
+      hear = listener
+    },
+    close: () => Promise.resolve(),
+  }
+  const outside = {
+    list: () => Promise.resolve(undefined),
+    holds: () => Promise.resolve(undefined),
+    order: () => Promise.resolve('unknown' as const),
+  }
+  const task = new JunctionTask(startup, new Logbook('junction', 'j-1', 'silent'), telegraph, RouteFormat, outside)
+  const desk = new CallersDesk(startup, task, '/ready')
+  const address = await desk.open()
+  if (told) {
+    hear('box-1', '127.0.0.1:1', { kind: 'news', stamp: 1, since: 0, rows })
+    hear('box-1', '127.0.0.1:1', {
+      kind: 'licence',
+      sentMs: clockMs(),
+      forMs: 60_000,
+      stamp: 1,
+      peers: [],
+      serial: 1,
+      shares: [],
+      again: [],
+      platformAgeMs: 0,
+      system: 'x',
+      peersSum: 0,
+    })
+  }
+  const callers: Caller[] = []
+  const raw = (sent: string) => {
+    const caller = new Caller(address, sent)
+    callers.push(caller)
+    return caller
+  }
+  t.after(async () => {
+    for (const caller of callers) caller.leave()
+    for (const server of servers) server.close()
+    await desk.drain()
+    await task.stop()
+  })
+  return {
+    servers,
+    task,
+    raw,
+    call: (path, more = '', body = '') =>
+      raw(
+        `POST ${path} HTTP/1.1\r\nhost: h.example\r\nrequest-id: r-1\r\nconnection: close\r\ncontent-length: ${String(body.length)}\r\n${more}\r\n${body}`,
+      ),
+  }
+}
+
+const answer = (body: string, more = '', id = 'r-1') =>
+  `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: z9\r\n${date}${more}content-length: ${String(body.length)}\r\n\r\n${body}`
+const seen = (body: string, more = '') =>
+  `HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nseal: z9\r\n${date}${more}content-length: ${String(body.length)}\r\nConnection: close\r\n\r\n${body}`
+const refused = (status: string, why: string, more = '') => {
+  const body = JSON.stringify({ why })
+  return `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${String(body.length)}\r\nrequest-id: r-1\r\n${more}Connection: close\r\n\r\n${body}`
+}
+const undated = (text: string) => text.replace(/Date: [^\r\n]*\r\n/, '')
+const answers =
+  (text: string): Script =>
+  (_heard, socket) =>
+    socket.write(text)
+
+const streamHead = (seal = 'z9') =>
+  `HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nseal: ${seal}\r\n${date}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`
+const streamSeen = `HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nseal: z9\r\n${date}content-type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n`
+const event = (id: number) => `id: ${String(id)}\ndata: token ${String(id)}\n\n`
+const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`
+const lastChunk = '0\r\n\r\n'
+
+test('a whole answer comes back byte for byte, and the server is told what it must know', async (t) => {
+  const { call, servers } = await scene(t, [answers(answer('the bytes ~\x00\x01', 'x-own: 1, 2\r\nx-hop: 1\r\nconnection: x-hop\r\n'))])
+  const caller = call('/once/x?y=%20z', 'due-ms: 5000\r\nx-Kept: As it Was\r\nkeep-alive: timeout=1\r\n', 'a body')
+  strictEqual(await caller.whole(), seen('the bytes ~\x00\x01', 'x-own: 1, 2\r\n'))
+  const [heard] = servers[0]?.heard ?? []
+  strictEqual(heard?.line, 'POST /once/x?y=%20z HTTP/1.1')
+  strictEqual(heard.body, 'a body')
+  const { 'due-ms': due, connection, ...headers } = heard.headers
+  ok(Number(due) > 0 && Number(due) <= 5000)
+  strictEqual(connection, 'keep-alive')
+  deepStrictEqual(headers, {
+    host: 'h.example',
+    'request-id': 'r-1',
+    'x-kept': 'As it Was',
+    'for-server': 's-0',
+    'content-length': '6',
+  })
+})
+
+test('a body in chunks goes on whole; one over the limit of the network in force is refused', async (t) => {
+  const { raw, servers } = await scene(t, [answers(answer('ok'))])
+  const head = 'POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: r-1\r\nconnection: close\r\n'
+  strictEqual(await raw(`${head}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n`).whole(), seen('ok'))
+  strictEqual(servers[0]?.heard[0]?.body, 'abcdefg')
+  const long = 'x'.repeat(bodyLimit + 1)
+  const refusal = await raw(`${head}content-length: ${String(long.length)}\r\n\r\n${long}`).whole()
+  match(refusal, /^HTTP\/1\.1 413 /)
+  strictEqual(servers[0].heard.length, 1)
+})
+
+test('a request without a route gets 404; before the network is here all get a promise of 503', async (t) => {
+  const known = await scene(t, [])
+  strictEqual(undated(await known.call('/none/x').whole()), refused('404 Not Found', 'no route leads there'))
+  const early = await scene(t, [], false)
+  const text = undated(await early.call('/once/x').whole())
+  strictEqual(text, refused('503 Service Unavailable', 'has no network in force yet', 'retry-after: 1.440\r\n'))
+})
+
+test('events go on as they come, each once it is whole', async (t) => {
+  const steps: ((text: string) => void)[] = []
+  const { call } = await scene(t, [
+    (_heard, socket) => {
+      socket.write(streamHead())
+      steps.push((text) => socket.write(text))
+    },
+  ])
+  const caller = call('/stream/x')
+  const send = async (text: string) => {
+    while (steps.length === 0) await new Promise((resolve) => setImmediate(resolve))
+    steps[0]?.(text)
+  }
+  await send(chunk(event(1)))
+  ok(await caller.until('token 1\n\n'))
+  strictEqual(caller.text, streamSeen + chunk(event(1)))
+  await send(chunk(event(2) + event(3).slice(0, 5)))
+  ok(await caller.until('token 2\n\n'))
+  strictEqual(caller.text, streamSeen + chunk(event(1)) + chunk(event(2)))
+  await send(chunk(event(3).slice(5)) + lastChunk)
+  strictEqual(await caller.whole(), streamSeen + [1, 2, 3].map((id) => chunk(event(id))).join('') + lastChunk)
+})
+
+const cut: Script = (_heard, socket) => socket.end(answer('half of it').slice(0, -5))
+
+test('an answer cut short before any of it was passed on is repeated where it may be', async (t) => {
+  const { call, servers } = await scene(t, [cut, answers(answer('whole'))])
+  strictEqual(await call('/often/x', '', 'again').whole(), seen('whole'))
+  deepStrictEqual(
+    servers.map((one) => one.heard.map(({ body }) => body)),
+    [['again'], ['again']],
+  )
+})
+
+test('an answer cut short that may not be repeated is a 502', async (t) => {
+  const { call, servers } = await scene(t, [cut, answers(answer('whole'))])
+  match(undated(await call('/once/x').whole()), /^HTTP\/1\.1 502 Bad Gateway\r\n(?!.*retry-after)/s)
+  strictEqual(servers[1]?.heard.length, 0)
+})
+
+test('a stream that dies before its first event and may not be resumed is a 502', async (t) => {
+  const { call, servers } = await scene(t, [(_heard, socket) => socket.end(streamHead()), answers(streamHead() + lastChunk)])
+  match(undated(await call('/single/x').whole()), /^HTTP\/1\.1 502 Bad Gateway\r\n/)
+  strictEqual(servers[1]?.heard.length, 0)
+})
+
+for (const [said, text, why] of [
+  ['an answer that carries another id', answer('theirs', '', 'r-0'), 'an answer to another request'],
+  ['an answer without a seal', answer('forged').replace('seal: z9\r\n', ''), 'the answer is not sealed'],
+] as const) {
+  test(`${said} never shows: repeated where it may be, else 502`, async (t) => {
+    const { call, servers } = await scene(t, [answers(text), answers(answer('right'))])
+    strictEqual(await call('/often/x').whole(), seen('right'))
+    const single = await scene(t, [answers(text), answers(answer('right'))])
+    strictEqual(undated(await single.call('/once/x').whole()), refused('502 Bad Gateway', why))
+    deepStrictEqual([servers[0]?.heard.length, single.servers[0]?.heard.length, single.servers[1]?.heard.length], [1, 1, 0])
+  })
+}
+
+test('an extra answer behind a whole one belongs to nobody, and its connection is not used again', async (t) => {
+  const { call, servers } = await scene(t, [
+    (_heard, socket, run) => {
+      socket.write(answer(`run ${String(run)}`) + answer('extra'))
+    },
+  ])
+  strictEqual(await call('/once/x').whole(), seen('run 1'))
+  strictEqual(await call('/once/x').whole(), seen('run 2'))
+  strictEqual(servers[0]?.connections, 2)
+})
+
+test('an extra answer that comes late, in the place of the next one, is told by its id', async (t) => {
+  const { call, servers } = await scene(t, [
+    (_heard, socket, run) => {
+      socket.write(run === 1 ? answer('first') : answer('first', '', 'r-0') + answer('second'))
+    },
+    answers(answer('elsewhere')),
+  ])
+  strictEqual(await call('/often/x').whole(), seen('first'))
+  strictEqual(await call('/often/x').whole(), seen('elsewhere'))
+  deepStrictEqual([servers[0]?.heard.length, servers[1]?.heard.length], [2, 1])
+})
+
+const notRun = 'HTTP/1.1 503 Service Unavailable\r\nrequest-id: r-1\r\nverdict: NotRun\r\ncontent-length: 4\r\n\r\nfull'
+
+test('a request that did not run goes elsewhere, also one that may run only once', async (t) => {
+  const { call, servers } = await scene(t, [answers(notRun), answers(answer('there'))])
+  strictEqual(await call('/once/x', '', 'body').whole(), seen('there'))
+  deepStrictEqual(
+    servers.map((one) => one.heard.length),
+    [1, 1],
+  )
+  strictEqual(servers[1]?.heard[0]?.headers['for-server'], 's-1')
+})
+
+test('when no server ran it, the caller is promised so and told when to come back', async (t) => {
+  const { call, servers } = await scene(t, [answers(notRun), answers(notRun), answers(notRun)])
+  const expected = refused('503 Service Unavailable', 'the server turned it away with 503', 'retry-after: 1.000\r\n')
+  strictEqual(undated(await call('/once/x').whole()), expected)
+  strictEqual(
+    servers.reduce((sum, one) => sum + one.heard.length, 0),
+    2,
+  )
+})
+
+test("a server's own refusals come back unchanged, sealed or not", async (t) => {
+  const text = `HTTP/1.1 404 Not Found\r\nrequest-id: r-1\r\n${date}content-length: 4\r\n\r\nnone`
+  const { call } = await scene(t, [answers(text)])
+  strictEqual(
+    await call('/once/x').whole(),
+    `HTTP/1.1 404 Not Found\r\nrequest-id: r-1\r\n${date}content-length: 4\r\nConnection: close\r\n\r\nnone`,
+  )
+})
+
+/** A server that sends two events and half of a third, and dies once the caller has the two. */
+function dying(): { script: Script; die: () => void } {
+  const sockets: Socket[] = []
+  return {
+    script: (_heard, socket) => {
+      sockets.push(socket)
+      socket.write(streamHead() + chunk(event(1)) + chunk(event(2)) + chunk(event(3).slice(0, 8)))
+    },
+    die: () => {
+      for (const socket of sockets) socket.destroy()
+    },
+  }
+}
+
+test('a stream that may be resumed goes on at another server after the last whole event, in one answer', async (t) => {
+  const first = dying()
+  const { call, servers } = await scene(t, [first.script, answers(streamHead('other') + chunk(event(3)) + chunk(event(4)) + lastChunk)])
+  const caller = call('/stream/x', '', 'prompt')
+  ok(await caller.until('token 2\n\n'))
+  first.die()
+  strictEqual(await caller.whole(), streamSeen + [1, 2, 3, 4].map((id) => chunk(event(id))).join('') + lastChunk)
+  const resumed = servers[1]?.heard[0]
+  strictEqual(resumed?.headers['resume-after'], '2')
+  strictEqual(resumed.body, 'prompt')
+  strictEqual(servers[0]?.heard[0]?.headers['resume-after'], undefined)
+})
+
+test("a caller's own last event is what its first server resumes after", async (t) => {
+  const { call, servers } = await scene(t, [answers(streamHead() + chunk(event(8)) + lastChunk)])
+  strictEqual(await call('/stream/x', 'resume-after: 7\r\n').whole(), streamSeen + chunk(event(8)) + lastChunk)
+  strictEqual(servers[0]?.heard[0]?.headers['resume-after'], '7')
+})
+
+test('a stream that may not be resumed is broken off where it died, and is sent nowhere else', async (t) => {
+  const first = dying()
+  const { call, servers } = await scene(t, [first.script, answers(streamHead() + chunk(event(3)) + lastChunk)])
+  const caller = call('/single/x')
+  ok(await caller.until('token 2\n\n'))
+  first.die()
+  strictEqual(await caller.whole(), streamSeen + chunk(event(1)) + chunk(event(2)))
+  strictEqual(servers[1]?.heard.length, 0)
+})
+
+test('a resumed stream that no server takes up again is broken off, never ended as whole', async (t) => {
+  const first = dying()
+  const { call } = await scene(t, [first.script, answers(answer('no').replace('200 OK', '404 Not Found'))])
+  const caller = call('/stream/x')
+  ok(await caller.until('token 2\n\n'))
+  first.die()
+  strictEqual(await caller.whole(), streamSeen + chunk(event(1)) + chunk(event(2)))
+})
+
+test('a large answer goes through without being gathered, and a cut of it shows as a cut', async (t) => {
+  const large = 'abcdefgh'.repeat(200_000)
+  const { call } = await scene(t, [answers(answer(large))])
+  const text = await call('/once/x').whole()
+  strictEqual(text.length, seen(large).length)
+  ok(text === seen(large))
+  const short = await scene(t, [(_heard, socket) => socket.end(answer(large).slice(0, -1))])
+  const cut = await short.call('/once/x').whole()
+  ok(seen(large).startsWith(cut) && cut.length < seen(large).length)
+})
+
+test('a caller that leaves ends its request at the server too', async (t) => {
+  let left = false
+  const { call, task } = await scene(t, [
+    (_heard, socket, run) => {
+      if (run > 1) socket.write(answer('next'))
+      else {
+        socket.on('close', () => {
+          left = true
+        })
+        socket.write(streamHead() + chunk(event(1)))
+      }
+    },
+  ])
+  const caller = call('/stream/x')
+  ok(await caller.until('token 1\n\n'))
+  caller.leave()
+  while (task.waiting > 0) await new Promise((resolve) => setImmediate(resolve))
+  strictEqual(await call('/once/x').whole(), seen('next'))
+  ok(left)
+})
