--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,6 +11,7 @@
   signalbox: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings'],
   turnout: ['gauge', 'telegraph', 'interlocking', 'sidings'],
   lineman: ['gauge', 'telegraph', 'interlocking', 'sidings'],
+  junction: ['gauge', 'telegraph', 'interlocking', 'sidings', 'lineman'],
   springpaddle: ['gauge', 'sidings'],
   testtrack: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings', 'signalbox', 'turnout', 'lineman'],
 }
