--- a/src/testtrack/main.ts
+++ b/src/testtrack/main.ts
@@ -14,6 +14,7 @@
 import { SimFault } from './SimFault.js'
 import { scale } from './scale.js'
 import { simFaults } from './simFaults.js'
+import { slopes } from './slopes.js'
 import { sweep } from './sweep.js'
 
 const say = (line: string) => {
@@ -130,11 +131,31 @@
     else scale(deployment, factors, say)
   },
 })
+const measuredSlopes = command({
+  name: 'slopes',
+  description: 'What each part of the control plane costs as one dimension grows, with hollow machines in one process.',
+  args: {
+    of: option({
+      long: 'of',
+      type: string,
+      defaultValue: () => slopes.names.join(','),
+      description: `comma-separated: ${slopes.names.join(', ')}`,
+    }),
+    sizes: option({ long: 'sizes', type: optional(string), description: 'comma-separated, three or more, for one dimension' }),
+  },
+  handler: (given) => {
+    const names = given.of.split(',')
+    const sizes = given.sizes?.split(',').map(Number)
+    const why = slopes.impossible(names, sizes)
+    if (why !== undefined) unknown(why, slopes.names)
+    else slopes.run(names, sizes, say)
+  },
+})
 await runCommand(
   subcommands({
     name: 'testtrack',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, scale: scaled },
+    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes },
   }),
   process.argv.slice(2),
 )
