--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,18 +2,18 @@
 
 // Dependencies point one way: a folder may import only from those named beside it.
 const lower = {
-  gauge: [],
-  telegraph: ['gauge'],
-  waybill: ['gauge'],
-  interlocking: ['gauge', 'telegraph', 'waybill'],
-  timetable: ['gauge', 'interlocking'],
-  sidings: ['gauge'],
-  signalbox: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings'],
-  turnout: ['gauge', 'telegraph', 'interlocking', 'sidings'],
-  lineman: ['gauge', 'telegraph', 'interlocking', 'sidings'],
-  junction: ['gauge', 'telegraph', 'interlocking', 'sidings', 'lineman'],
-  springpaddle: ['gauge', 'sidings'],
-  testtrack: ['gauge', 'telegraph', 'waybill', 'interlocking', 'timetable', 'sidings', 'signalbox', 'turnout', 'lineman', 'junction'],
+  common: [],
+  transport: ['common'],
+  storage: ['common'],
+  consensus: ['common', 'transport', 'storage'],
+  placement: ['common', 'consensus'],
+  adapters: ['common'],
+  control: ['common', 'transport', 'storage', 'consensus', 'placement', 'adapters'],
+  proxy: ['common', 'transport', 'consensus', 'adapters'],
+  agent: ['common', 'transport', 'consensus', 'adapters'],
+  gateway: ['common', 'transport', 'consensus', 'adapters', 'agent'],
+  cli: ['common', 'adapters'],
+  simulator: ['common', 'transport', 'storage', 'consensus', 'placement', 'adapters', 'control', 'proxy', 'agent', 'gateway'],
 }
 
 // One exported name a file; a type and a value may share that name.
--- a/src/sidings/CallerFormat.ts
+++ b/src/adapters/CallerFormat.ts
@@ -7,7 +7,7 @@
  */
 import { Either, Left, Right } from 'purify-ts'
 import { z } from 'zod'
-import { digest } from '../gauge/digest.js'
+import { digest } from '../common/digest.js'
 
 const Body = z.looseObject({ adapter: z.string().max(200).default(''), parts: z.array(z.string()).max(1000).default([]) })
 type Target = { kind: 'model'; name: string; adapter: string; chain: string[] } | { kind: 'service'; name: string; rest: string }
--- a/src/sidings/HttpOutside.ts
+++ b/src/adapters/HttpOutside.ts
@@ -3,9 +3,9 @@
  * bounded in time.
  */
 import { request } from 'undici'
-import type { Order } from '../gauge/Order.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Report } from '../gauge/Report.js'
+import type { Order } from '../common/Order.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import type { Report } from '../common/Report.js'
 import { ModelServerFormat } from './ModelServerFormat.js'
 import type { Outside } from './Outside.js'
 import { readPlatform } from './readPlatform.js'
@@ -21,8 +21,8 @@
     return this.#platform === undefined ? undefined : readPlatform(this.#platform, waitMs)
   }
 
-  async holds(_server: string, address: string, tenure: number, waitMs: number): Promise<Report | undefined> {
-    const reply = await this.#call(address, ModelServerFormat.holdsPath(tenure), 'GET', undefined, waitMs)
+  async holds(_server: string, address: string, epoch: number, waitMs: number): Promise<Report | undefined> {
+    const reply = await this.#call(address, ModelServerFormat.holdsPath(epoch), 'GET', undefined, waitMs)
     return reply?.status === 200 ? ModelServerFormat.report(reply.body) : undefined
   }
 
--- a/src/sidings/ModelServerFormat.ts
+++ b/src/adapters/ModelServerFormat.ts
@@ -1,14 +1,14 @@
 /**
- * What model servers are asked and told besides requests: `GET /springpaddle/holds?tenure=N` gives a
- * report and lets the server remember the newest tenure; `POST /springpaddle/orders` hands it an
+ * What model servers are asked and told besides requests: `GET /springpaddle/holds?epoch=N` gives a
+ * report and lets the server remember the newest epoch; `POST /springpaddle/orders` hands it an
  * order, answered 202 when taken (again) and 409 when turned away: a server that can check turns away
- * an older tenure, and an older number of the same tenure, which is a copy that came late. How the
+ * an older epoch, and an older number of the same epoch, which is a copy that came late. How the
  * order ended is in the reports.
  */
-import { Report } from '../gauge/Report.js'
+import { Report } from '../common/Report.js'
 
 export const ModelServerFormat = {
-  holdsPath: (tenure: number) => `/springpaddle/holds?tenure=${String(tenure)}`,
+  holdsPath: (epoch: number) => `/springpaddle/holds?epoch=${String(epoch)}`,
   ordersPath: '/springpaddle/orders',
 
   report(body: string): Report | undefined {
--- a/src/sidings/Outside.ts
+++ b/src/adapters/Outside.ts
@@ -1,15 +1,15 @@
 /**
- * The port through which a signalbox, and a machine that has lost the core, speaks to the platform and to
+ * The port through which a control node, and a machine that has lost the core, speaks to the platform and to
  * model servers. Whatever goes wrong becomes an outcome; nothing throws. `held` says that what the order
  * asks for already is so.
  */
-import type { Order } from '../gauge/Order.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Report } from '../gauge/Report.js'
+import type { Order } from '../common/Order.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import type { Report } from '../common/Report.js'
 
 export interface Outside {
   list(waitMs: number): Promise<PlatformServer[] | undefined>
-  holds(server: string, address: string, tenure: number, waitMs: number): Promise<Report | undefined>
+  holds(server: string, address: string, epoch: number, waitMs: number): Promise<Report | undefined>
   order(
     server: string,
     address: string,
--- a/src/sidings/PlatformFormat.ts
+++ b/src/adapters/PlatformFormat.ts
@@ -3,7 +3,7 @@
  * which of them drain.
  */
 import { z } from 'zod'
-import { PlatformServer } from '../gauge/PlatformServer.js'
+import { PlatformServer } from '../common/PlatformServer.js'
 
 const List = z.object({ servers: z.array(PlatformServer) })
 
--- a/src/sidings/RouteFormat.ts
+++ b/src/adapters/RouteFormat.ts
@@ -5,7 +5,7 @@
  * where they did not run the request.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { Verdict } from '../gauge/Verdict.js'
+import { Verdict } from '../common/Verdict.js'
 import type { Arrival } from './Arrival.js'
 import type { Onward } from './Onward.js'
 import type { Reply } from './Reply.js'
--- a/src/sidings/RouteWire.ts
+++ b/src/adapters/RouteWire.ts
@@ -1,5 +1,5 @@
 /**
- * The port through which a junction understands callers of routes and the servers behind them, in whichever
+ * The port through which a gateway understands callers of routes and the servers behind them, in whichever
  * outside format: pure functions that read and write heads, without memory and without choices.
  */
 import type { IncomingHttpHeaders } from 'node:http'
--- a/src/sidings/ServerFormat.ts
+++ b/src/adapters/ServerFormat.ts
@@ -1,5 +1,5 @@
 /**
- * What every server behind the turnouts is asked: `GET /springpaddle/identity` on each connection
+ * What every server behind the proxies is asked: `GET /springpaddle/identity` on each connection
  * before its first request. The reply names the server, its incarnation and how long it has been up.
  * A server that turns a request away without running it says so with `verdict: NotRun`.
  */
--- a/src/sidings/readPlatform.ts
+++ b/src/adapters/readPlatform.ts
@@ -2,7 +2,7 @@
  * Reads the platform's list of servers, bounded in time; nothing when it cannot be had whole.
  */
 import { request } from 'undici'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
 import { PlatformFormat } from './PlatformFormat.js'
 
 export async function readPlatform(address: string, waitMs: number): Promise<PlatformServer[] | undefined> {
--- a/src/lineman/LinemanMachine.network.test.ts
+++ b/src/agent/AgentMachine.network.test.ts
@@ -1,36 +1,36 @@
 /**
- * A lineman inside a process that goes by its copy alone: it finds the core, tells of what it adopted, counts
+ * An agent inside a process that goes by its copy alone: it finds the core, tells of what it adopted, counts
  * its fellows, and follows another parent when its own falls silent.
  */
 import { deepStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Bounds } from '../gauge/Bounds.js'
-import { Chance } from '../gauge/Chance.js'
-import { Pace } from '../gauge/Pace.js'
-import type { Message } from '../telegraph/Message.js'
-import type { LinemanEffect } from './LinemanEffect.js'
-import { LinemanMachine } from './LinemanMachine.js'
+import { Bounds } from '../common/Bounds.js'
+import { Random } from '../common/Random.js'
+import { Timings } from '../common/Timings.js'
+import type { Message } from '../transport/Message.js'
+import type { AgentEffect } from './AgentEffect.js'
+import { AgentMachine } from './AgentMachine.js'
 
-const pace = Pace(Bounds.parse({}))
+const timings = Timings(Bounds.parse({}))
 
 class Core {
   nowMs = 0
   stamp = 3
   readonly silent = new Set<string>()
-  peers = [{ name: 'edge', address: 'edge:7', role: 'lineman' as const, zone: 'z' }]
+  peers = [{ name: 'edge', address: 'edge:7', role: 'agent' as const, zone: 'z' }]
   adopted = 0
   adoptions = 0
   readonly sent: { toAddress: string; message: Message }[] = []
-  readonly machine = new LinemanMachine(
-    { name: 'edge', zone: 'z', address: 'edge:7', seeds: ['a:7', 'b:7'], turnout: '', system: '' },
-    pace,
-    new Chance(3),
+  readonly machine = new AgentMachine(
+    { name: 'edge', zone: 'z', address: 'edge:7', seeds: ['a:7', 'b:7'], proxy: '', system: '' },
+    timings,
+    new Random(3),
     0,
   )
 
   run(spanMs: number, until: () => boolean = () => false): boolean {
     for (const endMs = this.nowMs + spanMs; this.nowMs < endMs && !until();) {
-      this.nowMs += pace.tickMs
+      this.nowMs += timings.tickMs
       this.#perform(this.machine.step({ kind: 'tick' }, this.nowMs))
     }
     return until()
@@ -40,7 +40,7 @@
     this.#perform(this.machine.step({ kind: 'message', from, fromAddress: `${from}:7`, message }, this.nowMs))
   }
 
-  #perform(effects: LinemanEffect[]): void {
+  #perform(effects: AgentEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'adopted') this.adoptions += 1
       if (effect.kind !== 'send') continue
@@ -48,13 +48,13 @@
       this.sent.push({ toAddress, message })
       const box = toAddress.replace(':7', '')
       if (!['a', 'b'].includes(box) || this.silent.has(box)) continue
-      const known = ['a', 'b'].map((name) => ({ name, address: `${name}:7`, role: 'signalbox' as const, zone: 'z' }))
-      if (message.kind === 'hail') {
+      const known = ['a', 'b'].map((name) => ({ name, address: `${name}:7`, role: 'control' as const, zone: 'z' }))
+      if (message.kind === 'probe') {
         const { nonce } = message
         this.tell(box, {
-          kind: 'hailed',
+          kind: 'probeReply',
           nonce,
-          role: 'signalbox',
+          role: 'control',
           zone: 'z',
           identity: box,
           empty: false,
@@ -70,7 +70,7 @@
         this.adopted = message.adopted
         const { sentMs } = message
         const lent = { serial: 0, shares: [], again: [], platformAgeMs: 0, system: 's', peersSum: this.peers.length }
-        this.tell(box, { kind: 'licence', sentMs, forMs: pace.licenceMs, stamp: this.stamp, peers: this.peers, ...lent })
+        this.tell(box, { kind: 'lease', sentMs, forMs: timings.leaseMs, stamp: this.stamp, peers: this.peers, ...lent })
       }
     }
   }
@@ -105,13 +105,13 @@
 void test('members are counted, and a new leader that has not heard of all lowers the count only after a while', () => {
   const core = new Core()
   strictEqual(core.machine.members, 1)
-  core.peers = ['edge', 'other', 'third'].map((name) => ({ name, address: `${name}:7`, role: 'lineman' as const, zone: name }))
+  core.peers = ['edge', 'other', 'third'].map((name) => ({ name, address: `${name}:7`, role: 'agent' as const, zone: name }))
   core.run(500)
   strictEqual(core.machine.members, 3)
   core.peers = core.peers.slice(0, 1)
-  core.run(pace.licenceMs)
+  core.run(timings.leaseMs)
   strictEqual(core.machine.members, 3)
-  core.run(2 * pace.licenceMs)
+  core.run(2 * timings.leaseMs)
   deepStrictEqual(core.machine.memberNames, ['edge'])
 })
 
--- a/src/lineman/LinemanMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -1,55 +1,55 @@
 /**
- * The agent beside a turnout as one pure machine. It finds the core, keeps the seat's licence, takes
- * its place in the relay tree, and feeds its turnout. When the core is out of reach it asks the other
- * seats: while a majority of them knows no newer charter, its turnout may go on.
+ * The agent beside a proxy as one pure machine. It finds the core, keeps the seat's lease, takes
+ * its place in the relay tree, and feeds its proxy. When the core is out of reach it asks the other
+ * seats: while a majority of them knows no newer charter, its proxy may go on.
  */
-import type { Chance } from '../gauge/Chance.js'
-import { digest } from '../gauge/digest.js'
-import type { Pace } from '../gauge/Pace.js'
-import { Copy } from '../interlocking/Copy.js'
-import { DutyRow } from '../interlocking/DutyRow.js'
-import { Relay } from '../interlocking/Relay.js'
-import { Roster } from '../interlocking/Roster.js'
-import type { Message } from '../telegraph/Message.js'
+import type { Random } from '../common/Random.js'
+import { digest } from '../common/digest.js'
+import type { Timings } from '../common/Timings.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { DutyRow } from '../consensus/DutyRow.js'
+import { Relay } from '../consensus/Relay.js'
+import { PeerDirectory } from '../consensus/PeerDirectory.js'
+import type { Message } from '../transport/Message.js'
 import { Barrier } from './Barrier.js'
-import type { LinemanEffect } from './LinemanEffect.js'
-import type { LinemanInput } from './LinemanInput.js'
+import type { AgentEffect } from './AgentEffect.js'
+import type { AgentInput } from './AgentInput.js'
 
 interface Plan {
   name: string
   zone: string
   address: string
   seeds: readonly string[]
-  /** Empty in a process that does a turnout's work itself and goes by this copy alone. */
-  turnout: string
-  /** The system to follow; else the first whose leader grants a licence. */
+  /** Empty in a process that does a proxy's work itself and goes by this copy alone. */
+  proxy: string
+  /** The system to follow; else the first whose leader grants a lease. */
   system: string
 }
 const fanout = 3
-/** A process without a turnout, once it is level with the core, hails that many times less often. */
-const calmHails = 3
+/** A process without a proxy, once it is level with the core, probes that many times less often. */
+const calmProbes = 3
 const networkKeys = /^(network$|route\/|service\/|zone\/)/
 
-export class LinemanMachine {
-  readonly copy = new Copy()
+export class AgentMachine {
+  readonly copy = new ReplicaTable()
   readonly #plan: Plan
-  readonly #pace: Pace
-  readonly #roster: Roster
+  readonly #timings: Timings
+  readonly #directory: PeerDirectory
   readonly #relay: Relay
   readonly #session: string
   readonly #nonce: number
-  #effects: LinemanEffect[] = []
+  #effects: AgentEffect[] = []
   #leaderAddress = ''
   #system = ''
   #peers: { name: string; address: string; zone: string }[] = []
   #peersSum = 0
   #members = 1
   #memberNames: readonly string[] = []
-  /** Requests at each server over all junctions, as the leader told last. */
+  /** Requests at each server over all gateways, as the leader told last. */
   loads: readonly { key: string; count: number }[] = []
   #membersMs = -Infinity
   #heardCoreMs = -Infinity
-  #licenceUntilMs = -Infinity
+  #leaseUntilMs = -Infinity
   #peerUntilMs = -Infinity
   #peerReplies = new Map<string, { sentMs: number; stamp: number }>()
   #parent = ''
@@ -59,35 +59,35 @@
   #levelMs: number
   /** The stamp that the core told first in this life: before it is reached this seat vouches for nothing, for it may have forgotten. */
   #firstStamp: number | undefined
-  #turnout = { stamp: 0, permitUntilMs: -Infinity, followSentMs: 0, followedMs: -Infinity }
+  #proxy = { stamp: 0, permitUntilMs: -Infinity, followSentMs: 0, followedMs: -Infinity }
   readonly #barrier: Barrier
   #ask: Extract<Message, { kind: 'ask' }> = { kind: 'ask', asks: [], echo: 0, again: [], firsts: [] }
   #firsts = new Map<string, number>()
-  #lent: Pick<Extract<Message, { kind: 'licence' }>, 'serial' | 'shares' | 'again'> = { serial: 0, shares: [], again: [] }
+  #lent: Pick<Extract<Message, { kind: 'lease' }>, 'serial' | 'shares' | 'again'> = { serial: 0, shares: [], again: [] }
   #renewedMs = -Infinity
-  #hailAtMs = -Infinity
+  #probeAtMs = -Infinity
   #renewAtMs = -Infinity
   #followAtMs = -Infinity
   #follows = 0
 
-  constructor(plan: Plan, pace: Pace, chance: Chance, nowMs: number) {
+  constructor(plan: Plan, timings: Timings, random: Random, nowMs: number) {
     this.#plan = plan
     this.#system = plan.system
-    this.#pace = pace
-    this.#roster = new Roster(
+    this.#timings = timings
+    this.#directory = new PeerDirectory(
       plan.name,
       plan.seeds.filter((seed) => seed !== plan.address),
-      4 * pace.hailMs,
+      4 * timings.probeMs,
     )
-    this.#relay = new Relay(pace.licenceMs)
-    this.#barrier = new Barrier(pace, nowMs)
-    this.#nonce = chance.below(1e9)
+    this.#relay = new Relay(timings.leaseMs)
+    this.#barrier = new Barrier(timings, nowMs)
+    this.#nonce = random.below(1e9)
     this.#session = this.#nonce.toString(36)
     this.#levelMs = nowMs
   }
 
   current(nowMs: number): boolean {
-    return nowMs < this.#licenceUntilMs || nowMs < this.#peerUntilMs
+    return nowMs < this.#leaseUntilMs || nowMs < this.#peerUntilMs
   }
 
   /** Servers that the platform's list takes away while the core is silent about them. */
@@ -110,23 +110,23 @@
     return this.#sure
   }
 
-  /** When a licence last came. */
+  /** When a lease last came. */
   get heardCoreMs(): number {
     return this.#heardCoreMs
   }
 
   reseed(seeds: readonly string[]): void {
-    this.#roster.reseed(seeds.filter((seed) => seed !== this.#plan.address))
-    this.#hailAtMs = -Infinity
+    this.#directory.reseed(seeds.filter((seed) => seed !== this.#plan.address))
+    this.#probeAtMs = -Infinity
   }
 
   get #alone(): boolean {
-    return this.#plan.turnout === ''
+    return this.#plan.proxy === ''
   }
 
   figures(nowMs: number): Record<string, number> {
     return {
-      licence_left_ms: Math.max(0, this.#licenceUntilMs - nowMs),
+      lease_left_ms: Math.max(0, this.#leaseUntilMs - nowMs),
       peers_left_ms: Math.max(0, this.#peerUntilMs - nowMs),
       stamp: this.copy.stamp,
       core_stamp: this.#coreStamp,
@@ -134,7 +134,7 @@
     }
   }
 
-  step(input: LinemanInput, nowMs: number): LinemanEffect[] {
+  step(input: AgentInput, nowMs: number): AgentEffect[] {
     if (input.kind === 'tick') this.#tick(nowMs)
     else if (input.kind === 'platform') this.#barrier.told(input.servers)
     else this.#message(input.from, input.fromAddress, input.message, nowMs)
@@ -148,17 +148,17 @@
   }
 
   #tick(nowMs: number): void {
-    if (nowMs >= this.#hailAtMs) {
-      this.#hailAtMs = nowMs + (this.#alone && this.current(nowMs) ? calmHails : 1) * this.#pace.hailMs
+    if (nowMs >= this.#probeAtMs) {
+      this.#probeAtMs = nowMs + (this.#alone && this.current(nowMs) ? calmProbes : 1) * this.#timings.probeMs
       const asked =
         this.#alone || this.#leaderAddress === '' || !this.current(nowMs)
-          ? this.#roster.inquiries
-          : [this.#leaderAddress, ...this.#roster.inquiries.slice(0, 2)]
+          ? this.#directory.inquiries
+          : [this.#leaderAddress, ...this.#directory.inquiries.slice(0, 2)]
       for (const address of new Set(asked))
         this.#send(address, {
-          kind: 'hail',
+          kind: 'probe',
           nonce: this.#nonce,
-          role: 'lineman',
+          role: 'agent',
           zone: this.#plan.zone,
           identity: this.#session,
           known: [],
@@ -170,9 +170,9 @@
     if (nowMs >= this.#followAtMs) this.#follow(nowMs)
   }
 
-  /** Renews the licence, and with it asks for what the turnout wants of shared limits. */
+  /** Renews the lease, and with it asks for what the proxy wants of shared limits. */
   #renew(nowMs: number): void {
-    this.#renewAtMs = nowMs + this.#pace.renewMs
+    this.#renewAtMs = nowMs + this.#timings.renewMs
     this.#renewedMs = nowMs
     const { asks, echo, again } = this.#ask
     const firsts = [...this.#firsts].map(([key, count]) => ({ key, count }))
@@ -180,7 +180,7 @@
     this.#send(this.#leaderAddress, {
       kind: 'renew',
       seat: this.#plan.name,
-      role: 'lineman',
+      role: 'agent',
       zone: this.#plan.zone,
       session: this.#session,
       sentMs: nowMs,
@@ -191,21 +191,21 @@
       firsts,
       peersSum: this.#peersSum,
     })
-    if (!this.#alone && nowMs >= this.#licenceUntilMs - 2 * this.#pace.renewMs) this.#askPeers(nowMs)
+    if (!this.#alone && nowMs >= this.#leaseUntilMs - 2 * this.#timings.renewMs) this.#askPeers(nowMs)
   }
 
-  /** What this seat as a whole works by: the turnout's stamp for as long as the turnout may be at work. */
+  /** What this seat as a whole works by: the proxy's stamp for as long as the proxy may be at work. */
   #adopted(nowMs: number): number {
-    return nowMs < this.#turnout.permitUntilMs ? Math.min(this.copy.stamp, this.#turnout.stamp) : this.copy.stamp
+    return nowMs < this.#proxy.permitUntilMs ? Math.min(this.copy.stamp, this.#proxy.stamp) : this.copy.stamp
   }
 
   #follow(nowMs: number): void {
-    this.#followAtMs = nowMs + (this.#alone ? 0.75 : 0.5) * this.#pace.renewMs
+    this.#followAtMs = nowMs + (this.#alone ? 0.75 : 0.5) * this.#timings.renewMs
     if (this.copy.stamp >= this.#coreStamp) this.#levelMs = nowMs
-    const silentMs = (this.#alone ? 1.4 : 1) * this.#pace.parentSilentMs
+    const silentMs = (this.#alone ? 1.4 : 1) * this.#timings.parentSilentMs
     const behind = nowMs - this.#levelMs > silentMs
     if (this.#parent !== '' && (behind || nowMs - this.#parentHeardMs > silentMs))
-      this.#shunned.set(this.#parent, nowMs + 2 * this.#pace.licenceMs)
+      this.#shunned.set(this.#parent, nowMs + 2 * this.#timings.leaseMs)
     const chosen = this.#chooseParent(nowMs)
     if (chosen !== this.#parent) {
       this.#parent = chosen
@@ -232,9 +232,9 @@
     const at = zone.indexOf(this.#plan.name)
     const above = at > 0 ? this.#peers.find((peer) => peer.name === zone[Math.floor((at - 1) / fanout)])?.address : undefined
     if (above !== undefined && !this.#shunned.has(above) && this.current(nowMs)) return above
-    const boxes = this.#roster
-      .of('signalbox')
-      .filter((one) => !this.#alone || nowMs - one.heardMs <= 3 * calmHails * this.#pace.hailMs)
+    const boxes = this.#directory
+      .of('control')
+      .filter((one) => !this.#alone || nowMs - one.heardMs <= 3 * calmProbes * this.#timings.probeMs)
       .sort(
         (a, b) =>
           Number(b.zone === this.#plan.zone) - Number(a.zone === this.#plan.zone) ||
@@ -242,7 +242,7 @@
       )
     const box = boxes.find((one) => !this.#shunned.has(one.address))
     if (box !== undefined) return box.address
-    const others = this.#roster.of('lineman').filter((one) => !this.#shunned.has(one.address))
+    const others = this.#directory.of('agent').filter((one) => !this.#shunned.has(one.address))
     return others[0]?.address ?? boxes[0]?.address ?? ''
   }
 
@@ -257,9 +257,9 @@
 
   #askPeers(nowMs: number): void {
     const stamp = this.copy.stampOf('charter')
-    for (const peer of this.#roster.of('lineman')) this.#send(peer.address, { kind: 'peerAsk', sentMs: nowMs, stamp })
+    for (const peer of this.#directory.of('agent')) this.#send(peer.address, { kind: 'peerAsk', sentMs: nowMs, stamp })
     const seats = this.copy.under('seat/').length
-    if (seats === 1 && stamp > 0 && this.#sure) this.#peerUntilMs = nowMs + this.#pace.licenceMs
+    if (seats === 1 && stamp > 0 && this.#sure) this.#peerUntilMs = nowMs + this.#timings.leaseMs
   }
 
   #peerTold(from: string, sentMs: number, stamp: number, fromAddress: string): void {
@@ -278,49 +278,49 @@
     const needed = Math.floor(seats.length / 2) + 1 - (this.#sure && seats.includes(this.#plan.name) ? 1 : 0)
     const oldest = replies.map((reply) => reply?.sentMs ?? -Infinity).sort((a, b) => b - a)[needed - 1]
     const newer = seats.some((seat) => (this.#peerReplies.get(seat)?.stamp ?? 0) > own)
-    if (oldest !== undefined && own > 0 && !newer) this.#peerUntilMs = Math.max(this.#peerUntilMs, oldest + this.#pace.licenceMs)
+    if (oldest !== undefined && own > 0 && !newer) this.#peerUntilMs = Math.max(this.#peerUntilMs, oldest + this.#timings.leaseMs)
   }
 
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
-      case 'hail': {
+      case 'probe': {
         if (this.#strange(message.system)) break
-        this.#roster.hearsay([...message.known, { name: from, address: fromAddress, role: message.role, zone: message.zone }], nowMs)
+        this.#directory.hearsay([...message.known, { name: from, address: fromAddress, role: message.role, zone: message.zone }], nowMs)
         this.#send(fromAddress, {
-          kind: 'hailed',
+          kind: 'probeReply',
           nonce: message.nonce,
-          role: 'lineman',
+          role: 'agent',
           zone: this.#plan.zone,
           identity: this.#session,
           empty: false,
           leader: this.#leaderAddress,
-          known: this.#roster.known,
+          known: this.#directory.known,
           system: this.#system,
         })
         break
       }
-      case 'hailed': {
+      case 'probeReply': {
         if (message.nonce !== this.#nonce || this.#strange(message.system)) break
-        this.#roster.heard(
+        this.#directory.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
         )
-        this.#roster.hearsay(message.known, nowMs)
+        this.#directory.hearsay(message.known, nowMs)
         if (this.#alone && message.leader !== '' && !this.current(nowMs)) this.#renewSoon()
-        if (message.role === 'signalbox' && message.leader !== '') this.#leaderAddress = message.leader
+        if (message.role === 'control' && message.leader !== '') this.#leaderAddress = message.leader
         else if (message.leader !== '' && this.#leaderAddress === '') this.#leaderAddress = message.leader
         break
       }
-      case 'licence': {
+      case 'lease': {
         if (this.#strange(message.system)) break
         if (this.#system === '') this.#system = message.system
-        this.#licenceUntilMs = Math.max(this.#licenceUntilMs, message.sentMs + message.forMs)
+        this.#leaseUntilMs = Math.max(this.#leaseUntilMs, message.sentMs + message.forMs)
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
         this.#firstStamp ??= message.stamp
         if (message.peersSum !== this.#peersSum) {
           this.#peers = message.peers
           this.#peersSum = message.peersSum
-          this.#roster.hearsay(message.peers, nowMs)
+          this.#directory.hearsay(message.peers, nowMs)
         }
         this.#heardCoreMs = nowMs
         this.loads = message.loads ?? []
@@ -337,7 +337,7 @@
         this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
         break
       case 'ask': {
-        if (fromAddress !== this.#plan.turnout) break
+        if (fromAddress !== this.#plan.proxy) break
         this.#ask = message
         for (const { key, count } of message.firsts) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + count)
         if (message.again.length > 0 || message.asks.some((one) => one.want > one.held)) {
@@ -346,7 +346,7 @@
         break
       }
       case 'outlook':
-        this.#send(this.#plan.turnout, message)
+        this.#send(this.#plan.proxy, message)
         break
       case 'follow':
         this.#followed(fromAddress, message, nowMs)
@@ -369,7 +369,7 @@
       }
       case 'tally': {
         const duty = this.copy.get('duty/dispatcher')
-        const holder = duty === undefined ? undefined : this.#roster.get(DutyRow.parse(JSON.parse(duty)).holder)
+        const holder = duty === undefined ? undefined : this.#directory.get(DutyRow.parse(JSON.parse(duty)).holder)
         const address = holder?.address ?? (this.#alone ? this.#leaderAddress : '')
         this.#send(address, { ...message, seat: this.#plan.name })
         break
@@ -379,12 +379,12 @@
   }
 
   #renewSoon(): void {
-    this.#renewAtMs = Math.min(this.#renewAtMs, this.#renewedMs + this.#pace.renewMs / 4)
+    this.#renewAtMs = Math.min(this.#renewAtMs, this.#renewedMs + this.#timings.renewMs / 4)
   }
 
   #count(nowMs: number): void {
     const told = Math.max(1, this.#peers.length)
-    if (told < this.#members && nowMs - this.#membersMs <= 2 * this.#pace.licenceMs) return
+    if (told < this.#members && nowMs - this.#membersMs <= 2 * this.#timings.leaseMs) return
     this.#members = told
     this.#memberNames = this.#peers.map((peer) => peer.name)
     this.#membersMs = nowMs
@@ -399,27 +399,27 @@
   }
 
   #followed(fromAddress: string, follow: Extract<Message, { kind: 'follow' }>, nowMs: number): void {
-    const own = fromAddress === this.#plan.turnout
+    const own = fromAddress === this.#plan.proxy
     if (own) {
-      this.#turnout.stamp = follow.stamp
-      this.#turnout.followSentMs = follow.sentMs
-      this.#turnout.followedMs = nowMs
+      this.#proxy.stamp = follow.stamp
+      this.#proxy.followSentMs = follow.sentMs
+      this.#proxy.followedMs = nowMs
     }
     for (const send of this.#relay.followed(fromAddress, follow, this.copy, nowMs)) this.#send(send.toAddress, send.message)
     if (own) this.#permit(nowMs)
   }
 
-  /** Lets the turnout work on, counted on the turnout's own clock from its last question. */
+  /** Lets the proxy work on, counted on the proxy's own clock from its last question. */
   #permit(nowMs: number): void {
-    const { followedMs, followSentMs } = this.#turnout
-    if (nowMs - followedMs > this.#pace.licenceMs) return
-    const forMs = Math.max(0, Math.max(this.#licenceUntilMs, this.#peerUntilMs) - followedMs)
-    this.#turnout.permitUntilMs = Math.max(this.#turnout.permitUntilMs, followedMs + forMs)
-    this.#send(this.#plan.turnout, {
+    const { followedMs, followSentMs } = this.#proxy
+    if (nowMs - followedMs > this.#timings.leaseMs) return
+    const forMs = Math.max(0, Math.max(this.#leaseUntilMs, this.#peerUntilMs) - followedMs)
+    this.#proxy.permitUntilMs = Math.max(this.#proxy.permitUntilMs, followedMs + forMs)
+    this.#send(this.#plan.proxy, {
       kind: 'permit',
       sentMs: followSentMs,
       forMs,
-      lentMs: Math.max(0, this.#licenceUntilMs - followedMs),
+      lentMs: Math.max(0, this.#leaseUntilMs - followedMs),
       serial: this.#lent.serial,
       shares: this.#lent.shares,
       again: this.#lent.again,
--- a/src/lineman/Barrier.test.ts
+++ b/src/agent/Barrier.test.ts
@@ -1,18 +1,18 @@
 import { test } from 'node:test'
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import { Pace } from '../gauge/Pace.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Timings } from '../common/Timings.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { Barrier } from './Barrier.js'
 
 test('the list takes away and never adds, until the core has read it again and its news are here', () => {
-  const pace = Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 })
-  const copy = new Copy()
+  const timings = Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 })
+  const copy = new ReplicaTable()
   const server = (name: string, draining = false, port = 1) => ({ name, address: `127.0.0.1:${String(port)}`, zone: 'a', draining })
   for (const [at, name] of ['kept', 'drained', 'gone', 'moved'].entries())
     copy.set({ key: `server/${name}`, stamp: at + 1, gone: false, value: JSON.stringify(server(name)) })
-  const barrier = new Barrier(pace, 0)
-  strictEqual(barrier.asks(pace.platformSilentMs), false)
-  const later = pace.platformSilentMs + 1
+  const barrier = new Barrier(timings, 0)
+  strictEqual(barrier.asks(timings.platformSilentMs), false)
+  const later = timings.platformSilentMs + 1
   strictEqual(barrier.asks(later), true)
   strictEqual(barrier.asks(later + 1), false)
   barrier.told([server('kept'), server('drained', true), server('moved', false, 2), server('new')])
--- a/src/lineman/Barrier.ts
+++ b/src/agent/Barrier.ts
@@ -4,23 +4,23 @@
  * alone knows is not used, and what the core has told to drain stays drained. Once the core has read the
  * list again and its news are here, the core's word holds.
  */
-import { Pace } from '../gauge/Pace.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Timings } from '../common/Timings.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 
 export class Barrier {
-  readonly #pace: Pace
+  readonly #timings: Timings
   #list: readonly PlatformServer[] | undefined
   #coreReadMs: number
   #levelStamp = 0
   #askAtMs = -Infinity
 
-  constructor(pace: Pace, nowMs: number) {
-    this.#pace = pace
+  constructor(timings: Timings, nowMs: number) {
+    this.#timings = timings
     this.#coreReadMs = nowMs
   }
 
-  /** A licence tells how long ago the core's rows were the platform's list, and the stamp that has them. */
+  /** A lease tells how long ago the core's rows were the platform's list, and the stamp that has them. */
   core(readMs: number, stamp: number): void {
     if (readMs < this.#coreReadMs) return
     this.#coreReadMs = readMs
@@ -34,11 +34,11 @@
   /** True when this machine is to read the list itself now. */
   asks(nowMs: number): boolean {
     if (!this.#silent(nowMs) || nowMs < this.#askAtMs) return false
-    this.#askAtMs = nowMs + this.#pace.platformMs
+    this.#askAtMs = nowMs + this.#timings.platformMs
     return true
   }
 
-  barred(copy: Copy, nowMs: number): string[] {
+  barred(copy: ReplicaTable, nowMs: number): string[] {
     if (!this.#silent(nowMs) && copy.stamp >= this.#levelStamp) this.#list = undefined
     if (this.#list === undefined) return []
     const listed = new Map(this.#list.map((one) => [one.name, one]))
@@ -49,6 +49,6 @@
   }
 
   #silent(nowMs: number): boolean {
-    return nowMs - this.#coreReadMs > this.#pace.platformSilentMs
+    return nowMs - this.#coreReadMs > this.#timings.platformSilentMs
   }
 }
--- a/src/lineman/WatchDesk.ts
+++ b/src/agent/WatchDesk.ts
@@ -1,15 +1,15 @@
 /**
- * The lineman's health and figures over HTTP, where the startup gives it an address for that.
+ * The agent's health and figures over HTTP, where the startup gives it an address for that.
  */
 import 'reflect-metadata'
 import type { Server } from 'node:http'
 import { App } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
-import { listen } from '../gauge/listen.js'
-import { Meters } from '../gauge/Meters.js'
-import type { Startup } from '../gauge/Startup.js'
-import { watchRoutes } from '../gauge/watchRoutes.js'
-import { LinemanTask } from './LinemanTask.js'
+import { listen } from '../common/listen.js'
+import { Meters } from '../common/Meters.js'
+import type { Startup } from '../common/Startup.js'
+import { watchRoutes } from '../common/watchRoutes.js'
+import { AgentTask } from './AgentTask.js'
 
 @singleton()
 export class WatchDesk {
@@ -17,11 +17,11 @@
   readonly #app = new App({ settings: { xPoweredBy: false } })
   #server: Server | undefined
 
-  constructor(@inject('startup') startup: Startup['lineman'], @inject(Meters) meters: Meters, @inject(LinemanTask) task: LinemanTask) {
+  constructor(@inject('startup') startup: Startup['agent'], @inject(Meters) meters: Meters, @inject(AgentTask) task: AgentTask) {
     this.#address = startup.watch
     meters.gauges(
       {
-        licence_left_ms: 'what is left of the licence from the core',
+        lease_left_ms: 'what is left of the lease from the core',
         peers_left_ms: 'what is left of the word of other seats',
         stamp: 'the stamp of the copy',
         core_stamp: 'the newest stamp that was told of',
--- a/src/springpaddle/Runbook.ts
+++ b/src/cli/Runbook.ts
@@ -4,7 +4,7 @@
  */
 import { Either, Left, Right } from 'purify-ts'
 import { z } from 'zod'
-import { Tree } from '../gauge/Tree.js'
+import { Tree } from '../common/Tree.js'
 
 const Alive = z.enum(['all', 'majority'])
 const Check = z.discriminatedUnion('kind', [
--- a/src/springpaddle/diagnose.test.ts
+++ b/src/cli/diagnose.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import type { Tree } from '../gauge/Tree.js'
+import type { Tree } from '../common/Tree.js'
 import { diagnose } from './diagnose.js'
 
 const nodes = {
@@ -35,7 +35,7 @@
   strictEqual(diagnose({ ...nodes, seats: [{ seat: 'post-1', zone: 'a', alive: false, adopted: 9 }] }, servers, charter, 8).length, 2)
   strictEqual(
     found({ ...nodes, exhausted: ['cold/ms-1/i'] }, servers, charter),
-    'what ms-1 bears while cold is lent out while turnouts want more',
+    'what ms-1 bears while cold is lent out while proxies want more',
   )
   strictEqual(found({ ...nodes, syncMs: 400 }, servers, charter), "the leader's disk takes 400 ms for a sync")
   strictEqual(
--- a/src/springpaddle/diagnose.ts
+++ b/src/cli/diagnose.ts
@@ -3,7 +3,7 @@
  * finding with what to do about it. `earlier` is a stamp that every seat has had time to adopt.
  */
 import { z } from 'zod'
-import type { Tree } from '../gauge/Tree.js'
+import type { Tree } from '../common/Tree.js'
 
 interface Finding {
   what: string
@@ -41,7 +41,7 @@
   }
   const core = Nodes.safeParse(nodes).data
   if (core === undefined)
-    return [{ what: 'the core does not answer', todo: 'start the signalboxes; a majority of them must reach one another' }]
+    return [{ what: 'the core does not answer', todo: 'start the controlNodes; a majority of them must reach one another' }]
   for (const one of core.core) {
     if (!one.alive) find(`core machine ${one.seat} does not answer`, 'start it again; if its disk is gone, run the runbook replace-core')
     else if (!one.voter) find(`core machine ${one.seat} has no vote yet`, 'wait until it has caught up and its old identity is silent')
@@ -52,14 +52,14 @@
     const [kind = '', server = ''] = key.split('/')
     const limit = kind === 'cold' ? 'coldLimit' : 'serverLimit'
     find(
-      `what ${server} bears${kind === 'cold' ? ' while cold' : ''} is lent out while turnouts want more`,
+      `what ${server} bears${kind === 'cold' ? ' while cold' : ''} is lent out while proxies want more`,
       `wait, or raise defaults.${limit} if the server bears more`,
     )
   }
   if (core.syncMs > slowSyncMs)
     find(
       `the leader's disk takes ${String(Math.round(core.syncMs))} ms for a sync`,
-      'charters and orders wait for it; look at the disk, or stop that signalbox so that another leads',
+      'charters and orders wait for it; look at the disk, or stop that control so that another leads',
     )
   if (core.jumped !== null && core.jumped.agoMs < recentMs)
     find(`the leader's wall clock jumped by ${String(core.jumped.byMs)} ms`, 'hours of intents go by it; mend the clock')
@@ -68,16 +68,16 @@
     if (!one.alive)
       find(
         `seat ${one.seat} in zone ${one.zone === '' ? 'unknown' : one.zone} is silent`,
-        'start its lineman; if the machine is gone for good: seat retire',
+        'start its agent; if the machine is gone for good: seat retire',
       )
     else if (one.adopted < earlier)
       find(
         `seat ${one.seat} works by stamp ${String(one.adopted)} of ${String(core.stamp)}`,
-        'its turnout is stopped or frozen; start it again',
+        'its proxy is stopped or frozen; start it again',
       )
   }
   if (core.seats.length > 0 && alive.length * 2 <= core.seats.length)
-    find('no majority of the seats is alive', 'no charter can be acknowledged; start linemen or retire the seats that are gone for good')
+    find('no majority of the seats is alive', 'no charter can be acknowledged; start agents or retire the seats that are gone for good')
   const fleet = Fleet.safeParse(charter).data
   if (fleet === undefined) {
     find('there is no charter yet', 'charter put FILE')
--- a/src/springpaddle/diffLeaves.ts
+++ b/src/cli/diffLeaves.ts
@@ -2,7 +2,7 @@
  * The leaves in which two trees differ, one line each: `-` only in the first, `+` only in the second,
  * `~` changed.
  */
-import { Tree } from '../gauge/Tree.js'
+import { Tree } from '../common/Tree.js'
 
 export function diffLeaves(before: Tree, after: Tree): string[] {
   const old = new Map(Tree.leaves(before).map(([path, value]) => [path, JSON.stringify(value)]))
--- a/src/springpaddle/runRunbook.ts
+++ b/src/cli/runRunbook.ts
@@ -3,7 +3,7 @@
  * record, and can go on from a record behind the last step that was done.
  */
 import { z } from 'zod'
-import { Tree } from '../gauge/Tree.js'
+import { Tree } from '../common/Tree.js'
 import type { Runbook } from './Runbook.js'
 
 interface Core {
--- a/src/gauge/Bell.ts
+++ b/src/common/Emitter.ts
@@ -2,7 +2,7 @@
  * A typed event map: tasks talk by ringing named events whose payload types the map fixes. Nothing
  * is queued; a listener that must not re-enter its machine posts to its own queue.
  */
-export class Bell<Events extends object> {
+export class Emitter<Events extends object> {
   readonly #listeners: { [K in keyof Events]?: ((event: Events[K]) => void)[] } = {}
 
   on<K extends keyof Events>(name: K, listener: (event: Events[K]) => void): void {
--- a/src/gauge/Logbook.ts
+++ b/src/common/Logger.ts
@@ -1,10 +1,10 @@
 /**
  * Log lines through pino: short sentences, each behind the fixed prefix of the part that says it.
  */
-import { pino, type Logger } from 'pino'
+import { pino, type Logger as PinoLogger } from 'pino'
 
-export class Logbook {
-  readonly #logger: Logger
+export class Logger {
+  readonly #logger: PinoLogger
 
   constructor(program: string, name: string, level: string) {
     this.#logger = pino({ level, base: { program, name }, timestamp: pino.stdTimeFunctions.isoTime })
--- a/src/gauge/Order.ts
+++ b/src/common/Order.ts
@@ -1,12 +1,12 @@
 /**
- * An order to a model server. Tenure and number together name it: a server that can check turns away
- * an older tenure, and takes a number that it has seen for the same order again. To a server that counts
+ * An order to a model server. Epoch and number together name it: a server that can check turns away
+ * an older epoch, and takes a number that it has seen for the same order again. To a server that counts
  * its orders, `expected` says how many it had taken when this one was decided on.
  */
 import { z } from 'zod'
 
 export const Order = z.object({
-  tenure: z.number(),
+  epoch: z.number(),
   number: z.number(),
   kind: z.enum(['load', 'unload', 'attach', 'detach']),
   model: z.string(),
--- a/src/gauge/Chance.test.ts
+++ b/src/common/Random.test.ts
@@ -1,11 +1,11 @@
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import { Chance } from './Chance.js'
+import { Random } from './Random.js'
 
 test('the same seed draws the same numbers, another seed others', () => {
   const draw = (seed: number) => {
-    const chance = new Chance(seed)
-    return Array.from({ length: 20 }, () => chance.next()).join()
+    const random = new Random(seed)
+    return Array.from({ length: 20 }, () => random.next()).join()
   }
   strictEqual(draw(7), draw(7))
   strictEqual(draw(7) === draw(8), false)
--- a/src/gauge/Chance.ts
+++ b/src/common/Random.ts
@@ -3,7 +3,7 @@
  * a simulated run is the same for the same seed; daemons seed theirs from the system.
  */
 
-export class Chance {
+export class Random {
   #state: number
 
   constructor(seed: number) {
@@ -38,7 +38,7 @@
     return -mean * Math.log(1 - this.next())
   }
 
-  fork(): Chance {
-    return new Chance(this.below(4294967296))
+  fork(): Random {
+    return new Random(this.below(4294967296))
   }
 }
--- a/src/gauge/Report.ts
+++ b/src/common/Report.ts
@@ -9,14 +9,14 @@
   server: z.string(),
   incarnation: z.string(),
   madeMs: z.number(),
-  tenure: z.number().optional(),
+  epoch: z.number().optional(),
   models: z.array(
     z.object({ model: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), sizeMb: z.number(), flights: z.number() }),
   ),
   adapters: z.array(
     z.object({ model: z.string(), adapter: z.string(), state: z.enum(['loading', 'loaded', 'unloading']), flights: z.number() }),
   ),
-  order: z.object({ tenure: z.number(), number: z.number(), state: z.enum(['running', 'done', 'defect']) }).optional(),
+  order: z.object({ epoch: z.number(), number: z.number(), state: z.enum(['running', 'done', 'defect']) }).optional(),
   parts: z.array(z.object({ model: z.string(), chain: z.string() })).default([]),
   /** Orders that this life of the server has taken. */
   sequence: z.number().optional(),
--- a/src/gauge/Startup.ts
+++ b/src/common/Startup.ts
@@ -13,13 +13,13 @@
 const common = {
   name: Name,
   zone: Name,
-  telegraph: Address,
+  transport: Address,
   bounds: Bounds.prefault({}),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
 }
 
 const seeds = z.array(Address).min(1).max(9)
-const signalbox = z.strictObject({
+const control = z.strictObject({
   ...common,
   seeds,
   operators: Address,
@@ -27,33 +27,33 @@
   /** Empty for a network, whose core is whoever joins; only with `bootstrap` may this machine then found one. */
   seats: z.array(Name).max(9).default([]),
   bootstrap: z.boolean().default(false),
-  /** Model servers check tenures, so that a new dispatcher need not wait for the last one's licence to run out. */
+  /** Model servers check epochs, so that a new dispatcher need not wait for the last one's lease to run out. */
   fenced: z.boolean().default(false),
   platform: Address.optional(),
   system: z.string().default(''),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
-const lineman = z.strictObject({
+const agent = z.strictObject({
   ...common,
   seeds,
-  turnout: Address,
+  proxy: Address,
   platform: Address.optional(),
   watch: Address.optional(),
   system: z.string().default(''),
 })
-const turnout = z.strictObject({
+const proxy = z.strictObject({
   ...common,
   seat: Name,
-  lineman: Address,
+  agent: Address,
   callers: Address,
   traces: z.string().min(1).optional(),
   holdBytes: z.number().int().positive().default(64_000_000),
 })
 
 export const Startup = {
-  signalbox,
-  lineman,
-  turnout,
+  control,
+  agent,
+  proxy,
 
   read<T>(schema: z.ZodType<T>, file: string | undefined, flags: Record<string, unknown>): Either<string[], T> {
     let base: unknown = {}
@@ -72,7 +72,7 @@
   },
 }
 export interface Startup {
-  signalbox: z.infer<typeof signalbox>
-  lineman: z.infer<typeof lineman>
-  turnout: z.infer<typeof turnout>
+  control: z.infer<typeof control>
+  agent: z.infer<typeof agent>
+  proxy: z.infer<typeof proxy>
 }
--- a/src/gauge/Pace.ts
+++ b/src/common/Timings.ts
@@ -1,21 +1,21 @@
 /**
  * All durations that the processes use, each as a ratio of a bound from the startup. This is the
- * one file to read when a figure seems too long or too short. The licence is the pivot: a node that
- * fell silent has surely stopped starting work one licence later, so a charter that waits for
+ * one file to read when a figure seems too long or too short. The lease is the pivot: a node that
+ * fell silent has surely stopped starting work one lease later, so a charter that waits for
  * silent nodes is still acknowledged well inside its bound.
  */
 import type { Bounds } from './Bounds.js'
 
-export interface Pace {
+export interface Timings {
   tickMs: number
   heartbeatMs: number
   electionMs: number
   electionSpreadMs: number
   diskStallMs: number
-  licenceMs: number
+  leaseMs: number
   renewMs: number
   adoptMs: number
-  hailMs: number
+  probeMs: number
   operateMs: number
   askMs: number
   platformMs: number
@@ -25,7 +25,7 @@
   partsMs: number
   /** The longest that withdrawing, unloading and being told of it usually takes, two orders deep. */
   makeRoomMs: number
-  dutyLicenceMs: number
+  dutyLeaseMs: number
   orderMs: number
   firstByteMs: number
   streamIdleMs: number
@@ -39,18 +39,18 @@
   memberGoneMs: number
 }
 
-export function Pace(bounds: Bounds): Pace {
-  const licenceMs = 0.4 * bounds.charterMs
+export function Timings(bounds: Bounds): Timings {
+  const leaseMs = 0.4 * bounds.charterMs
   return {
-    tickMs: licenceMs / 32,
+    tickMs: leaseMs / 32,
     heartbeatMs: 0.01 * bounds.recoverMs,
     electionMs: 0.06 * bounds.recoverMs,
     electionSpreadMs: 0.06 * bounds.recoverMs,
     diskStallMs: 0.09 * bounds.recoverMs,
-    licenceMs,
-    renewMs: licenceMs / 4,
+    leaseMs,
+    renewMs: leaseMs / 4,
     adoptMs: 0.25 * bounds.charterMs,
-    hailMs: 0.02 * bounds.recoverMs,
+    probeMs: 0.02 * bounds.recoverMs,
     operateMs: 0.75 * bounds.recoverMs,
     askMs: 0.2 * bounds.recoverMs,
     platformMs: 0.15 * bounds.drainMs,
@@ -59,14 +59,14 @@
     reportStaleMs: 0.5 * bounds.drainMs,
     partsMs: bounds.drainMs,
     makeRoomMs: 0.5 * bounds.recoverMs,
-    dutyLicenceMs: 0.1 * bounds.recoverMs,
+    dutyLeaseMs: 0.1 * bounds.recoverMs,
     orderMs: 0.5 * bounds.recoverMs,
     firstByteMs: 0.2 * bounds.recoverMs,
     streamIdleMs: 0.5 * bounds.recoverMs,
     retryWindowMs: bounds.emptyMs,
     recoverMs: bounds.recoverMs,
-    parentSilentMs: 0.3 * licenceMs,
-    frozenMs: 0.4 * licenceMs,
+    parentSilentMs: 0.3 * leaseMs,
+    frozenMs: 0.4 * leaseMs,
     deliverMs: 0.4 * bounds.charterMs,
     memberGoneMs: 0.67 * bounds.recoverMs,
   }
--- a/src/gauge/startDaemon.ts
+++ b/src/common/startDaemon.ts
@@ -4,7 +4,7 @@
  */
 import { command, flag as yesFlag, option, optional, string, subcommands } from 'cmd-ts'
 import type { z } from 'zod'
-import { Logbook } from './Logbook.js'
+import { Logger } from './Logger.js'
 import { runCommand } from './runCommand.js'
 import { Startup } from './Startup.js'
 import { untilSignal } from './untilSignal.js'
@@ -23,7 +23,7 @@
   description: string,
   schema: z.ZodType<T>,
   fields: Record<string, string>,
-  start: (startup: T, logbook: Logbook) => Promise<{ stop: () => Promise<void> }>,
+  start: (startup: T, logger: Logger) => Promise<{ stop: () => Promise<void> }>,
   others: Record<string, Once<T>> = {},
 ): Promise<void> {
   const args = {
@@ -54,16 +54,16 @@
     args,
     handler: (given) =>
       withStartup({ ...given }, async (startup) => {
-        const logbook = new Logbook(program, startup.name, startup.logLevel)
+        const logger = new Logger(program, startup.name, startup.logLevel)
         try {
-          const daemon = await start(startup, logbook)
+          const daemon = await start(startup, logger)
           const signal = await untilSignal()
-          logbook.say(program, `Got ${signal}; drains and stops.`)
+          logger.say(program, `Got ${signal}; drains and stops.`)
           await daemon.stop()
           process.exit(0)
         } catch (error) {
           const why = error instanceof Error ? error.message : String(error)
-          logbook.fatal(program, why)
+          logger.fatal(program, why)
           fail(why, 1)
           process.exit(1)
         }
--- a/src/interlocking/Ballots.test.ts
+++ b/src/consensus/Ballots.test.ts
@@ -1,14 +1,14 @@
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import { Chance as Chances } from '../gauge/Chance.js'
-import { Pace as paceOf } from '../gauge/Pace.js'
+import { Random as Chances } from '../common/Random.js'
+import { Timings as paceOf } from '../common/Timings.js'
 import { Ballots } from './Ballots.js'
 
 test('one round has at most one winner, and some round has one', () => {
-  const pace = paceOf({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 })
+  const timings = paceOf({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 })
   for (let seed = 0; seed < 200; seed++) {
     const names = ['a', 'b', 'c']
-    const boxes = names.map((name, at) => new Ballots(name, pace, new Chances(seed * 3 + at)))
+    const boxes = names.map((name, at) => new Ballots(name, timings, new Chances(seed * 3 + at)))
     const winners = new Map<number, string>()
     for (let nowMs = 0; nowMs < 3000; nowMs += 25) {
       boxes.forEach((box, at) => {
--- a/src/interlocking/Ballots.ts
+++ b/src/consensus/Ballots.ts
@@ -3,23 +3,23 @@
  * random wait; each node gives one ballot a round, to whoever asks first; a majority lets the winner
  * put its name to the log, which has the last word, since a vacancy can be filled only once.
  */
-import type { Chance } from '../gauge/Chance.js'
-import type { Pace } from '../gauge/Pace.js'
+import type { Random } from '../common/Random.js'
+import type { Timings } from '../common/Timings.js'
 
 export class Ballots {
   readonly #name: string
-  readonly #pace: Pace
-  readonly #chance: Chance
+  readonly #timings: Timings
+  readonly #random: Random
   #vacancy = -1
   #round = 0
   #standAtMs = Infinity
   #given = new Map<number, string>()
   #got = new Set<string>()
 
-  constructor(name: string, pace: Pace, chance: Chance) {
+  constructor(name: string, timings: Timings, random: Random) {
     this.#name = name
-    this.#pace = pace
-    this.#chance = chance
+    this.#timings = timings
+    this.#random = random
   }
 
   /** Gives the round to ask for, when it is time to stand. */
@@ -31,7 +31,7 @@
     if (vacancy !== this.#vacancy) this.#begin(vacancy, nowMs)
     if (nowMs < this.#standAtMs) return undefined
     this.#round += 1
-    this.#standAtMs = nowMs + this.#pace.heartbeatMs * (2 + 4 * this.#chance.next())
+    this.#standAtMs = nowMs + this.#timings.heartbeatMs * (2 + 4 * this.#random.next())
     this.#got = new Set()
     if (this.give(vacancy, this.#round, this.#name, nowMs)) this.#got.add(this.#name)
     return this.#round
@@ -58,6 +58,6 @@
     this.#round = 0
     this.#given = new Map()
     this.#got = new Set()
-    this.#standAtMs = nowMs + this.#chance.next() * this.#pace.heartbeatMs
+    this.#standAtMs = nowMs + this.#random.next() * this.#timings.heartbeatMs
   }
 }
--- a/src/interlocking/BindingRow.ts
+++ b/src/consensus/BindingRow.ts
@@ -1,5 +1,5 @@
 /**
- * What turnouts may use a model server for: its incarnation and the weights and adapters (as
+ * What proxies may use a model server for: its incarnation and the weights and adapters (as
  * `model/adapter`) that it holds and that no order is about to take away.
  */
 import { z } from 'zod'
--- a/src/interlocking/CharterReader.test.ts
+++ b/src/consensus/CharterReader.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import { sampleDefaults } from '../gauge/sampleDefaults.js'
-import { Copy as Copies } from './Copy.js'
+import { sampleDefaults } from '../common/sampleDefaults.js'
+import { ReplicaTable as Copies } from './ReplicaTable.js'
 import { CharterReader } from './CharterReader.js'
 
 test('charter and terms follow the copy, and there are none before the first', () => {
--- a/src/interlocking/CharterReader.ts
+++ b/src/consensus/CharterReader.ts
@@ -1,16 +1,16 @@
 /**
  * The charter of a copy and the terms under it, read again only when its stamp has changed.
  */
-import { Charter } from '../gauge/Charter.js'
-import { Terms } from '../gauge/Terms.js'
-import type { Copy } from './Copy.js'
+import { Charter } from '../common/Charter.js'
+import { Terms } from '../common/Terms.js'
+import type { ReplicaTable } from './ReplicaTable.js'
 
 export class CharterReader {
   charter: Charter | undefined
   #terms: Map<string, Terms> | undefined
   #stamp = -1
 
-  follow(copy: Copy): void {
+  follow(copy: ReplicaTable): void {
     const stamp = copy.stampOf('charter')
     if (stamp === this.#stamp) return
     this.#stamp = stamp
--- a/src/interlocking/Command.ts
+++ b/src/consensus/Command.ts
@@ -1,9 +1,9 @@
 /**
- * The changes that the agreed log orders. What a dispatcher orders carries its tenure, the index of
- * the entry that gave it the duty; the register drops what comes under any other tenure.
+ * The changes that the agreed log orders. What a dispatcher orders carries its epoch, the index of
+ * the entry that gave it the duty; the register drops what comes under any other epoch.
  */
 import { z } from 'zod'
-import { Codec } from '../telegraph/Codec.js'
+import { Codec } from '../transport/Codec.js'
 
 const kind = <K extends string, S extends z.ZodRawShape>(name: K, shape: S) => z.object({ kind: z.literal(name), ...shape })
 const options = [
@@ -17,8 +17,8 @@
   kind('platform', { servers: z.string() }),
   kind('seat', { name: z.string(), role: z.string(), zone: z.string(), retired: z.boolean(), operation: z.string() }),
   kind('duty', { duty: z.string(), vacancy: z.number(), holder: z.string(), address: z.string() }),
-  kind('vacate', { duty: z.string(), tenure: z.number() }),
-  kind('dispatch', { tenure: z.number(), rows: z.array(z.object({ key: z.string(), gone: z.boolean(), value: z.string() })) }),
+  kind('vacate', { duty: z.string(), epoch: z.number() }),
+  kind('dispatch', { epoch: z.number(), rows: z.array(z.object({ key: z.string(), gone: z.boolean(), value: z.string() })) }),
   kind('found', { system: z.string(), again: z.boolean() }),
   // `operation` names what is written, `proposal` the one request that asks for it.
   kind('network', {
--- a/src/interlocking/Sheet.ts
+++ b/src/consensus/DiskRecord.ts
@@ -4,15 +4,15 @@
  * written before takes the place of the older one and of all after it.
  */
 import { z } from 'zod'
-import { Bytes } from '../telegraph/Bytes.js'
-import { Codec } from '../telegraph/Codec.js'
+import { Bytes } from '../transport/Bytes.js'
+import { Codec } from '../transport/Codec.js'
 
 const options = [
   z.object({ kind: z.literal('identity'), identity: z.string(), system: z.string() }),
   z.object({ kind: z.literal('term'), term: z.number(), ballot: z.string() }),
   z.object({ kind: z.literal('entry'), index: z.number(), term: z.number(), type: z.enum(['noop', 'members', 'command']), bytes: Bytes }),
-  z.object({ kind: z.literal('view'), index: z.number(), term: z.number(), members: z.string(), state: Bytes }),
+  z.object({ kind: z.literal('snapshot'), index: z.number(), term: z.number(), members: z.string(), state: Bytes }),
 ] as const
 
-export const Sheet = new Codec<Sheet>(z.discriminatedUnion('kind', options), options)
-export type Sheet = z.infer<(typeof options)[number]>
+export const DiskRecord = new Codec<DiskRecord>(z.discriminatedUnion('kind', options), options)
+export type DiskRecord = z.infer<(typeof options)[number]>
--- a/src/interlocking/DutyRow.ts
+++ b/src/consensus/DutyRow.ts
@@ -1,6 +1,6 @@
 /**
  * Who holds a duty, where, and which vacancy that filled (0 for the first there ever was); its row's
- * stamp is the tenure.
+ * stamp is the epoch.
  */
 import { z } from 'zod'
 
--- a/src/interlocking/Licences.ts
+++ b/src/consensus/Leases.ts
@@ -1,9 +1,9 @@
 /**
- * The leader's account of who holds a licence and which stamp each seat has adopted. It lives in
- * memory only: a new leader knows nothing of what its predecessor granted, so it treats no licence
+ * The leader's account of who holds a lease and which stamp each seat has adopted. It lives in
+ * memory only: a new leader knows nothing of what its predecessor granted, so it treats no lease
  * as lost until that predecessor's last one must have run out.
  */
-import { Pace } from '../gauge/Pace.js'
+import { Timings } from '../common/Timings.js'
 
 interface Held {
   session: string
@@ -16,24 +16,24 @@
 const margin = 1.1
 const forgetAfter = 10
 
-export class Licences {
-  readonly #pace: Pace
+export class Leases {
+  readonly #timings: Timings
   readonly #held = new Map<string, Held>()
   #behindSince = new Map<number, number>()
   #graceUntilMs = Infinity
 
-  constructor(pace: Pace) {
-    this.#pace = pace
+  constructor(timings: Timings) {
+    this.#timings = timings
   }
 
-  /** A new leader starts over, and waits until no licence of an earlier one can be alive. */
+  /** A new leader starts over, and waits until no lease of an earlier one can be alive. */
   begin(nowMs: number): void {
     this.#held.clear()
     this.#behindSince.clear()
-    this.#graceUntilMs = nowMs + this.#pace.electionMs + margin * this.#pace.licenceMs
+    this.#graceUntilMs = nowMs + this.#timings.electionMs + margin * this.#timings.leaseMs
   }
 
-  /** Until then a licence of an earlier leader may be alive. */
+  /** Until then a lease of an earlier leader may be alive. */
   get graceUntilMs(): number {
     return this.#graceUntilMs
   }
@@ -49,33 +49,33 @@
 
   alive(seat: string, nowMs: number): boolean {
     const held = this.#held.get(seat)
-    return held !== undefined && nowMs - held.heardMs <= margin * this.#pace.licenceMs
+    return held !== undefined && nowMs - held.heardMs <= margin * this.#timings.leaseMs
   }
 
-  /** Grants a licence, unless the seat has been behind a charter for too long. */
+  /** Grants a lease, unless the seat has been behind a charter for too long. */
   renew(seat: string, session: string, address: string, zone: string, adopted: number, nowMs: number): boolean {
     const old = this.#held.get(seat)
     let granted = true
-    for (const [stamp, sinceMs] of this.#behindSince) if (adopted < stamp && nowMs - sinceMs > this.#pace.adoptMs) granted = false
+    for (const [stamp, sinceMs] of this.#behindSince) if (adopted < stamp && nowMs - sinceMs > this.#timings.adoptMs) granted = false
     this.#held.set(seat, { session, address, zone, adopted, grantedMs: granted ? nowMs : (old?.grantedMs ?? -Infinity), heardMs: nowMs })
     return granted
   }
 
   /** Forgets seats that are long gone, where they come and go. */
   forget(nowMs: number): void {
-    for (const [seat, held] of this.#held) if (nowMs - held.heardMs > forgetAfter * this.#pace.licenceMs) this.#held.delete(seat)
+    for (const [seat, held] of this.#held) if (nowMs - held.heardMs > forgetAfter * this.#timings.leaseMs) this.#held.delete(seat)
   }
 
-  /** True once every seat whose licence may be alive works by this stamp, or has been waited for long enough. */
+  /** True once every seat whose lease may be alive works by this stamp, or has been waited for long enough. */
   adopted(stamp: number, sinceMs: number, nowMs: number): boolean {
-    if (nowMs - sinceMs >= this.#pace.deliverMs) return true
+    if (nowMs - sinceMs >= this.#timings.deliverMs) return true
     if (nowMs <= this.#graceUntilMs) return false
     return [...this.#held].every(([seat, held]) => held.adopted >= stamp || this.#surelyLost(seat, nowMs))
   }
 
   #surelyLost(seat: string, nowMs: number): boolean {
     const held = this.#held.get(seat)
-    return nowMs > this.#graceUntilMs && (held === undefined || nowMs - held.grantedMs > margin * this.#pace.licenceMs)
+    return nowMs > this.#graceUntilMs && (held === undefined || nowMs - held.grantedMs > margin * this.#timings.leaseMs)
   }
 
   /** True once a majority of the seats works by this stamp and every other one surely stopped. */
--- a/src/interlocking/Roster.ts
+++ b/src/consensus/PeerDirectory.ts
@@ -3,7 +3,7 @@
  * heard from its owner goes before hearsay; nothing learned is forgotten, so swapped seeds cut off
  * nobody.
  */
-import type { Role } from '../gauge/Role.js'
+import type { Role } from '../common/Role.js'
 
 interface Peer {
   name: string
@@ -17,7 +17,7 @@
 
 const toldAtOnce = 4
 
-export class Roster {
+export class PeerDirectory {
   readonly #self: string
   #seeds: readonly string[]
   readonly #staleMs: number
@@ -65,17 +65,17 @@
 
   /** What others are told: every core machine, and a few of the rest in turn, so that it does not grow with the system. */
   get known(): { name: string; address: string; role: Role; zone: string }[] {
-    const rest = [...this.#peers.values()].filter((peer) => peer.role !== 'signalbox')
+    const rest = [...this.#peers.values()].filter((peer) => peer.role !== 'control')
     this.#turn += 1
     const some =
       rest.length <= toldAtOnce ? rest : Array.from({ length: toldAtOnce }, (_, at) => rest[(this.#turn * toldAtOnce + at) % rest.length])
-    return [...this.of('signalbox'), ...some].flatMap((peer) =>
+    return [...this.of('control'), ...some].flatMap((peer) =>
       peer === undefined ? [] : [{ name: peer.name, address: peer.address, role: peer.role, zone: peer.zone }],
     )
   }
 
-  /** Where to ask for the core: the seeds, and every signalbox ever learned of. */
+  /** Where to ask for the core: the seeds, and every control node ever learned of. */
   get inquiries(): string[] {
-    return [...new Set([...this.#seeds, ...this.of('signalbox').map((peer) => peer.address)])]
+    return [...new Set([...this.#seeds, ...this.of('control').map((peer) => peer.address)])]
   }
 }
--- a/src/interlocking/Agreement.ts
+++ b/src/consensus/Raft.ts
@@ -5,13 +5,13 @@
  * what is to be sent and written. No ballot and no acceptance leaves before the record is synced.
  */
 import { z } from 'zod'
-import type { Chance } from '../gauge/Chance.js'
-import type { Pace } from '../gauge/Pace.js'
-import type { Message } from '../telegraph/Message.js'
-import type { AgreementOut } from './AgreementOut.js'
+import type { Random } from '../common/Random.js'
+import type { Timings } from '../common/Timings.js'
+import type { Message } from '../transport/Message.js'
+import type { RaftOutput } from './RaftOutput.js'
 import type { Entry } from './Entry.js'
 import { Member } from './Member.js'
-import { Sheet } from './Sheet.js'
+import { DiskRecord } from './DiskRecord.js'
 
 interface Replica {
   next: number
@@ -27,19 +27,19 @@
   return Members.parse(JSON.parse(Buffer.from(bytes).toString()))
 }
 
-export class Agreement {
+export class Raft {
   readonly identity: string
   /** The system that this disk belongs to, once it is known. */
   system = ''
   term = 0
   commit = 0
   leader = ''
-  phase: 'follower' | 'prospect' | 'candidate' | 'leader' = 'follower'
+  phase: 'follower' | 'preCandidate' | 'candidate' | 'leader' = 'follower'
   /** How long a write took to be synced of late. */
   syncMs = 0
-  readonly #pace: Pace
-  readonly #chance: Chance
-  #ballot = ''
+  readonly #timings: Timings
+  readonly #random: Random
+  #votedFor = ''
   #entries: Entry[] = []
   #view: { index: number; term: number; members: Member[]; state: Uint8Array } = { index: 0, term: 0, members: [], state: noBytes }
   #members: Member[] = []
@@ -47,7 +47,7 @@
   #applied = 0
   #electionAtMs: number
   #heardLeaderMs = -Infinity
-  #ballots = new Set<string>()
+  #votes = new Set<string>()
   #replicas = new Map<string, Replica>()
   #round = 0
   #roundSentMs = new Map<number, number>()
@@ -55,15 +55,15 @@
   #beatAtMs = 0
   #reads: { id: string; index: number; round: number }[] = []
   #outstanding: { index: number; term: number; atMs: number }[] = []
-  #out: AgreementOut
+  #out: RaftOutput
 
-  constructor(seat: string, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
-    this.#pace = pace
-    this.#chance = chance
-    this.#out = Agreement.#blank()
+  constructor(seat: string, timings: Timings, random: Random, disk: readonly Uint8Array[], nowMs: number) {
+    this.#timings = timings
+    this.#random = random
+    this.#out = Raft.#blank()
     let identity = ''
     for (const record of disk) {
-      const sheet = Sheet.decode(record)
+      const sheet = DiskRecord.decode(record)
       if (sheet === undefined)
         throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
       if (sheet.kind === 'identity') {
@@ -71,8 +71,8 @@
         this.system = sheet.system
       } else if (sheet.kind === 'term') {
         this.term = sheet.term
-        this.#ballot = sheet.ballot
-      } else if (sheet.kind === 'view') {
+        this.#votedFor = sheet.ballot
+      } else if (sheet.kind === 'snapshot') {
         this.#view = { index: sheet.index, term: sheet.term, members: readMembers(Buffer.from(sheet.members)), state: sheet.state }
         this.#entries = []
         this.commit = sheet.index
@@ -81,17 +81,17 @@
         this.#entries.push({ index: sheet.index, term: sheet.term, type: sheet.type, bytes: sheet.bytes })
       }
     }
-    this.identity = identity === '' ? `${seat}.${chance.below(4294967296).toString(16)}${chance.below(4294967296).toString(16)}` : identity
-    if (identity === '') this.#write([this.#identitySheet()], [], nowMs)
+    this.identity = identity === '' ? `${seat}.${random.below(4294967296).toString(16)}${random.below(4294967296).toString(16)}` : identity
+    if (identity === '') this.#write([this.#identityRecord()], [], nowMs)
     this.#findMembers()
-    this.#electionAtMs = nowMs + pace.electionMs + chance.next() * pace.electionSpreadMs
+    this.#electionAtMs = nowMs + timings.electionMs + random.next() * timings.electionSpreadMs
     if (this.#view.index > 0) {
       this.#applied = this.#view.index
       this.#out.adopted = { index: this.#view.index, state: this.#view.state }
     }
   }
 
-  static #blank(): AgreementOut {
+  static #blank(): RaftOutput {
     return { sends: [], writes: [], applied: [], adopted: undefined, readable: [], lostReads: [], says: [] }
   }
 
@@ -109,7 +109,7 @@
 
   /** True while no other leader can have been at work: a majority confirmed this one lately enough. */
   surelyLeads(nowMs: number): boolean {
-    return this.phase === 'leader' && nowMs - this.#sureMs < this.#pace.electionMs
+    return this.phase === 'leader' && nowMs - this.#sureMs < this.#timings.electionMs
   }
 
   /** True once an entry of this leader's own term is committed. */
@@ -129,17 +129,17 @@
     return this.#replicas.get(identity)?.heardMs ?? -Infinity
   }
 
-  take(): AgreementOut {
+  take(): RaftOutput {
     const out = this.#out
-    this.#out = Agreement.#blank()
+    this.#out = Raft.#blank()
     return out
   }
 
   found(members: Member[], nowMs: number): void {
     if (!this.empty) return
     this.term = 1
-    this.#ballot = this.identity
-    this.#write([this.#termSheet()], [], nowMs)
+    this.#votedFor = this.identity
+    this.#write([this.#termRecord()], [], nowMs)
     this.#add([{ index: 1, term: 1, type: 'members', bytes: Buffer.from(JSON.stringify(members)) }], [], nowMs)
     this.#electionAtMs = nowMs
     this.#out.says.push('Founded a new core.')
@@ -149,7 +149,7 @@
   belong(system: string, nowMs: number): void {
     if (system === this.system) return
     this.system = system
-    this.#write([this.#identitySheet()], [], nowMs)
+    this.#write([this.#identityRecord()], [], nowMs)
   }
 
   propose(bytes: Uint8Array, nowMs: number): number | undefined {
@@ -195,7 +195,7 @@
     const stalled = this.#stalled(nowMs)
     if (this.phase === 'leader') {
       const voters = this.#voters()
-      const heard = voters.filter((one) => one.identity === this.identity || nowMs - this.heardMs(one.identity) < this.#pace.electionMs)
+      const heard = voters.filter((one) => one.identity === this.identity || nowMs - this.heardMs(one.identity) < this.#timings.electionMs)
       if (stalled) this.#follow(this.term, '', nowMs, 'The disk stalled; stepped down.')
       else if (heard.length * 2 <= voters.length) this.#follow(this.term, '', nowMs, 'Lost touch with a majority; stepped down.')
       else if (nowMs >= this.#beatAtMs) this.#broadcast(nowMs)
@@ -204,28 +204,28 @@
     if (nowMs < this.#electionAtMs) return
     this.#resetElection(nowMs)
     if (stalled || !this.#voters().some((one) => one.identity === this.identity)) return
-    this.phase = 'prospect'
+    this.phase = 'preCandidate'
     this.leader = ''
-    this.#ballots = new Set([this.identity])
-    this.#askBallots(true, [])
+    this.#votes = new Set([this.identity])
+    this.#requestVotes(true, [])
     this.#count(nowMs)
   }
 
   receive(message: Message, nowMs: number): void {
     switch (message.kind) {
-      case 'ballotAsk':
-        if (message.to === this.identity) this.#onBallotAsk(message, nowMs)
+      case 'requestVote':
+        if (message.to === this.identity) this.#onRequestVote(message, nowMs)
         break
-      case 'ballotGive':
-        if (message.to === this.identity) this.#onBallotGive(message, nowMs)
+      case 'voteReply':
+        if (message.to === this.identity) this.#onVoteReply(message, nowMs)
         break
-      case 'append':
+      case 'appendEntries':
         if (message.to === this.identity) this.#onAppend(message, nowMs)
         break
-      case 'appended':
+      case 'appendReply':
         if (message.to === this.identity) this.#onAppended(message, nowMs)
         break
-      case 'view':
+      case 'installSnapshot':
         if (message.to === this.identity) this.#onView(message, nowMs)
         break
       default:
@@ -234,7 +234,7 @@
 
   #stalled(nowMs: number): boolean {
     const oldest = this.#outstanding[0]
-    return oldest !== undefined && nowMs - oldest.atMs > this.#pace.diskStallMs
+    return oldest !== undefined && nowMs - oldest.atMs > this.#timings.diskStallMs
   }
 
   #voters(): Member[] {
@@ -273,26 +273,26 @@
   #rewrite(then: { to: string; message: Message }[], nowMs: number): void {
     this.#outstanding.push({ index: this.lastIndex, term: this.term, atMs: nowMs })
     const records = [
-      this.#identitySheet(),
-      this.#termSheet(),
-      Sheet.encode({
-        kind: 'view',
+      this.#identityRecord(),
+      this.#termRecord(),
+      DiskRecord.encode({
+        kind: 'snapshot',
         index: this.#view.index,
         term: this.#view.term,
         members: JSON.stringify(this.#view.members),
         state: this.#view.state,
       }),
-      ...this.#entries.map((entry) => Sheet.encode({ kind: 'entry', ...entry })),
+      ...this.#entries.map((entry) => DiskRecord.encode({ kind: 'entry', ...entry })),
     ]
     this.#out.writes.push({ records, rewrite: true, then })
   }
 
-  #identitySheet(): Uint8Array {
-    return Sheet.encode({ kind: 'identity', identity: this.identity, system: this.system })
+  #identityRecord(): Uint8Array {
+    return DiskRecord.encode({ kind: 'identity', identity: this.identity, system: this.system })
   }
 
-  #termSheet(): Uint8Array {
-    return Sheet.encode({ kind: 'term', term: this.term, ballot: this.#ballot })
+  #termRecord(): Uint8Array {
+    return DiskRecord.encode({ kind: 'term', term: this.term, ballot: this.#votedFor })
   }
 
   #add(entries: Entry[], then: { to: string; message: Message }[], nowMs: number): void {
@@ -301,7 +301,7 @@
     this.#entries.push(...entries)
     this.#findMembers()
     this.#write(
-      entries.map((entry) => Sheet.encode({ kind: 'entry', ...entry })),
+      entries.map((entry) => DiskRecord.encode({ kind: 'entry', ...entry })),
       then,
       nowMs,
     )
@@ -315,15 +315,15 @@
   }
 
   #resetElection(nowMs: number): void {
-    this.#electionAtMs = nowMs + this.#pace.electionMs + this.#chance.next() * this.#pace.electionSpreadMs
+    this.#electionAtMs = nowMs + this.#timings.electionMs + this.#random.next() * this.#timings.electionSpreadMs
   }
 
   #follow(term: number, leader: string, nowMs: number, why?: string): void {
     if (why !== undefined) this.#out.says.push(why)
     if (term > this.term) {
       this.term = term
-      this.#ballot = ''
-      this.#write([this.#termSheet()], [], nowMs)
+      this.#votedFor = ''
+      this.#write([this.#termRecord()], [], nowMs)
     }
     if (this.phase !== 'follower') this.#resetElection(nowMs)
     this.phase = 'follower'
@@ -332,9 +332,9 @@
     this.#reads = []
   }
 
-  #askBallots(pre: boolean, records: Uint8Array[], nowMs = 0): void {
+  #requestVotes(pre: boolean, records: Uint8Array[], nowMs = 0): void {
     const message = {
-      kind: 'ballotAsk' as const,
+      kind: 'requestVote' as const,
       from: this.identity,
       term: pre ? this.term + 1 : this.term,
       lastIndex: this.lastIndex,
@@ -350,13 +350,13 @@
 
   #count(nowMs: number): void {
     const voters = this.#voters()
-    if (voters.filter((one) => this.#ballots.has(one.identity)).length * 2 <= voters.length) return
-    if (this.phase === 'prospect') {
+    if (voters.filter((one) => this.#votes.has(one.identity)).length * 2 <= voters.length) return
+    if (this.phase === 'preCandidate') {
       this.phase = 'candidate'
       this.term += 1
-      this.#ballot = this.identity
-      this.#ballots = new Set([this.identity])
-      this.#askBallots(false, [this.#termSheet()], nowMs)
+      this.#votedFor = this.identity
+      this.#votes = new Set([this.identity])
+      this.#requestVotes(false, [this.#termRecord()], nowMs)
       this.#count(nowMs)
     } else if (this.phase === 'candidate') {
       this.phase = 'leader'
@@ -369,29 +369,29 @@
     }
   }
 
-  #onBallotAsk(ask: Extract<Message, { kind: 'ballotAsk' }>, nowMs: number): void {
+  #onRequestVote(ask: Extract<Message, { kind: 'requestVote' }>, nowMs: number): void {
     const lastTerm = this.#termAt(this.lastIndex)
     const fresh = ask.lastTerm > lastTerm || (ask.lastTerm === lastTerm && ask.lastIndex >= this.lastIndex)
-    const give = { kind: 'ballotGive' as const, to: ask.from, from: this.identity, pre: ask.pre }
+    const give = { kind: 'voteReply' as const, to: ask.from, from: this.identity, pre: ask.pre }
     if (ask.pre) {
-      const content = this.phase === 'leader' || nowMs - this.#heardLeaderMs < this.#pace.electionMs
+      const content = this.phase === 'leader' || nowMs - this.#heardLeaderMs < this.#timings.electionMs
       const given = ask.term > this.term && fresh && !content
       this.#out.sends.push({ to: ask.from, message: { ...give, term: given ? ask.term : this.term, given } })
       return
     }
     if (ask.term > this.term) this.#follow(ask.term, '', nowMs)
-    const given = ask.term === this.term && fresh && this.phase === 'follower' && (this.#ballot === '' || this.#ballot === ask.from)
+    const given = ask.term === this.term && fresh && this.phase === 'follower' && (this.#votedFor === '' || this.#votedFor === ask.from)
     if (given) {
-      this.#ballot = ask.from
+      this.#votedFor = ask.from
       this.#resetElection(nowMs)
     }
-    this.#write(given ? [this.#termSheet()] : [], [{ to: ask.from, message: { ...give, term: this.term, given } }], nowMs)
+    this.#write(given ? [this.#termRecord()] : [], [{ to: ask.from, message: { ...give, term: this.term, given } }], nowMs)
   }
 
-  #onBallotGive(give: Extract<Message, { kind: 'ballotGive' }>, nowMs: number): void {
+  #onVoteReply(give: Extract<Message, { kind: 'voteReply' }>, nowMs: number): void {
     if (!give.given && give.term > this.term) this.#follow(give.term, '', nowMs)
-    else if (give.given && give.pre && this.phase === 'prospect' && give.term === this.term + 1) this.#ballots.add(give.from)
-    else if (give.given && !give.pre && this.phase === 'candidate' && give.term === this.term) this.#ballots.add(give.from)
+    else if (give.given && give.pre && this.phase === 'preCandidate' && give.term === this.term + 1) this.#votes.add(give.from)
+    else if (give.given && !give.pre && this.phase === 'candidate' && give.term === this.term) this.#votes.add(give.from)
     else return
     if (this.phase !== 'follower') this.#count(nowMs)
   }
@@ -399,7 +399,7 @@
   #broadcast(nowMs: number): void {
     this.#round += 1
     this.#roundSentMs.set(this.#round, nowMs)
-    this.#beatAtMs = nowMs + this.#pace.heartbeatMs
+    this.#beatAtMs = nowMs + this.#timings.heartbeatMs
     for (const member of this.#members) if (member.identity !== this.identity) this.#feed(member.identity)
     this.#advance(nowMs)
   }
@@ -410,7 +410,10 @@
     const head = { to, from: this.identity, term: this.term, round: this.#round }
     if (replica.next <= this.#view.index) {
       const { index, term, members, state } = this.#view
-      this.#out.sends.push({ to, message: { kind: 'view', ...head, index, lastTerm: term, members: JSON.stringify(members), state } })
+      this.#out.sends.push({
+        to,
+        message: { kind: 'installSnapshot', ...head, index, lastTerm: term, members: JSON.stringify(members), state },
+      })
       replica.next = index + 1
       return
     }
@@ -425,13 +428,13 @@
     const prevIndex = replica.next - 1
     this.#out.sends.push({
       to,
-      message: { kind: 'append', ...head, prevIndex, prevTerm: this.#termAt(prevIndex), commit: this.commit, entries },
+      message: { kind: 'appendEntries', ...head, prevIndex, prevTerm: this.#termAt(prevIndex), commit: this.commit, entries },
     })
     replica.next += entries.length
   }
 
-  #onAppend(append: Extract<Message, { kind: 'append' }>, nowMs: number): void {
-    const reply = { kind: 'appended' as const, to: append.from, from: this.identity, round: append.round }
+  #onAppend(append: Extract<Message, { kind: 'appendEntries' }>, nowMs: number): void {
+    const reply = { kind: 'appendReply' as const, to: append.from, from: this.identity, round: append.round }
     if (append.term < this.term) {
       this.#out.sends.push({ to: append.from, message: { ...reply, term: this.term, ok: false, match: this.lastIndex } })
       return
@@ -463,8 +466,8 @@
     this.#resetElection(nowMs)
   }
 
-  #onView(view: Extract<Message, { kind: 'view' }>, nowMs: number): void {
-    const reply = { kind: 'appended' as const, to: view.from, from: this.identity, round: view.round }
+  #onView(view: Extract<Message, { kind: 'installSnapshot' }>, nowMs: number): void {
+    const reply = { kind: 'appendReply' as const, to: view.from, from: this.identity, round: view.round }
     if (view.term < this.term) {
       this.#out.sends.push({ to: view.from, message: { ...reply, term: this.term, ok: false, match: this.lastIndex } })
       return
@@ -485,7 +488,7 @@
     this.#rewrite(then, nowMs)
   }
 
-  #onAppended(reply: Extract<Message, { kind: 'appended' }>, nowMs: number): void {
+  #onAppended(reply: Extract<Message, { kind: 'appendReply' }>, nowMs: number): void {
     if (reply.term > this.term) {
       this.#follow(reply.term, '', nowMs)
       return
--- a/src/interlocking/Relay.test.ts
+++ b/src/consensus/Relay.test.ts
@@ -1,10 +1,10 @@
 import { test } from 'node:test'
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import { Copy } from './Copy.js'
+import { ReplicaTable } from './ReplicaTable.js'
 import { Relay } from './Relay.js'
 
 test('a follower gets what it lacks, then what comes, until it is silent', () => {
-  const copy = new Copy()
+  const copy = new ReplicaTable()
   const relay = new Relay(100)
   copy.set({ key: 'a', stamp: 1, gone: false, value: '1' })
   const follow = (stamp: number, digests: number[] = []) =>
--- a/src/interlocking/Relay.ts
+++ b/src/consensus/Relay.ts
@@ -3,8 +3,8 @@
  * and is pushed what comes later until it falls silent. At equal stamps the digests are compared, and
  * a range that differs is mended.
  */
-import type { Message } from '../telegraph/Message.js'
-import { Copy } from './Copy.js'
+import type { Message } from '../transport/Message.js'
+import { ReplicaTable } from './ReplicaTable.js'
 
 export class Relay {
   readonly #silentMs: number
@@ -17,7 +17,7 @@
   followed(
     address: string,
     follow: Extract<Message, { kind: 'follow' }>,
-    copy: Copy,
+    copy: ReplicaTable,
     nowMs: number,
   ): { toAddress: string; message: Message }[] {
     const sends: { toAddress: string; message: Message }[] = [{ toAddress: address, message: this.#news(follow.stamp, copy) }]
@@ -31,7 +31,7 @@
     return sends
   }
 
-  push(copy: Copy, nowMs: number): { toAddress: string; message: Message }[] {
+  push(copy: ReplicaTable, nowMs: number): { toAddress: string; message: Message }[] {
     const sends: { toAddress: string; message: Message }[] = []
     for (const [address, follower] of this.#followers) {
       if (nowMs - follower.heardMs > this.#silentMs) this.#followers.delete(address)
@@ -43,7 +43,7 @@
     return sends
   }
 
-  #news(since: number, copy: Copy): Message {
+  #news(since: number, copy: ReplicaTable): Message {
     return { kind: 'news', stamp: copy.stamp, since: Math.min(since, copy.stamp), rows: since < copy.stamp ? copy.since(since) : [] }
   }
 }
--- a/src/interlocking/Copy.test.ts
+++ b/src/consensus/ReplicaTable.test.ts
@@ -1,10 +1,10 @@
 import { test } from 'node:test'
 import { deepStrictEqual, notDeepStrictEqual, strictEqual } from 'node:assert'
-import { Copy } from './Copy.js'
+import { ReplicaTable } from './ReplicaTable.js'
 
 test('a copy follows by deltas, ignores gaps and doubles, and sums up alike', () => {
-  const core = new Copy()
-  const far = new Copy()
+  const core = new ReplicaTable()
+  const far = new ReplicaTable()
   for (let stamp = 1; stamp <= 40; stamp++) core.set({ key: `k${String(stamp % 9)}`, stamp, gone: stamp % 5 === 0, value: String(stamp) })
   strictEqual(far.adopt(7, core.stamp, core.since(7)).length, 0)
   far.adopt(0, core.stamp, core.since(0))
@@ -16,8 +16,8 @@
 })
 
 test('a damaged copy is found by its digests and mended', () => {
-  const core = new Copy()
-  const far = new Copy()
+  const core = new ReplicaTable()
+  const far = new ReplicaTable()
   for (let stamp = 1; stamp <= 40; stamp++) {
     core.set({ key: `k${String(stamp)}`, stamp, gone: false, value: 'right' })
     if (stamp !== 17) far.set({ key: `k${String(stamp)}`, stamp, gone: false, value: stamp === 5 ? 'wrong' : 'right' })
--- a/src/interlocking/Copy.ts
+++ b/src/consensus/ReplicaTable.ts
@@ -3,13 +3,13 @@
  * is newer, gives what came since a stamp, and sums itself up in digests over ranges of keys, so that
  * two copies at the same stamp find where they differ and the newer row mends the older.
  */
-import { digest } from '../gauge/digest.js'
+import { digest } from '../common/digest.js'
 import type { Row } from './Row.js'
 
 const ranges = 16
 const modulus = 2 ** 48
 
-export class Copy {
+export class ReplicaTable {
   stamp = 0
   readonly #rows = new Map<string, Row>()
   readonly #digests = Array.from({ length: ranges }, () => 0)
@@ -40,7 +40,7 @@
   }
 
   inRange(range: number): Row[] {
-    return [...this.#rows.values()].filter((row) => Copy.range(row.key) === range)
+    return [...this.#rows.values()].filter((row) => ReplicaTable.range(row.key) === range)
   }
 
   get digests(): number[] {
@@ -68,7 +68,7 @@
 
   /** Takes over a whole range from a copy at the same stamp: rows that differ there are replaced. */
   mend(range: number, rows: readonly Row[]): Row[] {
-    const theirs = new Map(rows.filter((row) => Copy.range(row.key) === range).map((row) => [row.key, row]))
+    const theirs = new Map(rows.filter((row) => ReplicaTable.range(row.key) === range).map((row) => [row.key, row]))
     const changed: Row[] = []
     for (const row of theirs.values()) {
       const old = this.#rows.get(row.key)
@@ -87,7 +87,7 @@
   }
 
   #fold(row: Row, sign: number): void {
-    const range = Copy.range(row.key)
+    const range = ReplicaTable.range(row.key)
     const sum = digest(`${row.key}\n${String(row.stamp)}\n${String(row.gone)}\n${row.value}`)
     const mixed = ((this.#digests[range] ?? 0) + sign * (sum % modulus)) % modulus
     this.#digests[range] = mixed < 0 ? mixed + modulus : mixed
--- a/src/interlocking/Register.network.test.ts
+++ b/src/consensus/ReplicatedState.network.test.ts
@@ -4,7 +4,7 @@
 import { deepStrictEqual, match, strictEqual } from 'node:assert'
 import { test } from 'node:test'
 import { Command } from './Command.js'
-import { Register } from './Register.js'
+import { ReplicatedState } from './ReplicatedState.js'
 
 const route = (name: string, service: string, prefix = `/${name}`) => ({
   name,
@@ -19,39 +19,39 @@
 const network = (revision: number, names: string[]) =>
   JSON.stringify({ revision, routes: names.map((name) => route(name, 's')), services: [service('s')], limits, more: { kept: 'yes' } })
 
-function writer(register: Register) {
+function writer(replicatedState: ReplicatedState) {
   let index = 0
   return (operation: string, action: 'put' | 'patch', text: string, ifMatch = -1) => {
     index += 1
     const proposal = `p${String(index)}`
-    register.apply(index, Command.encode({ kind: 'network', operation, proposal, action, text, ifMatch }))
-    return register.outcome(operation) ?? register.outcome(proposal)
+    replicatedState.apply(index, Command.encode({ kind: 'network', operation, proposal, action, text, ifMatch }))
+    return replicatedState.outcome(operation) ?? replicatedState.outcome(proposal)
   }
 }
 
 void test('rows are set for what changed alone, all under one stamp', () => {
-  const register = new Register()
-  const write = writer(register)
+  const replicatedState = new ReplicatedState()
+  const write = writer(replicatedState)
   strictEqual(write('a', 'put', network(1, ['one', 'two']), 0)?.status, 200)
   const patch = JSON.stringify({ revision: 5, set: { routes: [route('three', 's')] }, drop: { routes: ['one'] } })
   deepStrictEqual(write('b', 'patch', patch, 1), { status: 200, stamp: 2, errors: [] })
   deepStrictEqual(
-    ['network', 'route/one', 'route/two', 'route/three', 'service/s'].map((key) => register.copy.stampOf(key)),
+    ['network', 'route/one', 'route/two', 'route/three', 'service/s'].map((key) => replicatedState.copy.stampOf(key)),
     [2, 2, 1, 2, 1],
   )
-  strictEqual(register.copy.get('route/one'), undefined)
+  strictEqual(replicatedState.copy.get('route/one'), undefined)
   deepStrictEqual(
-    register.network?.routes.map((one) => one.name),
+    replicatedState.network?.routes.map((one) => one.name),
     ['two', 'three'],
   )
-  const again = Register.restore(register.save())
-  deepStrictEqual(again.network, register.network)
-  deepStrictEqual(again.copy.digests, register.copy.digests)
+  const again = ReplicatedState.restore(replicatedState.save())
+  deepStrictEqual(again.network, replicatedState.network)
+  deepStrictEqual(again.copy.digests, replicatedState.copy.digests)
 })
 
 void test('guards and errors are told apart, and a whole state from before networks is still read', () => {
-  const register = new Register()
-  const write = writer(register)
+  const replicatedState = new ReplicatedState()
+  const write = writer(replicatedState)
   strictEqual(write('a', 'patch', '{}')?.status, 422)
   strictEqual(write('b', 'put', network(1, ['one']), 1)?.status, 412)
   strictEqual(write('c', 'put', 'no json')?.status, 422)
@@ -64,34 +64,34 @@
   )
   strictEqual(wrong?.status, 422)
   match(wrong?.errors.join('\n') ?? '', /routes\.0\.services[\s\S]*routes\.1\.name/)
-  strictEqual(register.network?.revision, 3)
-  const old = Register.restore(Buffer.from(JSON.stringify({ rows: [], stamp: 4, texts: [], outcomes: [] })))
+  strictEqual(replicatedState.network?.revision, 3)
+  const old = ReplicatedState.restore(Buffer.from(JSON.stringify({ rows: [], stamp: 4, texts: [], outcomes: [] })))
   strictEqual(old.network, undefined)
 })
 
 void test('a repeat of a success has its first outcome, one of a failure is judged anew', () => {
-  const register = new Register()
-  const write = writer(register)
+  const replicatedState = new ReplicatedState()
+  const write = writer(replicatedState)
   strictEqual(write('late', 'put', network(2, ['one']), 1)?.status, 412)
   strictEqual(write('first', 'put', network(1, ['one']), 0)?.stamp, 2)
   strictEqual(write('late', 'put', network(2, ['one']), 1)?.stamp, 3)
   strictEqual(write('first', 'put', network(1, ['one']), 0)?.stamp, 2)
-  strictEqual(register.network?.revision, 2)
+  strictEqual(replicatedState.network?.revision, 2)
   const command = { kind: 'network' as const, operation: 'x', proposal: 'same', action: 'put' as const, text: network(3, ['one']) }
-  register.apply(10, Command.encode({ ...command, ifMatch: 1 }))
-  register.apply(11, Command.encode({ ...command, ifMatch: 2 }))
-  strictEqual(register.outcome('same')?.status, 412)
-  strictEqual(register.network?.revision, 2)
+  replicatedState.apply(10, Command.encode({ ...command, ifMatch: 1 }))
+  replicatedState.apply(11, Command.encode({ ...command, ifMatch: 2 }))
+  strictEqual(replicatedState.outcome('same')?.status, 412)
+  strictEqual(replicatedState.network?.revision, 2)
 })
 
 void test('a zone is emptied and filled, and the same again changes nothing', () => {
-  const register = new Register()
+  const replicatedState = new ReplicatedState()
   const zone = (index: number, emptied: boolean, proposal = `z${String(index)}`) => {
-    register.apply(index, Command.encode({ kind: 'zone', zone: 'a', emptied, proposal }))
-    return register.outcome(proposal)?.stamp
+    replicatedState.apply(index, Command.encode({ kind: 'zone', zone: 'a', emptied, proposal }))
+    return replicatedState.outcome(proposal)?.stamp
   }
   deepStrictEqual([zone(1, false), zone(2, true), zone(3, true)], [0, 2, 2])
-  strictEqual(register.copy.get('zone/a'), '{"emptied":true}')
+  strictEqual(replicatedState.copy.get('zone/a'), '{"emptied":true}')
   deepStrictEqual([zone(4, false), zone(5, true, 'z2')], [4, 2])
-  strictEqual(register.copy.get('zone/a'), undefined)
+  strictEqual(replicatedState.copy.get('zone/a'), undefined)
 })
--- a/src/interlocking/Register.ts
+++ b/src/consensus/ReplicatedState.ts
@@ -4,14 +4,14 @@
  * state; whether a write is proper is judged here, in log order, and nowhere else.
  */
 import { z } from 'zod'
-import { Charter } from '../gauge/Charter.js'
-import { Network } from '../gauge/Network.js'
-import { Tree } from '../gauge/Tree.js'
+import { Charter } from '../common/Charter.js'
+import { Network } from '../common/Network.js'
+import { Tree } from '../common/Tree.js'
 import { Command } from './Command.js'
-import { Copy } from './Copy.js'
+import { ReplicaTable } from './ReplicaTable.js'
 import { DutyRow } from './DutyRow.js'
 import { Outcome } from './Outcome.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
+import { PlatformServer } from '../common/PlatformServer.js'
 import { keptTexts } from './keptTexts.js'
 
 const Text = z.object({
@@ -31,29 +31,29 @@
 })
 const keptOutcomes = 4096
 
-export class Register {
-  readonly copy = new Copy()
+export class ReplicatedState {
+  readonly copy = new ReplicaTable()
   #texts: z.infer<typeof Text>[] = []
   #textBytes = 0
   readonly #outcomes = new Map<string, Outcome>()
   #network: Network | undefined
 
-  static restore(state: Uint8Array): Register {
+  static restore(state: Uint8Array): ReplicatedState {
     const read = State.parse(JSON.parse(Buffer.from(state).toString()))
-    const register = new Register()
-    register.copy.adopt(0, read.stamp, read.rows)
-    register.#texts = read.texts
-    register.#textBytes = read.texts.reduce((sum, one) => sum + one.text.length + one.whole.length, 0)
-    for (const [operation, outcome] of read.outcomes) register.#outcomes.set(operation, outcome)
+    const replicatedState = new ReplicatedState()
+    replicatedState.copy.adopt(0, read.stamp, read.rows)
+    replicatedState.#texts = read.texts
+    replicatedState.#textBytes = read.texts.reduce((sum, one) => sum + one.text.length + one.whole.length, 0)
+    for (const [operation, outcome] of read.outcomes) replicatedState.#outcomes.set(operation, outcome)
     if (read.network !== '') {
-      register.#network = Network.check(JSON.parse(read.network), 0).caseOf<Network>({
+      replicatedState.#network = Network.check(JSON.parse(read.network), 0).caseOf<Network>({
         Left: (errors) => {
           throw new Error(`the saved network is none that this program knows: ${errors.join('; ')}`)
         },
         Right: (network) => network,
       })
     }
-    return register
+    return replicatedState
   }
 
   save(): Uint8Array {
@@ -88,7 +88,7 @@
     while (from > 0 && this.#texts[from]?.whole === '') from -= 1
     let tree = Tree.read(this.#texts[from]?.whole ?? '')
     for (const one of this.#texts.slice(from + 1, at + 1))
-      tree = Register.#carryOut(tree, one.action, one.branch, Tree.read(one.text) ?? null)
+      tree = ReplicatedState.#carryOut(tree, one.action, one.branch, Tree.read(one.text) ?? null)
     return `${JSON.stringify(tree, null, 2)}\n`
   }
 
@@ -116,10 +116,10 @@
     return this.#outcomes.get(operation)
   }
 
-  duty(duty: string): (DutyRow & { tenure: number }) | undefined {
+  duty(duty: string): (DutyRow & { epoch: number }) | undefined {
     const value = this.copy.get(`duty/${duty}`)
     if (value === undefined) return undefined
-    return { ...DutyRow.parse(JSON.parse(value)), tenure: this.copy.stampOf(`duty/${duty}`) }
+    return { ...DutyRow.parse(JSON.parse(value)), epoch: this.copy.stampOf(`duty/${duty}`) }
   }
 
   apply(index: number, bytes: Uint8Array): void {
@@ -160,7 +160,7 @@
         break
       }
       case 'vacate': {
-        if (this.duty(command.duty)?.tenure === command.tenure)
+        if (this.duty(command.duty)?.epoch === command.epoch)
           this.copy.set({ key: `duty/${command.duty}`, stamp: index, gone: true, value: '' })
         break
       }
@@ -184,7 +184,7 @@
         break
       }
       case 'dispatch': {
-        if (this.duty('dispatcher')?.tenure !== command.tenure) break
+        if (this.duty('dispatcher')?.epoch !== command.epoch) break
         for (const row of command.rows) this.copy.set({ ...row, stamp: index })
         break
       }
@@ -211,7 +211,7 @@
     }
     const sent = Tree.read(text)
     if (sent === undefined) return { status: 422, stamp, errors: ['charter: not JSON'] }
-    const tree = Register.#carryOut(base, command.action, command.branch, sent)
+    const tree = ReplicatedState.#carryOut(base, command.action, command.branch, sent)
     return Charter.check(tree).caseOf<Outcome>({
       Left: (errors) => ({ status: 422, stamp, errors }),
       Right: () => {
--- a/src/interlocking/Retries.ts
+++ b/src/consensus/Retries.ts
@@ -1,5 +1,5 @@
 /**
- * The allowance of further tries, kept by the leader for each service over all turnouts together. A
+ * The allowance of further tries, kept by the leader for each service over all proxies together. A
  * token is lent to one try by its name, so asking again for the same try costs nothing more. Tokens come
  * from first tries by the charter's ratio and, slowly, by themselves, so that a quiet service has some
  * too: what lies ready and what comes within a window add up to the allowance. A new leader starts with
--- a/src/interlocking/Shares.test.ts
+++ b/src/consensus/Shares.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { deepStrictEqual, ok, strictEqual } from 'node:assert'
-import { Chance } from '../gauge/Chance.js'
+import { Random } from '../common/Random.js'
 import { Shares } from './Shares.js'
 
 test('one seat that asks gets all, and gives back before another gets more', () => {
@@ -39,7 +39,7 @@
 
 test('however renewals are lost, late and interleaved, the sum in use stays within the pool', () => {
   for (let seed = 0; seed < 60; seed++) {
-    const chance = new Chance(seed)
+    const random = new Random(seed)
     const shares = new Shares(800)
     shares.begin(1, 0)
     const holders = ['a', 'b', 'c', 'd', 'e'].map((name) => ({
@@ -53,11 +53,11 @@
     }))
     let most = 0
     for (let nowMs = 0; nowMs < 20_000; nowMs += 25) {
-      const one = chance.pick(holders)
+      const one = random.pick(holders)
       if (one === undefined) continue
       if (nowMs >= one.untilMs) one.count = 0
-      if (chance.hit(0.3)) one.want = chance.below(6)
-      one.use = Math.max(Math.min(one.use, chance.below(6)), Math.min(one.count, one.want))
+      if (random.hit(0.3)) one.want = random.below(6)
+      one.use = Math.max(Math.min(one.use, random.below(6)), Math.min(one.count, one.want))
       const reply = shares.renew(
         one.name,
         [{ key: 'serve/s', want: one.want, held: Math.max(one.use, one.count) }],
@@ -65,8 +65,8 @@
         () => 4,
         nowMs,
       )
-      if (!chance.hit(0.2)) one.late.push({ serial: reply.serial, count: reply.shares[0]?.count ?? 0, untilMs: nowMs + 800 })
-      const came = chance.hit(0.95) ? one.late.shift() : undefined
+      if (!random.hit(0.2)) one.late.push({ serial: reply.serial, count: reply.shares[0]?.count ?? 0, untilMs: nowMs + 800 })
+      const came = random.hit(0.95) ? one.late.shift() : undefined
       if (came !== undefined && nowMs < came.untilMs && came.serial > one.serial)
         Object.assign(one, { serial: came.serial, count: came.count, untilMs: came.untilMs })
       const used = holders.reduce((sum, holder) => sum + (nowMs < holder.untilMs ? holder.count : 0), 0)
--- a/src/interlocking/Shares.ts
+++ b/src/consensus/Shares.ts
@@ -1,10 +1,10 @@
 /**
- * Limits that all turnouts share (what a server bears, cold or warm), lent out by the leader. Half of a
+ * Limits that all proxies share (what a server bears, cold or warm), lent out by the leader. Half of a
  * limit is dealt out evenly and never lent, so that a fleet without a core serves on; the rest is lent
- * to the seats that ask for it. A grant rides in the renewal of a licence and dies with it. A share
- * taken back counts as lent until its holder has confirmed or its licence has surely lapsed; what was
+ * to the seats that ask for it. A grant rides in the renewal of a lease and dies with it. A share
+ * taken back counts as lent until its holder has confirmed or its lease has surely lapsed; what was
  * lent of a cold server's limit to a seat that lapsed is not lent again, since its requests may still
- * be under way when the server is at its weakest. A new leader lends nothing anew until no licence of
+ * be under way when the server is at its weakest. A new leader lends nothing anew until no lease of
  * its predecessor can be alive, and takes over what the seats say that they hold.
  */
 import type { ShareAsk } from './ShareAsk.js'
@@ -14,17 +14,17 @@
   lent: number
   sent: { serial: number; count: number }[]
 }
-const forgetLicences = 40
+const forgetLeases = 40
 
 export class Shares {
-  readonly #licenceMs: number
+  readonly #leaseMs: number
   readonly #accounts = new Map<string, { heardMs: number; seats: Map<string, Account> }>()
   readonly #heardMs = new Map<string, number>()
   #serial = 0
   #lendsFromMs = Infinity
 
-  constructor(licenceMs: number) {
-    this.#licenceMs = licenceMs
+  constructor(leaseMs: number) {
+    this.#leaseMs = leaseMs
   }
 
   /** What each seat has of a limit without asking. */
@@ -98,10 +98,10 @@
 
   #lapse(nowMs: number): void {
     for (const [key, book] of this.#accounts) {
-      if (nowMs - book.heardMs > forgetLicences * this.#licenceMs) this.#accounts.delete(key)
+      if (nowMs - book.heardMs > forgetLeases * this.#leaseMs) this.#accounts.delete(key)
       if (key.startsWith('cold/')) continue
       for (const seat of book.seats.keys())
-        if (nowMs - (this.#heardMs.get(seat) ?? -Infinity) > 1.1 * this.#licenceMs) book.seats.delete(seat)
+        if (nowMs - (this.#heardMs.get(seat) ?? -Infinity) > 1.1 * this.#leaseMs) book.seats.delete(seat)
     }
   }
 }
--- a/src/interlocking/refound.ts
+++ b/src/consensus/refound.ts
@@ -1,14 +1,14 @@
 /**
  * Founds a core again from the one disk that is left of it. The records that come out hold all that the
  * survivor's log adds up to, under a new identity, as the only member, and with a new system identity, so
- * that no machine of the old core can join and no lineman follows unless told. The log's index and term
- * jump far ahead: whatever the old core could still say is older, and its tenures lose at every server.
+ * that no machine of the old core can join and no agent follows unless told. The log's index and term
+ * jump far ahead: whatever the old core could still say is older, and its epochs lose at every server.
  */
 import { z } from 'zod'
 import { Command } from './Command.js'
 import { Member } from './Member.js'
-import { Register } from './Register.js'
-import { Sheet } from './Sheet.js'
+import { ReplicatedState } from './ReplicatedState.js'
+import { DiskRecord } from './DiskRecord.js'
 
 const jump = { index: 1_000_000, term: 1000 }
 const Members = z.array(Member)
@@ -26,15 +26,15 @@
 export function refound(disk: readonly Uint8Array[], plan: { seat: string; address: string; system: string }): Refounded | undefined {
   let term = 0
   let index = 0
-  let register = new Register()
+  let replicatedState = new ReplicatedState()
   let members: Member[] = []
-  let entries: Extract<Sheet, { kind: 'entry' }>[] = []
+  let entries: Extract<DiskRecord, { kind: 'entry' }>[] = []
   for (const record of disk) {
-    const sheet = Sheet.decode(record)
+    const sheet = DiskRecord.decode(record)
     if (sheet === undefined) return undefined
     if (sheet.kind === 'term') term = sheet.term
-    if (sheet.kind === 'view') {
-      register = sheet.state.length === 0 ? new Register() : Register.restore(sheet.state)
+    if (sheet.kind === 'snapshot') {
+      replicatedState = sheet.state.length === 0 ? new ReplicatedState() : ReplicatedState.restore(sheet.state)
       members = Members.parse(JSON.parse(sheet.members))
       index = sheet.index
       entries = []
@@ -45,24 +45,24 @@
     }
   }
   for (const entry of entries) {
-    if (entry.type === 'command') register.apply(entry.index, entry.bytes)
+    if (entry.type === 'command') replicatedState.apply(entry.index, entry.bytes)
     if (entry.type === 'members') members = Members.parse(JSON.parse(Buffer.from(entry.bytes).toString()))
     index = entry.index
   }
   if (index === 0) return undefined
   const lastIndex = index
-  const { charterStamp } = register
+  const { charterStamp } = replicatedState
   const newIndex = lastIndex + jump.index
   const newTerm = term + jump.term
-  register.apply(newIndex - 1, Command.encode({ kind: 'found', system: plan.system, again: true }))
-  const duty = register.duty('dispatcher')
-  if (duty !== undefined) register.apply(newIndex, Command.encode({ kind: 'vacate', duty: 'dispatcher', tenure: duty.tenure }))
+  replicatedState.apply(newIndex - 1, Command.encode({ kind: 'found', system: plan.system, again: true }))
+  const duty = replicatedState.duty('dispatcher')
+  if (duty !== undefined) replicatedState.apply(newIndex, Command.encode({ kind: 'vacate', duty: 'dispatcher', epoch: duty.epoch }))
   const identity = `${plan.seat}.${plan.system}`
   const self = [{ identity, seat: plan.seat, address: plan.address, voter: true }]
   const records = [
-    Sheet.encode({ kind: 'identity', identity, system: plan.system }),
-    Sheet.encode({ kind: 'term', term: newTerm, ballot: '' }),
-    Sheet.encode({ kind: 'view', index: newIndex, term: newTerm, members: JSON.stringify(self), state: register.save() }),
+    DiskRecord.encode({ kind: 'identity', identity, system: plan.system }),
+    DiskRecord.encode({ kind: 'term', term: newTerm, ballot: '' }),
+    DiskRecord.encode({ kind: 'snapshot', index: newIndex, term: newTerm, members: JSON.stringify(self), state: replicatedState.save() }),
   ]
   return {
     records,
--- a/src/signalbox/SignalboxMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -1,25 +1,25 @@
 /**
- * Core machines of a network, with disks that sync at once and telegraphs that lose nothing: founding,
+ * Core machines of a network, with disks that sync at once and transports that lose nothing: founding,
  * machines that are replaced or wiped, and writes that wait for those who must adopt them.
  */
 import { deepStrictEqual, notStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Bounds } from '../gauge/Bounds.js'
-import { Chance } from '../gauge/Chance.js'
-import { Network } from '../gauge/Network.js'
-import { Pace } from '../gauge/Pace.js'
-import type { Message } from '../telegraph/Message.js'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { Bounds } from '../common/Bounds.js'
+import { Random } from '../common/Random.js'
+import { Network } from '../common/Network.js'
+import { Timings } from '../common/Timings.js'
+import type { Message } from '../transport/Message.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import type { Operation } from './Operation.js'
-import type { SignalboxEffect } from './SignalboxEffect.js'
-import { SignalboxMachine } from './SignalboxMachine.js'
+import type { ControlEffect } from './ControlEffect.js'
+import { ControlMachine } from './ControlMachine.js'
 
-const pace = Pace(Bounds.parse({}))
+const timings = Timings(Bounds.parse({}))
 const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
 const network = (revision: number) => JSON.stringify({ revision, routes: [], services: [{ name: 's', connections: 1 }], limits })
 
 interface Box {
-  machine: SignalboxMachine
+  machine: ControlMachine
   disk: Uint8Array[]
   address: string
 }
@@ -46,7 +46,7 @@
       policy: edgeMulti,
       system: '',
     }
-    const box = { machine: new SignalboxMachine(plan, pace, new Chance(this.#seed), [...disk], this.nowMs), disk, address }
+    const box = { machine: new ControlMachine(plan, timings, new Random(this.#seed), [...disk], this.nowMs), disk, address }
     this.boxes.set(name, box)
     this.#carryOut(name, box, box.machine.begin())
     return box
@@ -59,7 +59,7 @@
   run(spanMs: number, until: () => boolean = () => false): boolean {
     for (const endMs = this.nowMs + spanMs; this.nowMs < endMs;) {
       if (until()) return true
-      this.nowMs += pace.tickMs
+      this.nowMs += timings.tickMs
       for (const [name, box] of [...this.boxes])
         if (this.boxes.get(name) === box) this.#carryOut(name, box, box.machine.step({ kind: 'tick', hour: 0 }, this.nowMs))
     }
@@ -73,7 +73,7 @@
   }
 
   ask(name: string, id: string, operation: Partial<Operation> & { action: Operation['action'] }): void {
-    const whole = { branch: '', text: '', ifMatch: -1, operation: '', waitMs: pace.operateMs, ...operation }
+    const whole = { branch: '', text: '', ifMatch: -1, operation: '', waitMs: timings.operateMs, ...operation }
     const box = this.boxes.get(name)
     if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'operate', id, operation: whole }, this.nowMs))
   }
@@ -87,11 +87,11 @@
   }
 
   get leader(): [string, Box] | undefined {
-    return [...this.boxes].find(([, one]) => one.machine.agreement.settled && one.machine.agreement.surelyLeads(this.nowMs))
+    return [...this.boxes].find(([, one]) => one.machine.raft.settled && one.machine.raft.surelyLeads(this.nowMs))
   }
 
   get voters(): string[] {
-    return (this.leader?.[1].machine.agreement.members ?? [])
+    return (this.leader?.[1].machine.raft.members ?? [])
       .filter((one) => one.voter)
       .map((one) => one.seat)
       .sort()
@@ -105,7 +105,7 @@
     return this.leader?.[0] ?? ''
   }
 
-  #carryOut(name: string, box: Box, effects: SignalboxEffect[]): void {
+  #carryOut(name: string, box: Box, effects: ControlEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === 'send') this.tell(name, box.address, effect.toAddress, effect.message)
       else if (effect.kind === 'write') {
@@ -187,23 +187,18 @@
   world.boxes.delete(wiped)
   world.run(2000)
   const again = world.start(wiped, before?.address ?? '', true)
-  const { identity } = again.machine.agreement
-  notStrictEqual(identity, before?.machine.agreement.identity)
+  const { identity } = again.machine.raft
+  notStrictEqual(identity, before?.machine.raft.identity)
   const voter = (wanted: string) => () =>
-    world.leader?.[1].machine.agreement.members.some((one) => one.voter && one.identity === wanted) === true && world.voters.length === 3
+    world.leader?.[1].machine.raft.members.some((one) => one.voter && one.identity === wanted) === true && world.voters.length === 3
   ok(world.run(10_000, voter(identity)))
   const old = world.boxes.get(kept)
   world.boxes.delete(kept)
   world.run(2000)
   world.seeds = ['10.9.9.9:7']
   const back = world.start(kept, '10.0.2.1:7', false, old?.disk ?? [])
-  strictEqual(back.machine.agreement.identity, old?.machine.agreement.identity)
-  ok(
-    world.run(
-      4000,
-      () => back.machine.agreement.leader !== '' && back.machine.agreement.commit === world.leader?.[1].machine.agreement.commit,
-    ),
-  )
+  strictEqual(back.machine.raft.identity, old?.machine.raft.identity)
+  ok(world.run(4000, () => back.machine.raft.leader !== '' && back.machine.raft.commit === world.leader?.[1].machine.raft.commit))
   strictEqual(world.voters.length, 3)
 })
 
@@ -215,13 +210,13 @@
   ok(world.run(5000, () => world.voters.length === 4))
   world.boxes.delete('box-4')
   strictEqual(
-    world.run(0.9 * pace.memberGoneMs, () => world.voters.length === 3),
+    world.run(0.9 * timings.memberGoneMs, () => world.voters.length === 3),
     false,
   )
-  ok(world.run(pace.memberGoneMs, () => world.voters.length === 3))
+  ok(world.run(timings.memberGoneMs, () => world.voters.length === 3))
   const leader = world.led()
   world.boxes.delete([...world.boxes.keys()].find((name) => name !== leader) ?? '')
-  world.run(3 * pace.memberGoneMs)
+  world.run(3 * timings.memberGoneMs)
   strictEqual(world.voters.length, 3)
 })
 
@@ -248,25 +243,25 @@
   world.boxes.delete(other)
   world.boxes.delete([...world.boxes.keys()].find((name) => name !== leader) ?? '')
   world.ask(leader, 'i', { action: 'network.put', operation: 'cut', text: network(9) })
-  strictEqual(world.answered('i', 2 * pace.operateMs).status, 504)
+  strictEqual(world.answered('i', 2 * timings.operateMs).status, 504)
 })
 
-void test('a write waits for a machine with a licence that has not adopted it, but not for long', () => {
+void test('a write waits for a machine with a lease that has not adopted it, but not for long', () => {
   const world = new World()
   world.three()
   const leader = world.led()
   const address = world.boxes.get(leader)?.address ?? ''
   let stamp = 0
   world.run(3000)
-  const licences: number[] = []
+  const leases: number[] = []
   world.heard.set('edge:7', (message) => {
-    if (message.kind === 'licence') licences.push(message.forMs, message.peers.length)
+    if (message.kind === 'lease') leases.push(message.forMs, message.peers.length)
   })
   const renew = () => {
     world.tell('edge', 'edge:7', address, {
       kind: 'renew',
       seat: 'edge',
-      role: 'lineman',
+      role: 'agent',
       zone: 'z',
       session: 's',
       sentMs: world.nowMs,
@@ -279,7 +274,7 @@
     })
   }
   renew()
-  deepStrictEqual(licences, [pace.licenceMs, 1])
+  deepStrictEqual(leases, [timings.leaseMs, 1])
   world.ask(leader, 'a', { action: 'network.put', operation: 'a', text: network(1) })
   world.run(200)
   strictEqual(world.responses.has('a'), false)
@@ -291,5 +286,5 @@
   world.ask(leader, 'b', { action: 'network.put', operation: 'b', text: network(2) })
   const sentMs = world.nowMs
   strictEqual(world.answered('b').status, 200)
-  ok(world.nowMs - sentMs >= pace.deliverMs && world.nowMs - sentMs < pace.deliverMs + 200, String(world.nowMs - sentMs))
+  ok(world.nowMs - sentMs >= timings.deliverMs && world.nowMs - sentMs < timings.deliverMs + 200, String(world.nowMs - sentMs))
 })
--- a/src/signalbox/SignalboxMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -1,27 +1,27 @@
 /**
- * A core node as one pure machine: the agreement and what it adds up to, the roster, licences,
+ * A core node as one pure machine: the consensus log and what it adds up to, the directory, leases,
  * ballots, the operators' desk and, while it holds the duty, the dispatcher. It is told what happened
  * and returns what to send, write, answer and ask.
  */
-import type { Chance } from '../gauge/Chance.js'
-import type { Pace } from '../gauge/Pace.js'
-import { Agreement } from '../interlocking/Agreement.js'
-import type { Member } from '../interlocking/Member.js'
-import { Ballots } from '../interlocking/Ballots.js'
-import { Command } from '../interlocking/Command.js'
-import { Register } from '../interlocking/Register.js'
-import { Relay } from '../interlocking/Relay.js'
-import { Roster } from '../interlocking/Roster.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Message } from '../telegraph/Message.js'
-import { Dispatcher } from '../timetable/Dispatcher.js'
-import type { Policy } from '../timetable/Policy.js'
+import type { Random } from '../common/Random.js'
+import type { Timings } from '../common/Timings.js'
+import { Raft } from '../consensus/Raft.js'
+import type { Member } from '../consensus/Member.js'
+import { Ballots } from '../consensus/Ballots.js'
+import { Command } from '../consensus/Command.js'
+import { ReplicatedState } from '../consensus/ReplicatedState.js'
+import { Relay } from '../consensus/Relay.js'
+import { PeerDirectory } from '../consensus/PeerDirectory.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import type { Message } from '../transport/Message.js'
+import { Dispatcher } from '../placement/Dispatcher.js'
+import type { Policy } from '../placement/Policy.js'
 import { CoreAccount } from './CoreAccount.js'
 import { Operation } from './Operation.js'
 import { OperatorsBook } from './OperatorsBook.js'
 import { SeatDesk } from './SeatDesk.js'
-import type { SignalboxEffect } from './SignalboxEffect.js'
-import type { SignalboxInput } from './SignalboxInput.js'
+import type { ControlEffect } from './ControlEffect.js'
+import type { ControlInput } from './ControlInput.js'
 
 interface Plan {
   name: string
@@ -32,7 +32,7 @@
   seats: readonly string[]
   bootstrap: boolean
   rewriteBytes: number
-  /** Model servers turn away the orders of an older tenure than one that they have seen. */
+  /** Model servers turn away the orders of an older epoch than one that they have seen. */
   fenced: boolean
   policy: Policy
   /** The system that an empty machine may join; any, if empty. */
@@ -45,12 +45,12 @@
 const keptCommits = 4096
 const keptVoters = 3
 
-export class SignalboxMachine {
-  readonly agreement: Agreement
-  register = new Register()
-  readonly roster: Roster
+export class ControlMachine {
+  readonly raft: Raft
+  replicatedState = new ReplicatedState()
+  readonly directory: PeerDirectory
   readonly #plan: Plan
-  readonly #pace: Pace
+  readonly #timings: Timings
   readonly #desk: SeatDesk
   readonly #ballots: Ballots
   readonly #relay: Relay
@@ -62,10 +62,10 @@
   #dutyAskMs = -Infinity
   #standsFromMs = -Infinity
   #dutyHeardMs = new Map<number, number>()
-  #effects: SignalboxEffect[] = []
+  #effects: ControlEffect[] = []
   #leading = false
   #leaderAddress = ''
-  #hailAtMs = -Infinity
+  #probeAtMs = -Infinity
   #foundAtMs = -Infinity
   #platformAtMs = -Infinity
   /** When the platform's list was asked for that the table was last found to be level with. */
@@ -77,7 +77,7 @@
   #logBytes = 0
   #seeds: readonly string[]
   readonly #network: boolean
-  /** Where machines were when they last spoke of the agreement, by identity. */
+  /** Where machines were when they last spoke of the consensus log, by identity. */
   readonly #spokeFrom = new Map<string, string>()
   /** What system machines say that they belong to, by identity. */
   readonly #systems = new Map<string, string>()
@@ -89,44 +89,44 @@
   #winAtMs = -Infinity
   #clock: { hour: number; atMs: number } | undefined
 
-  constructor(plan: Plan, pace: Pace, chance: Chance, disk: readonly Uint8Array[], nowMs: number) {
+  constructor(plan: Plan, timings: Timings, random: Random, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
     this.#seeds = plan.seeds
     this.#network = plan.seats.length === 0
-    this.#pace = pace
-    this.agreement = new Agreement(plan.name, pace, chance.fork(), disk, nowMs)
-    this.roster = new Roster(
+    this.#timings = timings
+    this.raft = new Raft(plan.name, timings, random.fork(), disk, nowMs)
+    this.directory = new PeerDirectory(
       plan.name,
       plan.seeds.filter((seed) => seed !== plan.address),
-      4 * pace.hailMs,
+      4 * timings.probeMs,
     )
-    this.#desk = new SeatDesk(pace)
-    this.#ballots = new Ballots(plan.name, pace, chance.fork())
-    this.#relay = new Relay(pace.licenceMs)
-    this.#nonce = chance.below(1e9)
+    this.#desk = new SeatDesk(timings)
+    this.#ballots = new Ballots(plan.name, timings, random.fork())
+    this.#relay = new Relay(timings.leaseMs)
+    this.#nonce = random.below(1e9)
     this.#account = new CoreAccount(
-      pace,
-      this.agreement,
+      timings,
+      this.raft,
       this.#desk,
       (identity) => this.#addressOf(identity),
-      (seat) => (seat === plan.name ? this.#nonce : (this.roster.lives.get(seat) ?? 0)),
+      (seat) => (seat === plan.name ? this.#nonce : (this.directory.lives.get(seat) ?? 0)),
     )
-    this.#book = new OperatorsBook(pace, this.#host())
+    this.#book = new OperatorsBook(timings, this.#host())
     this.#lastTickMs = nowMs
     this.#logBytes = disk.reduce((sum, record) => sum + record.length, 0)
     this.#collect(nowMs)
   }
 
   #host(): ConstructorParameters<typeof OperatorsBook>[1] {
-    const register = () => this.register
+    const replicatedState = () => this.replicatedState
     const leading = () => this.#leading
     const leaderAddress = () => this.#leaderAddress
     const dispatches = () => this.#dispatcher !== undefined
     return {
-      agreement: this.agreement,
-      roster: this.roster,
-      get register() {
-        return register()
+      raft: this.raft,
+      directory: this.directory,
+      get replicatedState() {
+        return replicatedState()
       },
       get leading() {
         return leading()
@@ -147,24 +147,24 @@
         this.#effects.push({ kind: 'respond', id: this.#network ? id.slice(this.#life.length + 1) : id, status, stamp, text })
       },
       delivered: (outcome, nowMs) => this.#delivered(outcome.stamp, nowMs),
-      nodes: (nowMs) => this.#account.nodes(this.register, this.#seats, nowMs),
-      servers: () => this.#account.servers(this.register),
-      leaves: () => this.#account.leaves(this.register),
-      placement: (nowMs) => this.#account.placement(this.register, this.#dispatcher, nowMs),
+      nodes: (nowMs) => this.#account.nodes(this.replicatedState, this.#seats, nowMs),
+      servers: () => this.#account.servers(this.replicatedState),
+      leaves: () => this.#account.leaves(this.replicatedState),
+      placement: (nowMs) => this.#account.placement(this.replicatedState, this.#dispatcher, nowMs),
     }
   }
 
   /** Other seeds take the place of the old ones; whoever was learned of stays known. */
   reseed(seeds: readonly string[]): void {
     this.#seeds = seeds
-    this.roster.reseed(seeds.filter((seed) => seed !== this.#plan.address))
-    this.#hailAtMs = -Infinity
+    this.directory.reseed(seeds.filter((seed) => seed !== this.#plan.address))
+    this.#probeAtMs = -Infinity
   }
 
   #delivered(stamp: number, nowMs: number): boolean {
-    if (!this.#network) return this.#desk.licences.delivered(stamp, this.#seats, nowMs)
+    if (!this.#network) return this.#desk.leases.delivered(stamp, this.#seats, nowMs)
     const sinceMs = this.#committedMs.get(stamp) ?? this.#settledMs
-    return sinceMs !== undefined && this.#desk.licences.adopted(stamp, sinceMs, nowMs)
+    return sinceMs !== undefined && this.#desk.leases.adopted(stamp, sinceMs, nowMs)
   }
 
   get dispatcher(): Dispatcher | undefined {
@@ -173,22 +173,22 @@
 
   figures(nowMs: number): Record<string, number> {
     return {
-      term: this.agreement.term,
-      commit: this.agreement.commit,
+      term: this.raft.term,
+      commit: this.raft.commit,
       leads: this.#leading ? 1 : 0,
       dispatches: this.#dispatcher === undefined ? 0 : 1,
-      seats_alive: this.#seats.filter((seat) => this.#desk.licences.alive(seat, nowMs)).length,
+      seats_alive: this.#seats.filter((seat) => this.#desk.leases.alive(seat, nowMs)).length,
       operations_open: this.#book.open,
       log_bytes: this.#logBytes,
     }
   }
 
   /** What the constructor already asks for: the identity's first write. */
-  begin(): SignalboxEffect[] {
+  begin(): ControlEffect[] {
     return this.#take()
   }
 
-  step(input: SignalboxInput, nowMs: number): SignalboxEffect[] {
+  step(input: ControlInput, nowMs: number): ControlEffect[] {
     switch (input.kind) {
       case 'tick':
         this.#watchClock(input.hour, nowMs)
@@ -198,7 +198,7 @@
         this.#message(input.from, input.fromAddress, input.message, nowMs)
         break
       case 'written':
-        this.agreement.written(nowMs)
+        this.raft.written(nowMs)
         break
       case 'operate':
         this.#book.operate(this.#network ? `${this.#life}/${input.id}` : input.id, input.operation, undefined, nowMs)
@@ -210,7 +210,7 @@
         this.#dispatcher?.reported(input.server, input.report, input.askedMs, nowMs)
         break
       case 'replied':
-        if (this.#dispatcher?.tenure === input.tenure)
+        if (this.#dispatcher?.epoch === input.epoch)
           this.#dispatcher.replied(input.server, input.number, input.reply === 'held' ? 'accepted' : input.reply, nowMs)
         break
     }
@@ -218,7 +218,7 @@
     return this.#take()
   }
 
-  #take(): SignalboxEffect[] {
+  #take(): ControlEffect[] {
     const effects = this.#effects
     this.#effects = []
     return effects
@@ -234,17 +234,17 @@
 
   #addressOf(identity: string): string {
     return (
-      this.roster.addressOf(identity) ??
+      this.directory.addressOf(identity) ??
       this.#spokeFrom.get(identity) ??
-      this.agreement.members.find((one) => one.identity === identity)?.address ??
+      this.raft.members.find((one) => one.identity === identity)?.address ??
       ''
     )
   }
 
-  /** Turns what the agreement asks for into effects, and applies what it committed. */
+  /** Turns what the consensus log asks for into effects, and applies what it committed. */
   #collect(nowMs: number): void {
-    const out = this.agreement.take()
-    for (const sentence of out.says) this.#say('agreement', sentence)
+    const out = this.raft.take()
+    for (const sentence of out.says) this.#say('raft', sentence)
     for (const { to, message } of out.sends) this.#send(this.#addressOf(to), message)
     for (const write of out.writes) {
       const bytes = write.records.reduce((sum, record) => sum + record.length + 8, 0)
@@ -257,34 +257,34 @@
       })
     }
     if (out.adopted !== undefined) {
-      this.register = out.adopted.state.length === 0 ? new Register() : Register.restore(out.adopted.state)
+      this.replicatedState = out.adopted.state.length === 0 ? new ReplicatedState() : ReplicatedState.restore(out.adopted.state)
       this.#applied = out.adopted.index
     }
     for (const entry of out.applied) {
-      const before = this.register.charterStamp
-      if (entry.type === 'command') this.register.apply(entry.index, entry.bytes)
+      const before = this.replicatedState.charterStamp
+      if (entry.type === 'command') this.replicatedState.apply(entry.index, entry.bytes)
       this.#applied = entry.index
-      if (this.#network && this.agreement.phase === 'leader') this.#committed(entry.index, nowMs)
-      if (this.register.charterStamp !== before) {
-        this.#desk.licences.charterMade(this.register.charterStamp, entry.term < this.agreement.term ? -Infinity : nowMs)
+      if (this.#network && this.raft.phase === 'leader') this.#committed(entry.index, nowMs)
+      if (this.replicatedState.charterStamp !== before) {
+        this.#desk.leases.charterMade(this.replicatedState.charterStamp, entry.term < this.raft.term ? -Infinity : nowMs)
       }
     }
     if (out.applied.length > 0 || out.adopted !== undefined) {
-      const system = this.register.copy.get('system')
-      if (system !== undefined) this.agreement.belong(system, nowMs)
+      const system = this.replicatedState.copy.get('system')
+      if (system !== undefined) this.raft.belong(system, nowMs)
       this.#duty(nowMs)
-      for (const send of this.#relay.push(this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
+      for (const send of this.#relay.push(this.replicatedState.copy, nowMs)) this.#send(send.toAddress, send.message)
     }
     for (const id of out.lostReads) {
       this.#book.lost(id)
     }
     for (const id of out.readable) this.#book.readable(id, nowMs)
-    if ((this.agreement.phase === 'leader') !== this.#leading) {
+    if ((this.raft.phase === 'leader') !== this.#leading) {
       this.#leading = !this.#leading
       if (this.#leading) {
-        this.#desk.begin(this.agreement.term, nowMs)
+        this.#desk.begin(this.raft.term, nowMs)
         this.#platformFreshMs = -Infinity
-        this.#desk.licences.charterMade(this.register.charterStamp, -Infinity)
+        this.#desk.leases.charterMade(this.replicatedState.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
         this.#countedMs.clear()
         this.#committedMs.clear()
@@ -292,11 +292,11 @@
         this.#winAtMs = -Infinity
         this.#leaderAddress = this.#plan.address
       }
-    } else if (this.agreement.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.agreement.leader)
-    if (this.agreement.leader === '' && !this.#leading) this.#leaderAddress = ''
-    if (this.#leading && this.agreement.settled) this.#settledMs ??= nowMs
+    } else if (this.raft.leader !== '' && !this.#leading) this.#leaderAddress = this.#addressOf(this.raft.leader)
+    if (this.raft.leader === '' && !this.#leading) this.#leaderAddress = ''
+    if (this.#leading && this.raft.settled) this.#settledMs ??= nowMs
     this.#book.finish(nowMs)
-    if ((this.agreement.phase !== 'leader') === this.#leading) this.#collect(nowMs)
+    if ((this.raft.phase !== 'leader') === this.#leading) this.#collect(nowMs)
   }
 
   #committed(index: number, nowMs: number): void {
@@ -311,7 +311,7 @@
       const offHours = ((hour - this.#clock.hour - (nowMs - this.#clock.atMs) / hourMs + 36) % 24) - 12
       if (Math.abs(offHours * hourMs) > jumpMs) {
         this.#account.jumped = { atMs: nowMs, byMs: Math.round(offHours * hourMs) }
-        this.#say('signalbox', `The wall clock jumped by ${String(this.#account.jumped.byMs)} ms; only hours of intents go by it.`)
+        this.#say('control', `The wall clock jumped by ${String(this.#account.jumped.byMs)} ms; only hours of intents go by it.`)
       }
     }
     this.#clock = { hour, atMs: nowMs }
@@ -320,33 +320,33 @@
   #tick(hour: number, nowMs: number): void {
     const late = nowMs - this.#lastTickMs
     this.#lastTickMs = nowMs
-    if (late > this.#pace.frozenMs) this.#say('signalbox', `Was frozen for ${String(Math.round(late))} ms; confirms its licence first.`)
-    this.agreement.tick(nowMs)
+    if (late > this.#timings.frozenMs) this.#say('control', `Was frozen for ${String(Math.round(late))} ms; confirms its lease first.`)
+    this.raft.tick(nowMs)
     this.#collect(nowMs)
-    if (nowMs >= this.#hailAtMs) this.#hail(nowMs)
+    if (nowMs >= this.#probeAtMs) this.#probe(nowMs)
     this.#found(nowMs)
     if (this.#leading) this.#lead(nowMs)
     this.#standForDuty(nowMs)
     this.#dispatch(hour, nowMs)
     if (this.#logBytes > this.#plan.rewriteBytes && this.#applied > 0) {
-      this.agreement.compact(this.#applied, this.register.save(), nowMs)
+      this.raft.compact(this.#applied, this.replicatedState.save(), nowMs)
       this.#logBytes = 0
     }
     this.#book.tick(nowMs)
   }
 
-  #hail(nowMs: number): void {
-    this.#hailAtMs = nowMs + this.#pace.hailMs
-    const known = this.roster.known
-    const members = this.#network ? this.agreement.members.filter((one) => one.identity !== this.agreement.identity) : []
-    const addresses = new Set([...this.roster.inquiries, ...members.map((one) => this.#addressOf(one.identity))])
+  #probe(nowMs: number): void {
+    this.#probeAtMs = nowMs + this.#timings.probeMs
+    const known = this.directory.known
+    const members = this.#network ? this.raft.members.filter((one) => one.identity !== this.raft.identity) : []
+    const addresses = new Set([...this.directory.inquiries, ...members.map((one) => this.#addressOf(one.identity))])
     for (const address of addresses) {
       this.#send(address, {
-        kind: 'hail',
+        kind: 'probe',
         nonce: this.#nonce,
-        role: 'signalbox',
+        role: 'control',
         zone: this.#plan.zone,
-        identity: this.agreement.identity,
+        identity: this.raft.identity,
         known,
         system: this.#system,
       })
@@ -360,83 +360,85 @@
       return
     }
     const seats = [...this.#plan.seats].sort()
-    if (!this.agreement.empty || this.#plan.name !== seats[0]) return
-    const others = seats.slice(1).map((seat) => this.roster.get(seat))
-    if (!others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#pace.hailMs))
+    if (!this.raft.empty || this.#plan.name !== seats[0]) return
+    const others = seats.slice(1).map((seat) => this.directory.get(seat))
+    if (
+      !others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#timings.probeMs)
+    )
       return
-    const members = [{ identity: this.agreement.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
+    const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
     for (const peer of others)
       if (peer !== undefined) members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
-    this.agreement.found(members, nowMs)
+    this.raft.found(members, nowMs)
   }
 
   /** Only the process at the lowest seed founds, and only when every other seed has said to this very start that it is empty. */
   #bootstrap(nowMs: number): void {
     const seeds = [...new Set(this.#seeds)].sort()
-    if (!this.#plan.bootstrap || !this.agreement.empty || this.#plan.address !== seeds[0]) return
-    const boxes = this.roster.of('signalbox')
-    const members = [{ identity: this.agreement.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
+    if (!this.#plan.bootstrap || !this.raft.empty || this.#plan.address !== seeds[0]) return
+    const boxes = this.directory.of('control')
+    const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
     for (const seed of seeds.slice(1)) {
       const peer = boxes.find(
-        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < 4 * this.#pace.hailMs,
+        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < 4 * this.#timings.probeMs,
       )
       if (peer === undefined) return
       members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
     }
-    this.agreement.found(members, nowMs)
+    this.raft.found(members, nowMs)
   }
 
   #lead(nowMs: number): void {
     if (nowMs >= this.#platformAtMs) {
-      this.#platformAtMs = nowMs + this.#pace.platformMs
+      this.#platformAtMs = nowMs + this.#timings.platformMs
       this.#effects.push({ kind: 'askPlatform', askedMs: nowMs })
     }
-    const duty = this.register.duty(dispatcherDuty)
+    const duty = this.replicatedState.duty(dispatcherDuty)
     if (duty !== undefined) {
-      const heardMs = this.#dutyHeardMs.get(duty.tenure)
-      const forgotten = this.#network && duty.holder === this.#plan.name && duty.address !== this.#life && this.agreement.settled
-      if (heardMs === undefined) this.#dutyHeardMs.set(duty.tenure, forgotten ? -Infinity : nowMs)
-      else if (nowMs - heardMs > 1.1 * this.#pace.dutyLicenceMs || this.#mayTakeOver(duty.holder)) {
-        this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: duty.tenure }, nowMs)
-        this.#dutyHeardMs.set(duty.tenure, nowMs)
+      const heardMs = this.#dutyHeardMs.get(duty.epoch)
+      const forgotten = this.#network && duty.holder === this.#plan.name && duty.address !== this.#life && this.raft.settled
+      if (heardMs === undefined) this.#dutyHeardMs.set(duty.epoch, forgotten ? -Infinity : nowMs)
+      else if (nowMs - heardMs > 1.1 * this.#timings.dutyLeaseMs || this.#mayTakeOver(duty.holder)) {
+        this.#propose({ kind: 'vacate', duty: dispatcherDuty, epoch: duty.epoch }, nowMs)
+        this.#dutyHeardMs.set(duty.epoch, nowMs)
       }
     }
-    if (this.register.copy.get('system') === undefined && this.agreement.settled && nowMs >= this.#foundAtMs) {
-      this.#foundAtMs = nowMs + this.#pace.electionMs
-      this.#propose({ kind: 'found', system: this.agreement.identity, again: false }, nowMs)
+    if (this.replicatedState.copy.get('system') === undefined && this.raft.settled && nowMs >= this.#foundAtMs) {
+      this.#foundAtMs = nowMs + this.#timings.electionMs
+      this.#propose({ kind: 'found', system: this.raft.identity, again: false }, nowMs)
     }
     if (this.#network) {
-      this.#desk.licences.forget(nowMs)
+      this.#desk.leases.forget(nowMs)
       this.#replaceMembers(nowMs)
     } else this.#seatReplicas(nowMs)
   }
 
   /** How long a member has been silent to this leader, which counts from when it began to lead or took the member in. */
   #silentMs(identity: string, nowMs: number): number {
-    if (identity === this.agreement.identity) return 0
-    return nowMs - Math.max(this.agreement.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
+    if (identity === this.raft.identity) return 0
+    return nowMs - Math.max(this.raft.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
   }
 
   /** One change at a time: whoever comes is a learner first, and takes the place of who is gone. */
   #replaceMembers(nowMs: number): void {
-    const members = [...this.agreement.members]
+    const members = [...this.raft.members]
     this.#countedMs = new Map(members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
-    if (!this.agreement.settled || this.agreement.changing) return
+    if (!this.raft.settled || this.raft.changing) return
     const change = (sentence: string, next: Member[]) => {
-      if (this.agreement.changeMembers(next, nowMs)) this.#say('agreement', sentence)
+      if (this.raft.changeMembers(next, nowMs)) this.#say('raft', sentence)
     }
     const silent = (one: Member, spanMs: number) => this.#silentMs(one.identity, nowMs) > spanMs
     const without = (gone: Member) => members.filter((one) => one !== gone)
-    const lateMs = 2 * this.#pace.electionMs
+    const lateMs = 2 * this.#timings.electionMs
     const voters = members.filter((one) => one.voter)
     const learners = members.filter((one) => !one.voter)
-    const goneLearner = learners.find((one) => silent(one, this.#pace.memberGoneMs))
+    const goneLearner = learners.find((one) => silent(one, this.#timings.memberGoneMs))
     if (goneLearner !== undefined) {
       change(`Gives up ${goneLearner.seat}, which fell silent as a learner.`, without(goneLearner))
       return
     }
     for (const learner of learners) {
-      if (silent(learner, lateMs) || !this.agreement.caughtUp(learner.identity)) continue
+      if (silent(learner, lateMs) || !this.raft.caughtUp(learner.identity)) continue
       const old = members.find((one) => one.seat === learner.seat && one !== learner)
       const gone = old ?? voters.find((one) => silent(one, lateMs))
       const rest = voters.filter((one) => one !== gone)
@@ -450,10 +452,10 @@
       } else continue
       return
     }
-    for (const peer of this.roster.of('signalbox')) {
-      if (peer.identity === '' || nowMs - peer.heardMs > 4 * this.#pace.hailMs) continue
+    for (const peer of this.directory.of('control')) {
+      if (peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
       if (members.some((one) => one.identity === peer.identity)) continue
-      const ours = this.agreement.system !== '' && this.#systems.get(peer.identity) === this.agreement.system
+      const ours = this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system
       const old = members.find((one) => one.seat === peer.name)
       if ((!peer.empty && !ours) || (old !== undefined && !silent(old, lateMs))) continue
       change(`Takes ${peer.name} in as a learner.`, [
@@ -462,36 +464,36 @@
       ])
       return
     }
-    const gone = voters.find((one) => silent(one, this.#pace.memberGoneMs))
+    const gone = voters.find((one) => silent(one, this.#timings.memberGoneMs))
     if (gone === undefined || learners.length > 0 || voters.length <= keptVoters) return
     if (voters.every((one) => one === gone || !silent(one, lateMs))) change(`Gives up ${gone.seat}, which fell silent.`, without(gone))
   }
 
   /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
   #seatReplicas(nowMs: number): void {
-    if (!this.agreement.settled || this.agreement.changing) return
-    const members = [...this.agreement.members]
+    if (!this.raft.settled || this.raft.changing) return
+    const members = [...this.raft.members]
     for (const seat of this.#plan.seats) {
-      const peer = this.roster.get(seat)
-      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > 4 * this.#pace.hailMs) continue
+      const peer = this.directory.get(seat)
+      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
       const own = members.find((one) => one.identity === peer.identity)
       const old = members.find((one) => one.seat === seat && one.identity !== peer.identity)
       if (own === undefined) {
-        if (old !== undefined && nowMs - this.agreement.heardMs(old.identity) < 2 * this.#pace.electionMs) continue
-        this.#say('agreement', `Takes ${seat} in as a learner under its new identity.`)
-        this.agreement.changeMembers([...members, { identity: peer.identity, seat, address: peer.address, voter: false }], nowMs)
+        if (old !== undefined && nowMs - this.raft.heardMs(old.identity) < 2 * this.#timings.electionMs) continue
+        this.#say('raft', `Takes ${seat} in as a learner under its new identity.`)
+        this.raft.changeMembers([...members, { identity: peer.identity, seat, address: peer.address, voter: false }], nowMs)
         return
       }
-      if (own.voter || !this.agreement.caughtUp(own.identity)) continue
+      if (own.voter || !this.raft.caughtUp(own.identity)) continue
       if (old !== undefined) {
-        this.#say('agreement', `Retires the identity that ${seat} lost.`)
-        this.agreement.changeMembers(
+        this.#say('raft', `Retires the identity that ${seat} lost.`)
+        this.raft.changeMembers(
           members.filter((one) => one !== old),
           nowMs,
         )
       } else {
-        this.#say('agreement', `Gives ${seat} its vote under its new identity.`)
-        this.agreement.changeMembers(
+        this.#say('raft', `Gives ${seat} its vote under its new identity.`)
+        this.raft.changeMembers(
           members.map((one) => (one === own ? { ...own, voter: true } : one)),
           nowMs,
         )
@@ -502,66 +504,67 @@
 
   #propose(command: Command, nowMs: number): void {
     const bytes = Command.encode(command)
-    if (this.agreement.phase === 'leader') this.agreement.propose(bytes, nowMs)
+    if (this.raft.phase === 'leader') this.raft.propose(bytes, nowMs)
     else this.#send(this.#leaderAddress, { kind: 'propose', id: '', command: bytes })
   }
 
   #message(from: string, fromAddress: string, message: Message, nowMs: number): void {
     switch (message.kind) {
-      case 'hail': {
+      case 'probe': {
         if (this.#strange(message.system)) break
-        if (message.role === 'signalbox') this.#systems.set(message.identity, message.system)
-        if (message.role === 'signalbox') this.roster.lives.set(from, message.nonce)
-        const before = this.roster.get(from)
+        if (message.role === 'control') this.#systems.set(message.identity, message.system)
+        if (message.role === 'control') this.directory.lives.set(from, message.nonce)
+        const before = this.directory.get(from)
         const empty = before?.identity === message.identity && before.empty
-        if (message.role === 'signalbox')
-          this.roster.heard(
+        if (message.role === 'control')
+          this.directory.heard(
             { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty },
             nowMs,
           )
-        this.roster.hearsay(message.known, nowMs)
-        const { agreement } = this
+        this.directory.hearsay(message.known, nowMs)
+        const { raft } = this
         this.#send(fromAddress, {
-          kind: 'hailed',
+          kind: 'probeReply',
           nonce: message.nonce,
-          role: 'signalbox',
+          role: 'control',
           zone: this.#plan.zone,
-          identity: agreement.identity,
-          empty: agreement.empty,
+          identity: raft.identity,
+          empty: raft.empty,
           leader: this.#leaderAddress,
-          known: this.roster.known,
+          known: this.directory.known,
           system: this.#system,
         })
         break
       }
-      case 'hailed': {
+      case 'probeReply': {
         if (message.nonce !== this.#nonce || this.#strange(message.system)) break
-        if (message.role === 'signalbox') this.#systems.set(message.identity, message.system)
-        this.roster.heard(
+        if (message.role === 'control') this.#systems.set(message.identity, message.system)
+        this.directory.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
         )
-        this.roster.hearsay(message.known, nowMs)
+        this.directory.hearsay(message.known, nowMs)
         this.#joinSystem(message.system, nowMs)
         break
       }
-      case 'ballotAsk':
-      case 'ballotGive':
-      case 'append':
-      case 'appended':
-      case 'view': {
+      case 'requestVote':
+      case 'voteReply':
+      case 'appendEntries':
+      case 'appendReply':
+      case 'installSnapshot': {
         if (this.#network) this.#spokeFrom.set(message.from, fromAddress)
-        this.agreement.receive(message, nowMs)
+        this.raft.receive(message, nowMs)
         break
       }
       case 'propose':
-        if (this.#leading) this.agreement.propose(message.command, nowMs)
+        if (this.#leading) this.raft.propose(message.command, nowMs)
         break
       case 'renew':
         this.#renew(from, fromAddress, message, nowMs)
         break
       case 'stand': {
-        const given = this.register.duty(message.duty) === undefined && this.#ballots.give(message.vacancy, message.round, from, nowMs)
+        const given =
+          this.replicatedState.duty(message.duty) === undefined && this.#ballots.give(message.vacancy, message.round, from, nowMs)
         this.#send(fromAddress, { kind: 'ballot', duty: message.duty, vacancy: message.vacancy, round: message.round, given })
         break
       }
@@ -569,16 +572,17 @@
         if (message.given) this.#countBallot(message.vacancy, message.round, from, nowMs)
         break
       case 'dutyRenew': {
-        if (!this.agreement.surelyLeads(nowMs) || this.register.duty(message.duty)?.tenure !== message.tenure) break
-        this.#dutyHeardMs.set(message.tenure, nowMs)
-        this.#send(fromAddress, { kind: 'dutyLicence', duty: message.duty, tenure: message.tenure, sentMs: message.sentMs })
+        if (!this.raft.surelyLeads(nowMs) || this.replicatedState.duty(message.duty)?.epoch !== message.epoch) break
+        this.#dutyHeardMs.set(message.epoch, nowMs)
+        this.#send(fromAddress, { kind: 'dutyLease', duty: message.duty, epoch: message.epoch, sentMs: message.sentMs })
         break
       }
-      case 'dutyLicence':
-        if (this.#dispatcher?.tenure === message.tenure) this.#dutySureMs = Math.max(this.#dutySureMs, message.sentMs)
+      case 'dutyLease':
+        if (this.#dispatcher?.epoch === message.epoch) this.#dutySureMs = Math.max(this.#dutySureMs, message.sentMs)
         break
       case 'follow':
-        for (const send of this.#relay.followed(fromAddress, message, this.register.copy, nowMs)) this.#send(send.toAddress, send.message)
+        for (const send of this.#relay.followed(fromAddress, message, this.replicatedState.copy, nowMs))
+          this.#send(send.toAddress, send.message)
         break
       case 'tally':
         this.#dispatcher?.tally(
@@ -603,18 +607,18 @@
   }
 
   #tellOutlook(held: readonly { model: string; adapter: string }[], toAddress: string, nowMs: number): void {
-    if (this.#dispatcher === undefined || held.length === 0 || nowMs - this.#dutySureMs >= this.#pace.dutyLicenceMs) return
+    if (this.#dispatcher === undefined || held.length === 0 || nowMs - this.#dutySureMs >= this.#timings.dutyLeaseMs) return
     this.#send(toAddress, { kind: 'outlook', models: this.#dispatcher.outlook(held, nowMs) })
   }
 
   get #system(): string {
-    return this.agreement.system === '' ? this.#plan.system : this.agreement.system
+    return this.raft.system === '' ? this.#plan.system : this.raft.system
   }
 
   /** Once taken in, a new machine writes down whose it is, before it has applied the row that says so: it may be left out again. */
   #joinSystem(system: string, nowMs: number): void {
-    if (!this.#network || system === '' || this.agreement.system !== '') return
-    if (this.agreement.members.some((one) => one.identity === this.agreement.identity)) this.agreement.belong(system, nowMs)
+    if (!this.#network || system === '' || this.raft.system !== '') return
+    if (this.raft.members.some((one) => one.identity === this.raft.identity)) this.raft.belong(system, nowMs)
   }
 
   /** True of a machine that belongs to another core: one that was founded again from this one's disks, or that this one was. */
@@ -623,48 +627,48 @@
   }
 
   #renew(from: string, fromAddress: string, renew: Extract<Message, { kind: 'renew' }>, nowMs: number): void {
-    this.roster.heard(
+    this.directory.heard(
       { name: from, address: fromAddress, role: renew.role, zone: renew.zone, identity: renew.session, empty: false },
       nowMs,
     )
-    if (!this.agreement.surelyLeads(nowMs) || !this.agreement.settled) return
-    if (!this.#network && this.register.copy.get(`seat/${renew.seat}`) === undefined) {
-      if (nowMs - (this.#seatsAsked.get(renew.seat) ?? -Infinity) > this.#pace.electionMs) {
+    if (!this.raft.surelyLeads(nowMs) || !this.raft.settled) return
+    if (!this.#network && this.replicatedState.copy.get(`seat/${renew.seat}`) === undefined) {
+      if (nowMs - (this.#seatsAsked.get(renew.seat) ?? -Infinity) > this.#timings.electionMs) {
         this.#seatsAsked.set(renew.seat, nowMs)
         this.#propose({ kind: 'seat', name: renew.seat, role: renew.role, zone: renew.zone, retired: false, operation: '' }, nowMs)
       }
       return
     }
     const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
-    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.register.copy, ageMs, nowMs, this.#dispatcher?.loads(nowMs)))
+    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.replicatedState.copy, ageMs, nowMs, this.#dispatcher?.loads(nowMs)))
     this.#book.finish(nowMs)
   }
 
   get #seats(): string[] {
-    if (this.#network) return this.#desk.licences.seats.map(([seat]) => seat)
-    return this.register.copy.under('seat/').map(([name]) => name)
+    if (this.#network) return this.#desk.leases.seats.map(([seat]) => seat)
+    return this.replicatedState.copy.under('seat/').map(([name]) => name)
   }
 
   // The duty.
 
   /** This life of this machine: a duty won in an earlier one is not taken up again, for its orders are forgotten. */
   get #life(): string {
-    return `${this.agreement.identity}/${String(this.#nonce)}`
+    return `${this.raft.identity}/${String(this.#nonce)}`
   }
 
-  /** Where servers check tenures an earlier leader's duty is ended at once: whatever it still sends is turned away. */
+  /** Where servers check epochs an earlier leader's duty is ended at once: whatever it still sends is turned away. */
   #mayTakeOver(holder: string): boolean {
-    return this.#network && this.#plan.fenced && this.agreement.settled && holder !== this.#plan.name
+    return this.#network && this.#plan.fenced && this.raft.settled && holder !== this.#plan.name
   }
 
   #duty(nowMs: number): void {
-    const duty = this.register.duty(dispatcherDuty)
+    const duty = this.replicatedState.duty(dispatcherDuty)
     const mine = duty?.holder === this.#plan.name && duty.address === this.#life
-    if (mine && this.#dispatcher?.tenure !== duty.tenure) {
-      this.#dispatcher = new Dispatcher(this.#pace, duty.tenure, duty.vacancy === 0, this.#plan.policy, nowMs)
+    if (mine && this.#dispatcher?.epoch !== duty.epoch) {
+      this.#dispatcher = new Dispatcher(this.#timings, duty.epoch, duty.vacancy === 0, this.#plan.policy, nowMs)
       this.#dutySureMs = -Infinity
       this.#dutyAskMs = -Infinity
-      this.#say('dispatcher', `Holds the duty in tenure ${String(duty.tenure)}.`)
+      this.#say('dispatcher', `Holds the duty in epoch ${String(duty.epoch)}.`)
     } else if (!mine && this.#dispatcher !== undefined) {
       this.#dispatcher = undefined
       this.#say('dispatcher', 'Gave up the duty.')
@@ -676,28 +680,29 @@
       this.#leaderStands(nowMs)
       return
     }
-    const voter = this.agreement.members.some((one) => one.identity === this.agreement.identity && one.voter)
-    const vacant = nowMs >= this.#standsFromMs && voter && this.agreement.leader !== '' && this.register.duty(dispatcherDuty) === undefined
-    const vacancy = this.register.copy.stampOf(`duty/${dispatcherDuty}`)
+    const voter = this.raft.members.some((one) => one.identity === this.raft.identity && one.voter)
+    const vacant =
+      nowMs >= this.#standsFromMs && voter && this.raft.leader !== '' && this.replicatedState.duty(dispatcherDuty) === undefined
+    const vacancy = this.replicatedState.copy.stampOf(`duty/${dispatcherDuty}`)
     const round = this.#ballots.tick(vacant ? vacancy : undefined, nowMs)
     if (round === undefined) return
-    for (const member of this.agreement.members) {
-      if (member.identity !== this.agreement.identity)
+    for (const member of this.raft.members) {
+      if (member.identity !== this.raft.identity)
         this.#send(this.#addressOf(member.identity), { kind: 'stand', duty: dispatcherDuty, vacancy, round })
     }
-    if (this.agreement.members.length === 1) this.#win(vacancy, nowMs)
+    if (this.raft.members.length === 1) this.#win(vacancy, nowMs)
   }
 
   /** In a network the leader alone dispatches; the log has the last word, so it needs no ballots. */
   #leaderStands(nowMs: number): void {
-    if (!this.#leading || !this.agreement.settled || nowMs < this.#winAtMs) return
-    if (this.register.duty(dispatcherDuty) !== undefined) return
-    this.#winAtMs = nowMs + this.#pace.electionMs
-    this.#win(this.register.copy.stampOf(`duty/${dispatcherDuty}`), nowMs)
+    if (!this.#leading || !this.raft.settled || nowMs < this.#winAtMs) return
+    if (this.replicatedState.duty(dispatcherDuty) !== undefined) return
+    this.#winAtMs = nowMs + this.#timings.electionMs
+    this.#win(this.replicatedState.copy.stampOf(`duty/${dispatcherDuty}`), nowMs)
   }
 
   #countBallot(vacancy: number, round: number, from: string, nowMs: number): void {
-    if (this.#ballots.count(vacancy, round, from, this.agreement.members.filter((one) => one.voter).length)) this.#win(vacancy, nowMs)
+    if (this.#ballots.count(vacancy, round, from, this.raft.members.filter((one) => one.voter).length)) this.#win(vacancy, nowMs)
   }
 
   #win(vacancy: number, nowMs: number): void {
@@ -709,43 +714,43 @@
     if (dispatcher === undefined) return
     if (this.#network && !this.#leading) {
       if (nowMs < this.#vacateAtMs) return
-      this.#vacateAtMs = nowMs + this.#pace.heartbeatMs
-      this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure: dispatcher.tenure }, nowMs)
+      this.#vacateAtMs = nowMs + this.#timings.heartbeatMs
+      this.#propose({ kind: 'vacate', duty: dispatcherDuty, epoch: dispatcher.epoch }, nowMs)
       return
     }
-    if (nowMs - this.#dutyAskMs >= this.#pace.dutyLicenceMs / 6) {
+    if (nowMs - this.#dutyAskMs >= this.#timings.dutyLeaseMs / 6) {
       this.#dutyAskMs = nowMs
-      const renew: Message = { kind: 'dutyRenew', duty: dispatcherDuty, tenure: dispatcher.tenure, sentMs: nowMs }
+      const renew: Message = { kind: 'dutyRenew', duty: dispatcherDuty, epoch: dispatcher.epoch, sentMs: nowMs }
       if (!this.#leading) this.#send(this.#leaderAddress, renew)
-      else if (this.agreement.surelyLeads(nowMs) && this.register.duty(dispatcherDuty)?.tenure === dispatcher.tenure) {
-        this.#dutyHeardMs.set(dispatcher.tenure, nowMs)
+      else if (this.raft.surelyLeads(nowMs) && this.replicatedState.duty(dispatcherDuty)?.epoch === dispatcher.epoch) {
+        this.#dutyHeardMs.set(dispatcher.epoch, nowMs)
         this.#dutySureMs = nowMs
       }
     }
-    const sure = nowMs - this.#dutySureMs < this.#pace.dutyLicenceMs
-    if (sure && !this.#network && dispatcher.deaf(nowMs)) this.#passOn(dispatcher.tenure, nowMs)
-    const out = dispatcher.tick(this.register.copy, sure, hour, nowMs)
-    if (out.rows.length > 0) this.#propose({ kind: 'dispatch', tenure: dispatcher.tenure, rows: out.rows }, nowMs)
-    for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, tenure: dispatcher.tenure, askedMs: nowMs })
+    const sure = nowMs - this.#dutySureMs < this.#timings.dutyLeaseMs
+    if (sure && !this.#network && dispatcher.deaf(nowMs)) this.#passOn(dispatcher.epoch, nowMs)
+    const out = dispatcher.tick(this.replicatedState.copy, sure, hour, nowMs)
+    if (out.rows.length > 0) this.#propose({ kind: 'dispatch', epoch: dispatcher.epoch, rows: out.rows }, nowMs)
+    for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, epoch: dispatcher.epoch, askedMs: nowMs })
     for (const order of out.orders) this.#effects.push({ kind: 'order', ...order })
   }
 
   /** A dispatcher that hears no servers leaves the duty to another core machine, and does not stand for a while. */
-  #passOn(tenure: number, nowMs: number): void {
+  #passOn(epoch: number, nowMs: number): void {
     if (nowMs < this.#standsFromMs) return
-    this.#standsFromMs = nowMs + 4 * this.#pace.dutyLicenceMs
+    this.#standsFromMs = nowMs + 4 * this.#timings.dutyLeaseMs
     this.#say('dispatcher', 'Hears no servers; leaves the duty to another core machine.')
-    this.#propose({ kind: 'vacate', duty: dispatcherDuty, tenure }, nowMs)
+    this.#propose({ kind: 'vacate', duty: dispatcherDuty, epoch }, nowMs)
   }
 
   #platform(full: PlatformServer[], askedMs: number, nowMs: number): void {
     if (this.#network) this.#dispatcher?.listed(full, askedMs, nowMs)
-    if (!this.#leading || !this.agreement.settled) return
+    if (!this.#leading || !this.raft.settled) return
     const servers = this.#network ? full.flatMap((one) => PlatformServer.safeParse({ ...one, models: undefined }).data ?? []) : full
     const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
-    const held = JSON.stringify(this.register.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
-    if (listed === held) this.#platformFreshMs = this.#platformAtMs - this.#pace.platformMs
-    if (listed === held || (listed === this.#platformSeen && this.agreement.commit < this.agreement.lastIndex)) return
+    const held = JSON.stringify(this.replicatedState.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
+    if (listed === held) this.#platformFreshMs = this.#platformAtMs - this.#timings.platformMs
+    if (listed === held || (listed === this.#platformSeen && this.raft.commit < this.raft.lastIndex)) return
     this.#platformSeen = listed
     this.#propose({ kind: 'platform', servers: listed }, nowMs)
   }
--- a/src/signalbox/CoreAccount.ts
+++ b/src/control/CoreAccount.ts
@@ -1,43 +1,43 @@
 /**
  * What a core machine tells operators of nodes, servers, the charter's leaves and the placement.
  */
-import { Charter } from '../gauge/Charter.js'
-import type { Pace } from '../gauge/Pace.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import { Tree } from '../gauge/Tree.js'
-import type { Agreement } from '../interlocking/Agreement.js'
-import type { Register } from '../interlocking/Register.js'
-import type { Dispatcher } from '../timetable/Dispatcher.js'
+import { Charter } from '../common/Charter.js'
+import type { Timings } from '../common/Timings.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import { Tree } from '../common/Tree.js'
+import type { Raft } from '../consensus/Raft.js'
+import type { ReplicatedState } from '../consensus/ReplicatedState.js'
+import type { Dispatcher } from '../placement/Dispatcher.js'
 import type { SeatDesk } from './SeatDesk.js'
 
 export class CoreAccount {
-  readonly #pace: Pace
-  readonly #agreement: Agreement
+  readonly #timings: Timings
+  readonly #raft: Raft
   readonly #desk: SeatDesk
   readonly #addressOf: (identity: string) => string
   readonly #lifeOf: (seat: string) => number
   jumped: { atMs: number; byMs: number } | undefined
 
-  constructor(pace: Pace, agreement: Agreement, desk: SeatDesk, addressOf: (identity: string) => string, lifeOf: (seat: string) => number) {
-    this.#pace = pace
-    this.#agreement = agreement
+  constructor(timings: Timings, raft: Raft, desk: SeatDesk, addressOf: (identity: string) => string, lifeOf: (seat: string) => number) {
+    this.#timings = timings
+    this.#raft = raft
     this.#desk = desk
     this.#addressOf = addressOf
     this.#lifeOf = lifeOf
   }
 
-  placement(register: Register, dispatcher: Dispatcher | undefined, nowMs: number): unknown {
-    const duty = register.duty('dispatcher')
+  placement(replicatedState: ReplicatedState, dispatcher: Dispatcher | undefined, nowMs: number): unknown {
+    const duty = replicatedState.duty('dispatcher')
     return {
-      tenure: duty?.tenure ?? 0,
+      epoch: duty?.epoch ?? 0,
       holder: duty?.holder ?? '',
       unmet: dispatcher?.unmet ?? [],
       reasons: dispatcher?.reasons.map((reason) => ({ ...reason, agoMs: Math.round(nowMs - reason.atMs) })) ?? [],
     }
   }
 
-  leaves(register: Register): { path: string; value: Tree; from: string }[] {
-    const tree = Tree.read(register.copy.get('charter') ?? 'null') ?? null
+  leaves(replicatedState: ReplicatedState): { path: string; value: Tree; from: string }[] {
+    const tree = Tree.read(replicatedState.copy.get('charter') ?? 'null') ?? null
     const charter = Charter.check(tree).toMaybe().extractNullable()
     const leaves = Tree.leaves(tree).map(([path, value]) => ({ path, value, from: path }))
     for (const partner of Object.keys(charter?.partners ?? {})) {
@@ -49,37 +49,37 @@
     return leaves
   }
 
-  nodes(register: Register, names: readonly string[], nowMs: number): unknown {
-    const seats = new Map(this.#desk.licences.seats)
+  nodes(replicatedState: ReplicatedState, names: readonly string[], nowMs: number): unknown {
+    const seats = new Map(this.#desk.leases.seats)
     return {
-      leader: this.#agreement.leader,
-      term: this.#agreement.term,
-      commit: this.#agreement.commit,
-      core: this.#agreement.members.map((one) => ({
+      leader: this.#raft.leader,
+      term: this.#raft.term,
+      commit: this.#raft.commit,
+      core: this.#raft.members.map((one) => ({
         ...one,
         address: this.#addressOf(one.identity),
         session: String(this.#lifeOf(one.seat)),
-        alive: one.identity === this.#agreement.identity || nowMs - this.#agreement.heardMs(one.identity) < this.#pace.electionMs,
+        alive: one.identity === this.#raft.identity || nowMs - this.#raft.heardMs(one.identity) < this.#timings.electionMs,
       })),
-      dispatcher: register.duty('dispatcher') ?? null,
+      dispatcher: replicatedState.duty('dispatcher') ?? null,
       seats: names.map((seat) => ({
         seat,
         zone: seats.get(seat)?.zone ?? '',
         address: seats.get(seat)?.address ?? '',
         session: seats.get(seat)?.session ?? '',
         adopted: seats.get(seat)?.adopted ?? 0,
-        alive: this.#desk.licences.alive(seat, nowMs),
+        alive: this.#desk.leases.alive(seat, nowMs),
       })),
-      stamp: register.copy.stamp,
-      system: this.#agreement.system,
+      stamp: replicatedState.copy.stamp,
+      system: this.#raft.system,
       exhausted: this.#desk.exhausted,
-      syncMs: this.#agreement.syncMs,
+      syncMs: this.#raft.syncMs,
       jumped: this.jumped === undefined ? null : { byMs: this.jumped.byMs, agoMs: Math.round(nowMs - this.jumped.atMs) },
     }
   }
 
-  servers(register: Register): unknown {
-    const { copy } = register
+  servers(replicatedState: ReplicatedState): unknown {
+    const { copy } = replicatedState
     return copy.under('server/').map(([name, value]) => {
       const binding = copy.get(`binding/${name}`)
       const order = copy.get(`order/${name}`)
--- a/src/signalbox/OperatorsBook.ts
+++ b/src/control/OperatorsBook.ts
@@ -3,14 +3,14 @@
  * their delivery, reads that wait for the leader to be sure, and what is passed on to the leader. A write
  * that is not acknowledged in time is undecided, never turned away.
  */
-import type { Pace } from '../gauge/Pace.js'
-import { Tree } from '../gauge/Tree.js'
-import type { Agreement } from '../interlocking/Agreement.js'
-import type { Command } from '../interlocking/Command.js'
-import type { Outcome } from '../interlocking/Outcome.js'
-import type { Register } from '../interlocking/Register.js'
-import type { Roster } from '../interlocking/Roster.js'
-import type { Message } from '../telegraph/Message.js'
+import type { Timings } from '../common/Timings.js'
+import { Tree } from '../common/Tree.js'
+import type { Raft } from '../consensus/Raft.js'
+import type { Command } from '../consensus/Command.js'
+import type { Outcome } from '../consensus/Outcome.js'
+import type { ReplicatedState } from '../consensus/ReplicatedState.js'
+import type { PeerDirectory } from '../consensus/PeerDirectory.js'
+import type { Message } from '../transport/Message.js'
 import type { Operation } from './Operation.js'
 
 interface Pending {
@@ -24,9 +24,9 @@
 }
 /** What the book needs of the machine that it belongs to. */
 interface Host {
-  readonly agreement: Agreement
-  readonly register: Register
-  readonly roster: Roster
+  readonly raft: Raft
+  readonly replicatedState: ReplicatedState
+  readonly directory: PeerDirectory
   readonly leading: boolean
   readonly leaderAddress: string
   readonly dispatches: boolean
@@ -41,12 +41,12 @@
 }
 
 export class OperatorsBook {
-  readonly #pace: Pace
+  readonly #timings: Timings
   readonly #host: Host
   readonly #pending = new Map<string, Pending>()
 
-  constructor(pace: Pace, host: Host) {
-    this.#pace = pace
+  constructor(timings: Timings, host: Host) {
+    this.#timings = timings
     this.#host = host
   }
 
@@ -58,7 +58,7 @@
     for (const [id, pending] of this.#pending) {
       if (nowMs >= pending.dueMs)
         this.#respond(id, 504, 0, JSON.stringify({ outcome: 'undecided', operation: pending.operation.operation }))
-      else if (!pending.proposed || nowMs - pending.askedMs > this.#pace.electionMs) this.#push(id, pending, nowMs)
+      else if (!pending.proposed || nowMs - pending.askedMs > this.#timings.electionMs) this.#push(id, pending, nowMs)
     }
   }
 
@@ -83,7 +83,7 @@
         kind: 'operated',
         id,
         status: 200,
-        stamp: this.#host.register.charterStamp,
+        stamp: this.#host.replicatedState.charterStamp,
         text: JSON.stringify(this.#host.placement(nowMs)),
       })
       return
@@ -101,7 +101,7 @@
         this.#pending.delete(id)
         return
       }
-      if (nowMs - pending.askedMs < this.#pace.heartbeatMs) return
+      if (nowMs - pending.askedMs < this.#timings.heartbeatMs) return
       pending.askedMs = nowMs
       this.#host.send(this.#host.leaderAddress, { kind: 'operate', id, ...operation, waitMs: pending.dueMs - nowMs })
       return
@@ -111,7 +111,7 @@
       case 'charter.put':
       case 'charter.patch':
       case 'charter.rollback': {
-        if (pending.proposed || this.#host.register.outcome(operation.operation) !== undefined) break
+        if (pending.proposed || this.#host.replicatedState.outcome(operation.operation) !== undefined) break
         const action = operation.action === 'charter.put' ? 'put' : operation.action === 'charter.patch' ? 'patch' : 'rollback'
         pending.proposed = true
         this.#host.propose(
@@ -128,7 +128,7 @@
         break
       }
       case 'seat.retire': {
-        if (pending.proposed || this.#host.register.outcome(operation.operation) !== undefined) break
+        if (pending.proposed || this.#host.replicatedState.outcome(operation.operation) !== undefined) break
         pending.proposed = true
         this.#host.propose({ kind: 'seat', name: operation.text, role: '', zone: '', retired: true, operation: operation.operation }, nowMs)
         break
@@ -137,16 +137,16 @@
       case 'network.patch':
       case 'zone.empty':
       case 'zone.fill': {
-        if (pending.proposedTerm === this.#host.agreement.term || this.#outcome(id, operation) !== undefined) break
+        if (pending.proposedTerm === this.#host.raft.term || this.#outcome(id, operation) !== undefined) break
         pending.proposed = true
-        pending.proposedTerm = this.#host.agreement.term
+        pending.proposedTerm = this.#host.raft.term
         this.#host.propose(OperatorsBook.#command(id, operation), nowMs)
         break
       }
       default:
         if (pending.proposed) break
         pending.proposed = true
-        this.#host.agreement.read(id, nowMs)
+        this.#host.raft.read(id, nowMs)
     }
   }
 
@@ -166,19 +166,19 @@
 
   /** How a write ended; a failed one of a network, and one of a zone, is known by its own request alone. */
   #outcome(id: string, { action, operation }: Operation): Outcome | undefined {
-    if (action === 'zone.empty' || action === 'zone.fill') return this.#host.register.outcome(id)
+    if (action === 'zone.empty' || action === 'zone.fill') return this.#host.replicatedState.outcome(id)
     if (operation === '' || action === 'outcome') return undefined
-    const known = this.#host.register.outcome(operation)
-    return known ?? (action === 'network.put' || action === 'network.patch' ? this.#host.register.outcome(id) : undefined)
+    const known = this.#host.replicatedState.outcome(operation)
+    return known ?? (action === 'network.put' || action === 'network.patch' ? this.#host.replicatedState.outcome(id) : undefined)
   }
 
   /** Answers the writes whose outcome is known and, where they took effect, obeyed everywhere. */
   finish(nowMs: number): void {
-    if (!this.#host.leading || !this.#host.agreement.settled) return
+    if (!this.#host.leading || !this.#host.raft.settled) return
     for (const [id, { operation }] of this.#pending) {
       const outcome = this.#outcome(id, operation)
       if (outcome === undefined) continue
-      const revision = operation.action.startsWith('network.') ? (this.#host.register.network?.revision ?? 0) : undefined
+      const revision = operation.action.startsWith('network.') ? (this.#host.replicatedState.network?.revision ?? 0) : undefined
       if (outcome.status !== 200)
         this.#respond(id, outcome.status, outcome.stamp, JSON.stringify({ errors: outcome.errors, stamp: outcome.stamp, revision }))
       else if (operation.action === 'seat.retire' || this.#host.delivered(outcome, nowMs))
@@ -197,7 +197,7 @@
   readable(id: string, nowMs: number): void {
     const operation = this.#pending.get(id)?.operation
     if (operation === undefined) return
-    const stamp = this.#host.register.charterStamp
+    const stamp = this.#host.replicatedState.charterStamp
     const json = (status: number, value: unknown) => {
       this.#respond(id, status, stamp, JSON.stringify(value))
     }
@@ -205,20 +205,20 @@
       case 'charter.get': {
         const wanted =
           operation.text === ''
-            ? this.#host.register.texts.at(-1)
-            : this.#host.register.texts.find((one) => one.stamp === Number(operation.text))
+            ? this.#host.replicatedState.texts.at(-1)
+            : this.#host.replicatedState.texts.find((one) => one.stamp === Number(operation.text))
         if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
         else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
-        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.#host.register.whole(wanted.stamp) ?? '')
+        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.#host.replicatedState.whole(wanted.stamp) ?? '')
         else {
-          const branch = Tree.at(Tree.read(this.#host.register.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
+          const branch = Tree.at(Tree.read(this.#host.replicatedState.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
           if (branch === undefined) json(404, { errors: [`${operation.branch}: not in the charter`] })
           else this.#respond(id, 200, wanted.stamp, `${JSON.stringify(branch, null, 2)}\n`)
         }
         break
       }
       case 'network.get': {
-        const { network, copy } = this.#host.register
+        const { network, copy } = this.#host.replicatedState
         if (network === undefined) json(404, { errors: ['there is no network yet'] })
         else this.#respond(id, 200, copy.stampOf('network'), JSON.stringify(network))
         break
@@ -226,7 +226,7 @@
       case 'charter.history':
         json(
           200,
-          this.#host.register.texts.map(({ stamp: at, action, branch, operation: name }) => ({
+          this.#host.replicatedState.texts.map(({ stamp: at, action, branch, operation: name }) => ({
             stamp: at,
             action,
             branch,
@@ -238,7 +238,7 @@
         json(200, this.#host.leaves())
         break
       case 'outcome': {
-        const outcome = this.#host.register.outcome(operation.text)
+        const outcome = this.#host.replicatedState.outcome(operation.text)
         if (outcome === undefined) json(404, { outcome: 'unknown', operation: operation.text })
         else
           json(200, {
@@ -254,9 +254,9 @@
         json(200, this.#host.servers())
         break
       case 'placement': {
-        const duty = this.#host.register.duty('dispatcher')
+        const duty = this.#host.replicatedState.duty('dispatcher')
         if (duty !== undefined && !this.#host.dispatches && operation.branch !== 'passed on') {
-          const holder = this.#host.roster.get(duty.holder)
+          const holder = this.#host.directory.get(duty.holder)
           if (holder !== undefined) {
             this.#host.send(holder.address, { kind: 'operate', id, ...operation, branch: 'passed on' })
             break
--- a/src/signalbox/OperatorsDesk.ts
+++ b/src/control/OperatorsDesk.ts
@@ -1,5 +1,5 @@
 /**
- * The operators' HTTP API of a signalbox. Any of the three may be asked; it passes the question on to
+ * The operators' HTTP API of a control. Any of the three may be asked; it passes the question on to
  * the leader. A write that can't be acknowledged in time is answered 504 "undecided" with its
  * operation id, never as turned away.
  */
@@ -7,31 +7,27 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { App } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
-import { listen } from '../gauge/listen.js'
-import { Meters } from '../gauge/Meters.js'
-import { readBody } from '../gauge/readBody.js'
-import type { Startup } from '../gauge/Startup.js'
-import { watchRoutes } from '../gauge/watchRoutes.js'
+import { listen } from '../common/listen.js'
+import { Meters } from '../common/Meters.js'
+import { readBody } from '../common/readBody.js'
+import type { Startup } from '../common/Startup.js'
+import { watchRoutes } from '../common/watchRoutes.js'
 import type { Operation } from './Operation.js'
-import { SignalboxTask } from './SignalboxTask.js'
+import { ControlTask } from './ControlTask.js'
 
 const bodyLimitBytes = 4_000_000
 
 @singleton()
 export class OperatorsDesk {
-  readonly #startup: Startup['signalbox']
-  readonly #task: SignalboxTask
+  readonly #startup: Startup['control']
+  readonly #task: ControlTask
   readonly #waiting = new Map<string, ServerResponse>()
   readonly #app: App
   #server: Server | undefined
   readonly #life = crypto.randomUUID().slice(0, 8)
   #count = 0
 
-  constructor(
-    @inject('startup') startup: Startup['signalbox'],
-    @inject(SignalboxTask) task: SignalboxTask,
-    @inject(Meters) meters: Meters,
-  ) {
+  constructor(@inject('startup') startup: Startup['control'], @inject(ControlTask) task: ControlTask, @inject(Meters) meters: Meters) {
     this.#startup = startup
     this.#task = task
     const app = new App({ settings: { xPoweredBy: false } })
@@ -76,11 +72,11 @@
     app.post('/zones/:zone/evacuation', zone('zone.empty'))
     app.delete('/zones/:zone/evacuation', zone('zone.fill'))
     watchRoutes(app, meters, () => {
-      const { phase, term, commit, leader } = task.machine.agreement
+      const { phase, term, commit, leader } = task.machine.raft
       return { well: leader !== '', name: startup.name, phase, term, commit, leader }
     })
     this.#app = app
-    task.bell.on('responded', ({ id, status, stamp, text: body }) => {
+    task.emitter.on('responded', ({ id, status, stamp, text: body }) => {
       const response = this.#waiting.get(id)
       this.#waiting.delete(id)
       if (response !== undefined) this.#reply(response, status, stamp, body)
@@ -113,12 +109,12 @@
     response: ServerResponse,
     what: (url: URL) => Partial<Operation> & { action: Operation['action'] },
   ): void {
-    const url = new URL(request.url ?? '/', 'http://signalbox')
+    const url = new URL(request.url ?? '/', 'http://control')
     this.#ask(request, response, { branch: '', text: '', ifMatch: -1, operation: '', waitMs: this.#waitMs(request), ...what(url) })
   }
 
   async #write(request: IncomingMessage, response: ServerResponse, action: Operation['action'], branch?: string): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://signalbox')
+    const url = new URL(request.url ?? '/', 'http://control')
     const body = await readBody(request, bodyLimitBytes)
     const match = request.headers['if-match']
     const ifMatch = match === undefined || match === '*' ? -1 : Number(match.replaceAll('"', ''))
@@ -144,7 +140,7 @@
 
   #waitMs(request: IncomingMessage): number {
     const given = Number(request.headers['due-ms'])
-    return given > 0 ? Math.min(given, 10 * this.#task.pace.operateMs) : this.#task.pace.operateMs
+    return given > 0 ? Math.min(given, 10 * this.#task.timings.operateMs) : this.#task.timings.operateMs
   }
 
   #ask(request: IncomingMessage, response: ServerResponse, operation: Operation): void {
--- a/src/signalbox/SeatDesk.test.ts
+++ b/src/control/SeatDesk.test.ts
@@ -1,12 +1,12 @@
 import { test } from 'node:test'
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import { Pace } from '../gauge/Pace.js'
-import { sampleDefaults } from '../gauge/sampleDefaults.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Timings } from '../common/Timings.js'
+import { sampleDefaults } from '../common/sampleDefaults.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { SeatDesk } from './SeatDesk.js'
 
 test('a small limit goes to who asks, a big one is half dealt out; nothing is lent for a server no charter names', () => {
-  const copy = new Copy()
+  const copy = new ReplicaTable()
   const charter = {
     defaults: { ...sampleDefaults, retryAllowance: 10, warmMs: 100, serverLimit: 12 },
     partners: { c: { services: { b: { servers: ['s'], repeatable: true } } } },
@@ -14,14 +14,14 @@
   }
   copy.set({ key: 'charter', stamp: 1, gone: false, value: JSON.stringify(charter) })
   for (const seat of ['p', 'q', 'r']) copy.set({ key: `seat/${seat}`, stamp: 1, gone: false, value: '{}' })
-  const desk = new SeatDesk(Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }))
+  const desk = new SeatDesk(Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }))
   desk.begin(1, 0)
-  const later = desk.licences.graceUntilMs + 1
+  const later = desk.leases.graceUntilMs + 1
   const asks = ['cold/s/1', 'serve/s', 'serve/nobody'].map((key) => ({ key, want: 9, held: 0 }))
   const renew = (again: string[]): Parameters<SeatDesk['renew']>[0] => ({
     kind: 'renew',
     seat: 'p',
-    role: 'lineman',
+    role: 'agent',
     zone: 'a',
     session: 'x',
     sentMs: 0,
@@ -32,11 +32,11 @@
     firsts: [{ key: 'service b', count: 10 }],
     peersSum: 0,
   })
-  const licence = desk.renew(renew(['1', '2', '3']), 'x', copy, 0, later)
-  deepStrictEqual(licence.shares, [
+  const lease = desk.renew(renew(['1', '2', '3']), 'x', copy, 0, later)
+  deepStrictEqual(lease.shares, [
     { key: 'cold/s/1', count: 2 },
     { key: 'serve/s', count: 6 },
   ])
-  deepStrictEqual(licence.again, ['1', '2'])
+  deepStrictEqual(lease.again, ['1', '2'])
   strictEqual(desk.exhausted.includes('cold/s/1'), true)
 })
--- a/src/signalbox/foundAgain.test.ts
+++ b/src/control/foundAgain.test.ts
@@ -3,18 +3,18 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { Startup } from '../gauge/Startup.js'
-import { Command } from '../interlocking/Command.js'
-import { Sheet } from '../interlocking/Sheet.js'
-import { FileWaybill } from '../waybill/FileWaybill.js'
+import { Startup } from '../common/Startup.js'
+import { Command } from '../consensus/Command.js'
+import { DiskRecord } from '../consensus/DiskRecord.js'
+import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
 import { foundAgain } from './foundAgain.js'
 
 test('it tells first, does it only when sure, and an empty folder is turned away', async () => {
   const data = await mkdtemp(join(tmpdir(), 'refound-'))
-  const startup = Startup.signalbox.parse({
+  const startup = Startup.control.parse({
     name: 'box-1',
     zone: 'a',
-    telegraph: '127.0.0.1:1',
+    transport: '127.0.0.1:1',
     operators: '127.0.0.1:2',
     seeds: ['127.0.0.1:1'],
     seats: ['box-1'],
@@ -23,12 +23,12 @@
   const lines: string[] = []
   const run = (sure: boolean) => foundAgain(startup, sure, (line) => lines.push(line))
   strictEqual(await run(true), 1)
-  const waybill = await FileWaybill.open(data)
+  const writeAheadLog = await FileWriteAheadLog.open(data)
   const members = ['box-1', 'box-2'].map((seat) => ({ identity: `${seat}.1`, seat, address: '127.0.0.1:1', voter: true }))
-  await waybill.append([
-    Sheet.encode({ kind: 'identity', identity: 'box-1.1', system: 'old' }),
-    Sheet.encode({ kind: 'entry', index: 1, term: 1, type: 'members', bytes: Buffer.from(JSON.stringify(members)) }),
-    Sheet.encode({
+  await writeAheadLog.append([
+    DiskRecord.encode({ kind: 'identity', identity: 'box-1.1', system: 'old' }),
+    DiskRecord.encode({ kind: 'entry', index: 1, term: 1, type: 'members', bytes: Buffer.from(JSON.stringify(members)) }),
+    DiskRecord.encode({
       kind: 'entry',
       index: 2,
       term: 1,
@@ -36,16 +36,16 @@
       bytes: Command.encode({ kind: 'found', system: 'old', again: false }),
     }),
   ])
-  await waybill.close()
+  await writeAheadLog.close()
   const kinds = async () => {
-    const file = await FileWaybill.open(data)
+    const file = await FileWriteAheadLog.open(data)
     await file.close()
-    return file.records.map((record) => Sheet.decode(record)?.kind)
+    return file.records.map((record) => DiskRecord.decode(record)?.kind)
   }
   strictEqual(await run(false), 0)
   deepStrictEqual(await kinds(), ['identity', 'entry', 'entry'])
   strictEqual(await run(true), 0)
-  deepStrictEqual(await kinds(), ['identity', 'term', 'view'])
+  deepStrictEqual(await kinds(), ['identity', 'term', 'snapshot'])
   strictEqual(
     lines.some((line) => line.startsWith('Given up for good: box-2.')),
     true,
--- a/src/signalbox/foundAgain.ts
+++ b/src/control/foundAgain.ts
@@ -1,16 +1,16 @@
 /**
- * `signalbox refound`: founds a core again from this machine's data folder, after the disks of a majority
+ * `control node refound`: founds a core again from this machine's data folder, after the disks of a majority
  * are gone for good. Without `--yes` it only tells what it would do and what may be lost.
  */
-import { Startup } from '../gauge/Startup.js'
-import { refound } from '../interlocking/refound.js'
-import { FileWaybill } from '../waybill/FileWaybill.js'
+import { Startup } from '../common/Startup.js'
+import { refound } from '../consensus/refound.js'
+import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
 
-export async function foundAgain(startup: Startup['signalbox'], sure: boolean, say: (line: string) => void): Promise<number> {
-  const waybill = await FileWaybill.open(startup.data)
+export async function foundAgain(startup: Startup['control'], sure: boolean, say: (line: string) => void): Promise<number> {
+  const writeAheadLog = await FileWriteAheadLog.open(startup.data)
   try {
     const system = crypto.randomUUID().slice(0, 13)
-    const again = refound(waybill.records, { seat: startup.name, address: startup.telegraph, system })
+    const again = refound(writeAheadLog.records, { seat: startup.name, address: startup.transport, system })
     if (again === undefined) {
       say(`${startup.data} holds no core; nothing can be founded from it.`)
       return 1
@@ -23,12 +23,12 @@
       say('Nothing was changed. Stop the other core machines, then say it again with --yes.')
       return 0
     }
-    await waybill.rewrite(again.records)
+    await writeAheadLog.rewrite(again.records)
     say(
-      `Founded again as system ${system}. Start this machine; start the others empty with "system": "${system}", and restart every lineman with the same.`,
+      `Founded again as system ${system}. Start this machine; start the others empty with "system": "${system}", and restart every agent with the same.`,
     )
     return 0
   } finally {
-    await waybill.close()
+    await writeAheadLog.close()
   }
 }
--- a/src/signalbox/main.ts
+++ b/src/control/main.ts
@@ -1,24 +1,24 @@
 #!/usr/bin/env node
 /**
- * The core daemon: its telegraph and data folder are opened first, then the machine, then the
+ * The core daemon: its transport and data folder are opened first, then the machine, then the
  * operators' desk.
  */
 import 'reflect-metadata'
 import { container } from 'tsyringe'
-import { Meters } from '../gauge/Meters.js'
-import { startDaemon } from '../gauge/startDaemon.js'
-import { Startup } from '../gauge/Startup.js'
-import { HttpOutside } from '../sidings/HttpOutside.js'
-import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
-import { FileWaybill } from '../waybill/FileWaybill.js'
+import { Meters } from '../common/Meters.js'
+import { startDaemon } from '../common/startDaemon.js'
+import { Startup } from '../common/Startup.js'
+import { HttpOutside } from '../adapters/HttpOutside.js'
+import { TcpTransport } from '../transport/TcpTransport.js'
+import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
 import { foundAgain } from './foundAgain.js'
 import { OperatorsDesk } from './OperatorsDesk.js'
-import { SignalboxTask } from './SignalboxTask.js'
+import { ControlTask } from './ControlTask.js'
 
 const fields = {
   name: "this machine's seat in the core",
   zone: 'its zone',
-  telegraph: 'address for the other processes',
+  transport: 'address for the other processes',
   operators: "address of the operators' API",
   seeds: 'addresses of other processes, comma-separated',
   seats: 'names of all seats of the core, comma-separated',
@@ -29,21 +29,21 @@
 }
 
 await startDaemon(
-  'signalbox',
+  'control',
   'A core machine of springpaddle.',
-  Startup.signalbox,
+  Startup.control,
   fields,
-  async (startup, logbook) => {
-    const waybill = await FileWaybill.open(startup.data)
+  async (startup, logger) => {
+    const writeAheadLog = await FileWriteAheadLog.open(startup.data)
     container.registerInstance('startup', startup)
-    container.registerInstance('logbook', logbook)
-    container.registerInstance(Meters, new Meters('signalbox', startup.name))
-    container.registerInstance('waybill', waybill)
+    container.registerInstance('logger', logger)
+    container.registerInstance(Meters, new Meters('control', startup.name))
+    container.registerInstance('writeAheadLog', writeAheadLog)
     container.registerInstance('outside', new HttpOutside(startup.platform))
-    container.registerInstance('telegraph', await TcpTelegraph.open(startup.name, startup.telegraph, logbook))
-    const task = container.resolve(SignalboxTask)
+    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
+    const task = container.resolve(ControlTask)
     const desk = container.resolve(OperatorsDesk)
-    logbook.say('signalbox', `Listens for operators on ${await desk.open()}.`)
+    logger.say('control', `Listens for operators on ${await desk.open()}.`)
     return {
       stop: async () => {
         desk.close()
--- a/src/junction/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -1,16 +1,16 @@
 /**
- * The callers' side of a junction, and where it says whether it is ready for them. Requests are read whole,
+ * The callers' side of a gateway, and where it says whether it is ready for them. Requests are read whole,
  * within the limits of the network in force, and handed to the task. On a stop it first says that it is not
  * ready, goes on taking who still comes while it sends each on after its answer, then closes and waits for the last.
  */
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { setTimeout as pause } from 'node:timers/promises'
-import { readBody } from '../gauge/readBody.js'
-import { Network } from '../gauge/Network.js'
-import { clockMs } from '../gauge/clockMs.js'
-import type { JunctionStartup } from './JunctionStartup.js'
-import type { JunctionTask } from './JunctionTask.js'
+import { readBody } from '../common/readBody.js'
+import { Network } from '../common/Network.js'
+import { clockMs } from '../common/clockMs.js'
+import type { GatewayStartup } from './GatewayStartup.js'
+import type { GatewayTask } from './GatewayTask.js'
 
 const headerBytes = 65_536
 const fallback = { bodyBytes: 4_194_304, idleMs: 15_000, headerMs: 5000 }
@@ -21,8 +21,8 @@
 }
 
 export class CallersDesk {
-  readonly #startup: JunctionStartup
-  readonly #task: JunctionTask
+  readonly #startup: GatewayStartup
+  readonly #task: GatewayTask
   readonly #readyPath: string
   readonly #callers: Server
   #watch: Server | undefined
@@ -31,7 +31,7 @@
   #limits = fallback
   #networkStamp = -1
 
-  constructor(startup: JunctionStartup, task: JunctionTask, readyPath: string) {
+  constructor(startup: GatewayStartup, task: GatewayTask, readyPath: string) {
     this.#startup = startup
     this.#task = task
     this.#readyPath = readyPath
--- a/src/junction/JunctionEffect.ts
+++ b/src/gateway/GatewayEffect.ts
@@ -1,11 +1,11 @@
 /**
- * What a junction's machine asks its task to do. `attempt` sends the request to a server, `relay` lets the
+ * What a gateway's machine asks its task to do. `attempt` sends the request to a server, `relay` lets the
  * answer through to the caller, `release` ends an attempt, `turnAway` is the caller's final answer and
  * `breakOff` cuts an answer that began. `tell` goes to whoever places the models.
  */
-import type { Message } from '../telegraph/Message.js'
+import type { Message } from '../transport/Message.js'
 
-export type JunctionEffect =
+export type GatewayEffect =
   | {
       kind: 'attempt'
       id: string
--- a/src/junction/JunctionInput.ts
+++ b/src/gateway/GatewayInput.ts
@@ -1,11 +1,11 @@
 /**
- * What a junction's machine is told. `defect` says what is known of the attempt that ended; `status` is a
+ * What a gateway's machine is told. `defect` says what is known of the attempt that ended; `status` is a
  * whole answer's, of which nothing has gone to the caller yet.
  */
-import type { Verdict } from '../gauge/Verdict.js'
-import type { Arrival } from '../sidings/Arrival.js'
+import type { Verdict } from '../common/Verdict.js'
+import type { Arrival } from '../adapters/Arrival.js'
 
-export type JunctionInput =
+export type GatewayInput =
   | { kind: 'tick' }
   | { kind: 'adopted' }
   | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
--- a/src/junction/JunctionMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -1,23 +1,19 @@
 import { deepStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Chance } from '../gauge/Chance.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { Copy } from '../interlocking/Copy.js'
-import type { JunctionEffect } from './JunctionEffect.js'
-import type { JunctionInput } from './JunctionInput.js'
-import { JunctionMachine } from './JunctionMachine.js'
+import { Random } from '../common/Random.js'
+import { Verdict } from '../common/Verdict.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { GatewayEffect } from './GatewayEffect.js'
+import type { GatewayInput } from './GatewayInput.js'
+import { GatewayMachine } from './GatewayMachine.js'
 
 interface Given {
-  machine: JunctionMachine
+  machine: GatewayMachine
   set: (key: string, value: unknown) => void
   drop: (key: string) => void
-  step: (input: JunctionInput) => JunctionEffect[]
-  arrive: (
-    id: string,
-    path: string,
-    more?: { model?: string; adapter?: string; dueInMs?: number; resumeAfter?: string },
-  ) => JunctionEffect[]
-  pass: (ms: number) => JunctionEffect[]
+  step: (input: GatewayInput) => GatewayEffect[]
+  arrive: (id: string, path: string, more?: { model?: string; adapter?: string; dueInMs?: number; resumeAfter?: string }) => GatewayEffect[]
+  pass: (ms: number) => GatewayEffect[]
 }
 
 const plan = {
@@ -32,11 +28,11 @@
 }
 
 function given(more: Partial<typeof plan> = {}): Given {
-  const copy = new Copy()
-  const machine = new JunctionMachine({ ...plan, ...more }, copy, new Chance(1))
+  const copy = new ReplicaTable()
+  const machine = new GatewayMachine({ ...plan, ...more }, copy, new Random(1))
   machine.servers.members = ['j-1', 'j-2']
   let nowMs = 1000
-  const step = (input: JunctionInput) => machine.step(input, nowMs)
+  const step = (input: GatewayInput) => machine.step(input, nowMs)
   const put = (key: string, gone: boolean, value: string) => {
     copy.set({ key, stamp: copy.stamp + 1, gone, value })
     step({ kind: 'adopted' })
@@ -89,7 +85,7 @@
         arrival: { id: `r-${id}`, dueInMs, resumeAfter, model, adapter, promptTokens: 10, outputTokens: 10, parts: [] },
       }),
     pass: (ms) => {
-      const effects: JunctionEffect[] = []
+      const effects: GatewayEffect[] = []
       for (let left = ms; left > 0; left -= 20) {
         nowMs += Math.min(20, left)
         effects.push(...step({ kind: 'tick' }))
@@ -99,8 +95,8 @@
   }
 }
 
-const only = <K extends JunctionEffect['kind']>(effects: JunctionEffect[], kind: K) =>
-  effects.filter((one): one is Extract<JunctionEffect, { kind: K }> => one.kind === kind)
+const only = <K extends GatewayEffect['kind']>(effects: GatewayEffect[], kind: K) =>
+  effects.filter((one): one is Extract<GatewayEffect, { kind: K }> => one.kind === kind)
 
 test('a request that may run once is never sent a second time after it may have run', () => {
   const { arrive, step } = given()
@@ -190,7 +186,7 @@
   strictEqual(only(arrive('2', '/stream/x', { model: 'rare' }), 'turnAway')[0]?.status, 404)
 })
 
-test('a cold server gets no more in a second than its bound over all junctions', () => {
+test('a cold server gets no more in a second than its bound over all gateways', () => {
   const { arrive, set, pass, step } = given()
   set('service/app', { name: 'app', connections: 1000, coldPerS: 20, warmMs: 3000 })
   for (const at of [0, 1])
