--- a/src/junction/JunctionMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -1,15 +1,15 @@
 /**
- * A junction as one pure machine: it takes requests on the routes of the network in force and brings each
+ * A gateway as one pure machine: it takes requests on the routes of the network in force and brings each
  * to a server, within its attempts, its due and the budget for further tries. A request is sent again only
  * when it surely did not run or may be repeated, and never once a byte of an answer went to its caller,
  * but for a stream that may be resumed, which goes on after the last event passed on. A request waits only
  * for what is expected in time; one that is given up gets its final answer at once.
  */
-import type { Chance } from '../gauge/Chance.js'
-import { Verdict } from '../gauge/Verdict.js'
-import type { Copy } from '../interlocking/Copy.js'
-import type { JunctionEffect } from './JunctionEffect.js'
-import type { JunctionInput } from './JunctionInput.js'
+import type { Random } from '../common/Random.js'
+import { Verdict } from '../common/Verdict.js'
+import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { GatewayEffect } from './GatewayEffect.js'
+import type { GatewayInput } from './GatewayInput.js'
 import { Passage } from './Passage.js'
 import { RouteTable } from './RouteTable.js'
 import type { Server } from './Server.js'
@@ -26,7 +26,7 @@
   refillMs: number
   tallyMs: number
 }
-type Attempted = Exclude<JunctionInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
+type Attempted = Exclude<GatewayInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
 
 const defaultDueMs = 30_000
 /** Ratios of a request's aim or of the time that it has. */
@@ -36,8 +36,8 @@
 const silentRatio = 0.7
 const gapRatio = 0.75
 
-export class JunctionMachine {
-  readonly copy: Copy
+export class GatewayMachine {
+  readonly copy: ReplicaTable
   readonly servers: ServerTable
   readonly routes = new RouteTable()
   readonly #plan: Plan
@@ -47,17 +47,17 @@
   readonly #held = new Set<Passage>()
   readonly #outlooks = new Map<string, { heardMs: number; readyAtMs: number; neverBeforeMs: number }>()
   #arrivals = new Map<string, { model: string; adapter: string; count: number; lastMs: number }>()
-  #effects: JunctionEffect[] = []
+  #effects: GatewayEffect[] = []
   #tallyAtMs = 0
   #urgent = false
   #toldEmpty = false
 
-  constructor(plan: Plan, copy: Copy, chance: Chance) {
+  constructor(plan: Plan, copy: ReplicaTable, random: Random) {
     this.#plan = plan
     this.copy = copy
-    this.servers = new ServerTable(plan, chance)
+    this.servers = new ServerTable(plan, random)
     this.#budget = new TryBudget(plan.retryRatio, plan.retryAllowance, plan.retryWindowMs)
-    this.#session = chance.below(4294967296).toString(36)
+    this.#session = random.below(4294967296).toString(36)
   }
 
   get open(): number {
@@ -68,7 +68,7 @@
     return this.#held.size
   }
 
-  step(input: JunctionInput, nowMs: number): JunctionEffect[] {
+  step(input: GatewayInput, nowMs: number): GatewayEffect[] {
     switch (input.kind) {
       case 'tick':
         this.#tick(nowMs)
@@ -121,7 +121,7 @@
     if (Passage.final(phase)) this.#passages.delete(passage.id)
   }
 
-  #arrived(input: Extract<JunctionInput, { kind: 'arrived' }>, nowMs: number): void {
+  #arrived(input: Extract<GatewayInput, { kind: 'arrived' }>, nowMs: number): void {
     const { id, host, path, arrival, bodyBytes } = input
     const passage: Passage = {
       id,
--- a/src/junction/JunctionStartup.ts
+++ b/src/gateway/GatewayStartup.ts
@@ -1,14 +1,14 @@
 /**
- * What a junction is told at its start, checked as a whole; every error is named by its path.
+ * What a gateway is told at its start, checked as a whole; every error is named by its path.
  */
 import { z } from 'zod'
-import { Address } from '../gauge/Address.js'
-import { Bounds } from '../gauge/Bounds.js'
+import { Address } from '../common/Address.js'
+import { Bounds } from '../common/Bounds.js'
 
-export const JunctionStartup = z.strictObject({
+export const GatewayStartup = z.strictObject({
   name: z.string().min(1),
   zone: z.string().min(1),
-  telegraph: Address,
+  transport: Address,
   /** Where callers come in, and where it says whether it is ready for them. */
   callers: Address,
   readiness: Address.optional(),
@@ -16,7 +16,7 @@
   platform: Address.optional(),
   system: z.string().default(''),
   bounds: Bounds.prefault({}),
-  /** The budget for further tries over all junctions. */
+  /** The budget for further tries over all gateways. */
   retryRatio: z.number().min(0).max(1).default(0.2),
   retryAllowance: z.number().min(0).default(50),
   retryWindowMs: z.number().positive().default(10_000),
@@ -25,4 +25,4 @@
   leaveMs: z.number().nonnegative().default(2500),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
 })
-export type JunctionStartup = z.infer<typeof JunctionStartup>
+export type GatewayStartup = z.infer<typeof GatewayStartup>
--- a/src/junction/JunctionTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -1,18 +1,18 @@
 /**
- * The byte path of a junction over real sockets: a task fed with news as its core would, a row of scripted
+ * The byte path of a gateway over real sockets: a task fed with news as its core would, a row of scripted
  * servers behind it and plain callers before it. What callers see is held against what it must be, byte by byte.
  */
 import { once } from 'node:events'
 import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
 import { connect, createServer, type Server as Listener, type Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
-import { clockMs } from '../gauge/clockMs.js'
-import { Logbook } from '../gauge/Logbook.js'
-import { RouteFormat } from '../sidings/RouteFormat.js'
-import type { Message } from '../telegraph/Message.js'
+import { clockMs } from '../common/clockMs.js'
+import { Logger } from '../common/Logger.js'
+import { RouteFormat } from '../adapters/RouteFormat.js'
+import type { Message } from '../transport/Message.js'
 import { CallersDesk } from './CallersDesk.js'
-import { JunctionStartup } from './JunctionStartup.js'
-import { JunctionTask } from './JunctionTask.js'
+import { GatewayStartup } from './GatewayStartup.js'
+import { GatewayTask } from './GatewayTask.js'
 
 interface Heard {
   line: string
@@ -114,7 +114,7 @@
   servers: StandIn[]
   call: (path: string, more?: string, body?: string) => Caller
   raw: (sent: string) => Caller
-  task: JunctionTask
+  task: GatewayTask
 }
 
 const route = (name: string, kind: string, more: object = {}) => ({
@@ -129,7 +129,7 @@
   ...more,
 })
 
-/** A junction with one server for each script, which it takes in that order. */
+/** A gateway with one server for each script, which it takes in that order. */
 async function scene(t: TestContext, scripts: Script[], told = true): Promise<Scene> {
   const servers = scripts.map((script) => new StandIn(script))
   const addresses = await Promise.all(servers.map((one) => one.open()))
@@ -145,10 +145,10 @@
     ]),
   ]
   const rows = values.map(([key, value]) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) }))
-  const startup = JunctionStartup.parse({
+  const startup = GatewayStartup.parse({
     name: 'j-1',
     zone: 'a',
-    telegraph: '127.0.0.1:0',
+    transport: '127.0.0.1:0',
     callers: '127.0.0.1:0',
     seeds: ['127.0.0.1:1'],
     graceMs: 1000,
@@ -156,7 +156,7 @@
     logLevel: 'silent',
   })
   let hear: (from: string, fromAddress: string, message: Message) => void = () => undefined
-  const telegraph = {
+  const transport = {
     address: '127.0.0.1:2',
     send: () => undefined,
     hear: (listener: typeof hear) => {
@@ -169,13 +169,13 @@
     holds: () => Promise.resolve(undefined),
     order: () => Promise.resolve('unknown' as const),
   }
-  const task = new JunctionTask(startup, new Logbook('junction', 'j-1', 'silent'), telegraph, RouteFormat, outside)
+  const task = new GatewayTask(startup, new Logger('gateway', 'j-1', 'silent'), transport, RouteFormat, outside)
   const desk = new CallersDesk(startup, task, '/ready')
   const address = await desk.open()
   if (told) {
     hear('box-1', '127.0.0.1:1', { kind: 'news', stamp: 1, since: 0, rows })
     hear('box-1', '127.0.0.1:1', {
-      kind: 'licence',
+      kind: 'lease',
       sentMs: clockMs(),
       forMs: 60_000,
       stamp: 1,
--- a/src/junction/JunctionTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -1,39 +1,39 @@
 /**
- * Owns a junction's machine, the lineman's machine beside it, the telegraph, the callers and the pools of
+ * Owns a gateway's machine, the agent's machine beside it, the transport, the callers and the pools of
  * connections to servers. What the machines decide is carried out at once, in the same turn, so that an
  * answer's head waits for the machine's word before a byte of it goes on.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { Chance } from '../gauge/Chance.js'
-import { clockMs } from '../gauge/clockMs.js'
-import type { Logbook } from '../gauge/Logbook.js'
-import { Pace } from '../gauge/Pace.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { LinemanMachine } from '../lineman/LinemanMachine.js'
-import type { LinemanInput } from '../lineman/LinemanInput.js'
-import type { Outside } from '../sidings/Outside.js'
-import { passedOn } from '../sidings/passedOn.js'
-import type { RouteWire } from '../sidings/RouteWire.js'
-import type { Telegraph } from '../telegraph/Telegraph.js'
+import { Random } from '../common/Random.js'
+import { clockMs } from '../common/clockMs.js'
+import type { Logger } from '../common/Logger.js'
+import { Timings } from '../common/Timings.js'
+import { Verdict } from '../common/Verdict.js'
+import { AgentMachine } from '../agent/AgentMachine.js'
+import type { AgentInput } from '../agent/AgentInput.js'
+import type { Outside } from '../adapters/Outside.js'
+import { passedOn } from '../adapters/passedOn.js'
+import type { RouteWire } from '../adapters/RouteWire.js'
+import type { Transport } from '../transport/Transport.js'
 import { EventScanner } from './EventScanner.js'
-import type { JunctionEffect } from './JunctionEffect.js'
-import type { JunctionInput } from './JunctionInput.js'
-import { JunctionMachine } from './JunctionMachine.js'
-import type { JunctionStartup } from './JunctionStartup.js'
+import type { GatewayEffect } from './GatewayEffect.js'
+import type { GatewayInput } from './GatewayInput.js'
+import { GatewayMachine } from './GatewayMachine.js'
+import type { GatewayStartup } from './GatewayStartup.js'
 import type { Ticket } from './Ticket.js'
 import { Upstream } from './Upstream.js'
 
 const gatheredBytes = 1_000_000
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 
-export class JunctionTask {
-  readonly machine: JunctionMachine
-  readonly lineman: LinemanMachine
-  readonly pace: Pace
-  readonly #startup: JunctionStartup
-  readonly #logbook: Logbook
-  readonly #telegraph: Telegraph
+export class GatewayTask {
+  readonly machine: GatewayMachine
+  readonly agent: AgentMachine
+  readonly timings: Timings
+  readonly #startup: GatewayStartup
+  readonly #logger: Logger
+  readonly #transport: Transport
   readonly #wire: RouteWire
   readonly #outside: Outside
   readonly #upstream: Upstream
@@ -43,17 +43,17 @@
   #ticks = 0
   #loads: readonly { key: string; count: number }[] = []
 
-  constructor(startup: JunctionStartup, logbook: Logbook, telegraph: Telegraph, wire: RouteWire, outside: Outside) {
+  constructor(startup: GatewayStartup, logger: Logger, transport: Transport, wire: RouteWire, outside: Outside) {
     this.#startup = startup
-    this.#logbook = logbook
-    this.#telegraph = telegraph
+    this.#logger = logger
+    this.#transport = transport
     this.#wire = wire
     this.#outside = outside
-    this.pace = Pace(startup.bounds)
-    const chance = new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
+    this.timings = Timings(startup.bounds)
+    const random = new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     const { name, zone, seeds, system, retryRatio, retryAllowance, retryWindowMs } = startup
-    this.lineman = new LinemanMachine({ name, zone, address: telegraph.address, seeds, turnout: '', system }, this.pace, chance, clockMs())
-    this.machine = new JunctionMachine(
+    this.agent = new AgentMachine({ name, zone, address: transport.address, seeds, proxy: '', system }, this.timings, random, clockMs())
+    this.machine = new GatewayMachine(
       {
         name,
         zone,
@@ -64,22 +64,22 @@
         refillMs: startup.bounds.charterMs,
         tallyMs: 0.125 * startup.bounds.charterMs,
       },
-      this.lineman.copy,
-      chance,
+      this.agent.copy,
+      random,
     )
     this.#upstream = new Upstream({ connectMs: 0.75 * startup.bounds.charterMs, idleMs: 0.5 * startup.bounds.charterMs })
-    telegraph.hear((from, fromAddress, message) => {
+    transport.hear((from, fromAddress, message) => {
       if (message.kind === 'outlook') this.step({ kind: 'outlook', models: message.models })
-      else this.#lineman({ kind: 'message', from, fromAddress, message })
+      else this.#agent({ kind: 'message', from, fromAddress, message })
     })
     this.#ticker = setInterval(() => {
       this.#tick()
-    }, 2.4 * this.pace.tickMs)
+    }, 2.4 * this.timings.tickMs)
   }
 
   /** True once the network in force is here and the core has been heard in this life. */
   get ready(): boolean {
-    return this.lineman.copy.get('network') !== undefined && this.lineman.level
+    return this.agent.copy.get('network') !== undefined && this.agent.level
   }
 
   get waiting(): number {
@@ -96,7 +96,7 @@
       return
     }
     if (!this.ready) {
-      this.answer(response, arrival.id, 503, 2 * this.pace.electionMs, 'has no network in force yet')
+      this.answer(response, arrival.id, 503, 2 * this.timings.electionMs, 'has no network in force yet')
       return
     }
     if (arrival.dueInMs !== undefined) arrival.dueInMs -= waitedMs
@@ -139,47 +139,47 @@
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
     this.#upstream.close()
-    await this.#telegraph.close()
+    await this.#transport.close()
   }
 
   reseed(seeds: string[]): void {
-    this.lineman.reseed(seeds)
+    this.agent.reseed(seeds)
   }
 
   #tick(): void {
-    this.#lineman({ kind: 'tick' })
-    this.machine.servers.members = this.lineman.memberNames
-    if (this.#loads !== this.lineman.loads) {
-      this.#loads = this.lineman.loads
+    this.#agent({ kind: 'tick' })
+    this.machine.servers.members = this.agent.memberNames
+    if (this.#loads !== this.agent.loads) {
+      this.#loads = this.agent.loads
       this.machine.servers.told(this.#loads)
     }
     this.#ticks += 1
     if (this.#ticks % 8 === 0) {
-      this.machine.servers.barred = new Set(this.lineman.barred(clockMs()))
+      this.machine.servers.barred = new Set(this.agent.barred(clockMs()))
       this.#upstream.sweep((server) => this.machine.servers.get(server) !== undefined)
     }
     this.step({ kind: 'tick' })
   }
 
-  #lineman(input: LinemanInput): void {
-    for (const effect of this.lineman.step(input, clockMs())) {
-      if (effect.kind === 'send') this.#telegraph.send(effect.toAddress, effect.message)
-      else if (effect.kind === 'say') this.#logbook.say(effect.part, effect.sentence)
+  #agent(input: AgentInput): void {
+    for (const effect of this.agent.step(input, clockMs())) {
+      if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
+      else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
       else if (effect.kind === 'adopted') this.step({ kind: 'adopted' })
       else void this.#readPlatform()
     }
   }
 
   async #readPlatform(): Promise<void> {
-    const servers = await this.#outside.list(this.pace.platformMs)
-    if (servers !== undefined) this.#lineman({ kind: 'platform', servers })
+    const servers = await this.#outside.list(this.timings.platformMs)
+    if (servers !== undefined) this.#agent({ kind: 'platform', servers })
   }
 
-  step(input: JunctionInput): void {
+  step(input: GatewayInput): void {
     for (const effect of this.machine.step(input, clockMs())) this.#carryOut(effect)
   }
 
-  #carryOut(effect: JunctionEffect): void {
+  #carryOut(effect: GatewayEffect): void {
     switch (effect.kind) {
       case 'attempt':
         this.#attempt(effect)
@@ -208,16 +208,16 @@
         const ticket = this.#tickets.get(effect.id)
         this.#tickets.delete(effect.id)
         ticket?.response.destroy()
-        this.#logbook.say('junction', `Broke off the answer to ${ticket?.requestId ?? ''}: ${effect.why}.`)
+        this.#logger.say('gateway', `Broke off the answer to ${ticket?.requestId ?? ''}: ${effect.why}.`)
         break
       }
       case 'tell':
-        this.#lineman({ kind: 'message', from: this.#startup.name, fromAddress: '', message: effect.message })
+        this.#agent({ kind: 'message', from: this.#startup.name, fromAddress: '', message: effect.message })
         break
     }
   }
 
-  #attempt(effect: Extract<JunctionEffect, { kind: 'attempt' }>): void {
+  #attempt(effect: Extract<GatewayEffect, { kind: 'attempt' }>): void {
     const { id, attempt, server, address } = effect
     const ticket = this.#tickets.get(id)
     if (ticket === undefined) return
--- a/src/junction/Passage.ts
+++ b/src/gateway/Passage.ts
@@ -1,10 +1,10 @@
 /**
- * A request's way through a junction, as a state chart and an entity. `sent` is the one place where "may
+ * A request's way through a gateway, as a state chart and an entity. `sent` is the one place where "may
  * have run" begins; the last three states are final. A stream that may be resumed goes back from `streaming`
  * to `held`, and so does any that may be repeated while none of its answer has gone to the caller.
  */
-import type { Network } from '../gauge/Network.js'
-import type { Arrival } from '../sidings/Arrival.js'
+import type { Network } from '../common/Network.js'
+import type { Arrival } from '../adapters/Arrival.js'
 
 const next = {
   arrived: ['held', 'connecting', 'turnedAway'],
--- a/src/junction/RouteTable.test.ts
+++ b/src/gateway/RouteTable.test.ts
@@ -1,11 +1,11 @@
 import { ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Copy } from '../interlocking/Copy.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { RouteTable } from './RouteTable.js'
 
-function given(): { table: RouteTable; copy: Copy; set: (name: string, host: string, prefix: string, weights?: number[]) => void } {
+function given(): { table: RouteTable; copy: ReplicaTable; set: (name: string, host: string, prefix: string, weights?: number[]) => void } {
   const table = new RouteTable()
-  const copy = new Copy()
+  const copy = new ReplicaTable()
   const set = (name: string, host: string, prefix: string, weights = [1]) => {
     const services = weights.map((weight, at) => ({ service: `s${String(at)}`, weight }))
     const value = JSON.stringify({ name, host, prefix, kind: 'once', timeoutMs: 1, services })
--- a/src/junction/RouteTable.ts
+++ b/src/gateway/RouteTable.ts
@@ -3,15 +3,15 @@
  * begins the path and is longest. Prefixes are looked up from the longest cut of the path at a slash to the
  * shortest, so that hundreds of routes cost no more than a few.
  */
-import { Network } from '../gauge/Network.js'
-import { digest } from '../gauge/digest.js'
-import type { Copy } from '../interlocking/Copy.js'
+import { Network } from '../common/Network.js'
+import { digest } from '../common/digest.js'
+import type { ReplicaTable } from '../consensus/ReplicaTable.js'
 
 export class RouteTable {
   readonly #byName = new Map<string, { stamp: number; route: Network['routes'][number] }>()
   readonly #hosts = new Map<string, Map<string, Network['routes'][number]>>()
 
-  adopt(copy: Copy): void {
+  adopt(copy: ReplicaTable): void {
     const rows = copy.under('route/')
     const listed = new Set<string>()
     let changed = false
--- a/src/junction/Server.ts
+++ b/src/gateway/Server.ts
@@ -1,5 +1,5 @@
 /**
- * The junction's entity for one life of a server: what the shared table says of it, what this junction has
+ * The gateway's entity for one life of a server: what the shared table says of it, what this gateway has
  * sent there, and what it has found out by itself. `kept` holds the chains of prompt parts that it sent there last.
  */
 export interface Server {
@@ -13,11 +13,11 @@
   models: ReadonlySet<string>
   adapters: ReadonlySet<string>
   flights: number
-  /** What this junction last told of its flights there, and what all others have there, as far as was told. */
+  /** What this gateway last told of its flights there, and what all others have there, as far as was told. */
   toldFlights: number
   others: number
   firstByteMs: number
-  /** When anything last came from it to this junction. */
+  /** When anything last came from it to this gateway. */
   heardMs: number
   suspectUntilMs: number
   defects: number
--- a/src/junction/ServerTable.test.ts
+++ b/src/gateway/ServerTable.test.ts
@@ -1,7 +1,7 @@
 import { deepStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Chance } from '../gauge/Chance.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Random } from '../common/Random.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Passage } from './Passage.js'
 import type { Server } from './Server.js'
 import { ServerTable } from './ServerTable.js'
@@ -10,13 +10,13 @@
 const startMs = 1000
 const names = ['s-0', 's-1', 's-2']
 
-function set(copy: Copy, key: string, value: unknown, gone = false): void {
+function set(copy: ReplicaTable, key: string, value: unknown, gone = false): void {
   copy.set({ key, stamp: copy.stamp + 1, gone, value: JSON.stringify(value) })
 }
 
 /** Three servers of one zone that hold the model `m`, with an adapter. */
-function rows(service: object = {}, server: object = {}): Copy {
-  const copy = new Copy()
+function rows(service: object = {}, server: object = {}): ReplicaTable {
+  const copy = new ReplicaTable()
   const batch = { capacity: 4, cacheTokens: 1000, roomMb: 100, adapterPlaces: 2, loadsPerS: 5, models: [] }
   set(copy, 'service/llm', { name: 'llm', connections: 100, batch, ...service })
   names.forEach((name, at) => {
@@ -27,7 +27,7 @@
 }
 
 function given(copy = rows(), name = plan.name, members: readonly string[] = ['j-1', 'j-2']) {
-  const table = new ServerTable({ ...plan, name }, new Chance(1))
+  const table = new ServerTable({ ...plan, name }, new Random(1))
   table.members = members
   table.adopt(copy, startMs)
   return table
@@ -107,8 +107,8 @@
   }
 })
 
-test('every junction sends a chain that it has not seen to the same server', () => {
-  const picked = (junction: string, id: string) => chosen(given(rows(), junction), passage({}, [{ id, tokens: 3000 }]))
+test('every gateway sends a chain that it has not seen to the same server', () => {
+  const picked = (gateway: string, id: string) => chosen(given(rows(), gateway), passage({}, [{ id, tokens: 3000 }]))
   const ids = Array.from({ length: 20 }, (_, at) => `p${String(at)}`)
   for (const id of ids) strictEqual(picked('j-1', id), picked('j-2', id))
   deepStrictEqual([...new Set(ids.map((id) => picked('j-1', id)))].sort(), names)
@@ -126,7 +126,7 @@
   strictEqual(new Set(Array.from({ length: 20 }, (_, at) => picked(`own${String(at)}`))).size, 1)
 })
 
-test('a server that is full, by this junction or by all of them, is passed over', () => {
+test('a server that is full, by this gateway or by all of them, is passed over', () => {
   const table = given()
   for (const name of ['s-0', 's-1']) server(table, name).flights = 5
   for (let n = 0; n < 5; n++) strictEqual(chosen(table), 's-2')
@@ -137,7 +137,7 @@
   strictEqual(chosen(table), undefined)
 })
 
-test('what this junction told of its own flights is not counted twice', () => {
+test('what this gateway told of its own flights is not counted twice', () => {
   const table = given()
   const one = server(table, 's-0')
   one.flights = 3
@@ -197,7 +197,7 @@
   deepStrictEqual(holders(passage({ model: '' })), names)
 })
 
-test('a cold server takes its few requests from as many junctions as there are half of them, the same everywhere', () => {
+test('a cold server takes its few requests from as many gateways as there are half of them, the same everywhere', () => {
   const members = Array.from({ length: 12 }, (_, at) => `j-${String(at)}`)
   const tables = members.map((name) => given(rows({ coldPerS: 10, warmMs: 3000 }, { cold: true }), name, members))
   const ways = (name: string) =>
@@ -209,7 +209,7 @@
   for (const name of names) strictEqual(ways(name).length, 3)
 })
 
-test('over ten seconds all junctions together stay within what a cold server bears', () => {
+test('over ten seconds all gateways together stay within what a cold server bears', () => {
   const members = Array.from({ length: 12 }, (_, at) => `j-${String(at)}`)
   const tables = members.map((name) => given(rows({ coldPerS: 10, warmMs: 3000 }, { cold: true }), name, members))
   const only = passage({ avoid: new Set(['s-1', 's-2']) })
--- a/src/junction/ServerTable.ts
+++ b/src/gateway/ServerTable.ts
@@ -1,16 +1,16 @@
 /**
- * The junction's table of servers and the systems over it: what the shared table makes of them, and which
+ * The gateway's table of servers and the systems over it: what the shared table makes of them, and which
  * one a request goes to. Among those that may take it the one with the least expected time until its first
  * token is chosen: what of the prompt is not kept there, what runs there, how it answered of late, and the
- * way to its zone. All junctions rank the servers for a chain of prompt parts alike, by a digest, so that a
+ * way to its zone. All gateways rank the servers for a chain of prompt parts alike, by a digest, so that a
  * chain comes back to where it is kept without a word between them.
  */
-import type { Chance } from '../gauge/Chance.js'
-import { digest } from '../gauge/digest.js'
-import { Network } from '../gauge/Network.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import { BindingRow } from '../interlocking/BindingRow.js'
-import type { Copy } from '../interlocking/Copy.js'
+import type { Random } from '../common/Random.js'
+import { digest } from '../common/digest.js'
+import { Network } from '../common/Network.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import { BindingRow } from '../consensus/BindingRow.js'
+import type { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Passage } from './Passage.js'
 import type { Server } from './Server.js'
 
@@ -29,7 +29,7 @@
 const crossZoneMs = 4
 const perFlightMs = 2.5
 const keptMs = 20_000
-/** Over all junctions no more is sent to a server than it runs at once and a few behind. */
+/** Over all gateways no more is sent to a server than it runs at once and a few behind. */
 const fullRatio = 1.25
 
 export class ServerTable {
@@ -37,16 +37,16 @@
   barred: ReadonlySet<string> = new Set()
   members: readonly string[] = []
   readonly #plan: Plan
-  readonly #chance: Chance
+  readonly #random: Random
   readonly #table = new Map<string, Server>()
   readonly #byService = new Map<string, Server[]>()
   readonly #services = new Map<string, { stamp: number; service: Service }>()
   #emptied = new Set<string>()
   readonly #refilledMs = new Map<string, number>()
 
-  constructor(plan: Plan, chance: Chance) {
+  constructor(plan: Plan, random: Random) {
     this.#plan = plan
-    this.#chance = chance
+    this.#random = random
   }
 
   get all(): Iterable<Server> {
@@ -61,7 +61,7 @@
     return this.#services.get(name)?.service
   }
 
-  adopt(copy: Copy, nowMs: number): void {
+  adopt(copy: ReplicaTable, nowMs: number): void {
     this.#adoptServices(copy)
     const emptied = new Set(copy.under('zone/').map(([zone]) => zone))
     for (const zone of this.#emptied) if (!emptied.has(zone)) this.#refilledMs.set(zone, nowMs)
@@ -95,7 +95,7 @@
     }
   }
 
-  #adoptServices(copy: Copy): void {
+  #adoptServices(copy: ReplicaTable): void {
     const listed = new Set<string>()
     for (const [name, value] of copy.under('service/')) {
       listed.add(name)
@@ -133,7 +133,7 @@
     return server
   }
 
-  /** What all junctions together have at each server, this one's own last word taken off. */
+  /** What all gateways together have at each server, this one's own last word taken off. */
   told(loads: readonly { key: string; count: number }[]): void {
     const counts = new Map(loads.map((one) => [one.key, one.count]))
     for (const server of this.#table.values()) server.others = Math.max(0, (counts.get(server.name) ?? 0) - server.toldFlights)
@@ -141,7 +141,7 @@
 
   suspect(server: Server, nowMs: number): void {
     server.defects += 1
-    const waitMs = (this.#plan.suspectMs / 8) * 2 ** Math.min(server.defects - 1, 3) * (0.75 + 0.5 * this.#chance.next())
+    const waitMs = (this.#plan.suspectMs / 8) * 2 ** Math.min(server.defects - 1, 3) * (0.75 + 0.5 * this.#random.next())
     server.suspectUntilMs = nowMs + waitMs
   }
 
@@ -170,7 +170,7 @@
     return (this.#byService.get(service) ?? []).filter((server) => this.open(server)).length
   }
 
-  /** What this junction lets run at a server at once: its part of the places and of the queue behind them. */
+  /** What this gateway lets run at a server at once: its part of the places and of the queue behind them. */
   limit(server: Server): number {
     const members = Math.max(1, this.members.length)
     return Math.max(2, Math.ceil((2.5 * server.capacity) / members) + 1)
@@ -191,7 +191,7 @@
       if (nowMs < server.suspectUntilMs || server.flights >= Math.min(this.limit(server), this.connections(server))) continue
       if (server.flights + server.others >= fullRatio * server.capacity && server.flights > 0) continue
       if (this.#isCold(server, nowMs) && !this.#coldToken(server, nowMs)) continue
-      const costMs = this.#expectedMs(server, passage, home, nowMs) * (0.97 + 0.06 * this.#chance.next())
+      const costMs = this.#expectedMs(server, passage, home, nowMs) * (0.97 + 0.06 * this.#random.next())
       if (costMs < bestMs) {
         best = server
         bestMs = costMs
@@ -220,7 +220,7 @@
     return costMs + Math.max(0, unkept) / tokensPerMs
   }
 
-  /** The server that every junction ranks first for the longest chain that others may share: all parts but the request's own last. */
+  /** The server that every gateway ranks first for the longest chain that others may share: all parts but the request's own last. */
   #home(passage: Passage, group: readonly Server[]): Server | undefined {
     const { parts } = passage.arrival
     if (passage.model === '' || parts.length === 0) return undefined
@@ -259,7 +259,7 @@
     return server.cold || nowMs - (this.#refilledMs.get(server.zone) ?? -Infinity) < Math.max(this.#plan.refillMs, service.warmMs)
   }
 
-  /** A cold server's few requests a second are dealt to as many junctions as there are half of them, by rank. */
+  /** A cold server's few requests a second are dealt to as many gateways as there are half of them, by rank. */
   #coldToken(server: Server, nowMs: number): boolean {
     const perS = 0.6 * (this.#services.get(server.service)?.service.coldPerS ?? 0)
     const members = Math.max(1, this.members.length)
--- a/src/junction/Ticket.ts
+++ b/src/gateway/Ticket.ts
@@ -1,5 +1,5 @@
 /**
- * A junction's task keeps one for each request under way: its caller's end, what is sent on, and the attempt
+ * A gateway's task keeps one for each request under way: its caller's end, what is sent on, and the attempt
  * that is under way.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
--- a/src/junction/TryBudget.ts
+++ b/src/gateway/TryBudget.ts
@@ -1,5 +1,5 @@
 /**
- * This junction's part of the budget for further tries, one for each service. The budget over all junctions
+ * This gateway's part of the budget for further tries, one for each service. The budget over all gateways
  * is a share of the requests in a window and an allowance; each earns the share on its own requests and has
  * an even part of the allowance, refilled over the window, so that the sum stays inside without a word between them.
  */
--- a/src/timetable/Bucket.test.ts
+++ b/src/placement/Bucket.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { ok, strictEqual } from 'node:assert'
-import { Chance } from '../gauge/Chance.js'
+import { Random } from '../common/Random.js'
 import { Bucket } from './Bucket.js'
 
 /** Whether the store could have given so much before then, with what it had given up to now. */
@@ -14,7 +14,7 @@
   return Math.max(0, level - ((wait.untilMs - 1 - lastMs) * 10) / 1000) + wait.mb <= 20
 }
 
-test('nothing at first, the pace later, never more than the burst', () => {
+test('nothing at first, the timings later, never more than the burst', () => {
   const bucket = new Bucket(0)
   strictEqual(bucket.reserve(1, 10, 20, 0), false)
   strictEqual(bucket.reserve(10, 10, 20, 1000), true)
@@ -26,7 +26,7 @@
 test('whenever the draws come between sending and settling, no window holds too much', () => {
   let certain = 0
   for (let seed = 0; seed < 100; seed++) {
-    const chance = new Chance(seed)
+    const random = new Random(seed)
     const bucket = new Bucket(0)
     const draws: { atMs: number; mb: number }[] = []
     const waits: { mb: number; atMs: number; untilMs: number }[] = []
@@ -36,13 +36,13 @@
         bucket.settle(one.mb, true, 10, 20, one.sentMs, nowMs)
         open.splice(open.indexOf(one), 1)
       }
-      const mb = chance.between(1, 15)
+      const mb = random.between(1, 15)
       const certainMs = bucket.earliestMs(mb, 10, 20, nowMs)
       if (certainMs > 0) waits.push({ mb, untilMs: nowMs + certainMs, atMs: nowMs })
       if (!bucket.reserve(mb, 10, 20, nowMs)) continue
-      const settleMs = nowMs + chance.between(0, chance.hit(0.8) ? 100 : 4000)
+      const settleMs = nowMs + random.between(0, random.hit(0.8) ? 100 : 4000)
       open.push({ sentMs: nowMs, settleMs, mb })
-      draws.push({ atMs: chance.between(nowMs, settleMs), mb })
+      draws.push({ atMs: random.between(nowMs, settleMs), mb })
     }
     for (const wait of waits) strictEqual(could(draws, wait), false)
     certain += waits.length
--- a/src/timetable/Demand.ts
+++ b/src/placement/Demand.ts
@@ -4,7 +4,7 @@
  * forecast windows. A copy makes way by the three rules; then one beyond what its model needs; the last
  * resorts are for requests that wait. The wants are counted anew when something changed, or every 100 ms.
  */
-import type { Pace } from '../gauge/Pace.js'
+import type { Timings } from '../common/Timings.js'
 import { keyOf } from './keyOf.js'
 import { Load } from './Load.js'
 import type { ModelPlan } from './ModelPlan.js'
@@ -42,7 +42,7 @@
 const copiesAtOnce = 4
 
 export class Demand implements Placer {
-  readonly #pace: Pace
+  readonly #timings: Timings
   readonly #policy: Policy
   readonly #yards: Yards
   readonly #tallies: ReadonlyMap<string, Tally>
@@ -57,10 +57,10 @@
   #flights = new Map<string, number>()
   #capacities = new Map<string, number>()
   #historyMs = 0
-  /** Since when each server holds what it holds, for what came under this tenure. */
+  /** Since when each server holds what it holds, for what came under this epoch. */
   #sinceMs = new Map<string, number>()
   #surveyed = false
-  /** What each server has held under this tenure: it loads that again from its own disk, sooner. */
+  /** What each server has held under this epoch: it loads that again from its own disk, sooner. */
   #onDisk = new Map<string, Set<string>>()
   #places = 1
   #wants: readonly Want[] = []
@@ -68,8 +68,8 @@
   #countedTurn = -1
   #urged = false
 
-  constructor(pace: Pace, policy: Policy, yards: Yards, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
-    this.#pace = pace
+  constructor(timings: Timings, policy: Policy, yards: Yards, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
+    this.#timings = timings
     this.#policy = policy
     this.#yards = yards
     this.#tallies = tallies
@@ -205,7 +205,7 @@
     const atOnce = new Map<string, number>()
     const add = (map: Map<string, number>, key: string, count: number) => map.set(key, (map.get(key) ?? 0) + count)
     for (const tally of this.#tallies.values()) {
-      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      if (nowMs - tally.heardMs > this.#timings.leaseMs) continue
       for (const one of tally.flights) {
         add(this.#busy, one.server, one.count)
         for (const key of new Set([one.model, keyOf(one.model, one.adapter)])) {
@@ -245,7 +245,7 @@
   #held(nowMs: number): Map<string, { model: string; adapter: string; dueInMs: number; count: number }> {
     const held = new Map<string, { model: string; adapter: string; dueInMs: number; count: number }>()
     for (const tally of this.#tallies.values()) {
-      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      if (nowMs - tally.heardMs > this.#timings.leaseMs) continue
       for (const { model, adapter, dueInMs, count } of tally.held) {
         const key = keyOf(model, adapter)
         const old = held.get(key)
@@ -396,7 +396,7 @@
       )
     if (this.#choose(step, plan, fitting, size, 'nothing', nowMs)) return true
     if (this.#choose(step, plan, fitting, size, 'spares', nowMs)) return true
-    if (want.dueInMs > this.#pace.makeRoomMs + 2 * this.thetaMs(want.model)) return false
+    if (want.dueInMs > this.#timings.makeRoomMs + 2 * this.thetaMs(want.model)) return false
     for (const relaxed of ['history', 'overlap', 'doubles'] as const)
       if (this.#choose(step, plan, fitting, size, relaxed, nowMs)) return true
     return false
--- a/src/timetable/Dispatcher.test.ts
+++ b/src/placement/Dispatcher.test.ts
@@ -4,10 +4,10 @@
  */
 import { ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Chance } from '../gauge/Chance.js'
-import type { Order } from '../gauge/Order.js'
-import { Pace } from '../gauge/Pace.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Random } from '../common/Random.js'
+import type { Order } from '../common/Order.js'
+import { Timings } from '../common/Timings.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { Dispatcher } from './Dispatcher.js'
 import { edgeMulti } from './edgeMulti.js'
 
@@ -25,7 +25,7 @@
 const names = (count: number) => Array.from({ length: count }, (_, at) => `m${String(at)}`)
 
 class Stand {
-  readonly copy = new Copy()
+  readonly copy = new ReplicaTable()
   readonly servers = new Map<string, Held>()
   readonly begun: number[] = []
   readonly falls: string[] = []
@@ -36,11 +36,11 @@
   asked = 0
   lose = 0
   #stamp = 0
-  readonly #chance = new Chance(7)
+  readonly #random = new Random(7)
   readonly #later: { atMs: number; run: () => void }[] = []
 
   constructor(models: number, servers: number) {
-    this.dispatcher = new Dispatcher(Pace({ charterMs: 5000, recoverMs: 5000, drainMs: 5000, emptyMs: 10_000 }), 1, true, edgeMulti, 0)
+    this.dispatcher = new Dispatcher(Timings({ charterMs: 5000, recoverMs: 5000, drainMs: 5000, emptyMs: 10_000 }), 1, true, edgeMulti, 0)
     this.put('network', '{"revision":1}')
     const batch = {
       capacity: 32,
@@ -153,7 +153,7 @@
             sequence: held.sequence,
             busy: held.doing !== undefined,
           }
-    this.#after(this.#chance.between(5, 60), () => {
+    this.#after(this.#random.between(5, 60), () => {
       this.dispatcher.reported(server, report, askedMs, this.nowMs)
     })
   }
@@ -166,11 +166,11 @@
         this.dispatcher.replied(server, order.number, reply, this.nowMs)
       })
     }
-    if (held === undefined || this.#chance.hit(this.lose)) {
+    if (held === undefined || this.#random.hit(this.lose)) {
       tell('unknown', 400)
       return
     }
-    const answer = this.#chance.hit(this.lose) ? 'unknown' : undefined
+    const answer = this.#random.hit(this.lose) ? 'unknown' : undefined
     if (held.doing !== undefined || order.expected !== held.sequence) {
       if (held.doing !== undefined) this.overlaps.push(server)
       tell(answer ?? 'turnedAway')
@@ -232,17 +232,17 @@
   ok(stand.asked <= 6)
 })
 
-void test('under random demand, lost orders and restarts no room is exceeded, no order overlaps and the store keeps its pace', () => {
+void test('under random demand, lost orders and restarts no room is exceeded, no order overlaps and the store keeps its timings', () => {
   for (let seed = 1; seed <= 8; seed++) {
-    const chance = new Chance(seed)
+    const random = new Random(seed)
     const stand = new Stand(20, 5)
     stand.lose = 0.15
     let life = 0
     stand.run(60_000, () => {
       if (stand.nowMs % 250 === 0) {
-        const hot = chance.hit(0.6) ? Math.floor(stand.nowMs / 15_000) : Math.floor(chance.between(0, 20))
+        const hot = random.hit(0.6) ? Math.floor(stand.nowMs / 15_000) : Math.floor(random.between(0, 20))
         const model = `m${String(hot % 20)}`
-        const adapter = chance.hit(0.4) ? `a${String(1 + Math.floor(chance.between(0, 3)))}` : ''
+        const adapter = random.hit(0.4) ? `a${String(1 + Math.floor(random.between(0, 3)))}` : ''
         const [server] = stand.holders(model)
         if (server === undefined || adapter !== '') stand.request(model, adapter, 1, true)
         else stand.request(model, adapter, 4, false, [{ server, count: 6 }])
--- a/src/timetable/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -1,16 +1,16 @@
 /**
  * The placement: the paper's cache, run by the node that holds the dispatcher duty. Servers are entities
  * in a table; each tick the systems run over them in turn: census, reading, settling, bindings, wants,
- * orders. An order is put to the log under the tenure before it is sent, one at a time for a server, and
+ * orders. An order is put to the log under the epoch before it is sent, one at a time for a server, and
  * keeps its room until a report made after it has settled it.
  */
 import { z } from 'zod'
-import type { Order } from '../gauge/Order.js'
-import { Order as OrderSchema } from '../gauge/Order.js'
-import type { Pace } from '../gauge/Pace.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Report } from '../gauge/Report.js'
-import type { Copy } from '../interlocking/Copy.js'
+import type { Order } from '../common/Order.js'
+import { Order as OrderSchema } from '../common/Order.js'
+import type { Timings } from '../common/Timings.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import type { Report } from '../common/Report.js'
+import type { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { Bucket } from './Bucket.js'
 import { Demand } from './Demand.js'
 import type { DispatcherOut } from './DispatcherOut.js'
@@ -51,8 +51,8 @@
 const followsMs = 3000
 
 export class Dispatcher {
-  readonly #pace: Pace
-  readonly #tenure: number
+  readonly #timings: Timings
+  readonly #epoch: number
   readonly #beganMs: number
   readonly #yards: Yards
   readonly #planner: Planner
@@ -63,13 +63,13 @@
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
 
-  constructor(pace: Pace, tenure: number, first: boolean, policy: Policy, nowMs: number) {
-    this.#pace = pace
-    this.#tenure = tenure
+  constructor(timings: Timings, epoch: number, first: boolean, policy: Policy, nowMs: number) {
+    this.#timings = timings
+    this.#epoch = epoch
     this.#beganMs = nowMs
-    this.#yards = new Yards(pace, tenure, first, nowMs)
-    this.#planner = new Planner(pace, policy, this.#yards)
-    this.#demand = new Demand(pace, policy, this.#yards, this.#planner.tallies, nowMs)
+    this.#yards = new Yards(timings, epoch, first, nowMs)
+    this.#planner = new Planner(timings, policy, this.#yards)
+    this.#demand = new Demand(timings, policy, this.#yards, this.#planner.tallies, nowMs)
     this.#bucket = new Bucket(nowMs)
   }
 
@@ -81,8 +81,8 @@
     return this.#yards.fleet?.counts === true
   }
 
-  get tenure(): number {
-    return this.#tenure
+  get epoch(): number {
+    return this.#epoch
   }
 
   get reasons(): readonly Reason[] {
@@ -100,7 +100,7 @@
   deaf(nowMs: number): boolean {
     if (!this.#yards.deaf(nowMs)) this.#deafSinceMs = undefined
     else this.#deafSinceMs ??= nowMs
-    return this.#deafSinceMs !== undefined && nowMs - this.#deafSinceMs > 2 * this.#pace.reportStaleMs
+    return this.#deafSinceMs !== undefined && nowMs - this.#deafSinceMs > 2 * this.#timings.reportStaleMs
   }
 
   tally(
@@ -120,7 +120,7 @@
     if (nowMs - this.#loads.atMs < loadsMs) return this.#loads.counts
     const sums = new Map<string, number>()
     for (const tally of this.#planner.tallies.values()) {
-      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      if (nowMs - tally.heardMs > this.#timings.leaseMs) continue
       for (const { server, count } of tally.flights) sums.set(server, (sums.get(server) ?? 0) + count)
     }
     this.#loads = { atMs: nowMs, counts: [...sums].map(([key, count]) => ({ key, count })) }
@@ -160,8 +160,8 @@
     const thetaMs = this.#placer.thetaMs(model, sizeMb)
     for (const { task, plan } of yards) {
       if (task?.order.model === model && task.order.kind === 'load')
-        return Math.max(0, thetaMs - (nowMs - task.sinceMs)) + this.#pace.reportMs
-      if (plan?.model === model) return (1 + 2 * plan.victims.length) * this.#pace.reportMs + thetaMs
+        return Math.max(0, thetaMs - (nowMs - task.sinceMs)) + this.#timings.reportMs
+      if (plan?.model === model) return (1 + 2 * plan.victims.length) * this.#timings.reportMs + thetaMs
     }
     const { fleet } = this.#yards
     const { wants } = this.#placer
@@ -176,7 +176,7 @@
     const queuedMs = (1000 * drawn) / (fleet?.store.perS ?? 1) + thetaMs
     if (yards.some((yard) => Yard.freeMb(yard) >= sizeMb)) return queuedMs
     const closes = yards.flatMap((yard) => this.#placer.tenants(yard, false, nowMs).map((one) => Math.max(0, one.windowToMs - nowMs)))
-    return queuedMs + Math.min(this.#pace.orderMs, ...closes)
+    return queuedMs + Math.min(this.#timings.orderMs, ...closes)
   }
 
   reported(server: string, report: Report | undefined, askedMs: number, nowMs: number): void {
@@ -208,7 +208,7 @@
     if (reply === 'accepted') {
       if (task.takenMs === undefined) this.#giveBack(yard, true, nowMs)
       task.takenMs ??= nowMs
-      if (task.order.tenure === this.#tenure) this.#takenAway(yard, task.order, nowMs)
+      if (task.order.epoch === this.#epoch) this.#takenAway(yard, task.order, nowMs)
     } else if (reply === 'unknown') task.unansweredMs ??= nowMs
     else if (reply === 'turnedAway' && nowMs - yard.leavingMs < followsMs) {
       task.againMs = Math.min(4 * againMs, 2 * (task.againMs ?? againMs / 2))
@@ -243,7 +243,7 @@
     this.#drop(yard, nowMs, true)
   }
 
-  tick(copy: Copy, sure: boolean, hour: number, nowMs: number): DispatcherOut {
+  tick(copy: ReplicaTable, sure: boolean, hour: number, nowMs: number): DispatcherOut {
     const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [] }
     const joins = (yard: Yard) => {
       this.#adoptOrder(yard, copy, nowMs)
@@ -262,8 +262,8 @@
     return out
   }
 
-  /** An order of an earlier tenure that is not known to have ended keeps its room. */
-  #adoptOrder(yard: Yard, copy: Copy, nowMs: number): void {
+  /** An order of an earlier epoch that is not known to have ended keeps its room. */
+  #adoptOrder(yard: Yard, copy: ReplicaTable, nowMs: number): void {
     const value = copy.get(`order/${yard.name}`)
     if (value === undefined) return
     const saved = SavedOrder.parse(JSON.parse(value))
@@ -271,7 +271,7 @@
     yard.task = { order: saved.order, phase: 'sent', sinceMs: nowMs, sentMs: nowMs, incarnation: saved.incarnation }
   }
 
-  #settle(copy: Copy, out: DispatcherOut, nowMs: number): void {
+  #settle(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
     for (const yard of this.#yards.all) {
       const { task } = yard
       if (task === undefined || task.phase !== 'sent') {
@@ -286,10 +286,10 @@
       if (!this.#yards.known(yard, nowMs) || yard.report.askedMs <= task.sentMs) continue
       const { order } = task
       const seen = yard.report.order
-      const same = seen?.tenure === order.tenure && seen.number === order.number
+      const same = seen?.epoch === order.epoch && seen.number === order.number
       if (yard.report.incarnation !== task.incarnation || (same && seen.state !== 'running')) {
         const done = same && seen.state === 'done'
-        if (done && order.kind === 'load' && task.order.tenure === this.#tenure)
+        if (done && order.kind === 'load' && task.order.epoch === this.#epoch)
           this.#planner.learn(order.model, yard.report.heardMs - task.sentMs)
         this.#reason(
           yard.name,
@@ -300,7 +300,7 @@
         this.#drop(yard, nowMs, done)
       } else if (
         !same &&
-        (order.tenure !== this.#tenure || (seen !== undefined && seen.tenure === order.tenure && seen.number > order.number))
+        (order.epoch !== this.#epoch || (seen !== undefined && seen.epoch === order.epoch && seen.number > order.number))
       ) {
         this.#reason(yard.name, order, 'never reached the server', nowMs)
         this.#drop(yard, nowMs, false, false)
@@ -315,7 +315,7 @@
     yard.task = undefined
     if (done) return
     yard.plan = undefined
-    yard.backoffUntilMs = nowMs + (this.#counts ? refusedMs : this.#pace.reportMs)
+    yard.backoffUntilMs = nowMs + (this.#counts ? refusedMs : this.#timings.reportMs)
   }
 
   #giveBack(yard: Yard, mayHaveDrawn: boolean, nowMs: number): void {
@@ -342,7 +342,7 @@
     const { report } = yard
     const { order } = task
     const expected = order.expected
-    const unansweredMs = order.tenure === this.#tenure ? task.unansweredMs : task.sentMs
+    const unansweredMs = order.epoch === this.#epoch ? task.unansweredMs : task.sentMs
     if (report?.sequence !== undefined && report.askedMs > task.sentMs && report.busy !== true && expected !== undefined) {
       const there =
         order.adapter === ''
@@ -350,7 +350,7 @@
           : report.adapters.some((one) => one.model === order.model && one.adapter === order.adapter)
       const done = there === (order.kind === 'load' || order.kind === 'attach')
       if (report.sequence > expected) {
-        if (done && order.kind === 'load' && order.tenure === this.#tenure) this.#demand.learn(order.model, report.heardMs - task.sentMs)
+        if (done && order.kind === 'load' && order.epoch === this.#epoch) this.#demand.learn(order.model, report.heardMs - task.sentMs)
         this.#reason(yard.name, order, done ? 'done' : 'the server could not', nowMs)
         this.#drop(yard, nowMs, done)
         return
@@ -361,20 +361,20 @@
         return
       }
     }
-    if (nowMs - task.sentMs <= Math.max(this.#pace.orderMs, 4 * this.#demand.thetaMs(order.model))) return
+    if (nowMs - task.sentMs <= Math.max(this.#timings.orderMs, 4 * this.#demand.thetaMs(order.model))) return
     this.#reason(yard.name, order, 'not known to have ended; the server is read anew', nowMs)
     this.#drop(yard, nowMs)
     yard.sequence = undefined
   }
 
-  #order(copy: Copy, out: DispatcherOut, nowMs: number): void {
+  #order(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
     for (const yard of this.#yards.all) {
       if (yard.task === undefined && yard.plan !== undefined) this.#next(yard, nowMs)
       const { task } = yard
-      if (task === undefined || task.order.tenure !== this.#tenure) continue
+      if (task === undefined || task.order.epoch !== this.#epoch) continue
       if (task.phase === 'withdrawing') {
         if (this.#withdrawn(yard, task.order, copy, nowMs)) task.phase = 'proposed'
-        else if (nowMs - task.sinceMs > this.#pace.orderMs) {
+        else if (nowMs - task.sinceMs > this.#timings.orderMs) {
           this.#reason(yard.name, task.order, 'streams in flight outlasted the wait', nowMs)
           this.#drop(yard, nowMs)
           continue
@@ -390,14 +390,14 @@
       } else if (
         !this.#counts &&
         task.phase === 'sent' &&
-        nowMs - task.sentMs > this.#pace.orderMs / 8 &&
+        nowMs - task.sentMs > this.#timings.orderMs / 8 &&
         this.#yards.known(yard, nowMs) &&
         yard.report.askedMs > task.sentMs
       ) {
         const seen = yard.report.order
-        if (seen?.tenure === task.order.tenure && seen.number >= task.order.number) continue
-        if (yard.report.tenure !== undefined) this.#send(yard, out, nowMs)
-        else if (nowMs - task.sentMs > this.#pace.orderMs) {
+        if (seen?.epoch === task.order.epoch && seen.number >= task.order.number) continue
+        if (yard.report.epoch !== undefined) this.#send(yard, out, nowMs)
+        else if (nowMs - task.sentMs > this.#timings.orderMs) {
           this.#reason(yard.name, task.order, 'never reached the server, which cannot tell a late copy', nowMs)
           this.#drop(yard, nowMs)
         }
@@ -472,7 +472,7 @@
   #begin(yard: Yard, kind: Order['kind'], model: string, adapter: string, sizeMb: number, why: string, nowMs: number): void {
     this.#number += 1
     const order: Order = {
-      tenure: this.#tenure,
+      epoch: this.#epoch,
       number: this.#number,
       kind,
       model,
@@ -492,8 +492,8 @@
     this.#reason(yard.name, order, why, nowMs)
   }
 
-  /** True once no turnout can be using what is to go: each has adopted the binding without it and counts none in flight, or surely stopped. */
-  #withdrawn(yard: Yard, order: Order, copy: Copy, nowMs: number): boolean {
+  /** True once no proxy can be using what is to go: each has adopted the binding without it and counts none in flight, or surely stopped. */
+  #withdrawn(yard: Yard, order: Order, copy: ReplicaTable, nowMs: number): boolean {
     const value = copy.get(`binding/${yard.name}`)
     if (value !== undefined) {
       const holds: unknown = JSON.parse(value)
@@ -509,7 +509,7 @@
     for (const [seat] of copy.under('seat/')) {
       const tally = this.#planner.tallies.get(seat)
       const heardMs = Math.max(tally?.heardMs ?? -Infinity, this.#beganMs)
-      if (nowMs - heardMs > 2 * this.#pace.licenceMs) continue
+      if (nowMs - heardMs > 2 * this.#timings.leaseMs) continue
       if (tally === undefined || tally.adopted < stamp) return false
       if (
         tally.flights.some(
--- a/src/timetable/DispatcherOut.ts
+++ b/src/placement/DispatcherOut.ts
@@ -1,8 +1,8 @@
 /**
- * What one tick of the dispatcher asks for: rows to put to the log under its tenure, servers to read,
+ * What one tick of the dispatcher asks for: rows to put to the log under its epoch, servers to read,
  * orders to send, and reasons to keep.
  */
-import type { Order } from '../gauge/Order.js'
+import type { Order } from '../common/Order.js'
 
 export interface DispatcherOut {
   rows: { key: string; gone: boolean; value: string }[]
--- a/src/timetable/FleetPlan.ts
+++ b/src/placement/FleetPlan.ts
@@ -5,9 +5,9 @@
  * told apart by service: a model's key is SERVICE:MODEL. Its store may hold no more loads in a span of five
  * seconds than a tenth above the pace and three, and the burst stays half a load below what that leaves.
  */
-import { Charter } from '../gauge/Charter.js'
-import type { Network } from '../gauge/Network.js'
-import type { Order } from '../gauge/Order.js'
+import { Charter } from '../common/Charter.js'
+import type { Network } from '../common/Network.js'
+import type { Order } from '../common/Order.js'
 import type { ModelPlan } from './ModelPlan.js'
 
 export interface FleetPlan {
--- a/src/timetable/Planner.ts
+++ b/src/placement/Planner.ts
@@ -4,7 +4,7 @@
  * nothing fits there, a copy that another server holds too makes way first; only a request that would be
  * lost by its due goes on to the last resort.
  */
-import type { Pace } from '../gauge/Pace.js'
+import type { Timings } from '../common/Timings.js'
 import { keyOf } from './keyOf.js'
 import type { ModelPlan } from './ModelPlan.js'
 import type { Policy } from './Policy.js'
@@ -21,15 +21,15 @@
 
 export class Planner {
   readonly tallies = new Map<string, Tally>()
-  readonly #pace: Pace
+  readonly #timings: Timings
   readonly #policy: Policy
   readonly #yards: Yards
   readonly #predictor = new Predictor()
   readonly #loadMs = new Map<string, number>()
   #wants: readonly Want[] = []
 
-  constructor(pace: Pace, policy: Policy, yards: Yards) {
-    this.#pace = pace
+  constructor(timings: Timings, policy: Policy, yards: Yards) {
+    this.#timings = timings
     this.#policy = policy
     this.#yards = yards
   }
@@ -61,7 +61,7 @@
   #held(nowMs: number): Map<string, number> {
     const held = new Map<string, number>()
     for (const tally of this.tallies.values()) {
-      if (nowMs - tally.heardMs > this.#pace.licenceMs) continue
+      if (nowMs - tally.heardMs > this.#timings.leaseMs) continue
       for (const one of tally.held) {
         const key = keyOf(one.model, one.adapter)
         held.set(key, Math.min(held.get(key) ?? Infinity, one.dueInMs))
@@ -116,7 +116,7 @@
 
   /** Dear to lose: what its partner's intent makes of the requests that would come within the bound of recovery. */
   #dear(model: string, adapter: string, urgency: number, nowMs: number): boolean {
-    return urgency * this.#predictor.rate(keyOf(model, adapter), nowMs) * this.#pace.recoverMs >= spareFrom
+    return urgency * this.#predictor.rate(keyOf(model, adapter), nowMs) * this.#timings.recoverMs >= spareFrom
   }
 
   /** A further copy is wanted only once the copies that exist have been there for a while and none is on its way. */
@@ -157,7 +157,7 @@
     if (want.kind === 'spare' && !this.#sparing(want, attach, plan.sizeMb)) return
     if (this.#choose(step, fitting, size, 'nothing', nowMs) || want.kind === 'spare') return
     if (this.#choose(step, fitting, size, 'spares', nowMs)) return
-    if (want.dueInMs > this.#pace.makeRoomMs + 2 * this.thetaMs(want.model, plan.sizeMb)) return
+    if (want.dueInMs > this.#timings.makeRoomMs + 2 * this.thetaMs(want.model, plan.sizeMb)) return
     for (const relaxed of ['history', 'overlap', 'doubles'] as const) if (this.#choose(step, fitting, size, relaxed, nowMs)) return
   }
 
--- a/src/timetable/Tally.ts
+++ b/src/placement/Tally.ts
@@ -1,5 +1,5 @@
 /**
- * What a turnout last told the dispatcher: the stamp it works by, what it holds and what it has in flight.
+ * What a proxy last told the dispatcher: the stamp it works by, what it holds and what it has in flight.
  */
 export interface Tally {
   session: string
--- a/src/timetable/Yard.ts
+++ b/src/placement/Yard.ts
@@ -2,8 +2,8 @@
  * The dispatcher's entity for a model server: what the charter and the platform say of it, its last
  * report, the order that is under way, and the plan that the order belongs to.
  */
-import type { Order } from '../gauge/Order.js'
-import type { Report } from '../gauge/Report.js'
+import type { Order } from '../common/Order.js'
+import type { Report } from '../common/Report.js'
 
 export interface Yard {
   name: string
--- a/src/timetable/Yards.ts
+++ b/src/placement/Yards.ts
@@ -3,14 +3,14 @@
  * platform, whom to read, who is known well enough to be ordered, and the bindings that reports make.
  */
 import { z } from 'zod'
-import { Network } from '../gauge/Network.js'
-import type { Pace } from '../gauge/Pace.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Report } from '../gauge/Report.js'
-import type { BindingRow } from '../interlocking/BindingRow.js'
-import { CharterReader } from '../interlocking/CharterReader.js'
-import type { Copy } from '../interlocking/Copy.js'
-import type { PartsRow } from '../interlocking/PartsRow.js'
+import { Network } from '../common/Network.js'
+import type { Timings } from '../common/Timings.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import type { Report } from '../common/Report.js'
+import type { BindingRow } from '../consensus/BindingRow.js'
+import { CharterReader } from '../consensus/CharterReader.js'
+import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { PartsRow } from '../consensus/PartsRow.js'
 import type { DispatcherOut } from './DispatcherOut.js'
 import { FleetPlan } from './FleetPlan.js'
 import { keyOf } from './keyOf.js'
@@ -18,7 +18,7 @@
 import type { Yard } from './Yard.js'
 
 const keptLinks = 128
-/** In a network: how long after the tenure's begin or the last asking a server is asked for its report. */
+/** In a network: how long after the epoch's begin or the last asking a server is asked for its report. */
 const unlistedMs = 300
 const askAgainMs = 150
 const silentMs = 1000
@@ -31,8 +31,8 @@
 }
 
 export class Yards {
-  readonly #pace: Pace
-  readonly #tenure: number
+  readonly #timings: Timings
+  readonly #epoch: number
   /** No dispatcher was there before, so none of its orders can be under way. */
   readonly #first: boolean
   readonly #beganMs: number
@@ -51,9 +51,9 @@
   /** Grows whenever a holding, an order or the table changes. */
   turn = 0
 
-  constructor(pace: Pace, tenure: number, first: boolean, nowMs: number) {
-    this.#pace = pace
-    this.#tenure = tenure
+  constructor(timings: Timings, epoch: number, first: boolean, nowMs: number) {
+    this.#timings = timings
+    this.#epoch = epoch
     this.#first = first
     this.#beganMs = nowMs
   }
@@ -75,7 +75,7 @@
   }
 
   /** Brings the table in line with the copy, when that has changed. */
-  census(copy: Copy, nowMs: number, joins: (yard: Yard) => void, leaves: (yard: Yard) => void): void {
+  census(copy: ReplicaTable, nowMs: number, joins: (yard: Yard) => void, leaves: (yard: Yard) => void): void {
     if (copy.stamp === this.#copyStamp) return
     this.#copyStamp = copy.stamp
     this.turn += 1
@@ -119,7 +119,7 @@
   }
 
   /** The plan of a charter, else of a network, made anew where their rows have changed. */
-  #follow(copy: Copy, listed: ReadonlyMap<string, PlatformServer>): void {
+  #follow(copy: ReplicaTable, listed: ReadonlyMap<string, PlatformServer>): void {
     this.#reader.follow(copy)
     const { charter } = this.#reader
     if (charter !== undefined) {
@@ -182,8 +182,8 @@
       return
     }
     for (const yard of this.#table.values()) {
-      if (nowMs - yard.askedMs < (yard.task === undefined ? this.#pace.reportMs : this.#pace.reportMs / 6)) continue
-      if (yard.task === undefined && yard.answeredMs < yard.askedMs && nowMs - yard.askedMs < this.#pace.reportStaleMs) continue
+      if (nowMs - yard.askedMs < (yard.task === undefined ? this.#timings.reportMs : this.#timings.reportMs / 6)) continue
+      if (yard.task === undefined && yard.answeredMs < yard.askedMs && nowMs - yard.askedMs < this.#timings.reportStaleMs) continue
       yard.askedMs = nowMs
       out.asks.push({ server: yard.name, address: yard.address })
     }
@@ -269,25 +269,25 @@
     yard.report = { ...report, askedMs, heardMs: nowMs }
   }
 
-  /** Read under this tenure, lately: only then is the server known well enough to be ordered. */
+  /** Read under this epoch, lately: only then is the server known well enough to be ordered. */
   known(yard: Yard, nowMs: number): yard is Yard & { report: NonNullable<Yard['report']> } {
     const { report } = yard
     if (this.#fleet?.counts === true) return report !== undefined && report.busy !== true
-    if (report === undefined || report.askedMs < this.#beganMs || nowMs - report.askedMs > this.#pace.reportStaleMs) return false
-    if (report.tenure !== undefined) return report.tenure <= this.#tenure
-    return this.#first || nowMs - this.#beganMs > this.#pace.dutyLicenceMs + this.#pace.orderMs
+    if (report === undefined || report.askedMs < this.#beganMs || nowMs - report.askedMs > this.#timings.reportStaleMs) return false
+    if (report.epoch !== undefined) return report.epoch <= this.#epoch
+    return this.#first || nowMs - this.#beganMs > this.#timings.dutyLeaseMs + this.#timings.orderMs
   }
 
   /** True when most of the open servers have been silent for so long that the fault is rather on this side. */
   deaf(nowMs: number): boolean {
-    if (nowMs - this.#beganMs < 0.7 * this.#pace.reportStaleMs) return false
+    if (nowMs - this.#beganMs < 0.7 * this.#timings.reportStaleMs) return false
     const open = this.all.filter((yard) => yard.open)
     if (this.#fleet?.counts === true) {
-      const asked = open.filter((yard) => nowMs - yard.askedMs < 4 * this.#pace.reportStaleMs)
-      const mute = asked.filter((yard) => yard.askedMs - yard.answeredMs > 0.7 * this.#pace.reportStaleMs)
+      const asked = open.filter((yard) => nowMs - yard.askedMs < 4 * this.#timings.reportStaleMs)
+      const mute = asked.filter((yard) => yard.askedMs - yard.answeredMs > 0.7 * this.#timings.reportStaleMs)
       return asked.length > 1 && mute.length * 2 > asked.length
     }
-    const silent = open.filter((yard) => yard.report === undefined || nowMs - yard.report.askedMs > 0.7 * this.#pace.reportStaleMs)
+    const silent = open.filter((yard) => yard.report === undefined || nowMs - yard.report.askedMs > 0.7 * this.#timings.reportStaleMs)
     return open.length > 1 && silent.length * 2 > open.length
   }
 
@@ -302,19 +302,19 @@
   }
 
   /** Puts a row to the log, and again when it was lost on the way. */
-  publish(out: DispatcherOut, copy: Copy, key: string, value: string | undefined, nowMs: number): void {
+  publish(out: DispatcherOut, copy: ReplicaTable, key: string, value: string | undefined, nowMs: number): void {
     if (copy.get(key) === value) {
       this.#published.delete(key)
       return
     }
     const last = this.#published.get(key)
-    if (last !== undefined && last.value === (value ?? '') && nowMs - last.atMs < this.#pace.electionMs) return
+    if (last !== undefined && last.value === (value ?? '') && nowMs - last.atMs < this.#timings.electionMs) return
     this.#published.set(key, { value: value ?? '', atMs: nowMs })
     out.rows.push({ key, gone: value === undefined, value: value ?? '' })
   }
 
   /** What each server may be used for; a server that fell silent for nothing, unless it is this side that is cut off. */
-  bind(copy: Copy, out: DispatcherOut, nowMs: number): void {
+  bind(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
     if (this.#fleet?.counts === true) {
       this.#bindCounting(copy, out, nowMs)
       return
@@ -322,8 +322,8 @@
     const deaf = this.deaf(nowMs)
     for (const yard of this.#table.values()) {
       const { report } = yard
-      if (report === undefined || nowMs - report.askedMs > this.#pace.reportStaleMs) {
-        if (!deaf && nowMs - this.#beganMs > this.#pace.reportStaleMs) this.publish(out, copy, `binding/${yard.name}`, undefined, nowMs)
+      if (report === undefined || nowMs - report.askedMs > this.#timings.reportStaleMs) {
+        if (!deaf && nowMs - this.#beganMs > this.#timings.reportStaleMs) this.publish(out, copy, `binding/${yard.name}`, undefined, nowMs)
         continue
       }
       const task = yard.task?.order
@@ -347,7 +347,7 @@
   }
 
   /** As above, where reports come only at need: what is on its way in or out is not named. */
-  #bindCounting(copy: Copy, out: DispatcherOut, nowMs: number): void {
+  #bindCounting(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
     for (const yard of this.#table.values()) {
       const { report, task } = yard
       if (report === undefined) continue
@@ -376,8 +376,8 @@
   }
 
   /** The newest kept parts, seldom: each telling is a change of the log. */
-  #tellParts(yard: Yard, report: Report, copy: Copy, out: DispatcherOut, nowMs: number): void {
-    if (nowMs - (this.#partsAtMs.get(yard.name) ?? -Infinity) < this.#pace.partsMs) return
+  #tellParts(yard: Yard, report: Report, copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
+    if (nowMs - (this.#partsAtMs.get(yard.name) ?? -Infinity) < this.#timings.partsMs) return
     this.#partsAtMs.set(yard.name, nowMs)
     const row: PartsRow = { incarnation: report.incarnation, links: report.parts.map((one) => one.chain).slice(-keptLinks) }
     this.publish(out, copy, `parts/${yard.name}`, JSON.stringify(row), nowMs)
--- a/src/turnout/CallersDesk.ts
+++ b/src/proxy/CallersDesk.ts
@@ -1,5 +1,5 @@
 /**
- * The callers' side of a turnout. A proper request is read whole and handed to the task; an improper
+ * The callers' side of a proxy. A proper request is read whole and handed to the task; an improper
  * one gets its 4xx at once. When held bodies fill their memory, further ones are read only as room
  * comes free.
  */
@@ -9,15 +9,15 @@
 import { App, type Request } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
 import type { Dispatcher } from 'undici'
-import { listen } from '../gauge/listen.js'
-import { Meters } from '../gauge/Meters.js'
-import { readBody } from '../gauge/readBody.js'
-import type { Startup } from '../gauge/Startup.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { watchRoutes } from '../gauge/watchRoutes.js'
-import { CallerFormat } from '../sidings/CallerFormat.js'
-import { ServerFormat } from '../sidings/ServerFormat.js'
-import { TurnoutTask } from './TurnoutTask.js'
+import { listen } from '../common/listen.js'
+import { Meters } from '../common/Meters.js'
+import { readBody } from '../common/readBody.js'
+import type { Startup } from '../common/Startup.js'
+import { Verdict } from '../common/Verdict.js'
+import { watchRoutes } from '../common/watchRoutes.js'
+import { CallerFormat } from '../adapters/CallerFormat.js'
+import { ServerFormat } from '../adapters/ServerFormat.js'
+import { ProxyTask } from './ProxyTask.js'
 
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE']
 const ownHeaders = new Set([
@@ -33,15 +33,15 @@
   'expect',
 ])
 
-/** The last answer on its connection: a caller that keeps connections open finds another turnout. */
+/** The last answer on its connection: a caller that keeps connections open finds another proxy. */
 function lastOf(response: ServerResponse): void {
   if (!response.headersSent) response.setHeader('connection', 'close')
 }
 
 @singleton()
 export class CallersDesk {
-  readonly #startup: Startup['turnout']
-  readonly #task: TurnoutTask
+  readonly #startup: Startup['proxy']
+  readonly #task: ProxyTask
   readonly #app: App
   readonly #queue: (() => void)[] = []
   #server: Server | undefined
@@ -49,13 +49,13 @@
   #draining = false
   readonly #open = new Set<ServerResponse>()
 
-  constructor(@inject('startup') startup: Startup['turnout'], @inject(TurnoutTask) task: TurnoutTask, @inject(Meters) meters: Meters) {
+  constructor(@inject('startup') startup: Startup['proxy'], @inject(ProxyTask) task: ProxyTask, @inject(Meters) meters: Meters) {
     this.#startup = startup
     this.#task = task
     const app = new App({
       settings: { xPoweredBy: false },
       noMatchHandler: (_request, response) => {
-        TurnoutTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...')
+        ProxyTask.answer(response, 404, Verdict.notRun, undefined, 'path: neither /v1/models/NAME nor /v1/services/NAME/...')
       },
     })
     meters.gauges({ waiting: 'requests on their way', held_bytes: 'bytes of bodies held', stamp: 'the stamp of the copy' }, () => ({
@@ -87,7 +87,7 @@
     if (server === undefined) return
     this.#draining = true
     for (const response of this.#open) lastOf(response)
-    await pause(this.#task.pace.hailMs)
+    await pause(this.#task.timings.probeMs)
     const closed = new Promise<void>((resolve) => {
       server.close(() => {
         resolve()
@@ -102,7 +102,7 @@
     response.on('close', () => this.#open.delete(response))
     if (this.#draining) lastOf(response)
     const turnAway = (status: number, why: string) => {
-      TurnoutTask.answer(response, status, Verdict.notRun, undefined, why)
+      ProxyTask.answer(response, status, Verdict.notRun, undefined, why)
     }
     const path = CallerFormat.path(request.originalUrl)
     const method = methods.find((one) => one === request.method)
--- a/src/turnout/Lent.ts
+++ b/src/proxy/Lent.ts
@@ -1,6 +1,6 @@
 /**
- * What the leader has lent this turnout of the limits that all turnouts share. It dies with the
- * licence that it rode on; a permit from other seats does not renew it.
+ * What the leader has lent this proxy of the limits that all proxies share. It dies with the
+ * lease that it rode on; a permit from other seats does not renew it.
  */
 
 export class Lent {
--- a/src/turnout/Line.ts
+++ b/src/proxy/Line.ts
@@ -5,7 +5,7 @@
  */
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import { ServerFormat } from '../sidings/ServerFormat.js'
+import { ServerFormat } from '../adapters/ServerFormat.js'
 
 export class Line {
   readonly address: string
--- a/src/turnout/Phase.ts
+++ b/src/proxy/Phase.ts
@@ -1,5 +1,5 @@
 /**
- * The state chart of a request's way through a turnout. `sent` is the one place where "may have run"
+ * The state chart of a request's way through a proxy. `sent` is the one place where "may have run"
  * begins; the last three states are final.
  */
 
--- a/src/turnout/Platform.ts
+++ b/src/proxy/Platform.ts
@@ -1,6 +1,6 @@
 /**
- * The turnout's entity for a server: where it is, what it may be used for, how many requests of this
- * turnout it has, how many more wait for its limit, and what this turnout has found out about it by
+ * The proxy's entity for a server: where it is, what it may be used for, how many requests of this
+ * proxy it has, how many more wait for its limit, and what this proxy has found out about it by
  * itself. `said` is the incarnation that its binding speaks of; `incarnation` the one met last.
  */
 export interface Platform {
--- a/src/turnout/Platforms.test.ts
+++ b/src/proxy/Platforms.test.ts
@@ -1,17 +1,17 @@
 import { test } from 'node:test'
 import { deepStrictEqual, strictEqual } from 'node:assert'
-import { Chance } from '../gauge/Chance.js'
-import { Charter } from '../gauge/Charter.js'
-import { Pace } from '../gauge/Pace.js'
-import { sampleDefaults } from '../gauge/sampleDefaults.js'
-import { Terms } from '../gauge/Terms.js'
-import { Copy } from '../interlocking/Copy.js'
+import { Random } from '../common/Random.js'
+import { Charter } from '../common/Charter.js'
+import { Timings } from '../common/Timings.js'
+import { sampleDefaults } from '../common/sampleDefaults.js'
+import { Terms } from '../common/Terms.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Traveller } from './Traveller.js'
 import { Platforms } from './Platforms.js'
 
 const target = (chain: string[]): Traveller['target'] => ({ kind: 'model', name: 'm', adapter: '', chain })
-function given(): { platforms: Platforms; copy: Copy; terms: Terms; set: (key: string, value: unknown) => void } {
-  const copy = new Copy()
+function given(): { platforms: Platforms; copy: ReplicaTable; terms: Terms; set: (key: string, value: unknown) => void } {
+  const copy = new ReplicaTable()
   const tree = Charter.check({
     defaults: { ...sampleDefaults, warmMs: 100 },
     partners: { c: { models: { m: { sizeMb: 1 } } } },
@@ -23,7 +23,7 @@
     },
     Right: (one) => one,
   })
-  const platforms = new Platforms('a', Pace({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }), new Chance(1))
+  const platforms = new Platforms('a', Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }), new Random(1))
   const set = (key: string, value: unknown) => {
     copy.set({ key, stamp: copy.stamp + 1, gone: false, value: JSON.stringify(value) })
     platforms.adopt(copy, charter, 'post-1', 10_000)
--- a/src/turnout/Platforms.ts
+++ b/src/proxy/Platforms.ts
@@ -1,18 +1,18 @@
 /**
- * The turnout's table of servers and the systems over it: what news make of them, which one a request
+ * The proxy's table of servers and the systems over it: what news make of them, which one a request
  * is bound to, how much of a limit they may get from here, and which prompt parts they are likely to
- * have kept. A server that this turnout never met counts as cold, and is met by one attempt.
+ * have kept. A server that this proxy never met counts as cold, and is met by one attempt.
  */
-import { Chance } from '../gauge/Chance.js'
-import { Charter } from '../gauge/Charter.js'
-import { Pace } from '../gauge/Pace.js'
-import { PlatformServer } from '../gauge/PlatformServer.js'
-import { Terms } from '../gauge/Terms.js'
-import { BindingRow } from '../interlocking/BindingRow.js'
-import { Copy } from '../interlocking/Copy.js'
-import { PartsRow } from '../interlocking/PartsRow.js'
-import type { ShareAsk } from '../interlocking/ShareAsk.js'
-import { Shares } from '../interlocking/Shares.js'
+import { Random } from '../common/Random.js'
+import { Charter } from '../common/Charter.js'
+import { Timings } from '../common/Timings.js'
+import { PlatformServer } from '../common/PlatformServer.js'
+import { Terms } from '../common/Terms.js'
+import { BindingRow } from '../consensus/BindingRow.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { PartsRow } from '../consensus/PartsRow.js'
+import type { ShareAsk } from '../consensus/ShareAsk.js'
+import { Shares } from '../consensus/Shares.js'
 import { Lent } from './Lent.js'
 import type { Platform } from './Platform.js'
 import type { Traveller } from './Traveller.js'
@@ -24,17 +24,17 @@
   /** Servers that the platform's own list takes away while the core is out of reach. */
   barred: ReadonlySet<string> = new Set()
   readonly #zone: string
-  readonly #pace: Pace
-  readonly #chance: Chance
+  readonly #timings: Timings
+  readonly #random: Random
   readonly #table = new Map<string, Platform>()
   readonly #partsStamps = new Map<string, number>()
   #limits = { cold: 0, serve: 0 }
   #seats = 0
 
-  constructor(zone: string, pace: Pace, chance: Chance) {
+  constructor(zone: string, timings: Timings, random: Random) {
     this.#zone = zone
-    this.#pace = pace
-    this.#chance = chance
+    this.#timings = timings
+    this.#random = random
   }
 
   get(name: string): Platform | undefined {
@@ -42,7 +42,7 @@
   }
 
   /** Brings the table in line with the copy. */
-  adopt(copy: Copy, charter: Charter | undefined, seat: string, nowMs: number): void {
+  adopt(copy: ReplicaTable, charter: Charter | undefined, seat: string, nowMs: number): void {
     const seats = copy.under('seat/').map(([name]) => name)
     this.#seats = seats.includes(seat) ? seats.length : 0
     const { coldLimit = 0, serverLimit = 0 } = charter?.defaults ?? {}
@@ -103,7 +103,7 @@
   }
 
   /** What a report says of kept parts stands, with what was sent after the report can have been made. */
-  #adoptParts(copy: Copy, platform: Platform, nowMs: number): void {
+  #adoptParts(copy: ReplicaTable, platform: Platform, nowMs: number): void {
     const key = `parts/${platform.name}`
     const stamp = copy.stampOf(key)
     const value = copy.get(key)
@@ -113,9 +113,9 @@
     if (row.incarnation !== platform.incarnation) return
     const reported = new Set(row.links)
     for (const [link, sentMs] of platform.kept) {
-      if (!reported.has(link) && nowMs - sentMs > this.#pace.reportStaleMs) platform.kept.delete(link)
+      if (!reported.has(link) && nowMs - sentMs > this.#timings.reportStaleMs) platform.kept.delete(link)
     }
-    for (const link of reported) if (!platform.kept.has(link)) platform.kept.set(link, nowMs - this.#pace.reportStaleMs)
+    for (const link of reported) if (!platform.kept.has(link)) platform.kept.set(link, nowMs - this.#timings.reportStaleMs)
   }
 
   /** A server said on a connection who it is. */
@@ -128,8 +128,8 @@
 
   suspect(platform: Platform, nowMs: number): void {
     platform.defects += 1
-    const waitMs = this.#pace.heartbeatMs * 2 ** Math.min(platform.defects, 4) * (0.5 + this.#chance.next())
-    platform.suspectUntilMs = nowMs + Math.min(this.#pace.reportStaleMs, waitMs)
+    const waitMs = this.#timings.heartbeatMs * 2 ** Math.min(platform.defects, 4) * (0.5 + this.#random.next())
+    platform.suspectUntilMs = nowMs + Math.min(this.#timings.reportStaleMs, waitMs)
   }
 
   mayUse(platform: Platform, target: Traveller['target'], terms: Terms): boolean {
@@ -138,7 +138,7 @@
     return platform.models.has(target.name) && (target.adapter === '' || platform.adapters.has(`${target.name}/${target.adapter}`))
   }
 
-  /** What a server bears from here: this turnout's even part and what it was lent, within the service's own limit. */
+  /** What a server bears from here: this proxy's even part and what it was lent, within the service's own limit. */
   limit(platform: Platform, terms: Terms, nowMs: number): number {
     const cold = nowMs < platform.coldUntilMs
     const own = cold ? Math.min(terms.limits.coldLimit, terms.limits.serverLimit) : terms.limits.serverLimit
@@ -174,8 +174,8 @@
       } else if (Math.abs(rank - bestRank) <= 1e-9) best.push(platform)
     }
     if (best.length === 0) for (const platform of full) platform.wanting += 1
-    const one = this.#chance.pick(best)
-    const other = this.#chance.pick(best)
+    const one = this.#random.pick(best)
+    const other = this.#random.pick(best)
     return one !== undefined && other !== undefined && other.flights < one.flights ? other : one
   }
 
@@ -190,7 +190,7 @@
     for (const platform of this.#table.values()) platform.wanting = 0
   }
 
-  /** What this turnout wants and holds of each shared limit beyond its even part; a want falls slowly. */
+  /** What this proxy wants and holds of each shared limit beyond its even part; a want falls slowly. */
   asks(nowMs: number): ShareAsk[] {
     const asks: ShareAsk[] = []
     for (const platform of this.#table.values()) {
--- a/src/turnout/TurnoutInput.ts
+++ b/src/proxy/ProxyInput.ts
@@ -1,10 +1,10 @@
 /**
- * What a turnout's machine is told. `defect` says what is known of the attempt that ended.
+ * What a proxy's machine is told. `defect` says what is known of the attempt that ended.
  */
-import type { Verdict } from '../gauge/Verdict.js'
-import type { Message } from '../telegraph/Message.js'
+import type { Verdict } from '../common/Verdict.js'
+import type { Message } from '../transport/Message.js'
 
-export type TurnoutInput =
+export type ProxyInput =
   | { kind: 'tick' }
   | { kind: 'message'; from: string; fromAddress: string; message: Message }
   | {
--- a/src/turnout/TurnoutMachine.ts
+++ b/src/proxy/ProxyMachine.ts
@@ -1,28 +1,28 @@
 /**
- * A turnout as one pure machine. Requests and servers are entities in tables; the systems bind
- * waiting requests to servers, give up those that are due, and tell the lineman what is seen. New
+ * A proxy as one pure machine. Requests and servers are entities in tables; the systems bind
+ * waiting requests to servers, give up those that are due, and tell the agent what is seen. New
  * work starts only while the charter is current. A request is sent again only when it surely did not
  * run, or may be repeated, and never once a byte of a response went to its caller.
  */
-import type { Chance } from '../gauge/Chance.js'
-import type { Pace } from '../gauge/Pace.js'
-import type { Terms } from '../gauge/Terms.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { CharterReader } from '../interlocking/CharterReader.js'
-import { Copy } from '../interlocking/Copy.js'
-import type { Message } from '../telegraph/Message.js'
+import type { Random } from '../common/Random.js'
+import type { Timings } from '../common/Timings.js'
+import type { Terms } from '../common/Terms.js'
+import { Verdict } from '../common/Verdict.js'
+import { CharterReader } from '../consensus/CharterReader.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { Message } from '../transport/Message.js'
 import { Phase } from './Phase.js'
 import type { Platform } from './Platform.js'
 import { Platforms } from './Platforms.js'
 import type { Traveller } from './Traveller.js'
-import type { TurnoutEffect } from './TurnoutEffect.js'
-import type { TurnoutInput } from './TurnoutInput.js'
+import type { ProxyEffect } from './ProxyEffect.js'
+import type { ProxyInput } from './ProxyInput.js'
 
 interface Plan {
   name: string
   seat: string
   zone: string
-  lineman: string
+  agent: string
 }
 interface Outlook {
   heardMs: number
@@ -30,10 +30,10 @@
   neverBeforeMs: number
 }
 
-export class TurnoutMachine {
-  readonly copy = new Copy()
+export class ProxyMachine {
+  readonly copy = new ReplicaTable()
   readonly #plan: Plan
-  readonly #pace: Pace
+  readonly #timings: Timings
   readonly #session: string
   readonly #travellers = new Map<string, Traveller>()
   readonly #platforms: Platforms
@@ -41,7 +41,7 @@
   #firsts = new Map<string, number>()
   #asked = ''
   readonly #reader = new CharterReader()
-  #effects: TurnoutEffect[] = []
+  #effects: ProxyEffect[] = []
   #permitUntilMs = -Infinity
   #followAtMs = -Infinity
   #tallyAtMs = -Infinity
@@ -49,18 +49,18 @@
   #arrivals = new Map<string, { model: string; adapter: string; count: number; lastMs: number }>()
   #turn = 0
 
-  constructor(plan: Plan, pace: Pace, chance: Chance) {
+  constructor(plan: Plan, timings: Timings, random: Random) {
     this.#plan = plan
-    this.#pace = pace
-    this.#platforms = new Platforms(plan.zone, pace, chance)
-    this.#session = chance.below(4294967296).toString(36)
+    this.#timings = timings
+    this.#platforms = new Platforms(plan.zone, timings, random)
+    this.#session = random.below(4294967296).toString(36)
   }
 
   current(nowMs: number): boolean {
     return nowMs < this.#permitUntilMs && this.copy.get('charter') !== undefined
   }
 
-  step(input: TurnoutInput, nowMs: number): TurnoutEffect[] {
+  step(input: ProxyInput, nowMs: number): ProxyEffect[] {
     switch (input.kind) {
       case 'tick':
         this.#tick(nowMs)
@@ -84,11 +84,11 @@
 
   #tick(nowMs: number): void {
     if (nowMs >= this.#followAtMs) {
-      this.#followAtMs = nowMs + this.#pace.renewMs / 2
+      this.#followAtMs = nowMs + this.#timings.renewMs / 2
       this.#follows += 1
       this.#effects.push({
         kind: 'send',
-        toAddress: this.#plan.lineman,
+        toAddress: this.#plan.agent,
         message: {
           kind: 'follow',
           seat: this.#plan.seat,
@@ -110,10 +110,10 @@
   #leaveDark(nowMs: number): void {
     for (const traveller of this.#travellers.values()) {
       const platform = this.#platforms.get(traveller.server)
-      if (traveller.phase === 'connecting' && nowMs - traveller.boundMs >= this.#pace.reportMs) {
+      if (traveller.phase === 'connecting' && nowMs - traveller.boundMs >= this.#timings.reportMs) {
         this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
         this.#again(traveller, platform, 'the server did not say who it is', nowMs)
-      } else if (traveller.phase === 'sent' && nowMs - traveller.sentMs >= this.#pace.firstByteMs)
+      } else if (traveller.phase === 'sent' && nowMs - traveller.sentMs >= this.#timings.firstByteMs)
         this.#leaveSilent(traveller, platform, nowMs)
     }
   }
@@ -164,7 +164,7 @@
     return `${this.#session}.${traveller.id}.${String(traveller.sends)}`
   }
 
-  /** Tells the lineman what this turnout wants of shared limits, at once when it wants more than it said. */
+  /** Tells the agent what this proxy wants of shared limits, at once when it wants more than it said. */
   #ask(nowMs: number, tell: boolean): void {
     const asks = this.#platforms.asks(nowMs)
     const again = [...this.#travellers.values()]
@@ -177,7 +177,7 @@
     const firsts = [...this.#firsts].map(([key, count]) => ({ key, count }))
     this.#firsts.clear()
     const message: Message = { kind: 'ask', asks, echo: this.#platforms.lent.serial, again, firsts }
-    this.#effects.push({ kind: 'send', toAddress: this.#plan.lineman, message })
+    this.#effects.push({ kind: 'send', toAddress: this.#plan.agent, message })
   }
 
   /** Brings the tables in line with the copy. */
@@ -188,7 +188,7 @@
     this.#platforms.adopt(this.copy, this.#reader.charter, this.#plan.seat, nowMs)
   }
 
-  #arrived(input: Extract<TurnoutInput, { kind: 'arrived' }>, nowMs: number): void {
+  #arrived(input: Extract<ProxyInput, { kind: 'arrived' }>, nowMs: number): void {
     const { target } = input
     const terms = this.#reader.terms.get(`${target.kind} ${target.name}`)
     const traveller: Traveller = {
@@ -197,7 +197,7 @@
       partner: terms?.partner ?? '',
       bytes: input.bytes,
       arrivedMs: nowMs,
-      dueMs: nowMs + (input.dueInMs ?? terms?.limits.dueMs ?? this.#pace.operateMs),
+      dueMs: nowMs + (input.dueInMs ?? terms?.limits.dueMs ?? this.#timings.operateMs),
       dueGiven: input.dueInMs !== undefined,
       phase: 'arrived',
       attempt: 0,
@@ -246,15 +246,15 @@
   /** When to come back: the load under way or in turn, the election, or the first server that is trusted again. */
   #comeBackS(traveller: Traveller, nowMs: number): number {
     const { target } = traveller
-    let waitMs = this.#pace.reportMs
+    let waitMs = this.#timings.reportMs
     const terms = this.#termsOf(traveller)
-    if (!this.current(nowMs)) waitMs = this.#pace.electionMs + this.#pace.electionSpreadMs + this.#pace.licenceMs
+    if (!this.current(nowMs)) waitMs = this.#timings.electionMs + this.#timings.electionSpreadMs + this.#timings.leaseMs
     else if (terms !== undefined) {
       const trustedAtMs = this.#platforms.trustedAtMs(target, terms)
       const outlook = this.#outlook(target, nowMs)
       if (trustedAtMs !== undefined) waitMs = Math.max(waitMs, trustedAtMs - nowMs)
       else if (outlook !== undefined) waitMs = outlook.readyAtMs - nowMs
-      else waitMs = this.#pace.reportStaleMs
+      else waitMs = this.#timings.reportStaleMs
     }
     return Math.max(1, Math.ceil(waitMs / 1000))
   }
@@ -262,7 +262,7 @@
   /** What the dispatcher last said of a model that requests wait for. */
   #outlook(target: Traveller['target'], nowMs: number): Outlook | undefined {
     const outlook = target.kind === 'model' ? this.#outlooks.get(`${target.name}/${target.adapter}`) : undefined
-    return outlook !== undefined && nowMs - outlook.heardMs < this.#pace.licenceMs ? outlook : undefined
+    return outlook !== undefined && nowMs - outlook.heardMs < this.#timings.leaseMs ? outlook : undefined
   }
 
   #termsOf(traveller: Traveller): Terms | undefined {
@@ -373,7 +373,7 @@
     this.#travellers.delete(id)
   }
 
-  #attempted(input: Exclude<TurnoutInput, { kind: 'tick' | 'message' | 'arrived' | 'callerGone' }>, nowMs: number): void {
+  #attempted(input: Exclude<ProxyInput, { kind: 'tick' | 'message' | 'arrived' | 'callerGone' }>, nowMs: number): void {
     const traveller = this.#travellers.get(input.id)
     if (traveller === undefined || traveller.attempt !== input.attempt || traveller.server === '') return
     const platform = this.#platforms.get(traveller.server)
@@ -410,7 +410,7 @@
     traveller: Traveller,
     platform: Platform | undefined,
     terms: Terms | undefined,
-    input: Extract<TurnoutInput, { kind: 'identified' }>,
+    input: Extract<ProxyInput, { kind: 'identified' }>,
     nowMs: number,
   ): void {
     this.#to(traveller, 'identified')
@@ -430,7 +430,7 @@
     }
     if (traveller.target.kind === 'model' && platform.said !== input.incarnation) {
       release('the server has started anew and holds nothing until it says so')
-      traveller.notBeforeMs = nowMs + this.#pace.heartbeatMs
+      traveller.notBeforeMs = nowMs + this.#timings.heartbeatMs
       return
     }
     if (nowMs >= traveller.dueMs) return
@@ -461,7 +461,7 @@
     traveller: Traveller,
     platform: Platform | undefined,
     terms: Terms | undefined,
-    input: Extract<TurnoutInput, { kind: 'defect' }>,
+    input: Extract<ProxyInput, { kind: 'defect' }>,
     nowMs: number,
   ): void {
     if (traveller.phase === 'streaming') {
@@ -481,7 +481,7 @@
   }
 
   #tell(nowMs: number): void {
-    this.#tallyAtMs = nowMs + this.#pace.renewMs / 2
+    this.#tallyAtMs = nowMs + this.#timings.renewMs / 2
     const held = new Map<string, { model: string; adapter: string; count: number; dueInMs: number }>()
     const flights = new Map<string, { server: string; model: string; adapter: string; count: number }>()
     for (const { target, phase, server, dueMs } of this.#travellers.values()) {
@@ -506,7 +506,7 @@
     this.#arrivals.clear()
     this.#effects.push({
       kind: 'send',
-      toAddress: this.#plan.lineman,
+      toAddress: this.#plan.agent,
       message: {
         kind: 'tally',
         seat: this.#plan.seat,
--- a/src/turnout/TurnoutTask.ts
+++ b/src/proxy/ProxyTask.ts
@@ -1,5 +1,5 @@
 /**
- * Owns the turnout's machine, its telegraph, its callers and its lines to servers. What the machine
+ * Owns the proxy's machine, its transport, its callers and its lines to servers. What the machine
  * decides is carried out at once, in the same turn, so that a response's head waits for the machine's
  * word before a byte of it goes on.
  */
@@ -8,20 +8,20 @@
 import type { Span } from '@opentelemetry/api'
 import { inject, singleton } from 'tsyringe'
 import type { Dispatcher } from 'undici'
-import { Chance } from '../gauge/Chance.js'
-import { clockMs } from '../gauge/clockMs.js'
-import { Logbook } from '../gauge/Logbook.js'
-import { Meters } from '../gauge/Meters.js'
-import { Pace } from '../gauge/Pace.js'
-import type { Startup } from '../gauge/Startup.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { CallerFormat } from '../sidings/CallerFormat.js'
-import type { Telegraph } from '../telegraph/Telegraph.js'
+import { Random } from '../common/Random.js'
+import { clockMs } from '../common/clockMs.js'
+import { Logger } from '../common/Logger.js'
+import { Meters } from '../common/Meters.js'
+import { Timings } from '../common/Timings.js'
+import type { Startup } from '../common/Startup.js'
+import { Verdict } from '../common/Verdict.js'
+import { CallerFormat } from '../adapters/CallerFormat.js'
+import type { Transport } from '../transport/Transport.js'
 import { Line } from './Line.js'
-import type { TurnoutEffect } from './TurnoutEffect.js'
-import type { TurnoutInput } from './TurnoutInput.js'
+import type { ProxyEffect } from './ProxyEffect.js'
+import type { ProxyInput } from './ProxyInput.js'
 import { Traces } from './Traces.js'
-import { TurnoutMachine } from './TurnoutMachine.js'
+import { ProxyMachine } from './ProxyMachine.js'
 
 interface Ticket {
   requestId: string
@@ -42,11 +42,11 @@
 const hopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer'])
 
 @singleton()
-export class TurnoutTask {
-  readonly machine: TurnoutMachine
-  readonly pace: Pace
-  readonly #logbook: Logbook
-  readonly #telegraph: Telegraph
+export class ProxyTask {
+  readonly machine: ProxyMachine
+  readonly timings: Timings
+  readonly #logger: Logger
+  readonly #transport: Transport
   readonly #tickets = new Map<string, Ticket>()
   readonly #idle = new Map<string, Line[]>()
   readonly #ticker: NodeJS.Timeout
@@ -58,34 +58,34 @@
   #count = 0
 
   constructor(
-    @inject('startup') startup: Startup['turnout'],
-    @inject('logbook') logbook: Logbook,
-    @inject('telegraph') telegraph: Telegraph,
+    @inject('startup') startup: Startup['proxy'],
+    @inject('logger') logger: Logger,
+    @inject('transport') transport: Transport,
     @inject(Meters) meters: Meters,
   ) {
-    this.#logbook = logbook
-    this.#telegraph = telegraph
-    this.pace = Pace(startup.bounds)
+    this.#logger = logger
+    this.#transport = transport
+    this.timings = Timings(startup.bounds)
     this.#traces = new Traces(startup.name, startup.traces)
     this.#outcome = meters.counter('requests', 'final answers, by outcome, status and verdict', ['outcome', 'status', 'verdict'])
     this.#tried = meters.counter('attempts', 'attempts at servers, by server', ['server'])
     this.#took = meters.span('request', 'from the arrival of a request to its final answer')
-    this.machine = new TurnoutMachine(
-      { name: startup.name, seat: startup.seat, zone: startup.zone, lineman: startup.lineman },
-      this.pace,
-      new Chance(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
+    this.machine = new ProxyMachine(
+      { name: startup.name, seat: startup.seat, zone: startup.zone, agent: startup.agent },
+      this.timings,
+      new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
     )
-    telegraph.hear((from, fromAddress, message) => {
+    transport.hear((from, fromAddress, message) => {
       this.#step({ kind: 'message', from, fromAddress, message })
     })
     this.#ticker = setInterval(() => {
       this.#step({ kind: 'tick' })
-    }, this.pace.tickMs)
+    }, this.timings.tickMs)
   }
 
   /** Takes a caller's request on its way; the ticket is kept until the caller has its final answer. */
   allow(
-    target: Extract<TurnoutInput, { kind: 'arrived' }>['target'],
+    target: Extract<ProxyInput, { kind: 'arrived' }>['target'],
     method: Dispatcher.HttpMethod,
     path: string,
     headers: Record<string, string>,
@@ -128,21 +128,21 @@
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
     for (const lines of this.#idle.values()) for (const line of lines) line.close()
-    await this.#telegraph.close()
+    await this.#transport.close()
     await this.#traces.close()
   }
 
-  #step(input: TurnoutInput): void {
+  #step(input: ProxyInput): void {
     for (const effect of this.machine.step(input, clockMs())) this.#carryOut(effect)
   }
 
-  #carryOut(effect: TurnoutEffect): void {
+  #carryOut(effect: ProxyEffect): void {
     switch (effect.kind) {
       case 'send':
-        this.#telegraph.send(effect.toAddress, effect.message)
+        this.#transport.send(effect.toAddress, effect.message)
         break
       case 'say':
-        this.#logbook.say(effect.part, effect.sentence)
+        this.#logger.say(effect.part, effect.sentence)
         break
       case 'attempt':
         void this.#attempt(effect)
@@ -164,13 +164,13 @@
       case 'breakOff': {
         const ticket = this.#over(effect.id, 'brokenOff', {}, effect.why)
         ticket?.response.destroy()
-        this.#logbook.warn('turnout', `Broke off the response to ${ticket?.requestId ?? ''}: ${effect.why}.`)
+        this.#logger.warn('proxy', `Broke off the response to ${ticket?.requestId ?? ''}: ${effect.why}.`)
         break
       }
     }
   }
 
-  async #attempt({ id, attempt, server, address, fresh }: Extract<TurnoutEffect, { kind: 'attempt' }>): Promise<void> {
+  async #attempt({ id, attempt, server, address, fresh }: Extract<ProxyEffect, { kind: 'attempt' }>): Promise<void> {
     const ticket = this.#tickets.get(id)
     if (ticket === undefined) return
     ticket.attempt = attempt
@@ -182,10 +182,10 @@
     let line = pool.pop()
     while (line?.spent === true) line = pool.pop()
     const reused = line !== undefined
-    line ??= new Line(address, this.pace.reportMs, this.pace.streamIdleMs)
+    line ??= new Line(address, this.timings.reportMs, this.timings.streamIdleMs)
     ticket.line = line
     try {
-      const identity = reused && !fresh && line.identity !== undefined ? line.identity : await line.identify(this.pace.reportMs)
+      const identity = reused && !fresh && line.identity !== undefined ? line.identity : await line.identify(this.timings.reportMs)
       if (reused && !fresh) await Promise.resolve()
       if (ticket.attempt !== attempt || ticket.line !== line) return
       this.#step({ kind: 'identified', id, attempt, ...identity })
@@ -275,12 +275,12 @@
     else line.close()
   }
 
-  #turnAway({ id, status, verdict, retryAfterS, why }: Extract<TurnoutEffect, { kind: 'turnAway' }>): void {
+  #turnAway({ id, status, verdict, retryAfterS, why }: Extract<ProxyEffect, { kind: 'turnAway' }>): void {
     const ticket = this.#over(id, 'turnedAway', { status: String(status), verdict }, why)
     if (ticket === undefined || ticket.response.destroyed) return
-    this.#logbook.say('turnout', `Turned ${ticket.requestId} away with ${String(status)} ${verdict}: ${why}.`)
+    this.#logger.say('proxy', `Turned ${ticket.requestId} away with ${String(status)} ${verdict}: ${why}.`)
     ticket.line?.close()
-    TurnoutTask.answer(ticket.response, status, verdict, retryAfterS, why)
+    ProxyTask.answer(ticket.response, status, verdict, retryAfterS, why)
   }
 
   /** The one place where a ticket ends: counted, measured, traced. */
--- a/src/turnout/Traces.ts
+++ b/src/proxy/Traces.ts
@@ -26,10 +26,10 @@
         )
       }
       const exporter = { export: write, shutdown: () => Promise.resolve() }
-      const resource = resourceFromAttributes({ 'service.name': 'springpaddle-turnout', 'service.instance.id': name })
+      const resource = resourceFromAttributes({ 'service.name': 'springpaddle-proxy', 'service.instance.id': name })
       this.#provider = new BasicTracerProvider({ resource, spanProcessors: [new BatchSpanProcessor(exporter)] })
     }
-    this.#tracer = this.#provider?.getTracer('turnout') ?? trace.getTracer('off')
+    this.#tracer = this.#provider?.getTracer('proxy') ?? trace.getTracer('off')
   }
 
   begin(name: string, attributes: Record<string, string>, parent?: Span): Span {
--- a/src/turnout/Traveller.ts
+++ b/src/proxy/Traveller.ts
@@ -1,5 +1,5 @@
 /**
- * The turnout's entity for a request on its way.
+ * The proxy's entity for a request on its way.
  */
 import type { Phase } from './Phase.js'
 
--- a/src/testtrack/Callers.ts
+++ b/src/simulator/Callers.ts
@@ -3,11 +3,11 @@
  * own, and write down what they got. Bounded in time and in requests under way.
  */
 import { Agent, request as call } from 'undici'
-import { Chance } from '../gauge/Chance.js'
-import { clockMs } from '../gauge/clockMs.js'
-import { digest } from '../gauge/digest.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { CallerFormat } from '../sidings/CallerFormat.js'
+import { Random } from '../common/Random.js'
+import { clockMs } from '../common/clockMs.js'
+import { digest } from '../common/digest.js'
+import { Verdict } from '../common/Verdict.js'
+import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Deployment } from './Deployment.js'
 import type { Sighting } from './Sighting.js'
 
@@ -18,7 +18,7 @@
   readonly #addresses: () => string[]
   readonly #isWarm: (model: string, adapter: string) => boolean
   readonly #see: (sighting: Sighting) => void
-  readonly #chance: Chance
+  readonly #random: Random
   readonly #agent = new Agent({ connections: 64, headersTimeout: 60_000, bodyTimeout: 60_000 })
   readonly #timers: NodeJS.Timeout[] = []
   readonly waits = new Map<string, number[]>()
@@ -39,7 +39,7 @@
     this.#deployment = deployment
     this.#addresses = addresses
     this.#see = see
-    this.#chance = new Chance(seed)
+    this.#random = new Random(seed)
   }
 
   get underWay(): number {
@@ -67,13 +67,13 @@
         if (this.#underWay < mostUnderWay) void this.ask(course)
         this.#next(course)
       },
-      this.#chance.exponential(1000 / course.perS),
+      this.#random.exponential(1000 / course.perS),
     )
     this.#timers.push(timer)
   }
 
   async ask(course: Deployment['courses'][number], dueMs = 8000): Promise<void> {
-    const address = this.#chance.pick(this.#addresses())
+    const address = this.#random.pick(this.#addresses())
     if (address === undefined) return
     this.#count += 1
     this.#underWay += 1
@@ -81,7 +81,7 @@
     const service = Object.values(this.#deployment.charter.partners)
       .map((branch) => branch.services[course.service])
       .find((one) => one !== undefined)
-    const adapter = course.adapters.length > 0 && this.#chance.hit(0.5) ? this.#chance.pick(course.adapters) : undefined
+    const adapter = course.adapters.length > 0 && this.#random.hit(0.5) ? this.#random.pick(course.adapters) : undefined
     if (course.kind === 'model') {
       this.modelAsks += 1
       if (!this.#isWarm(course.service, adapter ?? '')) this.coldAsks += 1
@@ -134,7 +134,7 @@
           why: text.slice(0, 200),
         })
     } catch (error) {
-      const why = error instanceof Error ? error.message.replace(/\d+\.\d+\.\d+\.\d+:\d+/g, 'a turnout') : String(error)
+      const why = error instanceof Error ? error.message.replace(/\d+\.\d+\.\d+\.\d+:\d+/g, 'a proxy') : String(error)
       this.#see(headed ? { kind: 'brokenOff', atMs: clockMs(), request: name } : { kind: 'left', atMs: clockMs(), request: name, why })
     } finally {
       this.#underWay -= 1
--- a/src/testtrack/Daemon.ts
+++ b/src/simulator/Daemon.ts
@@ -11,12 +11,12 @@
 
 export class Daemon {
   readonly name: string
-  readonly program: 'signalbox' | 'lineman' | 'turnout'
+  readonly program: 'control' | 'agent' | 'proxy'
   readonly startup: Record<string, unknown>
   readonly #folder: string
   #child: ChildProcess | undefined
 
-  constructor(program: 'signalbox' | 'lineman' | 'turnout', folder: string, startup: Record<string, unknown> & { name: string }) {
+  constructor(program: 'control' | 'agent' | 'proxy', folder: string, startup: Record<string, unknown> & { name: string }) {
     this.program = program
     this.name = startup.name
     this.startup = startup
--- a/src/testtrack/Deployment.ts
+++ b/src/simulator/Deployment.ts
@@ -4,8 +4,8 @@
  * adapters, and the
  * mix of traffic. Sizes and rates that nobody stated are our own guesses, drawn from a fixed seed.
  */
-import { Chance } from '../gauge/Chance.js'
-import { Charter } from '../gauge/Charter.js'
+import { Random } from '../common/Random.js'
+import { Charter } from '../common/Charter.js'
 
 interface Course {
   service: string
@@ -20,7 +20,7 @@
   partner: string
   other: string
   boxes: number
-  turnouts: number
+  proxies: number
   modelServers: number
   serviceServers: number
   models: number
@@ -41,7 +41,7 @@
   name: string
   zones: string[]
   boxes: { name: string; zone: string }[]
-  turnouts: { name: string; zone: string }[]
+  proxies: { name: string; zone: string }[]
   servers: { name: string; zone: string; kind: 'model' | 'service'; roomMb: number; places: number }[]
   charter: Charter
   courses: Course[]
@@ -56,7 +56,7 @@
   coldLimit: 4,
   other: 'gopherline',
   boxes: 3,
-  turnouts: 4,
+  proxies: 4,
   modelServers: 2,
   serviceServers: 2,
   models: 14,
@@ -64,7 +64,7 @@
   service: 'booking',
   servicePerS: 10,
   busy: ['conflict', 3, 6],
-  middle: ['roster', 5, 1],
+  middle: ['directory', 5, 1],
   rare: ['calendar', 6, 1],
   storePace: 5000,
   modelRunMs: 300,
@@ -78,7 +78,7 @@
     coldLimit: 2,
     other: 'cascade',
     boxes: 3,
-    turnouts: 5,
+    proxies: 5,
     modelServers: 4,
     serviceServers: 3,
     models: 12,
@@ -100,7 +100,7 @@
     coldLimit: 2,
     other: 'cascade',
     boxes: 3,
-    turnouts: 9,
+    proxies: 9,
     modelServers: 8,
     serviceServers: 3,
     models: 36,
@@ -120,7 +120,7 @@
     coldLimit: 4,
     other: 'gopherline',
     boxes: 3,
-    turnouts: 8,
+    proxies: 8,
     modelServers: 13,
     serviceServers: 3,
     models: 30,
@@ -128,7 +128,7 @@
     service: 'booking',
     servicePerS: 45,
     busy: ['conflict', 8, 15],
-    middle: ['roster', 10, 2],
+    middle: ['directory', 10, 2],
     rare: ['calendar', 12, 0.2],
     storePace: 20_000,
     modelRunMs: 40,
@@ -143,7 +143,7 @@
   of(name: string): Deployment | undefined {
     const shape = shapes[name]
     if (shape === undefined) return undefined
-    const chance = new Chance(7)
+    const random = new Random(7)
     const zones = ['a', 'b', 'c']
     const zone = (at: number) => zones[at % 3] ?? 'a'
     const list = (count: number, prefix: string) =>
@@ -165,10 +165,10 @@
     for (const [[prefix, count, perS], lines, share, weight] of kinds) {
       for (let at = 0; at < count; at++) {
         const model = `${prefix}-${String(at + 1)}`
-        const own = Math.min(adaptersLeft, share === 20 ? adaptersLeft : Math.floor(chance.between(1, share)))
+        const own = Math.min(adaptersLeft, share === 20 ? adaptersLeft : Math.floor(random.between(1, share)))
         const adapters = Array.from({ length: Math.min(own, 5) }, (_, n) => `${model}-a${String(n + 1)}`)
         adaptersLeft -= adapters.length
-        models[model] = { sizeMb: Math.round(chance.between(2000, 9000)), adapters, adapterMb: 100, limits: { intent: { weight } } }
+        models[model] = { sizeMb: Math.round(random.between(2000, 9000)), adapters, adapterMb: 100, limits: { intent: { weight } } }
         const zipf = 1 / (at + 1) / Array.from({ length: count }, (_, n) => 1 / (n + 1)).reduce((sum, one) => sum + one, 0)
         courses.push({ service: model, kind: 'model', perS: perS * zipf, adapters, lines: lines * 4, prefix: lines, steady: shape.steady })
       }
@@ -207,7 +207,7 @@
       name,
       zones,
       boxes: list(shape.boxes, 'box'),
-      turnouts: list(shape.turnouts, 'post'),
+      proxies: list(shape.proxies, 'post'),
       servers,
       courses,
       loadMbPerS: 20_000,
--- a/src/testtrack/Fleet.ts
+++ b/src/simulator/Fleet.ts
@@ -1,5 +1,5 @@
 /**
- * A whole deployment as real processes on loopback: three signalboxes, a turnout and a lineman for
+ * A whole deployment as real processes on loopback: three control nodes, a proxy and an agent for
  * each proxy machine, with stand-ins for the servers and the platform. It starts only its own
  * children and ends them by their process ids.
  */
@@ -12,7 +12,7 @@
 import { fileURLToPath } from 'node:url'
 import { request as call } from 'undici'
 import { z } from 'zod'
-import { clockMs } from '../gauge/clockMs.js'
+import { clockMs } from '../common/clockMs.js'
 import { Daemon } from './Daemon.js'
 import type { Deployment } from './Deployment.js'
 import { freePorts } from './freePorts.js'
@@ -22,7 +22,7 @@
 const Nodes = z.object({
   leader: z.string(),
   core: z.array(z.object({ identity: z.string(), seat: z.string(), voter: z.boolean() })),
-  dispatcher: z.object({ holder: z.string(), tenure: z.number() }).nullable(),
+  dispatcher: z.object({ holder: z.string(), epoch: z.number() }).nullable(),
   seats: z.array(z.object({ seat: z.string(), alive: z.boolean() })),
 })
 
@@ -32,8 +32,8 @@
   readonly sightings: Sighting[] = []
   readonly servers: StandInHttp[]
   readonly boxes: Daemon[] = []
-  readonly linemen: Daemon[] = []
-  readonly turnouts: Daemon[] = []
+  readonly agents: Daemon[] = []
+  readonly proxies: Daemon[] = []
   readonly callerAddresses = new Map<string, string>()
   readonly operatorAddresses = new Map<string, string>()
   readonly draining = new Set<string>()
@@ -47,7 +47,7 @@
     this.servers = deployment.servers.map(
       (one) =>
         new StandInHttp(
-          { ...one, loadMbPerS: deployment.loadMbPerS, checksTenure: true, enforcesTenure: true, warmMs, coldLimit },
+          { ...one, loadMbPerS: deployment.loadMbPerS, checksEpoch: true, enforcesEpoch: true, warmMs, coldLimit },
           one.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs,
           this.see,
         ),
@@ -59,10 +59,10 @@
   }
 
   async start(): Promise<void> {
-    const { boxes, turnouts } = this.deployment
+    const { boxes, proxies } = this.deployment
     await mkdir(this.folder, { recursive: true })
     for (const server of this.servers) await server.open()
-    const ports = (await freePorts(1 + 2 * boxes.length + 4 * turnouts.length)).map((port) => `127.0.0.1:${String(port)}`)
+    const ports = (await freePorts(1 + 2 * boxes.length + 4 * proxies.length)).map((port) => `127.0.0.1:${String(port)}`)
     const port = () => ports.pop() ?? ''
     const platform = port()
     await this.#openPlatform(platform)
@@ -71,9 +71,9 @@
       const operators = port()
       this.operatorAddresses.set(box.name, operators)
       this.boxes.push(
-        new Daemon('signalbox', this.folder, {
+        new Daemon('control', this.folder, {
           ...box,
-          telegraph: boxAddresses[at],
+          transport: boxAddresses[at],
           operators,
           seeds: boxAddresses,
           seats: boxes.map((one) => one.name),
@@ -82,26 +82,26 @@
         }),
       )
     })
-    for (const post of turnouts) {
-      const [lineman, turnout, callers, watch] = [port(), port(), port(), port()]
-      this.callerAddresses.set(`${post.name}-turnout`, callers)
-      this.linemen.push(new Daemon('lineman', this.folder, { ...post, telegraph: lineman, turnout, seeds: boxAddresses, platform, watch }))
-      this.turnouts.push(
-        new Daemon('turnout', this.folder, {
-          name: `${post.name}-turnout`,
+    for (const post of proxies) {
+      const [agent, proxy, callers, watch] = [port(), port(), port(), port()]
+      this.callerAddresses.set(`${post.name}-proxy`, callers)
+      this.agents.push(new Daemon('agent', this.folder, { ...post, transport: agent, proxy, seeds: boxAddresses, platform, watch }))
+      this.proxies.push(
+        new Daemon('proxy', this.folder, {
+          name: `${post.name}-proxy`,
           seat: post.name,
           zone: post.zone,
-          telegraph: turnout,
-          lineman,
+          transport: proxy,
+          agent,
           callers,
         }),
       )
     }
-    for (const daemon of [...this.boxes, ...this.linemen, ...this.turnouts]) await daemon.start()
+    for (const daemon of [...this.boxes, ...this.agents, ...this.proxies]) await daemon.start()
   }
 
   async stop(): Promise<void> {
-    await Promise.all([...this.turnouts, ...this.linemen, ...this.boxes].map((daemon) => daemon.stop('SIGKILL')))
+    await Promise.all([...this.proxies, ...this.agents, ...this.boxes].map((daemon) => daemon.stop('SIGKILL')))
     for (const server of this.servers) await server.crash()
     this.#platform?.close()
     this.#platform?.closeAllConnections()
@@ -153,7 +153,7 @@
   /** Runs the operators' command line as a process of its own. */
   async operate(args: string[], input?: string): Promise<{ code: number; out: string; error: string }> {
     if (input !== undefined) await writeFile(join(this.folder, 'input.json'), input)
-    const program = fileURLToPath(new URL('../springpaddle/main.js', import.meta.url))
+    const program = fileURLToPath(new URL('../cli/main.js', import.meta.url))
     return new Promise((resolve) => {
       execFile(
         process.execPath,
--- a/src/testtrack/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -1,25 +1,25 @@
 /**
  * A whole network of the real machines in one process under virtual time, without sockets, disks or callers:
- * core machines, edge machines (a junction with its lineman) and servers that only say what they hold. Every
+ * core machines, edge machines (a gateway with its agent) and servers that only say what they hold. Every
  * message is written and read as a frame, so that bytes are those of the wire, and each machine's account
  * holds its messages, bytes and processor time.
  */
-import { Bounds } from '../gauge/Bounds.js'
-import { Chance } from '../gauge/Chance.js'
-import type { Order } from '../gauge/Order.js'
-import { Pace } from '../gauge/Pace.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import type { JunctionEffect } from '../junction/JunctionEffect.js'
-import type { JunctionInput } from '../junction/JunctionInput.js'
-import { JunctionMachine } from '../junction/JunctionMachine.js'
-import { LinemanMachine } from '../lineman/LinemanMachine.js'
-import type { LinemanInput } from '../lineman/LinemanInput.js'
-import type { SignalboxEffect } from '../signalbox/SignalboxEffect.js'
-import type { SignalboxInput } from '../signalbox/SignalboxInput.js'
-import { SignalboxMachine } from '../signalbox/SignalboxMachine.js'
-import { Frame } from '../telegraph/Frame.js'
-import type { Message } from '../telegraph/Message.js'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { Bounds } from '../common/Bounds.js'
+import { Random } from '../common/Random.js'
+import type { Order } from '../common/Order.js'
+import { Timings } from '../common/Timings.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import type { GatewayEffect } from '../gateway/GatewayEffect.js'
+import type { GatewayInput } from '../gateway/GatewayInput.js'
+import { GatewayMachine } from '../gateway/GatewayMachine.js'
+import { AgentMachine } from '../agent/AgentMachine.js'
+import type { AgentInput } from '../agent/AgentInput.js'
+import type { ControlEffect } from '../control/ControlEffect.js'
+import type { ControlInput } from '../control/ControlInput.js'
+import { ControlMachine } from '../control/ControlMachine.js'
+import { Frame } from '../transport/Frame.js'
+import type { Message } from '../transport/Message.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import { SimClock } from './SimClock.js'
 import { HollowSize } from './HollowSize.js'
 
@@ -42,8 +42,8 @@
   name: string
   address: string
   zone: string
-  lineman: LinemanMachine
-  junction: JunctionMachine
+  agent: AgentMachine
+  gateway: GatewayMachine
   nowLoads: readonly unknown[]
 }
 
@@ -53,9 +53,9 @@
 
 export class HollowNetwork {
   readonly clock = new SimClock()
-  readonly pace = Pace(Bounds.parse({}))
+  readonly timings = Timings(Bounds.parse({}))
   readonly accounts = new Map<string, Account>()
-  readonly boxes = new Map<string, SignalboxMachine>()
+  readonly boxes = new Map<string, ControlMachine>()
   readonly edges: Edge[] = []
   /** How long each write of operators took until all who may be at work had adopted it. */
   readonly ackMs: number[] = []
@@ -65,12 +65,12 @@
   requests = 0
   orders = 0
   readonly #size: HollowSize
-  readonly #chance = new Chance(7)
+  readonly #random = new Random(7)
   readonly #zoneOf = new Map<string, string>()
   readonly #hosts = new Map<string, (frame: Buffer) => void>()
   readonly #servers = new Map<string, Held>()
   readonly #askedMs = new Map<string, number>()
-  readonly #operators = new Map<string, (input: SignalboxInput) => void>()
+  readonly #operators = new Map<string, (input: ControlInput) => void>()
   #overheadUs = 0
   #revision = 1
 
@@ -89,7 +89,7 @@
   }
 
   get leader(): string {
-    const found = [...this.boxes].find(([, one]) => one.agreement.settled && one.agreement.surelyLeads(this.clock.nowMs))
+    const found = [...this.boxes].find(([, one]) => one.raft.settled && one.raft.surelyLeads(this.clock.nowMs))
     return found?.[0] ?? ''
   }
 
@@ -120,7 +120,7 @@
     until('find a leader', () => this.leader !== '')
     const text = JSON.stringify(HollowSize.network(this.#size, this.#revision))
     this.#operate({ action: 'network.put', text, operation: 'first' })
-    until('bring the network to all', () => this.edges.every((one) => one.lineman.level && one.lineman.copy.get('network') !== undefined))
+    until('bring the network to all', () => this.edges.every((one) => one.agent.level && one.agent.copy.get('network') !== undefined))
     this.#drive()
     this.clock.until(this.clock.nowMs + 2500)
   }
@@ -184,15 +184,15 @@
   #box(name: string, address: string, zone: string, seeds: readonly string[]): void {
     const { clock } = this
     const plan = { name, zone, address, seeds, seats: [], bootstrap: true, fenced: true, rewriteBytes: 4e6, policy: edgeMulti, system: '' }
-    const machine = new SignalboxMachine(plan, this.pace, this.#chance.fork(), [], clock.nowMs)
+    const machine = new ControlMachine(plan, this.timings, this.#random.fork(), [], clock.nowMs)
     this.boxes.set(name, machine)
     this.#zoneOf.set(address, zone)
-    const step = (input: SignalboxInput) => {
+    const step = (input: ControlInput) => {
       this.#spend(name, () => {
         carryOut(machine.step(input, clock.nowMs))
       })
     }
-    const carryOut = (effects: SignalboxEffect[]) => {
+    const carryOut = (effects: ControlEffect[]) => {
       for (const effect of effects) {
         if (effect.kind === 'send') this.#send(name, address, effect.toAddress, effect.message)
         else if (effect.kind === 'write') {
@@ -215,7 +215,7 @@
         } else if (effect.kind === 'order') {
           const reply = this.#order(effect.server, effect.order)
           clock.after(linkMs, () => {
-            step({ kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply })
+            step({ kind: 'replied', server: effect.server, epoch: effect.order.epoch, number: effect.order.number, reply })
           })
         } else if (effect.kind === 'respond') {
           const askedMs = this.#askedMs.get(effect.id)
@@ -232,10 +232,10 @@
     this.#spend(name, () => {
       carryOut(machine.begin())
     })
-    clock.after(this.#chance.between(0, this.pace.tickMs), () => {
+    clock.after(this.#random.between(0, this.timings.tickMs), () => {
       const tick = () => {
         step({ kind: 'tick', hour: 0 })
-        clock.after(this.pace.tickMs, tick)
+        clock.after(this.timings.tickMs, tick)
       }
       tick()
     })
@@ -243,7 +243,7 @@
 
   #operate(given: { action: 'network.put' | 'network.patch'; text: string; operation: string }): void {
     this.#askedMs.set(given.operation, this.clock.nowMs)
-    const operation = { branch: '', ifMatch: -1, waitMs: this.pace.operateMs, ...given }
+    const operation = { branch: '', ifMatch: -1, waitMs: this.timings.operateMs, ...given }
     this.#operators.get(this.leader)?.({ kind: 'operate', id: given.operation, operation })
   }
 
@@ -252,55 +252,55 @@
     const name = `n${String(at).padStart(4, '0')}`
     const address = `10.1.${String(Math.floor(at / 200))}.${String(1 + (at % 200))}:7`
     const zone = `z${String(at % zones)}`
-    const chance = this.#chance.fork()
-    const lineman = new LinemanMachine({ name, zone, address, seeds, turnout: '', system: '' }, this.pace, chance, clock.nowMs)
+    const random = this.#random.fork()
+    const agent = new AgentMachine({ name, zone, address, seeds, proxy: '', system: '' }, this.timings, random, clock.nowMs)
     const plan = { name, zone, retryRatio: 0.2, retryAllowance: 50, retryWindowMs: 10_000, suspectMs: 1400, refillMs: 2000, tallyMs: 250 }
-    const junction = new JunctionMachine(plan, lineman.copy, chance)
-    const edge: Edge = { name, address, zone, lineman, junction, nowLoads: [] }
+    const gateway = new GatewayMachine(plan, agent.copy, random)
+    const edge: Edge = { name, address, zone, agent, gateway, nowLoads: [] }
     this.edges.push(edge)
     this.#zoneOf.set(address, zone)
-    const guide = (input: LinemanInput) => {
+    const guide = (input: AgentInput) => {
       let adopted = false
       this.#spend(name, () => {
-        for (const effect of lineman.step(input, clock.nowMs)) {
+        for (const effect of agent.step(input, clock.nowMs)) {
           if (effect.kind === 'send') this.#send(name, address, effect.toAddress, effect.message)
           else if (effect.kind === 'adopted') adopted = true
         }
       })
-      if (adopted) this.#junctionStep(edge, { kind: 'adopted' }, `${name}/adopt`)
+      if (adopted) this.#gatewayStep(edge, { kind: 'adopted' }, `${name}/adopt`)
     }
     this.#hosts.set(address, (frame) => {
       const { from, fromAddress, message } = this.#spend(name, () => this.#receive(name, frame))
-      if (message.kind === 'outlook') this.#junctionStep(edge, { kind: 'outlook', models: message.models }, `${name}/tick`)
+      if (message.kind === 'outlook') this.#gatewayStep(edge, { kind: 'outlook', models: message.models }, `${name}/tick`)
       else guide({ kind: 'message', from, fromAddress, message })
     })
-    clock.after(chance.between(0, this.pace.tickMs), () => {
+    clock.after(random.between(0, this.timings.tickMs), () => {
       const tick = () => {
         guide({ kind: 'tick' })
         this.#spend(`${name}/tick`, () => {
-          junction.servers.members = lineman.memberNames
-          if (edge.nowLoads !== lineman.loads) {
-            edge.nowLoads = lineman.loads
-            junction.servers.told(lineman.loads)
+          gateway.servers.members = agent.memberNames
+          if (edge.nowLoads !== agent.loads) {
+            edge.nowLoads = agent.loads
+            gateway.servers.told(agent.loads)
           }
         })
-        this.#junctionStep(edge, { kind: 'tick' }, `${name}/tick`)
-        clock.after(1.5 * this.pace.tickMs, tick)
+        this.#gatewayStep(edge, { kind: 'tick' }, `${name}/tick`)
+        clock.after(1.5 * this.timings.tickMs, tick)
       }
       tick()
     })
   }
 
-  #junctionStep(edge: Edge, input: JunctionInput, account: string): void {
-    const effects = this.#spend(account, () => edge.junction.step(input, this.clock.nowMs))
+  #gatewayStep(edge: Edge, input: GatewayInput, account: string): void {
+    const effects = this.#spend(account, () => edge.gateway.step(input, this.clock.nowMs))
     for (const effect of effects) this.#attend(edge, effect)
   }
 
   /** A server that takes every request: a head soon, then its events, evenly, then the end. */
-  #attend(edge: Edge, effect: JunctionEffect): void {
+  #attend(edge: Edge, effect: GatewayEffect): void {
     if (effect.kind === 'tell') {
       this.#spend(edge.name, () => {
-        for (const one of edge.lineman.step(
+        for (const one of edge.agent.step(
           { kind: 'message', from: edge.name, fromAddress: edge.address, message: effect.message },
           this.clock.nowMs,
         ))
@@ -310,9 +310,9 @@
     }
     if (effect.kind !== 'attempt') return
     const { id, attempt } = effect
-    const at = (waitMs: number, input: JunctionInput) => {
+    const at = (waitMs: number, input: GatewayInput) => {
       this.clock.after(waitMs, () => {
-        this.#junctionStep(edge, input, `${edge.name}/request`)
+        this.#gatewayStep(edge, input, `${edge.name}/request`)
       })
     }
     const { events, runMs } = this.#size
@@ -325,12 +325,12 @@
   #drive(): void {
     const { requestsPerS, changesPerS } = this.#size
     const ask = () => {
-      const edge = this.#chance.pick(this.edges)
+      const edge = this.#random.pick(this.edges)
       if (edge !== undefined) {
         this.requests += 1
-        const arrival = HollowSize.arrival(this.#size, this.requests, this.#chance)
+        const arrival = HollowSize.arrival(this.#size, this.requests, this.#random)
         const id = `r${String(this.#revision)}-${String(this.clock.nowMs)}-${String(this.requests)}`
-        this.#junctionStep(
+        this.#gatewayStep(
           edge,
           { kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival, bodyBytes: 1300 },
           `${edge.name}/request`,
--- a/src/testtrack/HollowSize.ts
+++ b/src/simulator/HollowSize.ts
@@ -2,9 +2,9 @@
  * What a hollow network is made of at a size: its routes, its one service of model servers, what each server
  * holds, what callers ask for and what operators change. All by the size alone, so that a run repeats.
  */
-import type { Chance } from '../gauge/Chance.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import type { Arrival } from '../sidings/Arrival.js'
+import type { Random } from '../common/Random.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import type { Arrival } from '../adapters/Arrival.js'
 
 export interface HollowSize {
   boxes: number
@@ -102,11 +102,11 @@
     }))
   },
 
-  arrival(size: HollowSize, count: number, chance: Chance): Arrival {
+  arrival(size: HollowSize, count: number, random: Random): Arrival {
     const busy = Math.min(busyModels, size.models)
-    const model = chance.hit(size.rarePerS / size.requestsPerS) ? chance.below(size.models) : chance.below(busy)
+    const model = random.hit(size.rarePerS / size.requestsPerS) ? random.below(size.models) : random.below(busy)
     const known = adaptersOf(size, model)
-    const adapter = known.length > 0 && chance.hit(adapterRatio) ? (known[chance.below(Math.min(2, known.length))] ?? '') : ''
+    const adapter = known.length > 0 && random.hit(adapterRatio) ? (known[random.below(Math.min(2, known.length))] ?? '') : ''
     return {
       id: `q${String(count)}`,
       dueInMs: 20_000,
@@ -116,8 +116,8 @@
       promptTokens: 500,
       outputTokens: 290,
       parts: [
-        { id: `p${String(chance.below(3))}`, tokens: 93 },
-        { id: `c${String(chance.below(303))}`, tokens: 62 },
+        { id: `p${String(random.below(3))}`, tokens: 93 },
+        { id: `c${String(random.below(303))}`, tokens: 62 },
       ],
     }
   },
--- a/src/testtrack/Sighting.ts
+++ b/src/simulator/Sighting.ts
@@ -2,7 +2,7 @@
  * What callers, servers, the weight store, the platform and operators saw, each with its time. The
  * judge reads nothing else: never the system's own state.
  */
-import type { Verdict } from '../gauge/Verdict.js'
+import type { Verdict } from '../common/Verdict.js'
 
 export type Sighting =
   | {
@@ -30,7 +30,7 @@
   | { kind: 'left'; atMs: number; request: string; why: string }
   | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; wokeMs: number }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
-  | { kind: 'ordered'; atMs: number; server: string; incarnation: string; tenure: number; number: number; order: string; taken: boolean }
+  | { kind: 'ordered'; atMs: number; server: string; incarnation: string; epoch: number; number: number; order: string; taken: boolean }
   | { kind: 'broke'; atMs: number; server: string; rule: 'room' | 'places' | 'flights' | 'twoOrders'; what: string }
   | { kind: 'drew'; atMs: number; mb: number }
   | { kind: 'platform'; atMs: number; server: string; draining: boolean; listed: boolean }
--- a/src/testtrack/SimCallers.ts
+++ b/src/simulator/SimCallers.ts
@@ -1,9 +1,9 @@
 /**
- * The callers of a simulated run: they ask at the rates of the deployment's courses, at any turnout that
+ * The callers of a simulated run: they ask at the rates of the deployment's courses, at any proxy that
  * is up, and the figures of what they waited for are kept here. A fault may give them odd dues, long
  * streams, or let them leave.
  */
-import { Chance } from '../gauge/Chance.js'
+import { Random } from '../common/Random.js'
 import type { Deployment } from './Deployment.js'
 import type { SimAsk } from './SimAsk.js'
 import type { Simulation } from './Simulation.js'
@@ -43,10 +43,10 @@
     if (ask.askedMs >= this.hurtFromMs) this.hurtWaits.push(waitMs)
   }
 
-  ask(course: Course, chance = this.#sim.chance, runMs?: number): void {
-    const { clock, options, see, turnouts } = this.#sim
-    const [name, turnout] = chance.pick([...turnouts].filter(([, one]) => one.process.alive)) ?? []
-    if (name === undefined || turnout === undefined) return
+  ask(course: Course, random = this.#sim.random, runMs?: number): void {
+    const { clock, options, see, proxies } = this.#sim
+    const [name, proxy] = random.pick([...proxies].filter(([, one]) => one.process.alive)) ?? []
+    if (name === undefined || proxy === undefined) return
     this.#asked += 1
     this.longestRunMs = Math.max(this.longestRunMs, runMs ?? 0)
     const id = String(this.#asked)
@@ -54,13 +54,13 @@
     const service = Object.values(options.deployment.charter.partners)
       .map((branch) => branch.services[course.service])
       .find((one) => one !== undefined)
-    const adapter = course.adapters.length > 0 && chance.hit(0.5) ? (chance.pick(course.adapters) ?? '') : ''
+    const adapter = course.adapters.length > 0 && random.hit(0.5) ? (random.pick(course.adapters) ?? '') : ''
     if (course.kind === 'model') this.#countCold(course.service, adapter)
-    const talk = chance.below(8)
+    const talk = random.below(8)
     const shared = Array.from({ length: course.prefix }, (_, at) => `${course.service}-${String(talk)}-${String(at)}`)
     const chain = course.kind === 'service' ? [] : shared.concat(request)
     const dueInMs = this.manner.dueInMs === undefined ? dueMs : this.manner.dueInMs()
-    turnout.asks.set(id, {
+    proxy.asks.set(id, {
       service: course.service,
       kind: course.kind,
       adapter,
@@ -85,7 +85,7 @@
         ? { kind: 'model' as const, name: course.service, adapter, chain }
         : { kind: 'service' as const, name: course.service }
     const cut = options.broken === 'early' && dueInMs !== undefined ? dueInMs / 100 : dueInMs
-    turnout.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: cut })
+    proxy.process.deliver({ kind: 'arrived', id, target, bytes: 200, dueInMs: cut })
     const leavesMs = this.manner.leavesAfterMs?.()
     if (leavesMs !== undefined)
       clock.after(leavesMs, () => {
@@ -104,14 +104,14 @@
   begin(untilMs: number): void {
     const { clock, options } = this.#sim
     options.deployment.courses.forEach((course, at) => {
-      const chance = new Chance(options.seed * 1000 + at)
-      const gapMs = () => (course.steady ? (1000 / course.perS) * chance.between(0.9, 1.1) : chance.exponential(1000 / course.perS))
+      const random = new Random(options.seed * 1000 + at)
+      const gapMs = () => (course.steady ? (1000 / course.perS) * random.between(0.9, 1.1) : random.exponential(1000 / course.perS))
       const next = () => {
         if (clock.nowMs >= untilMs) return
-        this.ask(course, chance)
+        this.ask(course, random)
         clock.after(gapMs(), next)
       }
-      clock.after(chance.next() * gapMs(), next)
+      clock.after(random.next() * gapMs(), next)
     })
   }
 }
--- a/src/testtrack/SimClock.ts
+++ b/src/simulator/SimClock.ts
@@ -2,8 +2,8 @@
  * Virtual time: events in a queue, carried out in order of their time and then of their making. It
  * keeps a running hash of what happened, so that two runs of a seed can be told to be the same.
  */
-import { digest } from '../gauge/digest.js'
-import { Heap } from '../timetable/Heap.js'
+import { digest } from '../common/digest.js'
+import { Heap } from '../placement/Heap.js'
 
 export class SimClock {
   nowMs = 0
--- a/src/testtrack/SimDisk.test.ts
+++ b/src/simulator/SimDisk.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'node:test'
-import { Chance as Chances } from '../gauge/Chance.js'
-import type { Waybill } from '../waybill/Waybill.js'
-import { waybillContract } from '../waybill/waybillContract.js'
+import { Random as Chances } from '../common/Random.js'
+import type { WriteAheadLog } from '../storage/WriteAheadLog.js'
+import { writeAheadLogContract } from '../storage/writeAheadLogContract.js'
 import { SimClock } from './SimClock.js'
 import { SimDisk } from './SimDisk.js'
 
@@ -12,8 +12,8 @@
     new Promise<void>((resolve) => {
       disk.write(records, rewrite, resolve)
     })
-  await waybillContract(() => {
-    const waybill: Waybill = {
+  await writeAheadLogContract(() => {
+    const writeAheadLog: WriteAheadLog = {
       records: [...disk.records],
       get bytes() {
         return disk.records.reduce((sum, record) => sum + record.length, 0)
@@ -34,6 +34,6 @@
       },
       close: () => Promise.resolve(),
     }
-    return Promise.resolve(waybill)
+    return Promise.resolve(writeAheadLog)
   })
 })
--- a/src/testtrack/SimDisk.ts
+++ b/src/simulator/SimDisk.ts
@@ -2,7 +2,7 @@
  * A simulated disk: writes take time and are kept in order, and what is not yet synced is lost with
  * the power. It can stall, and it can be lost whole.
  */
-import type { Chance } from '../gauge/Chance.js'
+import type { Random } from '../common/Random.js'
 import { SimClock } from './SimClock.js'
 
 export class SimDisk {
@@ -11,16 +11,16 @@
   /** A broken variant for the proof: says that a write is synced before it is. */
   lies = false
   readonly #clock: SimClock
-  readonly #chance: Chance
+  readonly #random: Random
   #freeAtMs = 0
   #power = 0
   /** Told of each write as it begins. */
   watch: (() => void) | undefined
   #inFlight: { records: readonly Uint8Array[]; rewrite: boolean }[] = []
 
-  constructor(clock: SimClock, chance: Chance) {
+  constructor(clock: SimClock, random: Random) {
     this.#clock = clock
-    this.#chance = chance
+    this.#random = random
   }
 
   write(records: readonly Uint8Array[], rewrite: boolean, done: () => void): void {
@@ -28,7 +28,7 @@
     const power = this.#power
     const job = { records, rewrite }
     this.#inFlight.push(job)
-    const tookMs = records.length === 0 ? 0 : this.#chance.between(0.3, 3)
+    const tookMs = records.length === 0 ? 0 : this.#random.between(0.3, 3)
     this.#freeAtMs = Math.max(this.#freeAtMs, this.#clock.nowMs, this.stalledUntilMs) + tookMs
     if (this.lies)
       this.#clock.after(0, () => {
@@ -46,7 +46,7 @@
   cutPower(): void {
     const torn = this.#inFlight[0]
     if (torn !== undefined && !torn.rewrite && !this.lies)
-      this.records = [...this.records, ...torn.records.slice(0, this.#chance.below(torn.records.length + 1))]
+      this.records = [...this.records, ...torn.records.slice(0, this.#random.below(torn.records.length + 1))]
     this.#inFlight = []
     this.#power += 1
     this.#freeAtMs = 0
--- a/src/testtrack/SimFault.ts
+++ b/src/simulator/SimFault.ts
@@ -1,7 +1,7 @@
 /**
  * A fault of a storm: which, how long after the first of them it begins, and how long it lasts.
  */
-import { Chance } from '../gauge/Chance.js'
+import { Random } from '../common/Random.js'
 import { diskTakers } from './diskTakers.js'
 
 export interface SimFault {
@@ -12,13 +12,13 @@
 
 export const SimFault = {
   storm(names: readonly string[], seed: number, count: number, spanMs: number): SimFault[] {
-    const chance = new Chance(seed * 104_729)
+    const random = new Random(seed * 104_729)
     const faults: SimFault[] = []
     while (faults.length < count) {
-      const name = chance.pick(names) ?? ''
+      const name = random.pick(names) ?? ''
       if (name === 'lose-two-disks') continue
       if (diskTakers.includes(name) && faults.some((one) => diskTakers.includes(one.name))) continue
-      faults.push({ name, fromMs: Math.round(chance.between(0, spanMs)), lastsMs: Math.round(chance.between(500, 9000)) })
+      faults.push({ name, fromMs: Math.round(random.between(0, spanMs)), lastsMs: Math.round(random.between(500, 9000)) })
     }
     return faults.sort((a, b) => a.fromMs - b.fromMs)
   },
--- a/src/testtrack/SimNetwork.test.ts
+++ b/src/simulator/SimNetwork.test.ts
@@ -1,21 +1,21 @@
 import { test } from 'node:test'
-import { Chance as Chances } from '../gauge/Chance.js'
-import type { Telegraph } from '../telegraph/Telegraph.js'
-import { telegraphContract } from '../telegraph/telegraphContract.js'
+import { Random as Chances } from '../common/Random.js'
+import type { Transport } from '../transport/Transport.js'
+import { transportContract } from '../transport/transportContract.js'
 import { SimClock } from './SimClock.js'
 import { SimNetwork } from './SimNetwork.js'
 
 test('passes the contract of transports', async () => {
   const clock = new SimClock()
   const network = new SimNetwork(clock, new Chances(1))
-  await telegraphContract(
+  await transportContract(
     (name) => {
       const address = `10.0.0.1:${String(name.charCodeAt(0))}`
       const listeners: Parameters<SimNetwork['open']>[2][] = []
       network.open(address, name, (from, fromAddress, message) => {
         for (const listener of listeners) listener(from, fromAddress, message)
       })
-      const telegraph: Telegraph = {
+      const transport: Transport = {
         address,
         send: (toAddress, message) => {
           network.send(name, name, address, toAddress, message)
@@ -28,7 +28,7 @@
           return Promise.resolve()
         },
       }
-      return Promise.resolve(telegraph)
+      return Promise.resolve(transport)
     },
     (ready) => {
       while (!ready() && clock.turn());
--- a/src/testtrack/SimNetwork.ts
+++ b/src/simulator/SimNetwork.ts
@@ -3,15 +3,15 @@
  * another on different links but not on the same one, as on TCP; links are cut one way or both, slowed
  * and lossy by hosts.
  */
-import type { Chance } from '../gauge/Chance.js'
-import type { Message } from '../telegraph/Message.js'
+import type { Random } from '../common/Random.js'
+import type { Message } from '../transport/Message.js'
 import { SimClock } from './SimClock.js'
 
 type Listener = (from: string, fromAddress: string, message: Message) => void
 
 export class SimNetwork {
   readonly #clock: SimClock
-  readonly #chance: Chance
+  readonly #random: Random
   readonly #listeners = new Map<string, { host: string; listener: Listener }>()
   readonly #lastMs = new Map<string, number>()
   readonly #cuts = new Map<string, number>()
@@ -20,9 +20,9 @@
   lossRatio = 0
   meter: ((fromHost: string, toHost: string, message: Message) => void) | undefined
 
-  constructor(clock: SimClock, chance: Chance) {
+  constructor(clock: SimClock, random: Random) {
     this.#clock = clock
-    this.#chance = chance
+    this.#random = random
   }
 
   open(address: string, host: string, listener: Listener): void {
@@ -49,14 +49,14 @@
   }
 
   delayMs(fromHost: string, toHost: string): number {
-    if (fromHost === toHost) return 0.05 + this.#chance.next() * 0.1
-    return 0.3 + this.#chance.next() * 1.2 + (this.slowMs.get(fromHost) ?? 0) + (this.slowMs.get(toHost) ?? 0)
+    if (fromHost === toHost) return 0.05 + this.#random.next() * 0.1
+    return 0.3 + this.#random.next() * 1.2 + (this.slowMs.get(fromHost) ?? 0) + (this.slowMs.get(toHost) ?? 0)
   }
 
   send(from: string, fromHost: string, fromAddress: string, toAddress: string, message: Message): void {
     const target = this.#listeners.get(toAddress)
     if (target === undefined || !this.connected(fromHost, target.host)) return
-    if (fromHost !== target.host && this.lossRatio > 0 && this.#chance.hit(this.lossRatio)) return
+    if (fromHost !== target.host && this.lossRatio > 0 && this.#random.hit(this.lossRatio)) return
     this.meter?.(fromHost, target.host, message)
     const line = `${fromAddress}>${toAddress}`
     const atMs = Math.max(this.#clock.nowMs + this.delayMs(fromHost, target.host), (this.#lastMs.get(line) ?? 0) + 0.001)
--- a/src/testtrack/SimOperators.ts
+++ b/src/simulator/SimOperators.ts
@@ -2,8 +2,8 @@
  * The operators of a simulated run: they write and read at any core machine, ask again by the same
  * operation id until told how a write ended, and note what they saw.
  */
-import type { Operation } from '../signalbox/Operation.js'
-import { digest } from '../gauge/digest.js'
+import type { Operation } from '../control/Operation.js'
+import { digest } from '../common/digest.js'
 import type { Simulation } from './Simulation.js'
 
 type Action = 'charter.put' | 'charter.patch' | 'charter.rollback'
@@ -52,20 +52,20 @@
 
   /** Reads the charter at some core machine; notes nothing when it could not tell in time. */
   read(): void {
-    const { boxes, chance, clock, options, pace, see } = this.#sim
+    const { boxes, random, clock, options, timings, see } = this.#sim
     const fromMs = clock.nowMs
-    const box = chance.pick([...boxes.keys()]) ?? ''
+    const box = random.pick([...boxes.keys()]) ?? ''
     const got = (stamp: number, text: string) => {
       see({ kind: 'read', fromMs, atMs: clock.nowMs, stamp, sum: digest(text) })
     }
     if (options.broken === 'reads') {
-      const register = boxes.get(box)?.process.machine?.register
-      if (register !== undefined) got(register.charterStamp, register.whole(register.charterStamp) ?? '')
+      const replicatedState = boxes.get(box)?.process.machine?.replicatedState
+      if (replicatedState !== undefined) got(replicatedState.charterStamp, replicatedState.whole(replicatedState.charterStamp) ?? '')
       return
     }
     this.operate(
       box,
-      { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: pace.askMs },
+      { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: timings.askMs },
       (status, stamp, text) => {
         if (status === 200) got(stamp, text)
       },
@@ -73,14 +73,14 @@
   }
 
   write(write: Write, settled: (status: number, stamp: number) => void): void {
-    const { boxes, chance, clock, pace, see } = this.#sim
+    const { boxes, random, clock, timings, see } = this.#sim
     see({ kind: 'wrote', atMs: clock.nowMs, ...write })
     const { operation } = write
     const names = [...boxes.keys()]
-    let at = chance.below(names.length)
+    let at = random.below(names.length)
     const again = () => {
       at += 1
-      this.operate(names[at % names.length] ?? '', { ...write, waitMs: pace.askMs }, (status, stamp) => {
+      this.operate(names[at % names.length] ?? '', { ...write, waitMs: timings.askMs }, (status, stamp) => {
         if (status === 504) {
           see({ kind: 'undecided', atMs: clock.nowMs, operation })
           again()
--- a/src/testtrack/SimOptions.ts
+++ b/src/simulator/SimOptions.ts
@@ -3,8 +3,8 @@
  * seen to bite.
  */
 import type { SimFault } from './SimFault.js'
-import type { Message } from '../telegraph/Message.js'
-import type { Policy } from '../timetable/Policy.js'
+import type { Message } from '../transport/Message.js'
+import type { Policy } from '../placement/Policy.js'
 import type { Deployment } from './Deployment.js'
 
 export interface SimOptions {
@@ -19,7 +19,7 @@
   /** How many models and services a growing charter gains. */
   grows: number
   together: boolean
-  uncheckedTenure: boolean
+  uncheckedEpoch: boolean
   policy: Policy
   /** Told of every message between processes, for measurements. */
   meter?: (fromHost: string, toHost: string, message: Message) => void
--- a/src/testtrack/SimProcess.ts
+++ b/src/simulator/SimProcess.ts
@@ -3,7 +3,7 @@
  * origin, a slightly other rate), ticked, killed, frozen and woken. What arrives while it is frozen
  * waits for it.
  */
-import type { Chance } from '../gauge/Chance.js'
+import type { Random } from '../common/Random.js'
 import type { SimClock } from './SimClock.js'
 
 export class SimProcess<Input, Effect, Machine extends { step: (input: Input, nowMs: number) => Effect[] }> {
@@ -11,7 +11,7 @@
   readonly host: string
   machine: Machine | undefined
   readonly #clock: SimClock
-  readonly #chance: Chance
+  readonly #random: Random
   readonly #perform: (effect: Effect, life: number) => void
   readonly #tickMs: number
   readonly #tick: () => Input
@@ -27,7 +27,7 @@
     name: string,
     host: string,
     clock: SimClock,
-    chance: Chance,
+    random: Random,
     tickMs: number,
     tick: () => Input,
     perform: (effect: Effect, life: number) => void,
@@ -35,12 +35,12 @@
     this.name = name
     this.host = host
     this.#clock = clock
-    this.#chance = chance
+    this.#random = random
     this.#tickMs = tickMs
     this.#tick = tick
     this.#perform = perform
-    this.#originMs = chance.between(0, 1e7)
-    this.#rate = chance.between(0.999, 1.001)
+    this.#originMs = random.between(0, 1e7)
+    this.#rate = random.between(0.999, 1.001)
   }
 
   get alive(): boolean {
@@ -61,7 +61,7 @@
     this.#frozen = false
     this.#inbox = []
     for (const effect of first) this.#perform(effect, this.life)
-    this.#next(this.life, this.#chance.between(0, this.#tickMs))
+    this.#next(this.life, this.#random.between(0, this.#tickMs))
   }
 
   kill(): void {
@@ -69,7 +69,7 @@
     this.machine = undefined
     this.#frozen = false
     this.#inbox = []
-    this.#originMs = this.#chance.between(0, 1e7)
+    this.#originMs = this.#random.between(0, 1e7)
   }
 
   freeze(): void {
@@ -82,7 +82,7 @@
     this.wokeMs = this.#clock.nowMs
     const waiting = this.#inbox
     this.#inbox = []
-    if (this.#chance.hit(0.5)) this.deliver(this.#tick())
+    if (this.#random.hit(0.5)) this.deliver(this.#tick())
     for (const input of waiting) this.deliver(input)
   }
 
--- a/src/testtrack/SimServer.ts
+++ b/src/simulator/SimServer.ts
@@ -1,5 +1,5 @@
 /**
- * A simulated server behind the turnouts: a stand-in with a host, an address and a life that faults
+ * A simulated server behind the proxies: a stand-in with a host, an address and a life that faults
  * end and begin again.
  */
 import type { StandInServer } from './StandInServer.js'
--- a/src/testtrack/Simulation.ts
+++ b/src/simulator/Simulation.ts
@@ -3,23 +3,23 @@
  * a simulated network, disks and clocks, with stand-ins for servers, platform, callers and operators.
  * The run is calm, then faulty, then quiet; what was seen from outside goes to the judge.
  */
-import { Chance } from '../gauge/Chance.js'
-import { digest } from '../gauge/digest.js'
-import { Pace } from '../gauge/Pace.js'
-import type { PlatformServer } from '../gauge/PlatformServer.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { refound } from '../interlocking/refound.js'
-import type { LinemanEffect } from '../lineman/LinemanEffect.js'
-import type { LinemanInput } from '../lineman/LinemanInput.js'
-import { LinemanMachine } from '../lineman/LinemanMachine.js'
-import type { Report } from '../gauge/Report.js'
-import type { Message } from '../telegraph/Message.js'
-import type { SignalboxEffect } from '../signalbox/SignalboxEffect.js'
-import type { SignalboxInput } from '../signalbox/SignalboxInput.js'
-import { SignalboxMachine } from '../signalbox/SignalboxMachine.js'
-import type { TurnoutEffect } from '../turnout/TurnoutEffect.js'
-import type { TurnoutInput } from '../turnout/TurnoutInput.js'
-import { TurnoutMachine } from '../turnout/TurnoutMachine.js'
+import { Random } from '../common/Random.js'
+import { digest } from '../common/digest.js'
+import { Timings } from '../common/Timings.js'
+import type { PlatformServer } from '../common/PlatformServer.js'
+import { Verdict } from '../common/Verdict.js'
+import { refound } from '../consensus/refound.js'
+import type { AgentEffect } from '../agent/AgentEffect.js'
+import type { AgentInput } from '../agent/AgentInput.js'
+import { AgentMachine } from '../agent/AgentMachine.js'
+import type { Report } from '../common/Report.js'
+import type { Message } from '../transport/Message.js'
+import type { ControlEffect } from '../control/ControlEffect.js'
+import type { ControlInput } from '../control/ControlInput.js'
+import { ControlMachine } from '../control/ControlMachine.js'
+import type { ProxyEffect } from '../proxy/ProxyEffect.js'
+import type { ProxyInput } from '../proxy/ProxyInput.js'
+import { ProxyMachine } from '../proxy/ProxyMachine.js'
 import type { Sighting } from './Sighting.js'
 import type { SimAsk } from './SimAsk.js'
 import { SimCallers } from './SimCallers.js'
@@ -33,7 +33,7 @@
 import { StandInServer } from './StandInServer.js'
 
 const bounds = { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 }
-type Box = SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>
+type Box = SimProcess<ControlInput, ControlEffect, ControlMachine>
 interface SimBox {
   process: Box
   disk: SimDisk
@@ -49,17 +49,17 @@
 export class Simulation {
   readonly options: SimOptions
   readonly bounds = bounds
-  readonly pace = Pace(bounds)
+  readonly timings = Timings(bounds)
   readonly clock = new SimClock()
-  readonly chance: Chance
+  readonly random: Random
   readonly network: SimNetwork
   readonly sightings: Sighting[] = []
   readonly boxes = new Map<string, SimBox>()
-  readonly linemen = new Map<string, { process: SimProcess<LinemanInput, LinemanEffect, LinemanMachine>; address: string; zone: string }>()
-  readonly turnouts = new Map<
+  readonly agents = new Map<string, { process: SimProcess<AgentInput, AgentEffect, AgentMachine>; address: string; zone: string }>()
+  readonly proxies = new Map<
     string,
     {
-      process: SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>
+      process: SimProcess<ProxyInput, ProxyEffect, ProxyMachine>
       address: string
       zone: string
       asks: Map<string, SimAsk>
@@ -71,7 +71,7 @@
   readonly operators: SimOperators
   /** Where processes that start now look first. */
   seeds: string[] = []
-  /** The system that linemen which start now are told to follow; any, at first. */
+  /** The system that agents which start now are told to follow; any, at first. */
   system = ''
   /** How far a core machine's wall clock is off, in hours. */
   readonly hoursOff = new Map<string, number>()
@@ -81,15 +81,15 @@
 
   constructor(options: SimOptions) {
     this.options = options
-    this.chance = new Chance(options.seed)
-    this.network = new SimNetwork(this.clock, this.chance.fork())
+    this.random = new Random(options.seed)
+    this.network = new SimNetwork(this.clock, this.random.fork())
     this.network.meter = options.meter
     this.callers = new SimCallers(this)
     this.operators = new SimOperators(this)
     const { deployment } = options
     for (const box of deployment.boxes) this.boxes.set(box.name, this.#makeBox(box.name, box.zone))
     this.seeds = [...this.boxes.values()].map((box) => box.address)
-    for (const post of deployment.turnouts) this.#makePost(post.name, post.zone)
+    for (const post of deployment.proxies) this.#makePost(post.name, post.zone)
     for (const server of deployment.servers) {
       this.servers.set(server.name, {
         name: server.name,
@@ -119,7 +119,7 @@
           process.alive && !process.frozen && [...this.boxes.keys()].every((other) => this.network.connected(process.host, other)),
       )
       const heard = up.some(({ process }) =>
-        [...this.linemen.values()].some(
+        [...this.agents.values()].some(
           (post) =>
             post.process.alive &&
             this.network.connected(process.host, post.process.host) &&
@@ -137,7 +137,7 @@
       for (const server of this.servers.values()) server.state?.advance(this.clock.nowMs)
     })
     for (const name of this.boxes.keys()) this.startBox(name)
-    for (const name of this.linemen.keys()) this.startPost(name)
+    for (const name of this.agents.keys()) this.startPost(name)
   }
 
   readonly see = (sighting: Sighting): void => {
@@ -153,15 +153,15 @@
   // Processes.
 
   #makeBox(name: string, zone: string, host = name): SimBox {
-    const disk = new SimDisk(this.clock, this.chance.fork())
+    const disk = new SimDisk(this.clock, this.random.fork())
     disk.lies = this.options.broken === 'sync'
     const tick = () => ({ kind: 'tick' as const, hour: this.#hour(name) })
-    const process: Box = new SimProcess<SignalboxInput, SignalboxEffect, SignalboxMachine>(
+    const process: Box = new SimProcess<ControlInput, ControlEffect, ControlMachine>(
       name,
       host,
       this.clock,
-      this.chance.fork(),
-      this.pace.tickMs,
+      this.random.fork(),
+      this.timings.tickMs,
       tick,
       (effect, life) => {
         this.#performBox(box, effect, life)
@@ -189,7 +189,7 @@
 
   #start(name: string, box: SimBox): void {
     const { deployment } = this.options
-    const machine = new SignalboxMachine(
+    const machine = new ControlMachine(
       {
         name,
         zone: box.zone,
@@ -202,8 +202,8 @@
         policy: this.options.policy,
         system: box.process.host === name ? this.system : '',
       },
-      this.pace,
-      this.chance.fork(),
+      this.timings,
+      this.random.fork(),
       box.disk.records,
       box.process.nowMs,
     )
@@ -241,10 +241,10 @@
     if (again !== undefined) box.disk.records = again.records
   }
 
-  #performBox(box: SimBox, effect: SignalboxEffect, life: number): void {
+  #performBox(box: SimBox, effect: ControlEffect, life: number): void {
     const { process } = box
     const { name, host } = process
-    const back = (waitMs: number, input: SignalboxInput) => {
+    const back = (waitMs: number, input: ControlInput) => {
       this.clock.after(waitMs, () => {
         if (process.life === life) process.deliver(input)
       })
@@ -267,13 +267,13 @@
       }
       case 'askPlatform': {
         const servers = this.#platformList()
-        back(this.chance.between(2, 40), { kind: 'platform', servers, askedMs: effect.askedMs })
+        back(this.random.between(2, 40), { kind: 'platform', servers, askedMs: effect.askedMs })
         break
       }
       case 'ask': {
         const server = this.#serverAt(effect.address, host)
         if (server?.state === undefined) {
-          back(server === undefined ? 2 : this.pace.reportStaleMs / 2, {
+          back(server === undefined ? 2 : this.timings.reportStaleMs / 2, {
             kind: 'reported',
             server: effect.server,
             report: undefined,
@@ -281,8 +281,8 @@
           })
           break
         }
-        const report = server.nonsense ? undefined : this.#bend(server.state.report(effect.tenure, this.clock.nowMs))
-        back(this.chance.between(1, 3) + server.lagMs * this.chance.between(0.5, 1.5), {
+        const report = server.nonsense ? undefined : this.#bend(server.state.report(effect.epoch, this.clock.nowMs))
+        back(this.random.between(1, 3) + server.lagMs * this.random.between(0.5, 1.5), {
           kind: 'reported',
           server: effect.server,
           report,
@@ -311,19 +311,19 @@
     return report
   }
 
-  #order(host: string, effect: Extract<SignalboxEffect, { kind: 'order' }>, back: (waitMs: number, input: SignalboxInput) => void): void {
+  #order(host: string, effect: Extract<ControlEffect, { kind: 'order' }>, back: (waitMs: number, input: ControlInput) => void): void {
     const server = this.#serverAt(effect.address, host)
     const reply = (kind: 'accepted' | 'turnedAway' | 'unknown', waitMs: number) => {
-      back(waitMs, { kind: 'replied', server: effect.server, tenure: effect.order.tenure, number: effect.order.number, reply: kind })
+      back(waitMs, { kind: 'replied', server: effect.server, epoch: effect.order.epoch, number: effect.order.number, reply: kind })
     }
-    if (server === undefined || this.chance.hit(server.orderLoss / 2)) {
-      reply('unknown', this.pace.reportStaleMs)
+    if (server === undefined || this.random.hit(server.orderLoss / 2)) {
+      reply('unknown', this.timings.reportStaleMs)
       return
     }
-    this.clock.after(this.chance.between(1, 5) + server.orderSlowMs * this.chance.next(), () => {
+    this.clock.after(this.random.between(1, 5) + server.orderSlowMs * this.random.next(), () => {
       if (server.state === undefined || server.address !== effect.address) return
       const status = server.state.take(effect.order, this.clock.nowMs)
-      if (!this.chance.hit(server.orderLoss / 2)) reply(status === 202 ? 'accepted' : 'turnedAway', this.chance.between(1, 5))
+      if (!this.random.hit(server.orderLoss / 2)) reply(status === 202 ? 'accepted' : 'turnedAway', this.random.between(1, 5))
     })
   }
 
@@ -335,79 +335,75 @@
 
   #makePost(name: string, zone: string): void {
     const host = `host-${name}`
-    const turnout = `${name}-turnout`
-    const lineman = new SimProcess<LinemanInput, LinemanEffect, LinemanMachine>(
+    const proxyName = `${name}-proxy`
+    const agent = new SimProcess<AgentInput, AgentEffect, AgentMachine>(
       name,
       host,
       this.clock,
-      this.chance.fork(),
-      this.pace.tickMs,
+      this.random.fork(),
+      this.timings.tickMs,
       () => ({ kind: 'tick' }),
       (effect) => {
         if (effect.kind === 'send')
           this.network.send(
             name,
             host,
-            this.linemen.get(name)?.address ?? '',
+            this.agents.get(name)?.address ?? '',
             effect.toAddress,
             this.options.broken === 'flights' && effect.message.kind === 'tally' ? { ...effect.message, flights: [] } : effect.message,
           )
         else if (effect.kind === 'say') this.clock.note(effect.sentence)
         else if (effect.kind === 'askPlatform')
-          this.clock.after(this.chance.between(2, 40), () => {
-            lineman.deliver({ kind: 'platform', servers: this.#platformList() })
+          this.clock.after(this.random.between(2, 40), () => {
+            agent.deliver({ kind: 'platform', servers: this.#platformList() })
           })
       },
     )
-    const proxy = new SimProcess<TurnoutInput, TurnoutEffect, TurnoutMachine>(
-      turnout,
+    const proxy = new SimProcess<ProxyInput, ProxyEffect, ProxyMachine>(
+      proxyName,
       host,
       this.clock,
-      this.chance.fork(),
-      this.pace.tickMs,
+      this.random.fork(),
+      this.timings.tickMs,
       () => ({ kind: 'tick' }),
       (effect, life) => {
-        this.#performTurnout(name, effect, life)
+        this.#performProxy(name, effect, life)
       },
     )
-    this.linemen.set(name, { process: lineman, address: this.freshAddress(host), zone })
-    this.turnouts.set(name, { process: proxy, address: this.freshAddress(host), zone, asks: new Map(), flights: new Map() })
+    this.agents.set(name, { process: agent, address: this.freshAddress(host), zone })
+    this.proxies.set(name, { process: proxy, address: this.freshAddress(host), zone, asks: new Map(), flights: new Map() })
   }
 
   startPost(name: string): void {
-    const lineman = this.linemen.get(name)
-    const turnout = this.turnouts.get(name)
-    if (lineman === undefined || turnout === undefined) return
-    if (!lineman.process.alive) {
-      lineman.process.start(
-        new LinemanMachine(
-          { name, zone: lineman.zone, address: lineman.address, seeds: this.seeds, turnout: turnout.address, system: this.system },
-          this.pace,
-          this.chance.fork(),
-          lineman.process.nowMs,
+    const agent = this.agents.get(name)
+    const proxy = this.proxies.get(name)
+    if (agent === undefined || proxy === undefined) return
+    if (!agent.process.alive) {
+      agent.process.start(
+        new AgentMachine(
+          { name, zone: agent.zone, address: agent.address, seeds: this.seeds, proxy: proxy.address, system: this.system },
+          this.timings,
+          this.random.fork(),
+          agent.process.nowMs,
         ),
       )
-      this.network.open(lineman.address, lineman.process.host, (from, fromAddress, message) => {
-        lineman.process.deliver({ kind: 'message', from, fromAddress, message })
+      this.network.open(agent.address, agent.process.host, (from, fromAddress, message) => {
+        agent.process.deliver({ kind: 'message', from, fromAddress, message })
       })
     }
-    if (turnout.process.alive) return
-    turnout.process.start(
-      new TurnoutMachine(
-        { name: `${name}-turnout`, seat: name, zone: turnout.zone, lineman: lineman.address },
-        this.pace,
-        this.chance.fork(),
-      ),
+    if (proxy.process.alive) return
+    proxy.process.start(
+      new ProxyMachine({ name: `${name}-proxy`, seat: name, zone: proxy.zone, agent: agent.address }, this.timings, this.random.fork()),
     )
-    this.network.open(turnout.address, turnout.process.host, (from, fromAddress, message) => {
-      turnout.process.deliver({ kind: 'message', from, fromAddress, message: this.#forTurnout(message) })
+    this.network.open(proxy.address, proxy.process.host, (from, fromAddress, message) => {
+      proxy.process.deliver({ kind: 'message', from, fromAddress, message: this.#forProxy(message) })
     })
   }
 
-  /** Where a run is to break a rule of the turnouts, their news are bent. */
-  #forTurnout(message: Message): Message {
+  /** Where a run is to break a rule of the proxies, their news are bent. */
+  #forProxy(message: Message): Message {
     const { broken } = this.options
-    if (broken === 'licence' && message.kind === 'permit') return { ...message, forMs: 1e9 }
+    if (broken === 'lease' && message.kind === 'permit') return { ...message, forMs: 1e9 }
     if (broken === 'recovery' && message.kind === 'permit' && this.clock.nowMs > this.callers.hurtFromMs) return { ...message, forMs: 0 }
     if (broken === 'emptied' && (message.kind === 'news' || message.kind === 'mend')) {
       const bent = (value: string) => value.replaceAll('"emptied":true', '"emptied":false')
@@ -416,35 +412,35 @@
     return message
   }
 
-  killTurnout(name: string): void {
-    const turnout = this.turnouts.get(name)
-    if (turnout === undefined) return
-    this.network.close(turnout.address)
-    turnout.process.kill()
-    for (const flight of turnout.flights.values()) {
+  killProxy(name: string): void {
+    const proxy = this.proxies.get(name)
+    if (proxy === undefined) return
+    this.network.close(proxy.address)
+    proxy.process.kill()
+    for (const flight of proxy.flights.values()) {
       flight.cancelled = true
       flight.end()
     }
-    for (const ask of turnout.asks.values()) this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request, why: '' })
-    turnout.flights.clear()
-    turnout.asks.clear()
+    for (const ask of proxy.asks.values()) this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request, why: '' })
+    proxy.flights.clear()
+    proxy.asks.clear()
   }
 
   /** A caller who goes away before its answer. */
   leave(post: string, id: string): void {
-    const turnout = this.turnouts.get(post)
-    const ask = turnout?.asks.get(id)
-    if (turnout === undefined || ask === undefined) return
-    turnout.asks.delete(id)
+    const proxy = this.proxies.get(post)
+    const ask = proxy?.asks.get(id)
+    if (proxy === undefined || ask === undefined) return
+    proxy.asks.delete(id)
     this.see({ kind: 'left', atMs: this.clock.nowMs, request: ask.request, why: '' })
-    turnout.process.deliver({ kind: 'callerGone', id })
+    proxy.process.deliver({ kind: 'callerGone', id })
   }
 
-  killLineman(name: string): void {
-    const lineman = this.linemen.get(name)
-    if (lineman === undefined) return
-    this.network.close(lineman.address)
-    lineman.process.kill()
+  killAgent(name: string): void {
+    const agent = this.agents.get(name)
+    if (agent === undefined) return
+    this.network.close(agent.address)
+    agent.process.kill()
   }
 
   // Servers.
@@ -460,8 +456,8 @@
       {
         ...plan,
         loadMbPerS: this.options.deployment.loadMbPerS,
-        checksTenure: !this.options.uncheckedTenure,
-        enforcesTenure: this.options.broken !== 'staleOrders' && !this.options.uncheckedTenure,
+        checksEpoch: !this.options.uncheckedEpoch,
+        enforcesEpoch: this.options.broken !== 'staleOrders' && !this.options.uncheckedEpoch,
         warmMs,
         coldLimit,
       },
@@ -490,20 +486,20 @@
     return undefined
   }
 
-  // What a turnout does towards servers and callers.
+  // What a proxy does towards servers and callers.
 
-  #performTurnout(name: string, effect: TurnoutEffect, life: number): void {
-    const turnout = this.turnouts.get(name)
-    if (turnout === undefined) return
-    const { process, asks, flights } = turnout
-    const back = (waitMs: number, input: TurnoutInput) => {
+  #performProxy(name: string, effect: ProxyEffect, life: number): void {
+    const proxy = this.proxies.get(name)
+    if (proxy === undefined) return
+    const { process, asks, flights } = proxy
+    const back = (waitMs: number, input: ProxyInput) => {
       this.clock.after(waitMs, () => {
         if (process.life === life) process.deliver(input)
       })
     }
     switch (effect.kind) {
       case 'send':
-        this.network.send(process.name, process.host, turnout.address, effect.toAddress, effect.message)
+        this.network.send(process.name, process.host, proxy.address, effect.toAddress, effect.message)
         break
       case 'say':
         this.clock.note(effect.sentence)
@@ -518,12 +514,12 @@
         const { state } = server
         const real = this.servers.get(server.name)
         if (real === undefined) break
-        this.clock.after(this.chance.between(0.5, 2), () => {
+        this.clock.after(this.random.between(0.5, 2), () => {
           if (process.life !== life) return
           if (real.state !== state || real.dark) return
           flights.set(effect.id, { server: real, state, cancelled: false, end: () => undefined })
           const said = this.options.broken === 'identity' ? effect.server : (server.claims ?? server.name)
-          back(this.chance.between(0.2, 1), {
+          back(this.random.between(0.2, 1), {
             kind: 'identified',
             id: effect.id,
             attempt: effect.attempt,
@@ -543,7 +539,7 @@
         const flight = flights.get(effect.id)
         flights.delete(effect.id)
         if (flight === undefined) break
-        this.clock.after(this.chance.between(0.3, 1.5), () => {
+        this.clock.after(this.random.between(0.3, 1.5), () => {
           flight.cancelled = true
           flight.end()
         })
@@ -575,19 +571,19 @@
     }
   }
 
-  #go(name: string, id: string, attempt: number, back: (waitMs: number, input: TurnoutInput) => void): void {
-    const turnout = this.turnouts.get(name)
-    const flight = turnout?.flights.get(id)
-    const ask = turnout?.asks.get(id)
-    if (turnout === undefined || flight === undefined || ask === undefined) return
+  #go(name: string, id: string, attempt: number, back: (waitMs: number, input: ProxyInput) => void): void {
+    const proxy = this.proxies.get(name)
+    const flight = proxy?.flights.get(id)
+    const ask = proxy?.asks.get(id)
+    if (proxy === undefined || flight === undefined || ask === undefined) return
     back(0, { kind: 'sent', id, attempt })
     const { server, state } = flight
     const { deployment } = this.options
     const broken = this.options.broken === 'verdict' ? Verdict.notRun : Verdict.mayHaveRun
     const lost = () => {
-      back(this.chance.between(0.2, 1), { kind: 'defect', id, attempt, verdict: broken, why: 'the connection broke' })
+      back(this.random.between(0.2, 1), { kind: 'defect', id, attempt, verdict: broken, why: 'the connection broke' })
     }
-    this.clock.after(this.chance.between(0.2, 1), () => {
+    this.clock.after(this.random.between(0.2, 1), () => {
       if (flight.cancelled) return
       if (server.state !== state) {
         lost()
@@ -608,19 +604,19 @@
         service: ask.service,
         sum,
         incarnation: state.incarnation,
-        wokeMs: turnout.process.wokeMs,
+        wokeMs: proxy.process.wokeMs,
       })
       state.begin(model, ask.adapter, this.clock.nowMs)
       this.callers.parts += ask.chain.length
       this.callers.partsKept += state.keep(model, ask.chain)
       let open = true
       const finish = (got: number) => {
-        if (flight.cancelled || turnout.asks.get(id) !== ask) return
-        turnout.asks.delete(id)
-        turnout.flights.delete(id)
+        if (flight.cancelled || proxy.asks.get(id) !== ask) return
+        proxy.asks.delete(id)
+        proxy.flights.delete(id)
         this.see({ kind: 'whole', atMs: this.clock.nowMs, request: ask.request, status: 200, sum: got })
         this.callers.waited(ask, this.clock.nowMs - ask.askedMs)
-        turnout.process.deliver({ kind: 'ended', id, attempt })
+        proxy.process.deliver({ kind: 'ended', id, attempt })
       }
       let headed = false
       const crashed = () => {
@@ -636,22 +632,22 @@
         if (server.state === state) state.end(model, ask.adapter)
       }
       server.watchers.add(crashed)
-      if (this.chance.hit(server.breaksRuns)) {
-        this.clock.after(this.chance.between(0.5, 20), () => {
+      if (this.random.hit(server.breaksRuns)) {
+        this.clock.after(this.random.between(0.5, 20), () => {
           if (!open) return
           flight.end()
           open = true
           crashed()
         })
       }
-      const usualMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.chance.between(0.5, 1.5)
+      const usualMs = (ask.kind === 'model' ? deployment.modelRunMs : deployment.serviceRunMs) * this.random.between(0.5, 1.5)
       const startMs = this.clock.nowMs
       const runMs = (ask.runMs ?? usualMs) * server.slowness
       /** What a dark server would have sent comes once it is lit again, unless the line was given up as idle before. */
       const lit = (idle: boolean, sinceMs: number, then: () => void) => {
         if (!open) return
         if (!server.dark) then()
-        else if (idle && this.clock.nowMs - sinceMs > this.pace.streamIdleMs) {
+        else if (idle && this.clock.nowMs - sinceMs > this.timings.streamIdleMs) {
           flight.end()
           lost()
         } else
@@ -661,7 +657,7 @@
       }
       this.clock.after(runMs / ask.lines, () => {
         lit(false, 0, () => {
-          back(this.chance.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
+          back(this.random.between(0.2, 1), { kind: 'head', id, attempt, notRun: false })
           this.clock.after(1.1, () => {
             headed = true
           })
--- a/src/testtrack/StandInHttp.ts
+++ b/src/simulator/StandInHttp.ts
@@ -6,14 +6,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import { setTimeout as pause } from 'node:timers/promises'
-import { clockMs } from '../gauge/clockMs.js'
-import { digest } from '../gauge/digest.js'
-import { Order } from '../gauge/Order.js'
-import { readBody } from '../gauge/readBody.js'
-import { Verdict } from '../gauge/Verdict.js'
-import { CallerFormat } from '../sidings/CallerFormat.js'
-import { ModelServerFormat } from '../sidings/ModelServerFormat.js'
-import { ServerFormat } from '../sidings/ServerFormat.js'
+import { clockMs } from '../common/clockMs.js'
+import { digest } from '../common/digest.js'
+import { Order } from '../common/Order.js'
+import { readBody } from '../common/readBody.js'
+import { Verdict } from '../common/Verdict.js'
+import { CallerFormat } from '../adapters/CallerFormat.js'
+import { ModelServerFormat } from '../adapters/ModelServerFormat.js'
+import { ServerFormat } from '../adapters/ServerFormat.js'
 import type { Sighting } from './Sighting.js'
 import { StandInServer } from './StandInServer.js'
 
@@ -76,7 +76,7 @@
       return
     }
     if (url.startsWith('/springpaddle/holds')) {
-      this.#json(response, 200, state.report(Number(new URL(url, 'http://x').searchParams.get('tenure')), clockMs()))
+      this.#json(response, 200, state.report(Number(new URL(url, 'http://x').searchParams.get('epoch')), clockMs()))
       return
     }
     const body = await readBody(request, 100_000_000)
--- a/src/testtrack/StandInServer.test.ts
+++ b/src/simulator/StandInServer.test.ts
@@ -3,16 +3,16 @@
 import type { Sighting } from './Sighting.js'
 import { StandInServer } from './StandInServer.js'
 
-test('it writes down an order over its room, a second order, and a stale tenure it turned away', () => {
+test('it writes down an order over its room, a second order, and a stale epoch it turned away', () => {
   const seen: Sighting[] = []
   const server = new StandInServer(
-    { name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksTenure: true, enforcesTenure: true, warmMs: 0, coldLimit: 1 },
+    { name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksEpoch: true, enforcesEpoch: true, warmMs: 0, coldLimit: 1 },
     'i',
     0,
     (one) => seen.push(one),
   )
-  const order = (tenure: number, number: number, model: string, sizeMb: number, nowMs: number) =>
-    server.take({ tenure, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
+  const order = (epoch: number, number: number, model: string, sizeMb: number, nowMs: number) =>
+    server.take({ epoch, number, kind: 'load', model, adapter: '', sizeMb }, nowMs)
   strictEqual(order(5, 1, 'a', 8, 0), 202)
   strictEqual(order(5, 2, 'b', 8, 1), 409)
   strictEqual(server.allows('a', '', 799), false)
--- a/src/testtrack/StandInServer.ts
+++ b/src/simulator/StandInServer.ts
@@ -3,8 +3,8 @@
  * takes one order at a time, reports what it holds, and writes down every rule that an order or a
  * request broke. Also stands in for plain service servers, which hold nothing.
  */
-import type { Order } from '../gauge/Order.js'
-import type { Report } from '../gauge/Report.js'
+import type { Order } from '../common/Order.js'
+import type { Report } from '../common/Report.js'
 import type { Sighting } from './Sighting.js'
 
 interface Plan {
@@ -13,8 +13,8 @@
   roomMb: number
   places: number
   loadMbPerS: number
-  checksTenure: boolean
-  enforcesTenure: boolean
+  checksEpoch: boolean
+  enforcesEpoch: boolean
   warmMs: number
   coldLimit: number
 }
@@ -28,7 +28,7 @@
   readonly #see: (sighting: Sighting) => void
   readonly #models = new Map<string, { sizeMb: number; state: 'loading' | 'loaded' | 'unloading'; flights: number }>()
   readonly #adapters = new Map<string, { model: string; adapter: string; state: 'loading' | 'loaded' | 'unloading'; flights: number }>()
-  #tenure = 0
+  #epoch = 0
   #order: (Order & { state: 'running' | 'done' | 'defect'; endsMs: number }) | undefined
   #flights = 0
   readonly #kept = new Map<string, string>()
@@ -91,19 +91,19 @@
         atMs: nowMs,
         server: this.plan.name,
         incarnation: this.incarnation,
-        tenure: order.tenure,
+        epoch: order.epoch,
         number: order.number,
         order: `${order.kind} ${order.model}/${order.adapter}`,
         taken,
       })
     }
-    if (this.#order?.tenure === order.tenure && this.#order.number === order.number) return 202
-    const late = this.#order?.tenure === order.tenure && order.number < this.#order.number
-    if (this.plan.enforcesTenure && (order.tenure < this.#tenure || late)) {
+    if (this.#order?.epoch === order.epoch && this.#order.number === order.number) return 202
+    const late = this.#order?.epoch === order.epoch && order.number < this.#order.number
+    if (this.plan.enforcesEpoch && (order.epoch < this.#epoch || late)) {
       seen(false)
       return 409
     }
-    this.#tenure = Math.max(this.#tenure, order.tenure)
+    this.#epoch = Math.max(this.#epoch, order.epoch)
     if (this.#order?.state === 'running') {
       this.#broke('twoOrders', `got ${order.kind} ${order.model} while ${this.#order.kind} ${this.#order.model} runs`, nowMs)
       seen(false)
@@ -139,17 +139,17 @@
     return 202
   }
 
-  report(tenure: number, nowMs: number): Report {
+  report(epoch: number, nowMs: number): Report {
     this.advance(nowMs)
-    this.#tenure = Math.max(this.#tenure, tenure)
+    this.#epoch = Math.max(this.#epoch, epoch)
     return {
       server: this.plan.name,
       incarnation: this.incarnation,
       madeMs: this.upMs(nowMs),
-      ...(this.plan.checksTenure ? { tenure: this.#tenure } : {}),
+      ...(this.plan.checksEpoch ? { epoch: this.#epoch } : {}),
       models: [...this.#models].map(([model, held]) => ({ model, ...held })),
       adapters: [...this.#adapters.values()].map((held) => ({ ...held })),
-      ...(this.#order === undefined ? {} : { order: { tenure: this.#order.tenure, number: this.#order.number, state: this.#order.state } }),
+      ...(this.#order === undefined ? {} : { order: { epoch: this.#order.epoch, number: this.#order.number, state: this.#order.state } }),
       parts: [...this.#kept].map(([chain, model]) => ({ model, chain })),
     }
   }
--- a/src/testtrack/brokenRules.test.ts
+++ b/src/simulator/brokenRules.test.ts
@@ -4,7 +4,7 @@
  */
 import { test } from 'node:test'
 import { ok, strictEqual } from 'node:assert'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import { runSimulation } from './runSimulation.js'
 
@@ -34,7 +34,7 @@
     seeds: [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20],
   },
   {
-    broken: 'licence',
+    broken: 'lease',
     rule: 'charter',
     faults: ['cut-post-from-system'],
     deployment: 'siding',
@@ -45,7 +45,7 @@
   { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'reads', rule: 'linear', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
   { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'siding', seeds: [1, 2, 3, 4] },
-  { broken: 'emptied', rule: 'emptied', faults: ['kill-turnout'], deployment: 'siding', seeds: [1, 2, 3] },
+  { broken: 'emptied', rule: 'emptied', faults: ['kill-proxy'], deployment: 'siding', seeds: [1, 2, 3] },
   {
     broken: 'budget',
     rule: 'retries',
@@ -85,7 +85,7 @@
     crowd: one.crowd ?? 150,
     grows: 400,
     together: one.together ?? false,
-    uncheckedTenure: false,
+    uncheckedEpoch: false,
     policy: edgeMulti,
   }).broken
 }
--- a/src/testtrack/callerFaults.ts
+++ b/src/simulator/callerFaults.ts
@@ -9,14 +9,14 @@
   crowd: (sim) => {
     for (const course of sim.options.deployment.courses.slice(0, 3))
       for (let n = 0; n < sim.options.crowd; n++)
-        sim.clock.after(sim.chance.between(0, 200), () => {
+        sim.clock.after(sim.random.between(0, 200), () => {
           sim.callers.ask(course)
         })
     return nothing
   },
   'rare-rush': (sim) => {
     for (const course of sim.options.deployment.courses)
-      sim.clock.after(sim.chance.between(0, 500), () => {
+      sim.clock.after(sim.random.between(0, 500), () => {
         sim.callers.ask(course)
       })
     return nothing
@@ -27,9 +27,9 @@
       const next = () => {
         if (!open) return
         sim.callers.ask(course)
-        sim.clock.after(sim.chance.exponential(100 / course.perS), next)
+        sim.clock.after(sim.random.exponential(100 / course.perS), next)
       }
-      sim.clock.after(sim.chance.exponential(100 / course.perS), next)
+      sim.clock.after(sim.random.exponential(100 / course.perS), next)
     }
     return () => {
       open = false
@@ -37,13 +37,13 @@
   },
   'odd-dues': (sim) => {
     const dues = [200, 400, 1500, 60_000, undefined]
-    sim.callers.manner = { ...sim.callers.manner, dueInMs: () => sim.chance.pick(dues) }
+    sim.callers.manner = { ...sim.callers.manner, dueInMs: () => sim.random.pick(dues) }
     return () => {
       delete sim.callers.manner.dueInMs
     }
   },
   'callers-leave': (sim) => {
-    sim.callers.manner = { ...sim.callers.manner, leavesAfterMs: () => (sim.chance.hit(0.3) ? sim.chance.between(0, 60) : undefined) }
+    sim.callers.manner = { ...sim.callers.manner, leavesAfterMs: () => (sim.random.hit(0.3) ? sim.random.between(0, 60) : undefined) }
     return () => {
       delete sim.callers.manner.leavesAfterMs
     }
@@ -51,8 +51,8 @@
   'long-streams': (sim) => {
     const models = sim.options.deployment.courses.filter((course) => course.kind === 'model')
     for (let n = 0; n < 20; n++) {
-      const course = sim.chance.pick(models)
-      if (course !== undefined) sim.callers.ask({ ...course, lines: 400 }, sim.chance, sim.chance.between(1, 4) * sim.options.faultMs)
+      const course = sim.random.pick(models)
+      if (course !== undefined) sim.callers.ask({ ...course, lines: 400 }, sim.random, sim.random.between(1, 4) * sim.options.faultMs)
     }
     return nothing
   },
--- a/src/testtrack/charterFaults.ts
+++ b/src/simulator/charterFaults.ts
@@ -38,9 +38,9 @@
       const settled = (_status: number, stamp: number) => {
         last = stamp
       }
-      const dueMs = 500 + sim.chance.below(500)
-      const ifMatch = sim.chance.hit(0.4) ? last : -1
-      const kind = sim.chance.below(4)
+      const dueMs = 500 + sim.random.below(500)
+      const ifMatch = sim.random.hit(0.4) ? last : -1
+      const kind = sim.random.below(4)
       if (kind === 0) write(sim, 'charter.put', `partners.${other}`, JSON.stringify({ limits: { dueMs } }), ifMatch, settled)
       else if (kind === 1)
         write(
@@ -54,7 +54,7 @@
       else if (kind === 2)
         write(sim, 'charter.patch', '', JSON.stringify({ partners: { [other]: { limits: { dueMs: null } } } }), ifMatch, settled)
       else write(sim, 'charter.put', `partners.${other}`, '{"limits": {"dueMs": "soon"}}', ifMatch, settled)
-      sim.clock.after(sim.chance.between(5, 150), next)
+      sim.clock.after(sim.random.between(5, 150), next)
     }
     next()
     next()
--- a/src/testtrack/compare.ts
+++ b/src/simulator/compare.ts
@@ -2,7 +2,7 @@
  * The same seeded arrivals under iWS-BFE and under plain LRU: the share of cold starts, the waits of
  * model requests, the weights moved, and what was given up.
  */
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import type { Deployment } from './Deployment.js'
 import { lru } from './lru.js'
 import { runSimulation } from './runSimulation.js'
@@ -24,7 +24,7 @@
         crowd: 0,
         grows: 400,
         together: false,
-        uncheckedTenure: false,
+        uncheckedEpoch: false,
         policy,
       })
       const cold = (100 * result.coldAsks) / Math.max(1, result.modelAsks)
--- a/src/testtrack/judge.test.ts
+++ b/src/simulator/judge.test.ts
@@ -48,12 +48,12 @@
   ...more,
 })
 
-const order = (tenure: number, what = ''): Sighting => ({
+const order = (epoch: number, what = ''): Sighting => ({
   kind: 'ordered',
   atMs: 0,
   server: 's',
   incarnation: 'i',
-  tenure,
+  epoch,
   number: 1,
   order: what,
   taken: true,
--- a/src/testtrack/judge.ts
+++ b/src/simulator/judge.ts
@@ -2,8 +2,8 @@
  * Judges a run by what was seen from outside. Each rule of "what must never happen" has a checker
  * here that gives the sightings that broke it.
  */
-import type { Bounds } from '../gauge/Bounds.js'
-import { Verdict } from '../gauge/Verdict.js'
+import type { Bounds } from '../common/Bounds.js'
+import { Verdict } from '../common/Verdict.js'
 import { linear } from './linear.js'
 import type { Sighting } from './Sighting.js'
 
@@ -221,12 +221,12 @@
       }
     }
   })
-  const tenures = new Map<string, number>()
+  const epochs = new Map<string, number>()
   for (const order of of('ordered')) {
     if (!order.taken) continue
-    if (order.tenure < (tenures.get(order.server) ?? 0))
-      tell('controllers', `${order.server} took an order of tenure ${String(order.tenure)} after a newer one`)
-    tenures.set(order.server, order.tenure)
+    if (order.epoch < (epochs.get(order.server) ?? 0))
+      tell('controllers', `${order.server} took an order of epoch ${String(order.epoch)} after a newer one`)
+    epochs.set(order.server, order.epoch)
   }
   const closed = of('faultClosed')
   closed.forEach((fault, at) => {
--- a/src/testtrack/keptSeeds.test.ts
+++ b/src/simulator/keptSeeds.test.ts
@@ -4,7 +4,7 @@
  */
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import { runSimulation } from './runSimulation.js'
 import { SimFault } from './SimFault.js'
@@ -41,7 +41,7 @@
   },
   {
     seed: 19,
-    faults: ['order-trouble', 'kill-turnout'],
+    faults: ['order-trouble', 'kill-proxy'],
     together: false,
     was: 'a late copy of an older order was taken for a second order',
   },
@@ -61,13 +61,13 @@
     unchecked: true,
     was: 'the first dispatcher there ever was waited for orders of a predecessor',
   },
-  { seed: 105, faults: ['break-runs', 'freeze-turnout'], together: true, was: 'the judge held a frozen turnout to its dues' },
+  { seed: 105, faults: ['break-runs', 'freeze-proxy'], together: true, was: 'the judge held a frozen proxy to its dues' },
   { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the judge wanted a drain obeyed that no core could tell' },
   {
     seed: 16,
     faults: ['swap-seeds@1539+1507', 'stop-all@5255+3027'],
     together: false,
-    was: 'seeds that were linemen knew no core after all had stopped',
+    was: 'seeds that were agents knew no core after all had stopped',
   },
   {
     seed: 45,
@@ -94,7 +94,7 @@
       crowd: 150,
       grows: 400,
       together,
-      uncheckedTenure: unchecked ?? false,
+      uncheckedEpoch: unchecked ?? false,
       policy: edgeMulti,
     })
     strictEqual(result.broken.map((rule) => `${rule}: ${result.rules[rule]?.[0] ?? ''}`).join('\n'), '')
--- a/src/testtrack/linear.test.ts
+++ b/src/simulator/linear.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { deepStrictEqual } from 'node:assert'
-import { digest } from '../gauge/digest.js'
+import { digest } from '../common/digest.js'
 import type { Sighting } from './Sighting.js'
 import { linear } from './linear.js'
 
--- a/src/testtrack/linear.ts
+++ b/src/simulator/linear.ts
@@ -7,8 +7,8 @@
  * beginning and its end, at which the stamp was another. That all
  * acknowledged writes are in the history is judged beside it.
  */
-import { digest } from '../gauge/digest.js'
-import { Tree } from '../gauge/Tree.js'
+import { digest } from '../common/digest.js'
+import { Tree } from '../common/Tree.js'
 import type { Sighting } from './Sighting.js'
 
 type Of<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
--- a/src/testtrack/lru.ts
+++ b/src/simulator/lru.ts
@@ -2,7 +2,7 @@
  * The baseline that measurements compare with: the least recently requested makes way, nothing is
  * loaded ahead.
  */
-import type { Policy } from '../timetable/Policy.js'
+import type { Policy } from '../placement/Policy.js'
 
 export const lru: Policy = {
   foresees: false,
--- a/src/testtrack/main.ts
+++ b/src/simulator/main.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
-import { runCommand } from '../gauge/runCommand.js'
+import { runCommand } from '../common/runCommand.js'
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
 import { runFleet } from './runFleet.js'
@@ -24,7 +24,7 @@
   process.exit(1)
 })
 const unknown = (what: string, known: readonly string[]) => {
-  process.stderr.write(`testtrack: ${what}; known are: ${known.join(', ')}\n`)
+  process.stderr.write(`simulator: ${what}; known are: ${known.join(', ')}\n`)
   process.exitCode = 2
 }
 
@@ -51,7 +51,7 @@
     if (deployment === undefined) unknown(`no deployment is named ${given.deployment}`, Deployment.names)
     else if (strange !== undefined) unknown(`no fault is named ${strange}`, runFleet.faults)
     else {
-      const folder = given.folder ?? (await mkdtemp(join(tmpdir(), 'testtrack-')))
+      const folder = given.folder ?? (await mkdtemp(join(tmpdir(), 'simulator-')))
       say(`startup files, logs and data: ${folder}`)
       const passes = await runFleet.run({
         deployment,
@@ -153,7 +153,7 @@
 })
 await runCommand(
   subcommands({
-    name: 'testtrack',
+    name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
     cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes },
   }),
--- a/src/testtrack/proxyProof.test.ts
+++ b/src/simulator/proxyProof.test.ts
@@ -1,5 +1,5 @@
 /**
- * The byte path of a turnout over real sockets: the daemon's own tasks on a loopback telegraph, with a
+ * The byte path of a proxy over real sockets: the daemon's own tasks on a loopback transport, with a
  * row of scripted servers behind it and plain callers before it.
  */
 import { test } from 'node:test'
@@ -9,13 +9,13 @@
 import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
 import { Agent, request as call } from 'undici'
 import { z } from 'zod'
-import { Logbook } from '../gauge/Logbook.js'
-import { Meters } from '../gauge/Meters.js'
-import { Startup } from '../gauge/Startup.js'
-import { ServerFormat } from '../sidings/ServerFormat.js'
-import { TcpTelegraph } from '../telegraph/TcpTelegraph.js'
-import { CallersDesk } from '../turnout/CallersDesk.js'
-import { TurnoutTask } from '../turnout/TurnoutTask.js'
+import { Logger } from '../common/Logger.js'
+import { Meters } from '../common/Meters.js'
+import { Startup } from '../common/Startup.js'
+import { ServerFormat } from '../adapters/ServerFormat.js'
+import { TcpTransport } from '../transport/TcpTransport.js'
+import { CallersDesk } from '../proxy/CallersDesk.js'
+import { ProxyTask } from '../proxy/ProxyTask.js'
 
 interface Scene {
   address: string
@@ -25,7 +25,7 @@
   close: () => Promise<void>
 }
 
-/** A turnout that may work, and one service `s` whose only server answers by the given script. */
+/** A proxy that may work, and one service `s` whose only server answers by the given script. */
 async function proxyProof(
   script: (request: IncomingMessage, response: ServerResponse, run: number) => void,
   name = 's-1',
@@ -47,7 +47,7 @@
   await once(server, 'listening')
   const bound = server.address()
   const address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
-  const lineman = await TcpTelegraph.open('post', '127.0.0.1:0')
+  const agent = await TcpTransport.open('post', '127.0.0.1:0')
   const row = (key: string, value: unknown) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) })
   const charter = {
     defaults: {
@@ -66,13 +66,13 @@
   const rows = [
     row('charter', charter),
     row('server/s-1', { name: 's-1', address, zone: 'a', draining: false }),
-    row('seat/post', { role: 'lineman', zone: 'a', retired: false }),
+    row('seat/post', { role: 'agent', zone: 'a', retired: false }),
   ]
   let followedMs = 0
-  lineman.hear((_from, fromAddress, message) => {
+  agent.hear((_from, fromAddress, message) => {
     if (message.kind === 'ask') {
       const again = message.again.map((one) => one.id)
-      lineman.send(fromAddress, {
+      agent.send(fromAddress, {
         kind: 'permit',
         sentMs: followedMs,
         forMs: 60_000,
@@ -85,8 +85,8 @@
     }
     if (message.kind !== 'follow') return
     followedMs = message.sentMs
-    lineman.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
-    lineman.send(fromAddress, {
+    agent.send(fromAddress, { kind: 'news', stamp: 1, since: 0, rows })
+    agent.send(fromAddress, {
       kind: 'permit',
       sentMs: message.sentMs,
       forMs: 60_000,
@@ -97,22 +97,17 @@
       barred: [],
     })
   })
-  const startup = Startup.turnout.parse({
-    name: 'post-turnout',
+  const startup = Startup.proxy.parse({
+    name: 'post-proxy',
     seat: 'post',
     zone: 'a',
-    telegraph: '127.0.0.1:0',
-    lineman: lineman.address,
+    transport: '127.0.0.1:0',
+    agent: agent.address,
     callers: '127.0.0.1:0',
     logLevel: 'silent',
   })
-  const meters = new Meters('turnout', 'post')
-  const task = new TurnoutTask(
-    startup,
-    new Logbook('turnout', 'post', 'silent'),
-    await TcpTelegraph.open('post-turnout', '127.0.0.1:0'),
-    meters,
-  )
+  const meters = new Meters('proxy', 'post')
+  const task = new ProxyTask(startup, new Logger('proxy', 'post', 'silent'), await TcpTransport.open('post-proxy', '127.0.0.1:0'), meters)
   const desk = new CallersDesk(startup, task, meters)
   return {
     address: await desk.open(),
@@ -123,7 +118,7 @@
       server.close()
       server.closeAllConnections()
       await task.stop()
-      await lineman.close()
+      await agent.close()
       await desk.drain()
     },
   }
@@ -332,7 +327,7 @@
   }
 })
 
-test('a turnout that stops answers those that are here and sends callers with open connections away', async () => {
+test('a proxy that stops answers those that are here and sends callers with open connections away', async () => {
   let release: () => void = () => undefined
   const scene = await proxyProof((_request, response) => {
     release = () => {
