--- a/src/testtrack/runFleet.ts
+++ b/src/simulator/runFleet.ts
@@ -7,7 +7,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { request } from 'undici'
 import { z } from 'zod'
-import { clockMs } from '../gauge/clockMs.js'
+import { clockMs } from '../common/clockMs.js'
 import { Callers } from './Callers.js'
 import type { Deployment } from './Deployment.js'
 import { Fleet } from './Fleet.js'
@@ -27,13 +27,13 @@
 /** What a person would do when a runbook asks, by the words it asks in. */
 const hands: [RegExp, (fleet: Fleet, name: string) => Promise<void>][] = [
   [
-    /^Stop the signalbox at (\S+) /,
+    /^Stop the control at (\S+) /,
     async (fleet, name) => {
       await fleet.boxes.find((one) => one.name === name)?.stop('SIGKILL')
     },
   ],
   [
-    /^Start a signalbox named (\S+) with an empty/,
+    /^Start a control named (\S+) with an empty/,
     async (fleet, name) => {
       await rm(join(fleet.folder, name), { recursive: true, force: true })
       await fleet.boxes.find((one) => one.name === name)?.start()
@@ -51,39 +51,39 @@
     },
   ],
   [
-    /^Restart the signalbox at (\S+)\./,
+    /^Restart the control at (\S+)\./,
     async (fleet, name) => {
       const box = fleet.boxes.find((one) => one.name === name)
       await box?.stop('SIGTERM')
       await box?.start()
     },
   ],
-  [/^Restart the turnout and the lineman of (\S+)\./, (fleet, name) => restartPost(fleet, name)],
+  [/^Restart the proxy and the agent of (\S+)\./, (fleet, name) => restartPost(fleet, name)],
   [
-    /^Restart every lineman/,
+    /^Restart every agent/,
     async (fleet) => {
-      for (const one of fleet.linemen) await restartPost(fleet, one.name)
+      for (const one of fleet.agents) await restartPost(fleet, one.name)
     },
   ],
 ]
 
 async function restartPost(fleet: Fleet, name: string): Promise<void> {
-  const turnout = fleet.turnouts.find((one) => one.name === `${name}-turnout`)
-  const lineman = fleet.linemen.find((one) => one.name === name)
-  await turnout?.stop('SIGTERM')
-  await lineman?.stop('SIGTERM')
-  await lineman?.start()
-  await turnout?.start()
-  if (turnout === undefined) return
-  turnout.leaving = true
-  const address = fleet.callerAddresses.get(turnout.name) ?? ''
-  await fleet.until(`${turnout.name} is well`, () =>
+  const proxy = fleet.proxies.find((one) => one.name === `${name}-proxy`)
+  const agent = fleet.agents.find((one) => one.name === name)
+  await proxy?.stop('SIGTERM')
+  await agent?.stop('SIGTERM')
+  await agent?.start()
+  await proxy?.start()
+  if (proxy === undefined) return
+  proxy.leaving = true
+  const address = fleet.callerAddresses.get(proxy.name) ?? ''
+  await fleet.until(`${proxy.name} is well`, () =>
     request(`http://${address}/health`).then(
       async (reply) => (await reply.body.dump(), reply.statusCode === 200),
       () => false,
     ),
   )
-  turnout.leaving = false
+  proxy.leaving = false
 }
 
 /** Runs a runbook and does by hand whatever it asks for. */
@@ -119,14 +119,14 @@
     await pause(2000)
     await box?.start()
   },
-  'kill-turnout': async (fleet) => {
-    const [turnout, lineman] = [fleet.turnouts[0], fleet.linemen[0]]
-    await turnout?.stop('SIGKILL')
-    await lineman?.stop('SIGKILL')
+  'kill-proxy': async (fleet) => {
+    const [proxy, agent] = [fleet.proxies[0], fleet.agents[0]]
+    await proxy?.stop('SIGKILL')
+    await agent?.stop('SIGKILL')
     await pause(1000)
-    await lineman?.start()
-    await turnout?.start()
-    await fleet.until('the killed turnout is back', async () => (await fleet.nodes())?.seats.every((seat) => seat.alive) === true)
+    await agent?.start()
+    await proxy?.start()
+    await fleet.until('the killed proxy is back', async () => (await fleet.nodes())?.seats.every((seat) => seat.alive) === true)
   },
   'freeze-leader': async (fleet) => {
     const nodes = await fleet.nodes()
@@ -179,7 +179,7 @@
     const told = await survivor.once('refound', '--yes')
     const system = /as system (\S+)\./.exec(told)?.[1] ?? ''
     say(`refound: system ${system}`)
-    for (const daemon of [...fleet.boxes, ...fleet.linemen]) daemon.startup['system'] = system
+    for (const daemon of [...fleet.boxes, ...fleet.agents]) daemon.startup['system'] = system
     await survivor.start()
     await fleet.until('the survivor leads', async () => (await fleet.nodes())?.leader !== undefined)
     await runbook(fleet, say, 'after-refound', [
@@ -215,7 +215,7 @@
     const callers = new Callers(
       deployment,
       seed,
-      () => fleet.turnouts.filter((one) => one.running && !one.leaving).map((one) => fleet.callerAddresses.get(one.name) ?? ''),
+      () => fleet.proxies.filter((one) => one.running && !one.leaving).map((one) => fleet.callerAddresses.get(one.name) ?? ''),
       (model, adapter) => fleet.servers.some((one) => one.state.plan.roomMb > 0 && one.state.allows(model, adapter, clockMs())),
       fleet.see,
     )
@@ -226,11 +226,11 @@
         return (
           nodes !== undefined &&
           nodes.dispatcher !== null &&
-          nodes.seats.length === deployment.turnouts.length &&
+          nodes.seats.length === deployment.proxies.length &&
           nodes.seats.every((seat) => seat.alive)
         )
       })
-      say(`${deployment.name}: ${String(fleet.boxes.length + fleet.linemen.length + fleet.turnouts.length)} processes are up`)
+      say(`${deployment.name}: ${String(fleet.boxes.length + fleet.agents.length + fleet.proxies.length)} processes are up`)
       const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
       fleet.see({ kind: 'wrote', atMs: clockMs(), operation: 'first', text, branch: '', action: 'charter.put', ifMatch: -1 })
       const put = await fleet.operate(['charter', 'put', fleet.inputFile, '--operation', 'first', '--json'], text)
--- a/src/testtrack/runSimulation.test.ts
+++ b/src/simulator/runSimulation.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import { Deployment } from './Deployment.js'
 import type { SimOptions } from './SimOptions.js'
 import { runSimulation } from './runSimulation.js'
@@ -20,7 +20,7 @@
   crowd: 100,
   grows: 400,
   together: false,
-  uncheckedTenure: false,
+  uncheckedEpoch: false,
   policy: edgeMulti,
 })
 
@@ -35,7 +35,7 @@
   strictEqual(one.turnedAway, 0)
 })
 
-test('a hail that crosses the answer to another does not keep an empty core from being founded', () => {
+test('a probe that crosses the answer to another does not keep an empty core from being founded', () => {
   strictEqual(runSimulation({ ...base(11, []), quietMs: 9000 }).broken.join(), '')
 })
 
--- a/src/testtrack/runSimulation.ts
+++ b/src/simulator/runSimulation.ts
@@ -4,7 +4,7 @@
  * than the bound of recovery, everything is read back, and the judge is asked.
  */
 import { z } from 'zod'
-import type { Charter } from '../gauge/Charter.js'
+import type { Charter } from '../common/Charter.js'
 import { judge } from './judge.js'
 import { quantile } from './quantile.js'
 import { simFaults } from './simFaults.js'
@@ -39,7 +39,7 @@
 
 export function runSimulation(options: SimOptions): Result {
   const sim = new Simulation(options)
-  const { clock, chance, sightings, see } = sim
+  const { clock, random, sightings, see } = sim
   const { deployment, faults } = options
   const charter = bentCharter(deployment.charter, options.broken)
   const text = `${JSON.stringify(charter, null, 2)}\n`
@@ -73,7 +73,7 @@
   if (options.storm === undefined) {
     faults.forEach((name, at) => {
       const fromMs =
-        startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + chance.between(0, options.faultMs * 0.4)
+        startMs + options.calmMs + (options.together ? 0 : at * options.faultMs * 1.5) + random.between(0, options.faultMs * 0.4)
       bring(name, fromMs, options.faultMs)
     })
   }
@@ -130,7 +130,7 @@
   }
 }
 
-/** Half of what the courses would bring while some turnout is up, so that a run that asked almost nothing proves nothing. */
+/** Half of what the courses would bring while some proxy is up, so that a run that asked almost nothing proves nothing. */
 function leastAsked(sim: Simulation, trafficMs: number): number {
   const perS = sim.options.deployment.courses.reduce((sum, course) => sum + course.perS, 0)
   return (
@@ -159,7 +159,7 @@
 
 /** Operators who read and write while faults go on: leaves patched in a race, a zone emptied and refilled, a server barred. */
 function operators(sim: Simulation, fromMs: number, untilMs: number): void {
-  const { clock, chance, see } = sim
+  const { clock, random, see } = sim
   const { deployment } = sim.options
   const [partner = '', branch] = Object.entries(deployment.charter.partners).find(([, one]) => Object.keys(one.services).length > 0) ?? []
   const [service = '', plan] = Object.entries(branch?.services ?? {})[0] ?? []
@@ -176,17 +176,17 @@
   }
   const race = () => {
     if (clock.nowMs > untilMs) return
-    patch({ partners: { [partner]: { limits: { dueMs: 9000 + chance.below(1000) } } } }, () => undefined)
+    patch({ partners: { [partner]: { limits: { dueMs: 9000 + random.below(1000) } } } }, () => undefined)
     patch(
       { partners: { [partner]: { limits: { warmMs: deployment.charter.defaults.warmMs } } } },
       () => undefined,
-      chance.hit(0.5) ? 3 : -1,
+      random.hit(0.5) ? 3 : -1,
     )
-    clock.after(chance.between(1500, 5000), race)
+    clock.after(random.between(1500, 5000), race)
   }
   const zone = () => {
     if (clock.nowMs > untilMs) return
-    const name = chance.pick(deployment.zones) ?? ''
+    const name = random.pick(deployment.zones) ?? ''
     patch({ zones: { [name]: { emptied: true } } }, (askedMs) => {
       see({ kind: 'emptied', atMs: askedMs, zone: name, emptied: true, ackedMs: clock.nowMs })
       clock.after(4000, () => {
@@ -199,7 +199,7 @@
   }
   const bar = () => {
     if (clock.nowMs > untilMs || plan === undefined || plan.servers.length < 2) return
-    const server = chance.pick(plan.servers) ?? ''
+    const server = random.pick(plan.servers) ?? ''
     const write = (servers: readonly string[], settled: (askedMs: number) => void) => {
       patch({ partners: { [partner]: { services: { [service]: { servers } } } } }, settled)
     }
@@ -219,7 +219,7 @@
   const read = () => {
     if (clock.nowMs > untilMs) return
     sim.operators.read()
-    clock.after(chance.between(100, 600), read)
+    clock.after(random.between(100, 600), read)
   }
   clock.at(fromMs, read)
   clock.at(fromMs, race)
@@ -233,8 +233,8 @@
     let got: string | undefined
     let open = true
     sim.operators.operate(
-      sim.chance.pick([...sim.boxes.keys()]) ?? '',
-      { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.pace.operateMs },
+      sim.random.pick([...sim.boxes.keys()]) ?? '',
+      { action, branch, text, ifMatch: -1, operation: `read-${String(clock.nowMs)}`, waitMs: sim.timings.operateMs },
       (status, _stamp, body) => {
         got = status === 200 ? body : undefined
         open = false
--- a/src/testtrack/scale.ts
+++ b/src/simulator/scale.ts
@@ -4,10 +4,10 @@
  * repairs that go down the tree, its depth, and how long a charter takes to be acknowledged. Traffic is
  * left out, so that what is counted is the control plane's own.
  */
-import { Charter } from '../gauge/Charter.js'
-import { Frame } from '../telegraph/Frame.js'
-import type { Message } from '../telegraph/Message.js'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { Charter } from '../common/Charter.js'
+import { Frame } from '../transport/Frame.js'
+import type { Message } from '../transport/Message.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import type { Deployment } from './Deployment.js'
 import { quantile } from './quantile.js'
 import { runSimulation } from './runSimulation.js'
@@ -30,7 +30,7 @@
   const grown = Charter.check({ ...charter, partners, fleet: { ...charter.fleet, servers } })
   return {
     ...deployment,
-    turnouts: grow(deployment.turnouts),
+    proxies: grow(deployment.proxies),
     servers: grow(deployment.servers),
     courses: [],
     charter: grown.caseOf<Charter>({
@@ -71,7 +71,7 @@
       crowd: 0,
       grows: 0,
       together: false,
-      uncheckedTenure: false,
+      uncheckedEpoch: false,
       policy: edgeMulti,
     }
     const result = runSimulation({ ...options, meter })
@@ -86,7 +86,7 @@
       .slice(0, 3)
       .map(([kind, bytes]) => `${kind} ${String(Math.round((100 * bytes) / all))} %`)
     say(
-      `${deployment.name} x${String(factor)}: ${String(grown.turnouts.length)} proxy machines, ${String(grown.servers.length)} servers, charter ${String(JSON.stringify(grown.charter).length)} bytes: ` +
+      `${deployment.name} x${String(factor)}: ${String(grown.proxies.length)} proxy machines, ${String(grown.servers.length)} servers, charter ${String(JSON.stringify(grown.charter).length)} bytes: ` +
         `busiest core machine ${String(perS(busiest.messages))} messages/s, ${String(perS(busiest.bytes))} bytes/s (of the core: ${most.join(', ')}); relay depth ${String(deepest)}; ${String(mends)} repairs; ` +
         `acknowledged p50 ${String(quantile(acks, 0.5))} p99 ${String(quantile(acks, 0.99))} ms over ${String(acks.length)} writes`,
     )
--- a/src/testtrack/serverFaults.ts
+++ b/src/simulator/serverFaults.ts
@@ -1,12 +1,12 @@
 /**
- * Faults of the servers behind the turnouts, of the platform that lists them, and of orders to them.
+ * Faults of the servers behind the proxies, of the platform that lists them, and of orders to them.
  */
 import type { Fault } from './Fault.js'
 import type { Simulation } from './Simulation.js'
 
 const nothing = () => undefined
 const anyServer = (sim: Simulation, kind?: 'model' | 'service'): string =>
-  sim.chance.pick(
+  sim.random.pick(
     [...sim.servers.values()].filter((one) => one.state !== undefined && (kind === undefined || one.kind === kind)).map((one) => one.name),
   ) ?? ''
 
@@ -56,7 +56,7 @@
     }
   },
   'reuse-address': (sim) => {
-    const [old, heir] = [anyServer(sim, sim.chance.hit(0.7) ? 'service' : 'model'), anyServer(sim, 'model')]
+    const [old, heir] = [anyServer(sim, sim.random.hit(0.7) ? 'service' : 'model'), anyServer(sim, 'model')]
     const address = sim.servers.get(old)?.address ?? ''
     if (old === heir) return nothing
     sim.crashServer(old)
@@ -102,7 +102,7 @@
   'restart-servers': (sim) => {
     for (const name of sim.servers.keys()) {
       sim.crashServer(name)
-      sim.clock.after(sim.chance.between(200, 1000), () => {
+      sim.clock.after(sim.random.between(200, 1000), () => {
         sim.startServer(name)
       })
     }
@@ -115,7 +115,7 @@
       server.lagMs = 600
       if (server.state !== undefined) {
         server.state.slowdown = 4
-        server.state.failsLoads = sim.chance.hit(0.3)
+        server.state.failsLoads = sim.random.hit(0.3)
       }
     }
     return () => {
@@ -131,7 +131,7 @@
     }
   },
   'take-zone-away': (sim) => {
-    const zone = sim.chance.pick(sim.options.deployment.zones) ?? ''
+    const zone = sim.random.pick(sim.options.deployment.zones) ?? ''
     const names = [...sim.servers.values()].filter((one) => one.zone === zone && one.state !== undefined).map((one) => one.name)
     for (const name of names) {
       platform(sim, name, true, true)
@@ -150,7 +150,7 @@
     }
   },
   'slow-answers': (sim) => {
-    const some = [...sim.servers.values()].filter(() => sim.chance.hit(0.3))
+    const some = [...sim.servers.values()].filter(() => sim.random.hit(0.3))
     for (const server of some) server.slowness = 400
     sim.callers.longestRunMs = 60_000
     return () => {
@@ -166,7 +166,7 @@
     }
   },
   'nonsense-reports': (sim) => {
-    const some = [...sim.servers.values()].filter(() => sim.chance.hit(0.3))
+    const some = [...sim.servers.values()].filter(() => sim.random.hit(0.3))
     for (const server of some) server.nonsense = true
     return () => {
       for (const server of some) server.nonsense = false
--- a/src/testtrack/simFaults.ts
+++ b/src/simulator/simFaults.ts
@@ -13,15 +13,15 @@
 function leader(sim: Simulation): string {
   let best = { name: [...sim.boxes.keys()][0] ?? '', term: -1 }
   for (const [name, { process }] of sim.boxes) {
-    const agreement = process.machine?.agreement
-    if (agreement?.phase === 'leader' && agreement.term > best.term) best = { name, term: agreement.term }
+    const raft = process.machine?.raft
+    if (raft?.phase === 'leader' && raft.term > best.term) best = { name, term: raft.term }
   }
   return best.name
 }
 const dispatcher = (sim: Simulation): string =>
   [...sim.boxes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
-const anyBox = (sim: Simulation): string => sim.chance.pick([...sim.boxes.keys()]) ?? ''
-const anyPost = (sim: Simulation): string => sim.chance.pick([...sim.turnouts.keys()]) ?? ''
+const anyBox = (sim: Simulation): string => sim.random.pick([...sim.boxes.keys()]) ?? ''
+const anyPost = (sim: Simulation): string => sim.random.pick([...sim.proxies.keys()]) ?? ''
 function cutWays(sim: Simulation, ways: readonly (readonly [string, string])[]): () => void {
   const mends = ways.map(([from, to]) => sim.network.cut(from, to))
   return () => {
@@ -36,7 +36,7 @@
 }
 const hosts = (sim: Simulation): string[] => [
   ...sim.boxes.keys(),
-  ...[...sim.linemen.keys()].map((name) => `host-${name}`),
+  ...[...sim.agents.keys()].map((name) => `host-${name}`),
   ...sim.servers.keys(),
 ]
 
@@ -55,14 +55,14 @@
 
 const systemFaults: Record<string, Fault> = {
   'jump-clocks': (sim) => {
-    for (const box of sim.boxes.keys()) sim.hoursOff.set(box, sim.chance.between(-30, 30))
+    for (const box of sim.boxes.keys()) sim.hoursOff.set(box, sim.random.between(-30, 30))
     return () => {
       sim.hoursOff.clear()
     }
   },
   'cut-dispatcher-from-servers': (sim) => cutBoth(sim, [dispatcher(sim)], [...sim.servers.keys()]),
   'cut-posts-from-core': (sim) => {
-    const posts = [...sim.linemen.keys()].map((name) => `host-${name}`)
+    const posts = [...sim.agents.keys()].map((name) => `host-${name}`)
     return cutBoth(
       sim,
       posts.filter((_, at) => at * 2 <= posts.length),
@@ -72,12 +72,12 @@
   'swap-seeds': (sim) => {
     const box = anyBox(sim)
     sim.replaceBox(box)
-    const [post, lineman] = sim.chance.pick([...sim.linemen]) ?? []
-    if (post === undefined || lineman === undefined) return nothing
-    const others = [...sim.linemen].filter(([name]) => name !== post).map(([, one]) => one.address)
+    const [post, agent] = sim.random.pick([...sim.agents]) ?? []
+    if (post === undefined || agent === undefined) return nothing
+    const others = [...sim.agents].filter(([name]) => name !== post).map(([, one]) => one.address)
     sim.seeds = others.slice(0, 3)
-    sim.killTurnout(post)
-    sim.killLineman(post)
+    sim.killProxy(post)
+    sim.killAgent(post)
     sim.clock.after(sim.options.faultMs / 4, () => {
       sim.startPost(post)
       sim.startBox(box)
@@ -90,16 +90,16 @@
   'power-at-write': (sim) => {
     let open = true
     for (const [name, box] of sim.boxes) {
-      let left = sim.chance.below(12)
+      let left = sim.random.below(12)
       box.disk.watch = () => {
         left -= 1
         if (!open || left >= 0) return
         box.disk.watch = undefined
         const alive = [...sim.boxes.values()].filter((one) => one.process.alive).length
         if (alive < sim.boxes.size) return
-        sim.clock.after(sim.chance.hit(0.3) ? 0 : sim.chance.between(0, 4), () => {
+        sim.clock.after(sim.random.hit(0.3) ? 0 : sim.random.between(0, 4), () => {
           sim.killBox(name, true)
-          sim.clock.after(sim.chance.between(100, 900), () => {
+          sim.clock.after(sim.random.between(100, 900), () => {
             sim.startBox(name)
           })
         })
@@ -110,7 +110,7 @@
     }
   },
   'fail-disk': (sim) => {
-    const name = sim.chance.hit(0.5) ? leader(sim) : anyBox(sim)
+    const name = sim.random.hit(0.5) ? leader(sim) : anyBox(sim)
     const box = sim.boxes.get(name)
     if (box === undefined) return nothing
     box.disk.watch = () => {
@@ -130,17 +130,17 @@
     sim.killBox(survivor, false)
     return () => {
       sim.refoundBox(survivor)
-      for (const name of sim.linemen.keys()) {
-        sim.killTurnout(name)
-        sim.killLineman(name)
+      for (const name of sim.agents.keys()) {
+        sim.killProxy(name)
+        sim.killAgent(name)
         sim.startPost(name)
       }
       for (const name of sim.boxes.keys()) sim.startBox(name)
-      if (sim.chance.hit(0.7)) for (const old of kept) sim.wakeOld(old.name, old.records)
+      if (sim.random.hit(0.7)) for (const old of kept) sim.wakeOld(old.name, old.records)
     }
   },
   'roll-processes': (sim) => {
-    const waitMs = sim.options.faultMs / (sim.boxes.size + sim.linemen.size)
+    const waitMs = sim.options.faultMs / (sim.boxes.size + sim.agents.size)
     let atMs = 0
     const next = (stop: () => void, start: () => void) => {
       sim.clock.after(atMs, () => {
@@ -158,11 +158,11 @@
           sim.startBox(box)
         },
       )
-    for (const post of sim.linemen.keys()) {
+    for (const post of sim.agents.keys()) {
       next(
         () => {
-          sim.killTurnout(post)
-          sim.killLineman(post)
+          sim.killProxy(post)
+          sim.killAgent(post)
         },
         () => {
           sim.startPost(post)
@@ -172,13 +172,13 @@
     return nothing
   },
   'kill-leader': (sim) => killed(sim, leader(sim), true),
-  'kill-box': (sim) => killed(sim, anyBox(sim), sim.chance.hit(0.5)),
+  'kill-box': (sim) => killed(sim, anyBox(sim), sim.random.hit(0.5)),
   'freeze-leader': (sim) => frozen(sim.boxes.get(leader(sim))?.process),
   'freeze-box': (sim) => frozen(sim.boxes.get(anyBox(sim))?.process),
   'freeze-dispatcher': (sim) => frozen(sim.boxes.get(dispatcher(sim))?.process),
   'kill-dispatcher': (sim) => killed(sim, dispatcher(sim), false),
   'lose-disk': (sim) => {
-    const box = sim.chance.hit(0.5) ? leader(sim) : anyBox(sim)
+    const box = sim.random.hit(0.5) ? leader(sim) : anyBox(sim)
     sim.replaceBox(box)
     return () => {
       sim.startBox(box)
@@ -212,7 +212,7 @@
       hosts(sim).filter((one) => !sim.boxes.has(one)),
     ),
   'cut-one-way': (sim) => {
-    const from = sim.chance.hit(0.5) ? leader(sim) : (sim.chance.pick(hosts(sim)) ?? '')
+    const from = sim.random.hit(0.5) ? leader(sim) : (sim.random.pick(hosts(sim)) ?? '')
     return cutWays(
       sim,
       hosts(sim)
@@ -238,7 +238,7 @@
     )
   },
   'slow-links': (sim) => {
-    for (const host of hosts(sim)) if (sim.chance.hit(0.4)) sim.network.slowMs.set(host, sim.chance.between(5, 60))
+    for (const host of hosts(sim)) if (sim.random.hit(0.4)) sim.network.slowMs.set(host, sim.random.between(5, 60))
     return () => {
       sim.network.slowMs.clear()
     }
@@ -249,38 +249,38 @@
       sim.network.lossRatio = 0
     }
   },
-  'kill-turnout': (sim) => {
+  'kill-proxy': (sim) => {
     const post = anyPost(sim)
-    sim.killTurnout(post)
+    sim.killProxy(post)
     return () => {
       sim.startPost(post)
     }
   },
-  'kill-lineman': (sim) => {
+  'kill-agent': (sim) => {
     const post = anyPost(sim)
-    sim.killLineman(post)
+    sim.killAgent(post)
     return () => {
       sim.startPost(post)
     }
   },
-  'freeze-turnout': (sim) => frozen(sim.turnouts.get(anyPost(sim))?.process),
-  'freeze-lineman': (sim) => frozen(sim.linemen.get(anyPost(sim))?.process),
+  'freeze-proxy': (sim) => frozen(sim.proxies.get(anyPost(sim))?.process),
+  'freeze-agent': (sim) => frozen(sim.agents.get(anyPost(sim))?.process),
   'freeze-post': (sim) => {
     const post = anyPost(sim)
-    const ends = [frozen(sim.turnouts.get(post)?.process), frozen(sim.linemen.get(post)?.process)]
+    const ends = [frozen(sim.proxies.get(post)?.process), frozen(sim.agents.get(post)?.process)]
     return () => {
       for (const end of ends) end()
     }
   },
   'lose-zone': (sim) => {
-    const zone = sim.chance.pick(sim.options.deployment.zones) ?? ''
+    const zone = sim.random.pick(sim.options.deployment.zones) ?? ''
     const boxes = [...sim.boxes].filter(([, box]) => box.zone === zone).map(([name]) => name)
-    const posts = [...sim.linemen].filter(([, post]) => post.zone === zone).map(([name]) => name)
+    const posts = [...sim.agents].filter(([, post]) => post.zone === zone).map(([name]) => name)
     const servers = [...sim.servers.values()].filter((one) => one.zone === zone).map((one) => one.name)
     for (const box of boxes) sim.killBox(box, true)
     for (const post of posts) {
-      sim.killTurnout(post)
-      sim.killLineman(post)
+      sim.killProxy(post)
+      sim.killAgent(post)
     }
     for (const server of servers) sim.crashServer(server)
     return () => {
@@ -291,13 +291,13 @@
   },
   'stop-all': (sim) => {
     for (const box of sim.boxes.keys()) sim.killBox(box, true)
-    for (const post of sim.turnouts.keys()) {
-      sim.killTurnout(post)
-      sim.killLineman(post)
+    for (const post of sim.proxies.keys()) {
+      sim.killProxy(post)
+      sim.killAgent(post)
     }
     return () => {
       for (const box of sim.boxes.keys()) sim.startBox(box)
-      for (const post of sim.turnouts.keys()) sim.startPost(post)
+      for (const post of sim.proxies.keys()) sim.startPost(post)
     }
   },
 }
--- a/src/testtrack/slopes.test.ts
+++ b/src/simulator/slopes.test.ts
@@ -51,6 +51,6 @@
   ok(one.account(leader).sentBytes > 0 && one.account(leaf).heardBytes > 0)
   strictEqual(one.account(leader).sentBytes, other.account(other.roles.leader).sentBytes)
   ok(one.requests > 30 && one.ackMs.length >= 3)
-  strictEqual(new Set(one.edges.map((edge) => edge.lineman.copy.stamp)).size, 1)
-  ok(one.edges.every((edge) => edge.junction.open <= 10))
+  strictEqual(new Set(one.edges.map((edge) => edge.agent.copy.stamp)).size, 1)
+  ok(one.edges.every((edge) => edge.gateway.open <= 10))
 })
--- a/src/testtrack/slopes.ts
+++ b/src/simulator/slopes.ts
@@ -6,17 +6,17 @@
  */
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { Bounds } from '../gauge/Bounds.js'
-import { Chance } from '../gauge/Chance.js'
-import { Pace } from '../gauge/Pace.js'
-import { Copy } from '../interlocking/Copy.js'
-import { Licences } from '../interlocking/Licences.js'
-import { JunctionMachine } from '../junction/JunctionMachine.js'
-import { SeatDesk } from '../signalbox/SeatDesk.js'
-import { Frame } from '../telegraph/Frame.js'
-import type { Message } from '../telegraph/Message.js'
-import { Dispatcher } from '../timetable/Dispatcher.js'
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { Bounds } from '../common/Bounds.js'
+import { Random } from '../common/Random.js'
+import { Timings } from '../common/Timings.js'
+import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { Leases } from '../consensus/Leases.js'
+import { GatewayMachine } from '../gateway/GatewayMachine.js'
+import { SeatDesk } from '../control/SeatDesk.js'
+import { Frame } from '../transport/Frame.js'
+import type { Message } from '../transport/Message.js'
+import { Dispatcher } from '../placement/Dispatcher.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import { fit } from './fit.js'
 import { HollowNetwork } from './HollowNetwork.js'
 import { HollowSize } from './HollowSize.js'
@@ -58,7 +58,7 @@
   refillMs: 2000,
   tallyMs: 250,
 }
-const pace = Pace(Bounds.parse({}))
+const timings = Timings(Bounds.parse({}))
 const tallyPerS = 4
 /** A line that misses by more says nothing of a larger size. */
 const mostMissRatio = 0.15
@@ -100,10 +100,10 @@
     figures[`${role}: ms of a core a s`] = account.cpuUs / 1000 / perS
     if (role !== 'leaf' && role !== 'parent') continue
     figures[`${role}: adopting, ms of a core a s`] = network.account(`${name}/adopt`).cpuUs / 1000 / perS
-    figures[`${role}: ticks of the junction, ms of a core a s`] = network.account(`${name}/tick`).cpuUs / 1000 / perS
+    figures[`${role}: ticks of the gateway, ms of a core a s`] = network.account(`${name}/tick`).cpuUs / 1000 / perS
   }
   const asked = network.edges.reduce((sum, one) => sum + network.account(`${one.name}/request`).cpuUs, 0)
-  if (network.requests > 0) figures['junction: us of a core a request'] = asked / network.requests
+  if (network.requests > 0) figures['gateway: us of a core a request'] = asked / network.requests
   figures['orders to servers a s'] = network.orders / perS
   figures['disk of all core machines: bytes a s'] = network.diskBytes / perS
   for (const role of ['leader', 'leaf'] as const)
@@ -131,14 +131,14 @@
   for (let at = 0; at < 2 * changes; at++) {
     network.measure(50)
     if (network.leader === '') unled += 1
-    if (inside.some((one) => one.junction.routes.find('h.example', HollowSize.path(0)) === undefined)) bare += 1
+    if (inside.some((one) => one.gateway.routes.find('h.example', HollowSize.path(0)) === undefined)) bare += 1
   }
-  const stamp = Math.max(...[...network.boxes.values()].map((one) => one.register.copy.stamp))
-  const behind = inside.filter((one) => one.lineman.copy.stamp < stamp).length
+  const stamp = Math.max(...[...network.boxes.values()].map((one) => one.replicatedState.copy.stamp))
+  const behind = inside.filter((one) => one.agent.copy.stamp < stamp).length
   network.cutOff = new Set()
   network.measure(0)
   const fromMs = network.clock.nowMs
-  while (inside.some((one) => one.lineman.copy.stamp < stamp) && network.clock.nowMs < fromMs + 60_000 && network.clock.turn());
+  while (inside.some((one) => one.agent.copy.stamp < stamp) && network.clock.nowMs < fromMs + 60_000 && network.clock.turn());
   const where = withLeader ? 'region with the leader' : 'region without the leader'
   return {
     [`${where}: of its nodes behind at the end`]: behind,
@@ -153,8 +153,8 @@
 }
 
 /** The table as a network of this size makes it, with a binding for each server. */
-function table(size: HollowSize): Copy {
-  const copy = new Copy()
+function table(size: HollowSize): ReplicaTable {
+  const copy = new ReplicaTable()
   const { routes, services, limits } = HollowSize.network(size, 1)
   const set = (key: string, value: unknown) => copy.set({ key, stamp: copy.stamp + 1, gone: false, value: JSON.stringify(value) })
   set('network', { revision: 1, limits })
@@ -170,39 +170,39 @@
 
 function renewal(seat: string, peersSum: number): Extract<Message, { kind: 'renew' }> {
   const rest = { asks: [], echo: 0, again: [], firsts: [], peersSum }
-  return { kind: 'renew', seat, role: 'lineman', zone: 'z1', session: 's', sentMs: 1e6, adopted: 1e6, ...rest }
+  return { kind: 'renew', seat, role: 'agent', zone: 'z1', session: 's', sentMs: 1e6, adopted: 1e6, ...rest }
 }
 
 /** The leader's desk alone: one renewal by one of so many members, before a table of so many servers. */
 function desk(size: HollowSize): Figures {
   const copy = table(size)
-  const seats = new SeatDesk(pace)
+  const seats = new SeatDesk(timings)
   seats.begin(1, 0)
   const name = (at: number) => `n${String(at).padStart(4, '0')}`
   const renew = (at: number, sum: number) => seats.renew(renewal(name(at), sum), `10.1.0.${String(at)}:7`, copy, 0, 1000)
   for (let at = 0; at < size.nodes; at++) renew(at, 0)
-  const licence = renew(0, 0)
-  const whole = Frame.write('box-01', '10.0.0.1:7', licence).length
-  const same = Frame.write('box-01', '10.0.0.1:7', renew(0, licence.peersSum)).length
+  const lease = renew(0, 0)
+  const whole = Frame.write('box-01', '10.0.0.1:7', lease).length
+  const same = Frame.write('box-01', '10.0.0.1:7', renew(0, lease.peersSum)).length
   return {
-    'leader: us of a core a renewal, its desk alone': cpuUs(400, (at) => renew(at % size.nodes, licence.peersSum)),
-    'licence: bytes with the members': whole,
-    'licence: bytes without': same,
+    'leader: us of a core a renewal, its desk alone': cpuUs(400, (at) => renew(at % size.nodes, lease.peersSum)),
+    'lease: bytes with the members': whole,
+    'lease: bytes without': same,
   }
 }
 
-/** A junction before so many servers: one request from its arrival to its end, and one binding that changed. */
-function junction(size: HollowSize): Figures {
+/** A gateway before so many servers: one request from its arrival to its end, and one binding that changed. */
+function gateway(size: HollowSize): Figures {
   const copy = table(size)
-  const machine = new JunctionMachine(plan, copy, new Chance(1))
+  const machine = new GatewayMachine(plan, copy, new Random(1))
   machine.servers.members = Array.from({ length: size.nodes }, (_, at) => `n${String(at).padStart(4, '0')}`)
   let nowMs = 10_000
   machine.step({ kind: 'adopted' }, nowMs)
-  const chance = new Chance(3)
+  const random = new Random(3)
   const request = (at: number) => {
     const id = String(at)
     nowMs += 1
-    const arrival = HollowSize.arrival(size, at, chance)
+    const arrival = HollowSize.arrival(size, at, random)
     const sends = machine.step({ kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival, bodyBytes: 1300 }, nowMs)
     const attempt = 1
     if (!sends.some((one) => one.kind === 'attempt')) return
@@ -228,8 +228,8 @@
   return {
     'news: bytes of the whole table': whole.length,
     'news: us of a core to read the whole table': cpuUs(3, () => new Frame().read(whole)),
-    'junction: us of a core a request, alone': us,
-    'junction: us of a core to adopt one changed row': adoptUs,
+    'gateway: us of a core a request, alone': us,
+    'gateway: us of a core to adopt one changed row': adoptUs,
   }
 }
 
@@ -248,23 +248,23 @@
     agoMs: 20,
   }))
   const message: Message = { kind: 'tally', seat: 'n0000', session: 's', adopted: 1, atMs: 1, arrivals, held: [], flights }
-  const dispatcher = new Dispatcher(pace, 1, false, edgeMulti, 0)
+  const dispatcher = new Dispatcher(timings, 1, false, edgeMulti, 0)
   dispatcher.tally('n0000', message, [], 1000)
   const loads = dispatcher.loads(1000)
-  const seats = new SeatDesk(pace)
+  const seats = new SeatDesk(timings)
   seats.begin(1, 0)
-  const licence = seats.renew(renewal('n0000', 0), '10.1.0.1:7', new Copy(), 0, 1000, loads)
-  const frame = Frame.write('box-01', '10.0.0.1:7', licence)
-  const machine = new JunctionMachine(plan, table({ ...base, servers: busyServers, routes: 1 }), new Chance(1))
+  const lease = seats.renew(renewal('n0000', 0), '10.1.0.1:7', new ReplicaTable(), 0, 1000, loads)
+  const frame = Frame.write('box-01', '10.0.0.1:7', lease)
+  const machine = new GatewayMachine(plan, table({ ...base, servers: busyServers, routes: 1 }), new Random(1))
   machine.step({ kind: 'adopted' }, 1000)
   return {
-    'junction: us of a core to take in the loads': cpuUs(200, () => {
+    'gateway: us of a core to take in the loads': cpuUs(200, () => {
       machine.servers.told(loads)
     }),
     'tally: bytes': Frame.write('n0000', '10.1.0.1:7', message).length,
-    'licence: bytes with the loads of busy servers': frame.length,
-    'licence with loads: us of a core to write': cpuUs(200, () => Frame.write('box-01', '10.0.0.1:7', licence)),
-    'licence with loads: us of a core to read': cpuUs(200, () => new Frame().read(frame)),
+    'lease: bytes with the loads of busy servers': frame.length,
+    'lease with loads: us of a core to write': cpuUs(200, () => Frame.write('box-01', '10.0.0.1:7', lease)),
+    'lease with loads: us of a core to read': cpuUs(200, () => new Frame().read(frame)),
   }
 }
 
@@ -272,20 +272,20 @@
 function dispatching(size: HollowSize): Figures {
   const copy = table(size)
   let nowMs = 1000
-  const dispatcher = new Dispatcher(pace, 1, false, edgeMulti, nowMs)
+  const dispatcher = new Dispatcher(timings, 1, false, edgeMulti, nowMs)
   const listed = HollowSize.servers(size)
-  const chance = new Chance(5)
+  const random = new Random(5)
   dispatcher.tick(copy, true, 0, nowMs)
   const tell = () => {
     for (let at = 0; at < size.nodes; at++) {
       const share = size.requestsPerS / size.nodes / tallyPerS
-      const count = Math.floor(share) + (chance.hit(share - Math.floor(share)) ? 1 : 0)
+      const count = Math.floor(share) + (random.hit(share - Math.floor(share)) ? 1 : 0)
       const arrivals = Array.from({ length: count }, (_, n) => {
-        const { model, adapter } = HollowSize.arrival(size, n, chance)
+        const { model, adapter } = HollowSize.arrival(size, n, random)
         return { model: `lm:${model}`, adapter, count: 1, agoMs: 20 }
       })
       const flights = arrivals.map((one) => ({
-        server: HollowSize.server(chance.below(size.servers)),
+        server: HollowSize.server(random.below(size.servers)),
         model: one.model,
         adapter: '',
         count: 1,
@@ -293,11 +293,11 @@
       dispatcher.tally(`n${String(at)}`, { session: 's', adopted: copy.stamp, held: [], flights }, arrivals, nowMs)
     }
   }
-  const ticksPerS = Math.round(1000 / pace.tickMs)
+  const ticksPerS = Math.round(1000 / timings.tickMs)
   let asks = 0
   const second = () => {
     for (let tick = 0; tick < ticksPerS; tick++) {
-      nowMs += pace.tickMs
+      nowMs += timings.tickMs
       if (tick % Math.round(ticksPerS / tallyPerS) === 0) tell()
       if (tick % 18 === 0) dispatcher.listed(listed, nowMs, nowMs)
       const out = dispatcher.tick(copy, true, 0, nowMs)
@@ -328,7 +328,7 @@
 const kept = {
   rows: (count: number): Figures => ({
     'heap: bytes of a table of routes': heldBytes(() => {
-      const copy = new Copy()
+      const copy = new ReplicaTable()
       for (const [at, one] of HollowSize.network({ ...base, routes: count }, 1).routes.entries())
         copy.set({ key: `route/${one.name}`, stamp: at + 1, gone: false, value: JSON.stringify(one) })
       return copy
@@ -336,21 +336,21 @@
   }),
   members: (count: number): Figures => ({
     'heap: bytes of the leader for its members': heldBytes(() => {
-      const licences = new Licences(pace)
-      for (let at = 0; at < count; at++) licences.renew(`n${String(at)}`, `s${String(at)}`, `10.1.0.${String(at)}:7`, 'z1', 1, 1000)
-      return licences
+      const leases = new Leases(timings)
+      for (let at = 0; at < count; at++) leases.renew(`n${String(at)}`, `s${String(at)}`, `10.1.0.${String(at)}:7`, 'z1', 1, 1000)
+      return leases
     }),
   }),
   servers: (count: number): Figures => ({
-    'heap: bytes of a junction with its copy': heldBytes(() => {
+    'heap: bytes of a gateway with its copy': heldBytes(() => {
       const copy = table({ ...base, servers: count, routes: 1 })
-      const machine = new JunctionMachine(plan, copy, new Chance(1))
+      const machine = new GatewayMachine(plan, copy, new Random(1))
       machine.step({ kind: 'adopted' }, 1000)
       return machine
     }),
     'heap: bytes of a dispatcher without its copy': heldBytes(() => {
       const size = { ...base, servers: count, routes: 1 }
-      const dispatcher = new Dispatcher(pace, 1, false, edgeMulti, 0)
+      const dispatcher = new Dispatcher(timings, 1, false, edgeMulti, 0)
       dispatcher.tick(table(size), true, 0, 1000)
       dispatcher.listed(HollowSize.servers(size), 2000, 2000)
       dispatcher.tick(table(size), true, 0, 2000)
@@ -358,8 +358,8 @@
     }),
   }),
   chains: (count: number): Figures => ({
-    'heap: bytes of a junction that sent so many parts': heldBytes(() => {
-      const machine = new JunctionMachine(plan, table({ ...base, routes: 1 }), new Chance(1))
+    'heap: bytes of a gateway that sent so many parts': heldBytes(() => {
+      const machine = new GatewayMachine(plan, table({ ...base, routes: 1 }), new Random(1))
       machine.step({ kind: 'adopted' }, 1000)
       for (let at = 0; at < count; at++) {
         const id = String(at)
@@ -432,7 +432,7 @@
     sizes: [20, 80, 320],
     most: 2000,
     target: 370,
-    what: 'members, the desk of licences alone',
+    what: 'members, the desk of leases alone',
     at: (nodes) => desk({ ...base, nodes }),
   },
   tableRows: {
@@ -446,17 +446,17 @@
     sizes: [20, 80, 320, 2300],
     most: 5000,
     target: 2300,
-    what: 'servers, a junction alone',
-    at: (servers) => junction({ ...base, servers }),
+    what: 'servers, a gateway alone',
+    at: (servers) => gateway({ ...base, servers }),
   },
   events: {
     sizes: [8, 32, 128],
     most: 1000,
     target: 292,
-    what: 'parts of an answer, a junction alone',
-    at: (events) => junction({ ...base, events }),
+    what: 'parts of an answer, a gateway alone',
+    at: (events) => gateway({ ...base, events }),
   },
-  busy: { sizes: [20, 80, 320, 2300], most: 5000, target: 2300, what: 'servers with requests, tally and licence', at: tally },
+  busy: { sizes: [20, 80, 320, 2300], most: 5000, target: 2300, what: 'servers with requests, tally and lease', at: tally },
   ordered: {
     sizes: [80, 320, 1150, 2300],
     most: 3000,
--- a/src/testtrack/sweep.ts
+++ b/src/simulator/sweep.ts
@@ -4,9 +4,9 @@
  * out: the core then stops rather than forgets. A failing run prints the command that replays it; a failing
  * storm is first shrunk to the fewest faults that still break the same rule.
  */
-import { edgeMulti } from '../timetable/edgeMulti.js'
+import { edgeMulti } from '../placement/edgeMulti.js'
 import type { Deployment } from './Deployment.js'
-import { Chance } from '../gauge/Chance.js'
+import { Random } from '../common/Random.js'
 import { quantile } from './quantile.js'
 import { runSimulation } from './runSimulation.js'
 import { SimFault } from './SimFault.js'
@@ -30,7 +30,7 @@
 function optionsOf(sweep: Sweep, seed: number): SimOptions[] {
   const { deployment, faults, broken, together, faultMs, calmMs } = sweep
   const names = Object.keys(simFaults)
-  const chance = new Chance(seed * 7919)
+  const random = new Random(seed * 7919)
   const base = {
     deployment,
     seed,
@@ -40,14 +40,14 @@
     broken,
     crowd: 150,
     grows: 2000,
-    uncheckedTenure: false,
+    uncheckedEpoch: false,
     policy: edgeMulti,
   }
   const storm = faults === 'storm' ? SimFault.storm(names, seed, stormFaults, stormSpanMs) : SimFault.read(faults)
   if (storm !== undefined) return [{ ...base, faults: [], together: false, storm }]
   if (faults === 'each') return names.map((name) => ({ ...base, faults: [name], together }))
   if (faults !== 'pairs') return [{ ...base, faults: faults === '' ? [] : faults.split(','), together }]
-  const pairs = names.map((name) => ({ ...base, faults: [name, chance.pick(names) ?? name], together: together || chance.hit(0.5) }))
+  const pairs = names.map((name) => ({ ...base, faults: [name, random.pick(names) ?? name], together: together || random.hit(0.5) }))
   return pairs.filter(
     (one) =>
       one.faults.filter((name) => ['lose-disk', 'swap-seeds', 'lose-two-disks'].includes(name)).length +
@@ -90,7 +90,7 @@
     faultMs === 4000 ? '' : `--fault-ms ${String(faultMs)}`,
     calmMs === 6000 ? '' : `--calm-ms ${String(calmMs)}`,
   ]
-  return ['testtrack sim', deployment.name, `--seed ${String(seed)}`, ...flags.filter((one) => one !== '')].join(' ')
+  return ['simulator sim', deployment.name, `--seed ${String(seed)}`, ...flags.filter((one) => one !== '')].join(' ')
 }
 
 export function sweep(given: Sweep): boolean {
--- a/src/waybill/FileWaybill.ts
+++ b/src/storage/FileWriteAheadLog.ts
@@ -8,7 +8,7 @@
 import { readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { Record } from './Record.js'
-import type { Waybill } from './Waybill.js'
+import type { WriteAheadLog } from './WriteAheadLog.js'
 
 async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, 'r')
@@ -32,7 +32,7 @@
   }
 }
 
-export class FileWaybill implements Waybill {
+export class FileWriteAheadLog implements WriteAheadLog {
   readonly records: readonly Uint8Array[]
   readonly #folder: string
   readonly #path: string
@@ -49,7 +49,7 @@
     this.#bytes = bytes
   }
 
-  static async open(folder: string, name = 'waybill'): Promise<FileWaybill> {
+  static async open(folder: string, name = 'log'): Promise<FileWriteAheadLog> {
     await mkdir(folder, { recursive: true })
     const lock = join(folder, 'lock')
     const held = Number(await readFile(lock, 'utf8').catch(() => ''))
@@ -69,7 +69,7 @@
     if (scan.end < file.length) await handle.truncate(scan.end)
     await handle.sync()
     await syncFolder(folder)
-    return new FileWaybill(
+    return new FileWriteAheadLog(
       folder,
       path,
       handle,
--- a/src/waybill/waybillContract.ts
+++ b/src/storage/writeAheadLogContract.ts
@@ -2,10 +2,10 @@
  * The contract that each store must pass. `open` opens the same store again after it was closed.
  */
 import { deepStrictEqual, ok } from 'node:assert'
-import type { Waybill } from './Waybill.js'
+import type { WriteAheadLog } from './WriteAheadLog.js'
 
-export async function waybillContract(open: () => Promise<Waybill>): Promise<void> {
-  const text = (waybill: Waybill) => waybill.records.map((record) => Buffer.from(record).toString())
+export async function writeAheadLogContract(open: () => Promise<WriteAheadLog>): Promise<void> {
+  const text = (writeAheadLog: WriteAheadLog) => writeAheadLog.records.map((record) => Buffer.from(record).toString())
   const write = (...lines: string[]) => lines.map((line) => Buffer.from(line))
   const first = await open()
   deepStrictEqual(text(first), [])
--- a/src/telegraph/Frame.ts
+++ b/src/transport/Frame.ts
@@ -1,5 +1,5 @@
 /**
- * A frame on a telegraph line: four bytes of length, then a sender (name and address, so that the
+ * A frame on a transport line: four bytes of length, then a sender (name and address, so that the
  * other end can write back) and a message. The reader takes any cut of the byte stream and stops at
  * the first frame that is too long or carries nothing. A message of a kind that only another version knows
  * is passed by.
--- a/src/telegraph/Message.ts
+++ b/src/transport/Message.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod'
 import { Bytes } from './Bytes.js'
-import { Role } from '../gauge/Role.js'
+import { Role } from '../common/Role.js'
 
 const kind = <K extends string, S extends z.ZodRawShape>(name: K, shape: S) => z.object({ kind: z.literal(name), ...shape })
 const Peer = z.object({ name: z.string(), address: z.string(), role: Role, zone: z.string() })
@@ -16,8 +16,8 @@
 
 const options = [
   // Finding one another.
-  kind('hail', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer), system: z.string() }),
-  kind('hailed', {
+  kind('probe', { nonce: z.number(), role: Role, zone: z.string(), identity: z.string(), known: z.array(Peer), system: z.string() }),
+  kind('probeReply', {
     nonce: z.number(),
     role: Role,
     zone: z.string(),
@@ -28,9 +28,16 @@
     system: z.string(),
   }),
   // Agreement among the core.
-  kind('ballotAsk', { to: z.string(), from: z.string(), term: z.number(), lastIndex: z.number(), lastTerm: z.number(), pre: z.boolean() }),
-  kind('ballotGive', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
-  kind('append', {
+  kind('requestVote', {
+    to: z.string(),
+    from: z.string(),
+    term: z.number(),
+    lastIndex: z.number(),
+    lastTerm: z.number(),
+    pre: z.boolean(),
+  }),
+  kind('voteReply', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
+  kind('appendEntries', {
     to: z.string(),
     from: z.string(),
     term: z.number(),
@@ -40,8 +47,8 @@
     round: z.number(),
     entries: z.array(Entry),
   }),
-  kind('appended', { to: z.string(), from: z.string(), term: z.number(), ok: z.boolean(), match: z.number(), round: z.number() }),
-  kind('view', {
+  kind('appendReply', { to: z.string(), from: z.string(), term: z.number(), ok: z.boolean(), match: z.number(), round: z.number() }),
+  kind('installSnapshot', {
     to: z.string(),
     from: z.string(),
     term: z.number(),
@@ -52,7 +59,7 @@
     state: Bytes,
   }),
   kind('propose', { id: z.string(), command: Bytes }),
-  // Licences.
+  // Leases.
   kind('renew', {
     seat: z.string(),
     role: Role,
@@ -66,7 +73,7 @@
     firsts: z.array(Count),
     peersSum: z.number(),
   }),
-  kind('licence', {
+  kind('lease', {
     sentMs: z.number(),
     forMs: z.number(),
     stamp: z.number(),
@@ -77,14 +84,14 @@
     platformAgeMs: z.number(),
     system: z.string(),
     peersSum: z.number(),
-    /** Requests that all junctions together have at each server. */
+    /** Requests that all gateways together have at each server. */
     loads: z.array(Count).optional(),
   }),
   // Duties.
   kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
   kind('ballot', { duty: z.string(), vacancy: z.number(), round: z.number(), given: z.boolean() }),
-  kind('dutyRenew', { duty: z.string(), tenure: z.number(), sentMs: z.number() }),
-  kind('dutyLicence', { duty: z.string(), tenure: z.number(), sentMs: z.number() }),
+  kind('dutyRenew', { duty: z.string(), epoch: z.number(), sentMs: z.number() }),
+  kind('dutyLease', { duty: z.string(), epoch: z.number(), sentMs: z.number() }),
   // News and repair.
   kind('follow', { seat: z.string(), stamp: z.number(), sentMs: z.number(), digests: z.array(z.number()) }),
   kind('news', { stamp: z.number(), since: z.number(), rows: z.array(Row) }),
--- a/src/telegraph/TcpTelegraph.ts
+++ b/src/transport/TcpTransport.ts
@@ -1,18 +1,18 @@
 /**
- * The telegraph over TCP. Each process listens on one address and keeps one outgoing line to each
+ * The transport over TCP. Each process listens on one address and keeps one outgoing line to each
  * address that it writes to, so a cut in one direction stays one-way. A line that can't be opened or
  * is backed up past a limit drops what it is given: every protocol above repeats itself.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
-import type { Logbook } from '../gauge/Logbook.js'
+import type { Logger } from '../common/Logger.js'
 import { Frame } from './Frame.js'
 import type { Message } from './Message.js'
-import type { Telegraph } from './Telegraph.js'
+import type { Transport } from './Transport.js'
 
 const backlogBytes = 16 * 1024 * 1024
 
-export class TcpTelegraph implements Telegraph {
+export class TcpTransport implements Transport {
   readonly address: string
   readonly #name: string
   readonly #server: Server
@@ -21,7 +21,7 @@
   readonly #listeners: ((from: string, fromAddress: string, message: Message) => void)[] = []
   #closed = false
 
-  private constructor(name: string, address: string, server: Server, logbook: Logbook | undefined) {
+  private constructor(name: string, address: string, server: Server, logger: Logger | undefined) {
     this.#name = name
     this.address = address
     this.#server = server
@@ -34,20 +34,20 @@
       socket.on('data', (chunk) => {
         const read = frame.read(chunk)
         if (typeof read === 'string') {
-          logbook?.warn('telegraph', `Closed a line from ${String(socket.remoteAddress)}: ${read}.`)
+          logger?.warn('transport', `Closed a line from ${String(socket.remoteAddress)}: ${read}.`)
           socket.destroy()
           return
         }
         if (frame.passedBy > 0 && !told) {
           told = true
-          logbook?.warn('telegraph', 'Passes by messages of a kind that this version does not know.')
+          logger?.warn('transport', 'Passes by messages of a kind that this version does not know.')
         }
         for (const one of read) for (const listener of this.#listeners) listener(one.from, one.fromAddress, one.message)
       })
     })
   }
 
-  static async open(name: string, address: string, logbook?: Logbook): Promise<TcpTelegraph> {
+  static async open(name: string, address: string, logger?: Logger): Promise<TcpTransport> {
     const cut = address.lastIndexOf(':')
     const host = address.slice(0, cut).replace(/^\[|\]$/g, '')
     const server = createServer()
@@ -55,7 +55,7 @@
     await once(server, 'listening')
     const bound = server.address()
     const port = typeof bound === 'object' && bound !== null ? bound.port : 0
-    return new TcpTelegraph(name, `${address.slice(0, cut)}:${String(port)}`, server, logbook)
+    return new TcpTransport(name, `${address.slice(0, cut)}:${String(port)}`, server, logger)
   }
 
   hear(listener: (from: string, fromAddress: string, message: Message) => void): void {
--- a/src/telegraph/Telegraph.ts
+++ b/src/transport/Transport.ts
@@ -5,7 +5,7 @@
  */
 import type { Message } from './Message.js'
 
-export interface Telegraph {
+export interface Transport {
   readonly address: string
   send(toAddress: string, message: Message): void
   hear(listener: (from: string, fromAddress: string, message: Message) => void): void
--- a/src/telegraph/telegraphContract.ts
+++ b/src/transport/transportContract.ts
@@ -1,13 +1,13 @@
 /**
- * The contract that each transport must pass. It is handed a way to open a telegraph and a way to
+ * The contract that each transport must pass. It is handed a way to open a transport and a way to
  * let time pass until something is true.
  */
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import type { Message } from './Message.js'
-import type { Telegraph } from './Telegraph.js'
+import type { Transport } from './Transport.js'
 
-export async function telegraphContract(
-  open: (name: string) => Promise<Telegraph>,
+export async function transportContract(
+  open: (name: string) => Promise<Transport>,
   until: (ready: () => boolean) => Promise<void>,
 ): Promise<void> {
   const a = await open('a')
--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -1,5 +1,5 @@
 // Short runs of deployments as real processes; the runner prints its counts. Safety rules decide; bounds of
-// time are judged by `testtrack fleet` without --safety, on a machine of one's own.
+// time are judged by `simulator fleet` without --safety, on a machine of one's own.
 import { test } from 'node:test'
 import { spawnSync } from 'node:child_process'
 import { strictEqual } from 'node:assert'
@@ -11,7 +11,7 @@
 ]) {
   test(`a short fleet of ${deployment} keeps every rule through ${faults}`, () => {
     const flags = ['--seconds', '12', '--faults', faults, '--safety']
-    const run = spawnSync(process.execPath, ['dist/testtrack/main.js', 'fleet', deployment, ...flags], { encoding: 'utf8' })
+    const run = spawnSync(process.execPath, ['dist/simulator/main.js', 'fleet', deployment, ...flags], { encoding: 'utf8' })
     strictEqual(run.status, 0, run.stdout + run.stderr)
   })
 }
