Membership: a lost or leaving voter is removed before its stand-in votes

Cause: a learner that had caught up before the leader counted the dead voter's silence was promoted at once, so the group stood at four voters, one of them dead, until memberGoneMs (0.67 of recoverMs, twice the time a replacement has). The next loss left two of four; when it was a disk, no majority ever again. A planned replacement kept the voter that left in the same way. Excluded: the wiped disk at the same address, which was right; elections, which were in time. Change: planMembership, a pure planner. The group has 2f+1 voters (f as told at the start); further nodes stand by as learners. A voter is removed, with a learner ready, once it is silent for two election times, and only then the learner votes, so that the group is never even beside a dead voter; a doubted voter postpones a promotion. A group above its size gives up a silent voter without a stand-in.

--- a/src/common/Startup.ts
+++ b/src/common/Startup.ts
@@ -30,6 +30,8 @@
   /** Model servers check epochs, so that a new dispatcher need not wait for the last one's lease to run out. */
   fenced: z.boolean().default(false),
   platform: Address.optional(),
+  /** Control nodes whose loss at once must be borne; the core keeps twice as many voters and one. */
+  tolerated: z.number().int().min(1).max(4).default(1),
   system: z.string().default(''),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -7,6 +7,7 @@
 import type { Timings } from '../common/Timings.js'
 import { Raft } from '../consensus/Raft.js'
 import type { Member } from '../consensus/Member.js'
+import { planMembership } from '../consensus/planMembership.js'
 import { Ballots } from '../consensus/Ballots.js'
 import { Command } from '../consensus/Command.js'
 import { ReplicatedState } from '../consensus/ReplicatedState.js'
@@ -37,13 +38,18 @@
   policy: Policy
   /** The system that an empty machine may join; any, if empty. */
   system: string
+  /** Voters that a network's core is to have. */
+  targetVoters: number
 }
 const dispatcherDuty = 'dispatcher'
 const unreadMs = 1e9
 const hourMs = 3_600_000
 const jumpMs = 120_000
 const keptCommits = 4096
-const keptVoters = 3
+/** More voters than this slow every write down; further control nodes stand by as learners. */
+const mostVoters = 9
+/** A member that missed so many heartbeats is doubted. */
+const doubtfulHeartbeats = 4
 
 export class ControlMachine {
   readonly raft: Raft
@@ -409,7 +415,7 @@
     }
     if (this.#network) {
       this.#desk.leases.forget(nowMs)
-      this.#replaceMembers(nowMs)
+      this.#changeMembers(nowMs)
     } else this.#seatReplicas(nowMs)
   }
 
@@ -419,54 +425,37 @@
     return nowMs - Math.max(this.raft.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
   }
 
-  /** One change at a time: whoever comes is a learner first, and takes the place of who is gone. */
-  #replaceMembers(nowMs: number): void {
-    const members = [...this.raft.members]
-    this.#countedMs = new Map(members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
+  /** One change at a time: see planMembership. */
+  #changeMembers(nowMs: number): void {
+    this.#countedMs = new Map(this.raft.members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
     if (!this.raft.settled || this.raft.changing) return
-    const change = (sentence: string, next: Member[]) => {
-      if (this.raft.changeMembers(next, nowMs)) this.#say('raft', sentence)
-    }
-    const silent = (one: Member, spanMs: number) => this.#silentMs(one.identity, nowMs) > spanMs
-    const without = (gone: Member) => members.filter((one) => one !== gone)
-    const lateMs = 2 * this.#timings.electionMs
-    const voters = members.filter((one) => one.voter)
-    const learners = members.filter((one) => !one.voter)
-    const goneLearner = learners.find((one) => silent(one, this.#timings.memberGoneMs))
-    if (goneLearner !== undefined) {
-      change(`Gives up ${goneLearner.seat}, which fell silent as a learner.`, without(goneLearner))
-      return
-    }
-    for (const learner of learners) {
-      if (silent(learner, lateMs) || !this.raft.caughtUp(learner.identity)) continue
-      const old = members.find((one) => one.seat === learner.seat && one !== learner)
-      const gone = old ?? voters.find((one) => silent(one, lateMs))
-      const rest = voters.filter((one) => one !== gone)
-      if (gone === undefined) {
-        change(
-          `Gives ${learner.seat} its vote.`,
-          members.map((one) => (one === learner ? { ...one, voter: true } : one)),
-        )
-      } else if (rest.filter((one) => !silent(one, lateMs)).length * 2 > rest.length) {
-        change(`Retires an identity of ${gone.seat} that is gone; ${learner.seat} is there for it.`, without(gone))
-      } else continue
-      return
-    }
-    for (const peer of this.directory.of('control')) {
-      if (peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
-      if (members.some((one) => one.identity === peer.identity)) continue
-      const ours = this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system
-      const old = members.find((one) => one.seat === peer.name)
-      if ((!peer.empty && !ours) || (old !== undefined && !silent(old, lateMs))) continue
-      change(`Takes ${peer.name} in as a learner.`, [
-        ...members,
-        { identity: peer.identity, seat: peer.name, address: peer.address, voter: false },
-      ])
-      return
-    }
-    const gone = voters.find((one) => silent(one, this.#timings.memberGoneMs))
-    if (gone === undefined || learners.length > 0 || voters.length <= keptVoters) return
-    if (voters.every((one) => one === gone || !silent(one, lateMs))) change(`Gives up ${gone.seat}, which fell silent.`, without(gone))
+    const change = planMembership(
+      this.raft.members,
+      this.#candidates(nowMs),
+      this.raft.identity,
+      {
+        silentMs: (identity) => this.#silentMs(identity, nowMs),
+        caughtUp: (identity) => this.raft.caughtUp(identity),
+        leaving: () => false,
+      },
+      {
+        targetVoters: this.#plan.targetVoters,
+        maxVoters: Math.max(mostVoters, this.#plan.targetVoters),
+        doubtfulMs: doubtfulHeartbeats * this.#timings.heartbeatMs,
+        lostMs: 2 * this.#timings.electionMs,
+        goneMs: this.#timings.memberGoneMs,
+      },
+    )
+    if (change !== undefined && this.raft.changeMembers(change.members, nowMs)) this.#say('raft', change.reason)
+  }
+
+  /** Control nodes that were heard lately and may join: empty ones, and those of this cluster that hold its log. */
+  #candidates(nowMs: number): Member[] {
+    return this.directory
+      .of('control')
+      .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= 4 * this.#timings.probeMs)
+      .filter((peer) => peer.empty || (this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system))
+      .map((peer) => ({ identity: peer.identity, seat: peer.name, address: peer.address, voter: false }))
   }
 
   /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -77,6 +77,7 @@
         fenced: startup.fenced,
         policy: edgeMulti,
         system: startup.system,
+        targetVoters: 2 * startup.tolerated + 1,
       },
       this.timings,
       new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0),
--- a/src/simulator/Simulation.ts
+++ b/src/simulator/Simulation.ts
@@ -201,6 +201,7 @@
         rewriteBytes: 60_000,
         policy: this.options.policy,
         system: box.process.host === name ? this.system : '',
+        targetVoters: 3,
       },
       this.timings,
       this.random.fork(),
