--- a/src/common/Timings.ts
+++ b/src/common/Timings.ts
@@ -37,6 +37,8 @@
   deliverMs: number
   /** A core machine that has been silent for so long is given up. */
   memberGoneMs: number
+  /** The longest that a control node which is stopped waits for others to take over from it. */
+  leaveMs: number
 }
 
 export function Timings(bounds: Bounds): Timings {
@@ -69,5 +71,6 @@
     frozenMs: 0.4 * leaseMs,
     deliverMs: 0.4 * bounds.charterMs,
     memberGoneMs: 0.67 * bounds.recoverMs,
+    leaveMs: 0.1 * bounds.recoverMs,
   }
 }
--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -1,32 +1,28 @@
 /**
  * Raft as published, for the core: leader election with a pre-vote, log replication, check-quorum,
- * an empty entry at the start of each term, reads by read-index, views for laggards, and membership
- * changes one at a time. Pure: it is told the time, what arrived and what was synced, and collects
- * what is to be sent and written. No ballot and no acceptance leaves before the record is synced.
+ * an empty entry at the start of each term, reads by read-index, snapshots in chunks, leadership transfer, and
+ * membership changes one at a time. Pure: it is told the time, what arrived and what was synced, and collects
+ * what is to be sent and written. No vote and no acceptance leaves before the record is synced.
+ *
+ * Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014); Ongaro, "Consensus: Bridging
+ * Theory and Practice" (2014), chapters 3, 4, 6.4 and 9.6.
  */
-import { z } from 'zod'
 import type { Random } from '../common/Random.js'
 import type { Timings } from '../common/Timings.js'
 import type { Message } from '../transport/Message.js'
-import type { RaftOutput } from './RaftOutput.js'
-import type { Entry } from './Entry.js'
-import { Member } from './Member.js'
 import { DiskRecord } from './DiskRecord.js'
+import type { Entry } from './Entry.js'
+import type { Member } from './Member.js'
+import type { RaftOutput } from './RaftOutput.js'
+import { ReplicaProgress } from './ReplicaProgress.js'
+import { ReplicatedLog } from './ReplicatedLog.js'
+import type { Snapshot } from './Snapshot.js'
+import { SnapshotReceiver } from './SnapshotReceiver.js'
 
-interface Replica {
-  next: number
-  match: number
-  round: number
-  heardMs: number
-}
-const Members = z.array(Member)
-const batchBytes = 1_000_000
+/** 150 ms on a link of 7 Mbit/s: less than a follower waits for its leader. */
+const batchBytes = 128 * 1024
 const noBytes = new Uint8Array()
 
-function readMembers(bytes: Uint8Array): Member[] {
-  return Members.parse(JSON.parse(Buffer.from(bytes).toString()))
-}
-
 export class Raft {
   readonly identity: string
   /** The system that this disk belongs to, once it is known. */
@@ -40,15 +36,18 @@
   readonly #timings: Timings
   readonly #random: Random
   #votedFor = ''
-  #entries: Entry[] = []
-  #view: { index: number; term: number; members: Member[]; state: Uint8Array } = { index: 0, term: 0, members: [], state: noBytes }
-  #members: Member[] = []
-  #membersIndex = 0
+  readonly #log = new ReplicatedLog()
+  readonly #incoming = new SnapshotReceiver()
+  #foundingSeeds: readonly string[] = []
+  #identitySynced: boolean
   #applied = 0
   #electionAtMs: number
   #heardLeaderMs = -Infinity
   #votes = new Set<string>()
-  #replicas = new Map<string, Replica>()
+  #replicas = new Map<string, ReplicaProgress>()
+  /** Whom this member followed last. */
+  #lastLeader = ''
+  #handedOverMs = -Infinity
   #round = 0
   #roundSentMs = new Map<number, number>()
   #sureMs = -Infinity
@@ -57,38 +56,71 @@
   #outstanding: { index: number; term: number; atMs: number }[] = []
   #out: RaftOutput
 
-  constructor(seat: string, timings: Timings, random: Random, disk: readonly Uint8Array[], nowMs: number) {
+  /** `foundingSeeds`: of an empty disk, the seeds among which this member may found a core; it holds for later starts too. */
+  constructor(
+    seat: string,
+    timings: Timings,
+    random: Random,
+    disk: readonly Uint8Array[],
+    nowMs: number,
+    foundingSeeds: readonly string[] = [],
+  ) {
     this.#timings = timings
     this.#random = random
     this.#out = Raft.#blank()
+    const identity = this.#restore(disk)
+    this.#identitySynced = identity !== ''
+    this.identity = identity === '' ? `${seat}.${random.below(4294967296).toString(16)}${random.below(4294967296).toString(16)}` : identity
+    if (identity === '') this.#firstStart(foundingSeeds, nowMs)
+    this.#electionAtMs = nowMs + timings.electionMs + random.next() * timings.electionSpreadMs
+    const { index, state } = this.#log.snapshot
+    if (index > 0) {
+      this.#applied = index
+      this.#out.adopted = { index, state }
+    }
+  }
+
+  /** Reads the records of a disk; gives the identity, empty where there is none. */
+  #restore(disk: readonly Uint8Array[]): string {
     let identity = ''
-    for (const record of disk) {
-      const sheet = DiskRecord.decode(record)
-      if (sheet === undefined)
+    for (const bytes of disk) {
+      const record = DiskRecord.decode(bytes)
+      if (record === undefined)
         throw new Error('a whole record on disk is not one of ours; this data folder belongs to another program or another release')
-      if (sheet.kind === 'identity') {
-        identity = sheet.identity
-        this.system = sheet.system
-      } else if (sheet.kind === 'term') {
-        this.term = sheet.term
-        this.#votedFor = sheet.ballot
-      } else if (sheet.kind === 'snapshot') {
-        this.#view = { index: sheet.index, term: sheet.term, members: readMembers(Buffer.from(sheet.members)), state: sheet.state }
-        this.#entries = []
-        this.commit = sheet.index
-      } else {
-        this.#entries.length = Math.max(0, sheet.index - this.#view.index - 1)
-        this.#entries.push({ index: sheet.index, term: sheet.term, type: sheet.type, bytes: sheet.bytes })
+      switch (record.kind) {
+        case 'identity':
+          identity = record.identity
+          this.system = record.system
+          break
+        case 'term':
+          this.term = record.term
+          this.#votedFor = record.ballot
+          break
+        case 'founding':
+          this.#foundingSeeds = record.seeds
+          break
+        case 'snapshot':
+          this.#log.install({
+            index: record.index,
+            term: record.term,
+            members: ReplicatedLog.readMembers(record.members),
+            state: record.state,
+          })
+          this.commit = record.index
+          break
+        case 'entry':
+          this.#log.append([{ index: record.index, term: record.term, type: record.type, bytes: record.bytes }])
+          break
       }
     }
-    this.identity = identity === '' ? `${seat}.${random.below(4294967296).toString(16)}${random.below(4294967296).toString(16)}` : identity
-    if (identity === '') this.#write([this.#identityRecord()], [], nowMs)
-    this.#findMembers()
-    this.#electionAtMs = nowMs + timings.electionMs + random.next() * timings.electionSpreadMs
-    if (this.#view.index > 0) {
-      this.#applied = this.#view.index
-      this.#out.adopted = { index: this.#view.index, state: this.#view.state }
-    }
+    return identity
+  }
+
+  #firstStart(foundingSeeds: readonly string[], nowMs: number): void {
+    this.#foundingSeeds = foundingSeeds
+    const records = [this.#identityRecord()]
+    if (foundingSeeds.length > 0) records.push(DiskRecord.encode({ kind: 'founding', seeds: [...foundingSeeds] }))
+    this.#write(records, [], nowMs)
   }
 
   static #blank(): RaftOutput {
@@ -100,11 +132,21 @@
   }
 
   get lastIndex(): number {
-    return this.#view.index + this.#entries.length
+    return this.#log.lastIndex
   }
 
   get members(): readonly Member[] {
-    return this.#members
+    return this.#log.members
+  }
+
+  /** True once the identity is on disk: before that nobody may be told of it, for it may be lost. */
+  get identitySynced(): boolean {
+    return this.#identitySynced
+  }
+
+  /** The seeds among which this member may found a core; none, if it may not. */
+  get foundingSeeds(): readonly string[] {
+    return this.#foundingSeeds
   }
 
   /** True while no other leader can have been at work: a majority confirmed this one lately enough. */
@@ -114,11 +156,11 @@
 
   /** True once an entry of this leader's own term is committed. */
   get settled(): boolean {
-    return this.phase === 'leader' && this.#termAt(this.commit) === this.term
+    return this.phase === 'leader' && this.#log.termAt(this.commit) === this.term
   }
 
   get changing(): boolean {
-    return this.#membersIndex > this.commit
+    return this.#log.membersIndex > this.commit
   }
 
   caughtUp(identity: string): boolean {
@@ -129,6 +171,22 @@
     return this.#replicas.get(identity)?.heardMs ?? -Infinity
   }
 
+  /**
+   * Hands leadership over to the voter that is furthest, as soon as it holds all that this leader holds; to be
+   * called again until another leads.
+   */
+  transferLeadership(nowMs: number): void {
+    if (this.phase !== 'leader' || nowMs - this.#handedOverMs < this.#timings.electionMs) return
+    const heirs = this.#voters().filter(
+      (one) => one.identity !== this.identity && nowMs - this.heardMs(one.identity) < this.#timings.electionMs,
+    )
+    const heir = heirs.find((one) => this.#replicas.get(one.identity)?.match === this.lastIndex)
+    if (heir === undefined) return
+    this.#handedOverMs = nowMs
+    this.#out.says.push(`Hands leadership over to ${heir.seat}.`)
+    this.#out.sends.push({ to: heir.identity, message: { kind: 'timeoutNow', to: heir.identity, from: this.identity, term: this.term } })
+  }
+
   take(): RaftOutput {
     const out = this.#out
     this.#out = Raft.#blank()
@@ -175,19 +233,24 @@
 
   written(nowMs: number): void {
     const done = this.#outstanding.shift()
+    this.#identitySynced = true
     if (done !== undefined) this.syncMs += 0.1 * (nowMs - done.atMs - this.syncMs)
-    if (done === undefined || this.phase !== 'leader' || done.term !== this.term) return
+    if (done === undefined || done.term !== this.term) return
+    if (this.phase === 'candidate') {
+      // Its own vote counts once it is synced.
+      this.#votes.add(this.identity)
+      this.#count(nowMs)
+      return
+    }
+    if (this.phase !== 'leader') return
     const own = this.#replicas.get(this.identity)
     if (own !== undefined) own.match = Math.max(own.match, done.index)
     this.#advance(nowMs)
   }
 
   compact(index: number, state: Uint8Array, nowMs: number): void {
-    if (index <= this.#view.index || index > this.#applied) return
-    const term = this.#termAt(index)
-    const members = this.#membersAt(index)
-    this.#entries = this.#entries.slice(index - this.#view.index)
-    this.#view = { index, term, members, state }
+    if (index <= this.#log.snapshot.index || index > this.#applied) return
+    this.#log.compact(index, state)
     this.#rewrite([], nowMs)
   }
 
@@ -203,7 +266,7 @@
     }
     if (nowMs < this.#electionAtMs) return
     this.#resetElection(nowMs)
-    if (stalled || !this.#voters().some((one) => one.identity === this.identity)) return
+    if (stalled || !this.#mayStand) return
     this.phase = 'preCandidate'
     this.leader = ''
     this.#votes = new Set([this.identity])
@@ -223,10 +286,16 @@
         if (message.to === this.identity) this.#onAppend(message, nowMs)
         break
       case 'appendReply':
-        if (message.to === this.identity) this.#onAppended(message, nowMs)
+        if (message.to === this.identity) this.#onAppendReply(message, nowMs)
         break
       case 'installSnapshot':
-        if (message.to === this.identity) this.#onView(message, nowMs)
+        if (message.to === this.identity) this.#onSnapshot(message, nowMs)
+        break
+      case 'snapshotReply':
+        if (message.to === this.identity) this.#onSnapshotReply(message, nowMs)
+        break
+      case 'timeoutNow':
+        if (message.to === this.identity) this.#onTimeoutNow(message, nowMs)
         break
       default:
     }
@@ -238,30 +307,22 @@
   }
 
   #voters(): Member[] {
-    return this.#members.filter((one) => one.voter)
+    return this.#log.members.filter((one) => one.voter)
   }
 
-  #termAt(index: number): number {
-    if (index === this.#view.index) return this.#view.term
-    return this.#entries[index - this.#view.index - 1]?.term ?? 0
+  /** A node that an uncommitted change takes the vote from may hold that change alone, and must stand so that it is committed. */
+  get #mayStand(): boolean {
+    const counts = (members: readonly Member[]) => members.some((one) => one.voter && one.identity === this.identity)
+    return counts(this.members) || (this.changing && counts(this.#log.membersAt(this.#log.membersIndex - 1)))
   }
 
-  #membersAt(index: number): Member[] {
-    for (let at = index - this.#view.index - 1; at >= 0; at--) {
-      const entry = this.#entries[at]
-      if (entry?.type === 'members') return readMembers(entry.bytes)
-    }
-    return this.#view.members
-  }
-
-  #findMembers(): void {
-    this.#members = this.#membersAt(this.lastIndex)
-    this.#membersIndex = this.#view.index
-    for (const entry of this.#entries) if (entry.type === 'members') this.#membersIndex = entry.index
+  /** Members that joined are followed from now on, and those that left no longer. */
+  #trackMembers(nowMs: number): void {
     if (this.phase !== 'leader') return
-    for (const member of this.#members) {
-      if (!this.#replicas.has(member.identity))
-        this.#replicas.set(member.identity, { next: this.lastIndex + 1, match: 0, round: 0, heardMs: -Infinity })
+    const members = new Set(this.members.map((one) => one.identity))
+    for (const identity of this.#replicas.keys()) if (!members.has(identity)) this.#replicas.delete(identity)
+    for (const identity of members) {
+      if (!this.#replicas.has(identity)) this.#replicas.set(identity, new ReplicaProgress(this.lastIndex + 1, nowMs))
     }
   }
 
@@ -277,12 +338,12 @@
       this.#termRecord(),
       DiskRecord.encode({
         kind: 'snapshot',
-        index: this.#view.index,
-        term: this.#view.term,
-        members: JSON.stringify(this.#view.members),
-        state: this.#view.state,
+        index: this.#log.snapshot.index,
+        term: this.#log.snapshot.term,
+        members: JSON.stringify(this.#log.snapshot.members),
+        state: this.#log.snapshot.state,
       }),
-      ...this.#entries.map((entry) => DiskRecord.encode({ kind: 'entry', ...entry })),
+      ...this.#log.entries.map((entry) => DiskRecord.encode({ kind: 'entry', ...entry })),
     ]
     this.#out.writes.push({ records, rewrite: true, then })
   }
@@ -296,10 +357,8 @@
   }
 
   #add(entries: Entry[], then: { to: string; message: Message }[], nowMs: number): void {
-    const first = entries[0]
-    if (first !== undefined) this.#entries.length = first.index - this.#view.index - 1
-    this.#entries.push(...entries)
-    this.#findMembers()
+    this.#log.append(entries)
+    this.#trackMembers(nowMs)
     this.#write(
       entries.map((entry) => DiskRecord.encode({ kind: 'entry', ...entry })),
       then,
@@ -328,6 +387,7 @@
     if (this.phase !== 'follower') this.#resetElection(nowMs)
     this.phase = 'follower'
     this.leader = leader
+    if (leader !== '') this.#lastLeader = leader
     this.#out.lostReads.push(...this.#reads.map((read) => read.id))
     this.#reads = []
   }
@@ -338,7 +398,7 @@
       from: this.identity,
       term: pre ? this.term + 1 : this.term,
       lastIndex: this.lastIndex,
-      lastTerm: this.#termAt(this.lastIndex),
+      lastTerm: this.#log.termAt(this.lastIndex),
       pre,
     }
     const asks = this.#voters()
@@ -351,26 +411,36 @@
   #count(nowMs: number): void {
     const voters = this.#voters()
     if (voters.filter((one) => this.#votes.has(one.identity)).length * 2 <= voters.length) return
-    if (this.phase === 'preCandidate') {
-      this.phase = 'candidate'
-      this.term += 1
-      this.#votedFor = this.identity
-      this.#votes = new Set([this.identity])
-      this.#requestVotes(false, [this.#termRecord()], nowMs)
-      this.#count(nowMs)
-    } else if (this.phase === 'candidate') {
-      this.phase = 'leader'
-      this.leader = this.identity
-      this.#sureMs = -Infinity
-      this.#roundSentMs.clear()
-      this.#replicas = new Map(this.#members.map((one) => [one.identity, { next: this.lastIndex + 1, match: 0, round: 0, heardMs: nowMs }]))
-      this.#out.says.push(`Leads the core in term ${String(this.term)}.`)
-      this.#lead('noop', noBytes, nowMs)
+    if (this.phase === 'preCandidate') this.#campaign(nowMs)
+    else if (this.phase === 'candidate') {
+      this.#begin(nowMs)
     }
   }
 
+  #begin(nowMs: number): void {
+    this.phase = 'leader'
+    this.leader = this.identity
+    this.#sureMs = -Infinity
+    this.#handedOverMs = -Infinity
+    this.#roundSentMs.clear()
+    this.#replicas = new Map(this.members.map((one) => [one.identity, new ReplicaProgress(this.lastIndex + 1, nowMs)]))
+    const before = this.#replicas.get(this.#lastLeader)
+    if (before !== undefined && this.#lastLeader !== this.identity) before.heardMs = this.#heardLeaderMs
+    this.#out.says.push(`Leads the core in term ${String(this.term)}.`)
+    this.#lead('noop', noBytes, nowMs)
+  }
+
+  #campaign(nowMs: number): void {
+    this.phase = 'candidate'
+    this.leader = ''
+    this.term += 1
+    this.#votedFor = this.identity
+    this.#votes = new Set()
+    this.#requestVotes(false, [this.#termRecord()], nowMs)
+  }
+
   #onRequestVote(ask: Extract<Message, { kind: 'requestVote' }>, nowMs: number): void {
-    const lastTerm = this.#termAt(this.lastIndex)
+    const lastTerm = this.#log.termAt(this.lastIndex)
     const fresh = ask.lastTerm > lastTerm || (ask.lastTerm === lastTerm && ask.lastIndex >= this.lastIndex)
     const give = { kind: 'voteReply' as const, to: ask.from, from: this.identity, pre: ask.pre }
     if (ask.pre) {
@@ -400,37 +470,62 @@
     this.#round += 1
     this.#roundSentMs.set(this.#round, nowMs)
     this.#beatAtMs = nowMs + this.#timings.heartbeatMs
-    for (const member of this.#members) if (member.identity !== this.identity) this.#feed(member.identity)
+    for (const member of this.members) if (member.identity !== this.identity) this.#feed(member.identity, nowMs, true)
     this.#advance(nowMs)
   }
 
-  #feed(to: string): void {
+  /** Sends a member what it lacks; as a heartbeat also where it lacks nothing. */
+  #feed(to: string, nowMs: number, heartbeat: boolean): void {
     const replica = this.#replicas.get(to)
     if (replica === undefined) return
-    const head = { to, from: this.identity, term: this.term, round: this.#round }
-    if (replica.next <= this.#view.index) {
-      const { index, term, members, state } = this.#view
-      this.#out.sends.push({
-        to,
-        message: { kind: 'installSnapshot', ...head, index, lastTerm: term, members: JSON.stringify(members), state },
-      })
-      replica.next = index + 1
+    const transfer = replica.transferOf(this.#log.snapshot, this.#timings.electionMs)
+    if (transfer !== undefined) {
+      const chunk = transfer.due(nowMs)
+      if (chunk !== undefined) this.#sendChunk(to, transfer.snapshot, chunk)
+      if (heartbeat) this.#sendEntries(to, 0, [], 0)
       return
     }
-    const entries: Entry[] = []
-    let bytes = 0
-    for (let index = replica.next; index <= this.lastIndex && bytes < batchBytes; index++) {
-      const entry = this.#entries[index - this.#view.index - 1]
-      if (entry === undefined) break
-      entries.push(entry)
-      bytes += entry.bytes.length
-    }
-    const prevIndex = replica.next - 1
+    const entries = replica.mayTakeEntries ? this.#log.batch(replica.next, batchBytes) : []
+    if (entries.length === 0 && !heartbeat) return
+    this.#sendEntries(to, replica.next - 1, entries, this.commit)
+    replica.sent(entries.length)
+  }
+
+  #sendEntries(to: string, prevIndex: number, entries: Entry[], commit: number): void {
+    const prevTerm = this.#log.termAt(prevIndex)
     this.#out.sends.push({
       to,
-      message: { kind: 'appendEntries', ...head, prevIndex, prevTerm: this.#termAt(prevIndex), commit: this.commit, entries },
+      message: {
+        kind: 'appendEntries',
+        to,
+        from: this.identity,
+        term: this.term,
+        round: this.#round,
+        prevIndex,
+        prevTerm,
+        commit,
+        entries,
+      },
+    })
+  }
+
+  #sendChunk(to: string, snapshot: Snapshot, chunk: { offset: number; bytes: Uint8Array }): void {
+    this.#out.sends.push({
+      to,
+      message: {
+        kind: 'installSnapshot',
+        to,
+        from: this.identity,
+        term: this.term,
+        round: this.#round,
+        index: snapshot.index,
+        lastTerm: snapshot.term,
+        members: JSON.stringify(snapshot.members),
+        state: chunk.bytes,
+        offset: chunk.offset,
+        totalBytes: snapshot.state.length,
+      },
     })
-    replica.next += entries.length
   }
 
   #onAppend(append: Extract<Message, { kind: 'appendEntries' }>, nowMs: number): void {
@@ -441,13 +536,13 @@
     }
     this.#hearLeader(append.term, append.from, nowMs)
     const { prevIndex, prevTerm } = append
-    if (prevIndex > this.lastIndex || (prevIndex >= this.#view.index && this.#termAt(prevIndex) !== prevTerm)) {
-      const match = Math.min(this.lastIndex, Math.max(this.commit, prevIndex - 1))
+    if (prevIndex > this.lastIndex || (prevIndex >= this.#log.snapshot.index && this.#log.termAt(prevIndex) !== prevTerm)) {
+      const match = this.#mayMatch(prevIndex)
       this.#write([], [{ to: append.from, message: { ...reply, term: this.term, ok: false, match } }], nowMs)
       return
     }
-    const fresh = append.entries.filter((entry) => entry.index > this.#view.index && this.#termAt(entry.index) !== entry.term)
-    const match = Math.max(prevIndex + append.entries.length, Math.min(this.#view.index, this.commit))
+    const fresh = append.entries.filter((entry) => entry.index > this.#log.snapshot.index && this.#log.termAt(entry.index) !== entry.term)
+    const match = Math.max(prevIndex + append.entries.length, Math.min(this.#log.snapshot.index, this.commit))
     const then = [{ to: append.from, message: { ...reply, term: this.term, ok: true, match } }]
     const first = fresh[0]
     if (first === undefined) this.#write([], then, nowMs)
@@ -460,35 +555,76 @@
     this.#commitTo(Math.min(append.commit, prevIndex + append.entries.length))
   }
 
+  /** The highest index up to which this log may be that of a leader whose entry before `prevIndex` it does not hold. */
+  #mayMatch(prevIndex: number): number {
+    if (prevIndex > this.lastIndex) return this.lastIndex
+    const term = this.#log.termAt(prevIndex)
+    let index = prevIndex - 1
+    while (index > this.commit && this.#log.termAt(index) === term) index -= 1
+    return Math.max(this.commit, index)
+  }
+
   #hearLeader(term: number, leader: string, nowMs: number): void {
     if (term > this.term || this.phase !== 'follower' || this.leader !== leader) this.#follow(term, leader, nowMs)
     this.#heardLeaderMs = nowMs
     this.#resetElection(nowMs)
   }
 
-  #onView(view: Extract<Message, { kind: 'installSnapshot' }>, nowMs: number): void {
-    const reply = { kind: 'appendReply' as const, to: view.from, from: this.identity, round: view.round }
-    if (view.term < this.term) {
-      this.#out.sends.push({ to: view.from, message: { ...reply, term: this.term, ok: false, match: this.lastIndex } })
+  #onSnapshot(chunk: Extract<Message, { kind: 'installSnapshot' }>, nowMs: number): void {
+    const reply = { kind: 'appendReply' as const, to: chunk.from, from: this.identity, round: chunk.round }
+    if (chunk.term < this.term) {
+      this.#out.sends.push({ to: chunk.from, message: { ...reply, term: this.term, ok: false, match: this.lastIndex } })
       return
     }
-    this.#hearLeader(view.term, view.from, nowMs)
-    const then = [{ to: view.from, message: { ...reply, term: this.term, ok: true, match: Math.max(view.index, this.commit) } }]
-    if (view.index <= this.commit) {
-      this.#write([], then, nowMs)
+    this.#hearLeader(chunk.term, chunk.from, nowMs)
+    const held = [{ to: chunk.from, message: { ...reply, term: this.term, ok: true, match: Math.max(chunk.index, this.commit) } }]
+    if (chunk.index <= this.commit) {
+      this.#write([], held, nowMs)
       return
     }
-    const keeps = this.#termAt(view.index) === view.lastTerm
-    this.#entries = keeps ? this.#entries.slice(view.index - this.#view.index) : []
-    this.#view = { index: view.index, term: view.lastTerm, members: readMembers(Buffer.from(view.members)), state: view.state }
-    this.commit = view.index
-    this.#applied = view.index
-    this.#out.adopted = { index: view.index, state: view.state }
-    this.#findMembers()
-    this.#rewrite(then, nowMs)
+    const snapshot = this.#incoming.add(chunk)
+    if (snapshot === undefined) {
+      this.#out.sends.push({
+        to: chunk.from,
+        message: {
+          kind: 'snapshotReply',
+          to: chunk.from,
+          from: this.identity,
+          term: this.term,
+          round: chunk.round,
+          index: chunk.index,
+          receivedBytes: this.#incoming.bytes,
+        },
+      })
+      return
+    }
+    this.#log.install(snapshot)
+    this.commit = snapshot.index
+    this.#applied = snapshot.index
+    this.#out.adopted = { index: snapshot.index, state: snapshot.state }
+    this.#rewrite(held, nowMs)
+  }
+
+  #onSnapshotReply(reply: Extract<Message, { kind: 'snapshotReply' }>, nowMs: number): void {
+    const replica = this.#replicas.get(reply.from)
+    if (this.phase !== 'leader' || reply.term !== this.term || replica === undefined) return
+    replica.heardMs = nowMs
+    replica.round = Math.max(replica.round, reply.round)
+    if (replica.transfer?.snapshot.index === reply.index) {
+      replica.transfer.received(reply.receivedBytes)
+      this.#feed(reply.from, nowMs, false)
+    }
+    this.#advance(nowMs)
   }
 
-  #onAppended(reply: Extract<Message, { kind: 'appendReply' }>, nowMs: number): void {
+  /** The leader hands over: an election without a pre-vote, which the others would not give beside a live leader. */
+  #onTimeoutNow(request: Extract<Message, { kind: 'timeoutNow' }>, nowMs: number): void {
+    if (request.term !== this.term || this.phase !== 'follower' || !this.#mayStand || this.#stalled(nowMs)) return
+    this.#resetElection(nowMs)
+    this.#campaign(nowMs)
+  }
+
+  #onAppendReply(reply: Extract<Message, { kind: 'appendReply' }>, nowMs: number): void {
     if (reply.term > this.term) {
       this.#follow(reply.term, '', nowMs)
       return
@@ -497,18 +633,14 @@
     if (this.phase !== 'leader' || reply.term !== this.term || replica === undefined) return
     replica.heardMs = nowMs
     replica.round = Math.max(replica.round, reply.round)
-    if (reply.ok) {
-      replica.match = Math.max(replica.match, reply.match)
-      replica.next = Math.max(replica.next, replica.match + 1)
-    } else {
-      replica.next = Math.max(replica.match, Math.min(replica.next - 1, reply.match)) + 1
-    }
-    if (replica.next <= this.lastIndex) this.#feed(reply.from)
+    if (reply.ok) replica.accepted(reply.match)
+    else replica.rejected(reply.match)
+    if (replica.next <= this.lastIndex) this.#feed(reply.from, nowMs, false)
     this.#advance(nowMs)
   }
 
   /** The highest value that a majority of the voters has reached. */
-  #majority(value: (replica: Replica) => number, own?: number): number {
+  #majority(value: (replica: ReplicaProgress) => number, own?: number): number {
     const voters = this.#voters()
     const values = voters
       .map((one) => {
@@ -529,7 +661,7 @@
       for (const old of this.#roundSentMs.keys()) if (old < round) this.#roundSentMs.delete(old)
     }
     const match = this.#majority((replica) => replica.match)
-    if (match > this.commit && this.#termAt(match) === this.term) {
+    if (match > this.commit && this.#log.termAt(match) === this.term) {
       this.#commitTo(match)
       if (!this.#voters().some((one) => one.identity === this.identity) && !this.changing) {
         this.#follow(this.term, '', nowMs, 'Left the core; stepped down.')
@@ -545,7 +677,7 @@
   #commitTo(index: number): void {
     this.commit = Math.max(this.commit, Math.min(index, this.lastIndex))
     while (this.#applied < this.commit) {
-      const entry = this.#entries[this.#applied - this.#view.index]
+      const entry = this.#log.entryAt(this.#applied + 1)
       if (entry === undefined) break
       this.#applied += 1
       this.#out.applied.push(entry)
--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -27,9 +27,12 @@
 class World {
   nowMs = 0
   targetVoters = 3
+  rewriteBytes = 1e6
   seeds = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
   readonly boxes = new Map<string, Box>()
   readonly heard = new Map<string, (message: Message) => void>()
+  /** Told of each message between core machines. */
+  watch: ((message: Message) => void) | undefined
   readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
   #seed = 1
 
@@ -43,7 +46,7 @@
       seats: [],
       bootstrap,
       fenced: false,
-      rewriteBytes: 1e6,
+      rewriteBytes: this.rewriteBytes,
       policy: edgeMulti,
       system: '',
       targetVoters: this.targetVoters,
@@ -69,6 +72,7 @@
   }
 
   tell(from: string, fromAddress: string, toAddress: string, message: Message): void {
+    this.watch?.(message)
     const to = [...this.boxes].find(([, one]) => one.address === toAddress)
     if (to === undefined) this.heard.get(toAddress)?.(message)
     else this.#carryOut(to[0], to[1], to[1].machine.step({ kind: 'message', from, fromAddress, message }, this.nowMs))
@@ -310,6 +314,102 @@
   }
 })
 
+void test('a leader that is stopped hands over at once, and a stand-in takes its vote before it goes', () => {
+  for (const standIn of [false, true]) {
+    const world = new World()
+    world.three()
+    const leader = world.led()
+    const leaving = world.boxes.get(leader)?.machine
+    if (standIn) world.start('new', '10.0.1.1:7', false)
+    world.run(1000)
+    leaving?.leave(world.nowMs)
+    ok(world.run(0.9 * timings.leaveMs, () => leaving?.mayStop === true))
+    notStrictEqual(world.led(), leader)
+    world.boxes.delete(leader)
+    ok(world.run(timings.electionMs, () => world.leader !== undefined))
+    strictEqual(world.voters.includes(leader), !standIn)
+    if (standIn) ok(world.run(timings.electionMs, () => whole(world)))
+  }
+})
+
+void test('a founder that is killed before it founded may found in its next life, also when it is told otherwise then', () => {
+  const world = new World()
+  const first = world.start('box-1', world.seeds[0] ?? '', true)
+  world.run(1000)
+  world.boxes.delete('box-1')
+  world.start('box-2', world.seeds[1] ?? '', true)
+  world.start('box-3', world.seeds[2] ?? '', true)
+  world.run(1000)
+  const { seeds } = world
+  world.seeds = ['10.0.0.3:7', '10.9.9.9:7']
+  world.start('box-1', seeds[0] ?? '', false, first.disk)
+  strictEqual(world.led(), 'box-1')
+})
+
+const manyRoutes = (revision: number) =>
+  JSON.stringify({
+    revision,
+    routes: Array.from({ length: 1500 }, (_, at) => ({
+      name: `r-${String(at)}`,
+      host: 'h',
+      prefix: `/${String(at)}/`,
+      kind: 'repeatable',
+      timeoutMs: 1000 + (at === 0 ? revision : 0),
+      services: [{ service: 's', weight: 1 }],
+    })),
+    services: [{ name: 's', connections: 1 }],
+    limits,
+  })
+const oneRoute = (revision: number) =>
+  JSON.stringify({
+    revision,
+    set: {
+      routes: [
+        { name: 'r-0', host: 'h', prefix: '/0/', kind: 'repeatable', timeoutMs: 1000 + revision, services: [{ service: 's', weight: 1 }] },
+      ],
+    },
+    drop: {},
+  })
+
+void test('a node that was away for hundreds of changes, or is empty, catches up by chunks, and none is sent twice', () => {
+  for (const changes of [300, 3000])
+    for (const empty of [false, true]) {
+      const world = new World()
+      world.rewriteBytes = 30_000
+      world.three()
+      const leader = world.led()
+      const away = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+      const before = world.boxes.get(away)
+      world.ask(leader, 'put', { action: 'network.put', operation: 'o', text: manyRoutes(1), ifMatch: 0 })
+      strictEqual(world.answered('put').status, 200)
+      world.boxes.delete(away)
+      for (let revision = 2; revision <= changes; revision++) {
+        const id = `patch-${String(revision)}`
+        world.ask(leader, id, { action: 'network.patch', operation: id, text: oneRoute(revision), ifMatch: revision - 1 })
+        if (revision % 100 === 0) strictEqual(world.answered(id).status, 200)
+      }
+      const chunks: string[] = []
+      let largest = 0
+      world.watch = (message) => {
+        if (message.kind === 'installSnapshot') {
+          chunks.push(`${String(message.index)} ${String(message.offset)}`)
+          largest = Math.max(largest, message.state.length)
+        } else if (message.kind === 'appendEntries')
+          largest = Math.max(
+            largest,
+            message.entries.slice(1).reduce((sum, one) => sum + one.bytes.length, 0),
+          )
+      }
+      const back = world.start(away, before?.address ?? '', false, empty ? [] : before?.disk)
+      const level = () => back.machine.raft.commit === world.leader?.[1].machine.raft.commit && world.voters.includes(away)
+      ok(world.run(0.5 * syncMs, level), `${String(changes)} changes, empty ${String(empty)}`)
+      strictEqual(back.machine.replicatedState.network?.revision, changes)
+      ok(chunks.length > 1, 'no chunks')
+      strictEqual(new Set(chunks).size, chunks.length)
+      ok(largest <= 2 * 128 * 1024, String(largest))
+    }
+})
+
 void test('any machine takes writes; guards, errors and repeats are answered, and waits end', () => {
   const world = new World()
   world.three()
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -81,14 +81,17 @@
   #platformSeen = ''
   #applied = 0
   #logBytes = 0
-  #seeds: readonly string[]
   readonly #network: boolean
   /** Where machines were when they last spoke of the consensus log, by identity. */
   readonly #spokeFrom = new Map<string, string>()
   /** What system machines say that they belong to, by identity. */
   readonly #systems = new Map<string, string>()
-  /** Since when this leader counts a member's silence. */
-  #countedMs = new Map<string, number>()
+  /** When members last asked to go, by identity. */
+  readonly #leavingMs = new Map<string, number>()
+  /** Since when this node itself is leaving. */
+  #leavingSinceMs: number | undefined
+  #leavingAtMs = -Infinity
+  #released = false
   #committedMs = new Map<number, number>()
   #settledMs: number | undefined
   #vacateAtMs = -Infinity
@@ -97,10 +100,9 @@
 
   constructor(plan: Plan, timings: Timings, random: Random, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
-    this.#seeds = plan.seeds
     this.#network = plan.seats.length === 0
     this.#timings = timings
-    this.raft = new Raft(plan.name, timings, random.fork(), disk, nowMs)
+    this.raft = new Raft(plan.name, timings, random.fork(), disk, nowMs, this.#network && plan.bootstrap ? plan.seeds : [])
     this.directory = new PeerDirectory(
       plan.name,
       plan.seeds.filter((seed) => seed !== plan.address),
@@ -162,7 +164,6 @@
 
   /** Other seeds take the place of the old ones; whoever was learned of stays known. */
   reseed(seeds: readonly string[]): void {
-    this.#seeds = seeds
     this.directory.reseed(seeds.filter((seed) => seed !== this.#plan.address))
     this.#probeAtMs = -Infinity
   }
@@ -292,7 +293,7 @@
         this.#platformFreshMs = -Infinity
         this.#desk.leases.charterMade(this.replicatedState.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
-        this.#countedMs.clear()
+        this.#leavingMs.clear()
         this.#committedMs.clear()
         this.#settledMs = undefined
         this.#winAtMs = -Infinity
@@ -330,6 +331,7 @@
     this.raft.tick(nowMs)
     this.#collect(nowMs)
     if (nowMs >= this.#probeAtMs) this.#probe(nowMs)
+    this.#tickLeaving(nowMs)
     this.#found(nowMs)
     if (this.#leading) this.#lead(nowMs)
     this.#standForDuty(nowMs)
@@ -342,6 +344,7 @@
   }
 
   #probe(nowMs: number): void {
+    if (!this.raft.identitySynced) return
     this.#probeAtMs = nowMs + this.#timings.probeMs
     const known = this.directory.known
     const members = this.#network ? this.raft.members.filter((one) => one.identity !== this.raft.identity) : []
@@ -380,8 +383,8 @@
 
   /** Only the process at the lowest seed founds, and only when every other seed has said to this very start that it is empty. */
   #bootstrap(nowMs: number): void {
-    const seeds = [...new Set(this.#seeds)].sort()
-    if (!this.#plan.bootstrap || !this.raft.empty || this.#plan.address !== seeds[0]) return
+    const seeds = [...new Set(this.raft.foundingSeeds)].sort()
+    if (!this.raft.empty || this.#plan.address !== seeds[0]) return
     const boxes = this.directory.of('control')
     const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
     for (const seed of seeds.slice(1)) {
@@ -421,13 +424,12 @@
 
   /** How long a member has been silent to this leader, which counts from when it began to lead or took the member in. */
   #silentMs(identity: string, nowMs: number): number {
-    if (identity === this.raft.identity) return 0
-    return nowMs - Math.max(this.raft.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
+    return identity === this.raft.identity ? 0 : nowMs - this.raft.heardMs(identity)
   }
 
   /** One change at a time: see planMembership. */
   #changeMembers(nowMs: number): void {
-    this.#countedMs = new Map(this.raft.members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
+    for (const [identity, askedMs] of this.#leavingMs) if (nowMs - askedMs > this.#timings.electionMs) this.#leavingMs.delete(identity)
     if (!this.raft.settled || this.raft.changing) return
     const change = planMembership(
       this.raft.members,
@@ -436,7 +438,7 @@
       {
         silentMs: (identity) => this.#silentMs(identity, nowMs),
         caughtUp: (identity) => this.raft.caughtUp(identity),
-        leaving: () => false,
+        leaving: (identity) => this.#leavingMs.has(identity),
       },
       {
         targetVoters: this.#plan.targetVoters,
@@ -449,11 +451,43 @@
     if (change !== undefined && this.raft.changeMembers(change.members, nowMs)) this.#say('raft', change.reason)
   }
 
+  /** A member asks to go: its place is taken first, if a learner can take it. */
+  #hearLeaving(identity: string, fromAddress: string, nowMs: number): void {
+    if (!this.raft.settled) return
+    this.#leavingMs.set(identity, nowMs)
+    this.#changeMembers(nowMs)
+    const member = this.raft.members.some((one) => one.identity === identity)
+    const standIn = this.raft.members.some((one) => !one.voter && !this.#leavingMs.has(one.identity))
+    this.#send(fromAddress, { kind: 'leavingReply', identity, released: !this.raft.changing && !(member && standIn) })
+  }
+
+  /** Before it stops, a node hands its duties over and waits, not for long, until the core can do without it. */
+  leave(nowMs: number): void {
+    this.#leavingSinceMs ??= nowMs
+  }
+
+  /** True once a node that is leaving may stop. */
+  get mayStop(): boolean {
+    return this.#released
+  }
+
+  #tickLeaving(nowMs: number): void {
+    if (this.#leavingSinceMs === undefined || this.#released) return
+    const alone = !this.raft.members.some((one) => one.identity !== this.raft.identity)
+    if (alone || nowMs - this.#leavingSinceMs > this.#timings.leaveMs) this.#released = true
+    else if (this.#leading) this.raft.transferLeadership(nowMs)
+    else if (nowMs >= this.#leavingAtMs) {
+      this.#leavingAtMs = nowMs + this.#timings.heartbeatMs
+      this.#send(this.#leaderAddress, { kind: 'leaving', identity: this.raft.identity })
+    }
+  }
+
   /** Control nodes that were heard lately and may join: empty ones, and those of this cluster that hold its log. */
   #candidates(nowMs: number): Member[] {
     return this.directory
       .of('control')
       .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= 4 * this.#timings.probeMs)
+      .filter((peer) => !this.#leavingMs.has(peer.identity))
       .filter((peer) => peer.empty || (this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system))
       .map((peer) => ({ identity: peer.identity, seat: peer.name, address: peer.address, voter: false }))
   }
@@ -512,6 +546,7 @@
           )
         this.directory.hearsay(message.known, nowMs)
         const { raft } = this
+        if (!raft.identitySynced) break
         this.#send(fromAddress, {
           kind: 'probeReply',
           nonce: message.nonce,
@@ -540,7 +575,9 @@
       case 'voteReply':
       case 'appendEntries':
       case 'appendReply':
-      case 'installSnapshot': {
+      case 'installSnapshot':
+      case 'snapshotReply':
+      case 'timeoutNow': {
         if (this.#network) this.#spokeFrom.set(message.from, fromAddress)
         this.raft.receive(message, nowMs)
         break
@@ -548,6 +585,12 @@
       case 'propose':
         if (this.#leading) this.raft.propose(message.command, nowMs)
         break
+      case 'leaving':
+        this.#hearLeaving(message.identity, fromAddress, nowMs)
+        break
+      case 'leavingReply':
+        if (message.released && message.identity === this.raft.identity) this.#released = true
+        break
       case 'renew':
         this.#renew(from, fromAddress, message, nowMs)
         break
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -3,6 +3,7 @@
  * out what it returns, in order, and ends the process when the disk fails.
  */
 import 'reflect-metadata'
+import { setTimeout } from 'node:timers/promises'
 import { inject, singleton } from 'tsyringe'
 import { Emitter } from '../common/Emitter.js'
 import { Random } from '../common/Random.js'
@@ -97,6 +98,12 @@
     this.#carryOut(this.machine.step(input, clockMs()))
   }
 
+  /** Hands over what this node does for the core, within a bounded time. */
+  async leave(): Promise<void> {
+    this.machine.leave(clockMs())
+    while (!this.machine.mayStop) await setTimeout(this.timings.tickMs)
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
     await this.#transport.close()
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -46,6 +46,7 @@
     logger.say('control', `Listens for operators on ${await desk.open()}.`)
     return {
       stop: async () => {
+        await task.leave()
         desk.close()
         await task.stop()
       },
--- a/src/simulator/brokenRules.test.ts
+++ b/src/simulator/brokenRules.test.ts
@@ -31,7 +31,7 @@
     rule: 'stray',
     faults: ['reuse-address'],
     deployment: 'siding',
-    seeds: [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20],
+    seeds: Array.from({ length: 80 }, (_, at) => at + 1),
   },
   {
     broken: 'lease',
--- a/src/transport/Message.ts
+++ b/src/transport/Message.ts
@@ -56,7 +56,10 @@
     lastTerm: z.number(),
     round: z.number(),
     members: z.string(),
+    /** One chunk of the state, from an offset on. */
     state: Bytes,
+    offset: z.number(),
+    totalBytes: z.number(),
   }),
   kind('propose', { id: z.string(), command: Bytes }),
   // Leases.
@@ -133,6 +136,18 @@
   kind('outlook', {
     models: z.array(z.object({ model: z.string(), adapter: z.string(), readyInMs: z.number(), neverBeforeMs: z.number() })),
   }),
+  // Snapshots in chunks, and members that go.
+  kind('snapshotReply', {
+    to: z.string(),
+    from: z.string(),
+    term: z.number(),
+    round: z.number(),
+    index: z.number(),
+    receivedBytes: z.number(),
+  }),
+  kind('timeoutNow', { to: z.string(), from: z.string(), term: z.number() }),
+  kind('leaving', { identity: z.string() }),
+  kind('leavingReply', { identity: z.string(), released: z.boolean() }),
 ] as const
 
 export const Message = { schema: z.discriminatedUnion('kind', options), options }
