--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -10,6 +10,9 @@
 import { runCommand } from '../common/runCommand.js'
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
+import { explore } from './explorer/explore.js'
+import { generateSchedule } from './explorer/generateSchedule.js'
+import { shrinkSchedule } from './explorer/shrinkSchedule.js'
 import { runFleet } from './runFleet.js'
 import { SimFault } from './SimFault.js'
 import { scale } from './scale.js'
@@ -151,11 +154,34 @@
     else slopes.run(names, sizes, say)
   },
 })
+const exploreRaft = command({
+  name: 'explore',
+  description: 'Runs the consensus log and its state through short seeded schedules of faults, and checks invariants at each step.',
+  args: {
+    schedules: option({ long: 'schedules', type: number, defaultValue: () => 1000, description: 'how many' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
+    findings: option({ long: 'findings', type: number, defaultValue: () => 1, description: 'ends after so many' }),
+    shrink: flag({ long: 'shrink', description: 'prints each finding as a schedule made as small as it gets' }),
+  },
+  handler: (given) => {
+    const fromMs = performance.now()
+    let findings = 0
+    const ran = explore(given.seed, given.schedules, (finding) => {
+      findings += 1
+      process.exitCode = 1
+      say(`seed ${String(finding.seed)} at ${finding.atMs.toFixed(1)} ms, ${finding.invariant}: ${finding.detail}`)
+      if (given.shrink) say(JSON.stringify(shrinkSchedule(generateSchedule(finding.seed), finding.invariant)))
+      return findings < given.findings
+    })
+    const spanS = (performance.now() - fromMs) / 1000
+    say(`${String(ran)} schedules, ${String(findings)} findings, ${(ran / spanS).toFixed(0)} a second`)
+  },
+})
 await runCommand(
   subcommands({
     name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes },
+    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes, explore: exploreRaft },
   }),
   process.argv.slice(2),
 )
