--- a/src/simulator/explorer/ClusterNode.ts
+++ b/src/simulator/explorer/ClusterNode.ts
@@ -67,6 +67,7 @@
     this.#applied = 0
     this.#commit = 0
     this.#ledTerm = 0
+    this.#sinceSnapshot = 0
     this.#memory = LogImage.of(this.disk.synced)
     this.#synced = LogImage.of(this.disk.synced)
     const raft = parts.raft(this.seat, timings, random.fork(), this.disk.synced, this.localMs)
--- a/src/simulator/explorer/Invariants.ts
+++ b/src/simulator/explorer/Invariants.ts
@@ -89,9 +89,10 @@
     this.#configurations.set(entry.index, [...(this.#configurations.get(entry.index) ?? []), members])
   }
 
-  /** True when each configuration that may be in force keeps a majority of intact disks without this one. */
+  /** True when each configuration that may be in force keeps a majority of intact disks without this one, and one is committed. */
   mayWipe(identity: string): boolean {
     const fromIndex = this.#agreed.membersIndex
+    if (fromIndex === 0) return false
     return [...this.#configurations].every(
       ([index, configurations]) => index < fromIndex || configurations.every((members) => this.keepsMajority(members, identity)),
     )
