Raft: a node whose own removal is not committed yet still stands for election

A leader that put its own removal to the log and was cut off before anyone had it stayed the only one with that entry. It refused its vote to the others, whose logs were shorter, and did not stand itself, since its newest configuration leaves it out; where the others needed its vote (one voter lost its disk, or two voters in all) nobody could ever lead again. A node now stands while the change that takes its vote is uncommitted, as Raft's dissertation asks (4.2.2). The shrunk schedule fails before and passes after.

--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -203,7 +203,7 @@
     }
     if (nowMs < this.#electionAtMs) return
     this.#resetElection(nowMs)
-    if (stalled || !this.#voters().some((one) => one.identity === this.identity)) return
+    if (stalled || !this.#mayStand()) return
     this.phase = 'preCandidate'
     this.leader = ''
     this.#votes = new Set([this.identity])
@@ -241,6 +241,12 @@
     return this.#members.filter((one) => one.voter)
   }
 
+  /** A node that an uncommitted change takes the vote from may hold that change alone, and must stand so that it is committed. */
+  #mayStand(): boolean {
+    const counts = (members: readonly Member[]) => members.some((one) => one.voter && one.identity === this.identity)
+    return counts(this.#members) || (this.changing && counts(this.#membersAt(this.#membersIndex - 1)))
+  }
+
   #termAt(index: number): number {
     if (index === this.#view.index) return this.#view.term
     return this.#entries[index - this.#view.index - 1]?.term ?? 0
