Raft: a candidate counts its own vote only once that vote is synced

A voter that is alone in its configuration became leader in the same step in which it wrote its term and vote. After a crash before that sync it led the same term again with other entries, which a learner of the first life would have taken for the ones it had. With more voters nothing changes: they are asked after the sync.

--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -176,7 +176,14 @@
   written(nowMs: number): void {
     const done = this.#outstanding.shift()
     if (done !== undefined) this.syncMs += 0.1 * (nowMs - done.atMs - this.syncMs)
-    if (done === undefined || this.phase !== 'leader' || done.term !== this.term) return
+    if (done === undefined || done.term !== this.term) return
+    if (this.phase === 'candidate') {
+      // Its own vote counts once it is synced.
+      this.#votes.add(this.identity)
+      this.#count(nowMs)
+      return
+    }
+    if (this.phase !== 'leader') return
     const own = this.#replicas.get(this.identity)
     if (own !== undefined) own.match = Math.max(own.match, done.index)
     this.#advance(nowMs)
@@ -361,9 +368,8 @@
       this.phase = 'candidate'
       this.term += 1
       this.#votedFor = this.identity
-      this.#votes = new Set([this.identity])
+      this.#votes = new Set()
       this.#requestVotes(false, [this.#termRecord()], nowMs)
-      this.#count(nowMs)
     } else if (this.phase === 'candidate') {
       this.phase = 'leader'
       this.leader = this.identity
--- a/src/simulator/explorer/keptSchedules.test.ts
+++ b/src/simulator/explorer/keptSchedules.test.ts
@@ -25,6 +25,25 @@
       ],
     },
   },
+  {
+    name: 'a voter that is alone in its cluster leads only once its own vote is synced',
+    schedule: {
+      seed: 20011848,
+      seats: 4,
+      founders: 2,
+      calmAtMs: 2747.586032235995,
+      network: { dropRatio: 0, duplicateRatio: 0, lateRatio: 0.24155469560064374, lateMs: 577.6506667397916 },
+      clockDrift: 0.01073885945370421,
+      compactEvery: 8,
+      events: [
+        { kind: 'leave', target: 'leader', atMs: 301.6440408683861 },
+        { kind: 'stall', target: 1, forMs: 1535.8152783010155, atMs: 1210.7603437387206 },
+        { kind: 'write', id: 'operation 8', conditional: false, resendMs: 399.0616042795591, pick: 6, atMs: 1970.8768601980391 },
+        { kind: 'write', id: 'operation 2', conditional: false, resendMs: 404.8932394548319, pick: 3, atMs: 2271.295987014773 },
+        { kind: 'crash', target: 1, when: 'beforeSync', skip: 1, keep: 'lost', downMs: 242.48368494212627, atMs: 2444.5644823946177 },
+      ],
+    },
+  },
 ]
 
 for (const { name, schedule } of kept)
