--- a/eslint.config.js
+++ b/eslint.config.js
@@ -36,9 +36,9 @@
 
 // Tests and what only they use; no other file may lean on these.
 const platformTests = ['platform/**/*.test.ts']
-const testFiles = ['src/**/*.test.ts', 'src/**/*Contract.ts', 'src/**/sampleDefaults.ts']
+const testFiles = ['src/**/*.test.ts', 'src/**/*Contract.ts', 'src/**/*TestWorld.ts', 'src/**/sampleDefaults.ts']
 const testCode = [
-  { group: ['*.test.js', '*Contract.js', 'sampleDefaults.js'], message: 'only tests may lean on test code' },
+  { group: ['*.test.js', '*Contract.js', '*TestWorld.js', 'sampleDefaults.js'], message: 'only tests may lean on test code' },
   { regex: '^(node:)?(assert|test)(/|$)', message: 'only tests may assert' },
 ]
 // The product knows nothing of the users' platform; the platform's files may lean on the product.
--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -5,127 +5,16 @@
 import { deepStrictEqual, notStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
 import { Bounds } from '../common/Bounds.js'
-import { Random } from '../common/Random.js'
 import { Network } from '../common/Network.js'
 import { Timings } from '../common/Timings.js'
-import type { Message } from '../transport/Message.js'
-import { edgeMulti } from '../placement/edgeMulti.js'
-import type { Operation } from './Operation.js'
-import type { ControlEffect } from './ControlEffect.js'
-import { ControlMachine } from './ControlMachine.js'
+import { CoreTestWorld } from './CoreTestWorld.js'
 
 const timings = Timings(Bounds.parse({}))
 const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
 const network = (revision: number) => JSON.stringify({ revision, routes: [], services: [{ name: 's', connections: 1 }], limits })
 
-interface Box {
-  machine: ControlMachine
-  disk: Uint8Array[]
-  address: string
-}
-
-class World {
-  nowMs = 0
-  targetVoters = 3
-  rewriteBytes = 1e6
-  seeds = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
-  readonly boxes = new Map<string, Box>()
-  readonly heard = new Map<string, (message: Message) => void>()
-  /** Told of each message between core machines. */
-  watch: ((message: Message) => void) | undefined
-  readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
-  #seed = 1
-
-  start(name: string, address: string, bootstrap: boolean, disk: Uint8Array[] = []): Box {
-    this.#seed += 1
-    const plan = {
-      name,
-      zone: 'z',
-      address,
-      seeds: this.seeds,
-      seats: [],
-      bootstrap,
-      fenced: false,
-      rewriteBytes: this.rewriteBytes,
-      policy: edgeMulti,
-      system: '',
-      targetVoters: this.targetVoters,
-    }
-    const box = { machine: new ControlMachine(plan, timings, new Random(this.#seed), [...disk], this.nowMs), disk, address }
-    this.boxes.set(name, box)
-    this.#carryOut(name, box, box.machine.begin())
-    return box
-  }
-
-  three(bootstrap = true): void {
-    this.seeds.forEach((seed, at) => this.start(`box-${String(at + 1)}`, seed, bootstrap))
-  }
-
-  run(spanMs: number, until: () => boolean = () => false): boolean {
-    for (const endMs = this.nowMs + spanMs; this.nowMs < endMs;) {
-      if (until()) return true
-      this.nowMs += timings.tickMs
-      for (const [name, box] of [...this.boxes])
-        if (this.boxes.get(name) === box) this.#carryOut(name, box, box.machine.step({ kind: 'tick', hour: 0 }, this.nowMs))
-    }
-    return until()
-  }
-
-  tell(from: string, fromAddress: string, toAddress: string, message: Message): void {
-    this.watch?.(message)
-    const to = [...this.boxes].find(([, one]) => one.address === toAddress)
-    if (to === undefined) this.heard.get(toAddress)?.(message)
-    else this.#carryOut(to[0], to[1], to[1].machine.step({ kind: 'message', from, fromAddress, message }, this.nowMs))
-  }
-
-  ask(name: string, id: string, operation: Partial<Operation> & { action: Operation['action'] }): void {
-    const whole = { branch: '', text: '', ifMatch: -1, operation: '', waitMs: timings.operateMs, ...operation }
-    const box = this.boxes.get(name)
-    if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'operate', id, operation: whole }, this.nowMs))
-  }
-
-  answered(id: string, spanMs = 2000): { status: number; stamp: number; text: string } {
-    ok(
-      this.run(spanMs, () => this.responses.has(id)),
-      `${id} is not answered`,
-    )
-    return this.responses.get(id) ?? { status: 0, stamp: 0, text: '' }
-  }
-
-  get leader(): [string, Box] | undefined {
-    return [...this.boxes].find(([, one]) => one.machine.raft.settled && one.machine.raft.surelyLeads(this.nowMs))
-  }
-
-  get voters(): string[] {
-    return (this.leader?.[1].machine.raft.members ?? [])
-      .filter((one) => one.voter)
-      .map((one) => one.seat)
-      .sort()
-  }
-
-  led(): string {
-    ok(
-      this.run(5000, () => this.leader !== undefined),
-      'nobody leads',
-    )
-    return this.leader?.[0] ?? ''
-  }
-
-  #carryOut(name: string, box: Box, effects: ControlEffect[]): void {
-    for (const effect of effects) {
-      if (effect.kind === 'send') this.tell(name, box.address, effect.toAddress, effect.message)
-      else if (effect.kind === 'write') {
-        if (effect.rewrite) box.disk.length = 0
-        box.disk.push(...effect.records)
-        for (const send of effect.then) this.tell(name, box.address, send.toAddress, send.message)
-        this.#carryOut(name, box, box.machine.step({ kind: 'written' }, this.nowMs))
-      } else if (effect.kind === 'respond') this.responses.set(effect.id, effect)
-    }
-  }
-}
-
 void test('the lowest seed founds once all are there, the leader dispatches, and nobody founds without being told', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.start('box-1', '10.0.0.1:7', true)
   world.start('box-2', '10.0.0.2:7', true)
   strictEqual(
@@ -136,7 +25,7 @@
   const leader = world.led()
   deepStrictEqual(world.voters, ['box-1', 'box-2', 'box-3'])
   ok(world.run(2000, () => world.boxes.get(leader)?.machine.dispatcher !== undefined))
-  const untold = new World()
+  const untold = new CoreTestWorld()
   untold.three(false)
   strictEqual(
     untold.run(5000, () => untold.leader !== undefined),
@@ -145,7 +34,7 @@
 })
 
 void test('one seed founds alone', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.seeds = ['10.0.0.1:7']
   world.start('box-1', '10.0.0.1:7', true)
   strictEqual(world.led(), 'box-1')
@@ -154,7 +43,7 @@
 })
 
 void test('an empty machine elsewhere takes the place of one that is gone, also of the leader, time and again', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   for (let round = 0; round < 6; round++) {
     const leader = world.led()
@@ -185,7 +74,7 @@
 })
 
 void test('a wiped machine returns under its name, and one with its disk under its identity, elsewhere and with other seeds', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const [wiped = '', kept = ''] = [...world.boxes.keys()].filter((name) => name !== leader)
@@ -209,7 +98,7 @@
 })
 
 void test('a fourth node stands by, and takes the place of a voter that falls silent; of three none is given up', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   world.start('box-4', '10.0.0.4:7', false)
@@ -227,7 +116,7 @@
 })
 
 void test('of more voters than must be borne, one that stays silent is given up', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   world.led()
   world.start('box-4', '10.0.0.4:7', false)
@@ -245,7 +134,7 @@
 const syncMs = timings.recoverMs / 3
 
 /** Every voter that is in force is running, and the group has its size again. */
-function whole(world: World): boolean {
+function whole(world: CoreTestWorld): boolean {
   return (
     world.leader !== undefined &&
     world.voters.length === world.targetVoters &&
@@ -262,7 +151,7 @@
         for (const second of ['leader', 'follower', 'newcomer'])
           for (const delayMs of [0, 200, 1000]) {
             const what = `${String(targetVoters)} voters, planned ${String(planned)}, ${first} then ${second}, ${String(delayMs)} ms`
-            const world = new World()
+            const world = new CoreTestWorld()
             world.targetVoters = targetVoters
             world.three()
             world.led()
@@ -298,7 +187,7 @@
 
 void test('a newcomer lost midway leaves the group able to go on, at every moment of its joining', () => {
   for (let lostAfterMs = 0; lostAfterMs < 0.6 * syncMs; lostAfterMs += 100) {
-    const world = new World()
+    const world = new CoreTestWorld()
     world.three()
     const leader = world.led()
     const gone = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
@@ -316,7 +205,7 @@
 
 void test('a leader that is stopped hands over at once, and a stand-in takes its vote before it goes', () => {
   for (const standIn of [false, true]) {
-    const world = new World()
+    const world = new CoreTestWorld()
     world.three()
     const leader = world.led()
     const leaving = world.boxes.get(leader)?.machine
@@ -333,7 +222,7 @@
 })
 
 void test('a founder that is killed before it founded may found in its next life, also when it is told otherwise then', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   const first = world.start('box-1', world.seeds[0] ?? '', true)
   world.run(1000)
   world.boxes.delete('box-1')
@@ -374,7 +263,7 @@
 void test('a node that was away for hundreds of changes, or is empty, catches up by chunks, and none is sent twice', () => {
   for (const changes of [300, 3000])
     for (const empty of [false, true]) {
-      const world = new World()
+      const world = new CoreTestWorld()
       world.rewriteBytes = 30_000
       world.three()
       const leader = world.led()
@@ -411,7 +300,7 @@
 })
 
 void test('any machine takes writes; guards, errors and repeats are answered, and waits end', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
@@ -437,7 +326,7 @@
 })
 
 void test('a write waits for a machine with a lease that has not adopted it, but not for long', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const address = world.boxes.get(leader)?.address ?? ''
