Serve visitors' requests in the simulator's fleet without calling them stray

README's first run, followed with its own curl, ended with 'FAIL stray: ... was never asked' and exit 1: a proxy gives an id to a request that has none, so the stand-in's rule 'no id, a visitor' never held and the visitor was judged as a request that the proxy had made up.

The fleet's own callers now mark each request twice, in a header of its own and in the body. A run without any mark is a visitor's: served, counted, told. A run under an id that nobody asked is stray as before when it bears a mark; and newly so when the mark in its head or body is another request's. --no-visitors, used by the fleets of the test command, keeps every unasked run stray, as do the seeded simulations.

Excluded: judging by the shape of the id (a proxy could give any), and a recording door before each proxy (README's curl to the proxy itself would stay a failure).

Before: exit 1, FAIL stray. Limit: a request that a proxy makes up wholly, with no part of a caller's, is caught by --no-visitors only.

--- a/src/simulator/Callers.ts
+++ b/src/simulator/Callers.ts
@@ -9,6 +9,7 @@
 import { Verdict } from '../common/Verdict.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Deployment } from './Deployment.js'
+import { requestMark } from './requestMark.js'
 import type { Sighting } from './Sighting.js'
 
 const mostUnderWay = 2000
@@ -98,7 +99,7 @@
       proper: true,
     })
     const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
-    const body = course.kind === 'service' ? '' : JSON.stringify({ adapter: adapter ?? '', parts })
+    const body = requestMark.body(name, course.kind === 'service' ? {} : { adapter: adapter ?? '', parts })
     const path = course.kind === 'service' ? `/v1/services/${course.service}/check` : `/v1/models/${course.service}`
     let headed = false
     try {
@@ -108,6 +109,7 @@
         body,
         headers: {
           'request-id': name,
+          [requestMark.header]: name,
           'service-name': course.service,
           'due-ms': String(dueMs),
           lines: String(course.lines),
--- a/src/simulator/Sighting.ts
+++ b/src/simulator/Sighting.ts
@@ -28,7 +28,19 @@
       why: string
     }
   | { kind: 'left'; atMs: number; request: string; why: string }
-  | { kind: 'ran'; atMs: number; request: string; server: string; service: string; sum: number; incarnation: string; wokeMs: number }
+  | {
+      kind: 'ran'
+      atMs: number
+      request: string
+      /** The ids under which the run's own callers marked the request; a visitor's request bears none. */
+      marks: readonly string[]
+      server: string
+      /** Empty when the server cannot tell for which service it ran. */
+      service: string
+      sum: number
+      incarnation: string
+      wokeMs: number
+    }
   | { kind: 'coldRun'; atMs: number; server: string; incarnation: string; flights: number; limit: number }
   | { kind: 'ordered'; atMs: number; server: string; incarnation: string; epoch: number; number: number; order: string; taken: boolean }
   | { kind: 'broke'; atMs: number; server: string; rule: 'room' | 'places' | 'flights' | 'twoOrders'; what: string }
--- a/src/simulator/Simulation.ts
+++ b/src/simulator/Simulation.ts
@@ -600,6 +600,7 @@
         kind: 'ran',
         atMs: this.clock.nowMs,
         request: ask.request,
+        marks: [ask.request],
         server: server.name,
         service: ask.service,
         sum,
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -42,6 +42,7 @@
     }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
     safety: flag({ long: 'safety', description: 'bounds of time are told, but only safety rules decide: for machines that may be slow' }),
+    noVisitors: flag({ long: 'no-visitors', description: 'every request that no caller of the run sent breaks the rule stray' }),
     folder: option({ long: 'folder', type: optional(string), description: 'where startup files, logs and data go' }),
   },
   handler: async (given) => {
@@ -60,6 +61,7 @@
         faults,
         seed: given.seed,
         safety: given.safety,
+        visitors: !given.noVisitors,
         say,
       })
       process.exitCode = passes ? 0 : 1
--- a/src/simulator/runSimulation.ts
+++ b/src/simulator/runSimulation.ts
@@ -87,6 +87,7 @@
     Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])),
   )
   const rules = judge({
+    visitors: false,
     sightings,
     bounds: sim.bounds,
     zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -10,7 +10,7 @@
   ['siding', 'roll-all'],
 ]) {
   test(`a short fleet of ${deployment} keeps every rule through ${faults}`, () => {
-    const flags = ['--seconds', '12', '--faults', faults, '--safety']
+    const flags = ['--seconds', '12', '--faults', faults, '--safety', '--no-visitors']
     const run = spawnSync(process.execPath, ['dist/simulator/main.js', 'fleet', deployment, ...flags], { encoding: 'utf8' })
     strictEqual(run.status, 0, run.stdout + run.stderr)
   })
