--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -2,6 +2,7 @@
 /**
  * The agent that stands beside a proxy on its machine.
  */
+import '../common/checkNode.js'
 import 'reflect-metadata'
 import { container } from 'tsyringe'
 import { startDaemon } from '../common/startDaemon.js'
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
  * The operators' command line. Every command speaks to the core's operators' API; `--json` prints the
  * core's own answer for scripts, and the exit code tells how it ended.
  */
+import '../common/checkNode.js'
 import { readFileSync } from 'node:fs'
 import { setTimeout as pause } from 'node:timers/promises'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -3,6 +3,7 @@
  * The core daemon: its transport and data folder are opened first, then the machine, then the
  * operators' desk.
  */
+import '../common/checkNode.js'
 import 'reflect-metadata'
 import { container } from 'tsyringe'
 import { Meters } from '../common/Meters.js'
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -2,6 +2,7 @@
 /**
  * The proxy of a network: callers of routes on one side, servers on the other, an agent's machine inside.
  */
+import '../common/checkNode.js'
 import { startDaemon } from '../common/startDaemon.js'
 import { HttpOutside } from '../adapters/HttpOutside.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -2,6 +2,7 @@
 /**
  * The proxy daemon: callers on one side, servers on the other, its agent over loopback.
  */
+import '../common/checkNode.js'
 import 'reflect-metadata'
 import { container } from 'tsyringe'
 import { Meters } from '../common/Meters.js'
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -3,6 +3,7 @@
  * The developers' program: runs whole deployments against stand-ins and judges what was seen from
  * outside. Exit code 1 when a rule was broken, 2 for a name it does not know.
  */
+import '../common/checkNode.js'
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
--- a/src/storage/Record.ts
+++ b/src/storage/Record.ts
@@ -3,7 +3,7 @@
  * whole records; a broken last record is torn and may be cut, but a broken record with a valid one
  * after it is corruption.
  */
-import { crc32 } from 'node:zlib'
+import zlib from 'node:zlib'
 import { headBytes } from './headBytes.js'
 
 const limitBytes = 256 * 1024 * 1024
@@ -13,14 +13,14 @@
   const length = file.readUInt32BE(at)
   if (length === 0 || length > limitBytes || at + headBytes + length > file.length) return undefined
   const bytes = file.subarray(at + headBytes, at + headBytes + length)
-  return crc32(bytes) === file.readUInt32BE(at + 4) ? bytes : undefined
+  return zlib.crc32(bytes) === file.readUInt32BE(at + 4) ? bytes : undefined
 }
 
 export const Record = {
   write(bytes: Uint8Array): Buffer {
     const record = Buffer.alloc(headBytes + bytes.length)
     record.writeUInt32BE(bytes.length, 0)
-    record.writeUInt32BE(crc32(bytes), 4)
+    record.writeUInt32BE(zlib.crc32(bytes), 4)
     record.set(bytes, headBytes)
     return record
   },
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,7 +1,18 @@
 // Bundles the platform's entry into target/, a file a role and the parts that they share, so that a start reads and
 // compiles only what it uses: the client library without fetch and sockets, the checks without other tongues.
-import { rm } from 'node:fs/promises'
-import { build } from 'esbuild'
+import { readFile, rm } from 'node:fs/promises'
+
+const { engines } = JSON.parse(await readFile('package.json', 'utf8'))
+const isOlder = (version, oldest) => {
+  const [found, needed] = [version, oldest].map((one) => one.split('.').map((part) => Number.parseInt(part, 10)))
+  const at = needed.findIndex((part, index) => part !== found[index])
+  return at >= 0 && found[at] < needed[at]
+}
+if (isOlder(process.versions.node, engines.node.replace('>=', ''))) {
+  console.error(`bundle: Node.js ${engines.node} is needed, this is ${process.versions.node}`)
+  process.exit(2)
+}
+const { build } = await import('esbuild')
 
 const lean = {
   name: 'lean',
