--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -12,12 +12,12 @@
 import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tally } from './Tally.js'
-import type { Tenant } from './Tenant.js'
+import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
-import { Yard } from './Yard.js'
-import type { Yards } from './Yards.js'
+import { ModelServer } from './ModelServer.js'
+import type { ServerInventory } from './ServerInventory.js'
 
-type Relaxed = NonNullable<Yard['plan']>['relaxed']
+type Relaxed = NonNullable<ModelServer['plan']>['relaxed']
 
 const countMs = 100
 const unforeseenMs = 24 * 3_600_000
@@ -44,7 +44,7 @@
 export class Demand implements Placer {
   readonly #timings: Timings
   readonly #policy: Policy
-  readonly #yards: Yards
+  readonly #inventory: ServerInventory
   readonly #tallies: ReadonlyMap<string, Tally>
   readonly #beganMs: number
   readonly #predictor = new Predictor()
@@ -52,7 +52,7 @@
   readonly #loadMs = new Map<string, number>()
   readonly #heldSinceMs = new Map<string, number>()
   readonly #adaptersOf = new Map<string, Set<string>>()
-  #holders = new Map<string, Yard[]>()
+  #holders = new Map<string, ModelServer[]>()
   #busy = new Map<string, number>()
   #flights = new Map<string, number>()
   #capacities = new Map<string, number>()
@@ -68,10 +68,10 @@
   #countedTurn = -1
   #urged = false
 
-  constructor(timings: Timings, policy: Policy, yards: Yards, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
+  constructor(timings: Timings, policy: Policy, inventory: ServerInventory, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
     this.#timings = timings
     this.#policy = policy
-    this.#yards = yards
+    this.#inventory = inventory
     this.#tallies = tallies
     this.#beganMs = nowMs
   }
@@ -99,32 +99,34 @@
   }
 
   thetaMs(model: string): number {
-    return this.#loadMs.get(model) ?? this.#yards.planOf(model)?.loadMs ?? 1000
+    return this.#loadMs.get(model) ?? this.#inventory.planOf(model)?.loadMs ?? 1000
   }
 
   tick(_hour: number, nowMs: number): void {
-    if (!this.#urged && this.#countedTurn === this.#yards.turn && nowMs - this.#countedMs < countMs) return
-    const open = this.#yards.all.filter((yard) => yard.open)
-    if (nowMs - this.#beganMs < settleInMs && open.some((yard) => yard.report === undefined)) return
+    if (!this.#urged && this.#countedTurn === this.#inventory.turn && nowMs - this.#countedMs < countMs) return
+    const open = this.#inventory.all.filter((modelServer) => modelServer.open)
+    if (nowMs - this.#beganMs < settleInMs && open.some((modelServer) => modelServer.report === undefined)) return
     this.#urged = false
-    this.#countedTurn = this.#yards.turn
+    this.#countedTurn = this.#inventory.turn
     this.#countedMs = nowMs
     this.#survey(open, nowMs)
     this.#wants = this.#count(nowMs)
     this.#plan(nowMs)
   }
 
-  tenants(yard: Yard, adapters: boolean, nowMs: number, beyondNeed = false): Tenant[] {
-    const { report } = yard
+  residents(modelServer: ModelServer, adapters: boolean, nowMs: number, beyondNeed = false): ResidentModel[] {
+    const { report } = modelServer
     if (report === undefined) return []
     const holds = adapters
       ? report.adapters.map((one) => ({ ...one, key: keyOf(one.model, one.adapter), size: 1 }))
       : report.models.map((one) => ({ ...one, adapter: '', key: one.model, size: one.sizeMb }))
     return holds
-      .filter((one) => one.state === 'loaded' && !this.#inUse(yard, one.key, nowMs))
+      .filter((one) => one.state === 'loaded' && !this.#inUse(modelServer, one.key, nowMs))
       .map((one) => {
         const forecast = this.#predictor.forecast(one.key, nowMs) ?? { nextMs: nowMs + unforeseenMs, deltaMs: 0 }
-        const others = (this.#holders.get(one.key) ?? []).filter((other) => other !== yard && Yard.holds(other, one.model, one.adapter))
+        const others = (this.#holders.get(one.key) ?? []).filter(
+          (other) => other !== modelServer && ModelServer.holds(other, one.model, one.adapter),
+        )
         return {
           key: one.key,
           nextMs: forecast.nextMs,
@@ -139,18 +141,18 @@
   }
 
   /** Requests run or wait for it, or it has only just come. */
-  #inUse(yard: Yard, key: string, nowMs: number): boolean {
-    if ((this.#flights.get(`${yard.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
-    return nowMs - (this.#sinceMs.get(`${yard.name} ${key}`) ?? -Infinity) < freshMs
+  #inUse(modelServer: ModelServer, key: string, nowMs: number): boolean {
+    if ((this.#flights.get(`${modelServer.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
+    return nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
   }
 
-  stillMakesWay(yard: Yard, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
-    const tenant = this.tenants(yard, adapters, nowMs, relaxed === 'spares').find((one) => one.key === key)
-    if (tenant === undefined) return false
+  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
+    const resident = this.residents(modelServer, adapters, nowMs, relaxed === 'spares').find((one) => one.key === key)
+    if (resident === undefined) return false
     if (!this.#policy.foresees) return true
-    if (relaxed === 'spares') return tenant.doubled
-    const outside = nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs || (relaxed === 'doubles' && tenant.doubled)
-    return outside && (relaxed !== 'nothing' || nowMs - tenant.lastMs > this.#predictor.historyMs)
+    if (relaxed === 'spares') return resident.doubled
+    const outside = nowMs < resident.windowFromMs || nowMs > resident.windowToMs || (relaxed === 'doubles' && resident.doubled)
+    return outside && (relaxed !== 'nothing' || nowMs - resident.lastMs > this.#predictor.historyMs)
   }
 
   #load(key: string, nowMs: number): Load {
@@ -172,32 +174,33 @@
   }
 
   /** Who holds what, who is how busy, and how many requests each model has at once. */
-  #survey(open: readonly Yard[], nowMs: number): void {
+  #survey(open: readonly ModelServer[], nowMs: number): void {
     this.#historyMs = this.#predictor.historyMs
     this.#holders = new Map()
     this.#capacities = new Map()
-    this.#places = Math.max(1, ...open.map((yard) => yard.places))
-    for (const yard of open) {
-      const least = this.#capacities.get(yard.owner ?? '') ?? Infinity
-      this.#capacities.set(yard.owner ?? '', Math.min(least, yard.capacity))
-      const keys = (yard.report?.models ?? []).flatMap((one) => (Yard.holds(yard, one.model, '') ? [one.model] : []))
-      for (const one of yard.report?.adapters ?? []) if (Yard.holds(yard, one.model, one.adapter)) keys.push(keyOf(one.model, one.adapter))
+    this.#places = Math.max(1, ...open.map((modelServer) => modelServer.places))
+    for (const modelServer of open) {
+      const least = this.#capacities.get(modelServer.owner ?? '') ?? Infinity
+      this.#capacities.set(modelServer.owner ?? '', Math.min(least, modelServer.capacity))
+      const keys = (modelServer.report?.models ?? []).flatMap((one) => (ModelServer.holds(modelServer, one.model, '') ? [one.model] : []))
+      for (const one of modelServer.report?.adapters ?? [])
+        if (ModelServer.holds(modelServer, one.model, one.adapter)) keys.push(keyOf(one.model, one.adapter))
       for (const key of keys) {
         const found = this.#holders.get(key)
-        if (found === undefined) this.#holders.set(key, [yard])
-        else found.push(yard)
+        if (found === undefined) this.#holders.set(key, [modelServer])
+        else found.push(modelServer)
       }
     }
     const sinceMs = new Map<string, number>()
-    for (const [key, yards] of this.#holders)
-      for (const yard of yards)
-        sinceMs.set(`${yard.name} ${key}`, this.#sinceMs.get(`${yard.name} ${key}`) ?? (this.#surveyed ? nowMs : -Infinity))
+    for (const [key, modelServers] of this.#holders)
+      for (const modelServer of modelServers)
+        sinceMs.set(`${modelServer.name} ${key}`, this.#sinceMs.get(`${modelServer.name} ${key}`) ?? (this.#surveyed ? nowMs : -Infinity))
     this.#sinceMs = sinceMs
-    for (const name of this.#onDisk.keys()) if (!open.some((yard) => yard.name === name)) this.#onDisk.delete(name)
-    for (const yard of open) {
-      const known = this.#onDisk.get(yard.name) ?? new Set<string>()
-      this.#onDisk.set(yard.name, known)
-      for (const one of yard.report?.models ?? []) known.add(one.model)
+    for (const name of this.#onDisk.keys()) if (!open.some((modelServer) => modelServer.name === name)) this.#onDisk.delete(name)
+    for (const modelServer of open) {
+      const known = this.#onDisk.get(modelServer.name) ?? new Set<string>()
+      this.#onDisk.set(modelServer.name, known)
+      for (const one of modelServer.report?.models ?? []) known.add(one.model)
     }
     this.#surveyed = true
     this.#busy = new Map()
@@ -227,7 +230,7 @@
   #needed(model: string, adapter: string, ratio: number): number {
     const load = this.#loads.get(keyOf(model, adapter))
     if (load === undefined) return 1
-    const capacity = this.#capacities.get(this.#yards.planOf(model)?.owner ?? '') ?? 1
+    const capacity = this.#capacities.get(this.#inventory.planOf(model)?.owner ?? '') ?? 1
     const byCount = Math.ceil((ratio * load.expected) / Math.min(bearsAtOnce, bearsRatio * capacity))
     const steady = Math.max(load.steadyPerS, ratio > reserveRatio ? 0 : load.perS * 0.5) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)
     return Math.max(1, steady ? 2 : 1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
@@ -262,7 +265,7 @@
     const wants: Want[] = []
     const held = this.#held(nowMs)
     const urgent = new Set<string>()
-    const allZones = new Set(this.#yards.all.flatMap((yard) => (yard.open ? [yard.zone] : [])))
+    const allZones = new Set(this.#inventory.all.flatMap((modelServer) => (modelServer.open ? [modelServer.zone] : [])))
     const base = (plan: ModelPlan, adapter: string) => ({
       model: plan.key,
       adapter,
@@ -273,18 +276,18 @@
       zones: [],
     })
     for (const [key, one] of held) {
-      const plan = this.#yards.planOf(one.model)
+      const plan = this.#inventory.planOf(one.model)
       if (plan === undefined || (one.adapter !== '' && !plan.adapters.includes(one.adapter))) continue
       const copies = this.#holders.get(key) ?? []
       const waited = nowMs - (this.#heldSinceMs.get(key) ?? nowMs) > crowdedMs
-      const settled = copies.every((yard) => nowMs - yard.settledMs > crowdedMs)
+      const settled = copies.every((modelServer) => nowMs - modelServer.settledMs > crowdedMs)
       if (copies.length > 0 && !(waited && settled && copies.length >= this.#needed(one.model, one.adapter, reserveRatio))) continue
       urgent.add(key)
       const why = copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there'
       wants.push({ ...base(plan, one.adapter), kind: 'held', dueInMs: one.dueInMs, urgency: one.count / (1 + copies.length), why })
     }
     if (this.#policy.foresees)
-      for (const plan of this.#yards.fleet?.models ?? [])
+      for (const plan of this.#inventory.fleet?.models ?? [])
         for (const adapter of ['', ...(this.#adaptersOf.get(plan.key) ?? [])]) {
           const key = keyOf(plan.key, adapter)
           const load = this.#loads.get(key)
@@ -305,8 +308,8 @@
             continue
           }
           const needed = this.#needed(plan.key, adapter, reserveRatio)
-          const roof = adapter === '' ? this.#yards.all.length : (this.#holders.get(plan.key)?.length ?? 0)
-          const zones = [...new Set(copies.map((yard) => yard.zone))]
+          const roof = adapter === '' ? this.#inventory.all.length : (this.#holders.get(plan.key)?.length ?? 0)
+          const zones = [...new Set(copies.map((modelServer) => modelServer.zone))]
           const missing = Math.min(needed, roof) - copies.length
           const urgency = perS / copies.length
           const elsewhere = zones.length < allZones.size
@@ -329,8 +332,9 @@
   }
 
   #idles(plan: ModelPlan): boolean {
-    return this.#yards.all.some(
-      (yard) => yard.open && yard.owner === plan.owner && yard.report?.models.length === 0 && yard.task === undefined,
+    return this.#inventory.all.some(
+      (modelServer) =>
+        modelServer.open && modelServer.owner === plan.owner && modelServer.report?.models.length === 0 && modelServer.task === undefined,
     )
   }
 
@@ -344,15 +348,20 @@
     const coming = new Map<string, number>()
     const comes = (key: string, more: number) => coming.set(key, (coming.get(key) ?? 0) + more)
     let spares = 0
-    for (const yard of this.#yards.all) {
-      if (yard.plan !== undefined && yard.task === undefined && !live.has(keyOf(yard.plan.model, yard.plan.adapter))) yard.plan = undefined
-      const order = yard.task?.order
-      if (yard.plan !== undefined) comes(keyOf(yard.plan.model, yard.plan.adapter), 1)
+    for (const modelServer of this.#inventory.all) {
+      if (
+        modelServer.plan !== undefined &&
+        modelServer.task === undefined &&
+        !live.has(keyOf(modelServer.plan.model, modelServer.plan.adapter))
+      )
+        modelServer.plan = undefined
+      const order = modelServer.task?.order
+      if (modelServer.plan !== undefined) comes(keyOf(modelServer.plan.model, modelServer.plan.adapter), 1)
       else if (order?.kind === 'load' || order?.kind === 'attach') comes(keyOf(order.model, order.adapter), 1)
-      if (yard.plan !== undefined || order !== undefined) spares += 1
+      if (modelServer.plan !== undefined || order !== undefined) spares += 1
     }
     for (const want of this.#wants) {
-      const plan = this.#yards.planOf(want.model)
+      const plan = this.#inventory.planOf(want.model)
       if (plan === undefined) continue
       const first = !this.#holders.has(want.model)
       const key = first ? want.model : keyOf(want.model, want.adapter)
@@ -371,25 +380,25 @@
   #place(want: Want, plan: ModelPlan, nowMs: number): boolean {
     const attach = want.adapter !== '' && (this.#holders.get(want.model)?.length ?? 0) > 0
     const step = attach ? want : { ...want, adapter: '' }
-    const fitting = this.#yards.all.filter(
-      (yard) =>
-        yard.open &&
-        yard.owner === plan.owner &&
-        yard.task === undefined &&
-        yard.plan === undefined &&
-        nowMs >= yard.backoffUntilMs &&
-        this.#yards.known(yard, nowMs) &&
-        !want.zones.includes(yard.zone) &&
+    const fitting = this.#inventory.all.filter(
+      (modelServer) =>
+        modelServer.open &&
+        modelServer.owner === plan.owner &&
+        modelServer.task === undefined &&
+        modelServer.plan === undefined &&
+        nowMs >= modelServer.backoffUntilMs &&
+        this.#inventory.known(modelServer, nowMs) &&
+        !want.zones.includes(modelServer.zone) &&
         (attach
-          ? Yard.holds(yard, want.model, '') && !Yard.holds(yard, want.model, want.adapter)
-          : yard.roomMb >= plan.sizeMb && !yard.report.models.some((one) => one.model === want.model)),
+          ? ModelServer.holds(modelServer, want.model, '') && !ModelServer.holds(modelServer, want.model, want.adapter)
+          : modelServer.roomMb >= plan.sizeMb && !modelServer.report.models.some((one) => one.model === want.model)),
     )
     const size = attach ? 1 : plan.sizeMb
     if (!attach && this.#roomSoon(plan))
       return this.#choose(
         step,
         plan,
-        fitting.filter((yard) => Yard.freeMb(yard) >= size),
+        fitting.filter((modelServer) => ModelServer.freeMb(modelServer) >= size),
         size,
         'nothing',
         nowMs,
@@ -404,32 +413,33 @@
 
   /** A server that an order keeps busy has room left for it: better to wait a moment than to take memory from another. */
   #roomSoon(plan: ModelPlan): boolean {
-    return this.#yards.all.some((yard) => {
-      if (!yard.open || yard.owner !== plan.owner || (yard.task === undefined && yard.plan === undefined)) return false
-      if (yard.report === undefined || yard.report.models.some((one) => one.model === plan.key)) return false
-      const planned = yard.plan?.adapter === '' ? (this.#yards.planOf(yard.plan.model)?.sizeMb ?? 0) : 0
-      return Yard.freeMb(yard) - planned >= plan.sizeMb
+    return this.#inventory.all.some((modelServer) => {
+      if (!modelServer.open || modelServer.owner !== plan.owner || (modelServer.task === undefined && modelServer.plan === undefined))
+        return false
+      if (modelServer.report === undefined || modelServer.report.models.some((one) => one.model === plan.key)) return false
+      const planned = modelServer.plan?.adapter === '' ? (this.#inventory.planOf(modelServer.plan.model)?.sizeMb ?? 0) : 0
+      return ModelServer.freeMb(modelServer) - planned >= plan.sizeMb
     })
   }
 
-  #choose(want: Want, plan: ModelPlan, yards: readonly Yard[], size: number, relaxed: Relaxed, nowMs: number): boolean {
-    let best: { yard: Yard; victims: string[]; rank: number } | undefined
+  #choose(want: Want, plan: ModelPlan, modelServers: readonly ModelServer[], size: number, relaxed: Relaxed, nowMs: number): boolean {
+    let best: { modelServer: ModelServer; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
     const adapters = want.adapter !== ''
-    for (const yard of yards) {
-      const byRoom = plan.adapterMb > 0 ? Math.floor(Yard.freeMb(yard) / plan.adapterMb) : Infinity
-      const free = adapters ? Math.min(Yard.freePlaces(yard), byRoom) : Yard.freeMb(yard)
-      const tenants = free >= size ? [] : this.#mayLeave(want, this.tenants(yard, adapters, nowMs, relaxed === 'spares'))
-      const victims = this.#policy.evict(newcomer, tenants, free, this.#historyMs, nowMs, relaxed)
+    for (const modelServer of modelServers) {
+      const byRoom = plan.adapterMb > 0 ? Math.floor(ModelServer.freeMb(modelServer) / plan.adapterMb) : Infinity
+      const free = adapters ? Math.min(ModelServer.freePlaces(modelServer), byRoom) : ModelServer.freeMb(modelServer)
+      const residents = free >= size ? [] : this.#mayLeave(want, this.residents(modelServer, adapters, nowMs, relaxed === 'spares'))
+      const victims = this.#policy.evict(newcomer, residents, free, this.#historyMs, nowMs, relaxed)
       if (victims === undefined) continue
-      const calm = 1 - Math.min(1, (this.#busy.get(yard.name) ?? 0) / Math.max(1, yard.capacity))
+      const calm = 1 - Math.min(1, (this.#busy.get(modelServer.name) ?? 0) / Math.max(1, modelServer.capacity))
       const lowest = Math.min(...victims.map((one) => one.score))
       const rank =
         (victims.length === 0 ? 2 : lowest) +
         0.5 * calm -
-        (yard.cold ? 0.3 : 0) +
-        (adapters ? 0 : this.#apart(yard, want) + this.#again(yard, want))
-      if (best === undefined || rank > best.rank) best = { yard, victims: victims.map((one) => one.key), rank }
+        (modelServer.cold ? 0.3 : 0) +
+        (adapters ? 0 : this.#apart(modelServer, want) + this.#again(modelServer, want))
+      if (best === undefined || rank > best.rank) best = { modelServer, victims: victims.map((one) => one.key), rank }
     }
     if (best === undefined) return false
     const why =
@@ -438,22 +448,22 @@
         : relaxed === 'spares'
           ? `${want.why}; a spare makes way`
           : `${want.why}; last resort, lets go of ${relaxed}`
-    best.yard.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
     return true
   }
 
-  #again(yard: Yard, want: Want): number {
-    return this.#onDisk.get(yard.name)?.has(want.model) === true ? 0.25 : 0
+  #again(modelServer: ModelServer, want: Want): number {
+    return this.#onDisk.get(modelServer.name)?.has(want.model) === true ? 0.25 : 0
   }
 
   /** A copy in a zone that has none yet is worth something. */
-  #apart(yard: Yard, want: Want): number {
-    return (this.#holders.get(want.model) ?? []).some((other) => other.zone === yard.zone) ? 0 : 0.2
+  #apart(modelServer: ModelServer, want: Want): number {
+    return (this.#holders.get(want.model) ?? []).some((other) => other.zone === modelServer.zone) ? 0 : 0.2
   }
 
   /** For a further copy only what is asked for far more seldom makes way, and no adapter. */
-  #mayLeave(want: Want, tenants: readonly Tenant[]): Tenant[] {
-    const others = tenants.filter((one) => one.key !== want.model)
+  #mayLeave(want: Want, residents: readonly ResidentModel[]): ResidentModel[] {
+    const others = residents.filter((one) => one.key !== want.model)
     if (want.kind === 'held' || want.kind === 'forecast') return others
     if (want.adapter !== '') return []
     return others.filter((one) => one.doubled || (this.#loads.get(one.key)?.steadyPerS ?? 0) < rareRatio * want.urgency)
--- a/src/placement/Yard.ts
+++ b/src/placement/ModelServer.ts
@@ -5,7 +5,7 @@
 import type { Order } from '../common/Order.js'
 import type { Report } from '../common/Report.js'
 
-export interface Yard {
+export interface ModelServer {
   name: string
   address: string
   zone: string
@@ -50,9 +50,9 @@
   adapterMb: ReadonlyMap<string, number>
 }
 
-export const Yard = {
+export const ModelServer = {
   /** True when requests may use it there: loaded, and not on its way out. */
-  holds({ report, task }: Yard, model: string, adapter: string): boolean {
+  holds({ report, task }: ModelServer, model: string, adapter: string): boolean {
     if (report === undefined) return false
     if (task?.order.kind === 'unload' && task.order.model === model) return false
     if (!report.models.some((one) => one.model === model && one.state === 'loaded')) return false
@@ -62,7 +62,7 @@
   },
 
   /** Configured size, less every weight reported, less every load not known to have ended. */
-  freeMb({ roomMb, report, task, adapterMb }: Yard): number {
+  freeMb({ roomMb, report, task, adapterMb }: ModelServer): number {
     let room = roomMb
     for (const one of report?.models ?? []) room -= one.sizeMb
     for (const one of report?.adapters ?? []) room -= adapterMb.get(one.model) ?? 0
@@ -72,7 +72,7 @@
     return room
   },
 
-  freePlaces({ places, report, task }: Yard): number {
+  freePlaces({ places, report, task }: ModelServer): number {
     const order = task?.order
     const coming =
       order?.kind === 'attach' && report?.adapters.some((one) => one.model === order.model && one.adapter === order.adapter) !== true
--- a/src/placement/Placer.ts
+++ b/src/placement/Placer.ts
@@ -2,9 +2,9 @@
  * What the dispatcher asks of its planner: the wants of the moment, which it enacts server by server, what a
  * load is likely to take, and whether a victim may still make way when its turn comes.
  */
-import type { Tenant } from './Tenant.js'
+import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
-import type { Yard } from './Yard.js'
+import type { ModelServer } from './ModelServer.js'
 
 export interface Placer {
   readonly wants: readonly Want[]
@@ -12,6 +12,12 @@
   learn: (model: string, tookMs: number) => void
   thetaMs: (model: string, sizeMb: number) => number
   tick: (hour: number, nowMs: number) => void
-  tenants: (yard: Yard, adapters: boolean, nowMs: number) => Tenant[]
-  stillMakesWay: (yard: Yard, key: string, adapters: boolean, relaxed: NonNullable<Yard['plan']>['relaxed'], nowMs: number) => boolean
+  residents: (modelServer: ModelServer, adapters: boolean, nowMs: number) => ResidentModel[]
+  stillMakesWay: (
+    modelServer: ModelServer,
+    key: string,
+    adapters: boolean,
+    relaxed: NonNullable<ModelServer['plan']>['relaxed'],
+    nowMs: number,
+  ) => boolean
 }
--- a/src/placement/Planner.ts
+++ b/src/placement/Planner.ts
@@ -10,12 +10,12 @@
 import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tally } from './Tally.js'
-import type { Tenant } from './Tenant.js'
+import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
-import { Yard } from './Yard.js'
-import type { Yards } from './Yards.js'
+import { ModelServer } from './ModelServer.js'
+import type { ServerInventory } from './ServerInventory.js'
 
-type Relaxed = NonNullable<Yard['plan']>['relaxed']
+type Relaxed = NonNullable<ModelServer['plan']>['relaxed']
 const spareFrom = 4
 const unforeseenMs = 24 * 3_600_000
 
@@ -23,15 +23,15 @@
   readonly tallies = new Map<string, Tally>()
   readonly #timings: Timings
   readonly #policy: Policy
-  readonly #yards: Yards
+  readonly #inventory: ServerInventory
   readonly #predictor = new Predictor()
   readonly #loadMs = new Map<string, number>()
   #wants: readonly Want[] = []
 
-  constructor(timings: Timings, policy: Policy, yards: Yards) {
+  constructor(timings: Timings, policy: Policy, inventory: ServerInventory) {
     this.#timings = timings
     this.#policy = policy
-    this.#yards = yards
+    this.#inventory = inventory
   }
 
   /** The wants of the last tick, first things first. */
@@ -50,7 +50,7 @@
   }
 
   thetaMs(model: string, sizeMb: number): number {
-    return this.#loadMs.get(model) ?? (1000 * sizeMb) / (this.#yards.fleet?.store.perS ?? 1)
+    return this.#loadMs.get(model) ?? (1000 * sizeMb) / (this.#inventory.fleet?.store.perS ?? 1)
   }
 
   tick(hour: number, nowMs: number): void {
@@ -72,10 +72,10 @@
 
   /** The models and adapters that some request waits for, or whose window is open and that no open server holds, or that want a spare. */
   #count(hour: number, nowMs: number): Want[] {
-    const { fleet } = this.#yards
+    const { fleet } = this.#inventory
     if (fleet === undefined) return []
     const held = this.#held(nowMs)
-    const open = this.#yards.all.filter((yard) => yard.open)
+    const open = this.#inventory.all.filter((modelServer) => modelServer.open)
     const wants: Want[] = []
     for (const plan of fleet.models) {
       const { key: model, owner: partner, intent } = plan
@@ -83,7 +83,7 @@
         span.from <= span.to ? hour >= span.from && hour < span.to : hour >= span.from || hour < span.to,
       )
       for (const adapter of ['', ...plan.adapters]) {
-        const copies = open.filter((yard) => Yard.holds(yard, model, adapter))
+        const copies = open.filter((modelServer) => ModelServer.holds(modelServer, model, adapter))
         const dueInMs = held.get(keyOf(model, adapter))
         const forecast = this.#predictor.forecast(keyOf(model, adapter), nowMs)
         const urgency = intent.weight * (1 + intent.coldStartCost)
@@ -101,7 +101,7 @@
         } else if (copies.length === 0 && inHours && adapter === '') {
           wants.push({ ...base, kind: 'hours', why: 'its partner wants it in these hours' })
         } else if (copies.length > 0 && this.#dear(model, adapter, urgency, nowMs)) {
-          const zones = [...new Set(copies.map((yard) => yard.zone))]
+          const zones = [...new Set(copies.map((modelServer) => modelServer.zone))]
           if (zones.length === 1) wants.push({ ...base, kind: 'spare', zones, why: 'a spare in another zone' })
         }
       }
@@ -120,38 +120,53 @@
   }
 
   /** A further copy is wanted only once the copies that exist have been there for a while and none is on its way. */
-  #crowded(copies: readonly Yard[], model: string): boolean {
+  #crowded(copies: readonly ModelServer[], model: string): boolean {
     return (
-      !this.#yards.coming(model, '') && copies.every((yard) => (yard.report?.models.find((one) => one.model === model)?.flights ?? 0) > 0)
+      !this.#inventory.coming(model, '') &&
+      copies.every((modelServer) => (modelServer.report?.models.find((one) => one.model === model)?.flights ?? 0) > 0)
     )
   }
 
   #plan(nowMs: number): void {
-    const { fleet } = this.#yards
+    const { fleet } = this.#inventory
     if (fleet === undefined) return
     const live = new Set(this.#wants.map((want) => keyOf(want.model, want.adapter)))
-    for (const yard of this.#yards.all) {
-      if (yard.plan !== undefined && yard.task === undefined && !live.has(keyOf(yard.plan.model, yard.plan.adapter))) yard.plan = undefined
+    for (const modelServer of this.#inventory.all) {
+      if (
+        modelServer.plan !== undefined &&
+        modelServer.task === undefined &&
+        !live.has(keyOf(modelServer.plan.model, modelServer.plan.adapter))
+      )
+        modelServer.plan = undefined
     }
     for (const want of this.#wants) {
       const plan = fleet.model(want.model)
-      if (plan === undefined || this.#yards.coming(want.model, want.adapter)) continue
+      if (plan === undefined || this.#inventory.coming(want.model, want.adapter)) continue
       this.#place(want, plan, nowMs)
     }
   }
 
   #place(want: Want, plan: ModelPlan, nowMs: number): void {
-    const may = (yard: Yard) => yard.open && yard.task === undefined && yard.plan === undefined && nowMs >= yard.backoffUntilMs
-    const free = this.#yards.all.filter(
-      (yard) =>
-        may(yard) && this.#yards.known(yard, nowMs) && (plan.servers?.includes(yard.name) ?? true) && !want.zones.includes(yard.zone),
+    const may = (modelServer: ModelServer) =>
+      modelServer.open && modelServer.task === undefined && modelServer.plan === undefined && nowMs >= modelServer.backoffUntilMs
+    const free = this.#inventory.all.filter(
+      (modelServer) =>
+        may(modelServer) &&
+        this.#inventory.known(modelServer, nowMs) &&
+        (plan.servers?.includes(modelServer.name) ?? true) &&
+        !want.zones.includes(modelServer.zone),
+    )
+    const withModel = free.filter((modelServer) => ModelServer.holds(modelServer, want.model, ''))
+    const held = this.#inventory.all.some(
+      (modelServer) => modelServer.open && !want.zones.includes(modelServer.zone) && ModelServer.holds(modelServer, want.model, ''),
     )
-    const withModel = free.filter((yard) => Yard.holds(yard, want.model, ''))
-    const held = this.#yards.all.some((yard) => yard.open && !want.zones.includes(yard.zone) && Yard.holds(yard, want.model, ''))
     const attach = want.adapter !== '' && held
     const fitting = attach
-      ? withModel.filter((yard) => !Yard.holds(yard, want.model, want.adapter))
-      : free.filter((yard) => !withModel.includes(yard) && yard.roomMb >= plan.sizeMb && (want.adapter === '' || yard.places > 0))
+      ? withModel.filter((modelServer) => !ModelServer.holds(modelServer, want.model, want.adapter))
+      : free.filter(
+          (modelServer) =>
+            !withModel.includes(modelServer) && modelServer.roomMb >= plan.sizeMb && (want.adapter === '' || modelServer.places > 0),
+        )
     const step = attach ? want : { ...want, adapter: '' }
     const size = attach ? 1 : plan.sizeMb
     if (want.kind === 'spare' && !this.#sparing(want, attach, plan.sizeMb)) return
@@ -166,26 +181,27 @@
     if (want.adapter !== '') return attach
     if (
       this.#wants.some((one) => one.kind !== 'spare') ||
-      this.#yards.all.some((yard) => yard.task !== undefined || yard.plan !== undefined)
+      this.#inventory.all.some((modelServer) => modelServer.task !== undefined || modelServer.plan !== undefined)
     )
       return false
-    const largest = Math.max(...(this.#yards.fleet?.models ?? []).map((one) => one.sizeMb))
-    const holes = this.#yards.all.filter((yard) => yard.open).map((yard) => Yard.freeMb(yard))
+    const largest = Math.max(...(this.#inventory.fleet?.models ?? []).map((one) => one.sizeMb))
+    const holes = this.#inventory.all.filter((modelServer) => modelServer.open).map((modelServer) => ModelServer.freeMb(modelServer))
     const after = holes.sort((a, b) => b - a).map((free, at) => (at === 0 ? free - sizeMb : free))
     return after.some((free) => free >= largest)
   }
 
-  #choose(want: Want, yards: readonly Yard[], size: number, relaxed: Relaxed, nowMs: number): boolean {
-    let best: { yard: Yard; victims: string[]; rank: number } | undefined
+  #choose(want: Want, modelServers: readonly ModelServer[], size: number, relaxed: Relaxed, nowMs: number): boolean {
+    let best: { modelServer: ModelServer; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
-    for (const yard of yards) {
-      const free = want.adapter === '' ? Yard.freeMb(yard) : Yard.freePlaces(yard)
-      const tenants = want.kind === 'spare' ? [] : this.tenants(yard, want.adapter !== '', nowMs).filter((one) => one.key !== want.model)
-      const victims = this.#policy.evict(newcomer, tenants, free, this.#predictor.historyMs, nowMs, relaxed)
+    for (const modelServer of modelServers) {
+      const free = want.adapter === '' ? ModelServer.freeMb(modelServer) : ModelServer.freePlaces(modelServer)
+      const residents =
+        want.kind === 'spare' ? [] : this.residents(modelServer, want.adapter !== '', nowMs).filter((one) => one.key !== want.model)
+      const victims = this.#policy.evict(newcomer, residents, free, this.#predictor.historyMs, nowMs, relaxed)
       if (victims === undefined) continue
       const lowest = Math.min(...victims.map((one) => one.score))
       const rank = victims.length === 0 ? 2 + free / 1e9 : lowest
-      if (best === undefined || rank > best.rank) best = { yard, victims: victims.map((one) => one.key), rank }
+      if (best === undefined || rank > best.rank) best = { modelServer, victims: victims.map((one) => one.key), rank }
     }
     if (best === undefined) return false
     const why =
@@ -194,12 +210,12 @@
         : relaxed === 'spares'
           ? `${want.why}; a spare makes way`
           : `${want.why}; last resort, lets go of ${relaxed}`
-    best.yard.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
     return true
   }
 
-  tenants(yard: Yard, adapters: boolean, nowMs: number): Tenant[] {
-    const { report } = yard
+  residents(modelServer: ModelServer, adapters: boolean, nowMs: number): ResidentModel[] {
+    const { report } = modelServer
     if (report === undefined) return []
     const holds = adapters
       ? report.adapters.map((one) => ({ ...one, key: keyOf(one.model, one.adapter), size: 1, thetaMs: 0 }))
@@ -222,18 +238,20 @@
           lastMs: this.#predictor.lastMs(one.key),
           surprise: this.#predictor.surprise(one.key, forecast.deltaMs, nowMs),
           size: one.size,
-          doubled: this.#yards.all.some((other) => other !== yard && other.open && Yard.holds(other, one.model, one.adapter)),
+          doubled: this.#inventory.all.some(
+            (other) => other !== modelServer && other.open && ModelServer.holds(other, one.model, one.adapter),
+          ),
         }
       })
   }
 
   /** Between the count and the enacting a victim may have been requested, or its window may have opened. */
-  stillMakesWay(yard: Yard, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
-    const tenant = this.tenants(yard, adapters, nowMs).find((one) => one.key === key)
-    if (tenant === undefined) return false
+  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
+    const resident = this.residents(modelServer, adapters, nowMs).find((one) => one.key === key)
+    if (resident === undefined) return false
     if (!this.#policy.foresees) return true
-    if (relaxed === 'spares') return tenant.doubled
-    const outside = nowMs < tenant.windowFromMs || nowMs > tenant.windowToMs || (relaxed === 'doubles' && tenant.doubled)
-    return outside && (relaxed !== 'nothing' || nowMs - tenant.lastMs > this.#predictor.historyMs)
+    if (relaxed === 'spares') return resident.doubled
+    const outside = nowMs < resident.windowFromMs || nowMs > resident.windowToMs || (relaxed === 'doubles' && resident.doubled)
+    return outside && (relaxed !== 'nothing' || nowMs - resident.lastMs > this.#predictor.historyMs)
   }
 }
--- a/src/placement/Tenant.ts
+++ b/src/placement/ResidentModel.ts
@@ -3,7 +3,7 @@
  * when it was last requested, the probability of a surprise, what its leaving frees, and whether another
  * open server holds it too.
  */
-export interface Tenant {
+export interface ResidentModel {
   key: string
   nextMs: number
   windowFromMs: number
--- a/src/placement/Yards.ts
+++ b/src/placement/ServerInventory.ts
@@ -15,7 +15,7 @@
 import { FleetPlan } from './FleetPlan.js'
 import { keyOf } from './keyOf.js'
 import type { ModelPlan } from './ModelPlan.js'
-import type { Yard } from './Yard.js'
+import type { ModelServer } from './ModelServer.js'
 
 const keptLinks = 128
 /** In a network: how long after the epoch's begin or the last asking a server is asked for its report. */
@@ -30,13 +30,13 @@
   return keys.sort().join(' ')
 }
 
-export class Yards {
+export class ServerInventory {
   readonly #timings: Timings
   readonly #epoch: number
   /** No dispatcher was there before, so none of its orders can be under way. */
   readonly #first: boolean
   readonly #beganMs: number
-  readonly #table = new Map<string, Yard>()
+  readonly #table = new Map<string, ModelServer>()
   readonly #published = new Map<string, { value: string; atMs: number }>()
   readonly #partsAtMs = new Map<string, number>()
   readonly #reader = new CharterReader()
@@ -46,7 +46,7 @@
   #networkText = ''
   #adapterMb: ReadonlyMap<string, number> = noneMb
   readonly #servers = new Map<string, { value: string; server: PlatformServer }>()
-  readonly #bindings = new Map<string, { report: Yard['report']; task: Yard['task']; value: string }>()
+  readonly #bindings = new Map<string, { report: ModelServer['report']; task: ModelServer['task']; value: string }>()
   #boundStamp = -1
   /** Grows whenever a holding, an order or the table changes. */
   turn = 0
@@ -66,16 +66,16 @@
     return this.#fleet?.model(model)
   }
 
-  get all(): readonly Yard[] {
+  get all(): readonly ModelServer[] {
     return [...this.#table.values()]
   }
 
-  get(name: string): Yard | undefined {
+  get(name: string): ModelServer | undefined {
     return this.#table.get(name)
   }
 
   /** Brings the table in line with the copy, when that has changed. */
-  census(copy: ReplicaTable, nowMs: number, joins: (yard: Yard) => void, leaves: (yard: Yard) => void): void {
+  census(copy: ReplicaTable, nowMs: number, joins: (modelServer: ModelServer) => void, leaves: (modelServer: ModelServer) => void): void {
     if (copy.stamp === this.#copyStamp) return
     this.#copyStamp = copy.stamp
     this.turn += 1
@@ -84,27 +84,27 @@
     this.#follow(copy, listed)
     for (const [name, plan] of this.#fleet?.servers ?? []) {
       const server = listed.get(name)
-      let yard = this.#table.get(name)
-      if (yard === undefined) {
+      let modelServer = this.#table.get(name)
+      if (modelServer === undefined) {
         if (server === undefined) continue
-        yard = this.#fresh(server, nowMs)
-        joins(yard)
-        this.#table.set(name, yard)
+        modelServer = this.#fresh(server, nowMs)
+        joins(modelServer)
+        this.#table.set(name, modelServer)
       }
-      yard.roomMb = plan.roomMb
-      yard.places = plan.places
-      yard.open = server !== undefined && !server.draining && this.#fleet?.emptied.has(server.zone) !== true
-      yard.cold = server?.cold === true
-      yard.adapterMb = this.#adapterMb
-      if (server === undefined || (server.address === yard.address && server.zone === yard.zone)) continue
-      yard.address = server.address
-      yard.zone = server.zone
-      yard.report = undefined
-      yard.sequence = undefined
+      modelServer.roomMb = plan.roomMb
+      modelServer.places = plan.places
+      modelServer.open = server !== undefined && !server.draining && this.#fleet?.emptied.has(server.zone) !== true
+      modelServer.cold = server?.cold === true
+      modelServer.adapterMb = this.#adapterMb
+      if (server === undefined || (server.address === modelServer.address && server.zone === modelServer.zone)) continue
+      modelServer.address = server.address
+      modelServer.zone = server.zone
+      modelServer.report = undefined
+      modelServer.sequence = undefined
     }
-    for (const [name, yard] of this.#table) {
+    for (const [name, modelServer] of this.#table) {
       if (this.#fleet?.servers.has(name) === true && listed.has(name)) continue
-      leaves(yard)
+      leaves(modelServer)
       this.#table.delete(name)
       this.#bindings.delete(name)
     }
@@ -151,7 +151,7 @@
     this.#adapterMb = new Map(this.#fleet.models.map((one) => [one.key, one.adapterMb]))
   }
 
-  #fresh(server: PlatformServer, nowMs: number): Yard {
+  #fresh(server: PlatformServer, nowMs: number): ModelServer {
     return {
       name: server.name,
       address: server.address,
@@ -176,42 +176,50 @@
   }
 
   /** Whom to read now; `settlesInMs` says how long an order that a counting server carries out is likely to take. */
-  read(out: DispatcherOut, settlesInMs: (yard: Yard) => number, nowMs: number): void {
+  read(out: DispatcherOut, settlesInMs: (modelServer: ModelServer) => number, nowMs: number): void {
     if (this.#fleet?.counts === true) {
       this.#readCounting(out, settlesInMs, nowMs)
       return
     }
-    for (const yard of this.#table.values()) {
-      if (nowMs - yard.askedMs < (yard.task === undefined ? this.#timings.reportMs : this.#timings.reportMs / 6)) continue
-      if (yard.task === undefined && yard.answeredMs < yard.askedMs && nowMs - yard.askedMs < this.#timings.reportStaleMs) continue
-      yard.askedMs = nowMs
-      out.asks.push({ server: yard.name, address: yard.address })
+    for (const modelServer of this.#table.values()) {
+      if (nowMs - modelServer.askedMs < (modelServer.task === undefined ? this.#timings.reportMs : this.#timings.reportMs / 6)) continue
+      if (
+        modelServer.task === undefined &&
+        modelServer.answeredMs < modelServer.askedMs &&
+        nowMs - modelServer.askedMs < this.#timings.reportStaleMs
+      )
+        continue
+      modelServer.askedMs = nowMs
+      out.asks.push({ server: modelServer.name, address: modelServer.address })
     }
   }
 
   /** Only where something hangs on it: each reading of a counting server is paid for. */
-  #readCounting(out: DispatcherOut, settlesInMs: (yard: Yard) => number, nowMs: number): void {
-    for (const yard of this.#table.values()) {
-      if (nowMs - yard.askedMs < (yard.answeredMs < yard.askedMs ? silentMs : askAgainMs)) continue
-      const { task, report } = yard
+  #readCounting(out: DispatcherOut, settlesInMs: (modelServer: ModelServer) => number, nowMs: number): void {
+    for (const modelServer of this.#table.values()) {
+      if (nowMs - modelServer.askedMs < (modelServer.answeredMs < modelServer.askedMs ? silentMs : askAgainMs)) continue
+      const { task, report } = modelServer
       const settles =
-        task?.phase === 'sent' && (task.unansweredMs !== undefined || nowMs - Math.max(task.sentMs, task.takenMs ?? 0) >= settlesInMs(yard))
+        task?.phase === 'sent' &&
+        (task.unansweredMs !== undefined || nowMs - Math.max(task.sentMs, task.takenMs ?? 0) >= settlesInMs(modelServer))
       const unknown =
-        task === undefined && (yard.plan !== undefined || report?.busy === true) && (yard.sequence === undefined || report?.busy === true)
+        task === undefined &&
+        (modelServer.plan !== undefined || report?.busy === true) &&
+        (modelServer.sequence === undefined || report?.busy === true)
       const unlisted = report === undefined && nowMs - this.#beganMs > unlistedMs
       if (!settles && !unknown && !unlisted) continue
-      yard.askedMs = nowMs
-      out.asks.push({ server: yard.name, address: yard.address })
+      modelServer.askedMs = nowMs
+      out.asks.push({ server: modelServer.name, address: modelServer.address })
     }
   }
 
   /** What the platform's list says that servers hold, as of a moment; it yields to what a server itself said since its last order. */
   listed(servers: readonly PlatformServer[], asOfMs: number, lagMs: number, nowMs: number): void {
     for (const server of servers) {
-      const yard = this.#table.get(server.name)
-      if (yard === undefined || server.models === undefined || this.#fleet?.counts !== true) continue
-      if (asOfMs <= yard.settledMs + lagMs || (yard.task !== undefined && yard.report !== undefined)) continue
-      if (yard.report !== undefined && asOfMs <= yard.report.askedMs) continue
+      const modelServer = this.#table.get(server.name)
+      if (modelServer === undefined || server.models === undefined || this.#fleet?.counts !== true) continue
+      if (asOfMs <= modelServer.settledMs + lagMs || (modelServer.task !== undefined && modelServer.report !== undefined)) continue
+      if (modelServer.report !== undefined && asOfMs <= modelServer.report.askedMs) continue
       const said: Report = {
         server: server.name,
         incarnation: server.name,
@@ -222,24 +230,25 @@
         ),
         parts: [],
       }
-      const report = { ...this.#keyed(yard, said), askedMs: asOfMs, heardMs: nowMs }
-      if (yard.report !== undefined && holdings(yard.report) === holdings(report) && yard.report.busy !== true) continue
-      if (yard.report !== undefined) yard.sequence = undefined
-      yard.report = report
+      const report = { ...this.#keyed(modelServer, said), askedMs: asOfMs, heardMs: nowMs }
+      if (modelServer.report !== undefined && holdings(modelServer.report) === holdings(report) && modelServer.report.busy !== true)
+        continue
+      if (modelServer.report !== undefined) modelServer.sequence = undefined
+      modelServer.report = report
       this.turn += 1
     }
   }
 
   /** A network's report with the keys and sizes of the plan. */
-  #keyed(yard: Yard, report: Report): Report {
-    const prefix = `${yard.owner ?? ''}:`
+  #keyed(modelServer: ModelServer, report: Report): Report {
+    const prefix = `${modelServer.owner ?? ''}:`
     const key = (model: string) => (model.startsWith(prefix) ? model : prefix + model)
     return {
       ...report,
-      incarnation: yard.name,
+      incarnation: modelServer.name,
       models: report.models.map((one) => {
         const model = key(one.model)
-        const order = yard.task?.order
+        const order = modelServer.task?.order
         const comes = report.busy === true && order?.kind === 'load' && order.model === model
         return { ...one, model, state: comes ? ('loading' as const) : one.state, sizeMb: this.planOf(model)?.sizeMb ?? one.sizeMb }
       }),
@@ -247,31 +256,31 @@
     }
   }
 
-  #reportedCounting(yard: Yard, report: Report, askedMs: number, nowMs: number): void {
-    if (yard.report !== undefined && yard.report.askedMs > askedMs) return
-    if (report.sequence !== undefined && yard.sequence !== undefined && report.sequence < yard.sequence) return
-    yard.report = { ...this.#keyed(yard, report), askedMs, heardMs: nowMs }
-    yard.sequence = report.sequence
+  #reportedCounting(modelServer: ModelServer, report: Report, askedMs: number, nowMs: number): void {
+    if (modelServer.report !== undefined && modelServer.report.askedMs > askedMs) return
+    if (report.sequence !== undefined && modelServer.sequence !== undefined && report.sequence < modelServer.sequence) return
+    modelServer.report = { ...this.#keyed(modelServer, report), askedMs, heardMs: nowMs }
+    modelServer.sequence = report.sequence
     this.turn += 1
   }
 
   reported(server: string, report: Report | undefined, askedMs: number, nowMs: number): void {
-    const yard = this.#table.get(server)
-    if (yard === undefined) return
-    yard.answeredMs = nowMs
+    const modelServer = this.#table.get(server)
+    if (modelServer === undefined) return
+    modelServer.answeredMs = nowMs
     if (report === undefined || report.server !== server) return
     if (this.#fleet?.counts === true) {
-      this.#reportedCounting(yard, report, askedMs, nowMs)
+      this.#reportedCounting(modelServer, report, askedMs, nowMs)
       return
     }
-    const old = yard.report
+    const old = modelServer.report
     if (old !== undefined && old.incarnation === report.incarnation && old.madeMs > report.madeMs) return
-    yard.report = { ...report, askedMs, heardMs: nowMs }
+    modelServer.report = { ...report, askedMs, heardMs: nowMs }
   }
 
   /** Read under this epoch, lately: only then is the server known well enough to be ordered. */
-  known(yard: Yard, nowMs: number): yard is Yard & { report: NonNullable<Yard['report']> } {
-    const { report } = yard
+  known(modelServer: ModelServer, nowMs: number): modelServer is ModelServer & { report: NonNullable<ModelServer['report']> } {
+    const { report } = modelServer
     if (this.#fleet?.counts === true) return report !== undefined && report.busy !== true
     if (report === undefined || report.askedMs < this.#beganMs || nowMs - report.askedMs > this.#timings.reportStaleMs) return false
     if (report.epoch !== undefined) return report.epoch <= this.#epoch
@@ -281,13 +290,15 @@
   /** True when most of the open servers have been silent for so long that the fault is rather on this side. */
   deaf(nowMs: number): boolean {
     if (nowMs - this.#beganMs < 0.7 * this.#timings.reportStaleMs) return false
-    const open = this.all.filter((yard) => yard.open)
+    const open = this.all.filter((modelServer) => modelServer.open)
     if (this.#fleet?.counts === true) {
-      const asked = open.filter((yard) => nowMs - yard.askedMs < 4 * this.#timings.reportStaleMs)
-      const mute = asked.filter((yard) => yard.askedMs - yard.answeredMs > 0.7 * this.#timings.reportStaleMs)
+      const asked = open.filter((modelServer) => nowMs - modelServer.askedMs < 4 * this.#timings.reportStaleMs)
+      const mute = asked.filter((modelServer) => modelServer.askedMs - modelServer.answeredMs > 0.7 * this.#timings.reportStaleMs)
       return asked.length > 1 && mute.length * 2 > asked.length
     }
-    const silent = open.filter((yard) => yard.report === undefined || nowMs - yard.report.askedMs > 0.7 * this.#timings.reportStaleMs)
+    const silent = open.filter(
+      (modelServer) => modelServer.report === undefined || nowMs - modelServer.report.askedMs > 0.7 * this.#timings.reportStaleMs,
+    )
     return open.length > 1 && silent.length * 2 > open.length
   }
 
@@ -320,13 +331,14 @@
       return
     }
     const deaf = this.deaf(nowMs)
-    for (const yard of this.#table.values()) {
-      const { report } = yard
+    for (const modelServer of this.#table.values()) {
+      const { report } = modelServer
       if (report === undefined || nowMs - report.askedMs > this.#timings.reportStaleMs) {
-        if (!deaf && nowMs - this.#beganMs > this.#timings.reportStaleMs) this.publish(out, copy, `binding/${yard.name}`, undefined, nowMs)
+        if (!deaf && nowMs - this.#beganMs > this.#timings.reportStaleMs)
+          this.publish(out, copy, `binding/${modelServer.name}`, undefined, nowMs)
         continue
       }
-      const task = yard.task?.order
+      const task = modelServer.task?.order
       const leaving = task?.kind === 'unload' ? task.model : ''
       const detaching = task?.kind === 'detach' ? keyOf(task.model, task.adapter) : ''
       const models = report.models.filter((one) => one.state === 'loaded' && one.model !== leaving)
@@ -339,8 +351,8 @@
           .filter((key) => key !== detaching)
           .sort(),
       }
-      this.publish(out, copy, `binding/${yard.name}`, JSON.stringify(binding), nowMs)
-      this.#tellParts(yard, report, copy, out, nowMs)
+      this.publish(out, copy, `binding/${modelServer.name}`, JSON.stringify(binding), nowMs)
+      this.#tellParts(modelServer, report, copy, out, nowMs)
     }
     for (const [name] of copy.under('binding/')) if (!this.#table.has(name)) this.publish(out, copy, `binding/${name}`, undefined, nowMs)
     for (const [name] of copy.under('parts/')) if (!this.#table.has(name)) this.publish(out, copy, `parts/${name}`, undefined, nowMs)
@@ -348,16 +360,16 @@
 
   /** As above, where reports come only at need: what is on its way in or out is not named. */
   #bindCounting(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
-    for (const yard of this.#table.values()) {
-      const { report, task } = yard
+    for (const modelServer of this.#table.values()) {
+      const { report, task } = modelServer
       if (report === undefined) continue
-      let bound = this.#bindings.get(yard.name)
+      let bound = this.#bindings.get(modelServer.name)
       if (bound?.report !== report || bound.task !== task) {
         const order = task?.order
         const moves = order === undefined ? '' : keyOf(order.model, order.adapter)
         const whole = order?.adapter === '' ? order.model : ''
         const binding: BindingRow = {
-          incarnation: yard.name,
+          incarnation: modelServer.name,
           models: report.models.flatMap((one) => (one.state === 'loaded' && one.model !== moves ? [one.model] : [])).sort(),
           adapters: report.adapters
             .flatMap((one) => (one.state === 'loaded' && one.model !== whole ? [keyOf(one.model, one.adapter)] : []))
@@ -365,9 +377,9 @@
             .sort(),
         }
         bound = { report, task, value: JSON.stringify(binding) }
-        this.#bindings.set(yard.name, bound)
+        this.#bindings.set(modelServer.name, bound)
       }
-      this.publish(out, copy, `binding/${yard.name}`, bound.value, nowMs)
+      this.publish(out, copy, `binding/${modelServer.name}`, bound.value, nowMs)
     }
     if (this.#boundStamp === copy.stamp) return
     this.#boundStamp = copy.stamp
@@ -376,10 +388,10 @@
   }
 
   /** The newest kept parts, seldom: each telling is a change of the log. */
-  #tellParts(yard: Yard, report: Report, copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
-    if (nowMs - (this.#partsAtMs.get(yard.name) ?? -Infinity) < this.#timings.partsMs) return
-    this.#partsAtMs.set(yard.name, nowMs)
+  #tellParts(modelServer: ModelServer, report: Report, copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
+    if (nowMs - (this.#partsAtMs.get(modelServer.name) ?? -Infinity) < this.#timings.partsMs) return
+    this.#partsAtMs.set(modelServer.name, nowMs)
     const row: PartsRow = { incarnation: report.incarnation, links: report.parts.map((one) => one.chain).slice(-keptLinks) }
-    this.publish(out, copy, `parts/${yard.name}`, JSON.stringify(row), nowMs)
+    this.publish(out, copy, `parts/${modelServer.name}`, JSON.stringify(row), nowMs)
   }
 }
--- a/src/placement/evict.ts
+++ b/src/placement/evict.ts
@@ -1,5 +1,5 @@
 /**
- * iWS-BFE: which tenants make way so that one more fits. Only tenants outside their windows count
+ * iWS-BFE: which residents make way so that one more fits. Only residents outside their windows count
  * (the minimalist set); those requested within the history window are kept; those whose window
  * overlaps the newcomer's are dropped; the rest is scored and taken from a max-heap, counting what
  * each would free, until the newcomer fits. Gives the victims in score order, or nothing when it
@@ -9,18 +9,18 @@
  * then of the overlap too, then takes even from within a window what another server holds too.
  */
 import { Heap } from './Heap.js'
-import type { Tenant } from './Tenant.js'
+import type { ResidentModel } from './ResidentModel.js'
 
 export function evict(
   newcomer: { nextMs: number; windowFromMs: number; windowToMs: number; size: number },
-  tenants: readonly Tenant[],
+  residents: readonly ResidentModel[],
   free: number,
   historyMs: number,
   nowMs: number,
   relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' = 'nothing',
 ): { key: string; score: number }[] | undefined {
   const spares = relaxed === 'spares'
-  const minimalist = tenants.filter((one) =>
+  const minimalist = residents.filter((one) =>
     spares ? one.doubled : nowMs < one.windowFromMs || nowMs > one.windowToMs || (relaxed === 'doubles' && one.doubled),
   )
   const unrequested = relaxed === 'nothing' ? minimalist.filter((one) => nowMs - one.lastMs > historyMs) : minimalist
--- a/src/simulator/lru.test.ts
+++ b/src/simulator/lru.test.ts
@@ -3,7 +3,7 @@
 import { lru } from './lru.js'
 
 test('the least recently requested leaves first', () => {
-  const tenant = (key: string, lastMs: number) => ({
+  const resident = (key: string, lastMs: number) => ({
     key,
     lastMs,
     nextMs: 0,
@@ -15,7 +15,7 @@
   })
   const victims = lru.evict(
     { nextMs: 0, windowFromMs: 0, windowToMs: 0, size: 2 },
-    [tenant('new', 9), tenant('old', 1), tenant('mid', 5)],
+    [resident('new', 9), resident('old', 1), resident('mid', 5)],
     0,
     0,
     0,
--- a/src/simulator/lru.ts
+++ b/src/simulator/lru.ts
@@ -6,10 +6,10 @@
 
 export const lru: Policy = {
   foresees: false,
-  evict: (newcomer, tenants, free) => {
+  evict: (newcomer, residents, free) => {
     const victims: { key: string; score: number }[] = []
     let room = free
-    for (const one of [...tenants].sort((a, b) => a.lastMs - b.lastMs)) {
+    for (const one of [...residents].sort((a, b) => a.lastMs - b.lastMs)) {
       if (room >= newcomer.size) break
       victims.push({ key: one.key, score: -one.lastMs })
       room += one.size
