adapters: PlatformClient and RouteCodec for Outside and RouteWire

Names only; in gateway, control and agent just the imports and types change, fields and injection tokens keep their names until those folders are free.

--- a/src/adapters/HttpOutside.ts
+++ b/src/adapters/HttpPlatformClient.ts
@@ -1,5 +1,5 @@
 /**
- * The outside over HTTP: the platform's list where its address is known, and the model servers, each call
+ * The platform client over HTTP: the platform's list where its address is known, and the model servers, each call
  * bounded in time.
  */
 import { request } from 'undici'
@@ -7,10 +7,10 @@
 import type { PlatformServer } from '../common/PlatformServer.js'
 import type { Report } from '../common/Report.js'
 import { ModelServerFormat } from './ModelServerFormat.js'
-import type { Outside } from './Outside.js'
+import type { PlatformClient } from './PlatformClient.js'
 import { readPlatform } from './readPlatform.js'
 
-export class HttpOutside implements Outside {
+export class HttpPlatformClient implements PlatformClient {
   readonly #platform: string | undefined
 
   constructor(platform: string | undefined) {
--- a/src/adapters/Outside.ts
+++ b/src/adapters/PlatformClient.ts
@@ -7,7 +7,7 @@
 import type { PlatformServer } from '../common/PlatformServer.js'
 import type { Report } from '../common/Report.js'
 
-export interface Outside {
+export interface PlatformClient {
   list(waitMs: number): Promise<PlatformServer[] | undefined>
   holds(server: string, address: string, epoch: number, waitMs: number): Promise<Report | undefined>
   order(
--- a/src/adapters/RouteWire.ts
+++ b/src/adapters/RouteCodec.ts
@@ -1,13 +1,13 @@
 /**
  * The port through which a gateway understands callers of routes and the servers behind them, in whichever
- * outside format: pure functions that read and write heads, without memory and without choices.
+ * external format: pure functions that read and write heads, without memory and without choices.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Arrival } from './Arrival.js'
 import type { Onward } from './Onward.js'
 import type { Reply } from './Reply.js'
 
-export interface RouteWire {
+export interface RouteCodec {
   arrival(headers: IncomingHttpHeaders): Arrival
   /** The head for a server, out of the caller's, without what concerns only the caller's connection. */
   onward(headers: IncomingHttpHeaders, onward: Onward): Record<string, string | string[]>
--- a/src/adapters/RouteFormat.ts
+++ b/src/adapters/RouteFormat.ts
@@ -9,13 +9,13 @@
 import type { Arrival } from './Arrival.js'
 import type { Onward } from './Onward.js'
 import type { Reply } from './Reply.js'
-import type { RouteWire } from './RouteWire.js'
+import type { RouteCodec } from './RouteCodec.js'
 import { passedOn } from './passedOn.js'
 
 const text = (value: string | string[] | undefined) => (typeof value === 'string' ? value : (value?.[0] ?? ''))
 const whole = (value: string | undefined) => (value !== undefined && /^\d{1,12}$/.test(value) ? Number(value) : 0)
 
-export const RouteFormat: RouteWire = {
+export const RouteFormat: RouteCodec = {
   arrival(headers: IncomingHttpHeaders): Arrival {
     const [model = '', adapter = ''] = text(headers['model']).split('/')
     const [prompt, output] = text(headers['tokens']).split(',')
--- a/src/agent/AgentTask.ts
+++ b/src/agent/AgentTask.ts
@@ -8,7 +8,7 @@
 import { Logger } from '../common/Logger.js'
 import { Timings } from '../common/Timings.js'
 import type { Startup } from '../common/Startup.js'
-import type { Outside } from '../adapters/Outside.js'
+import type { PlatformClient } from '../adapters/PlatformClient.js'
 import type { Transport } from '../transport/Transport.js'
 import type { AgentInput } from './AgentInput.js'
 import { AgentMachine } from './AgentMachine.js'
@@ -18,7 +18,7 @@
   readonly machine: AgentMachine
   readonly #logger: Logger
   readonly #transport: Transport
-  readonly #outside: Outside
+  readonly #outside: PlatformClient
   readonly #timings: Timings
   readonly #ticker: NodeJS.Timeout
 
@@ -26,7 +26,7 @@
     @inject('startup') startup: Startup['agent'],
     @inject('logger') logger: Logger,
     @inject('transport') transport: Transport,
-    @inject('outside') outside: Outside,
+    @inject('outside') outside: PlatformClient,
   ) {
     this.#logger = logger
     this.#transport = transport
--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -7,7 +7,7 @@
 import { container } from 'tsyringe'
 import { startDaemon } from '../common/startDaemon.js'
 import { Startup } from '../common/Startup.js'
-import { HttpOutside } from '../adapters/HttpOutside.js'
+import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { Meters } from '../common/Meters.js'
 import { AgentTask } from './AgentTask.js'
@@ -29,7 +29,7 @@
   container.registerInstance('startup', startup)
   container.registerInstance('logger', logger)
   container.registerInstance(Meters, new Meters('agent', startup.name))
-  container.registerInstance('outside', new HttpOutside(startup.platform))
+  container.registerInstance('outside', new HttpPlatformClient(startup.platform))
   container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
   const task = container.resolve(AgentTask)
   logger.say('agent', `Listens on ${startup.transport}.`)
--- a/src/common/Network.ts
+++ b/src/common/Network.ts
@@ -2,7 +2,7 @@
  * The network: the routes that callers may take, the services behind them and the limits on callers, under
  * one revision that operators choose and that only rises. A service with `batch` is one of model servers:
  * its models, what a server has room for, and the pace of the store of weights. `more` carries what an
- * outside format says beyond this, so that a network reads back as it was sent.
+ * external format says beyond this, so that a network reads back as it was sent.
  */
 import { Either, Left, Right } from 'purify-ts'
 import { z } from 'zod'
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -11,7 +11,7 @@
 import { Meters } from '../common/Meters.js'
 import { Timings } from '../common/Timings.js'
 import type { Startup } from '../common/Startup.js'
-import type { Outside } from '../adapters/Outside.js'
+import type { PlatformClient } from '../adapters/PlatformClient.js'
 import type { Transport } from '../transport/Transport.js'
 import type { WriteAheadLog } from '../storage/WriteAheadLog.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
@@ -32,7 +32,7 @@
   readonly #logger: Logger
   readonly #transport: Transport
   readonly #writeAheadLog: WriteAheadLog
-  readonly #outside: Outside
+  readonly #outside: PlatformClient
   readonly #ordered: (values: Record<string, string>) => void
   readonly #synced: (spanMs: number) => void
   readonly #ticker: NodeJS.Timeout
@@ -42,7 +42,7 @@
     @inject('logger') logger: Logger,
     @inject('transport') transport: Transport,
     @inject('writeAheadLog') writeAheadLog: WriteAheadLog,
-    @inject('outside') outside: Outside,
+    @inject('outside') outside: PlatformClient,
     @inject(Meters) meters: Meters,
   ) {
     this.#startup = startup
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -9,7 +9,7 @@
 import { Meters } from '../common/Meters.js'
 import { startDaemon } from '../common/startDaemon.js'
 import { Startup } from '../common/Startup.js'
-import { HttpOutside } from '../adapters/HttpOutside.js'
+import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
 import { foundAgain } from './foundAgain.js'
@@ -40,7 +40,7 @@
     container.registerInstance('logger', logger)
     container.registerInstance(Meters, new Meters('control', startup.name))
     container.registerInstance('writeAheadLog', writeAheadLog)
-    container.registerInstance('outside', new HttpOutside(startup.platform))
+    container.registerInstance('outside', new HttpPlatformClient(startup.platform))
     container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
     const task = container.resolve(ControlTask)
     const desk = container.resolve(OperatorsDesk)
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -12,9 +12,9 @@
 import { Verdict } from '../common/Verdict.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
 import type { AgentInput } from '../agent/AgentInput.js'
-import type { Outside } from '../adapters/Outside.js'
+import type { PlatformClient } from '../adapters/PlatformClient.js'
 import { passedOn } from '../adapters/passedOn.js'
-import type { RouteWire } from '../adapters/RouteWire.js'
+import type { RouteCodec } from '../adapters/RouteCodec.js'
 import type { Transport } from '../transport/Transport.js'
 import { EventScanner } from './EventScanner.js'
 import type { GatewayEffect } from './GatewayEffect.js'
@@ -34,8 +34,8 @@
   readonly #startup: GatewayStartup
   readonly #logger: Logger
   readonly #transport: Transport
-  readonly #wire: RouteWire
-  readonly #outside: Outside
+  readonly #wire: RouteCodec
+  readonly #outside: PlatformClient
   readonly #upstream: Upstream
   readonly #tickets = new Map<string, Ticket>()
   readonly #ticker: NodeJS.Timeout
@@ -43,7 +43,7 @@
   #ticks = 0
   #loads: readonly { key: string; count: number }[] = []
 
-  constructor(startup: GatewayStartup, logger: Logger, transport: Transport, wire: RouteWire, outside: Outside) {
+  constructor(startup: GatewayStartup, logger: Logger, transport: Transport, wire: RouteCodec, outside: PlatformClient) {
     this.#startup = startup
     this.#logger = logger
     this.#transport = transport
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -4,7 +4,7 @@
  */
 import '../common/checkNode.js'
 import { startDaemon } from '../common/startDaemon.js'
-import { HttpOutside } from '../adapters/HttpOutside.js'
+import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { CallersDesk } from './CallersDesk.js'
@@ -25,7 +25,7 @@
 
 await startDaemon('gateway', 'The proxy of a network.', GatewayStartup, fields, async (startup, logger) => {
   const transport = await TcpTransport.open(startup.name, startup.transport, logger)
-  const task = new GatewayTask(startup, logger, transport, RouteFormat, new HttpOutside(startup.platform))
+  const task = new GatewayTask(startup, logger, transport, RouteFormat, new HttpPlatformClient(startup.platform))
   const desk = new CallersDesk(startup, task, '/ready')
   logger.say('gateway', `Listens for callers on ${await desk.open()}.`)
   return {
