--- a/src/simulator/Callers.ts
+++ b/src/simulator/Callers.ts
@@ -10,7 +10,7 @@
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Deployment } from './Deployment.js'
 import { requestMark } from './requestMark.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 
 const mostUnderWay = 2000
 
@@ -18,7 +18,7 @@
   readonly #deployment: Deployment
   readonly #addresses: () => string[]
   readonly #isWarm: (model: string, adapter: string) => boolean
-  readonly #see: (sighting: Sighting) => void
+  readonly #see: (observation: Observation) => void
   readonly #random: Random
   readonly #agent = new Agent({ connections: 64, headersTimeout: 60_000, bodyTimeout: 60_000 })
   readonly #timers: NodeJS.Timeout[] = []
@@ -34,7 +34,7 @@
     seed: number,
     addresses: () => string[],
     isWarm: (model: string, adapter: string) => boolean,
-    see: (sighting: Sighting) => void,
+    see: (observation: Observation) => void,
   ) {
     this.#isWarm = isWarm
     this.#deployment = deployment
--- a/src/simulator/Deployment.ts
+++ b/src/simulator/Deployment.ts
@@ -73,7 +73,7 @@
 }
 
 const shapes: Record<string, Shape> = {
-  siding: {
+  small: {
     partner: 'gopherline',
     coldLimit: 2,
     other: 'cascade',
--- a/src/simulator/Fleet.ts
+++ b/src/simulator/Fleet.ts
@@ -16,7 +16,7 @@
 import { Daemon } from './Daemon.js'
 import type { Deployment } from './Deployment.js'
 import { freePorts } from './freePorts.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import { StandInHttp } from './StandInHttp.js'
 
 const Nodes = z.object({
@@ -29,7 +29,7 @@
 export class Fleet {
   readonly deployment: Deployment
   readonly folder: string
-  readonly sightings: Sighting[] = []
+  readonly observations: Observation[] = []
   readonly servers: StandInHttp[]
   readonly boxes: Daemon[] = []
   readonly agents: Daemon[] = []
@@ -54,8 +54,8 @@
     )
   }
 
-  readonly see = (sighting: Sighting): void => {
-    this.sightings.push(sighting)
+  readonly see = (observation: Observation): void => {
+    this.observations.push(observation)
   }
 
   async start(): Promise<void> {
--- a/src/simulator/Sighting.ts
+++ b/src/simulator/Observation.ts
@@ -1,10 +1,10 @@
 /**
- * What callers, servers, the weight store, the platform and operators saw, each with its time. The
- * judge reads nothing else: never the system's own state.
+ * What callers, servers, the weight store, the platform and operators observed, each with its time. The
+ * invariant checker reads nothing else: never the system's own state.
  */
 import type { Verdict } from '../common/Verdict.js'
 
-export type Sighting =
+export type Observation =
   | {
       kind: 'asked'
       atMs: number
--- a/src/simulator/SimOptions.ts
+++ b/src/simulator/SimOptions.ts
@@ -1,5 +1,5 @@
 /**
- * What a simulated run is made of. `broken` names a rule to break on purpose, so that the judge can be
+ * What a simulated run is made of. `broken` names a rule to break on purpose, so that the checker can be
  * seen to bite.
  */
 import type { SimFault } from './SimFault.js'
--- a/src/simulator/Simulation.ts
+++ b/src/simulator/Simulation.ts
@@ -1,7 +1,7 @@
 /**
  * The whole system in one process under virtual time, from one seed: the daemons' own machines over
  * a simulated network, disks and clocks, with stand-ins for servers, platform, callers and operators.
- * The run is calm, then faulty, then quiet; what was seen from outside goes to the judge.
+ * The run is calm, then faulty, then quiet; what was observed from outside goes to the invariant checker.
  */
 import { Random } from '../common/Random.js'
 import { digest } from '../common/digest.js'
@@ -20,7 +20,7 @@
 import type { ProxyEffect } from '../proxy/ProxyEffect.js'
 import type { ProxyInput } from '../proxy/ProxyInput.js'
 import { ProxyMachine } from '../proxy/ProxyMachine.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import type { SimAsk } from './SimAsk.js'
 import { SimCallers } from './SimCallers.js'
 import { SimClock } from './SimClock.js'
@@ -53,7 +53,7 @@
   readonly clock = new SimClock()
   readonly random: Random
   readonly network: SimNetwork
-  readonly sightings: Sighting[] = []
+  readonly observations: Observation[] = []
   readonly boxes = new Map<string, SimBox>()
   readonly agents = new Map<string, { process: SimProcess<AgentInput, AgentEffect, AgentMachine>; address: string; zone: string }>()
   readonly proxies = new Map<
@@ -140,9 +140,9 @@
     for (const name of this.agents.keys()) this.startPost(name)
   }
 
-  readonly see = (sighting: Sighting): void => {
-    this.sightings.push(sighting)
-    this.clock.note(sighting.kind)
+  readonly see = (observation: Observation): void => {
+    this.observations.push(observation)
+    this.clock.note(observation.kind)
   }
 
   freshAddress(host: string): string {
--- a/src/simulator/StandInHttp.ts
+++ b/src/simulator/StandInHttp.ts
@@ -16,7 +16,7 @@
 import { ModelServerFormat } from '../adapters/ModelServerFormat.js'
 import { ServerFormat } from '../adapters/ServerFormat.js'
 import { requestMark } from './requestMark.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import { StandInServer } from './StandInServer.js'
 
 export class StandInHttp {
@@ -24,13 +24,13 @@
   state: StandInServer
   address = ''
   readonly #plan: StandInServer['plan']
-  readonly #see: (sighting: Sighting) => void
+  readonly #see: (observation: Observation) => void
   readonly #runMs: number
   #server: Server | undefined
   #count = 0
   #lives = 0
 
-  constructor(plan: StandInServer['plan'], runMs: number, see: (sighting: Sighting) => void) {
+  constructor(plan: StandInServer['plan'], runMs: number, see: (observation: Observation) => void) {
     this.name = plan.name
     this.#plan = plan
     this.#runMs = runMs
--- a/src/simulator/StandInServer.test.ts
+++ b/src/simulator/StandInServer.test.ts
@@ -1,10 +1,10 @@
 import { test } from 'node:test'
 import { strictEqual } from 'node:assert'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import { StandInServer } from './StandInServer.js'
 
 test('it writes down an order over its room, a second order, and a stale epoch it turned away', () => {
-  const seen: Sighting[] = []
+  const seen: Observation[] = []
   const server = new StandInServer(
     { name: 's', zone: 'a', roomMb: 10, places: 1, loadMbPerS: 10, checksEpoch: true, enforcesEpoch: true, warmMs: 0, coldLimit: 1 },
     'i',
--- a/src/simulator/StandInServer.ts
+++ b/src/simulator/StandInServer.ts
@@ -5,7 +5,7 @@
  */
 import type { Order } from '../common/Order.js'
 import type { Report } from '../common/Report.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 
 interface Plan {
   name: string
@@ -25,7 +25,7 @@
   readonly plan: Plan
   readonly incarnation: string
   readonly #bornMs: number
-  readonly #see: (sighting: Sighting) => void
+  readonly #see: (observation: Observation) => void
   readonly #models = new Map<string, { sizeMb: number; state: 'loading' | 'loaded' | 'unloading'; flights: number }>()
   readonly #adapters = new Map<string, { model: string; adapter: string; state: 'loading' | 'loaded' | 'unloading'; flights: number }>()
   #epoch = 0
@@ -36,7 +36,7 @@
   failsLoads = false
   slowdown = 1
 
-  constructor(plan: Plan, incarnation: string, nowMs: number, see: (sighting: Sighting) => void) {
+  constructor(plan: Plan, incarnation: string, nowMs: number, see: (observation: Observation) => void) {
     this.plan = plan
     this.incarnation = incarnation
     this.#bornMs = nowMs
--- a/src/simulator/brokenRules.test.ts
+++ b/src/simulator/brokenRules.test.ts
@@ -1,5 +1,5 @@
 /**
- * The judge seen to bite: for each rule, the system is run with that one rule broken at its edge, under
+ * Each invariant is shown to be checked: for each rule, the system is run with that one rule broken at its edge, under
  * a fault that needs the rule. The run must fail by that rule, and pass with the rule unbroken.
  */
 import { test } from 'node:test'
@@ -22,40 +22,40 @@
 }
 
 const brokenRules: readonly BrokenRule[] = [
-  { broken: 'verdict', rule: 'ranTwice', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
-  { broken: 'told', rule: 'notRunRan', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
-  { broken: 'whole', rule: 'whole', faults: ['break-runs'], deployment: 'siding', seeds: [1, 2] },
-  { broken: 'early', rule: 'turnedAway', faults: ['crowd'], deployment: 'siding', seeds: [1, 2] },
+  { broken: 'verdict', rule: 'ranTwice', faults: ['break-runs'], deployment: 'small', seeds: [1, 2] },
+  { broken: 'told', rule: 'notRunRan', faults: ['break-runs'], deployment: 'small', seeds: [1, 2] },
+  { broken: 'whole', rule: 'whole', faults: ['break-runs'], deployment: 'small', seeds: [1, 2] },
+  { broken: 'early', rule: 'turnedAway', faults: ['crowd'], deployment: 'small', seeds: [1, 2] },
   {
     broken: 'identity',
     rule: 'stray',
     faults: ['reuse-address'],
-    deployment: 'siding',
+    deployment: 'small',
     seeds: [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20],
   },
   {
     broken: 'lease',
     rule: 'charter',
     faults: ['cut-post-from-system'],
-    deployment: 'siding',
+    deployment: 'small',
     faultMs: 12_000,
     seeds: [1, 2, 3, 4, 5, 6],
   },
-  { broken: 'recovery', rule: 'recovery', faults: ['crash-server'], deployment: 'siding', quietMs: 30_000, seeds: [1, 2] },
-  { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'siding', seeds: [1, 2, 3, 4] },
-  { broken: 'reads', rule: 'linear', faults: ['split-core'], deployment: 'siding', seeds: [1, 2, 3, 4] },
-  { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'siding', seeds: [1, 2, 3, 4] },
-  { broken: 'emptied', rule: 'emptied', faults: ['kill-proxy'], deployment: 'siding', seeds: [1, 2, 3] },
+  { broken: 'recovery', rule: 'recovery', faults: ['crash-server'], deployment: 'small', quietMs: 30_000, seeds: [1, 2] },
+  { broken: 'sync', rule: 'charter', faults: ['stop-all'], deployment: 'small', seeds: [1, 2, 3, 4] },
+  { broken: 'reads', rule: 'linear', faults: ['split-core'], deployment: 'small', seeds: [1, 2, 3, 4] },
+  { broken: 'drain', rule: 'drain', faults: ['drain-server'], deployment: 'small', seeds: [1, 2, 3, 4] },
+  { broken: 'emptied', rule: 'emptied', faults: ['kill-proxy'], deployment: 'small', seeds: [1, 2, 3] },
   {
     broken: 'budget',
     rule: 'retries',
     faults: ['crowd', 'break-runs'],
-    deployment: 'siding',
+    deployment: 'small',
     together: true,
     crowd: 400,
     seeds: [9, 12, 16],
   },
-  { broken: 'cold', rule: 'cold', faults: ['crash-server', 'crowd'], deployment: 'siding', seeds: [1, 2, 3, 4] },
+  { broken: 'cold', rule: 'cold', faults: ['crash-server', 'crowd'], deployment: 'small', seeds: [1, 2, 3, 4] },
   { broken: 'room', rule: 'room', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2], spares: ['recovery'] },
   { broken: 'places', rule: 'room', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2, 3, 4, 5, 6], spares: ['recovery'] },
   { broken: 'flights', rule: 'flights', faults: ['rare-rush'], deployment: 'tight', seeds: [1, 2, 3, 4, 5, 6], spares: ['recovery'] },
--- a/src/simulator/judge.test.ts
+++ b/src/simulator/checkInvariants.test.ts
@@ -1,11 +1,11 @@
 import { test } from 'node:test'
 import { deepStrictEqual } from 'node:assert'
-import type { Sighting } from './Sighting.js'
-import { judge } from './judge.js'
+import type { Observation } from './Observation.js'
+import { checkInvariants } from './checkInvariants.js'
 
-const verdict = (sightings: Sighting[], visitors = false) => {
-  const rules = judge({
-    sightings,
+const verdict = (observations: Observation[], visitors = false) => {
+  const rules = checkInvariants({
+    observations,
     visitors,
     bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
     zones: new Map([['s', 'a']]),
@@ -24,8 +24,8 @@
     .map(([rule]) => rule)
 }
 
-const askedAt = (atMs: number): Sighting => ask('r', { atMs, dueMs: atMs + 1000, leastDueMs: atMs + 1000 })
-const ask = (request: string, more: object = {}): Sighting => ({
+const askedAt = (atMs: number): Observation => ask('r', { atMs, dueMs: atMs + 1000, leastDueMs: atMs + 1000 })
+const ask = (request: string, more: object = {}): Observation => ({
   kind: 'asked',
   atMs: 0,
   request,
@@ -37,7 +37,7 @@
   ...more,
 })
 
-const ran = (request: string, more: object = {}): Sighting => ({
+const ran = (request: string, more: object = {}): Observation => ({
   kind: 'ran',
   atMs: 10,
   request,
@@ -50,7 +50,7 @@
   ...more,
 })
 
-const order = (epoch: number, what = ''): Sighting => ({
+const order = (epoch: number, what = ''): Observation => ({
   kind: 'ordered',
   atMs: 0,
   server: 's',
@@ -62,8 +62,8 @@
 })
 
 test('each checker bites, and a clean run passes', () => {
-  const whole: Sighting = { kind: 'whole', atMs: 20, request: 'r', status: 200, sum: 1 }
-  const away = (more: object): Sighting => ({
+  const whole: Observation = { kind: 'whole', atMs: 20, request: 'r', status: 200, sum: 1 }
+  const away = (more: object): Observation => ({
     kind: 'turnedAway',
     atMs: 1000,
     request: 'r',
@@ -91,7 +91,7 @@
   deepStrictEqual(verdict([ask('r'), ran('r'), { ...whole, sum: 2 }]), ['whole'])
   deepStrictEqual(verdict([ask('r'), ran('r'), away({})]), ['notRunRan'])
   deepStrictEqual(verdict([ask('r'), away({ atMs: 500 })]), ['turnedAway'])
-  const drew = (atMs: number): Sighting => ({ kind: 'drew', atMs, mb: 20 })
+  const drew = (atMs: number): Observation => ({ kind: 'drew', atMs, mb: 20 })
   deepStrictEqual(verdict([ask('r'), drew(400), away({ atMs: 500 })]), [])
   deepStrictEqual(verdict([ask('r', { dueMs: 2000, leastDueMs: 2000 }), drew(400), away({ atMs: 500 })]), ['turnedAway'])
   deepStrictEqual(verdict([ask('r'), drew(400), order(1, 'load x/'), away({ atMs: 500 })]), ['turnedAway'])
--- a/src/simulator/judge.ts
+++ b/src/simulator/checkInvariants.ts
@@ -1,14 +1,14 @@
 /**
- * Judges a run by what was seen from outside. Each rule of "what must never happen" has a checker
- * here that gives the sightings that broke it.
+ * Checks the invariants of a run against what was observed from outside. Each rule has a checker
+ * here that gives the observations that broke it.
  */
 import type { Bounds } from '../common/Bounds.js'
 import { Verdict } from '../common/Verdict.js'
 import { linear } from './linear.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 
 interface Case {
-  sightings: readonly Sighting[]
+  observations: readonly Observation[]
   /** Whether people may send requests of their own, which nobody here has asked. */
   visitors: boolean
   bounds: Bounds
@@ -25,7 +25,7 @@
   retryAllowance: number
   slackMs: number
 }
-type Kind<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
+type Kind<K extends Observation['kind']> = Extract<Observation, { kind: K }>
 
 const retryWindowMs = 5000
 
@@ -46,13 +46,13 @@
 }
 
 /** Whether a model could still have been had by a due: it is somewhere, or the store's pace would have allowed it. */
-function couldServe({ sightings, sizes, paceMbPerS, burstMb }: Case, service: string, atMs: number, dueMs: number): boolean {
+function couldServe({ observations, sizes, paceMbPerS, burstMb }: Case, service: string, atMs: number, dueMs: number): boolean {
   const sizeMb = sizes.get(service)
   if (sizeMb === undefined) return true
   const holders = new Set<string>()
   let levelMb = 0
   let lastMs = 0
-  for (const one of sightings) {
+  for (const one of observations) {
     if (one.atMs > atMs) break
     if (one.kind === 'serverUp') holders.delete(one.server)
     if (one.kind === 'ordered' && one.taken && one.order === `load ${service}/`) holders.add(one.server)
@@ -64,9 +64,9 @@
   return holders.size > 0 || levelMb - ((dueMs - lastMs) * paceMbPerS) / 1000 + sizeMb <= burstMb
 }
 
-export function judge(given: Case): Record<string, string[]> {
-  const { sightings, bounds, slackMs } = given
-  const of = <K extends Sighting['kind']>(kind: K): Kind<K>[] => sightings.filter((one): one is Kind<K> => one.kind === kind)
+export function checkInvariants(given: Case): Record<string, string[]> {
+  const { observations, bounds, slackMs } = given
+  const of = <K extends Observation['kind']>(kind: K): Kind<K>[] => observations.filter((one): one is Kind<K> => one.kind === kind)
   const asked = new Map(of('asked').map((one) => [one.request, one]))
   const runs = new Map<string, Kind<'ran'>[]>()
   for (const ran of of('ran')) runs.set(ran.request, [...(runs.get(ran.request) ?? []), ran])
@@ -77,7 +77,7 @@
     turnedAway: [],
     stray: [],
     charter: [],
-    linear: linear(sightings),
+    linear: linear(observations),
     asked: [],
     unanswered: [],
     late: [],
@@ -127,7 +127,7 @@
   }
   if (asked.size < given.leastAsked) tell('asked', `only ${String(asked.size)} requests were asked of at least ${String(given.leastAsked)}`)
   const answered = new Set([...of('whole'), ...of('brokenOff'), ...of('turnedAway'), ...of('left')].map((one) => one.request))
-  const lastMs = sightings.reduce((latest, one) => Math.max(latest, one.atMs), 0)
+  const lastMs = observations.reduce((latest, one) => Math.max(latest, one.atMs), 0)
   for (const ask of asked.values()) {
     const ran = runs.get(ask.request)
     const untilMs =
--- a/src/simulator/keptSeeds.test.ts
+++ b/src/simulator/keptSeeds.test.ts
@@ -61,8 +61,8 @@
     unchecked: true,
     was: 'the first dispatcher there ever was waited for orders of a predecessor',
   },
-  { seed: 105, faults: ['break-runs', 'freeze-proxy'], together: true, was: 'the judge held a frozen proxy to its dues' },
-  { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the judge wanted a drain obeyed that no core could tell' },
+  { seed: 105, faults: ['break-runs', 'freeze-proxy'], together: true, was: 'the checker held a frozen proxy to its dues' },
+  { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the checker wanted a drain obeyed that no core could tell' },
   {
     seed: 16,
     faults: ['swap-seeds@1539+1507', 'stop-all@5255+3027'],
@@ -79,8 +79,8 @@
 
 for (const { seed, faults, together, was, unchecked, deployment: where } of keptSeeds) {
   test(`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
-    const deployment = Deployment.of(where ?? 'siding')
-    if (deployment === undefined) throw new Error(`no ${where ?? 'siding'}`)
+    const deployment = Deployment.of(where ?? 'small')
+    if (deployment === undefined) throw new Error(`no ${where ?? 'small'}`)
     const storm = SimFault.read(faults.join(','))
     const result = runSimulation({
       deployment,
--- a/src/simulator/linear.ts
+++ b/src/simulator/linear.ts
@@ -1,21 +1,21 @@
 /**
- * Judges a history of the operators' reads and writes for linearizability. Each write that took effect
+ * Checks a history of the operators' reads and writes for linearizability. Each write that took effect
  * carries a stamp, which witnesses the order; so the history is linearizable exactly when (1) that order
  * agrees with real time: what ended before another began comes before it; (2) carrying the writes out one
  * after the other gives, at every stamp, the very content that was read; (3) each conditional write that
  * took effect met the stamp it named, and each one turned away for its condition had a moment, between its
  * beginning and its end, at which the stamp was another. That all
- * acknowledged writes are in the history is judged beside it.
+ * acknowledged writes are in the history is checked beside it.
  */
 import { digest } from '../common/digest.js'
 import { Tree } from '../common/Tree.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 
-type Of<K extends Sighting['kind']> = Extract<Sighting, { kind: K }>
+type Of<K extends Observation['kind']> = Extract<Observation, { kind: K }>
 
-export function linear(sightings: readonly Sighting[]): string[] {
+export function linear(observations: readonly Observation[]): string[] {
   const defects: string[] = []
-  const of = <K extends Sighting['kind']>(kind: K): Of<K>[] => sightings.filter((one): one is Of<K> => one.kind === kind)
+  const of = <K extends Observation['kind']>(kind: K): Of<K>[] => observations.filter((one): one is Of<K> => one.kind === kind)
   const history = of('history').at(-1)?.entries
   if (history === undefined) return defects
   const wrote = new Map(of('wrote').map((one) => [one.operation, one]))
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * The developers' program: runs whole deployments against stand-ins and judges what was seen from
+ * The developers' program: runs whole deployments against stand-ins and checks what was observed from
  * outside. Exit code 1 when a rule was broken, 2 for a name it does not know.
  */
 import '../common/checkNode.js'
@@ -31,7 +31,7 @@
 
 const fleet = command({
   name: 'fleet',
-  description: 'Runs a deployment as real processes on loopback and judges it.',
+  description: 'Runs a deployment as real processes on loopback and checks its invariants.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
@@ -71,7 +71,7 @@
 })
 const sim = command({
   name: 'sim',
-  description: 'Runs a deployment under virtual time, one run a seed, and judges each.',
+  description: 'Runs a deployment under virtual time, one run a seed, and checks each.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
--- a/src/simulator/requestMark.test.ts
+++ b/src/simulator/requestMark.test.ts
@@ -8,9 +8,9 @@
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import { Callers } from './Callers.js'
 import { Deployment } from './Deployment.js'
-import { judge } from './judge.js'
+import { checkInvariants } from './checkInvariants.js'
 import { requestMark } from './requestMark.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import { StandInHttp } from './StandInHttp.js'
 
 const forwarded = ['request-id', 'service-name', 'lines', requestMark.header]
@@ -20,8 +20,8 @@
 
 /** Asks one model and one service request, and one more as a visitor does, through a forwarder; gives the rules they broke. */
 async function brokenRules(forward: Forward, visitors: boolean): Promise<string[]> {
-  const seen: Sighting[] = []
-  const see = (one: Sighting) => seen.push(one)
+  const seen: Observation[] = []
+  const see = (one: Observation) => seen.push(one)
   const plan = {
     name: 's',
     zone: 'a',
@@ -78,8 +78,8 @@
   proxy.close()
   proxy.closeAllConnections()
   await server.crash()
-  const rules = judge({
-    sightings: seen,
+  const rules = checkInvariants({
+    observations: seen,
     visitors,
     bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
     zones: new Map([['s', 'a']]),
--- a/src/simulator/runFleet.ts
+++ b/src/simulator/runFleet.ts
@@ -1,6 +1,6 @@
 /**
  * One fleet run from start to verdict: bring the deployment up, put its charter, drive its traffic
- * for a bounded time while faults come and go, read everything back, and judge.
+ * for a bounded time while faults come and go, read everything back, and check the invariants.
  */
 import { readFile, rm } from 'node:fs/promises'
 import { join } from 'node:path'
@@ -11,7 +11,7 @@
 import { Callers } from './Callers.js'
 import type { Deployment } from './Deployment.js'
 import { Fleet } from './Fleet.js'
-import { judge } from './judge.js'
+import { checkInvariants } from './checkInvariants.js'
 import { quantile } from './quantile.js'
 
 interface FleetRun {
@@ -160,7 +160,7 @@
     await run('refill-zone', '--set', 'zone=c')
     await run('replace-core', '--set', `seat=${fleet.boxes[2]?.name ?? ''}`)
     await run('replace-server', '--set', `server=${fleet.servers[2]?.name ?? ''}`)
-    const stamp = fleet.sightings.find((one) => one.kind === 'acknowledged')?.stamp ?? 0
+    const stamp = fleet.observations.find((one) => one.kind === 'acknowledged')?.stamp ?? 0
     await run('roll-back-charter', '--set', `stamp=${String(stamp)}`)
   },
   'roll-all': async (fleet, say) => {
@@ -262,14 +262,14 @@
   },
 
   tell(fleet: Fleet, callers: Callers, { safety, visitors }: Pick<FleetRun, 'safety' | 'visitors'>, say: (line: string) => void): boolean {
-    const { deployment, sightings } = fleet
+    const { deployment, observations } = fleet
     const { defaults, fleet: plan, partners } = deployment.charter
     const kinds = new Map(deployment.servers.map((one) => [one.name, one.kind]))
     const services = new Map(
       Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])),
     )
-    const rules = judge({
-      sightings,
+    const rules = checkInvariants({
+      observations,
       visitors,
       bounds: { charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12000 },
       zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
@@ -283,23 +283,23 @@
       retryAllowance: defaults.retryAllowance,
       slackMs: 1500,
     })
-    const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
+    const count = (kind: string) => observations.filter((one) => one.kind === kind).length
     say(
       `requests: ${String(count('asked'))} asked, ${String(count('whole'))} whole, ${String(count('turnedAway'))} turned away, ${String(count('brokenOff'))} broken off, ${String(count('left'))} left by the line`,
     )
     const reasons = new Map<string, number>()
-    for (const one of sightings)
+    for (const one of observations)
       if (one.kind === 'turnedAway')
         reasons.set(`${String(one.status)} ${String(one.verdict)}`, (reasons.get(`${String(one.status)} ${String(one.verdict)}`) ?? 0) + 1)
-    for (const one of sightings) if (one.kind === 'left') reasons.set(`left: ${one.why}`, (reasons.get(`left: ${one.why}`) ?? 0) + 1)
+    for (const one of observations) if (one.kind === 'left') reasons.set(`left: ${one.why}`, (reasons.get(`left: ${one.why}`) ?? 0) + 1)
     for (const [reason, times] of reasons) say(`  no whole answer, ${reason}: ${String(times)}`)
     const waits = [...callers.waits.values()].flat()
-    const loads = sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
-    const mb = sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
+    const loads = observations.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length
+    const mb = observations.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0)
     say(
       `waits: p50 ${String(quantile(waits, 0.5))} ms, p99 ${String(quantile(waits, 0.99))} ms; cold starts: ${String(callers.coldAsks)} of ${String(callers.modelAsks)}; loads: ${String(loads)}; weights moved: ${String(Math.round(mb))} MB`,
     )
-    const unmarked = sightings.filter((one) => one.kind === 'ran' && one.marks.length === 0).length
+    const unmarked = observations.filter((one) => one.kind === 'ran' && one.marks.length === 0).length
     if (visitors && unmarked > 0) say(`visitors: ${String(unmarked)} requests that no caller of this run sent were served`)
     let passes = count('whole') > 0
     for (const [rule, defects] of Object.entries(rules)) {
--- a/src/simulator/runSimulation.test.ts
+++ b/src/simulator/runSimulation.test.ts
@@ -7,9 +7,9 @@
 
 const base = (seed: number, faults: readonly string[], broken = ''): SimOptions => ({
   deployment:
-    Deployment.of('siding') ??
+    Deployment.of('small') ??
     (() => {
-      throw new Error('no siding')
+      throw new Error('no small deployment')
     })(),
   seed,
   faults,
@@ -45,7 +45,7 @@
     { name: 'rare-rush', fromMs: 5000, lastsMs: 500 },
   ]
   for (const seed of [1, 2]) {
-    const orders = runSimulation({ ...base(seed, []), quietMs: 9000, storm }).sightings.filter((one) => one.kind === 'ordered')
+    const orders = runSimulation({ ...base(seed, []), quietMs: 9000, storm }).observations.filter((one) => one.kind === 'ordered')
     strictEqual(orders.length > 10, true)
     strictEqual(orders.filter((one) => !one.taken).length, 0)
   }
--- a/src/simulator/runSimulation.ts
+++ b/src/simulator/runSimulation.ts
@@ -1,20 +1,20 @@
 /**
  * One simulated run from founding to verdict: the core founds itself, an operator puts the charter,
  * traffic begins, faults come one after another while operators write, then it is quiet for longer
- * than the bound of recovery, everything is read back, and the judge is asked.
+ * than the recovery bound, everything is read back, and the invariants are checked.
  */
 import { z } from 'zod'
 import type { Charter } from '../common/Charter.js'
-import { judge } from './judge.js'
+import { checkInvariants } from './checkInvariants.js'
 import { quantile } from './quantile.js'
 import { simFaults } from './simFaults.js'
-import type { Sighting } from './Sighting.js'
+import type { Observation } from './Observation.js'
 import type { SimOptions } from './SimOptions.js'
 import { Simulation } from './Simulation.js'
 
 interface Result {
   rules: Record<string, string[]>
-  sightings: readonly Sighting[]
+  observations: readonly Observation[]
   broken: string[]
   trace: number
   lastedMs: number
@@ -39,7 +39,7 @@
 
 export function runSimulation(options: SimOptions): Result {
   const sim = new Simulation(options)
-  const { clock, random, sightings, see } = sim
+  const { clock, random, observations, see } = sim
   const { deployment, faults } = options
   const charter = bentCharter(deployment.charter, options.broken)
   const text = `${JSON.stringify(charter, null, 2)}\n`
@@ -86,9 +86,9 @@
   const services = new Map(
     Object.values(partners).flatMap((branch) => Object.entries(branch.services).map(([name, service]) => [name, service.servers])),
   )
-  const rules = judge({
+  const rules = checkInvariants({
     visitors: false,
-    sightings,
+    observations,
     bounds: sim.bounds,
     zones: new Map(deployment.servers.map((one) => [one.name, one.zone])),
     sizes: deployment.sizes,
@@ -101,11 +101,11 @@
     retryAllowance: defaults.retryAllowance,
     slackMs: 150,
   })
-  const count = (kind: string) => sightings.filter((one) => one.kind === kind).length
-  const wrote = new Map(sightings.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
+  const count = (kind: string) => observations.filter((one) => one.kind === kind).length
+  const wrote = new Map(observations.flatMap((one) => (one.kind === 'wrote' ? [[one.operation, one.atMs]] : [])))
   return {
     rules,
-    sightings,
+    observations,
     broken: Object.entries(rules)
       .filter(([, defects]) => defects.length > 0)
       .map(([rule]) => rule),
@@ -117,9 +117,11 @@
     brokenOff: count('brokenOff'),
     p50Ms: quantile(sim.callers.waits, 0.5),
     p99Ms: quantile(sim.callers.waits, 0.99),
-    loads: sightings.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
-    weightsMb: sightings.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
-    ackMs: sightings.flatMap((one) => (one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [])),
+    loads: observations.filter((one) => one.kind === 'ordered' && one.taken && one.order.startsWith('load')).length,
+    weightsMb: observations.reduce((sum, one) => sum + (one.kind === 'drew' ? one.mb : 0), 0),
+    ackMs: observations.flatMap((one) =>
+      one.kind === 'acknowledged' ? [Math.round(one.atMs - (wrote.get(one.operation) ?? one.atMs))] : [],
+    ),
     recoverMs: recovery(sim),
     modelAsks: sim.callers.modelAsks,
     coldAsks: sim.callers.coldAsks,
@@ -259,9 +261,9 @@
 /** The longest that a service went without a whole answer once a fault had closed. */
 function recovery(sim: Simulation): number {
   let worst = 0
-  for (const fault of sim.sightings) {
+  for (const fault of sim.observations) {
     if (fault.kind !== 'faultClosed') continue
-    const first = sim.sightings.find((one) => one.kind === 'whole' && one.atMs >= fault.atMs)
+    const first = sim.observations.find((one) => one.kind === 'whole' && one.atMs >= fault.atMs)
     if (first !== undefined) worst = Math.max(worst, Math.round(first.atMs - fault.atMs))
   }
   return worst
--- a/tools/fleet.mjs
+++ b/tools/fleet.mjs
@@ -1,5 +1,5 @@
 // Short runs of deployments as real processes; the runner prints its counts. Safety rules decide; bounds of
-// time are judged by `simulator fleet` without --safety, on a machine of one's own.
+// time are checked by `simulator fleet` without --safety, on a machine of one's own.
 import { test } from 'node:test'
 import { spawnSync } from 'node:child_process'
 import { strictEqual } from 'node:assert'
@@ -7,7 +7,7 @@
 for (const [deployment, faults] of [
   ['gopherline', 'runbooks'],
   ['cascade', 'kill-leader,crash-server,lose-disk,lose-two-disks'],
-  ['siding', 'roll-all'],
+  ['small', 'roll-all'],
 ]) {
   test(`a short fleet of ${deployment} keeps every rule through ${faults}`, () => {
     const flags = ['--seconds', '12', '--faults', faults, '--safety', '--no-visitors']
