proxy: RequestState, Exchange, Backend and ServerConnection

For Traveller, Ticket, Platform(s) and Line; names and doc comments only, after the compiler. One error text changes ('the connection is closed'); no test reads it.

--- a/src/proxy/Platform.ts
+++ b/src/proxy/Backend.ts
@@ -1,9 +1,9 @@
 /**
- * The proxy's entity for a server: where it is, what it may be used for, how many requests of this
+ * What a proxy knows of a server: where it is, what it may be used for, how many requests of this
  * proxy it has, how many more wait for its limit, and what this proxy has found out about it by
  * itself. `said` is the incarnation that its binding speaks of; `incarnation` the one met last.
  */
-export interface Platform {
+export interface Backend {
   name: string
   address: string
   zone: string
--- a/src/proxy/Platforms.test.ts
+++ b/src/proxy/BackendTable.test.ts
@@ -6,11 +6,11 @@
 import { sampleDefaults } from '../common/sampleDefaults.js'
 import { Terms } from '../common/Terms.js'
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
-import type { Traveller } from './Traveller.js'
-import { Platforms } from './Platforms.js'
+import type { RequestState } from './RequestState.js'
+import { BackendTable } from './BackendTable.js'
 
-const target = (chain: string[]): Traveller['target'] => ({ kind: 'model', name: 'm', adapter: '', chain })
-function given(): { platforms: Platforms; copy: ReplicaTable; terms: Terms; set: (key: string, value: unknown) => void } {
+const target = (chain: string[]): RequestState['target'] => ({ kind: 'model', name: 'm', adapter: '', chain })
+function given(): { backends: BackendTable; copy: ReplicaTable; terms: Terms; set: (key: string, value: unknown) => void } {
   const copy = new ReplicaTable()
   const tree = Charter.check({
     defaults: { ...sampleDefaults, warmMs: 100 },
@@ -23,10 +23,10 @@
     },
     Right: (one) => one,
   })
-  const platforms = new Platforms('a', Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }), new Random(1))
+  const backends = new BackendTable('a', Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 }), new Random(1))
   const set = (key: string, value: unknown) => {
     copy.set({ key, stamp: copy.stamp + 1, gone: false, value: JSON.stringify(value) })
-    platforms.adopt(copy, charter, 'post-1', 10_000)
+    backends.adopt(copy, charter, 'post-1', 10_000)
   }
   set('seat/post-1', {})
   for (const name of ['s', 't']) {
@@ -35,35 +35,35 @@
   }
   const terms = Terms.of(charter).get('model m')
   if (terms === undefined) throw new Error('no terms')
-  return { platforms, copy, terms, set }
+  return { backends, copy, terms, set }
 }
 
 test('a report of kept parts draws a chain to its server, and what it lacks is forgotten', () => {
-  const { platforms, terms, set } = given()
+  const { backends, terms, set } = given()
   for (const name of ['s', 't']) {
-    const platform = platforms.get(name)
-    if (platform !== undefined) platforms.met(platform, '1', 1e6, 100, 0)
+    const backend = backends.get(name)
+    if (backend !== undefined) backends.met(backend, '1', 1e6, 100, 0)
   }
-  const s = platforms.get('s')
-  if (s !== undefined) platforms.remember(s, ['x', 'y'], 0)
-  strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 's')
+  const s = backends.get('s')
+  if (s !== undefined) backends.remember(s, ['x', 'y'], 0)
+  strictEqual(backends.choose(target(['x', 'y']), terms, 10_000)?.name, 's')
   set('parts/t', { incarnation: '1', links: ['x', 'y'] })
   set('parts/s', { incarnation: '1', links: [] })
-  strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
+  strictEqual(backends.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
   set('parts/t', { incarnation: 'earlier', links: [] })
-  strictEqual(platforms.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
+  strictEqual(backends.choose(target(['x', 'y']), terms, 10_000)?.name, 't')
 })
 
 test('a server that the platform takes away is not used, and none is wanted beyond what a limit leaves', () => {
-  const { platforms, terms } = given()
-  platforms.barred = new Set(['s'])
-  const t = platforms.get('t')
+  const { backends, terms } = given()
+  backends.barred = new Set(['s'])
+  const t = backends.get('t')
   if (t !== undefined) {
-    platforms.met(t, '1', 0, 100, 10_000)
+    backends.met(t, '1', 0, 100, 10_000)
     t.flights = 1
   }
-  strictEqual(platforms.choose(target([]), terms, 10_000), undefined)
-  deepStrictEqual(platforms.asks(10_000), [{ key: 'cold/t/1', want: 1, held: 0 }])
-  platforms.lent.take(1, 20_000, [{ key: 'cold/t/1', count: 1 }])
-  strictEqual(platforms.choose(target([]), terms, 10_000)?.name, 't')
+  strictEqual(backends.choose(target([]), terms, 10_000), undefined)
+  deepStrictEqual(backends.asks(10_000), [{ key: 'cold/t/1', want: 1, held: 0 }])
+  backends.lent.take(1, 20_000, [{ key: 'cold/t/1', count: 1 }])
+  strictEqual(backends.choose(target([]), terms, 10_000)?.name, 't')
 })
--- a/src/proxy/ProxyMachine.ts
+++ b/src/proxy/ProxyMachine.ts
@@ -1,8 +1,7 @@
 /**
- * A proxy as one pure machine. Requests and servers are entities in tables; the systems bind
- * waiting requests to servers, give up those that are due, and tell the agent what is seen. New
- * work starts only while the charter is current. A request is sent again only when it surely did not
- * run, or may be repeated, and never once a byte of a response went to its caller.
+ * The state machine of a proxy: binds waiting requests to servers, ends those past their deadline, and reports load to the agent.
+ * New work starts only while the serving lease is valid. A request is sent again only when it certainly did not run or is
+ * idempotent, and never once a byte of a response went to its caller.
  */
 import type { Random } from '../common/Random.js'
 import type { Timings } from '../common/Timings.js'
@@ -12,9 +11,9 @@
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Message } from '../transport/Message.js'
 import { Phase } from './Phase.js'
-import type { Platform } from './Platform.js'
-import { Platforms } from './Platforms.js'
-import type { Traveller } from './Traveller.js'
+import type { Backend } from './Backend.js'
+import { BackendTable } from './BackendTable.js'
+import type { RequestState } from './RequestState.js'
 import type { ProxyEffect } from './ProxyEffect.js'
 import type { ProxyInput } from './ProxyInput.js'
 
@@ -35,8 +34,8 @@
   readonly #plan: Plan
   readonly #timings: Timings
   readonly #session: string
-  readonly #travellers = new Map<string, Traveller>()
-  readonly #platforms: Platforms
+  readonly #requests = new Map<string, RequestState>()
+  readonly #backends: BackendTable
   readonly #outlooks = new Map<string, Outlook>()
   #firsts = new Map<string, number>()
   #asked = ''
@@ -52,7 +51,7 @@
   constructor(plan: Plan, timings: Timings, random: Random) {
     this.#plan = plan
     this.#timings = timings
-    this.#platforms = new Platforms(plan.zone, timings, random)
+    this.#backends = new BackendTable(plan.zone, timings, random)
     this.#session = random.below(4294967296).toString(36)
   }
 
@@ -108,26 +107,25 @@
 
   /** A server that leaves an attempt without an identity, or a request without a first byte, for too long is not trusted. */
   #leaveDark(nowMs: number): void {
-    for (const traveller of this.#travellers.values()) {
-      const platform = this.#platforms.get(traveller.server)
-      if (traveller.phase === 'connecting' && nowMs - traveller.boundMs >= this.#timings.reportMs) {
-        this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-        this.#again(traveller, platform, 'the server did not say who it is', nowMs)
-      } else if (traveller.phase === 'sent' && nowMs - traveller.sentMs >= this.#timings.firstByteMs)
-        this.#leaveSilent(traveller, platform, nowMs)
+    for (const request of this.#requests.values()) {
+      const backend = this.#backends.get(request.server)
+      if (request.phase === 'connecting' && nowMs - request.boundMs >= this.#timings.reportMs) {
+        this.#effects.push({ kind: 'release', id: request.id, attempt: request.attempt })
+        this.#again(request, backend, 'the server did not say who it is', nowMs)
+      } else if (request.phase === 'sent' && nowMs - request.sentMs >= this.#timings.firstByteMs) this.#leaveSilent(request, backend, nowMs)
     }
   }
 
   /** Without a first byte a repeatable request goes elsewhere, once a further try is granted; another waits, for it may have run. */
-  #leaveSilent(traveller: Traveller, platform: Platform | undefined, nowMs: number): void {
-    const terms = this.#termsOf(traveller)
-    if (platform !== undefined && nowMs >= platform.suspectUntilMs) this.#platforms.suspect(platform, nowMs)
-    traveller.impatient = terms?.repeatable === true
-    if (terms === undefined || !traveller.impatient || !traveller.pass) return
-    if (this.#platforms.choose(traveller.target, terms, nowMs) === undefined) return
-    traveller.mayHaveRun = true
-    this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-    this.#again(traveller, platform, 'the server gave no first byte', nowMs)
+  #leaveSilent(request: RequestState, backend: Backend | undefined, nowMs: number): void {
+    const terms = this.#termsOf(request)
+    if (backend !== undefined && nowMs >= backend.suspectUntilMs) this.#backends.suspect(backend, nowMs)
+    request.impatient = terms?.repeatable === true
+    if (terms === undefined || !request.impatient || !request.pass) return
+    if (this.#backends.choose(request.target, terms, nowMs) === undefined) return
+    request.mayHaveRun = true
+    this.#effects.push({ kind: 'release', id: request.id, attempt: request.attempt })
+    this.#again(request, backend, 'the server gave no first byte', nowMs)
   }
 
   #message(message: Message, nowMs: number): void {
@@ -154,20 +152,20 @@
 
   #permit(permit: Extract<Message, { kind: 'permit' }>): void {
     this.#permitUntilMs = Math.max(this.#permitUntilMs, permit.sentMs + permit.forMs)
-    this.#platforms.barred = new Set(permit.barred)
-    this.#platforms.lent.take(permit.serial, permit.sentMs + permit.lentMs, permit.shares)
+    this.#backends.barred = new Set(permit.barred)
+    this.#backends.lent.take(permit.serial, permit.sentMs + permit.lentMs, permit.shares)
     const granted = new Set(permit.again)
-    for (const traveller of this.#travellers.values()) if (traveller.sends > 0 && granted.has(this.#tryOf(traveller))) traveller.pass = true
+    for (const request of this.#requests.values()) if (request.sends > 0 && granted.has(this.#tryOf(request))) request.pass = true
   }
 
-  #tryOf(traveller: Traveller): string {
-    return `${this.#session}.${traveller.id}.${String(traveller.sends)}`
+  #tryOf(request: RequestState): string {
+    return `${this.#session}.${request.id}.${String(request.sends)}`
   }
 
   /** Tells the agent what this proxy wants of shared limits, at once when it wants more than it said. */
   #ask(nowMs: number, tell: boolean): void {
-    const asks = this.#platforms.asks(nowMs)
-    const again = [...this.#travellers.values()]
+    const asks = this.#backends.asks(nowMs)
+    const again = [...this.#requests.values()]
       .filter((one) => one.sends > 0 && !one.pass && (one.phase === 'held' || one.impatient))
       .map((one) => ({ id: this.#tryOf(one), key: `${one.target.kind} ${one.target.name}` }))
     const asked = JSON.stringify([asks.map((one) => [one.key, one.want]), again])
@@ -176,7 +174,7 @@
     this.#asked = asked
     const firsts = [...this.#firsts].map(([key, count]) => ({ key, count }))
     this.#firsts.clear()
-    const message: Message = { kind: 'ask', asks, echo: this.#platforms.lent.serial, again, firsts }
+    const message: Message = { kind: 'ask', asks, echo: this.#backends.lent.serial, again, firsts }
     this.#effects.push({ kind: 'send', toAddress: this.#plan.agent, message })
   }
 
@@ -185,13 +183,13 @@
     this.#followAtMs = nowMs
     this.#tallyAtMs = Math.min(this.#tallyAtMs, nowMs)
     this.#reader.follow(this.copy)
-    this.#platforms.adopt(this.copy, this.#reader.charter, this.#plan.seat, nowMs)
+    this.#backends.adopt(this.copy, this.#reader.charter, this.#plan.seat, nowMs)
   }
 
   #arrived(input: Extract<ProxyInput, { kind: 'arrived' }>, nowMs: number): void {
     const { target } = input
     const terms = this.#reader.terms.get(`${target.kind} ${target.name}`)
-    const traveller: Traveller = {
+    const request: RequestState = {
       id: input.id,
       target,
       partner: terms?.partner ?? '',
@@ -211,7 +209,7 @@
       sentMs: 0,
       lastWhy: '',
     }
-    this.#travellers.set(input.id, traveller)
+    this.#requests.set(input.id, request)
     if (target.kind === 'model') {
       const key = `${target.name}/${target.adapter}`
       const seen = this.#arrivals.get(key)
@@ -221,36 +219,36 @@
         seen.lastMs = nowMs
       }
     }
-    this.#bind(traveller, nowMs)
+    this.#bind(request, nowMs)
   }
 
-  #to(traveller: Traveller, phase: Phase): void {
-    if (!Phase.allows(traveller.phase, phase)) throw new Error(`a request may not go from ${traveller.phase} to ${phase}`)
-    traveller.phase = phase
-    if (Phase.final(phase)) this.#travellers.delete(traveller.id)
+  #to(request: RequestState, phase: Phase): void {
+    if (!Phase.allows(request.phase, phase)) throw new Error(`a request may not go from ${request.phase} to ${phase}`)
+    request.phase = phase
+    if (Phase.final(phase)) this.#requests.delete(request.id)
   }
 
-  #unbind(traveller: Traveller): void {
-    const platform = this.#platforms.get(traveller.server)
-    if (platform !== undefined) platform.flights -= 1
-    traveller.server = ''
+  #unbind(request: RequestState): void {
+    const backend = this.#backends.get(request.server)
+    if (backend !== undefined) backend.flights -= 1
+    request.server = ''
   }
 
-  #turnAway(traveller: Traveller, status: number, verdict: Verdict, why: string, nowMs: number): void {
-    if (traveller.server !== '') this.#unbind(traveller)
-    this.#to(traveller, 'turnedAway')
-    const told = traveller.mayHaveRun ? Verdict.mayHaveRun : verdict
-    this.#effects.push({ kind: 'turnAway', id: traveller.id, status, verdict: told, retryAfterS: this.#comeBackS(traveller, nowMs), why })
+  #turnAway(request: RequestState, status: number, verdict: Verdict, why: string, nowMs: number): void {
+    if (request.server !== '') this.#unbind(request)
+    this.#to(request, 'turnedAway')
+    const told = request.mayHaveRun ? Verdict.mayHaveRun : verdict
+    this.#effects.push({ kind: 'turnAway', id: request.id, status, verdict: told, retryAfterS: this.#comeBackS(request, nowMs), why })
   }
 
   /** When to come back: the load under way or in turn, the election, or the first server that is trusted again. */
-  #comeBackS(traveller: Traveller, nowMs: number): number {
-    const { target } = traveller
+  #comeBackS(request: RequestState, nowMs: number): number {
+    const { target } = request
     let waitMs = this.#timings.reportMs
-    const terms = this.#termsOf(traveller)
+    const terms = this.#termsOf(request)
     if (!this.current(nowMs)) waitMs = this.#timings.electionMs + this.#timings.electionSpreadMs + this.#timings.leaseMs
     else if (terms !== undefined) {
-      const trustedAtMs = this.#platforms.trustedAtMs(target, terms)
+      const trustedAtMs = this.#backends.trustedAtMs(target, terms)
       const outlook = this.#outlook(target, nowMs)
       if (trustedAtMs !== undefined) waitMs = Math.max(waitMs, trustedAtMs - nowMs)
       else if (outlook !== undefined) waitMs = outlook.readyAtMs - nowMs
@@ -260,40 +258,40 @@
   }
 
   /** What the dispatcher last said of a model that requests wait for. */
-  #outlook(target: Traveller['target'], nowMs: number): Outlook | undefined {
+  #outlook(target: RequestState['target'], nowMs: number): Outlook | undefined {
     const outlook = target.kind === 'model' ? this.#outlooks.get(`${target.name}/${target.adapter}`) : undefined
     return outlook !== undefined && nowMs - outlook.heardMs < this.#timings.leaseMs ? outlook : undefined
   }
 
-  #termsOf(traveller: Traveller): Terms | undefined {
-    return this.#reader.terms.get(`${traveller.target.kind} ${traveller.target.name}`)
+  #termsOf(request: RequestState): Terms | undefined {
+    return this.#reader.terms.get(`${request.target.kind} ${request.target.name}`)
   }
 
   /** Ends what is due, and at once what certainly cannot be served by its due. */
   #giveUp(nowMs: number): void {
-    for (const traveller of this.#travellers.values()) {
-      if (traveller.phase === 'streaming') continue
-      if (nowMs < traveller.dueMs) {
-        if (traveller.phase !== 'held' || traveller.mayHaveRun || !this.current(nowMs)) continue
-        const outlook = this.#outlook(traveller.target, nowMs)
-        if (outlook === undefined || outlook.neverBeforeMs <= traveller.dueMs) continue
-        this.#turnAway(traveller, 503, Verdict.notRun, 'the weight store cannot give the model before the due', nowMs)
+    for (const request of this.#requests.values()) {
+      if (request.phase === 'streaming') continue
+      if (nowMs < request.dueMs) {
+        if (request.phase !== 'held' || request.mayHaveRun || !this.current(nowMs)) continue
+        const outlook = this.#outlook(request.target, nowMs)
+        if (outlook === undefined || outlook.neverBeforeMs <= request.dueMs) continue
+        this.#turnAway(request, 503, Verdict.notRun, 'the weight store cannot give the model before the due', nowMs)
         continue
       }
-      const ran = traveller.phase === 'sent' || traveller.mayHaveRun
-      if (traveller.server !== '') this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-      const why = `due passed${traveller.lastWhy === '' ? '' : `; last: ${traveller.lastWhy}`}`
-      this.#turnAway(traveller, ran ? 504 : 503, ran ? Verdict.mayHaveRun : Verdict.notRun, why, nowMs)
+      const ran = request.phase === 'sent' || request.mayHaveRun
+      if (request.server !== '') this.#effects.push({ kind: 'release', id: request.id, attempt: request.attempt })
+      const why = `due passed${request.lastWhy === '' ? '' : `; last: ${request.lastWhy}`}`
+      this.#turnAway(request, ran ? 504 : 503, ran ? Verdict.mayHaveRun : Verdict.notRun, why, nowMs)
     }
   }
 
   /** Waiting requests in turn by partner, each partner's by due. */
   #bindAll(nowMs: number): void {
-    this.#platforms.recount()
-    const waiting = [...this.#travellers.values()].filter((one) => one.phase === 'held')
+    this.#backends.recount()
+    const waiting = [...this.#requests.values()].filter((one) => one.phase === 'held')
     if (waiting.length === 0) return
     waiting.sort((a, b) => a.dueMs - b.dueMs)
-    const lanes = new Map<string, Traveller[]>()
+    const lanes = new Map<string, RequestState[]>()
     for (const one of waiting) {
       const lane = lanes.get(one.partner)
       if (lane === undefined) lanes.set(one.partner, [one])
@@ -307,184 +305,184 @@
     }
   }
 
-  #bind(traveller: Traveller, nowMs: number): void {
-    const terms = this.#termsOf(traveller)
+  #bind(request: RequestState, nowMs: number): void {
+    const terms = this.#termsOf(request)
     const unknown =
       terms === undefined ||
-      (traveller.target.kind === 'model' && traveller.target.adapter !== '' && !terms.adapters.includes(traveller.target.adapter))
+      (request.target.kind === 'model' && request.target.adapter !== '' && !terms.adapters.includes(request.target.adapter))
     if (!this.current(nowMs)) {
-      this.#hold(traveller)
+      this.#hold(request)
       return
     }
     if (unknown) {
       this.#turnAway(
-        traveller,
+        request,
         404,
         Verdict.notRun,
-        terms === undefined ? `no ${traveller.target.kind} is named ${traveller.target.name}` : 'no such adapter',
+        terms === undefined ? `no ${request.target.kind} is named ${request.target.name}` : 'no such adapter',
         nowMs,
       )
       return
     }
-    if (traveller.partner === '') {
-      traveller.partner = terms.partner
-      if (!traveller.dueGiven) traveller.dueMs = traveller.arrivedMs + terms.limits.dueMs
+    if (request.partner === '') {
+      request.partner = terms.partner
+      if (!request.dueGiven) request.dueMs = request.arrivedMs + terms.limits.dueMs
     }
-    if (traveller.bytes > terms.limits.bodyLimitBytes) {
-      this.#turnAway(traveller, 413, Verdict.notRun, `the body is over ${String(terms.limits.bodyLimitBytes)} bytes`, nowMs)
+    if (request.bytes > terms.limits.bodyLimitBytes) {
+      this.#turnAway(request, 413, Verdict.notRun, `the body is over ${String(terms.limits.bodyLimitBytes)} bytes`, nowMs)
       return
     }
-    if (nowMs >= traveller.dueMs || nowMs < traveller.notBeforeMs || (traveller.sends > 0 && !traveller.pass)) {
-      this.#hold(traveller)
+    if (nowMs >= request.dueMs || nowMs < request.notBeforeMs || (request.sends > 0 && !request.pass)) {
+      this.#hold(request)
       return
     }
-    const platform = this.#platforms.choose(traveller.target, terms, nowMs)
-    if (platform === undefined) {
-      this.#hold(traveller)
+    const backend = this.#backends.choose(request.target, terms, nowMs)
+    if (backend === undefined) {
+      this.#hold(request)
       return
     }
-    this.#to(traveller, 'bound')
-    platform.flights += 1
-    traveller.server = platform.name
-    traveller.attempt += 1
-    traveller.boundMs = nowMs
-    this.#to(traveller, 'connecting')
+    this.#to(request, 'bound')
+    backend.flights += 1
+    request.server = backend.name
+    request.attempt += 1
+    request.boundMs = nowMs
+    this.#to(request, 'connecting')
     this.#effects.push({
       kind: 'attempt',
-      id: traveller.id,
-      attempt: traveller.attempt,
-      server: platform.name,
-      address: platform.address,
+      id: request.id,
+      attempt: request.attempt,
+      server: backend.name,
+      address: backend.address,
       fresh: !terms.repeatable,
     })
   }
 
-  #hold(traveller: Traveller): void {
-    if (traveller.phase !== 'held') this.#to(traveller, 'held')
+  #hold(request: RequestState): void {
+    if (request.phase !== 'held') this.#to(request, 'held')
   }
 
   #callerGone(id: string): void {
-    const traveller = this.#travellers.get(id)
-    if (traveller === undefined) return
-    if (traveller.server !== '') {
-      this.#effects.push({ kind: 'release', id, attempt: traveller.attempt })
-      this.#unbind(traveller)
+    const request = this.#requests.get(id)
+    if (request === undefined) return
+    if (request.server !== '') {
+      this.#effects.push({ kind: 'release', id, attempt: request.attempt })
+      this.#unbind(request)
     }
-    this.#travellers.delete(id)
+    this.#requests.delete(id)
   }
 
   #attempted(input: Exclude<ProxyInput, { kind: 'tick' | 'message' | 'arrived' | 'callerGone' }>, nowMs: number): void {
-    const traveller = this.#travellers.get(input.id)
-    if (traveller === undefined || traveller.attempt !== input.attempt || traveller.server === '') return
-    const platform = this.#platforms.get(traveller.server)
-    const terms = this.#termsOf(traveller)
+    const request = this.#requests.get(input.id)
+    if (request === undefined || request.attempt !== input.attempt || request.server === '') return
+    const backend = this.#backends.get(request.server)
+    const terms = this.#termsOf(request)
     switch (input.kind) {
       case 'identified':
-        this.#identified(traveller, platform, terms, input, nowMs)
+        this.#identified(request, backend, terms, input, nowMs)
         break
       case 'sent':
         break
       case 'head': {
-        if (input.notRun && traveller.phase === 'sent') {
+        if (input.notRun && request.phase === 'sent') {
           this.#effects.push({ kind: 'release', id: input.id, attempt: input.attempt })
-          this.#again(traveller, platform, 'the server turned it away', nowMs)
+          this.#again(request, backend, 'the server turned it away', nowMs)
           break
         }
-        this.#to(traveller, 'streaming')
-        if (platform !== undefined) platform.defects = 0
+        this.#to(request, 'streaming')
+        if (backend !== undefined) backend.defects = 0
         this.#effects.push({ kind: 'relay', id: input.id, attempt: input.attempt })
         break
       }
       case 'ended': {
-        this.#unbind(traveller)
-        this.#to(traveller, 'responded')
+        this.#unbind(request)
+        this.#to(request, 'responded')
         break
       }
       case 'defect':
-        this.#defected(traveller, platform, terms, input, nowMs)
+        this.#defected(request, backend, terms, input, nowMs)
         break
     }
   }
 
   #identified(
-    traveller: Traveller,
-    platform: Platform | undefined,
+    request: RequestState,
+    backend: Backend | undefined,
     terms: Terms | undefined,
     input: Extract<ProxyInput, { kind: 'identified' }>,
     nowMs: number,
   ): void {
-    this.#to(traveller, 'identified')
+    this.#to(request, 'identified')
     const release = (why: string) => {
-      this.#effects.push({ kind: 'release', id: traveller.id, attempt: traveller.attempt })
-      this.#again(traveller, platform, why, nowMs, false)
+      this.#effects.push({ kind: 'release', id: request.id, attempt: request.attempt })
+      this.#again(request, backend, why, nowMs, false)
     }
-    if (platform === undefined || terms === undefined || input.server !== traveller.server) {
-      if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
+    if (backend === undefined || terms === undefined || input.server !== request.server) {
+      if (backend !== undefined) this.#backends.suspect(backend, nowMs)
       release('another server has its address')
       return
     }
-    this.#platforms.met(platform, input.incarnation, input.upMs, terms.limits.warmMs, nowMs)
-    if (!this.current(nowMs) || !this.#platforms.mayUse(platform, traveller.target, terms)) {
+    this.#backends.met(backend, input.incarnation, input.upMs, terms.limits.warmMs, nowMs)
+    if (!this.current(nowMs) || !this.#backends.mayUse(backend, request.target, terms)) {
       release('no longer allowed there')
       return
     }
-    if (traveller.target.kind === 'model' && platform.said !== input.incarnation) {
+    if (request.target.kind === 'model' && backend.said !== input.incarnation) {
       release('the server has started anew and holds nothing until it says so')
-      traveller.notBeforeMs = nowMs + this.#timings.heartbeatMs
+      request.notBeforeMs = nowMs + this.#timings.heartbeatMs
       return
     }
-    if (nowMs >= traveller.dueMs) return
-    if (platform.flights > this.#platforms.limit(platform, terms, nowMs)) {
+    if (nowMs >= request.dueMs) return
+    if (backend.flights > this.#backends.limit(backend, terms, nowMs)) {
       release('the server is still cold')
       return
     }
-    const key = `${traveller.target.kind} ${traveller.target.name}`
-    if (traveller.sends === 0) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + 1)
-    traveller.pass = false
-    traveller.impatient = false
-    traveller.sentMs = nowMs
-    traveller.sends += 1
-    this.#to(traveller, 'sent')
-    if (traveller.target.kind === 'model') this.#platforms.remember(platform, traveller.target.chain, nowMs)
-    this.#effects.push({ kind: 'go', id: traveller.id, attempt: traveller.attempt })
+    const key = `${request.target.kind} ${request.target.name}`
+    if (request.sends === 0) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + 1)
+    request.pass = false
+    request.impatient = false
+    request.sentMs = nowMs
+    request.sends += 1
+    this.#to(request, 'sent')
+    if (request.target.kind === 'model') this.#backends.remember(backend, request.target.chain, nowMs)
+    this.#effects.push({ kind: 'go', id: request.id, attempt: request.attempt })
   }
 
   /** Back to waiting: it surely did not run, or may be repeated. */
-  #again(traveller: Traveller, platform: Platform | undefined, why: string, nowMs: number, suspect = true): void {
-    if (platform !== undefined && suspect) this.#platforms.suspect(platform, nowMs)
-    this.#unbind(traveller)
-    traveller.lastWhy = why
-    this.#to(traveller, 'held')
+  #again(request: RequestState, backend: Backend | undefined, why: string, nowMs: number, suspect = true): void {
+    if (backend !== undefined && suspect) this.#backends.suspect(backend, nowMs)
+    this.#unbind(request)
+    request.lastWhy = why
+    this.#to(request, 'held')
   }
 
   #defected(
-    traveller: Traveller,
-    platform: Platform | undefined,
+    request: RequestState,
+    backend: Backend | undefined,
     terms: Terms | undefined,
     input: Extract<ProxyInput, { kind: 'defect' }>,
     nowMs: number,
   ): void {
-    if (traveller.phase === 'streaming') {
-      if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
-      this.#unbind(traveller)
-      this.#to(traveller, 'defected')
-      this.#effects.push({ kind: 'breakOff', id: traveller.id, why: input.why })
+    if (request.phase === 'streaming') {
+      if (backend !== undefined) this.#backends.suspect(backend, nowMs)
+      this.#unbind(request)
+      this.#to(request, 'defected')
+      this.#effects.push({ kind: 'breakOff', id: request.id, why: input.why })
       return
     }
-    if (input.verdict !== Verdict.notRun && traveller.phase === 'sent') traveller.mayHaveRun = true
+    if (input.verdict !== Verdict.notRun && request.phase === 'sent') request.mayHaveRun = true
     if (input.verdict === Verdict.notRun || terms?.repeatable === true) {
-      this.#again(traveller, platform, input.why, nowMs)
+      this.#again(request, backend, input.why, nowMs)
       return
     }
-    if (platform !== undefined) this.#platforms.suspect(platform, nowMs)
-    this.#turnAway(traveller, 502, input.verdict, input.why, nowMs)
+    if (backend !== undefined) this.#backends.suspect(backend, nowMs)
+    this.#turnAway(request, 502, input.verdict, input.why, nowMs)
   }
 
   #tell(nowMs: number): void {
     this.#tallyAtMs = nowMs + this.#timings.renewMs / 2
     const held = new Map<string, { model: string; adapter: string; count: number; dueInMs: number }>()
     const flights = new Map<string, { server: string; model: string; adapter: string; count: number }>()
-    for (const { target, phase, server, dueMs } of this.#travellers.values()) {
+    for (const { target, phase, server, dueMs } of this.#requests.values()) {
       if (target.kind !== 'model') continue
       const { name, adapter } = target
       if (phase === 'held' && this.#reader.terms.has(`model ${name}`)) {
--- a/src/proxy/ProxyTask.ts
+++ b/src/proxy/ProxyTask.ts
@@ -1,5 +1,5 @@
 /**
- * Owns the proxy's machine, its transport, its callers and its lines to servers. What the machine
+ * Owns the proxy's machine, its transport, its callers and its connections to servers. What the machine
  * decides is carried out at once, in the same turn, so that a response's head waits for the machine's
  * word before a byte of it goes on.
  */
@@ -17,13 +17,13 @@
 import { Verdict } from '../common/Verdict.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Transport } from '../transport/Transport.js'
-import { Line } from './Line.js'
+import { ServerConnection } from './ServerConnection.js'
 import type { ProxyEffect } from './ProxyEffect.js'
 import type { ProxyInput } from './ProxyInput.js'
 import { Traces } from './Traces.js'
 import { ProxyMachine } from './ProxyMachine.js'
 
-interface Ticket {
+interface Exchange {
   requestId: string
   arrivedMs: number
   way: Span
@@ -33,12 +33,12 @@
   path: string
   headers: Record<string, string>
   body: Buffer
-  line: Line | undefined
+  connection: ServerConnection | undefined
   attempt: number
   controller: Dispatcher.DispatchController | undefined
   relaying: boolean
 }
-const idleLines = 8
+const idleConnections = 8
 const hopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'upgrade', 'te', 'trailer'])
 
 @singleton()
@@ -47,8 +47,8 @@
   readonly timings: Timings
   readonly #logger: Logger
   readonly #transport: Transport
-  readonly #tickets = new Map<string, Ticket>()
-  readonly #idle = new Map<string, Line[]>()
+  readonly #exchanges = new Map<string, Exchange>()
+  readonly #idle = new Map<string, ServerConnection[]>()
   readonly #ticker: NodeJS.Timeout
   readonly #traces: Traces
   readonly #session = crypto.randomUUID().slice(0, 8)
@@ -83,7 +83,7 @@
     }, this.timings.tickMs)
   }
 
-  /** Takes a caller's request on its way; the ticket is kept until the caller has its final answer. */
+  /** Takes a caller's request on its way; the exchange is kept until the caller has its final answer. */
   allow(
     target: Extract<ProxyInput, { kind: 'arrived' }>['target'],
     method: Dispatcher.HttpMethod,
@@ -98,7 +98,7 @@
     const requestId = CallerFormat.id(headers[CallerFormat.idHeader]) ?? `${this.#session}-${id}`
     const way = this.#traces.begin('request', { 'request.id': requestId, 'springpaddle.target': `${target.kind} ${target.name}` })
     response.setHeader(CallerFormat.idHeader, requestId)
-    this.#tickets.set(id, {
+    this.#exchanges.set(id, {
       requestId,
       arrivedMs: clockMs(),
       way,
@@ -108,13 +108,13 @@
       path,
       headers: { ...headers, [CallerFormat.idHeader]: requestId },
       body,
-      line: undefined,
+      connection: undefined,
       attempt: 0,
       controller: undefined,
       relaying: false,
     })
     response.on('close', () => {
-      if (!this.#tickets.has(id)) return
+      if (!this.#exchanges.has(id)) return
       this.#step({ kind: 'callerGone', id })
       this.#over(id, 'left', {}, 'the caller went away')
     })
@@ -122,12 +122,12 @@
   }
 
   get waiting(): number {
-    return this.#tickets.size
+    return this.#exchanges.size
   }
 
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
-    for (const lines of this.#idle.values()) for (const line of lines) line.close()
+    for (const connections of this.#idle.values()) for (const connection of connections) connection.close()
     await this.#transport.close()
     await this.#traces.close()
   }
@@ -151,8 +151,8 @@
         this.#go(effect.id, effect.attempt)
         break
       case 'relay': {
-        const ticket = this.#tickets.get(effect.id)
-        if (ticket !== undefined) ticket.relaying = true
+        const exchange = this.#exchanges.get(effect.id)
+        if (exchange !== undefined) exchange.relaying = true
         break
       }
       case 'release':
@@ -162,77 +162,78 @@
         this.#turnAway(effect)
         break
       case 'breakOff': {
-        const ticket = this.#over(effect.id, 'brokenOff', {}, effect.why)
-        ticket?.response.destroy()
-        this.#logger.warn('proxy', `Broke off the response to ${ticket?.requestId ?? ''}: ${effect.why}.`)
+        const exchange = this.#over(effect.id, 'brokenOff', {}, effect.why)
+        exchange?.response.destroy()
+        this.#logger.warn('proxy', `Broke off the response to ${exchange?.requestId ?? ''}: ${effect.why}.`)
         break
       }
     }
   }
 
   async #attempt({ id, attempt, server, address, fresh }: Extract<ProxyEffect, { kind: 'attempt' }>): Promise<void> {
-    const ticket = this.#tickets.get(id)
-    if (ticket === undefined) return
-    ticket.attempt = attempt
-    this.#traces.end(ticket.tryWay, {}, 'released')
-    ticket.tryWay = this.#traces.begin('attempt', { 'springpaddle.server': server }, ticket.way)
+    const exchange = this.#exchanges.get(id)
+    if (exchange === undefined) return
+    exchange.attempt = attempt
+    this.#traces.end(exchange.tryWay, {}, 'released')
+    exchange.tryWay = this.#traces.begin('attempt', { 'springpaddle.server': server }, exchange.way)
     this.#tried({ server })
-    ticket.relaying = false
+    exchange.relaying = false
     const pool = this.#idle.get(address) ?? []
-    let line = pool.pop()
-    while (line?.spent === true) line = pool.pop()
-    const reused = line !== undefined
-    line ??= new Line(address, this.timings.reportMs, this.timings.streamIdleMs)
-    ticket.line = line
+    let connection = pool.pop()
+    while (connection?.spent === true) connection = pool.pop()
+    const reused = connection !== undefined
+    connection ??= new ServerConnection(address, this.timings.reportMs, this.timings.streamIdleMs)
+    exchange.connection = connection
     try {
-      const identity = reused && !fresh && line.identity !== undefined ? line.identity : await line.identify(this.timings.reportMs)
+      const identity =
+        reused && !fresh && connection.identity !== undefined ? connection.identity : await connection.identify(this.timings.reportMs)
       if (reused && !fresh) await Promise.resolve()
-      if (ticket.attempt !== attempt || ticket.line !== line) return
+      if (exchange.attempt !== attempt || exchange.connection !== connection) return
       this.#step({ kind: 'identified', id, attempt, ...identity })
     } catch (error) {
-      line.close()
-      if (ticket.attempt !== attempt || ticket.line !== line) return
-      ticket.line = undefined
+      connection.close()
+      if (exchange.attempt !== attempt || exchange.connection !== connection) return
+      exchange.connection = undefined
       this.#step({ kind: 'defect', id, attempt, verdict: Verdict.notRun, why: error instanceof Error ? error.message : String(error) })
     }
   }
 
   #go(id: string, attempt: number): void {
-    const ticket = this.#tickets.get(id)
-    const line = ticket?.line
-    if (ticket === undefined || line === undefined) return
+    const exchange = this.#exchanges.get(id)
+    const connection = exchange?.connection
+    if (exchange === undefined || connection === undefined) return
     let begun = false
     let framed = true
-    const live = () => ticket.attempt === attempt && ticket.line === line && this.#tickets.get(id) === ticket
-    line.dispatch(
-      { path: ticket.path, method: ticket.method, headers: ticket.headers, body: ticket.body.length > 0 ? ticket.body : null },
+    const live = () => exchange.attempt === attempt && exchange.connection === connection && this.#exchanges.get(id) === exchange
+    connection.dispatch(
+      { path: exchange.path, method: exchange.method, headers: exchange.headers, body: exchange.body.length > 0 ? exchange.body : null },
       {
         onRequestStart: (controller) => {
           begun = true
-          ticket.controller = controller
+          exchange.controller = controller
           if (live()) this.#step({ kind: 'sent', id, attempt })
           else controller.abort(new Error('released'))
         },
         onResponseStart: (controller, status, headers) => {
           if (status < 200 || !live()) return
           this.#step({ kind: 'head', id, attempt, notRun: headers[CallerFormat.verdictHeader] === Verdict.notRun })
-          if (!ticket.relaying || !live()) return
+          if (!exchange.relaying || !live()) return
           framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || status === 204 || status === 304
-          ticket.response.statusCode = status
+          exchange.response.statusCode = status
           for (const [name, value] of Object.entries(headers))
-            if (value !== undefined && name !== CallerFormat.idHeader && !hopHeaders.has(name)) ticket.response.setHeader(name, value)
-          ticket.response.on('drain', () => {
+            if (value !== undefined && name !== CallerFormat.idHeader && !hopHeaders.has(name)) exchange.response.setHeader(name, value)
+          exchange.response.on('drain', () => {
             controller.resume()
           })
-          ticket.response.flushHeaders()
+          exchange.response.flushHeaders()
         },
         onResponseData: (controller, chunk) => {
-          if (ticket.relaying && live() && !ticket.response.write(chunk)) controller.pause()
+          if (exchange.relaying && live() && !exchange.response.write(chunk)) controller.pause()
         },
         onResponseEnd: () => {
-          if (!live() || !ticket.relaying) return
+          if (!live() || !exchange.relaying) return
           if (!framed) {
-            line.close()
+            connection.close()
             this.#step({
               kind: 'defect',
               id,
@@ -242,57 +243,57 @@
             })
             return
           }
-          this.#over(id, 'responded', { status: String(ticket.response.statusCode) }, '')
-          ticket.response.end()
-          this.#giveBack(line)
+          this.#over(id, 'responded', { status: String(exchange.response.statusCode) }, '')
+          exchange.response.end()
+          this.#giveBack(connection)
           this.#step({ kind: 'ended', id, attempt })
         },
         onResponseError: (_controller, error) => {
-          line.close()
+          connection.close()
           if (!live()) return
-          ticket.line = undefined
+          exchange.connection = undefined
           this.#step({ kind: 'defect', id, attempt, verdict: begun ? Verdict.mayHaveRun : Verdict.notRun, why: error.message })
         },
       },
     )
   }
 
-  #giveBack(line: Line): void {
-    const pool = this.#idle.get(line.address) ?? []
-    this.#idle.set(line.address, pool)
-    if (line.spent || pool.length >= idleLines) line.close()
-    else pool.push(line)
+  #giveBack(connection: ServerConnection): void {
+    const pool = this.#idle.get(connection.address) ?? []
+    this.#idle.set(connection.address, pool)
+    if (connection.spent || pool.length >= idleConnections) connection.close()
+    else pool.push(connection)
   }
 
-  /** Ends an attempt: a line that carries nothing yet goes back to the idle ones, any other is cut. */
+  /** Ends an attempt: an unused connection goes back to the idle ones, any other is closed. */
   #release(id: string): void {
-    const ticket = this.#tickets.get(id)
-    if (ticket?.line === undefined) return
-    const { line, controller } = ticket
-    ticket.line = undefined
-    ticket.controller = undefined
-    if (controller === undefined && line.identity !== undefined) this.#giveBack(line)
-    else line.close()
+    const exchange = this.#exchanges.get(id)
+    if (exchange?.connection === undefined) return
+    const { connection, controller } = exchange
+    exchange.connection = undefined
+    exchange.controller = undefined
+    if (controller === undefined && connection.identity !== undefined) this.#giveBack(connection)
+    else connection.close()
   }
 
   #turnAway({ id, status, verdict, retryAfterS, why }: Extract<ProxyEffect, { kind: 'turnAway' }>): void {
-    const ticket = this.#over(id, 'turnedAway', { status: String(status), verdict }, why)
-    if (ticket === undefined || ticket.response.destroyed) return
-    this.#logger.say('proxy', `Turned ${ticket.requestId} away with ${String(status)} ${verdict}: ${why}.`)
-    ticket.line?.close()
-    ProxyTask.answer(ticket.response, status, verdict, retryAfterS, why)
+    const exchange = this.#over(id, 'turnedAway', { status: String(status), verdict }, why)
+    if (exchange === undefined || exchange.response.destroyed) return
+    this.#logger.say('proxy', `Turned ${exchange.requestId} away with ${String(status)} ${verdict}: ${why}.`)
+    exchange.connection?.close()
+    ProxyTask.answer(exchange.response, status, verdict, retryAfterS, why)
   }
 
-  /** The one place where a ticket ends: counted, measured, traced. */
-  #over(id: string, outcome: string, values: Record<string, string>, why: string): Ticket | undefined {
-    const ticket = this.#tickets.get(id)
-    if (ticket === undefined) return undefined
-    this.#tickets.delete(id)
+  /** The one place where an exchange ends: counted, measured, traced. */
+  #over(id: string, outcome: string, values: Record<string, string>, why: string): Exchange | undefined {
+    const exchange = this.#exchanges.get(id)
+    if (exchange === undefined) return undefined
+    this.#exchanges.delete(id)
     this.#outcome({ outcome, status: '', verdict: '', ...values })
-    this.#took(clockMs() - ticket.arrivedMs)
-    this.#traces.end(ticket.tryWay, {}, why)
-    this.#traces.end(ticket.way, { outcome, ...values }, why)
-    return ticket
+    this.#took(clockMs() - exchange.arrivedMs)
+    this.#traces.end(exchange.tryWay, {}, why)
+    this.#traces.end(exchange.way, { outcome, ...values }, why)
+    return exchange
   }
 
   /** A final answer that is not a server's: its status, its verdict and when to come back. */
--- a/src/proxy/Traveller.ts
+++ b/src/proxy/RequestState.ts
@@ -1,9 +1,9 @@
 /**
- * The proxy's entity for a request on its way.
+ * The state of a request that a proxy is working on.
  */
 import type { Phase } from './Phase.js'
 
-export interface Traveller {
+export interface RequestState {
   id: string
   target: { kind: 'model'; name: string; adapter: string; chain: string[] } | { kind: 'service'; name: string }
   partner: string
--- a/src/proxy/Line.ts
+++ b/src/proxy/ServerConnection.ts
@@ -1,13 +1,12 @@
 /**
- * One connection to one server, used for one request at a time. It identifies the server on itself,
- * and once its socket is gone it is spent: it never connects a second time, so nothing can slip onto
- * a connection that was not identified.
+ * One connection to one server, used for one request at a time. The server's identity is checked on it, and once its socket has
+ * closed it never connects again, so that no request can go over a connection that was not checked.
  */
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import { ServerFormat } from '../adapters/ServerFormat.js'
 
-export class Line {
+export class ServerConnection {
   readonly address: string
   readonly #client: Client
   spent = false
@@ -24,7 +23,7 @@
       keepAliveTimeout: 600_000,
       connect: (options, callback) => {
         if (used) {
-          callback(new Error('the line is spent'), null)
+          callback(new Error('the connection is closed'), null)
           return
         }
         used = true
--- a/src/proxy/Traces.test.ts
+++ b/src/proxy/Traces.test.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod'
 import { Traces } from './Traces.js'
 
-const Line = z.object({
+const ServerConnection = z.object({
   resourceSpans: z.array(
     z.object({
       scopeSpans: z.array(
@@ -27,7 +27,7 @@
     await traces.close()
   }
   const text = await readFile(file, 'utf8')
-  const spans = Line.parse(JSON.parse(text))
+  const spans = ServerConnection.parse(JSON.parse(text))
     .resourceSpans.flatMap((one) => one.scopeSpans)
     .flatMap((one) => one.spans)
   strictEqual(
--- a/src/proxy/Traces.ts
+++ b/src/proxy/Traces.ts
@@ -15,8 +15,8 @@
   constructor(name: string, file: string | undefined) {
     if (file !== undefined) {
       const write = (spans: ReadableSpan[], done: (result: { code: number; error?: Error }) => void) => {
-        const line = Buffer.concat([JsonTraceSerializer.serializeRequest(spans) ?? Buffer.alloc(0), Buffer.from('\n')])
-        appendFile(file, line).then(
+        const connection = Buffer.concat([JsonTraceSerializer.serializeRequest(spans) ?? Buffer.alloc(0), Buffer.from('\n')])
+        appendFile(file, connection).then(
           () => {
             done({ code: 0 })
           },
