--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -1,8 +1,7 @@
 /**
- * The placement: the paper's cache, run by the node that holds the dispatcher duty. Servers are entities
- * in a table; each tick the systems run over them in turn: census, reading, settling, bindings, wants,
- * orders. An order is put to the log under the epoch before it is sent, one at a time for a server, and
- * keeps its room until a report made after it has settled it.
+ * The placement scheduler, run by the node that holds the dispatcher duty. On each tick it brings its inventory of servers up to
+ * date, settles orders by reports, plans what is to be loaded and evicted, and issues orders. An order is put to the log under the
+ * epoch before it is sent, one at a time for a server, and its memory stays reserved until a report made afterwards has settled it.
  */
 import { z } from 'zod'
 import type { Order } from '../common/Order.js'
@@ -11,10 +10,12 @@
 import type { PlatformServer } from '../common/PlatformServer.js'
 import type { Report } from '../common/Report.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { AvailabilityEstimate } from './AvailabilityEstimate.js'
 import { Bucket } from './Bucket.js'
 import { Demand } from './Demand.js'
 import type { DispatcherOut } from './DispatcherOut.js'
 import { keyOf } from './keyOf.js'
+import { OrderReasons } from './OrderReasons.js'
 import type { Placer } from './Placer.js'
 import { Planner } from './Planner.js'
 import type { Policy } from './Policy.js'
@@ -22,23 +23,7 @@
 import { ModelServer } from './ModelServer.js'
 import { ServerInventory } from './ServerInventory.js'
 
-interface Reason {
-  atMs: number
-  server: string
-  kind: string
-  model: string
-  adapter: string
-  why: string
-}
-interface Outlook {
-  model: string
-  adapter: string
-  readyInMs: number
-  neverBeforeMs: number
-}
-
 const SavedOrder = z.object({ order: OrderSchema, incarnation: z.string() })
-const keptReasons = 200
 const loadsMs = 100
 /** In a network: how old a list's word on holdings is, how old a report's is, and how soon a binding is known everywhere. */
 const listLagMs = 800
@@ -58,7 +43,8 @@
   readonly #planner: Planner
   readonly #demand: Demand
   readonly #bucket: Bucket
-  readonly #reasons: Reason[] = []
+  readonly #estimate: AvailabilityEstimate
+  readonly #reasons = new OrderReasons()
   #deafSinceMs: number | undefined
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
@@ -71,6 +57,7 @@
     this.#planner = new Planner(timings, policy, this.#inventory)
     this.#demand = new Demand(timings, policy, this.#inventory, this.#planner.tallies, nowMs)
     this.#bucket = new Bucket(nowMs)
+    this.#estimate = new AvailabilityEstimate(timings, this.#inventory, this.#bucket, () => this.#placer)
   }
 
   get #placer(): Placer {
@@ -85,8 +72,8 @@
     return this.#epoch
   }
 
-  get reasons(): readonly Reason[] {
-    return this.#reasons
+  get reasons(): OrderReasons['all'] {
+    return this.#reasons.all
   }
 
   /** Wanted and not to be had anywhere yet: what operators see as out of room. */
@@ -128,60 +115,8 @@
   }
 
   /** What requests that wait may expect: when a copy is likely ready, and before when there certainly is none. */
-  outlook(held: readonly { model: string; adapter: string }[], nowMs: number): Outlook[] {
-    const { fleet } = this.#inventory
-    if (fleet === undefined) return []
-    const { perS, burst, draw } = fleet.store
-    return held.flatMap(({ model, adapter }) => {
-      const plan = this.#inventory.planOf(model)
-      if (plan === undefined) return []
-      const certain = this.#nowhere(model, nowMs)
-      const neverBeforeMs = certain ? this.#bucket.earliestMs(draw({ kind: 'load', sizeMb: plan.sizeMb }), perS, burst, nowMs) : 0
-      return [{ model, adapter, neverBeforeMs, readyInMs: Math.max(neverBeforeMs, this.#readyInMs(model, adapter, plan.sizeMb, nowMs)) }]
-    })
-  }
-
-  /** True when every server that the plan names is known and none has the model in any state, nor is to get it. */
-  #nowhere(model: string, nowMs: number): boolean {
-    const named = this.#inventory.fleet?.servers.size ?? 0
-    const modelServers = this.#inventory.all
-    return (
-      modelServers.length === named &&
-      modelServers.every(
-        (modelServer) => this.#inventory.known(modelServer, nowMs) && !modelServer.report.models.some((one) => one.model === model),
-      ) &&
-      !modelServers.some((modelServer) => modelServer.task?.order.model === model)
-    )
-  }
-
-  /** The order under way, else the wants before it at the store's pace, else the first window to close. */
-  #readyInMs(model: string, adapter: string, sizeMb: number, nowMs: number): number {
-    const modelServers = this.#inventory.all.filter((modelServer) => modelServer.open)
-    if (modelServers.some((modelServer) => ModelServer.holds(modelServer, model, adapter))) return 0
-    if (this.#counts && adapter !== '' && modelServers.some((modelServer) => ModelServer.holds(modelServer, model, '')))
-      return 4 * attachAskMs
-    const thetaMs = this.#placer.thetaMs(model, sizeMb)
-    for (const { task, plan } of modelServers) {
-      if (task?.order.model === model && task.order.kind === 'load')
-        return Math.max(0, thetaMs - (nowMs - task.sinceMs)) + this.#timings.reportMs
-      if (plan?.model === model) return (1 + 2 * plan.victims.length) * this.#timings.reportMs + thetaMs
-    }
-    const { fleet } = this.#inventory
-    const { wants } = this.#placer
-    const ahead = wants.slice(
-      0,
-      wants.findIndex((want) => want.model === model),
-    )
-    const drawn = ahead.reduce(
-      (sum, want) => sum + (fleet?.store.draw({ kind: 'load', sizeMb: this.#inventory.planOf(want.model)?.sizeMb ?? 0 }) ?? 0),
-      0,
-    )
-    const queuedMs = (1000 * drawn) / (fleet?.store.perS ?? 1) + thetaMs
-    if (modelServers.some((modelServer) => ModelServer.freeMb(modelServer) >= sizeMb)) return queuedMs
-    const closes = modelServers.flatMap((modelServer) =>
-      this.#placer.residents(modelServer, false, nowMs).map((one) => Math.max(0, one.windowToMs - nowMs)),
-    )
-    return queuedMs + Math.min(this.#timings.orderMs, ...closes)
+  outlook(held: readonly { model: string; adapter: string }[], nowMs: number): ReturnType<AvailabilityEstimate['of']> {
+    return this.#estimate.of(held, nowMs)
   }
 
   reported(server: string, report: Report | undefined, askedMs: number, nowMs: number): void {
@@ -201,7 +136,7 @@
       return
     }
     if (reply === 'turnedAway') {
-      this.#reason(modelServer.name, modelServer.task.order, 'the server turned it away', nowMs)
+      this.#reasons.add(modelServer.name, modelServer.task.order, 'the server turned it away', nowMs)
       this.#drop(modelServer, nowMs, false, false)
     }
   }
@@ -219,7 +154,7 @@
       task.againMs = Math.min(4 * againMs, 2 * (task.againMs ?? againMs / 2))
       task.sendAtMs = nowMs + task.againMs
     } else {
-      this.#reason(modelServer.name, task.order, reply === 'held' ? 'it was so already' : 'the server turned it away', nowMs)
+      this.#reasons.add(modelServer.name, task.order, reply === 'held' ? 'it was so already' : 'the server turned it away', nowMs)
       this.#drop(modelServer, nowMs, false, false)
       modelServer.sequence = undefined
       modelServer.askedMs = -Infinity
@@ -244,7 +179,7 @@
     }
     modelServer.sequence = order.expected + 1
     modelServer.leavingMs = nowMs
-    this.#reason(modelServer.name, order, 'agreed to', nowMs)
+    this.#reasons.add(modelServer.name, order, 'agreed to', nowMs)
     this.#drop(modelServer, nowMs, true)
   }
 
@@ -296,7 +231,7 @@
         const done = same && seen.state === 'done'
         if (done && order.kind === 'load' && task.order.epoch === this.#epoch)
           this.#planner.learn(order.model, modelServer.report.heardMs - task.sentMs)
-        this.#reason(
+        this.#reasons.add(
           modelServer.name,
           order,
           done ? 'done' : modelServer.report.incarnation !== task.incarnation ? 'the server restarted' : 'the server could not',
@@ -307,7 +242,7 @@
         !same &&
         (order.epoch !== this.#epoch || (seen !== undefined && seen.epoch === order.epoch && seen.number > order.number))
       ) {
-        this.#reason(modelServer.name, order, 'never reached the server', nowMs)
+        this.#reasons.add(modelServer.name, order, 'never reached the server', nowMs)
         this.#drop(modelServer, nowMs, false, false)
       }
     }
@@ -356,18 +291,18 @@
       const done = there === (order.kind === 'load' || order.kind === 'attach')
       if (report.sequence > expected) {
         if (done && order.kind === 'load' && order.epoch === this.#epoch) this.#demand.learn(order.model, report.heardMs - task.sentMs)
-        this.#reason(modelServer.name, order, done ? 'done' : 'the server could not', nowMs)
+        this.#reasons.add(modelServer.name, order, done ? 'done' : 'the server could not', nowMs)
         this.#drop(modelServer, nowMs, done)
         return
       }
       if (unansweredMs !== undefined && report.askedMs > unansweredMs + reportLagMs) {
-        this.#reason(modelServer.name, order, 'never reached the server', nowMs)
+        this.#reasons.add(modelServer.name, order, 'never reached the server', nowMs)
         this.#drop(modelServer, nowMs)
         return
       }
     }
     if (nowMs - task.sentMs <= Math.max(this.#timings.orderMs, 4 * this.#demand.thetaMs(order.model))) return
-    this.#reason(modelServer.name, order, 'not known to have ended; the server is read anew', nowMs)
+    this.#reasons.add(modelServer.name, order, 'not known to have ended; the server is read anew', nowMs)
     this.#drop(modelServer, nowMs)
     modelServer.sequence = undefined
   }
@@ -380,7 +315,7 @@
       if (task.phase === 'withdrawing') {
         if (this.#withdrawn(modelServer, task.order, copy, nowMs)) task.phase = 'proposed'
         else if (nowMs - task.sinceMs > this.#timings.orderMs) {
-          this.#reason(modelServer.name, task.order, 'streams in flight outlasted the wait', nowMs)
+          this.#reasons.add(modelServer.name, task.order, 'streams in flight outlasted the wait', nowMs)
           this.#drop(modelServer, nowMs)
           continue
         }
@@ -403,7 +338,7 @@
         if (seen?.epoch === task.order.epoch && seen.number >= task.order.number) continue
         if (modelServer.report.epoch !== undefined) this.#send(modelServer, out, nowMs)
         else if (nowMs - task.sentMs > this.#timings.orderMs) {
-          this.#reason(modelServer.name, task.order, 'never reached the server, which cannot tell a late copy', nowMs)
+          this.#reasons.add(modelServer.name, task.order, 'never reached the server, which cannot tell a late copy', nowMs)
           this.#drop(modelServer, nowMs)
         }
       }
@@ -494,7 +429,7 @@
       incarnation: modelServer.report?.incarnation ?? '',
     }
     this.#inventory.turn += 1
-    this.#reason(modelServer.name, order, why, nowMs)
+    this.#reasons.add(modelServer.name, order, why, nowMs)
   }
 
   /** True once no proxy can be using what is to go: each has adopted the binding without it and counts none in flight, or surely stopped. */
@@ -533,9 +468,4 @@
       ? report.models.every((one) => one.model !== order.model || one.flights === 0)
       : report.adapters.every((one) => one.model !== order.model || one.adapter !== order.adapter || one.flights === 0)
   }
-
-  #reason(server: string, order: Order, why: string, nowMs: number): void {
-    this.#reasons.push({ atMs: nowMs, server, kind: order.kind, model: order.model, adapter: order.adapter, why })
-    if (this.#reasons.length > keptReasons) this.#reasons.shift()
-  }
 }
--- a/src/simulator/explorer/LogImage.ts
+++ b/src/simulator/explorer/LogImage.ts
@@ -82,6 +82,8 @@
         this.#entries.length = Math.min(this.#entries.length, Math.max(0, record.index - this.snapshotIndex - 1))
         this.#entries.push(record)
         break
+      case 'founding':
+        break
     }
   }
 }
