Gateway: adopt only the rows that changed

Each update made a gateway parse every server row and every binding and build its whole route map again. The agent now hands the changed rows to the gateway, and the route and server tables take over just these; without rows they read the whole copy as before. Servers of a service stay in the order of their names, and two routes may swap places in one change.

Random changes judged against tables that read the whole copy after each.

--- a/src/agent/AgentMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -9,6 +9,7 @@
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { DutyRow } from '../consensus/DutyRow.js'
 import { Relay } from '../consensus/Relay.js'
+import type { Row } from '../consensus/Row.js'
 import { PeerDirectory } from '../consensus/PeerDirectory.js'
 import type { Message } from '../transport/Message.js'
 import { Barrier } from './Barrier.js'
@@ -363,7 +364,7 @@
         if (changed.length === 0) break
         this.#effects.push(
           { kind: 'say', part: 'repair', sentence: `Mended ${String(changed.length)} rows from ${from}.` },
-          { kind: 'adopted' },
+          { kind: 'adopted', rows: changed },
         )
         break
       }
@@ -391,9 +392,9 @@
   }
 
   /** Rows changed: those who follow get them, and the core soon hears that this seat works by them. */
-  #changed(rows: readonly { key: string }[], nowMs: number): void {
+  #changed(rows: readonly Row[], nowMs: number): void {
     if (rows.length === 0) return
-    this.#effects.push({ kind: 'adopted' })
+    this.#effects.push({ kind: 'adopted', rows })
     if (this.#alone && rows.some((row) => networkKeys.test(row.key))) this.#renewSoon()
     this.#spread(nowMs)
   }
--- a/src/gateway/GatewayInput.ts
+++ b/src/gateway/GatewayInput.ts
@@ -1,13 +1,15 @@
 /**
  * What a gateway's machine is told. `defect` says what is known of the attempt that ended; `status` is a
- * whole answer's, of which nothing has gone to the caller yet.
+ * whole answer's, of which nothing has gone to the caller yet. `adopted` names the rows of the copy that
+ * changed; without them all are read.
  */
 import type { Verdict } from '../common/Verdict.js'
 import type { Arrival } from '../adapters/Arrival.js'
+import type { Row } from '../consensus/Row.js'
 
 export type GatewayInput =
   | { kind: 'tick' }
-  | { kind: 'adopted' }
+  | { kind: 'adopted'; rows?: readonly Row[] }
   | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
   | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival; bodyBytes: number }
   | { kind: 'sent'; id: string; attempt: number }
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -74,8 +74,8 @@
         this.#tick(nowMs)
         break
       case 'adopted':
-        this.routes.adopt(this.copy)
-        this.servers.adopt(this.copy, nowMs)
+        this.routes.adopt(this.copy, input.rows)
+        this.servers.adopt(this.copy, nowMs, input.rows)
         this.#bindAll(nowMs)
         break
       case 'outlook':
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -165,7 +165,7 @@
     for (const effect of this.agent.step(input, clockMs())) {
       if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
-      else if (effect.kind === 'adopted') this.step({ kind: 'adopted' })
+      else if (effect.kind === 'adopted') this.step({ kind: 'adopted', rows: effect.rows })
       else void this.#readPlatform()
     }
   }
--- a/src/gateway/RouteTable.ts
+++ b/src/gateway/RouteTable.ts
@@ -6,40 +6,55 @@
 import { Network } from '../common/Network.js'
 import { digest } from '../common/digest.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { Row } from '../consensus/Row.js'
+import { namesUnder } from '../consensus/namesUnder.js'
+
+type Route = Network['routes'][number]
+const prefix = 'route/'
 
 export class RouteTable {
-  readonly #byName = new Map<string, { stamp: number; route: Network['routes'][number] }>()
-  readonly #hosts = new Map<string, Map<string, Network['routes'][number]>>()
+  readonly #byName = new Map<string, Route>()
+  readonly #hosts = new Map<string, Map<string, Route>>()
 
-  adopt(copy: ReplicaTable): void {
-    const rows = copy.under('route/')
-    const listed = new Set<string>()
-    let changed = false
-    for (const [name, value] of rows) {
-      listed.add(name)
-      const stamp = copy.stampOf(`route/${name}`)
-      if (this.#byName.get(name)?.stamp === stamp) continue
-      const read = Network.Route.safeParse(JSON.parse(value))
-      if (!read.success) continue
-      this.#byName.set(name, { stamp, route: read.data })
-      changed = true
-    }
-    for (const name of this.#byName.keys()) {
-      if (listed.has(name)) continue
-      this.#byName.delete(name)
-      changed = true
-    }
-    if (!changed) return
-    this.#hosts.clear()
-    for (const { route } of this.#byName.values()) {
-      const host = route.host.toLowerCase()
-      const prefixes = this.#hosts.get(host) ?? new Map<string, Network['routes'][number]>()
-      prefixes.set(route.prefix, route)
-      this.#hosts.set(host, prefixes)
-    }
+  /** Takes over the rows that changed, or the whole copy. */
+  adopt(copy: ReplicaTable, changed?: readonly Row[]): void {
+    const names = changed === undefined ? this.#allNames(copy) : namesUnder(changed, prefix)
+    if (names.length === 0) return
+    const read = names.map((name) => ({ name, route: RouteTable.#read(copy, name) }))
+    for (const { name, route } of read) if (route !== 'unreadable') this.#remove(name)
+    for (const { name, route } of read) if (route !== undefined && route !== 'unreadable') this.#add(name, route)
+  }
+
+  #allNames(copy: ReplicaTable): string[] {
+    return [...new Set([...copy.under(prefix).map(([name]) => name), ...this.#byName.keys()])]
+  }
+
+  static #read(copy: ReplicaTable, name: string): Route | 'unreadable' | undefined {
+    const value = copy.get(prefix + name)
+    if (value === undefined) return undefined
+    const read = Network.Route.safeParse(JSON.parse(value))
+    return read.success ? read.data : 'unreadable'
+  }
+
+  #remove(name: string): void {
+    const old = this.#byName.get(name)
+    if (old === undefined) return
+    this.#byName.delete(name)
+    const host = old.host.toLowerCase()
+    const prefixes = this.#hosts.get(host)
+    if (prefixes?.get(old.prefix) === old) prefixes.delete(old.prefix)
+    if (prefixes?.size === 0) this.#hosts.delete(host)
+  }
+
+  #add(name: string, route: Route): void {
+    this.#byName.set(name, route)
+    const host = route.host.toLowerCase()
+    const prefixes = this.#hosts.get(host) ?? new Map<string, Route>()
+    prefixes.set(route.prefix, route)
+    this.#hosts.set(host, prefixes)
   }
 
-  find(host: string, path: string): Network['routes'][number] | undefined {
+  find(host: string, path: string): Route | undefined {
     const prefixes = this.#hosts.get(host.toLowerCase()) ?? this.#hosts.get(host.toLowerCase().replace(/:\d+$/, ''))
     if (prefixes === undefined) return undefined
     const query = path.indexOf('?')
@@ -52,7 +67,7 @@
   }
 
   /** The service of a request: the split weighed by a digest of the request's id. */
-  static service(route: Network['routes'][number], id: string): string {
+  static service(route: Route, id: string): string {
     const [only] = route.services
     if (only !== undefined && route.services.length === 1) return only.service
     const sum = route.services.reduce((all, one) => all + one.weight, 0)
--- a/src/gateway/ServerTable.ts
+++ b/src/gateway/ServerTable.ts
@@ -11,6 +11,8 @@
 import { PlatformServer } from '../common/PlatformServer.js'
 import { BindingRow } from '../consensus/BindingRow.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import type { Row } from '../consensus/Row.js'
+import { namesUnder } from '../consensus/namesUnder.js'
 import type { Passage } from './Passage.js'
 import type { Server } from './Server.js'
 
@@ -41,6 +43,8 @@
   readonly #table = new Map<string, Server>()
   readonly #byService = new Map<string, Server[]>()
   readonly #services = new Map<string, { stamp: number; service: Service }>()
+  /** Servers that are no longer listed, kept while requests of this gateway run there. */
+  readonly #leaving = new Set<Server>()
   #emptied = new Set<string>()
   readonly #refilledMs = new Map<string, number>()
 
@@ -61,50 +65,104 @@
     return this.#services.get(name)?.service
   }
 
-  adopt(copy: ReplicaTable, nowMs: number): void {
-    this.#adoptServices(copy)
+  /** Takes over the rows that changed, or the whole copy. */
+  adopt(copy: ReplicaTable, nowMs: number, changed?: readonly Row[]): void {
+    const names = (prefix: string, known: Iterable<string>) =>
+      changed === undefined ? [...new Set([...copy.under(prefix).map(([name]) => name), ...known])] : namesUnder(changed, prefix)
+    for (const name of names('service/', this.#services.keys())) this.#adoptService(copy, name)
+    if (names('zone/', this.#emptied).length > 0) this.#adoptZones(copy, nowMs)
+    for (const name of names('server/', this.#table.keys())) this.#adoptServer(copy, name, nowMs)
+    if (changed !== undefined) for (const name of namesUnder(changed, 'binding/')) this.#adoptBinding(copy, name)
+    for (const server of this.#leaving) this.#forgetIdle(server)
+  }
+
+  #adoptService(copy: ReplicaTable, name: string): void {
+    const value = copy.get(`service/${name}`)
+    if (value === undefined) {
+      this.#services.delete(name)
+      return
+    }
+    const stamp = copy.stampOf(`service/${name}`)
+    if (this.#services.get(name)?.stamp === stamp) return
+    const read = Network.Service.safeParse(JSON.parse(value))
+    if (read.success) this.#services.set(name, { stamp, service: read.data })
+  }
+
+  #adoptZones(copy: ReplicaTable, nowMs: number): void {
     const emptied = new Set(copy.under('zone/').map(([zone]) => zone))
     for (const zone of this.#emptied) if (!emptied.has(zone)) this.#refilledMs.set(zone, nowMs)
     this.#emptied = emptied
-    const listed = new Set<string>()
-    this.#byService.clear()
-    for (const [name, value] of copy.under('server/')) {
-      const read = PlatformServer.safeParse(JSON.parse(value))
-      if (!read.success) continue
-      const row = read.data
-      listed.add(name)
-      const server = this.#table.get(name) ?? this.#fresh(name, nowMs)
-      server.address = row.address
-      server.zone = row.zone
-      server.service = row.service ?? ''
-      server.capacity = Math.max(1, row.capacity ?? 1)
-      server.draining = row.draining
-      server.cold = row.cold === true
-      const binding = copy.get(`binding/${name}`)
-      const held = binding === undefined ? undefined : BindingRow.safeParse(JSON.parse(binding)).data
-      server.models = new Set(held?.models)
-      server.adapters = new Set(held?.adapters)
-      const group = this.#byService.get(server.service)
-      if (group === undefined) this.#byService.set(server.service, [server])
-      else group.push(server)
+  }
+
+  #adoptServer(copy: ReplicaTable, name: string, nowMs: number): void {
+    const value = copy.get(`server/${name}`)
+    const row = value === undefined ? undefined : PlatformServer.safeParse(JSON.parse(value)).data
+    const old = this.#table.get(name)
+    if (row === undefined) {
+      if (old === undefined) return
+      this.#ungroup(old)
+      old.draining = true
+      this.#leaving.add(old)
+      return
     }
-    for (const [name, server] of this.#table) {
-      if (listed.has(name)) continue
-      server.draining = true
-      if (server.flights === 0) this.#table.delete(name)
+    const server = old ?? this.#fresh(name, nowMs)
+    const service = row.service ?? ''
+    this.#leaving.delete(server)
+    if (server.service !== service) this.#ungroup(server)
+    server.address = row.address
+    server.zone = row.zone
+    server.service = service
+    server.capacity = Math.max(1, row.capacity ?? 1)
+    server.draining = row.draining
+    server.cold = row.cold === true
+    this.#group(server)
+    this.#adoptBinding(copy, name)
+  }
+
+  #adoptBinding(copy: ReplicaTable, name: string): void {
+    const server = this.#table.get(name)
+    if (server === undefined || this.#leaving.has(server)) return
+    const binding = copy.get(`binding/${name}`)
+    const held = binding === undefined ? undefined : BindingRow.safeParse(JSON.parse(binding)).data
+    server.models = new Set(held?.models)
+    server.adapters = new Set(held?.adapters)
+  }
+
+  /** Puts a server among those of its service, which stand in the order of their names. */
+  #group(server: Server): void {
+    const group = this.#byService.get(server.service)
+    if (group === undefined) {
+      this.#byService.set(server.service, [server])
+      return
     }
+    const at = ServerTable.#position(group, server.name)
+    if (group[at] !== server) group.splice(at, 0, server)
   }
 
-  #adoptServices(copy: ReplicaTable): void {
-    const listed = new Set<string>()
-    for (const [name, value] of copy.under('service/')) {
-      listed.add(name)
-      const stamp = copy.stampOf(`service/${name}`)
-      if (this.#services.get(name)?.stamp === stamp) continue
-      const read = Network.Service.safeParse(JSON.parse(value))
-      if (read.success) this.#services.set(name, { stamp, service: read.data })
+  #ungroup(server: Server): void {
+    const group = this.#byService.get(server.service)
+    if (group === undefined) return
+    const at = ServerTable.#position(group, server.name)
+    if (group[at] === server) group.splice(at, 1)
+    if (group.length === 0) this.#byService.delete(server.service)
+  }
+
+  static #position(group: readonly Server[], name: string): number {
+    let low = 0
+    let high = group.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if ((group[middle]?.name ?? '') < name) low = middle + 1
+      else high = middle
     }
-    for (const name of this.#services.keys()) if (!listed.has(name)) this.#services.delete(name)
+    return low
+  }
+
+  /** A server that is no longer listed is forgotten once nothing runs there. */
+  #forgetIdle(server: Server): void {
+    if (server.flights > 0) return
+    this.#leaving.delete(server)
+    this.#table.delete(server.name)
   }
 
   #fresh(name: string, nowMs: number): Server {
--- a/src/simulator/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -18,6 +18,7 @@
 import type { ControlInput } from '../control/ControlInput.js'
 import { ControlMachine } from '../control/ControlMachine.js'
 import { Frame } from '../transport/Frame.js'
+import type { Row } from '../consensus/Row.js'
 import type { Message } from '../transport/Message.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
 import { SimClock } from './SimClock.js'
@@ -260,14 +261,14 @@
     this.edges.push(edge)
     this.#zoneOf.set(address, zone)
     const guide = (input: AgentInput) => {
-      let adopted = false
+      const rows: Row[] = []
       this.#spend(name, () => {
         for (const effect of agent.step(input, clock.nowMs)) {
           if (effect.kind === 'send') this.#send(name, address, effect.toAddress, effect.message)
-          else if (effect.kind === 'adopted') adopted = true
+          else if (effect.kind === 'adopted') rows.push(...effect.rows)
         }
       })
-      if (adopted) this.#gatewayStep(edge, { kind: 'adopted' }, `${name}/adopt`)
+      if (rows.length > 0) this.#gatewayStep(edge, { kind: 'adopted', rows }, `${name}/adopt`)
     }
     this.#hosts.set(address, (frame) => {
       const { from, fromAddress, message } = this.#spend(name, () => this.#receive(name, frame))
