Configuration: judge and carry out a change by what it names

A change of one route among 750 copied all items, judged all of them, wrote every item as text to compare it with its row, and read every row of the prefix, on each control node. `Configuration` keeps items by name, places and uses of services, and sets the rows of named items alone. What the indexes don't allow goes to the whole check, which words the reasons and has the last word.

--- a/src/common/Network.ts
+++ b/src/common/Network.ts
@@ -102,12 +102,32 @@
 
   /** The network that a change of named items makes, or every reason against it. */
   patched(base: Network, sent: unknown): Either<string[], Network> {
+    return Network.readPatch(sent).chain(({ revision, set, drop }) => {
+      const routes = replace(base.routes, set.routes, drop.routes)
+      const services = replace(base.services, set.services, drop.services)
+      return Network.judge({ ...base, revision, routes, services, limits: set.limits ?? base.limits }, base.revision)
+    })
+  },
+
+  /** A change as sent, or every reason why it is none. */
+  readPatch(sent: unknown): Either<string[], z.infer<typeof Patch>> {
     const read = Patch.safeParse(sent)
-    if (!read.success) return Left(issues(read.error))
-    const { revision, set, drop } = read.data
-    const routes = replace(base.routes, set.routes, drop.routes)
-    const services = replace(base.services, set.services, drop.services)
-    return Network.judge({ ...base, revision, routes, services, limits: set.limits ?? base.limits }, base.revision)
+    return read.success ? Right(read.data) : Left(issues(read.error))
+  },
+
+  /** What no two routes may have in common. */
+  place(route: z.infer<typeof Route>): string {
+    return `${route.host.toLowerCase()} ${route.prefix}`
+  },
+
+  /** What speaks against a route by itself, before services that exist or don't. */
+  routeErrors(route: z.infer<typeof Route>, path: string, exists: (service: string) => boolean): string[] {
+    const errors: string[] = []
+    for (const { service } of route.services) if (!exists(service)) errors.push(`${path}.services: no service is named ${service}`)
+    if (!(route.services.reduce((sum, one) => sum + one.weight, 0) > 0) || route.services.some((one) => one.weight < 0))
+      errors.push(`${path}.services: the weights must add up to more than 0`)
+    if (!(route.timeoutMs > 0)) errors.push(`${path}.timeoutMs: must be above 0`)
+    return errors
   },
 
   judge(network: Network, current: number): Either<string[], Network> {
@@ -121,14 +141,11 @@
       const path = `routes.${String(at)}`
       if (names.has(route.name)) errors.push(`${path}.name: ${route.name} is named twice`)
       names.add(route.name)
-      const place = `${route.host.toLowerCase()} ${route.prefix}`
+      const place = Network.place(route)
       const other = places.get(place)
       if (other !== undefined) errors.push(`${path}.prefix: the same host and prefix as ${other}`)
       places.set(place, route.name)
-      for (const { service } of route.services) if (!services.has(service)) errors.push(`${path}.services: no service is named ${service}`)
-      if (!(route.services.reduce((sum, one) => sum + one.weight, 0) > 0) || route.services.some((one) => one.weight < 0))
-        errors.push(`${path}.services: the weights must add up to more than 0`)
-      if (!(route.timeoutMs > 0)) errors.push(`${path}.timeoutMs: must be above 0`)
+      errors.push(...Network.routeErrors(route, path, (service) => services.has(service)))
     })
     return errors.length > 0 ? Left(errors) : Right(network)
   },
--- a/src/consensus/ReplicatedState.ts
+++ b/src/consensus/ReplicatedState.ts
@@ -3,8 +3,10 @@
  * outcome of each operation, and the network that stands in the table as rows. Applying is deterministic, so that every replica comes to the same
  * state; whether a write is proper is judged here, in log order, and nowhere else.
  */
+import type { Either } from 'purify-ts'
 import { z } from 'zod'
 import { Charter } from '../common/Charter.js'
+import { Configuration } from '../common/Configuration.js'
 import { Network } from '../common/Network.js'
 import { Tree } from '../common/Tree.js'
 import { Command } from './Command.js'
@@ -36,7 +38,7 @@
   #texts: z.infer<typeof Text>[] = []
   #textBytes = 0
   readonly #outcomes = new Map<string, Outcome>()
-  #network: Network | undefined
+  #configuration: Configuration | undefined
 
   static restore(state: Uint8Array): ReplicatedState {
     const read = State.parse(JSON.parse(Buffer.from(state).toString()))
@@ -46,11 +48,11 @@
     replicatedState.#textBytes = read.texts.reduce((sum, one) => sum + one.text.length + one.whole.length, 0)
     for (const [operation, outcome] of read.outcomes) replicatedState.#outcomes.set(operation, outcome)
     if (read.network !== '') {
-      replicatedState.#network = Network.check(JSON.parse(read.network), 0).caseOf<Network>({
+      replicatedState.#configuration = Network.check(JSON.parse(read.network), 0).caseOf<Configuration>({
         Left: (errors) => {
           throw new Error(`the saved network is none that this program knows: ${errors.join('; ')}`)
         },
-        Right: (network) => network,
+        Right: (network) => new Configuration(network),
       })
     }
     return replicatedState
@@ -62,7 +64,7 @@
       stamp: this.copy.stamp,
       texts: this.#texts,
       outcomes: [...this.#outcomes],
-      network: this.#network === undefined ? '' : JSON.stringify(this.#network),
+      network: this.#configuration === undefined ? '' : JSON.stringify(this.#configuration.network),
     }
     return Buffer.from(JSON.stringify(state))
   }
@@ -72,7 +74,7 @@
   }
 
   get network(): Network | undefined {
-    return this.#network
+    return this.#configuration?.network
   }
 
   get texts(): readonly z.infer<typeof Text>[] {
@@ -232,38 +234,66 @@
 
   #applyNetwork(index: number, command: Extract<Command, { kind: 'network' }>): Outcome {
     const stamp = this.copy.stampOf('network')
-    const base = this.#network
+    const base = this.#configuration
     const current = base?.revision ?? 0
     if (command.ifMatch >= 0 && command.ifMatch !== current)
       return { status: 412, stamp, errors: [`the network is at revision ${String(current)}, not ${String(command.ifMatch)}`] }
     const sent = Tree.read(command.text)
     if (sent === undefined) return { status: 422, stamp, errors: ['network: not JSON'] }
     if (command.action === 'patch' && base === undefined) return { status: 422, stamp, errors: ['network: there is none to change yet'] }
-    const made = command.action === 'patch' && base !== undefined ? Network.patched(base, sent) : Network.check(sent, current)
+    const made = command.action === 'patch' && base !== undefined ? this.#patch(index, base, sent) : this.#put(index, sent, current)
     return made.caseOf<Outcome>({
       Left: (errors) => ({ status: 422, stamp, errors }),
-      Right: (network) => {
-        const { revision, limits, more } = network
-        this.#network = network
-        this.copy.set({ key: 'network', stamp: index, gone: false, value: JSON.stringify({ revision, limits, more }) })
-        this.#derive(index, 'route/', network.routes)
-        this.#derive(index, 'service/', network.services)
+      Right: ({ head }) => {
+        this.copy.set({ key: 'network', stamp: index, gone: false, value: JSON.stringify(head) })
         return { status: 200, stamp: index, errors: [] }
       },
     })
   }
 
+  #patch(index: number, base: Configuration, sent: Tree): Either<string[], Configuration> {
+    return base.patch(sent).map(({ routes, services }) => {
+      this.#setRows(index, 'route/', routes.set)
+      this.#dropRows(index, 'route/', routes.dropped)
+      this.#setRows(index, 'service/', services.set)
+      this.#dropRows(index, 'service/', services.dropped)
+      return base
+    })
+  }
+
+  #put(index: number, sent: Tree, current: number): Either<string[], Configuration> {
+    return Network.check(sent, current).map((network) => {
+      this.#configuration = new Configuration(network)
+      this.#derive(index, 'route/', network.routes)
+      this.#derive(index, 'service/', network.services)
+      return this.#configuration
+    })
+  }
+
   /** Sets the rows of named items that changed, and takes away those that are no more. */
   #derive(index: number, prefix: string, items: readonly { name: string }[]): void {
-    const wanted = new Map(items.map((item) => [item.name, JSON.stringify(item)]))
-    for (const [name, value] of wanted) {
-      if (this.copy.get(prefix + name) !== value) this.copy.set({ key: prefix + name, stamp: index, gone: false, value })
-    }
-    for (const [name] of this.copy.under(prefix)) {
-      if (!wanted.has(name)) this.copy.set({ key: prefix + name, stamp: index, gone: true, value: '' })
+    const wanted = new Set(items.map((item) => item.name))
+    this.#setRows(index, prefix, items)
+    const gone = this.copy.under(prefix).filter(([name]) => !wanted.has(name))
+    this.#dropRows(
+      index,
+      prefix,
+      gone.map(([name]) => name),
+    )
+  }
+
+  #setRows(index: number, prefix: string, items: readonly { name: string }[]): void {
+    for (const item of items) {
+      const key = prefix + item.name
+      const value = JSON.stringify(item)
+      if (this.copy.get(key) !== value) this.copy.set({ key, stamp: index, gone: false, value })
     }
   }
 
+  #dropRows(index: number, prefix: string, names: readonly string[]): void {
+    for (const name of names) this.copy.set({ key: prefix + name, stamp: index, gone: true, value: '' })
+  }
+
   #applyPlatform(index: number, servers: string): void {
     const listed = new Map(
       z
