Leases: list the alive nodes when one comes, moves or falls silent

At every renewal of every node the leader filtered, sorted and hashed all nodes, the square of their number in each lease time. The list is now kept until a node comes or moves, or the first of it could have fallen silent.

--- a/src/consensus/Leases.ts
+++ b/src/consensus/Leases.ts
@@ -48,8 +48,13 @@
   }
 
   alive(seat: string, nowMs: number): boolean {
+    return nowMs <= this.aliveUntilMs(seat)
+  }
+
+  /** Until when a seat counts as alive if it is not heard again. */
+  aliveUntilMs(seat: string): number {
     const held = this.#held.get(seat)
-    return held !== undefined && nowMs - held.heardMs <= margin * this.#timings.leaseMs
+    return held === undefined ? -Infinity : held.heardMs + margin * this.#timings.leaseMs
   }
 
   /** Grants a lease, unless the seat has been behind a charter for too long. */
--- a/src/control/SeatDesk.ts
+++ b/src/control/SeatDesk.ts
@@ -3,13 +3,13 @@
  * tokens for further tries. The pools follow the charter in force.
  */
 import { Timings } from '../common/Timings.js'
-import { digest } from '../common/digest.js'
 import { CharterReader } from '../consensus/CharterReader.js'
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { Leases } from '../consensus/Leases.js'
 import { Retries } from '../consensus/Retries.js'
 import { Shares } from '../consensus/Shares.js'
 import type { Message } from '../transport/Message.js'
+import { AliveNodes } from './AliveNodes.js'
 
 type Renew = Extract<Message, { kind: 'renew' }>
 type Lease = Extract<Message, { kind: 'lease' }>
@@ -17,6 +17,7 @@
 export class SeatDesk {
   readonly leases: Leases
   readonly #timings: Timings
+  readonly #alive: AliveNodes
   readonly #shares: Shares
   readonly #retries: Retries
   readonly #reader = new CharterReader()
@@ -25,12 +26,14 @@
   constructor(timings: Timings) {
     this.#timings = timings
     this.leases = new Leases(timings)
+    this.#alive = new AliveNodes(this.leases)
     this.#shares = new Shares(timings.leaseMs)
     this.#retries = new Retries(timings.retryWindowMs)
   }
 
   begin(term: number, nowMs: number): void {
     this.leases.begin(nowMs)
+    this.#alive.clear()
     this.#shares.begin(term, this.leases.graceUntilMs)
     this.#retries.begin()
   }
@@ -40,12 +43,9 @@
     this.#reader.follow(copy)
     this.#seats = copy.under('seat/').length
     const granted = this.leases.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
-    const alive = this.leases.seats
-      .filter(([seat]) => this.leases.alive(seat, nowMs))
-      .map(([name, held]) => ({ name, address: held.address, role: 'agent' as const, zone: held.zone }))
-      .sort((a, b) => (a.name < b.name ? -1 : 1))
-    const peersSum = digest(JSON.stringify(alive))
-    const peers = peersSum === renew.peersSum ? [] : alive
+    this.#alive.heard(renew.seat, fromAddress, renew.zone)
+    const { nodes, sum: peersSum } = this.#alive.list(nowMs)
+    const peers = peersSum === renew.peersSum ? [] : [...nodes]
     const lease = {
       kind: 'lease' as const,
       sentMs: renew.sentMs,
