--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -6,8 +6,6 @@
 import type { Random } from '../common/Random.js'
 import type { Timings } from '../common/Timings.js'
 import { Raft } from '../consensus/Raft.js'
-import type { Member } from '../consensus/Member.js'
-import { planMembership } from '../consensus/planMembership.js'
 import { Ballots } from '../consensus/Ballots.js'
 import { Command } from '../consensus/Command.js'
 import { ReplicatedState } from '../consensus/ReplicatedState.js'
@@ -18,6 +16,7 @@
 import { Dispatcher } from '../placement/Dispatcher.js'
 import type { Policy } from '../placement/Policy.js'
 import { CoreAccount } from './CoreAccount.js'
+import { CoreMembership } from './CoreMembership.js'
 import { Operation } from './Operation.js'
 import { OperatorsBook } from './OperatorsBook.js'
 import { SeatDesk } from './SeatDesk.js'
@@ -46,10 +45,6 @@
 const hourMs = 3_600_000
 const jumpMs = 120_000
 const keptCommits = 4096
-/** More voters than this slow every write down; further control nodes stand by as learners. */
-const mostVoters = 9
-/** A member that missed so many heartbeats is doubted. */
-const doubtfulHeartbeats = 4
 
 export class ControlMachine {
   readonly raft: Raft
@@ -84,14 +79,7 @@
   readonly #network: boolean
   /** Where machines were when they last spoke of the consensus log, by identity. */
   readonly #spokeFrom = new Map<string, string>()
-  /** What system machines say that they belong to, by identity. */
-  readonly #systems = new Map<string, string>()
-  /** When members last asked to go, by identity. */
-  readonly #leavingMs = new Map<string, number>()
-  /** Since when this node itself is leaving. */
-  #leavingSinceMs: number | undefined
-  #leavingAtMs = -Infinity
-  #released = false
+  readonly #membership: CoreMembership
   #committedMs = new Map<number, number>()
   #settledMs: number | undefined
   #vacateAtMs = -Infinity
@@ -108,6 +96,15 @@
       plan.seeds.filter((seed) => seed !== plan.address),
       4 * timings.probeMs,
     )
+    this.#membership = new CoreMembership(plan, timings, this.raft, this.directory, {
+      send: (toAddress, message) => {
+        this.#send(toAddress, message)
+      },
+      say: (sentence) => {
+        this.#say('raft', sentence)
+      },
+      leaderAddress: () => this.#leaderAddress,
+    })
     this.#desk = new SeatDesk(timings)
     this.#ballots = new Ballots(plan.name, timings, random.fork())
     this.#relay = new Relay(timings.leaseMs)
@@ -168,6 +165,16 @@
     this.#probeAtMs = -Infinity
   }
 
+  /** Before it stops, a node hands over what it does for the core; see mayStop. */
+  leave(nowMs: number): void {
+    this.#membership.leave(nowMs)
+  }
+
+  /** True once a node that is leaving may stop. */
+  get mayStop(): boolean {
+    return this.#membership.mayStop
+  }
+
   #delivered(stamp: number, nowMs: number): boolean {
     if (!this.#network) return this.#desk.leases.delivered(stamp, this.#seats, nowMs)
     const sinceMs = this.#committedMs.get(stamp) ?? this.#settledMs
@@ -293,7 +300,7 @@
         this.#platformFreshMs = -Infinity
         this.#desk.leases.charterMade(this.replicatedState.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
-        this.#leavingMs.clear()
+        this.#membership.begin()
         this.#committedMs.clear()
         this.#settledMs = undefined
         this.#winAtMs = -Infinity
@@ -331,8 +338,7 @@
     this.raft.tick(nowMs)
     this.#collect(nowMs)
     if (nowMs >= this.#probeAtMs) this.#probe(nowMs)
-    this.#tickLeaving(nowMs)
-    this.#found(nowMs)
+    this.#membership.tick(nowMs)
     if (this.#leading) this.#lead(nowMs)
     this.#standForDuty(nowMs)
     this.#dispatch(hour, nowMs)
@@ -362,41 +368,6 @@
     }
   }
 
-  /** Only the lowest of the configured seats founds, and only when all have said to this very start that they are empty. */
-  #found(nowMs: number): void {
-    if (this.#network) {
-      this.#bootstrap(nowMs)
-      return
-    }
-    const seats = [...this.#plan.seats].sort()
-    if (!this.raft.empty || this.#plan.name !== seats[0]) return
-    const others = seats.slice(1).map((seat) => this.directory.get(seat))
-    if (
-      !others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#timings.probeMs)
-    )
-      return
-    const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
-    for (const peer of others)
-      if (peer !== undefined) members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
-    this.raft.found(members, nowMs)
-  }
-
-  /** Only the process at the lowest seed founds, and only when every other seed has said to this very start that it is empty. */
-  #bootstrap(nowMs: number): void {
-    const seeds = [...new Set(this.raft.foundingSeeds)].sort()
-    if (!this.raft.empty || this.#plan.address !== seeds[0]) return
-    const boxes = this.directory.of('control')
-    const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
-    for (const seed of seeds.slice(1)) {
-      const peer = boxes.find(
-        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < 4 * this.#timings.probeMs,
-      )
-      if (peer === undefined) return
-      members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
-    }
-    this.raft.found(members, nowMs)
-  }
-
   #lead(nowMs: number): void {
     if (nowMs >= this.#platformAtMs) {
       this.#platformAtMs = nowMs + this.#timings.platformMs
@@ -416,113 +387,8 @@
       this.#foundAtMs = nowMs + this.#timings.electionMs
       this.#propose({ kind: 'found', system: this.raft.identity, again: false }, nowMs)
     }
-    if (this.#network) {
-      this.#desk.leases.forget(nowMs)
-      this.#changeMembers(nowMs)
-    } else this.#seatReplicas(nowMs)
-  }
-
-  /** How long a member has been silent to this leader, which counts from when it began to lead or took the member in. */
-  #silentMs(identity: string, nowMs: number): number {
-    return identity === this.raft.identity ? 0 : nowMs - this.raft.heardMs(identity)
-  }
-
-  /** One change at a time: see planMembership. */
-  #changeMembers(nowMs: number): void {
-    for (const [identity, askedMs] of this.#leavingMs) if (nowMs - askedMs > this.#timings.electionMs) this.#leavingMs.delete(identity)
-    if (!this.raft.settled || this.raft.changing) return
-    const change = planMembership(
-      this.raft.members,
-      this.#candidates(nowMs),
-      this.raft.identity,
-      {
-        silentMs: (identity) => this.#silentMs(identity, nowMs),
-        caughtUp: (identity) => this.raft.caughtUp(identity),
-        leaving: (identity) => this.#leavingMs.has(identity),
-      },
-      {
-        targetVoters: this.#plan.targetVoters,
-        maxVoters: Math.max(mostVoters, this.#plan.targetVoters),
-        doubtfulMs: doubtfulHeartbeats * this.#timings.heartbeatMs,
-        lostMs: 2 * this.#timings.electionMs,
-        goneMs: this.#timings.memberGoneMs,
-      },
-    )
-    if (change !== undefined && this.raft.changeMembers(change.members, nowMs)) this.#say('raft', change.reason)
-  }
-
-  /** A member asks to go: its place is taken first, if a learner can take it. */
-  #hearLeaving(identity: string, fromAddress: string, nowMs: number): void {
-    if (!this.raft.settled) return
-    this.#leavingMs.set(identity, nowMs)
-    this.#changeMembers(nowMs)
-    const member = this.raft.members.some((one) => one.identity === identity)
-    const standIn = this.raft.members.some((one) => !one.voter && !this.#leavingMs.has(one.identity))
-    this.#send(fromAddress, { kind: 'leavingReply', identity, released: !this.raft.changing && !(member && standIn) })
-  }
-
-  /** Before it stops, a node hands its duties over and waits, not for long, until the core can do without it. */
-  leave(nowMs: number): void {
-    this.#leavingSinceMs ??= nowMs
-  }
-
-  /** True once a node that is leaving may stop. */
-  get mayStop(): boolean {
-    return this.#released
-  }
-
-  #tickLeaving(nowMs: number): void {
-    if (this.#leavingSinceMs === undefined || this.#released) return
-    const alone = !this.raft.members.some((one) => one.identity !== this.raft.identity)
-    if (alone || nowMs - this.#leavingSinceMs > this.#timings.leaveMs) this.#released = true
-    else if (this.#leading) this.raft.transferLeadership(nowMs)
-    else if (nowMs >= this.#leavingAtMs) {
-      this.#leavingAtMs = nowMs + this.#timings.heartbeatMs
-      this.#send(this.#leaderAddress, { kind: 'leaving', identity: this.raft.identity })
-    }
-  }
-
-  /** Control nodes that were heard lately and may join: empty ones, and those of this cluster that hold its log. */
-  #candidates(nowMs: number): Member[] {
-    return this.directory
-      .of('control')
-      .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= 4 * this.#timings.probeMs)
-      .filter((peer) => !this.#leavingMs.has(peer.identity))
-      .filter((peer) => peer.empty || (this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system))
-      .map((peer) => ({ identity: peer.identity, seat: peer.name, address: peer.address, voter: false }))
-  }
-
-  /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
-  #seatReplicas(nowMs: number): void {
-    if (!this.raft.settled || this.raft.changing) return
-    const members = [...this.raft.members]
-    for (const seat of this.#plan.seats) {
-      const peer = this.directory.get(seat)
-      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
-      const own = members.find((one) => one.identity === peer.identity)
-      const old = members.find((one) => one.seat === seat && one.identity !== peer.identity)
-      if (own === undefined) {
-        if (old !== undefined && nowMs - this.raft.heardMs(old.identity) < 2 * this.#timings.electionMs) continue
-        this.#say('raft', `Takes ${seat} in as a learner under its new identity.`)
-        this.raft.changeMembers([...members, { identity: peer.identity, seat, address: peer.address, voter: false }], nowMs)
-        return
-      }
-      if (own.voter || !this.raft.caughtUp(own.identity)) continue
-      if (old !== undefined) {
-        this.#say('raft', `Retires the identity that ${seat} lost.`)
-        this.raft.changeMembers(
-          members.filter((one) => one !== old),
-          nowMs,
-        )
-      } else {
-        this.#say('raft', `Gives ${seat} its vote under its new identity.`)
-        this.raft.changeMembers(
-          members.map((one) => (one === own ? { ...own, voter: true } : one)),
-          nowMs,
-        )
-      }
-      return
-    }
+    if (this.#network) this.#desk.leases.forget(nowMs)
+    this.#membership.lead(nowMs)
   }
 
   #propose(command: Command, nowMs: number): void {
@@ -535,7 +401,7 @@
     switch (message.kind) {
       case 'probe': {
         if (this.#strange(message.system)) break
-        if (message.role === 'control') this.#systems.set(message.identity, message.system)
+        if (message.role === 'control') this.#membership.hearSystem(message.identity, message.system)
         if (message.role === 'control') this.directory.lives.set(from, message.nonce)
         const before = this.directory.get(from)
         const empty = before?.identity === message.identity && before.empty
@@ -562,7 +428,7 @@
       }
       case 'probeReply': {
         if (message.nonce !== this.#nonce || this.#strange(message.system)) break
-        if (message.role === 'control') this.#systems.set(message.identity, message.system)
+        if (message.role === 'control') this.#membership.hearSystem(message.identity, message.system)
         this.directory.heard(
           { name: from, address: fromAddress, role: message.role, zone: message.zone, identity: message.identity, empty: message.empty },
           nowMs,
@@ -586,10 +452,10 @@
         if (this.#leading) this.raft.propose(message.command, nowMs)
         break
       case 'leaving':
-        this.#hearLeaving(message.identity, fromAddress, nowMs)
+        this.#membership.hearLeaving(message.identity, fromAddress, nowMs)
         break
       case 'leavingReply':
-        if (message.released && message.identity === this.raft.identity) this.#released = true
+        this.#membership.hearReleased(message.identity, message.released)
         break
       case 'renew':
         this.#renew(from, fromAddress, message, nowMs)
