--- a/src/control/CoreTestWorld.ts
+++ b/src/control/CoreTestWorld.ts
@@ -7,6 +7,7 @@
 import { Bounds } from '../common/Bounds.js'
 import { Random } from '../common/Random.js'
 import { Timings } from '../common/Timings.js'
+import { Frame } from '../transport/Frame.js'
 import type { Message } from '../transport/Message.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
 import type { Operation } from './Operation.js'
@@ -35,7 +36,7 @@
   /** Told of each message between core machines. */
   watch: ((message: Message) => void) | undefined
   readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
-  delays: { random: Random; messageMs: number; syncMs: number } | undefined
+  delays: { random: Random; messageMs: number; syncMs: number; bytesPerMs?: number } | undefined
   readonly cuts = new Set<string>()
   readonly #due: Due[] = []
   readonly #lastMs = new Map<string, number>()
@@ -113,14 +114,15 @@
       this.#deliver(from, fromAddress, toAddress, message)
       return
     }
-    const { random, messageMs } = this.delays
-    this.#later(`${fromAddress}>${toAddress}`, random.between(0.2, 1) * messageMs, () => {
+    const { random, messageMs, bytesPerMs = Infinity } = this.delays
+    const bytes = bytesPerMs === Infinity ? 0 : Frame.write(from, fromAddress, message).length
+    this.#later(`${fromAddress}>${toAddress}`, random.between(0.2, 1) * messageMs, bytes / bytesPerMs, () => {
       this.#deliver(from, fromAddress, toAddress, message)
     })
   }
 
-  #later(queue: string, waitMs: number, act: () => void): void {
-    const atMs = Math.max(this.nowMs + waitMs, (this.#lastMs.get(queue) ?? 0) + 0.001)
+  #later(queue: string, waitMs: number, busyMs: number, act: () => void): void {
+    const atMs = Math.max(this.nowMs + waitMs, (this.#lastMs.get(queue) ?? 0) + 0.001) + busyMs
     this.#lastMs.set(queue, atMs)
     const at = this.#due.findLastIndex((one) => one.atMs <= atMs)
     this.#due.splice(at + 1, 0, { atMs, act })
@@ -204,7 +206,7 @@
     const unsynced = this.#unsynced.get(box) ?? []
     this.#unsynced.set(box, unsynced)
     unsynced.push(effect)
-    this.#later(`disk of ${box.machine.raft.identity} ${name}`, random.between(0.3, 1) * syncMs, () => {
+    this.#later(`disk of ${box.machine.raft.identity} ${name}`, random.between(0.3, 1) * syncMs, 0, () => {
       if (this.boxes.get(name) !== box) return
       unsynced.shift()
       synced()
