--- a/src/simulator/explorer/Cluster.ts
+++ b/src/simulator/explorer/Cluster.ts
@@ -17,7 +17,14 @@
 import type { Schedule } from './Schedule.js'
 import type { ScheduleEvent } from './ScheduleEvent.js'
 
-type Cut = Extract<ScheduleEvent, { kind: 'cut' }> & { held: (() => void)[] }
+type CutEvent = Extract<ScheduleEvent, { kind: 'cut' }>
+interface Cut {
+  from: number[]
+  to: number[]
+  bothWays: boolean
+  hold: boolean
+  held: (() => void)[]
+}
 const foundAtMs = 20
 const delayMs = { low: 0.3, high: 3 }
 const tickRatio = 0.5
@@ -95,8 +102,9 @@
     return this.nodes.filter((node) => node.leads && this.clock.nowMs >= node.frozenUntilMs)
   }
 
-  cut(event: Extract<ScheduleEvent, { kind: 'cut' }>): void {
-    const cut = { ...event, held: [] }
+  cut(event: CutEvent): void {
+    const from = event.from === 'leader' ? this.leaders.slice(0, 1).map((node) => node.number) : event.from
+    const cut = { ...event, from, to: event.to.filter((number) => !from.includes(number)), held: [] }
     this.#cuts.add(cut)
     this.clock.after(event.forMs, () => {
       this.#heal(cut)
--- a/src/simulator/explorer/ClusterNode.ts
+++ b/src/simulator/explorer/ClusterNode.ts
@@ -155,7 +155,7 @@
 
   #collect(raft: Raft): void {
     const out = raft.take()
-    this.#log(out)
+    this.#log(raft, out)
     this.#checkRole(raft, out.adopted !== undefined)
     this.#apply(raft, out)
     this.#host.collected(this, out)
@@ -168,10 +168,14 @@
     if (raft === this.raft && compactEvery > 0 && this.#sinceSnapshot >= compactEvery) this.compact()
   }
 
-  #log(out: RaftOutput): void {
+  #log(raft: Raft, out: RaftOutput): void {
+    const { invariants } = this.#host
+    const { identity, term, commit, members } = raft
     for (const { records, rewrite } of out.writes) {
       const read = rewrite ? this.#memory.replace(records) : this.#memory.append(records)
-      this.#host.invariants.logged(this.seat, this.#memory, read)
+      invariants.logged(this.seat, this.#memory, read)
+      const change = this.leads && !rewrite ? read.find((record) => record.kind === 'entry' && record.type === 'members') : undefined
+      if (change?.kind === 'entry') invariants.changed({ identity, term, commit, members }, this.#memory, change.index)
     }
   }
 
@@ -186,6 +190,7 @@
       throw new Breach('commit never goes back', `${this.seat} went from ${String(this.#commit)} back to ${String(commit)}`)
     if (commit > this.#commit && this.#ledTerm === term && !adopted) invariants.committed({ identity, term, commit, members }, this.#memory)
     this.#commit = commit
+    if (raft.surelyLeads(this.localMs)) invariants.sure(identity, term)
   }
 
   #apply(raft: Raft, out: RaftOutput): void {
--- a/src/simulator/explorer/Invariants.ts
+++ b/src/simulator/explorer/Invariants.ts
@@ -22,6 +22,7 @@
 export class Invariants {
   readonly #agreed: AgreedLog
   readonly #leaders = new Map<number, string>()
+  #lastTerm = 0
   readonly #votes = new Map<string, string>()
   readonly #syncedVotes = new Set<string>()
   /** Every log entry ever made, by index and term, with the term of the entry before it. */
@@ -131,6 +132,7 @@
     if (other !== undefined && other !== leader.identity)
       throw new Breach('election safety', `term ${String(leader.term)} has two leaders, ${other} and ${leader.identity}`)
     this.#leaders.set(leader.term, leader.identity)
+    this.#lastTerm = Math.max(this.#lastTerm, leader.term)
     const index = this.#agreed.committedBefore(leader.term)
     if (!image.holds(index, this.#agreed.termAt(index)))
       throw new Breach(
@@ -139,6 +141,22 @@
       )
   }
 
+  /** A leader changes members only once an entry of its own term and the change before are committed. */
+  changed(leader: Leading, image: LogImage, index: number): void {
+    const { commit, term, identity } = leader
+    if (image.membersBefore(index) > commit || image.termAt(commit) !== term)
+      throw new Breach('change rule', `${identity} changed members at ${String(index)} with entries up to ${String(commit)} committed`)
+  }
+
+  /** While a leader is sure that no other can be at work, none of a later term has been elected. */
+  sure(leader: string, term: number): void {
+    if (this.#lastTerm > term)
+      throw new Breach(
+        'sure leader',
+        `${leader} is sure of its lead in term ${String(term)}, though term ${String(this.#lastTerm)} has a leader`,
+      )
+  }
+
   /** A leader commits by an entry of its own term that a majority of its voters has synced. */
   committed(leader: Leading, image: LogImage): void {
     const { commit, term } = leader
--- a/src/simulator/explorer/LogImage.ts
+++ b/src/simulator/explorer/LogImage.ts
@@ -64,6 +64,12 @@
     return index < this.snapshotIndex || (index <= this.lastIndex && this.termAt(index) === term)
   }
 
+  /** The index of the last membership before this index, or of the snapshot that holds it. */
+  membersBefore(index: number): number {
+    const at = this.#entries.findLast((entry) => entry.type === 'members' && entry.index < index)
+    return at?.index ?? this.snapshotIndex
+  }
+
   #take(record: DiskRecord): void {
     switch (record.kind) {
       case 'identity':
--- a/src/simulator/explorer/ScheduleEvent.ts
+++ b/src/simulator/explorer/ScheduleEvent.ts
@@ -10,7 +10,7 @@
 
 export type ScheduleEvent = At &
   (
-    | { kind: 'cut'; from: number[]; to: number[]; bothWays: boolean; hold: boolean; forMs: number }
+    | { kind: 'cut'; from: number[] | 'leader'; to: number[]; bothWays: boolean; hold: boolean; forMs: number }
     | { kind: 'lossy'; ratio: number; forMs: number }
     | {
         kind: 'crash'
--- a/src/simulator/explorer/linearizable.ts
+++ b/src/simulator/explorer/linearizable.ts
@@ -16,7 +16,7 @@
 type Answer = NonNullable<Call['answer']>
 
 export function linearizable(calls: readonly Call[]): boolean {
-  const all = calls.filter((call) => call.kind === 'write' || call.answer !== undefined).sort((a, b) => a.fromMs - b.fromMs)
+  const all = [...calls.filter((call) => call.answer !== undefined), ...open(calls)].sort((a, b) => a.fromMs - b.fromMs)
   const operations = new Map([...new Set(all.map((call) => call.operation))].map((operation, at) => [operation, 1n << BigInt(at)]))
   const bits = all.map((_, at) => 1n << BigInt(at))
   const answered = all.reduce((mask, call, at) => (call.answer === undefined ? mask : mask | (bits[at] ?? 0n)), 0n)
@@ -34,7 +34,7 @@
 
   function search(taken: bigint, state: Configuration): boolean {
     if ((taken & answered) === answered) return true
-    const key = `${taken.toString(36)} ${String(state.revision)} ${state.writer} ${state.done.toString(36)}`
+    const key = `${(taken & answered).toString(36)} ${String(state.revision)} ${state.writer} ${state.done.toString(36)}`
     if (visited.has(key)) return false
     visited.add(key)
     let firstEndMs = Infinity
@@ -47,7 +47,7 @@
       if (call.fromMs > firstEndMs) break
       if ((taken & (bits[at] ?? 0n)) !== 0n) continue
       const { answer, next } = apply(call, state)
-      if (call.answer !== undefined && !same(call.answer, answer)) continue
+      if (call.answer === undefined ? next === state : !same(call.answer, answer)) continue
       if (search(taken | (bits[at] ?? 0n), next)) return true
     }
     return false
@@ -55,6 +55,17 @@
   return search(0n, { revision: 0, writer: '', done: 0n })
 }
 
+/** Of the unanswered attempts of a write the first alone counts: it could take effect whenever a later one could. */
+function open(calls: readonly Call[]): Call[] {
+  const first = new Map<string, Call>()
+  for (const call of calls) {
+    if (call.kind !== 'write' || call.answer !== undefined) continue
+    const earlier = first.get(call.operation)
+    if (earlier === undefined || call.fromMs < earlier.fromMs) first.set(call.operation, call)
+  }
+  return [...first.values()]
+}
+
 function same(a: Answer, b: Answer): boolean {
   return a.status === b.status && a.revision === b.revision && a.writer === b.writer
 }
