Raft: a request for votes under way for long deposes no confirmed leader

surelyLeads says that no other leader can be at work; leases for the dispatcher's duty are granted by it. A member that heard its leader within the shortest election timeout now refuses other elections without taking over their term, as in Raft's dissertation, 4.2.3, but for those that a leader asked for, which say so; and a leader that handed over is not sure of its lead any more.

--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -149,9 +149,13 @@
     return this.#foundingSeeds
   }
 
-  /** True while no other leader can have been at work: a majority confirmed this one lately enough. */
+  /**
+   * True while no other leader can have been at work: a majority confirmed this one lately enough. Never again once it
+   * handed over, for the request to take over may arrive late.
+   */
   surelyLeads(nowMs: number): boolean {
-    return this.phase === 'leader' && nowMs - this.#sureMs < this.#timings.electionMs
+    const handedOver = this.#handedOverMs > -Infinity
+    return this.phase === 'leader' && !handedOver && nowMs - this.#sureMs < this.#timings.electionMs
   }
 
   /** True once an entry of this leader's own term is committed. */
@@ -392,7 +396,7 @@
     this.#reads = []
   }
 
-  #requestVotes(pre: boolean, records: Uint8Array[], nowMs = 0): void {
+  #requestVotes(pre: boolean, records: Uint8Array[], nowMs = 0, transfer = false): void {
     const message = {
       kind: 'requestVote' as const,
       from: this.identity,
@@ -400,6 +404,7 @@
       lastIndex: this.lastIndex,
       lastTerm: this.#log.termAt(this.lastIndex),
       pre,
+      transfer,
     }
     const asks = this.#voters()
       .filter((one) => one.identity !== this.identity)
@@ -430,25 +435,30 @@
     this.#lead('noop', noBytes, nowMs)
   }
 
-  #campaign(nowMs: number): void {
+  #campaign(nowMs: number, transfer = false): void {
     this.phase = 'candidate'
     this.leader = ''
     this.term += 1
     this.#votedFor = this.identity
     this.#votes = new Set()
-    this.#requestVotes(false, [this.#termRecord()], nowMs)
+    this.#requestVotes(false, [this.#termRecord()], nowMs, transfer)
   }
 
   #onRequestVote(ask: Extract<Message, { kind: 'requestVote' }>, nowMs: number): void {
     const lastTerm = this.#log.termAt(this.lastIndex)
     const fresh = ask.lastTerm > lastTerm || (ask.lastTerm === lastTerm && ask.lastIndex >= this.lastIndex)
     const give = { kind: 'voteReply' as const, to: ask.from, from: this.identity, pre: ask.pre }
+    const content = this.phase === 'leader' || nowMs - this.#heardLeaderMs < this.#timings.electionMs
     if (ask.pre) {
-      const content = this.phase === 'leader' || nowMs - this.#heardLeaderMs < this.#timings.electionMs
       const given = ask.term > this.term && fresh && !content
       this.#out.sends.push({ to: ask.from, message: { ...give, term: given ? ask.term : this.term, given } })
       return
     }
+    // A request that was long under way must not depose the leader that a majority has just confirmed.
+    if (ask.term > this.term && content && ask.transfer !== true) {
+      this.#out.sends.push({ to: ask.from, message: { ...give, term: this.term, given: false } })
+      return
+    }
     if (ask.term > this.term) this.#follow(ask.term, '', nowMs)
     const given = ask.term === this.term && fresh && this.phase === 'follower' && (this.#votedFor === '' || this.#votedFor === ask.from)
     if (given) {
@@ -621,7 +631,7 @@
   #onTimeoutNow(request: Extract<Message, { kind: 'timeoutNow' }>, nowMs: number): void {
     if (request.term !== this.term || this.phase !== 'follower' || !this.#mayStand || this.#stalled(nowMs)) return
     this.#resetElection(nowMs)
-    this.#campaign(nowMs)
+    this.#campaign(nowMs, true)
   }
 
   #onAppendReply(reply: Extract<Message, { kind: 'appendReply' }>, nowMs: number): void {
--- a/src/transport/Message.ts
+++ b/src/transport/Message.ts
@@ -35,6 +35,8 @@
     lastIndex: z.number(),
     lastTerm: z.number(),
     pre: z.boolean(),
+    /** The leader asked for this election: it goes before the trust in that leader. */
+    transfer: z.boolean().optional(),
   }),
   kind('voteReply', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
   kind('appendEntries', {
