--- a/src/simulator/explorer/ClusterNode.ts
+++ b/src/simulator/explorer/ClusterNode.ts
@@ -16,6 +16,8 @@
 const syncMs = { low: 0.3, high: 3 }
 const lateTickRatio = 0.05
 const lateTickMs = 150
+/** What waits for a frozen process is taken up in any order within this time. */
+const thawMs = 5
 
 export class ClusterNode {
   readonly number: number
@@ -123,9 +125,9 @@
   step(act: (raft: Raft, nowMs: number) => void): void {
     const { raft, life } = this
     if (raft === undefined) return
-    const { clock } = this.#host
+    const { clock, random } = this.#host
     if (clock.nowMs < this.frozenUntilMs) {
-      clock.at(this.frozenUntilMs, () => {
+      clock.at(this.frozenUntilMs + thawMs * random.next(), () => {
         if (life === this.life) this.step(act)
       })
       return
@@ -252,6 +254,7 @@
     this.#host.invariants.synced(raft.identity, write.records, write.rewrite)
     if (this.#crashesAt('beforeSends')) return
     for (const { to, message } of write.then) this.#send(raft, to, message)
+    if (this.#crashesAt('afterSends')) return
     raft.written(nowMs)
   }
 
--- a/src/simulator/explorer/ScheduleEvent.ts
+++ b/src/simulator/explorer/ScheduleEvent.ts
@@ -15,8 +15,8 @@
     | {
         kind: 'crash'
         target: Target
-        /** `now`, or at a later write of the node: before it, after it and before its sync, or after its sync and before its sends. */
-        when: 'now' | 'beforeWrite' | 'beforeSync' | 'beforeSends'
+        /** `now`, or at a later write of the node: before it, before its sync, after its sync and before its sends, or after those. */
+        when: 'now' | 'beforeWrite' | 'beforeSync' | 'beforeSends' | 'afterSends'
         /** How many of the node's writes are let through first. */
         skip: number
         keep: 'all' | 'lost' | 'torn'
--- a/src/simulator/explorer/generateSchedule.ts
+++ b/src/simulator/explorer/generateSchedule.ts
@@ -37,7 +37,7 @@
 }
 
 function crash(random: Random, seats: number): Without<Of<'crash'>> {
-  const points = ['now', 'beforeWrite', 'beforeSync', 'beforeSends'] as const
+  const points = ['now', 'beforeWrite', 'beforeSync', 'beforeSends', 'afterSends'] as const
   const kept = ['all', 'lost', 'torn'] as const
   return {
     kind: 'crash',
@@ -79,6 +79,7 @@
 const elections: Weighted<Fault>[] = [
   { weight: 12, make: (random, seats) => ({ ...cut(random, seats), from: 'leader', forMs: random.between(600, 2500) }) },
   { weight: 12, make: (random, seats) => ({ ...crash(random, seats), downMs: random.between(1, 20) }) },
+  { weight: 8, make: (random) => ({ kind: 'freeze', target: 'leader', forMs: random.between(1000, 2500) }) },
 ]
 
 function role(random: Random, seats: number): Without<ScheduleEvent> {
@@ -137,7 +138,7 @@
       dropRatio: random.hit(0.5) ? 0 : random.between(0, 0.1),
       duplicateRatio: random.hit(0.5) ? 0 : random.between(0, 0.2),
       lateRatio: random.hit(0.3) ? 0 : random.between(0, 0.3),
-      lateMs: random.between(5, 600),
+      lateMs: random.hit(0.2) ? random.between(600, 1500) : random.between(5, 600),
     },
     clockDrift: driftAtMost * random.next(),
     spreadRatio: random.hit(0.3) ? 0.1 : 1,
