Leases: look first at the seat that was last waited for

While a change waits for its adoption, each step of the leader looked at all seats for each pending change. The seat that held it up is kept and looked at first, so that the others are looked at when that one is done.

Random renewals, silences and new leaders give the verdict of a look at all.

--- a/src/consensus/Leases.ts
+++ b/src/consensus/Leases.ts
@@ -21,6 +21,8 @@
   readonly #held = new Map<string, Held>()
   #behindSince = new Map<number, number>()
   #graceUntilMs = Infinity
+  /** The seat that was last waited for, looked at first the next time. */
+  #laggard = ''
 
   constructor(timings: Timings) {
     this.#timings = timings
@@ -75,7 +77,18 @@
   adopted(stamp: number, sinceMs: number, nowMs: number): boolean {
     if (nowMs - sinceMs >= this.#timings.deliverMs) return true
     if (nowMs <= this.#graceUntilMs) return false
-    return [...this.#held].every(([seat, held]) => held.adopted >= stamp || this.#surelyLost(seat, nowMs))
+    if (this.#isWaitedFor(this.#laggard, stamp, nowMs)) return false
+    for (const seat of this.#held.keys()) {
+      if (!this.#isWaitedFor(seat, stamp, nowMs)) continue
+      this.#laggard = seat
+      return false
+    }
+    return true
+  }
+
+  #isWaitedFor(seat: string, stamp: number, nowMs: number): boolean {
+    const held = this.#held.get(seat)
+    return held !== undefined && held.adopted < stamp && !this.#surelyLost(seat, nowMs)
   }
 
   #surelyLost(seat: string, nowMs: number): boolean {
