Control: compare the platform's list with the rows as they stand

Each read of the platform's list parsed every server row again to compare it. Rows that this release wrote are now compared as text; others still are parsed, so that what counts as a difference is unchanged.

--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -780,10 +780,17 @@
     if (!this.#leading || !this.raft.settled) return
     const servers = this.#network ? full.flatMap((one) => PlatformServer.safeParse({ ...one, models: undefined }).data ?? []) : full
     const listed = JSON.stringify([...servers].sort((a, b) => (a.name < b.name ? -1 : 1)))
-    const held = JSON.stringify(this.replicatedState.copy.under('server/').map(([, value]) => PlatformServer.parse(JSON.parse(value))))
-    if (listed === held) this.#platformFreshMs = this.#platformAtMs - this.#timings.platformMs
-    if (listed === held || (listed === this.#platformSeen && this.raft.commit < this.raft.lastIndex)) return
+    const same = this.#holdsServers(listed)
+    if (same) this.#platformFreshMs = this.#platformAtMs - this.#timings.platformMs
+    if (same || (listed === this.#platformSeen && this.raft.commit < this.raft.lastIndex)) return
     this.#platformSeen = listed
     this.#propose({ kind: 'platform', servers: listed }, nowMs)
   }
+
+  /** True if the table holds just these servers. Rows as this release writes them are compared as they stand. */
+  #holdsServers(listed: string): boolean {
+    const rows = this.replicatedState.copy.under('server/').map(([, value]) => value)
+    if (listed === `[${rows.join(',')}]`) return true
+    return listed === JSON.stringify(rows.map((value) => PlatformServer.parse(JSON.parse(value))))
+  }
 }
