Peer directory: a new peer leaves the lists of other roles as they are

Each new name had all lists of roles made again, in a start of 370 nodes the square of their number.

--- a/src/consensus/PeerDirectory.ts
+++ b/src/consensus/PeerDirectory.ts
@@ -24,8 +24,8 @@
   readonly #peers = new Map<string, Peer>()
   readonly #nameOf = new Map<string, string>()
   /** Names by role in their order, and names of all that are no control nodes; made again when a name or a role is new. */
-  #byRole = new Map<Role, readonly string[]>()
-  #rest: readonly string[] | undefined
+  readonly #byRole = new Map<Role, readonly string[]>()
+  #rest: string[] | undefined
   #turn = 0
 
   constructor(self: string, seeds: readonly string[], staleMs: number) {
@@ -62,8 +62,10 @@
       if (peer.identity !== '') this.#nameOf.set(peer.identity, peer.name)
     }
     if (old?.role === peer.role) return
-    this.#byRole.clear()
-    this.#rest = undefined
+    this.#byRole.delete(peer.role)
+    if (old !== undefined) this.#byRole.delete(old.role)
+    if (old !== undefined) this.#rest = undefined
+    else if (peer.role !== 'control') this.#rest?.push(peer.name)
   }
 
   get(name: string): Peer | undefined {
