--- a/src/simulator/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -61,6 +61,8 @@
   /** How long each write of operators took until all who may be at work had adopted it. */
   readonly ackMs: number[] = []
   diskBytes = 0
+  /** Operators pause while this is false. */
+  changing = true
   /** Zones that nothing leaves or comes into while they are named here. */
   cutOff: ReadonlySet<string> = new Set()
   requests = 0
@@ -353,14 +355,18 @@
     }
     if (requestsPerS > 0) this.clock.after(500, ask)
     const change = () => {
-      this.#revision += 1
-      const text = JSON.stringify(HollowSize.change(this.#size, this.#revision))
-      this.#operate({ action: 'network.patch', text, operation: `change-${String(this.#revision)}` })
+      if (this.changing) this.#change()
       this.clock.after(1000 / changesPerS, change)
     }
     if (changesPerS > 0) this.clock.after(500, change)
   }
 
+  #change(): void {
+    this.#revision += 1
+    const text = JSON.stringify(HollowSize.change(this.#size, this.#revision))
+    this.#operate({ action: 'network.patch', text, operation: `change-${String(this.#revision)}` })
+  }
+
   #list(): PlatformServer[] {
     return [...this.#servers.values()].map(({ listed, models }) => ({
       ...listed,
--- a/src/simulator/slopes.ts
+++ b/src/simulator/slopes.ts
@@ -60,6 +60,8 @@
 }
 const timings = Timings(Bounds.parse({}))
 const tallyPerS = 4
+const oneChangePerS = 10
+const oneChangeTurns = 3
 /** A line that misses by more says nothing of a larger size. */
 const mostMissRatio = 0.15
 
@@ -113,6 +115,31 @@
   return figures
 }
 
+/** What one change of one route costs each role: spans with changes less spans without, of the same network, in turn. */
+function oneChange(size: HollowSize): Figures {
+  const network = new HollowNetwork({ ...size, requestsPerS: 0, changesPerS: oneChangePerS })
+  network.begin()
+  const costs = Array.from({ length: oneChangeTurns }, () => {
+    const quiet = roleCosts(network, false)
+    return Object.entries(roleCosts(network, true)).map(([role, us]): [string, number] => [role, us - (quiet[role] ?? 0)])
+  })
+  const changes = (oneChangePerS * spanMs) / 1000
+  const medians = Object.keys(network.roles).map((role): [string, number] => {
+    const sorted = costs.map((one) => new Map(one).get(role) ?? 0).sort((a, b) => a - b)
+    return [`${role}: us of a core a change`, (sorted[Math.floor(sorted.length / 2)] ?? 0) / changes]
+  })
+  return Object.fromEntries(medians)
+}
+
+/** Processor time of each role in a span with changes or without, a gateway's adoption with that of its agent. */
+function roleCosts(network: HollowNetwork, changing: boolean): Record<string, number> {
+  network.changing = changing
+  network.measure(spanMs)
+  const spent = (name: string) =>
+    network.account(name).cpuUs + network.account(`${name}/adopt`).cpuUs + network.account(`${name}/tick`).cpuUs
+  return Object.fromEntries(Object.entries(network.roles).map(([role, name]): [string, number] => [role, spent(name)]))
+}
+
 /** One of three regions cut off while operators make so many changes, with the leader in it or not, and what it takes to be level again. */
 function cut(changes: number, withLeader: boolean): Figures {
   const network = new HollowNetwork({ ...base, boxes: 5, nodes: 12, routes: 350, requestsPerS: 0, changesPerS: 10 })
@@ -399,6 +426,20 @@
     what: 'requests a second on 20 nodes, whole network',
     at: (requestsPerS) => world({ ...base, requestsPerS }),
   },
+  changeRoutes: {
+    sizes: [50, 200, 750, 3000],
+    most: 5000,
+    target: 750,
+    what: 'routes, one change of one of them, whole network of 20 nodes',
+    at: (routes) => oneChange({ ...base, boxes: 5, routes }),
+  },
+  changeNodes: {
+    sizes: [9, 80, 370],
+    most: 400,
+    target: 370,
+    what: 'edge machines, one change of one of 750 routes, whole network',
+    at: (nodes) => oneChange({ ...base, boxes: 5, nodes, routes: 750 }),
+  },
   changes: {
     sizes: [1, 2, 4, 8],
     most: 20,
