--- a/src/simulator/Callers.ts
+++ b/src/simulator/Callers.ts
@@ -9,7 +9,8 @@
 import { Verdict } from '../common/Verdict.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Deployment } from './Deployment.js'
-import type { Sighting } from './Sighting.js'
+import { requestMark } from './requestMark.js'
+import type { Observation } from './Observation.js'
 
 const mostUnderWay = 2000
 
@@ -17,7 +18,7 @@
   readonly #deployment: Deployment
   readonly #addresses: () => string[]
   readonly #isWarm: (model: string, adapter: string) => boolean
-  readonly #see: (sighting: Sighting) => void
+  readonly #see: (observation: Observation) => void
   readonly #random: Random
   readonly #agent = new Agent({ connections: 64, headersTimeout: 60_000, bodyTimeout: 60_000 })
   readonly #timers: NodeJS.Timeout[] = []
@@ -33,7 +34,7 @@
     seed: number,
     addresses: () => string[],
     isWarm: (model: string, adapter: string) => boolean,
-    see: (sighting: Sighting) => void,
+    see: (observation: Observation) => void,
   ) {
     this.#isWarm = isWarm
     this.#deployment = deployment
@@ -98,7 +99,7 @@
       proper: true,
     })
     const parts = Array.from({ length: course.prefix }, (_, at) => `${course.service} shared part ${String(at)}`).concat(name)
-    const body = course.kind === 'service' ? '' : JSON.stringify({ adapter: adapter ?? '', parts })
+    const body = requestMark.body(name, course.kind === 'service' ? {} : { adapter: adapter ?? '', parts })
     const path = course.kind === 'service' ? `/v1/services/${course.service}/check` : `/v1/models/${course.service}`
     let headed = false
     try {
@@ -108,6 +109,7 @@
         body,
         headers: {
           'request-id': name,
+          [requestMark.header]: name,
           'service-name': course.service,
           'due-ms': String(dueMs),
           lines: String(course.lines),
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 /**
- * The developers' program: runs whole deployments against stand-ins and judges what was seen from
+ * The developers' program: runs whole deployments against stand-ins and checks what was observed from
  * outside. Exit code 1 when a rule was broken, 2 for a name it does not know.
  */
+import '../common/checkNode.js'
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -33,7 +34,7 @@
 
 const fleet = command({
   name: 'fleet',
-  description: 'Runs a deployment as real processes on loopback and judges it.',
+  description: 'Runs a deployment as real processes on loopback and checks its invariants.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
@@ -45,6 +46,7 @@
     }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
     safety: flag({ long: 'safety', description: 'bounds of time are told, but only safety rules decide: for machines that may be slow' }),
+    noVisitors: flag({ long: 'no-visitors', description: 'every request that no caller of the run sent breaks the rule stray' }),
     folder: option({ long: 'folder', type: optional(string), description: 'where startup files, logs and data go' }),
   },
   handler: async (given) => {
@@ -63,6 +65,7 @@
         faults,
         seed: given.seed,
         safety: given.safety,
+        visitors: !given.noVisitors,
         say,
       })
       process.exitCode = passes ? 0 : 1
@@ -71,7 +74,7 @@
 })
 const sim = command({
   name: 'sim',
-  description: 'Runs a deployment under virtual time, one run a seed, and judges each.',
+  description: 'Runs a deployment under virtual time, one run a seed, and checks each.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
