--- a/src/proxy/ProxyMachine.ts
+++ b/src/proxy/ProxyMachine.ts
@@ -10,6 +10,9 @@
 import { CharterReader } from '../consensus/CharterReader.js'
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Message } from '../transport/Message.js'
+import { fairOrder } from './fairOrder.js'
+import { LoadTally } from './LoadTally.js'
+import { Outlooks } from './Outlooks.js'
 import { Phase } from './Phase.js'
 import type { Backend } from './Backend.js'
 import { BackendTable } from './BackendTable.js'
@@ -23,11 +26,6 @@
   zone: string
   agent: string
 }
-interface Outlook {
-  heardMs: number
-  readyAtMs: number
-  neverBeforeMs: number
-}
 
 export class ProxyMachine {
   readonly copy = new ReplicaTable()
@@ -36,7 +34,8 @@
   readonly #session: string
   readonly #requests = new Map<string, RequestState>()
   readonly #backends: BackendTable
-  readonly #outlooks = new Map<string, Outlook>()
+  readonly #outlooks: Outlooks
+  readonly #load = new LoadTally()
   #firsts = new Map<string, number>()
   #asked = ''
   readonly #reader = new CharterReader()
@@ -45,12 +44,12 @@
   #followAtMs = -Infinity
   #tallyAtMs = -Infinity
   #follows = 0
-  #arrivals = new Map<string, { model: string; adapter: string; count: number; lastMs: number }>()
   #turn = 0
 
   constructor(plan: Plan, timings: Timings, random: Random) {
     this.#plan = plan
     this.#timings = timings
+    this.#outlooks = new Outlooks(timings.leaseMs)
     this.#backends = new BackendTable(plan.zone, timings, random)
     this.#session = random.below(4294967296).toString(36)
   }
@@ -134,9 +133,7 @@
         this.#permit(message)
         break
       case 'outlook':
-        for (const { model, adapter, readyInMs, neverBeforeMs } of message.models) {
-          this.#outlooks.set(`${model}/${adapter}`, { heardMs: nowMs, readyAtMs: nowMs + readyInMs, neverBeforeMs: nowMs + neverBeforeMs })
-        }
+        this.#outlooks.take(message.models, nowMs)
         return
       case 'news':
         if (this.copy.adopt(message.since, message.stamp, message.rows).length > 0) this.#adopted(nowMs)
@@ -210,15 +207,7 @@
       lastWhy: '',
     }
     this.#requests.set(input.id, request)
-    if (target.kind === 'model') {
-      const key = `${target.name}/${target.adapter}`
-      const seen = this.#arrivals.get(key)
-      if (seen === undefined) this.#arrivals.set(key, { model: target.name, adapter: target.adapter, count: 1, lastMs: nowMs })
-      else {
-        seen.count += 1
-        seen.lastMs = nowMs
-      }
-    }
+    this.#load.arrived(target, nowMs)
     this.#bind(request, nowMs)
   }
 
@@ -249,7 +238,7 @@
     if (!this.current(nowMs)) waitMs = this.#timings.electionMs + this.#timings.electionSpreadMs + this.#timings.leaseMs
     else if (terms !== undefined) {
       const trustedAtMs = this.#backends.trustedAtMs(target, terms)
-      const outlook = this.#outlook(target, nowMs)
+      const outlook = this.#outlooks.of(target, nowMs)
       if (trustedAtMs !== undefined) waitMs = Math.max(waitMs, trustedAtMs - nowMs)
       else if (outlook !== undefined) waitMs = outlook.readyAtMs - nowMs
       else waitMs = this.#timings.reportStaleMs
@@ -257,12 +246,6 @@
     return Math.max(1, Math.ceil(waitMs / 1000))
   }
 
-  /** What the dispatcher last said of a model that requests wait for. */
-  #outlook(target: RequestState['target'], nowMs: number): Outlook | undefined {
-    const outlook = target.kind === 'model' ? this.#outlooks.get(`${target.name}/${target.adapter}`) : undefined
-    return outlook !== undefined && nowMs - outlook.heardMs < this.#timings.leaseMs ? outlook : undefined
-  }
-
   #termsOf(request: RequestState): Terms | undefined {
     return this.#reader.terms.get(`${request.target.kind} ${request.target.name}`)
   }
@@ -273,7 +256,7 @@
       if (request.phase === 'streaming') continue
       if (nowMs < request.dueMs) {
         if (request.phase !== 'held' || request.mayHaveRun || !this.current(nowMs)) continue
-        const outlook = this.#outlook(request.target, nowMs)
+        const outlook = this.#outlooks.of(request.target, nowMs)
         if (outlook === undefined || outlook.neverBeforeMs <= request.dueMs) continue
         this.#turnAway(request, 503, Verdict.notRun, 'the weight store cannot give the model before the due', nowMs)
         continue
@@ -290,19 +273,8 @@
     this.#backends.recount()
     const waiting = [...this.#requests.values()].filter((one) => one.phase === 'held')
     if (waiting.length === 0) return
-    waiting.sort((a, b) => a.dueMs - b.dueMs)
-    const lanes = new Map<string, RequestState[]>()
-    for (const one of waiting) {
-      const lane = lanes.get(one.partner)
-      if (lane === undefined) lanes.set(one.partner, [one])
-      else lane.push(one)
-    }
     this.#turn += 1
-    const queues = [...lanes.values()]
-    for (let at = 0; queues.some((queue) => queue.length > 0); at++) {
-      const next = queues[(at + this.#turn) % queues.length]?.shift()
-      if (next !== undefined) this.#bind(next, nowMs)
-    }
+    for (const request of fairOrder(waiting, this.#turn)) this.#bind(request, nowMs)
   }
 
   #bind(request: RequestState, nowMs: number): void {
@@ -480,28 +452,7 @@
 
   #tell(nowMs: number): void {
     this.#tallyAtMs = nowMs + this.#timings.renewMs / 2
-    const held = new Map<string, { model: string; adapter: string; count: number; dueInMs: number }>()
-    const flights = new Map<string, { server: string; model: string; adapter: string; count: number }>()
-    for (const { target, phase, server, dueMs } of this.#requests.values()) {
-      if (target.kind !== 'model') continue
-      const { name, adapter } = target
-      if (phase === 'held' && this.#reader.terms.has(`model ${name}`)) {
-        const key = `${name}/${adapter}`
-        const old = held.get(key) ?? { model: name, adapter, count: 0, dueInMs: Infinity }
-        held.set(key, { ...old, count: old.count + 1, dueInMs: Math.min(old.dueInMs, dueMs - nowMs) })
-      } else if (server !== '') {
-        const key = `${server} ${name}/${adapter}`
-        const old = flights.get(key) ?? { server, model: name, adapter, count: 0 }
-        flights.set(key, { ...old, count: old.count + 1 })
-      }
-    }
-    const arrivals = [...this.#arrivals.values()].map(({ model, adapter, count, lastMs }) => ({
-      model,
-      adapter,
-      count,
-      agoMs: nowMs - lastMs,
-    }))
-    this.#arrivals.clear()
+    const known = (model: string) => this.#reader.terms.has(`model ${model}`)
     this.#effects.push({
       kind: 'send',
       toAddress: this.#plan.agent,
@@ -511,9 +462,7 @@
         session: this.#session,
         adopted: this.copy.stamp,
         atMs: nowMs,
-        arrivals,
-        held: [...held.values()],
-        flights: [...flights.values()],
+        ...this.#load.take(this.#requests.values(), known, nowMs),
       },
     })
   }
