Storage: a log that opens after every loss of power, and refuses damage only

Cause: a batch that the kernel took in several writes could lose an earlier one and keep a later one; the scan called that damage and refused the file for good. The lock named a process id alone, which another process may have later. After a failed rewrite later appends went on, to a handle that might have no name.

The file has a header (magic, version, file id, born bytes), and each record tells under its checksum where its batch starts: all before that was synced when it was written. Damage is a break in the born bytes or before a later batch start; everything else is a torn tail. This was taken instead of batch numbers: an offset needs no counter over reopenings and rewrites. The lock tells a process by id, start and boot. The first failure of the disk is final. Exit codes 65 (file refused) and 75 (folder held).

Excluded: an id per opening in each record instead of the mark.

Tests: Record.test.ts held that damage to an earlier record of one batch is refused; in an unsynced batch that is a torn write, so the tests of scanLog ask it of each byte of every synced batch and of the born bytes instead, and that a last batch is cut whatever part it lost. The lock test asks for a real process's identity.

--- a/src/control/foundAgain.test.ts
+++ b/src/control/foundAgain.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test'
-import { deepStrictEqual, strictEqual } from 'node:assert'
-import { mkdtemp, rm } from 'node:fs/promises'
+import { deepStrictEqual, match, strictEqual } from 'node:assert'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { Startup } from '../common/Startup.js'
@@ -52,3 +52,22 @@
   )
   await rm(data, { recursive: true })
 })
+
+test('a folder with the file of another program is refused, with the exit code of its kind', async () => {
+  const data = await mkdtemp(join(tmpdir(), 'refound-'))
+  await writeFile(join(data, 'log'), 'a diary')
+  const startup = Startup.control.parse({
+    name: 'box-1',
+    zone: 'a',
+    transport: '127.0.0.1:1',
+    operators: '127.0.0.1:2',
+    seeds: ['127.0.0.1:1'],
+    seats: ['box-1'],
+    data,
+  })
+  const lines: string[] = []
+  strictEqual(await foundAgain(startup, true, (line) => lines.push(line)), 65)
+  match(lines.join('\n'), /is no log of this program/)
+  strictEqual(await readFile(join(data, 'log'), 'utf8'), 'a diary')
+  await rm(data, { recursive: true })
+})
--- a/src/control/foundAgain.ts
+++ b/src/control/foundAgain.ts
@@ -5,9 +5,23 @@
 import { Startup } from '../common/Startup.js'
 import { refound } from '../consensus/refound.js'
 import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
+import { StorageError } from '../storage/StorageError.js'
+
+async function openLog(folder: string): Promise<FileWriteAheadLog | StorageError> {
+  try {
+    return await FileWriteAheadLog.open(folder)
+  } catch (error) {
+    if (error instanceof StorageError) return error
+    throw error
+  }
+}
 
 export async function foundAgain(startup: Startup['control'], sure: boolean, say: (line: string) => void): Promise<number> {
-  const writeAheadLog = await FileWriteAheadLog.open(startup.data)
+  const writeAheadLog = await openLog(startup.data)
+  if (writeAheadLog instanceof StorageError) {
+    say(writeAheadLog.message)
+    return writeAheadLog.exitCode
+  }
   try {
     const system = crypto.randomUUID().slice(0, 13)
     const again = refound(writeAheadLog.records, { seat: startup.name, address: startup.transport, system })
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -10,6 +10,7 @@
 import { Startup } from '../common/Startup.js'
 import { HttpOutside } from '../adapters/HttpOutside.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
+import { exitOnStorageError } from '../storage/exitOnStorageError.js'
 import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
 import { foundAgain } from './foundAgain.js'
 import { OperatorsDesk } from './OperatorsDesk.js'
@@ -34,7 +35,7 @@
   Startup.control,
   fields,
   async (startup, logger) => {
-    const writeAheadLog = await FileWriteAheadLog.open(startup.data)
+    const writeAheadLog = await FileWriteAheadLog.open(startup.data).catch(exitOnStorageError('control', logger))
     container.registerInstance('startup', startup)
     container.registerInstance('logger', logger)
     container.registerInstance(Meters, new Meters('control', startup.name))
--- a/src/storage/FileWriteAheadLog.ts
+++ b/src/storage/FileWriteAheadLog.ts
@@ -1,126 +1,107 @@
 /**
- * The store on a real disk: one append-only file in the data folder, held by a lock file with the
- * holder's process id. Appends that wait are written and synced together. A rewrite goes to a new
- * file that is synced and renamed, and then the folder is synced. Any defect of the disk is final.
+ * The store on a real disk: one append-only file in a data folder that this process holds.
+ *
+ * Records that wait for the disk are written as one batch, with one sync for all. A rewrite puts
+ * a new file in the place of the old one; batches after it wait until the new name is durable, so nothing is
+ * acknowledged that only a file without a lasting name holds. The file handle of the new file is kept
+ * from its making on, and is never opened again by a name. A write that fails or comes to nothing, a
+ * failed sync or a failed rename is final: that call and all later ones fail with the first error, for nobody
+ * can tell what the disk holds then, and the process has to end and read its file again.
+ *
+ * `scanLog` tells what a loss of power may leave in the file, `LogFolder` what it may leave of the names,
+ * and `FolderLock` what the lock is worth.
  */
+import { randomBytes } from 'node:crypto'
 import { Mutex } from 'async-mutex'
-import { mkdir, open, readFile, rename, rm, writeFile, type FileHandle } from 'node:fs/promises'
-import { readFileSync } from 'node:fs'
-import { join } from 'node:path'
-import { Record } from './Record.js'
+import { FolderLock } from './FolderLock.js'
+import type { LogFile } from './LogFile.js'
+import { LogFolder } from './LogFolder.js'
+import { nodeFileSystem } from './nodeFileSystem.js'
+import { procProcessTable } from './procProcessTable.js'
+import { scanLog } from './scanLog.js'
+import type { StorageParts } from './StorageParts.js'
 import type { WriteAheadLog } from './WriteAheadLog.js'
 
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r')
-  try {
-    await handle.sync()
-  } finally {
-    await handle.close()
-  }
+interface WaitingBatch {
+  readonly records: Uint8Array[]
+  readonly synced: Promise<void>
 }
 
-function alive(pid: number): boolean {
-  try {
-    process.kill(pid, 0)
-    return (
-      readFileSync(`/proc/${String(pid)}/stat`, 'utf8')
-        .split(') ')[1]
-        ?.startsWith('Z') !== true
-    )
-  } catch {
-    return false
-  }
-}
+const machineParts: StorageParts = { files: nodeFileSystem, processes: procProcessTable, scan: scanLog, randomBytes }
 
 export class FileWriteAheadLog implements WriteAheadLog {
   readonly records: readonly Uint8Array[]
-  readonly #folder: string
-  readonly #path: string
+  readonly #folder: LogFolder
+  readonly #lock: FolderLock
   readonly #turn = new Mutex()
-  #handle: FileHandle
-  #bytes: number
-  #batch: { records: Buffer[]; synced: Promise<void> } | undefined
+  #log: LogFile
+  #waiting: WaitingBatch | undefined
+  #failure: Error | undefined
 
-  private constructor(folder: string, path: string, handle: FileHandle, records: Uint8Array[], bytes: number) {
+  private constructor(folder: LogFolder, lock: FolderLock, log: LogFile, records: Uint8Array[]) {
     this.#folder = folder
-    this.#path = path
-    this.#handle = handle
+    this.#lock = lock
+    this.#log = log
     this.records = records
-    this.#bytes = bytes
   }
 
-  static async open(folder: string, name = 'log'): Promise<FileWriteAheadLog> {
-    await mkdir(folder, { recursive: true })
-    const lock = join(folder, 'lock')
-    const held = Number(await readFile(lock, 'utf8').catch(() => ''))
-    if (held > 0 && held !== process.pid && alive(held))
-      throw new Error(`${folder} is held by process ${String(held)}; stop it or choose another data folder`)
-    await writeFile(lock, String(process.pid))
-    const path = join(folder, name)
-    const handle = await open(path, 'a+')
-    const file = await handle.readFile()
-    const scan = Record.scan(file)
-    if (scan.corruptAt !== undefined) {
-      await handle.close()
-      throw new Error(
-        `${path} is damaged at offset ${String(scan.corruptAt)} before a valid record; keep the file for study, empty the folder, and let this machine catch up as a new replica`,
-      )
+  /** Throws a `StorageError` when the folder is held, or its file cannot be read by this program. */
+  static async open(path: string, parts: Partial<StorageParts> = {}): Promise<FileWriteAheadLog> {
+    const all = { ...machineParts, ...parts }
+    await all.files.makeFolder(path)
+    const lock = await FolderLock.acquire(path, all.files, all.processes)
+    try {
+      const folder = new LogFolder(path, all)
+      const { log, records } = await folder.open()
+      return new FileWriteAheadLog(folder, lock, log, records)
+    } catch (error) {
+      await lock.release().catch(() => undefined)
+      throw error
     }
-    if (scan.end < file.length) await handle.truncate(scan.end)
-    await handle.sync()
-    await syncFolder(folder)
-    return new FileWriteAheadLog(
-      folder,
-      path,
-      handle,
-      scan.records.map((record) => new Uint8Array(record)),
-      scan.end,
-    )
   }
 
   get bytes(): number {
-    return this.#bytes
+    return this.#log.length
   }
 
   append(records: readonly Uint8Array[]): Promise<void> {
-    const batch = this.#batch ?? this.#openBatch()
-    batch.records.push(...records.map((record) => Record.write(record)))
-    return batch.synced
+    this.#waiting ??= this.#openBatch()
+    this.#waiting.records.push(...records)
+    return this.#waiting.synced
   }
 
-  #openBatch(): { records: Buffer[]; synced: Promise<void> } {
-    const records: Buffer[] = []
-    const synced = this.#turn.runExclusive(async () => {
-      if (this.#batch?.records === records) this.#batch = undefined
-      if (records.length === 0) return
-      const bytes = Buffer.concat(records)
-      await this.#handle.writeFile(bytes)
-      await this.#handle.datasync()
-      this.#bytes += bytes.length
+  rewrite(records: readonly Uint8Array[]): Promise<void> {
+    this.#waiting = undefined
+    return this.#inTurn(async () => {
+      const former = this.#log
+      this.#log = await this.#folder.replace(records)
+      await former.close()
     })
-    this.#batch = { records, synced }
-    return this.#batch
   }
 
-  rewrite(records: readonly Uint8Array[]): Promise<void> {
-    this.#batch = undefined
-    return this.#turn.runExclusive(async () => {
-      const fresh = `${this.#path}.new`
-      const handle = await open(fresh, 'w')
-      const bytes = Buffer.concat(records.map((record) => Record.write(record)))
-      await handle.writeFile(bytes)
-      await handle.sync()
-      await handle.close()
-      await rename(fresh, this.#path)
-      await syncFolder(this.#folder)
-      await this.#handle.close()
-      this.#handle = await open(this.#path, 'a+')
-      this.#bytes = bytes.length
+  async close(): Promise<void> {
+    await this.#turn.runExclusive(() => this.#log.close())
+    await this.#lock.release()
+  }
+
+  #openBatch(): WaitingBatch {
+    const records: Uint8Array[] = []
+    const synced = this.#inTurn(async () => {
+      if (this.#waiting?.records === records) this.#waiting = undefined
+      if (records.length > 0) await this.#log.append(records)
     })
+    return { records, synced }
   }
 
-  async close(): Promise<void> {
-    await this.#turn.runExclusive(() => this.#handle.close())
-    await rm(join(this.#folder, 'lock'), { force: true })
+  #inTurn(work: () => Promise<void>): Promise<void> {
+    return this.#turn.runExclusive(async () => {
+      if (this.#failure !== undefined) throw this.#failure
+      try {
+        await work()
+      } catch (error) {
+        this.#failure = error instanceof Error ? error : new Error(String(error))
+        throw this.#failure
+      }
+    })
   }
 }
--- a/src/storage/headBytes.ts
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * The bytes before each record in a file: its length and its checksum.
- */
-export const headBytes = 8
