--- a/src/simulator/explorePowerLoss.test.ts
+++ b/src/simulator/explorePowerLoss.test.ts
@@ -1,5 +1,5 @@
 import { test } from 'node:test'
-import { deepStrictEqual, notDeepStrictEqual, ok } from 'node:assert'
+import { deepStrictEqual, match, ok } from 'node:assert'
 import type { FileSystem } from '../storage/FileSystem.js'
 import { RecordHead } from '../storage/RecordHead.js'
 import { scanLog } from '../storage/scanLog.js'
@@ -37,6 +37,27 @@
   'no sync at the opening, of a cut or of what a killed process left': {
     files: withoutSyncs((origin, nth) => origin === 'opened' && nth === 1),
   },
+  'a cut is not synced before the next write': {
+    files: (files) => ({
+      ...files,
+      open: async (path) => {
+        const file = await files.open(path)
+        if (file === undefined) return undefined
+        let cut = false
+        return {
+          ...file,
+          truncate: async (length) => {
+            await file.truncate(length)
+            cut = true
+          },
+          sync: async () => {
+            if (!cut) await file.sync()
+            cut = false
+          },
+        }
+      },
+    }),
+  },
   'no sync of the folder after a rename': {
     files: (files) => {
       let renamed = false
@@ -93,5 +114,6 @@
 for (const [name, variant] of Object.entries(broken))
   test(`the explorer finds: ${name}`, async () => {
     const { findings } = await explorePowerLoss(seeds, variant)
-    notDeepStrictEqual(findings, [])
+    match(findings[0] ?? 'nothing found', /do not hold the \d+ acknowledged|log of this program|is damaged at offset/)
+    console.log(findings[0])
   })
--- a/src/storage/nodeFileSystem.ts
+++ b/src/storage/nodeFileSystem.ts
@@ -3,7 +3,7 @@
  */
 import { mkdir, open, rename, rm, type FileHandle } from 'node:fs/promises'
 import { constants } from 'node:fs'
-import { dirname } from 'node:path'
+import { dirname, resolve } from 'node:path'
 import type { FileSystem } from './FileSystem.js'
 import type { StorageFile } from './StorageFile.js'
 
@@ -44,7 +44,7 @@
     const firstMade = await mkdir(path, { recursive: true })
     if (firstMade === undefined) return
     const above = dirname(firstMade)
-    for (let folder = dirname(path); folder.startsWith(above); folder = dirname(folder)) {
+    for (let folder = dirname(resolve(path)); folder.startsWith(above); folder = dirname(folder)) {
       await syncFolder(folder)
       if (folder === above) return
     }
