--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -7,6 +7,7 @@
 import type { Timings } from '../common/Timings.js'
 import { Raft } from '../consensus/Raft.js'
 import type { Member } from '../consensus/Member.js'
+import { planMembership } from '../consensus/planMembership.js'
 import { Ballots } from '../consensus/Ballots.js'
 import { Command } from '../consensus/Command.js'
 import { ReplicatedState } from '../consensus/ReplicatedState.js'
@@ -37,13 +38,18 @@
   policy: Policy
   /** The system that an empty machine may join; any, if empty. */
   system: string
+  /** Voters that a network's core is to have. */
+  targetVoters: number
 }
 const dispatcherDuty = 'dispatcher'
 const unreadMs = 1e9
 const hourMs = 3_600_000
 const jumpMs = 120_000
 const keptCommits = 4096
-const keptVoters = 3
+/** More voters than this slow every write down; further control nodes stand by as learners. */
+const mostVoters = 9
+/** A member that missed so many heartbeats is doubted. */
+const doubtfulHeartbeats = 4
 
 export class ControlMachine {
   readonly raft: Raft
@@ -75,14 +81,17 @@
   #platformSeen = ''
   #applied = 0
   #logBytes = 0
-  #seeds: readonly string[]
   readonly #network: boolean
   /** Where machines were when they last spoke of the consensus log, by identity. */
   readonly #spokeFrom = new Map<string, string>()
   /** What system machines say that they belong to, by identity. */
   readonly #systems = new Map<string, string>()
-  /** Since when this leader counts a member's silence. */
-  #countedMs = new Map<string, number>()
+  /** When members last asked to go, by identity. */
+  readonly #leavingMs = new Map<string, number>()
+  /** Since when this node itself is leaving. */
+  #leavingSinceMs: number | undefined
+  #leavingAtMs = -Infinity
+  #released = false
   #committedMs = new Map<number, number>()
   #settledMs: number | undefined
   #vacateAtMs = -Infinity
@@ -91,10 +100,9 @@
 
   constructor(plan: Plan, timings: Timings, random: Random, disk: readonly Uint8Array[], nowMs: number) {
     this.#plan = plan
-    this.#seeds = plan.seeds
     this.#network = plan.seats.length === 0
     this.#timings = timings
-    this.raft = new Raft(plan.name, timings, random.fork(), disk, nowMs)
+    this.raft = new Raft(plan.name, timings, random.fork(), disk, nowMs, this.#network && plan.bootstrap ? plan.seeds : [])
     this.directory = new PeerDirectory(
       plan.name,
       plan.seeds.filter((seed) => seed !== plan.address),
@@ -156,7 +164,6 @@
 
   /** Other seeds take the place of the old ones; whoever was learned of stays known. */
   reseed(seeds: readonly string[]): void {
-    this.#seeds = seeds
     this.directory.reseed(seeds.filter((seed) => seed !== this.#plan.address))
     this.#probeAtMs = -Infinity
   }
@@ -286,7 +293,7 @@
         this.#platformFreshMs = -Infinity
         this.#desk.leases.charterMade(this.replicatedState.charterStamp, -Infinity)
         this.#dutyHeardMs.clear()
-        this.#countedMs.clear()
+        this.#leavingMs.clear()
         this.#committedMs.clear()
         this.#settledMs = undefined
         this.#winAtMs = -Infinity
@@ -324,6 +331,7 @@
     this.raft.tick(nowMs)
     this.#collect(nowMs)
     if (nowMs >= this.#probeAtMs) this.#probe(nowMs)
+    this.#tickLeaving(nowMs)
     this.#found(nowMs)
     if (this.#leading) this.#lead(nowMs)
     this.#standForDuty(nowMs)
@@ -336,6 +344,7 @@
   }
 
   #probe(nowMs: number): void {
+    if (!this.raft.identitySynced) return
     this.#probeAtMs = nowMs + this.#timings.probeMs
     const known = this.directory.known
     const members = this.#network ? this.raft.members.filter((one) => one.identity !== this.raft.identity) : []
@@ -374,8 +383,8 @@
 
   /** Only the process at the lowest seed founds, and only when every other seed has said to this very start that it is empty. */
   #bootstrap(nowMs: number): void {
-    const seeds = [...new Set(this.#seeds)].sort()
-    if (!this.#plan.bootstrap || !this.raft.empty || this.#plan.address !== seeds[0]) return
+    const seeds = [...new Set(this.raft.foundingSeeds)].sort()
+    if (!this.raft.empty || this.#plan.address !== seeds[0]) return
     const boxes = this.directory.of('control')
     const members = [{ identity: this.raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
     for (const seed of seeds.slice(1)) {
@@ -409,64 +418,78 @@
     }
     if (this.#network) {
       this.#desk.leases.forget(nowMs)
-      this.#replaceMembers(nowMs)
+      this.#changeMembers(nowMs)
     } else this.#seatReplicas(nowMs)
   }
 
   /** How long a member has been silent to this leader, which counts from when it began to lead or took the member in. */
   #silentMs(identity: string, nowMs: number): number {
-    if (identity === this.raft.identity) return 0
-    return nowMs - Math.max(this.raft.heardMs(identity), this.#countedMs.get(identity) ?? nowMs)
+    return identity === this.raft.identity ? 0 : nowMs - this.raft.heardMs(identity)
   }
 
-  /** One change at a time: whoever comes is a learner first, and takes the place of who is gone. */
-  #replaceMembers(nowMs: number): void {
-    const members = [...this.raft.members]
-    this.#countedMs = new Map(members.map((one) => [one.identity, this.#countedMs.get(one.identity) ?? nowMs]))
+  /** One change at a time: see planMembership. */
+  #changeMembers(nowMs: number): void {
+    for (const [identity, askedMs] of this.#leavingMs) if (nowMs - askedMs > this.#timings.electionMs) this.#leavingMs.delete(identity)
     if (!this.raft.settled || this.raft.changing) return
-    const change = (sentence: string, next: Member[]) => {
-      if (this.raft.changeMembers(next, nowMs)) this.#say('raft', sentence)
-    }
-    const silent = (one: Member, spanMs: number) => this.#silentMs(one.identity, nowMs) > spanMs
-    const without = (gone: Member) => members.filter((one) => one !== gone)
-    const lateMs = 2 * this.#timings.electionMs
-    const voters = members.filter((one) => one.voter)
-    const learners = members.filter((one) => !one.voter)
-    const goneLearner = learners.find((one) => silent(one, this.#timings.memberGoneMs))
-    if (goneLearner !== undefined) {
-      change(`Gives up ${goneLearner.seat}, which fell silent as a learner.`, without(goneLearner))
-      return
-    }
-    for (const learner of learners) {
-      if (silent(learner, lateMs) || !this.raft.caughtUp(learner.identity)) continue
-      const old = members.find((one) => one.seat === learner.seat && one !== learner)
-      const gone = old ?? voters.find((one) => silent(one, lateMs))
-      const rest = voters.filter((one) => one !== gone)
-      if (gone === undefined) {
-        change(
-          `Gives ${learner.seat} its vote.`,
-          members.map((one) => (one === learner ? { ...one, voter: true } : one)),
-        )
-      } else if (rest.filter((one) => !silent(one, lateMs)).length * 2 > rest.length) {
-        change(`Retires an identity of ${gone.seat} that is gone; ${learner.seat} is there for it.`, without(gone))
-      } else continue
-      return
-    }
-    for (const peer of this.directory.of('control')) {
-      if (peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
-      if (members.some((one) => one.identity === peer.identity)) continue
-      const ours = this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system
-      const old = members.find((one) => one.seat === peer.name)
-      if ((!peer.empty && !ours) || (old !== undefined && !silent(old, lateMs))) continue
-      change(`Takes ${peer.name} in as a learner.`, [
-        ...members,
-        { identity: peer.identity, seat: peer.name, address: peer.address, voter: false },
-      ])
-      return
+    const change = planMembership(
+      this.raft.members,
+      this.#candidates(nowMs),
+      this.raft.identity,
+      {
+        silentMs: (identity) => this.#silentMs(identity, nowMs),
+        caughtUp: (identity) => this.raft.caughtUp(identity),
+        leaving: (identity) => this.#leavingMs.has(identity),
+      },
+      {
+        targetVoters: this.#plan.targetVoters,
+        maxVoters: Math.max(mostVoters, this.#plan.targetVoters),
+        doubtfulMs: doubtfulHeartbeats * this.#timings.heartbeatMs,
+        lostMs: 2 * this.#timings.electionMs,
+        goneMs: this.#timings.memberGoneMs,
+      },
+    )
+    if (change !== undefined && this.raft.changeMembers(change.members, nowMs)) this.#say('raft', change.reason)
+  }
+
+  /** A member asks to go: its place is taken first, if a learner can take it. */
+  #hearLeaving(identity: string, fromAddress: string, nowMs: number): void {
+    if (!this.raft.settled) return
+    this.#leavingMs.set(identity, nowMs)
+    this.#changeMembers(nowMs)
+    const member = this.raft.members.some((one) => one.identity === identity)
+    const standIn = this.raft.members.some((one) => !one.voter && !this.#leavingMs.has(one.identity))
+    this.#send(fromAddress, { kind: 'leavingReply', identity, released: !this.raft.changing && !(member && standIn) })
+  }
+
+  /** Before it stops, a node hands its duties over and waits, not for long, until the core can do without it. */
+  leave(nowMs: number): void {
+    this.#leavingSinceMs ??= nowMs
+  }
+
+  /** True once a node that is leaving may stop. */
+  get mayStop(): boolean {
+    return this.#released
+  }
+
+  #tickLeaving(nowMs: number): void {
+    if (this.#leavingSinceMs === undefined || this.#released) return
+    const alone = !this.raft.members.some((one) => one.identity !== this.raft.identity)
+    if (alone || nowMs - this.#leavingSinceMs > this.#timings.leaveMs) this.#released = true
+    else if (this.#leading) this.raft.transferLeadership(nowMs)
+    else if (nowMs >= this.#leavingAtMs) {
+      this.#leavingAtMs = nowMs + this.#timings.heartbeatMs
+      this.#send(this.#leaderAddress, { kind: 'leaving', identity: this.raft.identity })
     }
-    const gone = voters.find((one) => silent(one, this.#timings.memberGoneMs))
-    if (gone === undefined || learners.length > 0 || voters.length <= keptVoters) return
-    if (voters.every((one) => one === gone || !silent(one, lateMs))) change(`Gives up ${gone.seat}, which fell silent.`, without(gone))
+  }
+
+  /** Control nodes that were heard lately and may join: empty ones, and those of this cluster that hold its log. */
+  #candidates(nowMs: number): Member[] {
+    return this.directory
+      .of('control')
+      .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= 4 * this.#timings.probeMs)
+      .filter((peer) => !this.#leavingMs.has(peer.identity))
+      .filter((peer) => peer.empty || (this.raft.system !== '' && this.#systems.get(peer.identity) === this.raft.system))
+      .map((peer) => ({ identity: peer.identity, seat: peer.name, address: peer.address, voter: false }))
   }
 
   /** A new replica in an old seat: first a learner, then, once caught up and the old one silent, its place. */
@@ -523,6 +546,7 @@
           )
         this.directory.hearsay(message.known, nowMs)
         const { raft } = this
+        if (!raft.identitySynced) break
         this.#send(fromAddress, {
           kind: 'probeReply',
           nonce: message.nonce,
@@ -551,7 +575,9 @@
       case 'voteReply':
       case 'appendEntries':
       case 'appendReply':
-      case 'installSnapshot': {
+      case 'installSnapshot':
+      case 'snapshotReply':
+      case 'timeoutNow': {
         if (this.#network) this.#spokeFrom.set(message.from, fromAddress)
         this.raft.receive(message, nowMs)
         break
@@ -559,6 +585,12 @@
       case 'propose':
         if (this.#leading) this.raft.propose(message.command, nowMs)
         break
+      case 'leaving':
+        this.#hearLeaving(message.identity, fromAddress, nowMs)
+        break
+      case 'leavingReply':
+        if (message.released && message.identity === this.raft.identity) this.#released = true
+        break
       case 'renew':
         this.#renew(from, fromAddress, message, nowMs)
         break
