--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -12,6 +12,7 @@
 import type { Message } from '../transport/Message.js'
 import { DiskRecord } from './DiskRecord.js'
 import type { Entry } from './Entry.js'
+import { HeartbeatRounds } from './HeartbeatRounds.js'
 import type { Member } from './Member.js'
 import type { RaftOutput } from './RaftOutput.js'
 import { ReplicaProgress } from './ReplicaProgress.js'
@@ -48,11 +49,8 @@
   /** Whom this member followed last. */
   #lastLeader = ''
   #handedOverMs = -Infinity
-  #round = 0
-  #roundSentMs = new Map<number, number>()
-  #sureMs = -Infinity
+  readonly #rounds = new HeartbeatRounds()
   #beatAtMs = 0
-  #reads: { id: string; index: number; round: number }[] = []
   #outstanding: { index: number; term: number; atMs: number }[] = []
   #out: RaftOutput
 
@@ -155,7 +153,7 @@
    */
   surelyLeads(nowMs: number): boolean {
     const handedOver = this.#handedOverMs > -Infinity
-    return this.phase === 'leader' && !handedOver && nowMs - this.#sureMs < this.#timings.electionMs
+    return this.phase === 'leader' && !handedOver && nowMs - this.#rounds.confirmedMs < this.#timings.electionMs
   }
 
   /** True once an entry of this leader's own term is committed. */
@@ -231,7 +229,7 @@
       return
     }
     this.#broadcast(nowMs)
-    this.#reads.push({ id, index: this.commit, round: this.#round })
+    this.#rounds.wait(id, this.commit)
     this.#advance(nowMs)
   }
 
@@ -392,8 +390,7 @@
     this.phase = 'follower'
     this.leader = leader
     if (leader !== '') this.#lastLeader = leader
-    this.#out.lostReads.push(...this.#reads.map((read) => read.id))
-    this.#reads = []
+    this.#out.lostReads.push(...this.#rounds.dropReads())
   }
 
   #requestVotes(pre: boolean, records: Uint8Array[], nowMs = 0, transfer = false): void {
@@ -425,9 +422,8 @@
   #begin(nowMs: number): void {
     this.phase = 'leader'
     this.leader = this.identity
-    this.#sureMs = -Infinity
+    this.#rounds.begin()
     this.#handedOverMs = -Infinity
-    this.#roundSentMs.clear()
     this.#replicas = new Map(this.members.map((one) => [one.identity, new ReplicaProgress(this.lastIndex + 1, nowMs)]))
     const before = this.#replicas.get(this.#lastLeader)
     if (before !== undefined && this.#lastLeader !== this.identity) before.heardMs = this.#heardLeaderMs
@@ -477,8 +473,7 @@
   }
 
   #broadcast(nowMs: number): void {
-    this.#round += 1
-    this.#roundSentMs.set(this.#round, nowMs)
+    this.#rounds.send(nowMs)
     this.#beatAtMs = nowMs + this.#timings.heartbeatMs
     for (const member of this.members) if (member.identity !== this.identity) this.#feed(member.identity, nowMs, true)
     this.#advance(nowMs)
@@ -510,7 +505,7 @@
         to,
         from: this.identity,
         term: this.term,
-        round: this.#round,
+        round: this.#rounds.newest,
         prevIndex,
         prevTerm,
         commit,
@@ -527,7 +522,7 @@
         to,
         from: this.identity,
         term: this.term,
-        round: this.#round,
+        round: this.#rounds.newest,
         index: snapshot.index,
         lastTerm: snapshot.term,
         members: JSON.stringify(snapshot.members),
@@ -664,12 +659,8 @@
 
   #advance(nowMs: number): void {
     if (this.phase !== 'leader') return
-    const round = this.#majority((replica) => replica.round, this.#round)
-    const sentMs = this.#roundSentMs.get(round)
-    if (sentMs !== undefined) {
-      this.#sureMs = Math.max(this.#sureMs, sentMs)
-      for (const old of this.#roundSentMs.keys()) if (old < round) this.#roundSentMs.delete(old)
-    }
+    const round = this.#majority((replica) => replica.round, this.#rounds.newest)
+    this.#rounds.confirm(round)
     const match = this.#majority((replica) => replica.match)
     if (match > this.commit && this.#log.termAt(match) === this.term) {
       this.#commitTo(match)
@@ -679,9 +670,7 @@
       }
       this.#beatAtMs = nowMs
     }
-    const ready = this.#reads.filter((read) => read.round <= round && read.index <= this.#applied)
-    this.#reads = this.#reads.filter((read) => !ready.includes(read))
-    this.#out.readable.push(...ready.map((read) => read.id))
+    this.#out.readable.push(...this.#rounds.readable(round, this.#applied))
   }
 
   #commitTo(index: number): void {
