--- a/src/simulator/explorer/ClusterNode.ts
+++ b/src/simulator/explorer/ClusterNode.ts
@@ -16,6 +16,8 @@
 const syncMs = { low: 0.3, high: 3 }
 const lateTickRatio = 0.05
 const lateTickMs = 150
+/** What waits for a frozen process is taken up in any order within this time. */
+const thawMs = 5
 
 export class ClusterNode {
   readonly number: number
@@ -123,9 +125,9 @@
   step(act: (raft: Raft, nowMs: number) => void): void {
     const { raft, life } = this
     if (raft === undefined) return
-    const { clock } = this.#host
+    const { clock, random } = this.#host
     if (clock.nowMs < this.frozenUntilMs) {
-      clock.at(this.frozenUntilMs, () => {
+      clock.at(this.frozenUntilMs + thawMs * random.next(), () => {
         if (life === this.life) this.step(act)
       })
       return
@@ -145,6 +147,10 @@
     const late = !this.#steadyTicks && random.hit(lateTickRatio) ? random.next() * lateTickMs : 0
     clock.after(timings.tickMs / this.#rate + late, () => {
       if (life !== this.life) return
+      if (clock.nowMs < this.frozenUntilMs) {
+        this.#tickLater(life)
+        return
+      }
       this.step((raft, nowMs) => {
         raft.tick(nowMs)
         this.#host.ticked(raft, nowMs)
@@ -155,7 +161,7 @@
 
   #collect(raft: Raft): void {
     const out = raft.take()
-    this.#log(out)
+    this.#log(raft, out)
     this.#checkRole(raft, out.adopted !== undefined)
     this.#apply(raft, out)
     this.#host.collected(this, out)
@@ -168,10 +174,14 @@
     if (raft === this.raft && compactEvery > 0 && this.#sinceSnapshot >= compactEvery) this.compact()
   }
 
-  #log(out: RaftOutput): void {
+  #log(raft: Raft, out: RaftOutput): void {
+    const { invariants } = this.#host
+    const { identity, term, commit, members } = raft
     for (const { records, rewrite } of out.writes) {
       const read = rewrite ? this.#memory.replace(records) : this.#memory.append(records)
-      this.#host.invariants.logged(this.seat, this.#memory, read)
+      invariants.logged(this.seat, this.#memory, read)
+      const change = this.leads && !rewrite ? read.find((record) => record.kind === 'entry' && record.type === 'members') : undefined
+      if (change?.kind === 'entry') invariants.changed({ identity, term, commit, members }, this.#memory, change.index)
     }
   }
 
@@ -186,6 +196,7 @@
       throw new Breach('commit never goes back', `${this.seat} went from ${String(this.#commit)} back to ${String(commit)}`)
     if (commit > this.#commit && this.#ledTerm === term && !adopted) invariants.committed({ identity, term, commit, members }, this.#memory)
     this.#commit = commit
+    if (raft.surelyLeads(this.localMs)) invariants.sure(identity, term)
   }
 
   #apply(raft: Raft, out: RaftOutput): void {
@@ -243,6 +254,7 @@
     this.#host.invariants.synced(raft.identity, write.records, write.rewrite)
     if (this.#crashesAt('beforeSends')) return
     for (const { to, message } of write.then) this.#send(raft, to, message)
+    if (this.#crashesAt('afterSends')) return
     raft.written(nowMs)
   }
 
