Raft: a leader that hands over takes nothing more in; a node that left is no candidate

Cause: the leader went on proposing after timeoutNow, so an entry reached the other voters before the heir's request, and the heir's log was not fresh for them; nobody won its term. And a node that had left was taken in again as a learner 1.05 s after its removal, since its leaving was forgotten before its last probe was. Without either mend the new test fails.

--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -49,6 +49,8 @@
   /** Whom this member followed last. */
   #lastLeader = ''
   #handedOverMs = -Infinity
+  /** Until then this leader, which hands over, takes nothing into the log. */
+  #takesNothingUntilMs = -Infinity
   readonly #rounds = new HeartbeatRounds()
   #beatAtMs = 0
   #outstanding: { index: number; term: number; atMs: number }[] = []
@@ -174,11 +176,14 @@
   }
 
   /**
-   * Hands leadership over to the voter that is furthest, as soon as it holds all that this leader holds; to be
-   * called again until another leads.
+   * Hands leadership over to a voter as soon as it holds all that this leader holds; to be called again until another
+   * leads. Meanwhile nothing new is taken into the log, for an election's time at most: an entry that reached the others
+   * before the heir's request for their votes would cost it the election.
    */
   transferLeadership(nowMs: number): void {
-    if (this.phase !== 'leader' || nowMs - this.#handedOverMs < this.#timings.electionMs) return
+    if (this.phase !== 'leader') return
+    if (nowMs >= this.#takesNothingUntilMs) this.#takesNothingUntilMs = nowMs + this.#timings.electionMs
+    if (nowMs - this.#handedOverMs < this.#timings.electionMs) return
     const heirs = this.#voters().filter(
       (one) => one.identity !== this.identity && nowMs - this.heardMs(one.identity) < this.#timings.electionMs,
     )
@@ -213,12 +218,12 @@
   }
 
   propose(bytes: Uint8Array, nowMs: number): number | undefined {
-    if (this.phase !== 'leader') return undefined
+    if (this.phase !== 'leader' || nowMs < this.#takesNothingUntilMs) return undefined
     return this.#lead('command', bytes, nowMs)
   }
 
   changeMembers(members: Member[], nowMs: number): boolean {
-    if (!this.settled || this.changing) return false
+    if (!this.settled || this.changing || nowMs < this.#takesNothingUntilMs) return false
     this.#lead('members', Buffer.from(JSON.stringify(members)), nowMs)
     return true
   }
@@ -424,6 +429,7 @@
     this.leader = this.identity
     this.#rounds.begin()
     this.#handedOverMs = -Infinity
+    this.#takesNothingUntilMs = -Infinity
     this.#replicas = new Map(this.members.map((one) => [one.identity, new ReplicaProgress(this.lastIndex + 1, nowMs)]))
     const before = this.#replicas.get(this.#lastLeader)
     if (before !== undefined && this.#lastLeader !== this.identity) before.heardMs = this.#heardLeaderMs
--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test'
 import { Bounds } from '../common/Bounds.js'
 import { Network } from '../common/Network.js'
+import { Random } from '../common/Random.js'
 import { Timings } from '../common/Timings.js'
 import { CoreTestWorld } from './CoreTestWorld.js'
 
@@ -221,6 +222,46 @@
   }
 })
 
+void test('leadership is handed over at once also while changes keep coming, and a node that left is not taken in again', () => {
+  for (const changesEachTick of [0, 1, 5])
+    for (let seed = 1; seed <= 5; seed++) {
+      const world = new CoreTestWorld()
+      world.targetVoters = 5
+      world.three()
+      for (const at of [4, 5]) world.start(`box-${String(at)}`, `10.0.0.${String(at)}:7`, false)
+      ok(world.run(5000, () => whole(world)))
+      world.start('new', '10.0.1.1:7', false)
+      world.run(1000)
+      world.delays = { random: new Random(seed), messageMs: 2, syncMs: 5 }
+      const leader = world.led()
+      const leaving = world.boxes.get(leader)?.machine
+      let asks = 0
+      const change = () => {
+        for (let at = 0; at < changesEachTick; at++) {
+          asks += 1
+          world.ask(leader, `change-${String(asks)}`, { action: 'zone.empty', branch: `z-${String(asks)}` })
+        }
+      }
+      for (let tick = 0; tick < 20; tick++) {
+        change()
+        world.run(timings.tickMs)
+      }
+      leaving?.leave(world.nowMs)
+      const fromMs = world.nowMs
+      while (world.nowMs - fromMs < 2 * timings.electionMs && (world.leader === undefined || world.leader[0] === leader)) {
+        change()
+        world.run(timings.tickMs)
+      }
+      const tookMs = world.nowMs - fromMs
+      ok(tookMs < 0.35 * timings.electionMs, `${String(changesEachTick)} changes a tick, seed ${String(seed)}: ${String(tookMs)} ms`)
+      ok(world.run(timings.leaveMs, () => leaving?.mayStop === true))
+      world.boxes.delete(leader)
+      ok(world.run(timings.electionMs, () => whole(world)))
+      const back = () => world.leader?.[1].machine.raft.members.some((one) => one.seat === leader) === true
+      strictEqual(world.run(2 * timings.memberGoneMs, back), false)
+    }
+})
+
 void test('a founder that is killed before it founded may found in its next life, also when it is told otherwise then', () => {
   const world = new CoreTestWorld()
   const first = world.start('box-1', world.seeds[0] ?? '', true)
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -402,7 +402,10 @@
       case 'probe': {
         if (this.#strange(message.system)) break
         if (message.role === 'control') this.#membership.hearSystem(message.identity, message.system)
-        if (message.role === 'control') this.directory.lives.set(from, message.nonce)
+        if (message.role === 'control') {
+          if (this.directory.lives.get(from) !== message.nonce) this.#membership.hearNewLife(message.identity)
+          this.directory.lives.set(from, message.nonce)
+        }
         const before = this.directory.get(from)
         const empty = before?.identity === message.identity && before.empty
         if (message.role === 'control')
--- a/src/control/CoreMembership.ts
+++ b/src/control/CoreMembership.ts
@@ -26,6 +26,8 @@
 const mostVoters = 9
 /** A member that missed so many heartbeats is doubted. */
 const doubtfulHeartbeats = 4
+/** A node that answered none of so many probes is not there. */
+const lateProbes = 4
 
 export class CoreMembership {
   readonly #plan: Plan
@@ -55,6 +57,11 @@
     this.#leavingMs.clear()
   }
 
+  /** A node that left speaks from a new life, so it is back. */
+  hearNewLife(identity: string): void {
+    this.#leavingMs.delete(identity)
+  }
+
   hearSystem(identity: string, system: string): void {
     this.#systemOf.set(identity, system)
   }
@@ -81,7 +88,9 @@
     if (!this.#raft.empty || this.#plan.name !== seats[0]) return
     const others = seats.slice(1).map((seat) => this.#directory.get(seat))
     if (
-      !others.every((peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < 4 * this.#timings.probeMs)
+      !others.every(
+        (peer) => peer !== undefined && peer.empty && peer.identity !== '' && nowMs - peer.heardMs < lateProbes * this.#timings.probeMs,
+      )
     )
       return
     const members = [{ identity: this.#raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
@@ -98,7 +107,7 @@
     const members = [{ identity: this.#raft.identity, seat: this.#plan.name, address: this.#plan.address, voter: true }]
     for (const seed of seeds.slice(1)) {
       const peer = boxes.find(
-        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < 4 * this.#timings.probeMs,
+        (one) => one.address === seed && one.empty && one.identity !== '' && nowMs - one.heardMs < lateProbes * this.#timings.probeMs,
       )
       if (peer === undefined) return
       members.push({ identity: peer.identity, seat: peer.name, address: peer.address, voter: true })
@@ -113,7 +122,7 @@
 
   /** One change at a time: see planMembership. */
   #changeMembers(nowMs: number): void {
-    for (const [identity, askedMs] of this.#leavingMs) if (nowMs - askedMs > this.#timings.electionMs) this.#leavingMs.delete(identity)
+    this.#forgetLeft(nowMs)
     if (!this.#raft.settled || this.#raft.changing) return
     const change = planMembership(
       this.#raft.members,
@@ -135,6 +144,12 @@
     if (change !== undefined && this.#raft.changeMembers(change.members, nowMs)) this.#host.say(change.reason)
   }
 
+  /** A node that left is no candidate while its last words may still count as heard lately. */
+  #forgetLeft(nowMs: number): void {
+    const forgetMs = this.#timings.electionMs + lateProbes * this.#timings.probeMs
+    for (const [identity, askedMs] of this.#leavingMs) if (nowMs - askedMs > forgetMs) this.#leavingMs.delete(identity)
+  }
+
   /** A member asks to go: its place is taken first, if a learner can take it. */
   hearLeaving(identity: string, fromAddress: string, nowMs: number): void {
     if (!this.#raft.settled) return
@@ -170,7 +185,7 @@
   #candidates(nowMs: number): Member[] {
     return this.#directory
       .of('control')
-      .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= 4 * this.#timings.probeMs)
+      .filter((peer) => peer.identity !== '' && nowMs - peer.heardMs <= lateProbes * this.#timings.probeMs)
       .filter((peer) => !this.#leavingMs.has(peer.identity))
       .filter((peer) => peer.empty || (this.#raft.system !== '' && this.#systemOf.get(peer.identity) === this.#raft.system))
       .map((peer) => ({ identity: peer.identity, seat: peer.name, address: peer.address, voter: false }))
@@ -182,7 +197,7 @@
     const members = [...this.#raft.members]
     for (const seat of this.#plan.seats) {
       const peer = this.#directory.get(seat)
-      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > 4 * this.#timings.probeMs) continue
+      if (peer === undefined || peer.identity === '' || nowMs - peer.heardMs > lateProbes * this.#timings.probeMs) continue
       const own = members.find((one) => one.identity === peer.identity)
       const old = members.find((one) => one.seat === seat && one.identity !== peer.identity)
       if (own === undefined) {
