--- a/src/simulator/explorer/ScheduleEvent.ts
+++ b/src/simulator/explorer/ScheduleEvent.ts
@@ -10,13 +10,13 @@
 
 export type ScheduleEvent = At &
   (
-    | { kind: 'cut'; from: number[]; to: number[]; bothWays: boolean; hold: boolean; forMs: number }
+    | { kind: 'cut'; from: number[] | 'leader'; to: number[]; bothWays: boolean; hold: boolean; forMs: number }
     | { kind: 'lossy'; ratio: number; forMs: number }
     | {
         kind: 'crash'
         target: Target
-        /** `now`, or at a later write of the node: before it, after it and before its sync, or after its sync and before its sends. */
-        when: 'now' | 'beforeWrite' | 'beforeSync' | 'beforeSends'
+        /** `now`, or at a later write of the node: before it, before its sync, after its sync and before its sends, or after those. */
+        when: 'now' | 'beforeWrite' | 'beforeSync' | 'beforeSends' | 'afterSends'
         /** How many of the node's writes are let through first. */
         skip: number
         keep: 'all' | 'lost' | 'torn'
@@ -27,6 +27,7 @@
     | { kind: 'stall'; target: Target; forMs: number }
     | { kind: 'slowDisk'; target: Target; byMs: number; forMs: number }
     | { kind: 'compact'; target: Target }
+    | { kind: 'handOver' }
     | { kind: 'join'; seat: number }
     | { kind: 'leave'; target: Target }
     | { kind: 'write'; id: string; conditional: boolean; resendMs: number; pick: number }
