Raft: a member that restarts keeps to the leader that it may have just confirmed

It now counts its start as if it had heard a leader; its own election comes no earlier than that anyway. The shrunk schedule fails before and passes after.

--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -73,6 +73,8 @@
     this.identity = identity === '' ? `${seat}.${random.below(4294967296).toString(16)}${random.below(4294967296).toString(16)}` : identity
     if (identity === '') this.#firstStart(foundingSeeds, nowMs)
     this.#electionAtMs = nowMs + timings.electionMs + random.next() * timings.electionSpreadMs
+    // It may have confirmed a leader just before it went down, and keeps to that as if it had heard it now.
+    if (this.term > 0) this.#heardLeaderMs = nowMs
     const { index, state } = this.#log.snapshot
     if (index > 0) {
       this.#applied = index
--- a/src/simulator/explorer/keptSchedules.test.ts
+++ b/src/simulator/explorer/keptSchedules.test.ts
@@ -48,6 +48,31 @@
       ],
     },
   },
+  {
+    name: 'a member that restarts keeps to the leader that it may have confirmed just before',
+    schedule: {
+      seed: 37899,
+      seats: 4,
+      founders: 3,
+      calmAtMs: 3867.809315538034,
+      network: { dropRatio: 0, duplicateRatio: 0.05353515059687197, lateRatio: 0.004253970645368099, lateMs: 209.80799803626724 },
+      clockDrift: 0.007903295541182161,
+      spreadRatio: 1,
+      bulkBytes: 0,
+      compactEvery: 0,
+      events: [
+        { kind: 'read', id: 'operation 1', pick: 5, atMs: 486.28989214663545 },
+        { kind: 'role', action: 'vacate', seat: 2, pick: 6, atMs: 582.9240358922121 },
+        { kind: 'write', id: 'operation 0', conditional: true, resendMs: 468.6647425638512, pick: 6, atMs: 600.240577467607 },
+        { kind: 'cut', from: 'leader', to: [0, 2, 3], bothWays: true, hold: false, forMs: 1821.3763320585713, atMs: 704.4995967433621 },
+        { kind: 'write', id: 'operation 7', conditional: true, resendMs: 505.539073033724, pick: 5, atMs: 978.3414282196413 },
+        { kind: 'wipe', target: 3, downMs: 735.6163468486629, atMs: 1152.3966900146547 },
+        { kind: 'cut', from: 'leader', to: [0, 1], bothWays: true, hold: false, forMs: 2232.7843041392043, atMs: 1896.2151123107046 },
+        { kind: 'read', id: 'operation 5', pick: 1, atMs: 2024.3285949322192 },
+        { kind: 'crash', target: 2, when: 'beforeSync', skip: 1, keep: 'torn', downMs: 38.52995810774155, atMs: 2465.4889421900657 },
+      ],
+    },
+  },
 ]
 
 for (const { name, schedule } of kept)
