--- a/src/storage/scanLog.ts
+++ b/src/storage/scanLog.ts
@@ -27,7 +27,7 @@
  * A search for heads behind the break looks at each offset once and reckons a checksum over 14 bytes only
  * where the batch start lies between the break and the offset: its time grows with the length of the file.
  */
-import { crc32 } from 'node:zlib'
+import zlib from 'node:zlib'
 import { LogHeader } from './LogHeader.js'
 import { RecordHead } from './RecordHead.js'
 
@@ -61,7 +61,7 @@
     if (head === undefined || !isInTurn(head, at, batchStart)) break
     const recordAt = at + RecordHead.size
     const record = file.subarray(recordAt, recordAt + head.length)
-    if (record.length < head.length || crc32(record) !== head.checksum) break
+    if (record.length < head.length || zlib.crc32(record) !== head.checksum) break
     if (head.length > 0) records.push(record)
     batchStart = head.batchStart
     at = recordAt + head.length
