--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -84,6 +84,11 @@
     if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'operate', id, operation: whole }, this.nowMs))
   }
 
+  cancel(name: string, id: string): void {
+    const box = this.boxes.get(name)
+    if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'cancel', id }, this.nowMs))
+  }
+
   answered(id: string, spanMs = 2000): { status: number; stamp: number; text: string } {
     ok(
       this.run(spanMs, () => this.responses.has(id)),
@@ -478,3 +483,99 @@
   strictEqual(world.answered('b').status, 200)
   ok(world.nowMs - sentMs >= timings.deliverMs && world.nowMs - sentMs < timings.deliverMs + 200, String(world.nowMs - sentMs))
 })
+
+/** Takes all machines but one away, as a cut does; gives what brings them back. */
+function cutOff(world: World, kept: string): () => void {
+  const others = [...world.boxes].filter(([name]) => name !== kept)
+  for (const [name] of others) world.boxes.delete(name)
+  return () => {
+    for (const [name, box] of others) world.boxes.set(name, box)
+  }
+}
+const patience = { waitMs: 800, leaderMs: 400 }
+
+void test('a machine that hears no leader leaves every request undecided soon, refuses none, and passes none on later', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  world.ask(leader, 'first', { action: 'network.put', operation: 'first', text: network(1), ifMatch: 0 })
+  strictEqual(world.answered('first').status, 200)
+  const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+  for (const kept of [other, leader]) {
+    const heal = cutOff(world, kept)
+    const ids = ['stale', 'invalid', 'zone', 'read'].map((what) => `${kept} ${what}`)
+    const [stale = '', invalid = '', zone = '', read = ''] = ids
+    const sentMs = world.nowMs
+    world.ask(kept, stale, { action: 'network.put', operation: 'stale', text: network(9), ifMatch: 0, ...patience })
+    world.ask(kept, invalid, { action: 'network.put', operation: 'invalid', text: '{', ifMatch: 1, ...patience })
+    world.ask(kept, zone, { action: 'zone.empty', branch: 'z', ...patience })
+    world.ask(kept, read, { action: 'network.get', ...patience })
+    for (const id of ids) strictEqual(world.answered(id).status, 504, id)
+    ok(world.nowMs - sentMs <= patience.waitMs + timings.tickMs)
+    const cutMs = world.nowMs + 4 * timings.electionMs
+    world.run(4 * timings.electionMs)
+    world.ask(kept, `${kept} late`, { action: 'zone.empty', branch: 'late', ...patience })
+    strictEqual(world.answered(`${kept} late`).status, 504)
+    ok(world.nowMs - cutMs <= patience.leaderMs + timings.tickMs, 'no leader was heard for long, so it need not wait long')
+    world.ask(kept, `${kept} given up`, { action: 'zone.empty', branch: 'given up', ...patience })
+    world.cancel(kept, `${kept} given up`)
+    heal()
+    world.led()
+    world.run(2000)
+    strictEqual(world.responses.has(`${kept} given up`), false)
+    for (const box of world.boxes.values())
+      deepStrictEqual(
+        ['late', 'given up'].map((at) => box.machine.replicatedState.copy.get(`zone/${at}`)),
+        [undefined, undefined],
+      )
+  }
+})
+
+void test('an evacuation that is sent again waits for the machines that must adopt the first, no longer', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  world.run(3000)
+  const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+  world.heard.set('edge:7', () => undefined)
+  world.tell('edge', 'edge:7', world.boxes.get(leader)?.address ?? '', {
+    kind: 'renew',
+    seat: 'edge',
+    role: 'agent',
+    zone: 'z',
+    session: 's',
+    sentMs: world.nowMs,
+    adopted: 0,
+    asks: [],
+    echo: 0,
+    again: [],
+    firsts: [],
+    peersSum: 0,
+  })
+  const sentMs = world.nowMs
+  const waitMs = timings.deliverMs / 2
+  world.ask(leader, 'a', { action: 'zone.empty', branch: 'z', waitMs })
+  strictEqual(world.answered('a').status, 504)
+  world.ask(other, 'b', { action: 'zone.empty', branch: 'z', waitMs: 2 * waitMs })
+  strictEqual(world.answered('b').status, 200)
+  ok(world.nowMs - sentMs < timings.deliverMs + 200, String(world.nowMs - sentMs))
+})
+
+void test('requests of the same content are both acknowledged, and an answer for another life is no answer', () => {
+  const world = new World()
+  world.three()
+  const leader = world.led()
+  const [other = '', third = ''] = [...world.boxes.keys()].filter((name) => name !== leader)
+  const put = { action: 'network.put' as const, operation: 'same', text: network(1), ifMatch: 0 }
+  world.ask(other, 'a', put)
+  world.ask(third, 'b', put)
+  deepStrictEqual([world.answered('a').status, world.answered('b').status], [200, 200])
+  const box = world.boxes.get(other)
+  const identity = box?.machine.raft.identity ?? ''
+  const heal = cutOff(world, other)
+  world.ask(other, 'c', { action: 'network.get', ...patience })
+  for (const id of ['c', `${identity}/c`, `${identity}/0/c`])
+    world.tell(leader, '10.0.0.9:7', box?.address ?? '', { kind: 'operated', id, status: 404, stamp: 0, text: '{}' })
+  strictEqual(world.responses.has('c'), false)
+  heal()
+})
--- a/src/control/OperatorRequests.ts
+++ b/src/control/OperatorRequests.ts
@@ -80,9 +80,12 @@
     }
   }
 
+  get #leaderless(): boolean {
+    return !this.#host.leading && this.#host.leaderAddress === ''
+  }
+
   #ends(pending: Pending, nowMs: number): boolean {
-    const leaderless = !this.#host.leading && this.#host.leaderAddress === ''
-    pending.leaderlessMs = leaderless ? (pending.leaderlessMs ?? nowMs) : undefined
+    pending.leaderlessMs = this.#leaderless ? (pending.leaderlessMs ?? nowMs) : undefined
     if (nowMs >= pending.dueMs) return true
     return pending.leaderlessMs !== undefined && nowMs - pending.leaderlessMs >= pending.operation.leaderMs
   }
@@ -144,7 +147,7 @@
       proposed: false,
       proposedTerm: 0,
       outcome: undefined,
-      leaderlessMs: undefined,
+      leaderlessMs: this.#leaderless ? nowMs : undefined,
     }
     this.#pending.set(id, pending)
     this.#push(id, pending, nowMs)
