--- a/src/consensus/ReplicatedState.ts
+++ b/src/consensus/ReplicatedState.ts
@@ -4,8 +4,10 @@
  * Applying is deterministic, so that every replica comes to the same state; whether a write is proper is
  * judged here, in log order, and nowhere else.
  */
+import type { Either } from 'purify-ts'
 import { z } from 'zod'
 import { Charter } from '../common/Charter.js'
+import { Configuration } from '../common/Configuration.js'
 import { Network } from '../common/Network.js'
 import { Tree } from '../common/Tree.js'
 import { Command } from './Command.js'
@@ -50,7 +52,7 @@
   readonly #outcomes = new NamedOutcomes()
   readonly #networkOutcomes = new NetworkOutcomes()
   readonly #zoneOrders = new ZoneOrders()
-  #network: Network | undefined
+  #configuration: Configuration | undefined
 
   static restore(state: Uint8Array): ReplicatedState {
     const saved: unknown = JSON.parse(Buffer.from(state).toString())
@@ -66,11 +68,11 @@
     replicatedState.#networkOutcomes.restore(read.networkOutcomes)
     replicatedState.#zoneOrders.restore(read.zones)
     if (read.network !== '') {
-      replicatedState.#network = Network.check(JSON.parse(read.network), 0).caseOf<Network>({
+      replicatedState.#configuration = Network.check(JSON.parse(read.network), 0).caseOf<Configuration>({
         Left: (errors) => {
           throw new Error(`the saved network is none that this program knows: ${errors.join('; ')}`)
         },
-        Right: (network) => network,
+        Right: (network) => new Configuration(network),
       })
     }
     return replicatedState
@@ -85,7 +87,7 @@
       outcomes: this.#outcomes.save(),
       networkOutcomes: this.#networkOutcomes.save(),
       zones: this.#zoneOrders.save(),
-      network: this.#network === undefined ? '' : JSON.stringify(this.#network),
+      network: this.#configuration === undefined ? '' : JSON.stringify(this.#configuration.network),
     }
     return Buffer.from(JSON.stringify(state))
   }
@@ -95,7 +97,7 @@
   }
 
   get network(): Network | undefined {
-    return this.#network
+    return this.#configuration?.network
   }
 
   get texts(): readonly z.infer<typeof Text>[] {
@@ -254,7 +256,7 @@
     const stamp = this.copy.stampOf('network')
     if (outcomes.outdated(operation, basis)) return noJudgement(stamp, 'the same content was refused meanwhile')
     const outcome = this.#applyNetwork(index, command)
-    const current = this.#network?.revision ?? 0
+    const current = this.#configuration?.revision ?? 0
     if (outcome.status === 200) {
       outcomes.take(operation, index, current)
       return outcome
@@ -268,38 +270,66 @@
 
   #applyNetwork(index: number, command: Extract<Command, { kind: 'network' }>): Outcome {
     const stamp = this.copy.stampOf('network')
-    const base = this.#network
+    const base = this.#configuration
     const current = base?.revision ?? 0
     if (command.ifMatch >= 0 && command.ifMatch !== current)
       return { status: 412, stamp, errors: [`the network is at revision ${String(current)}, not ${String(command.ifMatch)}`] }
     const sent = Tree.read(command.text)
     if (sent === undefined) return { status: 422, stamp, errors: ['network: not JSON'] }
     if (command.action === 'patch' && base === undefined) return { status: 422, stamp, errors: ['network: there is none to change yet'] }
-    const made = command.action === 'patch' && base !== undefined ? Network.patched(base, sent) : Network.check(sent, current)
+    const made = command.action === 'patch' && base !== undefined ? this.#patch(index, base, sent) : this.#put(index, sent, current)
     return made.caseOf<Outcome>({
       Left: (errors) => ({ status: 422, stamp, errors }),
-      Right: (network) => {
-        const { revision, limits, more } = network
-        this.#network = network
-        this.copy.set({ key: 'network', stamp: index, gone: false, value: JSON.stringify({ revision, limits, more }) })
-        this.#derive(index, 'route/', network.routes)
-        this.#derive(index, 'service/', network.services)
+      Right: ({ head }) => {
+        this.copy.set({ key: 'network', stamp: index, gone: false, value: JSON.stringify(head) })
         return { status: 200, stamp: index, errors: [] }
       },
     })
   }
 
+  #patch(index: number, base: Configuration, sent: Tree): Either<string[], Configuration> {
+    return base.patch(sent).map(({ routes, services }) => {
+      this.#setRows(index, 'route/', routes.set)
+      this.#dropRows(index, 'route/', routes.dropped)
+      this.#setRows(index, 'service/', services.set)
+      this.#dropRows(index, 'service/', services.dropped)
+      return base
+    })
+  }
+
+  #put(index: number, sent: Tree, current: number): Either<string[], Configuration> {
+    return Network.check(sent, current).map((network) => {
+      this.#configuration = new Configuration(network)
+      this.#derive(index, 'route/', network.routes)
+      this.#derive(index, 'service/', network.services)
+      return this.#configuration
+    })
+  }
+
   /** Sets the rows of named items that changed, and takes away those that are no more. */
   #derive(index: number, prefix: string, items: readonly { name: string }[]): void {
-    const wanted = new Map(items.map((item) => [item.name, JSON.stringify(item)]))
-    for (const [name, value] of wanted) {
-      if (this.copy.get(prefix + name) !== value) this.copy.set({ key: prefix + name, stamp: index, gone: false, value })
-    }
-    for (const [name] of this.copy.under(prefix)) {
-      if (!wanted.has(name)) this.copy.set({ key: prefix + name, stamp: index, gone: true, value: '' })
+    const wanted = new Set(items.map((item) => item.name))
+    this.#setRows(index, prefix, items)
+    const gone = this.copy.under(prefix).filter(([name]) => !wanted.has(name))
+    this.#dropRows(
+      index,
+      prefix,
+      gone.map(([name]) => name),
+    )
+  }
+
+  #setRows(index: number, prefix: string, items: readonly { name: string }[]): void {
+    for (const item of items) {
+      const key = prefix + item.name
+      const value = JSON.stringify(item)
+      if (this.copy.get(key) !== value) this.copy.set({ key, stamp: index, gone: false, value })
     }
   }
 
+  #dropRows(index: number, prefix: string, names: readonly string[]): void {
+    for (const name of names) this.copy.set({ key: prefix + name, stamp: index, gone: true, value: '' })
+  }
+
   #applyPlatform(index: number, servers: string): void {
     const listed = new Map(
       z
--- a/src/simulator/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -18,6 +18,7 @@
 import type { ControlInput } from '../control/ControlInput.js'
 import { ControlMachine } from '../control/ControlMachine.js'
 import { Frame } from '../transport/Frame.js'
+import type { Row } from '../consensus/Row.js'
 import type { Message } from '../transport/Message.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
 import { SimClock } from './SimClock.js'
@@ -60,6 +61,8 @@
   /** How long each write of operators took until all who may be at work had adopted it. */
   readonly ackMs: number[] = []
   diskBytes = 0
+  /** Operators pause while this is false. */
+  changing = true
   /** Zones that nothing leaves or comes into while they are named here. */
   cutOff: ReadonlySet<string> = new Set()
   requests = 0
@@ -272,14 +275,14 @@
     this.edges.push(edge)
     this.#zoneOf.set(address, zone)
     const guide = (input: AgentInput) => {
-      let adopted = false
+      const rows: Row[] = []
       this.#spend(name, () => {
         for (const effect of agent.step(input, clock.nowMs)) {
           if (effect.kind === 'send') this.#send(name, address, effect.toAddress, effect.message)
-          else if (effect.kind === 'adopted') adopted = true
+          else if (effect.kind === 'adopted') rows.push(...effect.rows)
         }
       })
-      if (adopted) this.#gatewayStep(edge, { kind: 'adopted' }, `${name}/adopt`)
+      if (rows.length > 0) this.#gatewayStep(edge, { kind: 'adopted', rows }, `${name}/adopt`)
     }
     this.#hosts.set(address, (frame) => {
       const { from, fromAddress, message } = this.#spend(name, () => this.#receive(name, frame))
@@ -352,14 +355,18 @@
     }
     if (requestsPerS > 0) this.clock.after(500, ask)
     const change = () => {
-      this.#revision += 1
-      const text = JSON.stringify(HollowSize.change(this.#size, this.#revision))
-      this.#operate({ action: 'network.patch', text, operation: `change-${String(this.#revision)}` })
+      if (this.changing) this.#change()
       this.clock.after(1000 / changesPerS, change)
     }
     if (changesPerS > 0) this.clock.after(500, change)
   }
 
+  #change(): void {
+    this.#revision += 1
+    const text = JSON.stringify(HollowSize.change(this.#size, this.#revision))
+    this.#operate({ action: 'network.patch', text, operation: `change-${String(this.#revision)}` })
+  }
+
   #list(): PlatformServer[] {
     return [...this.#servers.values()].map(({ listed, models }) => ({
       ...listed,
