--- a/src/simulator/explorer/ClusterNode.ts
+++ b/src/simulator/explorer/ClusterNode.ts
@@ -5,6 +5,7 @@
 import type { Raft } from '../../consensus/Raft.js'
 import type { RaftOutput } from '../../consensus/RaftOutput.js'
 import type { ReplicatedState } from '../../consensus/ReplicatedState.js'
+import type { Settlement } from '../../consensus/Settlement.js'
 import type { Message } from '../../transport/Message.js'
 import { Breach } from './Breach.js'
 import type { ClusterNodeHost } from './ClusterNodeHost.js'
@@ -28,6 +29,8 @@
   /** Counts the lives of the process. */
   life = 0
   frozenUntilMs = 0
+  /** What the last step settled of writes that wait. */
+  settlements: Settlement[] = []
   armed: { crash: Crash; skip: number } | undefined
   readonly #host: ClusterNodeHost
   readonly #rate: number
@@ -57,6 +60,11 @@
     return this.raft === undefined ? '' : this.#synced.identity
   }
 
+  /** The last index that the state includes. */
+  get applied(): number {
+    return this.#applied
+  }
+
   get leads(): boolean {
     return this.raft?.phase === 'leader'
   }
@@ -201,6 +209,7 @@
 
   #apply(raft: Raft, out: RaftOutput): void {
     const { agreed, parts } = this.#host
+    this.settlements = []
     if (out.adopted !== undefined) {
       const { index, state } = out.adopted
       agreed.compareSaved(this.seat, index, state)
@@ -211,7 +220,8 @@
       if (entry.index !== this.#applied + 1)
         throw new Breach('state-machine safety', `${this.seat} applied ${String(entry.index)} after ${String(this.#applied)}`)
       agreed.applied(this.seat, entry, raft.term)
-      if (entry.type === 'command') this.state.apply(entry.index, entry.bytes)
+      const settlement = entry.type === 'command' ? this.state.apply(entry.index, entry.bytes) : undefined
+      if (settlement !== undefined) this.settlements.push(settlement)
       this.#applied = entry.index
       this.#sinceSnapshot += 1
     }
--- a/src/simulator/explorer/plantedBugs.test.ts
+++ b/src/simulator/explorer/plantedBugs.test.ts
@@ -11,6 +11,7 @@
 import { DiskRecord } from '../../consensus/DiskRecord.js'
 import type { Entry } from '../../consensus/Entry.js'
 import type { RaftOutput } from '../../consensus/RaftOutput.js'
+import type { Settlement } from '../../consensus/Settlement.js'
 import type { Message } from '../../transport/Message.js'
 import { ClusterParts } from './ClusterParts.js'
 import type { Finding } from './Finding.js'
@@ -271,37 +272,31 @@
 
 /** Applies an order under whatever epoch holds the role. */
 class UnfencedOrders extends ReplicatedState {
-  override apply(index: number, bytes: Uint8Array): void {
+  override apply(index: number, bytes: Uint8Array): Settlement | undefined {
     const command = Command.decode(bytes)
     const epoch = this.duty('dispatcher')?.epoch
-    super.apply(index, command?.kind === 'dispatch' && epoch !== undefined ? Command.encode({ ...command, epoch }) : bytes)
+    return super.apply(index, command?.kind === 'dispatch' && epoch !== undefined ? Command.encode({ ...command, epoch }) : bytes)
   }
 }
 
 /** Gives the role to whoever asks, though another holds it. */
 class RoleTakenFromItsHolder extends ReplicatedState {
-  override apply(index: number, bytes: Uint8Array): void {
+  override apply(index: number, bytes: Uint8Array): Settlement | undefined {
     const command = Command.decode(bytes)
     if (command?.kind === 'duty') this.copy.set({ key: `duty/${command.duty}`, stamp: index - 0.5, gone: true, value: '' })
-    super.apply(index, command?.kind === 'duty' ? Command.encode({ ...command, vacancy: index - 0.5 }) : bytes)
+    return super.apply(index, command?.kind === 'duty' ? Command.encode({ ...command, vacancy: index - 0.5 }) : bytes)
   }
 }
 
 /** Carries an operation out again each time it is put to the log. */
 class OperationTwice extends ReplicatedState {
-  override apply(index: number, bytes: Uint8Array): void {
+  override apply(index: number, bytes: Uint8Array): Settlement | undefined {
     const command = Command.decode(bytes)
-    if (command?.kind !== 'network') {
-      super.apply(index, bytes)
-      return
-    }
+    if (command?.kind !== 'network') return super.apply(index, bytes)
     const revision = (this.network?.revision ?? 0) + 1
     const sent: unknown = JSON.parse(command.text)
     const text = JSON.stringify({ ...(typeof sent === 'object' ? sent : {}), revision })
-    super.apply(index, Command.encode({ ...command, operation: command.proposal, text, ifMatch: -1 }))
-  }
-  override outcome(operation: string) {
-    return super.outcome(operation)
+    return super.apply(index, Command.encode({ ...command, operation: command.request, text, ifMatch: -1 }))
   }
 }
 
@@ -333,7 +328,9 @@
   ...ClusterParts,
   restoredState: (saved) => {
     const read: unknown = JSON.parse(Buffer.from(saved).toString())
-    return ReplicatedState.restore(Buffer.from(JSON.stringify({ ...(typeof read === 'object' ? read : {}), outcomes: [] })))
+    return ReplicatedState.restore(
+      Buffer.from(JSON.stringify({ ...(typeof read === 'object' ? read : {}), outcomes: [], networkOutcomes: undefined })),
+    )
   },
 })
 const state = (variant: typeof ReplicatedState): ClusterParts => ({ ...ClusterParts, emptyState: () => new variant() })
