--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -49,6 +49,8 @@
   /** Whom this member followed last. */
   #lastLeader = ''
   #handedOverMs = -Infinity
+  /** Until then this leader, which hands over, takes nothing into the log. */
+  #takesNothingUntilMs = -Infinity
   readonly #rounds = new HeartbeatRounds()
   #beatAtMs = 0
   #outstanding: { index: number; term: number; atMs: number }[] = []
@@ -71,6 +73,8 @@
     this.identity = identity === '' ? `${seat}.${random.below(4294967296).toString(16)}${random.below(4294967296).toString(16)}` : identity
     if (identity === '') this.#firstStart(foundingSeeds, nowMs)
     this.#electionAtMs = nowMs + timings.electionMs + random.next() * timings.electionSpreadMs
+    // It may have confirmed a leader just before it went down, and keeps to that as if it had heard it now.
+    if (this.term > 0) this.#heardLeaderMs = nowMs
     const { index, state } = this.#log.snapshot
     if (index > 0) {
       this.#applied = index
@@ -174,11 +178,14 @@
   }
 
   /**
-   * Hands leadership over to the voter that is furthest, as soon as it holds all that this leader holds; to be
-   * called again until another leads.
+   * Hands leadership over to a voter as soon as it holds all that this leader holds; to be called again until another
+   * leads. Meanwhile nothing new is taken into the log, for an election's time at most: an entry that reached the others
+   * before the heir's request for their votes would cost it the election.
    */
   transferLeadership(nowMs: number): void {
-    if (this.phase !== 'leader' || nowMs - this.#handedOverMs < this.#timings.electionMs) return
+    if (this.phase !== 'leader') return
+    if (nowMs >= this.#takesNothingUntilMs) this.#takesNothingUntilMs = nowMs + this.#timings.electionMs
+    if (nowMs - this.#handedOverMs < this.#timings.electionMs) return
     const heirs = this.#voters().filter(
       (one) => one.identity !== this.identity && nowMs - this.heardMs(one.identity) < this.#timings.electionMs,
     )
@@ -213,12 +220,12 @@
   }
 
   propose(bytes: Uint8Array, nowMs: number): number | undefined {
-    if (this.phase !== 'leader') return undefined
+    if (this.phase !== 'leader' || nowMs < this.#takesNothingUntilMs) return undefined
     return this.#lead('command', bytes, nowMs)
   }
 
   changeMembers(members: Member[], nowMs: number): boolean {
-    if (!this.settled || this.changing) return false
+    if (!this.settled || this.changing || nowMs < this.#takesNothingUntilMs) return false
     this.#lead('members', Buffer.from(JSON.stringify(members)), nowMs)
     return true
   }
@@ -424,6 +431,7 @@
     this.leader = this.identity
     this.#rounds.begin()
     this.#handedOverMs = -Infinity
+    this.#takesNothingUntilMs = -Infinity
     this.#replicas = new Map(this.members.map((one) => [one.identity, new ReplicaProgress(this.lastIndex + 1, nowMs)]))
     const before = this.#replicas.get(this.#lastLeader)
     if (before !== undefined && this.#lastLeader !== this.identity) before.heardMs = this.#heardLeaderMs
--- a/src/storage/LogHeader.ts
+++ b/src/storage/LogHeader.ts
@@ -13,7 +13,7 @@
  * A file gets its name only after it was synced, so neither the header nor anything else in the born
  * bytes can be torn by a loss of power: whatever is wrong there is damage.
  */
-import { crc32 } from 'node:zlib'
+import zlib from 'node:zlib'
 import { StorageError } from './StorageError.js'
 
 const magic = Buffer.from('\x89SPWAL\r\n', 'latin1')
@@ -41,7 +41,7 @@
     bytes.writeUInt32BE(version, offsets.version)
     bytes.set(fileId.subarray(0, fileIdBytes), offsets.fileId)
     bytes.writeUIntBE(bornBytes, offsets.bornBytes, bornBytesWidth)
-    bytes.writeUInt32BE(crc32(bytes.subarray(0, offsets.checksum)), offsets.checksum)
+    bytes.writeUInt32BE(zlib.crc32(bytes.subarray(0, offsets.checksum)), offsets.checksum)
     return bytes
   },
 
@@ -59,7 +59,7 @@
         `${path} has format version ${String(found)} at offset ${String(offsets.version)}, and this program reads version ${String(version)}; nothing was changed. Start the version of the program that wrote it, or ${otherwise}`,
       )
     const seed = file.length < size ? undefined : file.readUInt32BE(offsets.checksum)
-    if (seed === undefined || crc32(file.subarray(0, offsets.checksum)) !== seed) throw LogHeader.damaged(path, 0)
+    if (seed === undefined || zlib.crc32(file.subarray(0, offsets.checksum)) !== seed) throw LogHeader.damaged(path, 0)
     return { bornBytes: file.readUIntBE(offsets.bornBytes, bornBytesWidth), seed }
   },
 
