--- a/src/storage/RecordHead.ts
+++ b/src/storage/RecordHead.ts
@@ -12,7 +12,7 @@
  *
  * A mark is a head alone, in a batch of its own: each opening of a file puts one after what it read.
  */
-import { crc32 } from 'node:zlib'
+import zlib from 'node:zlib'
 
 const size = 18
 const offsets = { batchStart: 4, recordChecksum: 10, headChecksum: 14 } as const
@@ -31,7 +31,7 @@
     file.writeUInt32BE(head.length, at)
     file.writeUIntBE(head.batchStart, at + offsets.batchStart, batchStartWidth)
     file.writeUInt32BE(head.checksum, at + offsets.recordChecksum)
-    file.writeUInt32BE(crc32(file.subarray(at, at + offsets.headChecksum), seed), at + offsets.headChecksum)
+    file.writeUInt32BE(zlib.crc32(file.subarray(at, at + offsets.headChecksum), seed), at + offsets.headChecksum)
   },
 
   /** The batch start told at an offset, valid or not: what a search compares before any checksum. */
@@ -43,7 +43,7 @@
   read(file: Buffer, at: number, seed: number): RecordHead | undefined {
     if (at + size > file.length) return undefined
     const checksum = file.readUInt32BE(at + offsets.headChecksum)
-    if (crc32(file.subarray(at, at + offsets.headChecksum), seed) !== checksum) return undefined
+    if (zlib.crc32(file.subarray(at, at + offsets.headChecksum), seed) !== checksum) return undefined
     return {
       length: file.readUInt32BE(at),
       batchStart: RecordHead.batchStartAt(file, at),
