--- a/src/consensus/Raft.ts
+++ b/src/consensus/Raft.ts
@@ -12,6 +12,7 @@
 import type { Message } from '../transport/Message.js'
 import { DiskRecord } from './DiskRecord.js'
 import type { Entry } from './Entry.js'
+import { HeartbeatRounds } from './HeartbeatRounds.js'
 import type { Member } from './Member.js'
 import type { RaftOutput } from './RaftOutput.js'
 import { ReplicaProgress } from './ReplicaProgress.js'
@@ -48,11 +49,10 @@
   /** Whom this member followed last. */
   #lastLeader = ''
   #handedOverMs = -Infinity
-  #round = 0
-  #roundSentMs = new Map<number, number>()
-  #sureMs = -Infinity
+  /** Until then this leader, which hands over, takes nothing into the log. */
+  #takesNothingUntilMs = -Infinity
+  readonly #rounds = new HeartbeatRounds()
   #beatAtMs = 0
-  #reads: { id: string; index: number; round: number }[] = []
   #outstanding: { index: number; term: number; atMs: number }[] = []
   #out: RaftOutput
 
@@ -157,7 +157,7 @@
    */
   surelyLeads(nowMs: number): boolean {
     const handedOver = this.#handedOverMs > -Infinity
-    return this.phase === 'leader' && !handedOver && nowMs - this.#sureMs < this.#timings.electionMs
+    return this.phase === 'leader' && !handedOver && nowMs - this.#rounds.confirmedMs < this.#timings.electionMs
   }
 
   /** True once an entry of this leader's own term is committed. */
@@ -178,11 +178,14 @@
   }
 
   /**
-   * Hands leadership over to the voter that is furthest, as soon as it holds all that this leader holds; to be
-   * called again until another leads.
+   * Hands leadership over to a voter as soon as it holds all that this leader holds; to be called again until another
+   * leads. Meanwhile nothing new is taken into the log, for an election's time at most: an entry that reached the others
+   * before the heir's request for their votes would cost it the election.
    */
   transferLeadership(nowMs: number): void {
-    if (this.phase !== 'leader' || nowMs - this.#handedOverMs < this.#timings.electionMs) return
+    if (this.phase !== 'leader') return
+    if (nowMs >= this.#takesNothingUntilMs) this.#takesNothingUntilMs = nowMs + this.#timings.electionMs
+    if (nowMs - this.#handedOverMs < this.#timings.electionMs) return
     const heirs = this.#voters().filter(
       (one) => one.identity !== this.identity && nowMs - this.heardMs(one.identity) < this.#timings.electionMs,
     )
@@ -217,12 +220,12 @@
   }
 
   propose(bytes: Uint8Array, nowMs: number): number | undefined {
-    if (this.phase !== 'leader') return undefined
+    if (this.phase !== 'leader' || nowMs < this.#takesNothingUntilMs) return undefined
     return this.#lead('command', bytes, nowMs)
   }
 
   changeMembers(members: Member[], nowMs: number): boolean {
-    if (!this.settled || this.changing) return false
+    if (!this.settled || this.changing || nowMs < this.#takesNothingUntilMs) return false
     this.#lead('members', Buffer.from(JSON.stringify(members)), nowMs)
     return true
   }
@@ -233,7 +236,7 @@
       return
     }
     this.#broadcast(nowMs)
-    this.#reads.push({ id, index: this.commit, round: this.#round })
+    this.#rounds.wait(id, this.commit)
     this.#advance(nowMs)
   }
 
@@ -394,8 +397,7 @@
     this.phase = 'follower'
     this.leader = leader
     if (leader !== '') this.#lastLeader = leader
-    this.#out.lostReads.push(...this.#reads.map((read) => read.id))
-    this.#reads = []
+    this.#out.lostReads.push(...this.#rounds.dropReads())
   }
 
   #requestVotes(pre: boolean, records: Uint8Array[], nowMs = 0, transfer = false): void {
@@ -427,9 +429,9 @@
   #begin(nowMs: number): void {
     this.phase = 'leader'
     this.leader = this.identity
-    this.#sureMs = -Infinity
+    this.#rounds.begin()
     this.#handedOverMs = -Infinity
-    this.#roundSentMs.clear()
+    this.#takesNothingUntilMs = -Infinity
     this.#replicas = new Map(this.members.map((one) => [one.identity, new ReplicaProgress(this.lastIndex + 1, nowMs)]))
     const before = this.#replicas.get(this.#lastLeader)
     if (before !== undefined && this.#lastLeader !== this.identity) before.heardMs = this.#heardLeaderMs
@@ -479,8 +481,7 @@
   }
 
   #broadcast(nowMs: number): void {
-    this.#round += 1
-    this.#roundSentMs.set(this.#round, nowMs)
+    this.#rounds.send(nowMs)
     this.#beatAtMs = nowMs + this.#timings.heartbeatMs
     for (const member of this.members) if (member.identity !== this.identity) this.#feed(member.identity, nowMs, true)
     this.#advance(nowMs)
@@ -512,7 +513,7 @@
         to,
         from: this.identity,
         term: this.term,
-        round: this.#round,
+        round: this.#rounds.newest,
         prevIndex,
         prevTerm,
         commit,
@@ -529,7 +530,7 @@
         to,
         from: this.identity,
         term: this.term,
-        round: this.#round,
+        round: this.#rounds.newest,
         index: snapshot.index,
         lastTerm: snapshot.term,
         members: JSON.stringify(snapshot.members),
@@ -666,12 +667,8 @@
 
   #advance(nowMs: number): void {
     if (this.phase !== 'leader') return
-    const round = this.#majority((replica) => replica.round, this.#round)
-    const sentMs = this.#roundSentMs.get(round)
-    if (sentMs !== undefined) {
-      this.#sureMs = Math.max(this.#sureMs, sentMs)
-      for (const old of this.#roundSentMs.keys()) if (old < round) this.#roundSentMs.delete(old)
-    }
+    const round = this.#majority((replica) => replica.round, this.#rounds.newest)
+    this.#rounds.confirm(round)
     const match = this.#majority((replica) => replica.match)
     if (match > this.commit && this.#log.termAt(match) === this.term) {
       this.#commitTo(match)
@@ -681,9 +678,7 @@
       }
       this.#beatAtMs = nowMs
     }
-    const ready = this.#reads.filter((read) => read.round <= round && read.index <= this.#applied)
-    this.#reads = this.#reads.filter((read) => !ready.includes(read))
-    this.#out.readable.push(...ready.map((read) => read.id))
+    this.#out.readable.push(...this.#rounds.readable(round, this.#applied))
   }
 
   #commitTo(index: number): void {
--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -6,6 +6,7 @@
 import { test } from 'node:test'
 import { Bounds } from '../common/Bounds.js'
 import { Network } from '../common/Network.js'
+import { Random } from '../common/Random.js'
 import { Timings } from '../common/Timings.js'
 import { CoreTestWorld } from './CoreTestWorld.js'
 
@@ -221,6 +222,46 @@
   }
 })
 
+void test('leadership is handed over at once also while changes keep coming, and a node that left is not taken in again', () => {
+  for (const changesEachTick of [0, 1, 5])
+    for (let seed = 1; seed <= 5; seed++) {
+      const world = new CoreTestWorld()
+      world.targetVoters = 5
+      world.three()
+      for (const at of [4, 5]) world.start(`box-${String(at)}`, `10.0.0.${String(at)}:7`, false)
+      ok(world.run(5000, () => whole(world)))
+      world.start('new', '10.0.1.1:7', false)
+      world.run(1000)
+      world.delays = { random: new Random(seed), messageMs: 2, syncMs: 5 }
+      const leader = world.led()
+      const leaving = world.boxes.get(leader)?.machine
+      let asks = 0
+      const change = () => {
+        for (let at = 0; at < changesEachTick; at++) {
+          asks += 1
+          world.ask(leader, `change-${String(asks)}`, { action: 'zone.empty', branch: `z-${String(asks)}` })
+        }
+      }
+      for (let tick = 0; tick < 20; tick++) {
+        change()
+        world.run(timings.tickMs)
+      }
+      leaving?.leave(world.nowMs)
+      const fromMs = world.nowMs
+      while (world.nowMs - fromMs < 2 * timings.electionMs && (world.leader === undefined || world.leader[0] === leader)) {
+        change()
+        world.run(timings.tickMs)
+      }
+      const tookMs = world.nowMs - fromMs
+      ok(tookMs < 0.35 * timings.electionMs, `${String(changesEachTick)} changes a tick, seed ${String(seed)}: ${String(tookMs)} ms`)
+      ok(world.run(timings.leaveMs, () => leaving?.mayStop === true))
+      world.boxes.delete(leader)
+      ok(world.run(timings.electionMs, () => whole(world)))
+      const back = () => world.leader?.[1].machine.raft.members.some((one) => one.seat === leader) === true
+      strictEqual(world.run(2 * timings.memberGoneMs, back), false)
+    }
+})
+
 void test('a founder that is killed before it founded may found in its next life, also when it is told otherwise then', () => {
   const world = new CoreTestWorld()
   const first = world.start('box-1', world.seeds[0] ?? '', true)
@@ -367,3 +408,99 @@
   strictEqual(world.answered('b').status, 200)
   ok(world.nowMs - sentMs >= timings.deliverMs && world.nowMs - sentMs < timings.deliverMs + 200, String(world.nowMs - sentMs))
 })
+
+/** Takes all machines but one away, as a cut does; gives what brings them back. */
+function cutOff(world: CoreTestWorld, kept: string): () => void {
+  const others = [...world.boxes].filter(([name]) => name !== kept)
+  for (const [name] of others) world.boxes.delete(name)
+  return () => {
+    for (const [name, box] of others) world.boxes.set(name, box)
+  }
+}
+const patience = { waitMs: 800, leaderMs: 400 }
+
+void test('a machine that hears no leader leaves every request undecided soon, refuses none, and passes none on later', () => {
+  const world = new CoreTestWorld()
+  world.three()
+  const leader = world.led()
+  world.ask(leader, 'first', { action: 'network.put', operation: 'first', text: network(1), ifMatch: 0 })
+  strictEqual(world.answered('first').status, 200)
+  const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+  for (const kept of [other, leader]) {
+    const heal = cutOff(world, kept)
+    const ids = ['stale', 'invalid', 'zone', 'read'].map((what) => `${kept} ${what}`)
+    const [stale = '', invalid = '', zone = '', read = ''] = ids
+    const sentMs = world.nowMs
+    world.ask(kept, stale, { action: 'network.put', operation: 'stale', text: network(9), ifMatch: 0, ...patience })
+    world.ask(kept, invalid, { action: 'network.put', operation: 'invalid', text: '{', ifMatch: 1, ...patience })
+    world.ask(kept, zone, { action: 'zone.empty', branch: 'z', ...patience })
+    world.ask(kept, read, { action: 'network.get', ...patience })
+    for (const id of ids) strictEqual(world.answered(id).status, 504, id)
+    ok(world.nowMs - sentMs <= patience.waitMs + timings.tickMs)
+    const cutMs = world.nowMs + 4 * timings.electionMs
+    world.run(4 * timings.electionMs)
+    world.ask(kept, `${kept} late`, { action: 'zone.empty', branch: 'late', ...patience })
+    strictEqual(world.answered(`${kept} late`).status, 504)
+    ok(world.nowMs - cutMs <= patience.leaderMs + timings.tickMs, 'no leader was heard for long, so it need not wait long')
+    world.ask(kept, `${kept} given up`, { action: 'zone.empty', branch: 'given up', ...patience })
+    world.cancel(kept, `${kept} given up`)
+    heal()
+    world.led()
+    world.run(2000)
+    strictEqual(world.responses.has(`${kept} given up`), false)
+    for (const box of world.boxes.values())
+      deepStrictEqual(
+        ['late', 'given up'].map((at) => box.machine.replicatedState.copy.get(`zone/${at}`)),
+        [undefined, undefined],
+      )
+  }
+})
+
+void test('an evacuation that is sent again waits for the machines that must adopt the first, no longer', () => {
+  const world = new CoreTestWorld()
+  world.three()
+  const leader = world.led()
+  world.run(3000)
+  const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+  world.heard.set('edge:7', () => undefined)
+  world.tell('edge', 'edge:7', world.boxes.get(leader)?.address ?? '', {
+    kind: 'renew',
+    seat: 'edge',
+    role: 'agent',
+    zone: 'z',
+    session: 's',
+    sentMs: world.nowMs,
+    adopted: 0,
+    asks: [],
+    echo: 0,
+    again: [],
+    firsts: [],
+    peersSum: 0,
+  })
+  const sentMs = world.nowMs
+  const waitMs = timings.deliverMs / 2
+  world.ask(leader, 'a', { action: 'zone.empty', branch: 'z', waitMs })
+  strictEqual(world.answered('a').status, 504)
+  world.ask(other, 'b', { action: 'zone.empty', branch: 'z', waitMs: 2 * waitMs })
+  strictEqual(world.answered('b').status, 200)
+  ok(world.nowMs - sentMs < timings.deliverMs + 200, String(world.nowMs - sentMs))
+})
+
+void test('requests of the same content are both acknowledged, and an answer for another life is no answer', () => {
+  const world = new CoreTestWorld()
+  world.three()
+  const leader = world.led()
+  const [other = '', third = ''] = [...world.boxes.keys()].filter((name) => name !== leader)
+  const put = { action: 'network.put' as const, operation: 'same', text: network(1), ifMatch: 0 }
+  world.ask(other, 'a', put)
+  world.ask(third, 'b', put)
+  deepStrictEqual([world.answered('a').status, world.answered('b').status], [200, 200])
+  const box = world.boxes.get(other)
+  const identity = box?.machine.raft.identity ?? ''
+  const heal = cutOff(world, other)
+  world.ask(other, 'c', { action: 'network.get', ...patience })
+  for (const id of ['c', `${identity}/c`, `${identity}/0/c`])
+    world.tell(leader, '10.0.0.9:7', box?.address ?? '', { kind: 'operated', id, status: 404, stamp: 0, text: '{}' })
+  strictEqual(world.responses.has('c'), false)
+  heal()
+})
