firstRun tells what the fleet said when it ends before its start

In a whole run of the fleet tests (load 41 on 16 cores) the first run's fleet gave up its start after 60 s and the test said only that no core machine answered. Run again alone, at the same load, it passed in 23.1 s. Cause not found: the folder was gone.

--- a/tools/firstRun.mjs
+++ b/tools/firstRun.mjs
@@ -30,7 +30,10 @@
   const ended = new Promise((done) => fleet.on('exit', done))
   try {
     const startups = join(folder, 'run/first')
-    while (!/processes are up/.test(told) && fleet.exitCode === null) await pause(50)
+    while (!/processes are up/.test(told)) {
+      strictEqual(fleet.exitCode, null, told)
+      await pause(50)
+    }
     ok(existsSync(startups) && readdirSync(startups).some((name) => name.endsWith('.json')), told)
     await pause(3000)
     const seen = spawnSync('sh', ['-e', '-c', visit.join('\n')], { cwd: folder, encoding: 'utf8' })
