Gateway: no stream joined from two runs, no false promise, no answer without an end

Resuming now needs a stream whose last event told its place, and ids that rise. - A server's 408, 429 or 503 that did not say that the request had not run went to the caller, to whom it is a promise. It is a 502 now, or another try where that is allowed. - An answer that stopped after its head was held until the caller left: due counted only before the head. - A waiting request whose route changed to one that may run once, or to fewer attempts, went out again. - A caller that did not read its stream made its server count as silent. - The client library would have been let start one request twice; a second start is aborted now. All decisions about sending again are in RetryPolicy, the answer's path in Attempt. Fields that nobody read are gone. Excluded: heads that cannot be written again, as the library reads them as latin1 and its parser refuses control bytes; a released attempt that goes out late, as it is dropped before it is written.

--- a/src/adapters/Arrival.ts
+++ b/src/adapters/Arrival.ts
@@ -1,4 +1,4 @@
-/** What the head of a caller's request says. Tokens are those of the prompt and the most that may be put out. */
+/** What the head of a caller's request says. `promptTokens` is the prompt's length. */
 export interface Arrival {
   id: string
   dueInMs: number | undefined
@@ -7,6 +7,5 @@
   model: string
   adapter: string
   promptTokens: number
-  outputTokens: number
   parts: { id: string; tokens: number }[]
 }
--- a/src/adapters/RouteFormat.test.ts
+++ b/src/adapters/RouteFormat.test.ts
@@ -21,7 +21,6 @@
       model: 'm',
       adapter: 'a1',
       promptTokens: 30,
-      outputTokens: 8,
       parts: [
         { id: 'p', tokens: 20 },
         { id: 'q', tokens: 10 },
@@ -35,7 +34,6 @@
     model: '',
     adapter: '',
     promptTokens: 0,
-    outputTokens: 0,
     parts: [],
   })
 })
--- a/src/adapters/RouteFormat.ts
+++ b/src/adapters/RouteFormat.ts
@@ -18,7 +18,7 @@
 export const RouteFormat: RouteWire = {
   arrival(headers: IncomingHttpHeaders): Arrival {
     const [model = '', adapter = ''] = text(headers['model']).split('/')
-    const [prompt, output] = text(headers['tokens']).split(',')
+    const [prompt] = text(headers['tokens']).split(',')
     const due = text(headers['due-ms'])
     const resumeAfter = text(headers['resume-after'])
     return {
@@ -28,7 +28,6 @@
       model,
       adapter,
       promptTokens: whole(prompt),
-      outputTokens: whole(output),
       parts: text(headers['parts'])
         .split(',')
         .filter((part) => part !== '')
--- a/src/gateway/EventScanner.test.ts
+++ b/src/gateway/EventScanner.test.ts
@@ -5,7 +5,7 @@
 test('events come whole with their ids, whatever the cut of the bytes', () => {
   const text = 'id: 1\ndata: a\n\nmore: 1\nid: 2\ndata: é\n\nid: 3\r\ndata: c\r\n\r\n'
   for (let size = 1; size < 20; size++) {
-    const scanner = new EventScanner()
+    const scanner = new EventScanner(undefined)
     const bytes = Buffer.from(text)
     const events: { text: string; id: string | undefined }[] = []
     for (let at = 0; at < bytes.length; at += size) events.push(...scanner.take(bytes.subarray(at, at + size)))
@@ -19,7 +19,33 @@
 })
 
 test('what is not whole is kept back', () => {
-  const scanner = new EventScanner()
+  const scanner = new EventScanner(undefined)
   deepStrictEqual(scanner.take(Buffer.from('id: 1\ndata')), [])
   strictEqual(scanner.partial, true)
 })
+
+const event = (id: number) => `id: ${String(id)}\ndata: x\n\n`
+
+test('an event that comes again, or from before where the stream was to go on, ends the reading for good', () => {
+  const again = new EventScanner(undefined)
+  deepStrictEqual(
+    again.take(Buffer.from(event(1) + event(9) + event(10) + event(9) + event(11))).map((one) => one.id),
+    ['1', '9', '10'],
+  )
+  strictEqual(again.rewound, true)
+  deepStrictEqual(again.take(Buffer.from(event(12))), [])
+  const resumed = new EventScanner('4')
+  deepStrictEqual(resumed.take(Buffer.from(event(4))), [])
+  strictEqual(resumed.rewound, true)
+})
+
+test('comments carry no data, and an event without an id is told as such', () => {
+  const scanned = new EventScanner(undefined).take(Buffer.from(': still here\n\ndata: x\n\n'))
+  deepStrictEqual(
+    scanned.map(({ id, data }) => [id, data]),
+    [
+      [undefined, false],
+      [undefined, true],
+    ],
+  )
+})
--- a/src/gateway/GatewayInput.ts
+++ b/src/gateway/GatewayInput.ts
@@ -1,6 +1,8 @@
 /**
  * What a gateway's machine is told. `defect` says what is known of the attempt that ended; `status` is a
- * whole answer's, of which nothing has gone to the caller yet.
+ * whole answer's, of which nothing has gone to the caller yet. `event` is a part that went to the caller:
+ * its id if it is an event that told one, and whether it carried data. `flow`
+ * says whether the caller takes what is passed on.
  */
 import type { Verdict } from '../common/Verdict.js'
 import type { Arrival } from '../adapters/Arrival.js'
@@ -9,10 +11,11 @@
   | { kind: 'tick' }
   | { kind: 'adopted' }
   | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
-  | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival; bodyBytes: number }
+  | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival }
   | { kind: 'sent'; id: string; attempt: number }
   | { kind: 'head'; id: string; attempt: number; status: number; notRun: boolean }
-  | { kind: 'event'; id: string; attempt: number; event: string | undefined }
+  | { kind: 'event'; id: string; attempt: number; event: string | undefined; data: boolean }
+  | { kind: 'flow'; id: string; attempt: number; blocked: boolean }
   | { kind: 'ended'; id: string; attempt: number }
   | { kind: 'defect'; id: string; attempt: number; verdict: Verdict; why: string }
   | { kind: 'callerGone'; id: string }
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -81,8 +81,7 @@
         id,
         host: 'h.example',
         path,
-        bodyBytes: 10,
-        arrival: { id: `r-${id}`, dueInMs, resumeAfter, model, adapter, promptTokens: 10, outputTokens: 10, parts: [] },
+        arrival: { id: `r-${id}`, dueInMs, resumeAfter, model, adapter, promptTokens: 10, parts: [] },
       }),
     pass: (ms) => {
       const effects: GatewayEffect[] = []
@@ -135,13 +134,13 @@
   arrive('1', '/stream/x', { model: 'm' })
   step({ kind: 'sent', id: '1', attempt: 1 })
   step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
-  step({ kind: 'event', id: '1', attempt: 1, event: '4' })
+  step({ kind: 'event', id: '1', attempt: 1, event: '4', data: true })
   const [next] = only(step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' }), 'attempt')
   strictEqual(next?.resumeAfter, '4')
   arrive('2', '/single/x', { model: 'm' })
   step({ kind: 'sent', id: '2', attempt: 1 })
   step({ kind: 'head', id: '2', attempt: 1, status: 200, notRun: false })
-  step({ kind: 'event', id: '2', attempt: 1, event: '4' })
+  step({ kind: 'event', id: '2', attempt: 1, event: '4', data: true })
   const end = step({ kind: 'defect', id: '2', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
   strictEqual(only(end, 'breakOff').length, 1)
   strictEqual(only(end, 'attempt').length, 0)
@@ -228,3 +227,90 @@
   step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
   deepStrictEqual(step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false }), [])
 })
+
+test('a stream is not continued after an event that told no place in it, nor an answer that is no stream', () => {
+  const { arrive, step } = given()
+  for (const [id, event] of [
+    ['1', undefined],
+    ['2', '4'],
+  ] as const) {
+    arrive(id, '/stream/x', { model: 'm' })
+    step({ kind: 'sent', id, attempt: 1 })
+    step({ kind: 'head', id, attempt: 1, status: 200, notRun: false })
+    step({ kind: 'event', id, attempt: 1, event, data: true })
+    if (event !== undefined) step({ kind: 'event', id, attempt: 1, event: undefined, data: true })
+    const end = step({ kind: 'defect', id, attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
+    strictEqual(only(end, 'breakOff').length, 1)
+    strictEqual(only(end, 'attempt').length, 0)
+  }
+})
+
+for (const status of [408, 429, 503]) {
+  test(`a server's ${String(status)} that does not say that the request has not run is no promise to the caller`, () => {
+    const { arrive, step } = given()
+    arrive('1', '/once/x')
+    step({ kind: 'sent', id: '1', attempt: 1 })
+    const end = step({ kind: 'head', id: '1', attempt: 1, status, notRun: false })
+    strictEqual(only(end, 'turnAway')[0]?.status, 502)
+    strictEqual(only(end, 'attempt').length + only(end, 'relay').length, 0)
+  })
+}
+
+test('an answer that stops midway is given up soon after its due, and one of which nothing went on is a 504', () => {
+  const { arrive, step, pass } = given()
+  arrive('1', '/once/x', { dueInMs: 1000 })
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  arrive('2', '/single/x', { model: 'm', dueInMs: 1000 })
+  step({ kind: 'sent', id: '2', attempt: 1 })
+  step({ kind: 'head', id: '2', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '2', attempt: 1, event: '1', data: true })
+  const early = pass(1000)
+  strictEqual(only(early, 'turnAway').length + only(early, 'breakOff').length, 0)
+  const end = pass(200)
+  strictEqual(only(end, 'turnAway')[0]?.status, 504)
+  strictEqual(only(end, 'breakOff')[0]?.id, '2')
+})
+
+test('a request that waits for a further try keeps to the route in force by then', () => {
+  for (const change of [{ kind: 'once' }, { attempts: 1 }]) {
+    const { arrive, step, set, machine } = given()
+    arrive('1', '/often/x')
+    for (const at of [0, 1])
+      set(`server/app-${String(at)}`, {
+        name: `app-${String(at)}`,
+        address: '10.0.0.1:1',
+        zone: 'a',
+        service: 'app',
+        capacity: 4,
+        draining: true,
+      })
+    step({ kind: 'sent', id: '1', attempt: 1 })
+    step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' })
+    const route = {
+      name: 'often',
+      host: 'h.example',
+      prefix: '/often/',
+      kind: 'repeatable',
+      timeoutMs: 5000,
+      aimMs: 500,
+      attempts: 2,
+      services: [{ service: 'app', weight: 1 }],
+    }
+    strictEqual(machine.held, 1)
+    set('route/often', { ...route, ...change })
+    strictEqual(machine.open, 0)
+  }
+})
+
+test('a stream whose caller does not read it is not taken for a silent server', () => {
+  const { arrive, step, pass } = given()
+  arrive('1', '/stream/x', { model: 'm' })
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '1', attempt: 1, event: '1', data: true })
+  step({ kind: 'flow', id: '1', attempt: 1, blocked: true })
+  strictEqual(only(pass(2000), 'attempt').length, 0)
+  step({ kind: 'flow', id: '1', attempt: 1, blocked: false })
+  strictEqual(only(pass(1000), 'attempt')[0]?.attempt, 2)
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -11,6 +11,7 @@
 import type { GatewayEffect } from './GatewayEffect.js'
 import type { GatewayInput } from './GatewayInput.js'
 import { Passage } from './Passage.js'
+import { RetryPolicy } from './RetryPolicy.js'
 import { RouteTable } from './RouteTable.js'
 import type { Server } from './Server.js'
 import { ServerTable } from './ServerTable.js'
@@ -35,6 +36,10 @@
 const connectRatio = 0.5
 const silentRatio = 0.7
 const gapRatio = 0.75
+/** How long past its due an answer that has come in part may take to end, as a ratio of `suspectMs`. */
+const overdueRatio = 1 / 16
+/** Statuses that promise a caller that its request has not run and never will. */
+const promises: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 export class GatewayMachine {
   readonly copy: ReplicaTable
@@ -122,13 +127,12 @@
   }
 
   #arrived(input: Extract<GatewayInput, { kind: 'arrived' }>, nowMs: number): void {
-    const { id, host, path, arrival, bodyBytes } = input
+    const { id, host, path, arrival } = input
     const passage: Passage = {
       id,
       host,
       path,
       arrival,
-      bodyBytes,
       arrivedMs: nowMs,
       dueMs: nowMs + (arrival.dueInMs ?? defaultDueMs),
       phase: 'arrived',
@@ -146,6 +150,8 @@
       sentMs: 0,
       movedMs: nowMs,
       begun: false,
+      blocked: false,
+      resumePoint: false,
       lastEvent: arrival.resumeAfter,
       lastWhy: '',
     }
@@ -183,12 +189,6 @@
     }
   }
 
-  #repeatable(passage: Passage): boolean {
-    return (
-      passage.route !== undefined && (passage.route.kind === 'repeatable' || (passage.route.kind === 'stream' && passage.route.resumable))
-    )
-  }
-
   #aimMs(passage: Passage): number {
     return passage.route?.aimMs ?? 0.25 * (passage.dueMs - passage.arrivedMs)
   }
@@ -205,6 +205,10 @@
   }
 
   #bind(passage: Passage, nowMs: number): void {
+    if (!RetryPolicy.maySend(passage)) {
+      this.#end(passage, nowMs)
+      return
+    }
     const server = nowMs < passage.dueMs ? this.servers.choose(passage, nowMs) : undefined
     if (server === undefined) {
       if (passage.phase !== 'held') {
@@ -227,6 +231,7 @@
     this.#to(passage, 'connecting')
     server.flights += 1
     passage.server = server.name
+    passage.blocked = false
     passage.attempt += 1
     passage.boundMs = nowMs
     const { route } = passage
@@ -238,7 +243,7 @@
       address: server.address,
       leftMs: passage.dueMs - nowMs,
       urgency: route?.urgency ?? 5,
-      resumeAfter: passage.lastEvent,
+      resumeAfter: route?.resumable === true ? passage.lastEvent : undefined,
       model: passage.model !== '',
       connections: this.servers.connections(server),
     })
@@ -315,8 +320,8 @@
   #watch(passage: Passage, nowMs: number): void {
     const { phase } = passage
     if (phase === 'held' || phase === 'arrived') return
-    if (nowMs >= passage.dueMs && phase !== 'streaming') {
-      passage.mayHaveRun ||= phase === 'sent'
+    if (nowMs >= passage.dueMs + (phase === 'streaming' ? this.#plan.suspectMs * overdueRatio : 0)) {
+      passage.mayHaveRun ||= phase !== 'connecting'
       passage.lastWhy = 'due passed'
       this.#end(passage, nowMs)
       return
@@ -335,7 +340,7 @@
    */
   #leaveSilent(passage: Passage, nowMs: number): void {
     const server = this.servers.get(passage.server)
-    if (server === undefined || !this.#repeatable(passage) || passage.sends >= this.#attempts(passage)) return
+    if (server === undefined || passage.blocked || !RetryPolicy.repeatable(passage) || !RetryPolicy.maySend(passage)) return
     const gapMs = passage.route?.gapMs
     const most =
       passage.phase === 'sent' ? Math.max(silentRatio * this.#aimMs(passage), 100) : gapMs === undefined ? Infinity : gapRatio * gapMs
@@ -360,10 +365,6 @@
       .some((one) => one.name !== passage.server && nowMs >= one.suspectUntilMs && !passage.avoid.has(one.name))
   }
 
-  #attempts(passage: Passage): number {
-    return Math.max(1, passage.route?.attempts ?? 1)
-  }
-
   #callerGone(id: string): void {
     const passage = this.#passages.get(id)
     if (passage === undefined) return
@@ -395,6 +396,11 @@
         passage.movedMs = nowMs
         passage.begun = true
         if (input.event !== undefined) passage.lastEvent = input.event
+        if (input.data) passage.resumePoint = input.event !== undefined
+        break
+      case 'flow':
+        passage.blocked = input.blocked
+        passage.movedMs = nowMs
         break
       case 'ended':
         this.#unbind(passage)
@@ -412,7 +418,11 @@
       this.#failed(passage, Verdict.notRun, `the server turned it away with ${String(input.status)}`, nowMs)
       return
     }
-    if (input.status >= 500 && !passage.begun && this.#repeatable(passage) && this.#mayGoOn(passage, nowMs)) {
+    if (promises.has(input.status)) {
+      this.#failed(passage, Verdict.mayHaveRun, `the server answered ${String(input.status)} and did not say that it had not run it`, nowMs)
+      return
+    }
+    if (input.status >= 500 && !passage.begun && RetryPolicy.repeatable(passage) && this.#mayGoOn(passage, nowMs)) {
       this.#failed(passage, Verdict.mayHaveRun, `the server answered ${String(input.status)}`, nowMs)
       return
     }
@@ -423,13 +433,12 @@
   }
 
   #mayGoOn(passage: Passage, nowMs: number): boolean {
-    return passage.sends < this.#attempts(passage) && this.#elsewhere(passage, nowMs)
+    return !RetryPolicy.exhausted(passage) && this.#elsewhere(passage, nowMs)
   }
 
   /** An attempt ended without an answer: back to waiting where that is allowed, else the final answer. */
   #failed(passage: Passage, verdict: Verdict, why: string, nowMs: number): void {
     const server = this.servers.get(passage.server)
-    const unsent = passage.phase === 'connecting'
     this.#release(passage)
     passage.lastWhy = why
     if (server !== undefined) {
@@ -437,9 +446,7 @@
       passage.avoid.add(server.name)
     }
     if (verdict !== Verdict.notRun) passage.mayHaveRun = true
-    const again = verdict === Verdict.notRun || this.#repeatable(passage)
-    const kept = !passage.begun || (passage.route?.kind === 'stream' && passage.route.resumable)
-    if (!again || !kept || (!unsent && passage.sends >= this.#attempts(passage))) {
+    if (!RetryPolicy.maySend(passage)) {
       this.#end(passage, nowMs)
       return
     }
--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -466,3 +466,56 @@
   strictEqual(await call('/once/x').whole(), seen('next'))
   ok(left)
 })
+
+const spoiled: [string, string][] = [
+  ['a control byte in the head', answer('x', 'x-own: a\x01b\r\n')],
+  ['a status below all that there are', answer('x').replace('200', '099')],
+  ['a status of four digits', answer('x').replace('200', '1200')],
+  ['a status that asks for another protocol', answer('x').replace('200 OK', '101 Switching Protocols')],
+  ['another protocol', answer('x').replace('HTTP/1.1', 'HTTP/7.1')],
+  ['a length below nothing', answer('x').replace('content-length: 1', 'content-length: -1')],
+  ['two lengths', answer('x', 'content-length: 2\r\n')],
+  ['chunks and a length', answer('x', 'transfer-encoding: chunked\r\n')],
+  ['a chunk without a size', answer('x').replace('content-length: 1\r\n\r\nx', 'transfer-encoding: chunked\r\n\r\nz\r\nx\r\n0\r\n\r\n')],
+  ['no answer at all', 'x'.repeat(300)],
+]
+for (const [said, text] of spoiled) {
+  test(`an answer with ${said} never shows, ends its connection and leaves the next request alone`, async (t) => {
+    const { call, servers } = await scene(t, [
+      (_heard, socket, run) => {
+        socket.write(run === 1 ? text : answer('next'), 'latin1')
+      },
+    ])
+    match(await call('/once/x').whole(), /^HTTP\/1\.1 502 /)
+    const { text: next } = await later(() => call('/once/x'))
+    strictEqual(next, seen('next'))
+    deepStrictEqual([servers[0]?.heard.length, servers[0]?.connections], [2, 2])
+  })
+}
+
+/** Calls until it is not refused: a server that failed is left alone for a moment. */
+async function later(call: () => Caller): Promise<Caller> {
+  for (;;) {
+    const caller = call()
+    if (!(await caller.whole()).startsWith('HTTP/1.1 503 ')) return caller
+  }
+}
+
+test('a stream is not continued by an answer that is no stream, nor by events that the caller has already', async (t) => {
+  for (const second of [answer('no stream'), streamHead('other') + chunk(event(2)) + chunk(event(3)) + lastChunk]) {
+    const first = dying()
+    const { call } = await scene(t, [first.script, answers(second)])
+    const caller = call('/stream/x')
+    ok(await caller.until('token 2\n\n'))
+    first.die()
+    strictEqual(await caller.whole(), streamSeen + chunk(event(1)) + chunk(event(2)))
+  }
+})
+
+test('a large answer to a route of streams is not continued by another run', async (t) => {
+  const large = 'abcdefgh'.repeat(200_000)
+  const { call, servers } = await scene(t, [(_heard, socket) => socket.end(answer(large).slice(0, -1)), answers(answer(large))])
+  const text = await call('/stream/x').whole()
+  ok(seen(large).startsWith(text) && text.length < seen(large).length)
+  strictEqual(servers[1]?.heard.length, 0)
+})
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -9,14 +9,12 @@
 import { clockMs } from '../common/clockMs.js'
 import type { Logger } from '../common/Logger.js'
 import { Timings } from '../common/Timings.js'
-import { Verdict } from '../common/Verdict.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
 import type { AgentInput } from '../agent/AgentInput.js'
 import type { Outside } from '../adapters/Outside.js'
-import { passedOn } from '../adapters/passedOn.js'
 import type { RouteWire } from '../adapters/RouteWire.js'
 import type { Transport } from '../transport/Transport.js'
-import { EventScanner } from './EventScanner.js'
+import { Attempt } from './Attempt.js'
 import type { GatewayEffect } from './GatewayEffect.js'
 import type { GatewayInput } from './GatewayInput.js'
 import { GatewayMachine } from './GatewayMachine.js'
@@ -24,7 +22,6 @@
 import type { Ticket } from './Ticket.js'
 import { Upstream } from './Upstream.js'
 
-const gatheredBytes = 1_000_000
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 
 export class GatewayTask {
@@ -86,18 +83,21 @@
     return this.#tickets.size
   }
 
-  /** Takes a request on its way; the ticket is kept until the caller has its final answer. */
-  allow(request: IncomingMessage, response: ServerResponse, body: Buffer, waitedMs: number): void {
+  /**
+   * Takes a request on its way; the ticket is kept until the caller has its final answer. What it gives back
+   * is to be called when the caller leaves before its turn on the connection has come.
+   */
+  allow(request: IncomingMessage, response: ServerResponse, body: Buffer, waitedMs: number): () => void {
     const arrival = this.#wire.arrival(request.headers)
     const method = methods.find((one) => one === request.method)
     const path = request.url ?? '/'
     if (method === undefined) {
       this.answer(response, arrival.id, 405, undefined, 'method: not allowed here')
-      return
+      return () => undefined
     }
     if (!this.ready) {
       this.answer(response, arrival.id, 503, 2 * this.timings.electionMs, 'has no network in force yet')
-      return
+      return () => undefined
     }
     if (arrival.dueInMs !== undefined) arrival.dueInMs -= waitedMs
     this.#count += 1
@@ -115,14 +115,21 @@
       relaying: false,
       scanner: undefined,
       parts: undefined,
-      drains: false,
     })
-    response.on('close', () => {
+    const leave = () => {
       if (!this.#tickets.has(id)) return
       this.step({ kind: 'callerGone', id })
       this.#tickets.delete(id)
+    }
+    response.on('close', leave)
+    response.on('drain', () => {
+      const ticket = this.#tickets.get(id)
+      if (ticket === undefined) return
+      ticket.controller?.resume()
+      this.step({ kind: 'flow', id, attempt: ticket.attempt, blocked: false })
     })
-    this.step({ kind: 'arrived', id, host: request.headers.host ?? '', path, arrival, bodyBytes: body.length })
+    this.step({ kind: 'arrived', id, host: request.headers.host ?? '', path, arrival })
+    return leave
   }
 
   answer(response: ServerResponse, id: string, status: number, comeBackMs: number | undefined, why: string): void {
@@ -227,108 +234,21 @@
     ticket.scanner = undefined
     ticket.parts = undefined
     if (!ticket.response.headersSent) ticket.head = undefined
-    const live = () => ticket.attempt === attempt && this.#tickets.get(id) === ticket
-    const defect = (verdict: Verdict, why: string) => {
-      this.step({ kind: 'defect', id, attempt, verdict, why })
-    }
-    const startedMs = clockMs()
-    const headers = this.#wire.onward(ticket.headers, { ...effect, leftMs: effect.leftMs })
-    let begun = false
-    this.#upstream.dispatch(
-      server,
-      address,
-      effect.connections,
-      { path: ticket.path, method: ticket.method, headers, body: ticket.body.length > 0 ? ticket.body : null },
-      {
-        onRequestStart: (controller) => {
-          if (!live()) {
-            controller.abort(new Error('released'))
-            return
-          }
-          begun = true
-          ticket.controller = controller
-          this.step({ kind: 'sent', id, attempt })
-        },
-        onResponseStart: (_controller, status, replyHeaders) => {
-          if (status < 200 || !live()) return
-          const reply = this.#wire.reply(status, replyHeaders)
-          if (reply.id !== ticket.requestId || (status < 300 && !reply.sealed)) {
-            defect(Verdict.mayHaveRun, reply.id !== ticket.requestId ? 'an answer to another request' : 'the answer is not sealed')
-            return
-          }
-          if (ticket.response.headersSent && !reply.notRun && status !== 200) {
-            defect(Verdict.mayHaveRun, `the stream was not taken up: ${String(status)}`)
-            return
-          }
-          this.step({ kind: 'head', id, attempt, status, notRun: reply.notRun })
-          if (!ticket.relaying || !live()) return
-          const length = replyHeaders['content-length']
-          if (length === undefined && replyHeaders['transfer-encoding'] === undefined && status !== 204 && status !== 304) {
-            defect(Verdict.mayHaveRun, 'the answer has neither a length nor chunks')
-            return
-          }
-          const events = String(replyHeaders['content-type'] ?? '').startsWith('text/event-stream') && status === 200
-          if (events) ticket.scanner = new EventScanner()
-          else if (length === undefined || Number(length) <= gatheredBytes) ticket.parts = []
-          if (ticket.response.headersSent) return
-          ticket.head = { status, headers: passedOn(replyHeaders) }
-          if (!events && typeof length === 'string') ticket.head.headers['content-length'] = length
-          if (ticket.drains) return
-          ticket.drains = true
-          ticket.response.on('drain', () => {
-            ticket.controller?.resume()
-          })
-        },
-        onResponseData: (controller, chunk) => {
-          if (!ticket.relaying || !live()) return
-          this.#relay(ticket, id, attempt, controller, chunk)
-        },
-        onResponseEnd: () => {
-          if (!ticket.relaying || !live()) return
-          this.#finish(ticket, id, attempt)
-        },
-        onResponseError: (_controller, error) => {
-          if (!live()) return
-          ticket.controller = undefined
-          defect(begun ? Verdict.mayHaveRun : Verdict.notRun, error.message)
-        },
+    const place = {
+      id,
+      attempt,
+      resumeAfter: effect.resumeAfter,
+      ticket,
+      isOpen: () => this.#tickets.get(id) === ticket,
+      close: () => {
+        this.#tickets.delete(id)
+      },
+      step: (input: GatewayInput) => {
+        this.step(input)
       },
-      startedMs,
-    )
-  }
-
-  #relay(ticket: Ticket, id: string, attempt: number, controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (ticket.scanner !== undefined) {
-      for (const event of ticket.scanner.take(chunk)) {
-        this.#writeHead(ticket)
-        const taken = ticket.response.write(event.text, 'latin1')
-        this.step({ kind: 'event', id, attempt, event: event.id })
-        if (!taken) controller.pause()
-      }
-      return
-    }
-    if (ticket.parts !== undefined) {
-      ticket.parts.push(chunk)
-      return
-    }
-    this.#writeHead(ticket)
-    this.step({ kind: 'event', id, attempt, event: undefined })
-    if (!ticket.response.write(chunk)) controller.pause()
-  }
-
-  #finish(ticket: Ticket, id: string, attempt: number): void {
-    if (ticket.scanner?.partial === true) {
-      this.step({ kind: 'defect', id, attempt, verdict: Verdict.mayHaveRun, why: 'the stream ended within an event' })
-      return
     }
-    this.#tickets.delete(id)
-    this.#writeHead(ticket)
-    ticket.response.end(ticket.parts === undefined ? undefined : Buffer.concat(ticket.parts))
-    this.step({ kind: 'ended', id, attempt })
-  }
-
-  #writeHead(ticket: Ticket): void {
-    if (ticket.response.headersSent || ticket.head === undefined) return
-    ticket.response.writeHead(ticket.head.status, ticket.head.headers)
+    const headers = this.#wire.onward(ticket.headers, effect)
+    const options = { path: ticket.path, method: ticket.method, headers, body: ticket.body.length > 0 ? ticket.body : null }
+    this.#upstream.dispatch(server, address, effect.connections, options, new Attempt(place, this.#wire))
   }
 }
--- a/src/gateway/Passage.ts
+++ b/src/gateway/Passage.ts
@@ -32,7 +32,6 @@
   host: string
   path: string
   arrival: Arrival
-  bodyBytes: number
   arrivedMs: number
   dueMs: number
   phase: Phase
@@ -53,6 +52,10 @@
   /** When the stream last moved, and whether any of it went to the caller. */
   movedMs: number
   begun: boolean
+  /** True while the caller does not take what is passed on, so that nothing is read from the server. */
+  blocked: boolean
+  /** True once the last event with data that went to the caller told its place in the stream. */
+  resumePoint: boolean
   lastEvent: string | undefined
   lastWhy: string
 }
--- a/src/gateway/Ticket.ts
+++ b/src/gateway/Ticket.ts
@@ -20,5 +20,4 @@
   relaying: boolean
   scanner: EventScanner | undefined
   parts: Buffer[] | undefined
-  drains: boolean
 }
--- a/src/gateway/Upstream.ts
+++ b/src/gateway/Upstream.ts
@@ -24,7 +24,7 @@
 
 export class Upstream {
   readonly #times: Times
-  readonly #pools = new Map<string, { pool: Pool; usedMs: number }>()
+  readonly #pools = new Map<string, Pool>()
 
   constructor(times: Times) {
     this.#times = times
@@ -36,11 +36,10 @@
     connections: number,
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
-    nowMs: number,
   ): void {
-    let held = this.#pools.get(server)
-    if (held === undefined) {
-      const pool = new Pool(`http://${address}`, {
+    let pool = this.#pools.get(server)
+    if (pool === undefined) {
+      pool = new Pool(`http://${address}`, {
         connections,
         pipelining: 1,
         headersTimeout: 0,
@@ -50,12 +49,10 @@
         keepAliveTimeoutThreshold: 1500,
         connect: { timeout: this.#times.connectMs, noDelay: true },
       })
-      held = { pool, usedMs: nowMs }
-      this.#pools.set(server, held)
+      this.#pools.set(server, pool)
     }
-    held.usedMs = nowMs
     try {
-      held.pool.dispatch(options, handler)
+      pool.dispatch(options, handler)
     } catch (error) {
       handler.onResponseError?.(idle, error instanceof Error ? error : new Error(String(error)))
     }
@@ -63,7 +60,7 @@
 
   /** Closes the pools of servers that are gone. */
   sweep(known: (server: string) => boolean): void {
-    for (const [server, { pool }] of this.#pools) {
+    for (const [server, pool] of this.#pools) {
       if (known(server)) continue
       this.#pools.delete(server)
       void pool.close().catch(() => undefined)
@@ -71,7 +68,7 @@
   }
 
   close(): void {
-    for (const { pool } of this.#pools.values()) void pool.destroy().catch(() => undefined)
+    for (const pool of this.#pools.values()) void pool.destroy().catch(() => undefined)
     this.#pools.clear()
   }
 }
--- a/src/simulator/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -318,7 +318,7 @@
     const { events, runMs } = this.#size
     at(1, { kind: 'sent', id, attempt })
     at(100, { kind: 'head', id, attempt, status: 200, notRun: false })
-    for (let n = 1; n <= events; n++) at(100 + (n * (runMs - 100)) / events, { kind: 'event', id, attempt, event: String(n) })
+    for (let n = 1; n <= events; n++) at(100 + (n * (runMs - 100)) / events, { kind: 'event', id, attempt, event: String(n), data: true })
     at(runMs + 1, { kind: 'ended', id, attempt })
   }
 
@@ -330,11 +330,7 @@
         this.requests += 1
         const arrival = HollowSize.arrival(this.#size, this.requests, this.#random)
         const id = `r${String(this.#revision)}-${String(this.clock.nowMs)}-${String(this.requests)}`
-        this.#gatewayStep(
-          edge,
-          { kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival, bodyBytes: 1300 },
-          `${edge.name}/request`,
-        )
+        this.#gatewayStep(edge, { kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival }, `${edge.name}/request`)
       }
       this.clock.after(1000 / requestsPerS, ask)
     }
--- a/src/simulator/HollowSize.ts
+++ b/src/simulator/HollowSize.ts
@@ -114,7 +114,6 @@
       model: `m${String(model)}`,
       adapter,
       promptTokens: 500,
-      outputTokens: 290,
       parts: [
         { id: `p${String(random.below(3))}`, tokens: 93 },
         { id: `c${String(random.below(303))}`, tokens: 62 },
--- a/src/simulator/slopes.ts
+++ b/src/simulator/slopes.ts
@@ -203,12 +203,12 @@
     const id = String(at)
     nowMs += 1
     const arrival = HollowSize.arrival(size, at, random)
-    const sends = machine.step({ kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival, bodyBytes: 1300 }, nowMs)
+    const sends = machine.step({ kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival }, nowMs)
     const attempt = 1
     if (!sends.some((one) => one.kind === 'attempt')) return
     machine.step({ kind: 'sent', id, attempt }, nowMs)
     machine.step({ kind: 'head', id, attempt, status: 200, notRun: false }, nowMs)
-    for (let n = 0; n < size.events; n++) machine.step({ kind: 'event', id, attempt, event: String(n) }, nowMs)
+    for (let n = 0; n < size.events; n++) machine.step({ kind: 'event', id, attempt, event: String(n), data: true }, nowMs)
     machine.step({ kind: 'ended', id, attempt }, nowMs)
   }
   const us = cpuUs(800, request)
@@ -370,10 +370,9 @@
           model: `m${String(at % 20)}`,
           adapter: '',
           promptTokens: 9,
-          outputTokens: 9,
           parts: [{ id, tokens: 9 }],
         }
-        machine.step({ kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival, bodyBytes: 1 }, 1000)
+        machine.step({ kind: 'arrived', id, host: 'h.example', path: HollowSize.path(0), arrival }, 1000)
         machine.step({ kind: 'sent', id, attempt: 1 }, 1000)
         machine.step({ kind: 'head', id, attempt: 1, status: 200, notRun: false }, 1000)
         machine.step({ kind: 'ended', id, attempt: 1 }, 1000)
