Gateway: nothing but a request's own answer on its caller's connection, and a stop cuts none

It also let the first of two pipelined answers end the connection, so that the second, already at a server, was lost. - A caller that left with pipelined requests ended only the first; the others kept server and ticket. - The first answer after a change of limits told the old idle time, and the first of a process the library's; limits are now followed when they are adopted. Excluded: headersTimeout closing rested connections, as its clock starts with a request's first byte or the connection itself; requestTimeout is off.

--- /dev/null
+++ b/src/gateway/CallerConnections.ts
@@ -0,0 +1,71 @@
+/**
+ * The callers' connections with the requests that are open on each, so that a connection is only closed
+ * when nobody waits for an answer on it, and nothing is written to it but answers.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
+
+interface Connection {
+  /** In the order of their requests, each with what is to be done when its caller leaves. */
+  readonly open: Map<ServerResponse, () => void>
+  /** What had been read when the last answer was done; undefined before the first. */
+  restedBytes: number | undefined
+}
+
+export class CallerConnections {
+  readonly #connections = new Map<Duplex, Connection>()
+
+  add(socket: Socket): void {
+    const connection: Connection = { open: new Map(), restedBytes: undefined }
+    this.#connections.set(socket, connection)
+    socket.once('close', () => {
+      this.#connections.delete(socket)
+      for (const leave of connection.open.values()) leave()
+    })
+  }
+
+  /** Counts a request as open until its answer is done or its caller gone. */
+  open(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request
+    const connection = this.#connections.get(socket)
+    if (connection === undefined) return
+    connection.open.set(response, () => undefined)
+    response.once('close', () => {
+      connection.open.delete(response)
+      if (connection.open.size === 0) connection.restedBytes = socket.bytesRead
+    })
+  }
+
+  onLeave(request: IncomingMessage, response: ServerResponse, leave: () => void): void {
+    const connection = this.#connections.get(request.socket)
+    if (connection?.open.has(response) === true) connection.open.set(response, leave)
+  }
+
+  isBusy(socket: Duplex): boolean {
+    return (this.#connections.get(socket)?.open.size ?? 0) > 0
+  }
+
+  /** Lets the newest answer of each connection be its last; those before it must not end the connection. */
+  endAfterOpen(): void {
+    for (const { open } of this.#connections.values()) CallerConnections.#endAfter(open)
+  }
+
+  endAfter(socket: Duplex): void {
+    const connection = this.#connections.get(socket)
+    if (connection !== undefined) CallerConnections.#endAfter(connection.open)
+  }
+
+  /** Closes the connections on which an answer was given, none is waited for and no request has begun to come. */
+  closeRested(): void {
+    for (const [socket, { open, restedBytes }] of this.#connections)
+      if (open.size === 0 && restedBytes !== undefined && 'bytesRead' in socket && socket.bytesRead === restedBytes) socket.destroy()
+  }
+
+  static #endAfter(open: Connection['open']): void {
+    const responses = [...open.keys()].filter((response) => !response.headersSent)
+    for (const [at, response] of responses.entries())
+      if (at === responses.length - 1) response.setHeader('connection', 'close')
+      else response.removeHeader('connection')
+  }
+}
--- /dev/null
+++ b/src/gateway/CallersDesk.test.ts
@@ -0,0 +1,158 @@
+/**
+ * What callers may do to their connections, and what a stop may not do to them.
+ */
+import { ok, strictEqual } from 'node:assert'
+import type { Socket } from 'node:net'
+import { test, type TestContext } from 'node:test'
+import { setTimeout as pause } from 'node:timers/promises'
+import { RouteFormat } from '../adapters/RouteFormat.js'
+import { RawCaller } from './RawCaller.js'
+import { RawServer } from './RawServer.js'
+import { TestGateway } from './TestGateway.js'
+
+interface Scene {
+  gateway: TestGateway
+  server: RawServer
+  /** What waits at the server, by its id. */
+  waiting: Map<string, Socket>
+  call: (text: string) => RawCaller
+}
+
+const idleMs = 2000
+const request = (id: string) => `GET /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: ${id}\r\n\r\n`
+const answer = (id: string, body: string) =>
+  `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: z9\r\ncontent-length: ${String(body.length)}\r\n\r\n${body}`
+
+async function scene(t: TestContext, more: object = {}): Promise<Scene> {
+  const waiting = new Map<string, Socket>()
+  const server = new RawServer((heard, socket) => waiting.set(heard.headers['request-id'] ?? '', socket))
+  const address = await server.open()
+  const gateway = await TestGateway.open(RouteFormat, more)
+  gateway.tell([
+    ['network', { revision: 1, limits: { headerBytes: 16_384, bodyBytes: 100_000, headerMs: 1000, idleMs } }],
+    ['service/app', { name: 'app', connections: 100 }],
+    [
+      'route/once',
+      { name: 'once', host: 'h.example', prefix: '/once/', kind: 'once', timeoutMs: 20_000, services: [{ service: 'app', weight: 1 }] },
+    ],
+    ['server/s-0', { name: 's-0', address, zone: 'a', service: 'app', capacity: 64 }],
+  ])
+  const callers: RawCaller[] = []
+  t.after(async () => {
+    for (const caller of callers) caller.leave()
+    server.close()
+    await gateway.stop()
+  })
+  return {
+    gateway,
+    server,
+    waiting,
+    call: (text) => {
+      const caller = new RawCaller(gateway.address, text)
+      callers.push(caller)
+      return caller
+    },
+  }
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await pause(2)
+}
+
+test('what is no request behind a waiting one is not answered in its place', async (t) => {
+  const { call, waiting } = await scene(t)
+  const caller = call(request('r-1') + 'this is no request\r\n\r\n')
+  await until(() => waiting.has('r-1'))
+  await pause(20)
+  strictEqual(caller.text, '')
+  waiting.get('r-1')?.write(answer('r-1', 'mine'))
+  const text = await caller.whole()
+  ok(text.startsWith('HTTP/1.1 200 ') && text.endsWith('mine'), text)
+  strictEqual(text.match(/HTTP\/1\.1/g)?.length, 1)
+})
+
+test('what is no request is refused where nobody waits', async (t) => {
+  const { call } = await scene(t)
+  ok((await call('this is no request\r\n\r\n').whole()).startsWith('HTTP/1.1 400 '))
+  const long = call(`GET /once/x HTTP/1.1\r\nhost: h.example\r\nx: ${'x'.repeat(70_000)}\r\n\r\n`)
+  ok((await long.whole()).startsWith('HTTP/1.1 431 '))
+})
+
+test('requests that come one behind the other are answered in their order, whichever server is sooner', async (t) => {
+  const { call, waiting } = await scene(t)
+  const caller = call(request('r-1') + request('r-2'))
+  await until(() => waiting.size === 2)
+  waiting.get('r-2')?.write(answer('r-2', 'second'))
+  await pause(20)
+  strictEqual(caller.text, '')
+  waiting.get('r-1')?.write(answer('r-1', 'first'))
+  ok(await caller.until('second'))
+  ok(caller.text.indexOf('first') < caller.text.indexOf('second'))
+})
+
+test('a caller that leaves with requests one behind the other ends them all', async (t) => {
+  const { call, waiting, gateway } = await scene(t)
+  const caller = call(request('r-1') + request('r-2') + request('r-3'))
+  await until(() => waiting.size === 3)
+  caller.leave()
+  await until(() => gateway.task.waiting === 0)
+  strictEqual(gateway.task.machine.open, 0)
+})
+
+test('a connection that has rested for four fifths of the limit is still taken up, and a caller is told the limit', async (t) => {
+  const { call, waiting } = await scene(t)
+  const caller = call(request('r-1'))
+  await until(() => waiting.has('r-1'))
+  waiting.get('r-1')?.write(answer('r-1', 'first'))
+  ok(await caller.until('first'))
+  ok(caller.text.includes(`Keep-Alive: timeout=${String(idleMs / 1000)}`), caller.text)
+  await pause(0.85 * idleMs)
+  caller.send(request('r-2'))
+  await until(() => waiting.has('r-2'))
+  waiting.get('r-2')?.write(answer('r-2', 'second'))
+  ok(await caller.until('second'))
+})
+
+test('a stop answers every request that was taken, also one behind another', async (t) => {
+  const { call, waiting, gateway } = await scene(t)
+  const caller = call(request('r-1') + request('r-2'))
+  await until(() => waiting.size === 2)
+  const stopped = gateway.desk.drain()
+  await pause(20)
+  for (const id of ['r-1', 'r-2']) waiting.get(id)?.write(answer(id, `to ${id}`))
+  await stopped
+  const text = await caller.whole()
+  ok(text.includes('to r-1') && text.includes('to r-2'), text)
+})
+
+test('a stop does not cut an answer that its caller is slow to read', async (t) => {
+  const { call, waiting, gateway } = await scene(t, { graceMs: 4000 })
+  const body = 'abcdefgh'.repeat(1_500_000)
+  const caller = call(request('r-1'))
+  await until(() => waiting.has('r-1'))
+  caller.pause()
+  waiting.get('r-1')?.write(answer('r-1', body))
+  await pause(100)
+  const stopped = gateway.desk.drain()
+  await pause(300)
+  caller.resume()
+  await stopped
+  ok((await caller.whole()).endsWith(body))
+})
+
+test('a stop does not cut answers that are whole here but not yet with their caller', async (t) => {
+  const { call, waiting, gateway } = await scene(t, { graceMs: 4000 })
+  const body = 'abcdefgh'.repeat(120_000)
+  const ids = Array.from({ length: 16 }, (_, at) => `r-${String(at)}`)
+  const caller = call(ids.map((id) => request(id)).join(''))
+  await until(() => waiting.size === ids.length)
+  caller.pause()
+  for (const [id, socket] of waiting) socket.write(answer(id, body + id))
+  await until(() => gateway.task.waiting === 0)
+  const stopped = gateway.desk.drain()
+  await pause(300)
+  caller.resume()
+  await stopped
+  const text = await caller.whole()
+  for (const id of ids) ok(text.includes(body + id), `${id} is not whole`)
+})
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -5,14 +5,21 @@
  */
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Server as NetServer } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { setTimeout as pause } from 'node:timers/promises'
 import { readBody } from '../common/readBody.js'
 import { Network } from '../common/Network.js'
 import { clockMs } from '../common/clockMs.js'
+import { CallerConnections } from './CallerConnections.js'
 import type { GatewayStartup } from './GatewayStartup.js'
 import type { GatewayTask } from './GatewayTask.js'
 
 const headerBytes = 65_536
+const statuses: ReadonlyMap<string, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+])
 const fallback = { bodyBytes: 4_194_304, idleMs: 15_000, headerMs: 5000 }
 
 function place(address: string): { port: number; host: string } {
@@ -26,7 +33,7 @@
   readonly #readyPath: string
   readonly #callers: Server
   #watch: Server | undefined
-  readonly #open = new Set<ServerResponse>()
+  readonly #connections = new CallerConnections()
   #draining = false
   #limits = fallback
   #networkStamp = -1
@@ -39,6 +46,16 @@
       void this.#serve(request, response)
     })
     this.#callers.requestTimeout = 0
+    this.#callers.keepAliveTimeout = fallback.idleMs
+    task.hearAdopted(() => {
+      this.#follow()
+    })
+    this.#callers.on('connection', (socket) => {
+      this.#connections.add(socket)
+    })
+    this.#callers.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.#fault(error, socket)
+    })
   }
 
   async open(): Promise<string> {
@@ -65,16 +82,17 @@
     const { graceMs, leaveMs } = this.#startup
     const endMs = clockMs() + 0.92 * graceMs
     this.#draining = true
-    for (const response of this.#open) this.#lastOf(response)
+    this.#connections.endAfterOpen()
     await pause(leaveMs)
     const closed = new Promise<void>((resolve) => {
-      this.#callers.close(() => {
+      // The HTTP server's own way of closing also cuts answers that have ended but are not yet sent.
+      NetServer.prototype.close.call(this.#callers, () => {
         resolve()
       })
     })
-    this.#callers.closeIdleConnections()
+    this.#connections.closeRested()
     const sweep = setInterval(() => {
-      this.#callers.closeIdleConnections()
+      this.#connections.closeRested()
     }, leaveMs / 20)
     await Promise.race([closed, pause(Math.max(0, endMs - clockMs()))])
     clearInterval(sweep)
@@ -82,10 +100,23 @@
     this.#watch?.closeAllConnections()
   }
 
-  #lastOf(response: ServerResponse): void {
-    if (!response.headersSent) response.setHeader('connection', 'close')
+  /** Answers what is no request, unless an earlier request waits on that connection: to its caller it would be the answer. */
+  #fault(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (!socket.writable) {
+      socket.destroy()
+      return
+    }
+    if (this.#connections.isBusy(socket)) {
+      this.#connections.endAfter(socket)
+      return
+    }
+    const status = statuses.get(error.code ?? '') ?? '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`, () => {
+      socket.destroy()
+    })
   }
 
+  /** Takes over the limits in force before the next request comes, as an answer tells those of its request's arrival. */
   #follow(): void {
     const copy = this.#task.machine.copy
     const stamp = copy.stampOf('network')
@@ -99,16 +130,14 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.#follow()
-    this.#open.add(response)
-    response.on('close', () => this.#open.delete(response))
-    if (this.#draining) this.#lastOf(response)
+    this.#connections.open(request, response)
+    if (this.#draining) this.#connections.endAfter(request.socket)
     const arrivedMs = clockMs()
     const body = await readBody(request, this.#limits.bodyBytes)
     if (body === undefined) {
       if (!request.destroyed) this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
       return
     }
-    this.#task.allow(request, response, body, clockMs() - arrivedMs)
+    this.#connections.onLeave(request, response, this.#task.allow(request, response, body, clockMs() - arrivedMs))
   }
 }
--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -2,118 +2,24 @@
  * The byte path of a gateway over real sockets: a task fed with news as its core would, a row of scripted
  * servers behind it and plain callers before it. What callers see is held against what it must be, byte by byte.
  */
-import { once } from 'node:events'
 import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
-import { connect, createServer, type Server as Listener, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
-import { clockMs } from '../common/clockMs.js'
-import { Logger } from '../common/Logger.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
-import type { Message } from '../transport/Message.js'
-import { CallersDesk } from './CallersDesk.js'
-import { GatewayStartup } from './GatewayStartup.js'
-import { GatewayTask } from './GatewayTask.js'
-
-interface Heard {
-  line: string
-  headers: Record<string, string>
-  body: string
-}
-type Script = (heard: Heard, socket: Socket, run: number) => void
+import type { GatewayTask } from './GatewayTask.js'
+import { RawCaller } from './RawCaller.js'
+import { RawServer } from './RawServer.js'
+import { TestGateway } from './TestGateway.js'
+
+type Script = ConstructorParameters<typeof RawServer>[0]
 
 const date = 'date: Thu, 01 Jan 2026 00:00:00 GMT\r\n'
 const bodyLimit = 100_000
 
-/** A server that reads requests off raw sockets and answers as its script says. */
-class StandIn {
-  readonly heard: Heard[] = []
-  connections = 0
-  readonly #script: Script
-  readonly #sockets = new Set<Socket>()
-  readonly #listener: Listener
-
-  constructor(script: Script) {
-    this.#script = script
-    this.#listener = createServer((socket) => {
-      this.connections += 1
-      this.#sockets.add(socket)
-      socket.on('close', () => this.#sockets.delete(socket))
-      socket.on('error', () => socket.destroy())
-      let rest = ''
-      socket.on('data', (chunk) => {
-        rest = this.#take(rest + chunk.toString('latin1'), socket)
-      })
-    })
-  }
-
-  async open(): Promise<string> {
-    this.#listener.listen(0, '127.0.0.1')
-    await once(this.#listener, 'listening')
-    const bound = this.#listener.address()
-    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
-  }
-
-  close(): void {
-    this.#listener.close()
-    for (const socket of this.#sockets) socket.destroy()
-  }
-
-  #take(text: string, socket: Socket): string {
-    const end = text.indexOf('\r\n\r\n')
-    if (end < 0) return text
-    const [line = '', ...lines] = text.slice(0, end).split('\r\n')
-    const headers = Object.fromEntries(
-      lines.map((one) => [one.slice(0, one.indexOf(':')).toLowerCase(), one.slice(one.indexOf(':') + 1).trim()]),
-    )
-    const whole = end + 4 + Number(headers['content-length'] ?? 0)
-    if (text.length < whole) return text
-    const heard = { line, headers, body: text.slice(end + 4, whole) }
-    this.heard.push(heard)
-    this.#script(heard, socket, this.heard.length)
-    return this.#take(text.slice(whole), socket)
-  }
-}
-
-/** A caller's connection and all that came over it. */
-class Caller {
-  text = ''
-  closed = false
-  readonly #socket: Socket
-
-  constructor(address: string, sent: string) {
-    const cut = address.lastIndexOf(':')
-    this.#socket = connect(Number(address.slice(cut + 1)), address.slice(0, cut))
-    this.#socket.on('data', (chunk) => {
-      this.text += chunk.toString('latin1')
-    })
-    this.#socket.on('error', () => undefined)
-    this.#socket.on('close', () => {
-      this.closed = true
-    })
-    this.#socket.write(sent)
-  }
-
-  /** Waits until a part has come; false if the connection closed without it. */
-  async until(part: string): Promise<boolean> {
-    while (!this.text.includes(part) && !this.closed)
-      await Promise.race([once(this.#socket, 'data'), once(this.#socket, 'close')]).catch(() => undefined)
-    return this.text.includes(part)
-  }
-
-  async whole(): Promise<string> {
-    if (!this.closed) await once(this.#socket, 'close')
-    return this.text
-  }
-
-  leave(): void {
-    this.#socket.destroy()
-  }
-}
-
 interface Scene {
-  servers: StandIn[]
-  call: (path: string, more?: string, body?: string) => Caller
-  raw: (sent: string) => Caller
+  servers: RawServer[]
+  call: (path: string, more?: string, body?: string) => RawCaller
+  raw: (sent: string) => RawCaller
   task: GatewayTask
 }
 
@@ -131,7 +37,7 @@
 
 /** A gateway with one server for each script, which it takes in that order. */
 async function scene(t: TestContext, scripts: Script[], told = true): Promise<Scene> {
-  const servers = scripts.map((script) => new StandIn(script))
+  const servers = scripts.map((script) => new RawServer(script))
   const addresses = await Promise.all(servers.map((one) => one.open()))
   const values: [string, object][] = [
     ['network', { revision: 1, limits: { headerBytes: 16_384, bodyBytes: bodyLimit, headerMs: 5000, idleMs: 5000 } }],
@@ -144,61 +50,19 @@
       { name: `s-${String(at)}`, address, zone: at === 0 ? 'a' : 'b', service: 'app', capacity: 8 },
     ]),
   ]
-  const rows = values.map(([key, value]) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) }))
-  const startup = GatewayStartup.parse({
-    name: 'j-1',
-    zone: 'a',
-    transport: '127.0.0.1:0',
-    callers: '127.0.0.1:0',
-    seeds: ['127.0.0.1:1'],
-    graceMs: 1000,
-    leaveMs: 0,
-    logLevel: 'silent',
-  })
-  let hear: (from: string, fromAddress: string, message: Message) => void = () => undefined
-  const transport = {
-    address: '127.0.0.1:2',
-    send: () => undefined,
-    hear: (listener: typeof hear) => {
-      hear = listener
-    },
-    close: () => Promise.resolve(),
-  }
-  const outside = {
-    list: () => Promise.resolve(undefined),
-    holds: () => Promise.resolve(undefined),
-    order: () => Promise.resolve('unknown' as const),
-  }
-  const task = new GatewayTask(startup, new Logger('gateway', 'j-1', 'silent'), transport, RouteFormat, outside)
-  const desk = new CallersDesk(startup, task, '/ready')
-  const address = await desk.open()
-  if (told) {
-    hear('box-1', '127.0.0.1:1', { kind: 'news', stamp: 1, since: 0, rows })
-    hear('box-1', '127.0.0.1:1', {
-      kind: 'lease',
-      sentMs: clockMs(),
-      forMs: 60_000,
-      stamp: 1,
-      peers: [],
-      serial: 1,
-      shares: [],
-      again: [],
-      platformAgeMs: 0,
-      system: 'x',
-      peersSum: 0,
-    })
-  }
-  const callers: Caller[] = []
+  const gateway = await TestGateway.open(RouteFormat)
+  const { address, task } = gateway
+  if (told) gateway.tell(values)
+  const callers: RawCaller[] = []
   const raw = (sent: string) => {
-    const caller = new Caller(address, sent)
+    const caller = new RawCaller(address, sent)
     callers.push(caller)
     return caller
   }
   t.after(async () => {
     for (const caller of callers) caller.leave()
     for (const server of servers) server.close()
-    await desk.drain()
-    await task.stop()
+    await gateway.stop()
   })
   return {
     servers,
@@ -494,7 +358,7 @@
 }
 
 /** Calls until it is not refused: a server that failed is left alone for a moment. */
-async function later(call: () => Caller): Promise<Caller> {
+async function later(call: () => RawCaller): Promise<RawCaller> {
   for (;;) {
     const caller = call()
     if (!(await caller.whole()).startsWith('HTTP/1.1 503 ')) return caller
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -36,6 +36,7 @@
   readonly #upstream: Upstream
   readonly #tickets = new Map<string, Ticket>()
   readonly #ticker: NodeJS.Timeout
+  #onAdopted: () => void = () => undefined
   #count = 0
   #ticks = 0
   #loads: readonly { key: string; count: number }[] = []
@@ -149,6 +150,11 @@
     await this.#transport.close()
   }
 
+  /** Has the listener called after each change of the network in force. */
+  hearAdopted(listener: () => void): void {
+    this.#onAdopted = listener
+  }
+
   reseed(seeds: string[]): void {
     this.agent.reseed(seeds)
   }
@@ -172,11 +178,16 @@
     for (const effect of this.agent.step(input, clockMs())) {
       if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
-      else if (effect.kind === 'adopted') this.step({ kind: 'adopted' })
+      else if (effect.kind === 'adopted') this.#adopted()
       else void this.#readPlatform()
     }
   }
 
+  #adopted(): void {
+    this.step({ kind: 'adopted' })
+    this.#onAdopted()
+  }
+
   async #readPlatform(): Promise<void> {
     const servers = await this.#outside.list(this.timings.platformMs)
     if (servers !== undefined) this.#agent({ kind: 'platform', servers })
