--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -6,9 +6,9 @@
 import { test, type TestContext } from 'node:test'
 import { setTimeout as pause } from 'node:timers/promises'
 import { RouteFormat } from '../adapters/RouteFormat.js'
-import { RawCaller } from './RawCaller.js'
-import { RawServer } from './RawServer.js'
-import { TestGateway } from './TestGateway.js'
+import { RawCaller } from './testing/RawCaller.js'
+import { RawServer } from './testing/RawServer.js'
+import { TestGateway } from './testing/TestGateway.js'
 
 interface Scene {
   gateway: TestGateway
--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -7,9 +7,9 @@
 import { test, type TestContext } from 'node:test'
 import { RouteFormat } from '../adapters/RouteFormat.js'
 import type { GatewayTask } from './GatewayTask.js'
-import { RawCaller } from './RawCaller.js'
-import { RawServer } from './RawServer.js'
-import { TestGateway } from './TestGateway.js'
+import { RawCaller } from './testing/RawCaller.js'
+import { RawServer } from './testing/RawServer.js'
+import { TestGateway } from './testing/TestGateway.js'
 
 type Script = ConstructorParameters<typeof RawServer>[0]
 
--- a/src/gateway/TestGateway.ts
+++ b/src/gateway/testing/TestGateway.ts
@@ -2,13 +2,13 @@
  * A gateway for tests: the task and the callers' desk over real sockets, told of routes and servers as its
  * core would tell it, with nobody else to speak to.
  */
-import { clockMs } from '../common/clockMs.js'
-import { Logger } from '../common/Logger.js'
-import type { RouteWire } from '../adapters/RouteWire.js'
-import type { Message } from '../transport/Message.js'
-import { CallersDesk } from './CallersDesk.js'
-import { GatewayStartup } from './GatewayStartup.js'
-import { GatewayTask } from './GatewayTask.js'
+import { clockMs } from '../../common/clockMs.js'
+import { Logger } from '../../common/Logger.js'
+import type { RouteWire } from '../../adapters/RouteWire.js'
+import type { Message } from '../../transport/Message.js'
+import { CallersDesk } from '../CallersDesk.js'
+import { GatewayStartup } from '../GatewayStartup.js'
+import { GatewayTask } from '../GatewayTask.js'
 
 type Listener = (from: string, fromAddress: string, message: Message) => void
 type Rows = readonly (readonly [key: string, value: object | undefined])[]
