--- a/src/adapters/HttpOutside.ts
+++ b/src/adapters/HttpOutside.ts
@@ -8,6 +8,7 @@
 import type { Report } from '../common/Report.js'
 import { ModelServerFormat } from './ModelServerFormat.js'
 import type { Outside } from './Outside.js'
+import { postAlone } from './postAlone.js'
 import { readPlatform } from './readPlatform.js'
 
 export class HttpOutside implements Outside {
@@ -22,7 +23,7 @@
   }
 
   async holds(_server: string, address: string, epoch: number, waitMs: number): Promise<Report | undefined> {
-    const reply = await this.#call(address, ModelServerFormat.holdsPath(epoch), 'GET', undefined, waitMs)
+    const reply = await this.#read(address, ModelServerFormat.holdsPath(epoch), waitMs)
     return reply?.status === 200 ? ModelServerFormat.report(reply.body) : undefined
   }
 
@@ -33,24 +34,13 @@
     _owner: string,
     waitMs: number,
   ): Promise<'accepted' | 'turnedAway' | 'unknown'> {
-    const reply = await this.#call(address, ModelServerFormat.ordersPath, 'POST', JSON.stringify(order), waitMs)
-    return reply === undefined ? 'unknown' : ModelServerFormat.reply(reply.status)
+    const status = await postAlone(address, ModelServerFormat.ordersPath, JSON.stringify(order), {}, waitMs)
+    return status === undefined ? 'unknown' : ModelServerFormat.reply(status)
   }
 
-  async #call(
-    address: string,
-    path: string,
-    method: 'GET' | 'POST',
-    body: string | undefined,
-    waitMs: number,
-  ): Promise<{ status: number; body: string } | undefined> {
+  async #read(address: string, path: string, waitMs: number): Promise<{ status: number; body: string } | undefined> {
     try {
-      const reply = await request(`http://${address}${path}`, {
-        method,
-        body: body ?? null,
-        headers: body === undefined ? {} : { 'content-type': 'application/json' },
-        signal: AbortSignal.timeout(waitMs),
-      })
+      const reply = await request(`http://${address}${path}`, { signal: AbortSignal.timeout(waitMs) })
       return { status: reply.statusCode, body: await reply.body.text() }
     } catch {
       return undefined
