--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -5,121 +5,17 @@
 import { deepStrictEqual, notStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
 import { Bounds } from '../common/Bounds.js'
-import { Random } from '../common/Random.js'
 import { Network } from '../common/Network.js'
+import { Random } from '../common/Random.js'
 import { Timings } from '../common/Timings.js'
-import type { Message } from '../transport/Message.js'
-import { edgeMulti } from '../placement/edgeMulti.js'
-import type { Operation } from './Operation.js'
-import type { ControlEffect } from './ControlEffect.js'
-import { ControlMachine } from './ControlMachine.js'
+import { CoreTestWorld } from './CoreTestWorld.js'
 
 const timings = Timings(Bounds.parse({}))
 const limits = { headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1 }
 const network = (revision: number) => JSON.stringify({ revision, routes: [], services: [{ name: 's', connections: 1 }], limits })
 
-interface Box {
-  machine: ControlMachine
-  disk: Uint8Array[]
-  address: string
-}
-
-class World {
-  nowMs = 0
-  seeds = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
-  readonly boxes = new Map<string, Box>()
-  readonly heard = new Map<string, (message: Message) => void>()
-  readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
-  #seed = 1
-
-  start(name: string, address: string, bootstrap: boolean, disk: Uint8Array[] = []): Box {
-    this.#seed += 1
-    const plan = {
-      name,
-      zone: 'z',
-      address,
-      seeds: this.seeds,
-      seats: [],
-      bootstrap,
-      fenced: false,
-      rewriteBytes: 1e6,
-      policy: edgeMulti,
-      system: '',
-    }
-    const box = { machine: new ControlMachine(plan, timings, new Random(this.#seed), [...disk], this.nowMs), disk, address }
-    this.boxes.set(name, box)
-    this.#carryOut(name, box, box.machine.begin())
-    return box
-  }
-
-  three(bootstrap = true): void {
-    this.seeds.forEach((seed, at) => this.start(`box-${String(at + 1)}`, seed, bootstrap))
-  }
-
-  run(spanMs: number, until: () => boolean = () => false): boolean {
-    for (const endMs = this.nowMs + spanMs; this.nowMs < endMs;) {
-      if (until()) return true
-      this.nowMs += timings.tickMs
-      for (const [name, box] of [...this.boxes])
-        if (this.boxes.get(name) === box) this.#carryOut(name, box, box.machine.step({ kind: 'tick', hour: 0 }, this.nowMs))
-    }
-    return until()
-  }
-
-  tell(from: string, fromAddress: string, toAddress: string, message: Message): void {
-    const to = [...this.boxes].find(([, one]) => one.address === toAddress)
-    if (to === undefined) this.heard.get(toAddress)?.(message)
-    else this.#carryOut(to[0], to[1], to[1].machine.step({ kind: 'message', from, fromAddress, message }, this.nowMs))
-  }
-
-  ask(name: string, id: string, operation: Partial<Operation> & { action: Operation['action'] }): void {
-    const whole = { branch: '', text: '', ifMatch: -1, operation: '', waitMs: timings.operateMs, ...operation }
-    const box = this.boxes.get(name)
-    if (box !== undefined) this.#carryOut(name, box, box.machine.step({ kind: 'operate', id, operation: whole }, this.nowMs))
-  }
-
-  answered(id: string, spanMs = 2000): { status: number; stamp: number; text: string } {
-    ok(
-      this.run(spanMs, () => this.responses.has(id)),
-      `${id} is not answered`,
-    )
-    return this.responses.get(id) ?? { status: 0, stamp: 0, text: '' }
-  }
-
-  get leader(): [string, Box] | undefined {
-    return [...this.boxes].find(([, one]) => one.machine.raft.settled && one.machine.raft.surelyLeads(this.nowMs))
-  }
-
-  get voters(): string[] {
-    return (this.leader?.[1].machine.raft.members ?? [])
-      .filter((one) => one.voter)
-      .map((one) => one.seat)
-      .sort()
-  }
-
-  led(): string {
-    ok(
-      this.run(5000, () => this.leader !== undefined),
-      'nobody leads',
-    )
-    return this.leader?.[0] ?? ''
-  }
-
-  #carryOut(name: string, box: Box, effects: ControlEffect[]): void {
-    for (const effect of effects) {
-      if (effect.kind === 'send') this.tell(name, box.address, effect.toAddress, effect.message)
-      else if (effect.kind === 'write') {
-        if (effect.rewrite) box.disk.length = 0
-        box.disk.push(...effect.records)
-        for (const send of effect.then) this.tell(name, box.address, send.toAddress, send.message)
-        this.#carryOut(name, box, box.machine.step({ kind: 'written' }, this.nowMs))
-      } else if (effect.kind === 'respond') this.responses.set(effect.id, effect)
-    }
-  }
-}
-
 void test('the lowest seed founds once all are there, the leader dispatches, and nobody founds without being told', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.start('box-1', '10.0.0.1:7', true)
   world.start('box-2', '10.0.0.2:7', true)
   strictEqual(
@@ -130,7 +26,7 @@
   const leader = world.led()
   deepStrictEqual(world.voters, ['box-1', 'box-2', 'box-3'])
   ok(world.run(2000, () => world.boxes.get(leader)?.machine.dispatcher !== undefined))
-  const untold = new World()
+  const untold = new CoreTestWorld()
   untold.three(false)
   strictEqual(
     untold.run(5000, () => untold.leader !== undefined),
@@ -139,7 +35,7 @@
 })
 
 void test('one seed founds alone', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.seeds = ['10.0.0.1:7']
   world.start('box-1', '10.0.0.1:7', true)
   strictEqual(world.led(), 'box-1')
@@ -148,7 +44,7 @@
 })
 
 void test('an empty machine elsewhere takes the place of one that is gone, also of the leader, time and again', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   for (let round = 0; round < 6; round++) {
     const leader = world.led()
@@ -179,7 +75,7 @@
 })
 
 void test('a wiped machine returns under its name, and one with its disk under its identity, elsewhere and with other seeds', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const [wiped = '', kept = ''] = [...world.boxes.keys()].filter((name) => name !== leader)
@@ -202,26 +98,250 @@
   strictEqual(world.voters.length, 3)
 })
 
-void test('of more than three, one that stays silent is given up; of three none', () => {
-  const world = new World()
+void test('a fourth node stands by, and takes the place of a voter that falls silent; of three none is given up', () => {
+  const world = new CoreTestWorld()
+  world.three()
+  const leader = world.led()
+  world.start('box-4', '10.0.0.4:7', false)
+  const standsBy = () => world.leader?.[1].machine.raft.members.some((one) => one.seat === 'box-4' && !one.voter) === true
+  ok(world.run(5000, standsBy))
+  world.run(5000)
+  deepStrictEqual(world.voters, ['box-1', 'box-2', 'box-3'])
+  const lost = [...world.boxes.keys()].find((name) => name !== leader && name !== 'box-4') ?? ''
+  world.boxes.delete(lost)
+  ok(world.run(0.25 * timings.recoverMs, () => world.voters.includes('box-4') && !world.voters.includes(lost)))
+  strictEqual(world.voters.length, 3)
+  world.boxes.delete([...world.boxes.keys()].find((name) => name !== world.led()) ?? '')
+  world.run(3 * timings.memberGoneMs)
+  strictEqual(world.voters.length, 3)
+})
+
+void test('of more voters than must be borne, one that stays silent is given up', () => {
+  const world = new CoreTestWorld()
   world.three()
   world.led()
   world.start('box-4', '10.0.0.4:7', false)
-  ok(world.run(5000, () => world.voters.length === 4))
-  world.boxes.delete('box-4')
+  world.start('box-5', '10.0.0.5:7', false)
+  ok(world.run(5000, () => world.voters.length === 5))
+  const lost = [...world.boxes.keys()].find((name) => name !== world.led()) ?? ''
+  world.boxes.delete(lost)
   strictEqual(
-    world.run(0.9 * timings.memberGoneMs, () => world.voters.length === 3),
+    world.run(1.5 * timings.electionMs, () => world.voters.length < 5),
     false,
   )
-  ok(world.run(timings.memberGoneMs, () => world.voters.length === 3))
-  const leader = world.led()
-  world.boxes.delete([...world.boxes.keys()].find((name) => name !== leader) ?? '')
-  world.run(3 * timings.memberGoneMs)
-  strictEqual(world.voters.length, 3)
+  ok(world.run(timings.memberGoneMs, () => world.voters.length === 4 && !world.voters.includes(lost)))
+})
+
+const syncMs = timings.recoverMs / 3
+
+/** Every voter that is in force is running, and the group has its size again. */
+function whole(world: CoreTestWorld): boolean {
+  return (
+    world.leader !== undefined &&
+    world.voters.length === world.targetVoters &&
+    (world.leader[1].machine.raft.members ?? []).every(
+      (one) => !one.voter || world.boxes.get(one.seat)?.machine.raft.identity === one.identity,
+    )
+  )
+}
+
+void test('a second loss after a replacement has had its time is borne, whoever was lost and however it was planned', () => {
+  for (const targetVoters of [3, 5])
+    for (const planned of [false, true])
+      for (const first of ['leader', 'follower'])
+        for (const second of ['leader', 'follower', 'newcomer'])
+          for (const delayMs of [0, 200, 1000]) {
+            const what = `${String(targetVoters)} voters, planned ${String(planned)}, ${first} then ${second}, ${String(delayMs)} ms`
+            const world = new CoreTestWorld()
+            world.targetVoters = targetVoters
+            world.three()
+            world.led()
+            for (let at = 4; at <= targetVoters; at++) world.start(`box-${String(at)}`, `10.0.0.${String(at)}:7`, false)
+            ok(
+              world.run(5000, () => whole(world)),
+              `${what}: founded`,
+            )
+            const pick = (who: string) =>
+              who === 'leader' ? world.led() : ([...world.boxes.keys()].find((name) => name !== world.led()) ?? '')
+            const gone = pick(first)
+            if (planned) {
+              world.start('new', '10.0.1.1:7', false)
+              world.run(delayMs)
+              world.boxes.delete(gone)
+            } else {
+              world.boxes.delete(gone)
+              world.run(delayMs)
+              world.start('new', '10.0.1.1:7', false)
+            }
+            ok(
+              world.run(0.9 * syncMs - (planned ? delayMs : 0), () => whole(world)),
+              `${what}: not whole again`,
+            )
+            const again = second === 'newcomer' ? 'new' : pick(second)
+            world.boxes.delete(again)
+            if (targetVoters === 5) world.boxes.delete([...world.boxes.keys()].find((name) => name !== again) ?? '')
+            const leader = world.led()
+            world.ask(leader, 'put', { action: 'network.put', operation: 'o', text: network(1), ifMatch: 0 })
+            strictEqual(world.answered('put').status, 200, what)
+          }
+})
+
+void test('a newcomer lost midway leaves the group able to go on, at every moment of its joining', () => {
+  for (let lostAfterMs = 0; lostAfterMs < 0.6 * syncMs; lostAfterMs += 100) {
+    const world = new CoreTestWorld()
+    world.three()
+    const leader = world.led()
+    const gone = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+    world.boxes.delete(gone)
+    world.start('new-1', '10.0.1.1:7', false)
+    world.run(lostAfterMs)
+    world.boxes.delete('new-1')
+    world.start('new-2', '10.0.1.2:7', false)
+    ok(
+      world.run(syncMs, () => whole(world)),
+      `lost after ${String(lostAfterMs)} ms`,
+    )
+  }
+})
+
+void test('a leader that is stopped hands over at once, and a stand-in takes its vote before it goes', () => {
+  for (const standIn of [false, true]) {
+    const world = new CoreTestWorld()
+    world.three()
+    const leader = world.led()
+    const leaving = world.boxes.get(leader)?.machine
+    if (standIn) world.start('new', '10.0.1.1:7', false)
+    world.run(1000)
+    leaving?.leave(world.nowMs)
+    ok(world.run(0.9 * timings.leaveMs, () => leaving?.mayStop === true))
+    notStrictEqual(world.led(), leader)
+    world.boxes.delete(leader)
+    ok(world.run(timings.electionMs, () => world.leader !== undefined))
+    strictEqual(world.voters.includes(leader), !standIn)
+    if (standIn) ok(world.run(timings.electionMs, () => whole(world)))
+  }
+})
+
+void test('leadership is handed over at once also while changes keep coming, and a node that left is not taken in again', () => {
+  for (const changesEachTick of [0, 1, 5])
+    for (let seed = 1; seed <= 5; seed++) {
+      const world = new CoreTestWorld()
+      world.targetVoters = 5
+      world.three()
+      for (const at of [4, 5]) world.start(`box-${String(at)}`, `10.0.0.${String(at)}:7`, false)
+      ok(world.run(5000, () => whole(world)))
+      world.start('new', '10.0.1.1:7', false)
+      world.run(1000)
+      world.delays = { random: new Random(seed), messageMs: 2, syncMs: 5 }
+      const leader = world.led()
+      const leaving = world.boxes.get(leader)?.machine
+      let asks = 0
+      const change = () => {
+        for (let at = 0; at < changesEachTick; at++) {
+          asks += 1
+          world.ask(leader, `change-${String(asks)}`, { action: 'zone.empty', branch: `z-${String(asks)}` })
+        }
+      }
+      for (let tick = 0; tick < 20; tick++) {
+        change()
+        world.run(timings.tickMs)
+      }
+      leaving?.leave(world.nowMs)
+      const fromMs = world.nowMs
+      while (world.nowMs - fromMs < 2 * timings.electionMs && (world.leader === undefined || world.leader[0] === leader)) {
+        change()
+        world.run(timings.tickMs)
+      }
+      const tookMs = world.nowMs - fromMs
+      ok(tookMs < 0.35 * timings.electionMs, `${String(changesEachTick)} changes a tick, seed ${String(seed)}: ${String(tookMs)} ms`)
+      ok(world.run(timings.leaveMs, () => leaving?.mayStop === true))
+      world.boxes.delete(leader)
+      ok(world.run(timings.electionMs, () => whole(world)))
+      const back = () => world.leader?.[1].machine.raft.members.some((one) => one.seat === leader) === true
+      strictEqual(world.run(2 * timings.memberGoneMs, back), false)
+    }
+})
+
+void test('a founder that is killed before it founded may found in its next life, also when it is told otherwise then', () => {
+  const world = new CoreTestWorld()
+  const first = world.start('box-1', world.seeds[0] ?? '', true)
+  world.run(1000)
+  world.boxes.delete('box-1')
+  world.start('box-2', world.seeds[1] ?? '', true)
+  world.start('box-3', world.seeds[2] ?? '', true)
+  world.run(1000)
+  const { seeds } = world
+  world.seeds = ['10.0.0.3:7', '10.9.9.9:7']
+  world.start('box-1', seeds[0] ?? '', false, first.disk)
+  strictEqual(world.led(), 'box-1')
+})
+
+const manyRoutes = (revision: number) =>
+  JSON.stringify({
+    revision,
+    routes: Array.from({ length: 1500 }, (_, at) => ({
+      name: `r-${String(at)}`,
+      host: 'h',
+      prefix: `/${String(at)}/`,
+      kind: 'repeatable',
+      timeoutMs: 1000 + (at === 0 ? revision : 0),
+      services: [{ service: 's', weight: 1 }],
+    })),
+    services: [{ name: 's', connections: 1 }],
+    limits,
+  })
+const oneRoute = (revision: number) =>
+  JSON.stringify({
+    revision,
+    set: {
+      routes: [
+        { name: 'r-0', host: 'h', prefix: '/0/', kind: 'repeatable', timeoutMs: 1000 + revision, services: [{ service: 's', weight: 1 }] },
+      ],
+    },
+    drop: {},
+  })
+
+void test('a node that was away for hundreds of changes, or is empty, catches up by chunks, and none is sent twice', () => {
+  for (const changes of [300, 3000])
+    for (const empty of [false, true]) {
+      const world = new CoreTestWorld()
+      world.rewriteBytes = 30_000
+      world.three()
+      const leader = world.led()
+      const away = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
+      const before = world.boxes.get(away)
+      world.ask(leader, 'put', { action: 'network.put', operation: 'o', text: manyRoutes(1), ifMatch: 0 })
+      strictEqual(world.answered('put').status, 200)
+      world.boxes.delete(away)
+      for (let revision = 2; revision <= changes; revision++) {
+        const id = `patch-${String(revision)}`
+        world.ask(leader, id, { action: 'network.patch', operation: id, text: oneRoute(revision), ifMatch: revision - 1 })
+        if (revision % 100 === 0) strictEqual(world.answered(id).status, 200)
+      }
+      const chunks: string[] = []
+      let largest = 0
+      world.watch = (message) => {
+        if (message.kind === 'installSnapshot') {
+          chunks.push(`${String(message.index)} ${String(message.offset)}`)
+          largest = Math.max(largest, message.state.length)
+        } else if (message.kind === 'appendEntries')
+          largest = Math.max(
+            largest,
+            message.entries.slice(1).reduce((sum, one) => sum + one.bytes.length, 0),
+          )
+      }
+      const back = world.start(away, before?.address ?? '', false, empty ? [] : before?.disk)
+      const level = () => back.machine.raft.commit === world.leader?.[1].machine.raft.commit && world.voters.includes(away)
+      ok(world.run(0.5 * syncMs, level), `${String(changes)} changes, empty ${String(empty)}`)
+      strictEqual(back.machine.replicatedState.network?.revision, changes)
+      ok(chunks.length > 1, 'no chunks')
+      strictEqual(new Set(chunks).size, chunks.length)
+      ok(largest <= 2 * 128 * 1024, String(largest))
+    }
 })
 
 void test('any machine takes writes; guards, errors and repeats are answered, and waits end', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const other = [...world.boxes.keys()].find((name) => name !== leader) ?? ''
@@ -247,7 +367,7 @@
 })
 
 void test('a write waits for a machine with a lease that has not adopted it, but not for long', () => {
-  const world = new World()
+  const world = new CoreTestWorld()
   world.three()
   const leader = world.led()
   const address = world.boxes.get(leader)?.address ?? ''
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -7,7 +7,7 @@
 import type { Dispatcher } from 'undici'
 import { Verdict } from '../common/Verdict.js'
 import { passedOn } from '../adapters/passedOn.js'
-import type { RouteWire } from '../adapters/RouteWire.js'
+import type { RouteCodec } from '../adapters/RouteCodec.js'
 import { EventScanner } from './EventScanner.js'
 import type { GatewayInput } from './GatewayInput.js'
 import type { Ticket } from './Ticket.js'
@@ -34,10 +34,10 @@
 
 export class Attempt implements Dispatcher.DispatchHandler {
   readonly #place: Place
-  readonly #wire: RouteWire
+  readonly #wire: RouteCodec
   #started = false
 
-  constructor(place: Place, wire: RouteWire) {
+  constructor(place: Place, wire: RouteCodec) {
     this.#place = place
     this.#wire = wire
   }
--- a/src/gateway/GatewayInput.ts
+++ b/src/gateway/GatewayInput.ts
@@ -1,15 +1,16 @@
 /**
  * What a gateway's machine is told. `defect` says what is known of the attempt that ended; `status` is a
  * whole answer's, of which nothing has gone to the caller yet. `event` is a part that went to the caller:
- * its id if it is an event that told one, and whether it carried data. `flow`
- * says whether the caller takes what is passed on.
+ * its id if it is an event that told one, and whether it carried data. `flow` says whether the caller takes
+ * what is passed on. `adopted` names the rows of the copy that changed; without them all are read.
  */
 import type { Verdict } from '../common/Verdict.js'
 import type { Arrival } from '../adapters/Arrival.js'
+import type { Row } from '../consensus/Row.js'
 
 export type GatewayInput =
   | { kind: 'tick' }
-  | { kind: 'adopted' }
+  | { kind: 'adopted'; rows?: readonly Row[] }
   | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
   | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival }
   | { kind: 'sent'; id: string; attempt: number }
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -11,8 +11,9 @@
 import { Timings } from '../common/Timings.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
 import type { AgentInput } from '../agent/AgentInput.js'
-import type { Outside } from '../adapters/Outside.js'
-import type { RouteWire } from '../adapters/RouteWire.js'
+import type { PlatformClient } from '../adapters/PlatformClient.js'
+import type { RouteCodec } from '../adapters/RouteCodec.js'
+import type { Row } from '../consensus/Row.js'
 import type { Transport } from '../transport/Transport.js'
 import { Attempt } from './Attempt.js'
 import type { GatewayEffect } from './GatewayEffect.js'
@@ -31,8 +32,8 @@
   readonly #startup: GatewayStartup
   readonly #logger: Logger
   readonly #transport: Transport
-  readonly #wire: RouteWire
-  readonly #outside: Outside
+  readonly #wire: RouteCodec
+  readonly #outside: PlatformClient
   readonly #upstream: Upstream
   readonly #tickets = new Map<string, Ticket>()
   readonly #ticker: NodeJS.Timeout
@@ -41,7 +42,7 @@
   #ticks = 0
   #loads: readonly { key: string; count: number }[] = []
 
-  constructor(startup: GatewayStartup, logger: Logger, transport: Transport, wire: RouteWire, outside: Outside) {
+  constructor(startup: GatewayStartup, logger: Logger, transport: Transport, wire: RouteCodec, outside: PlatformClient) {
     this.#startup = startup
     this.#logger = logger
     this.#transport = transport
@@ -178,13 +179,13 @@
     for (const effect of this.agent.step(input, clockMs())) {
       if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
-      else if (effect.kind === 'adopted') this.#adopted()
+      else if (effect.kind === 'adopted') this.#adopted(effect.rows)
       else void this.#readPlatform()
     }
   }
 
-  #adopted(): void {
-    this.step({ kind: 'adopted' })
+  #adopted(rows: readonly Row[]): void {
+    this.step({ kind: 'adopted', rows })
     this.#onAdopted()
   }
 
--- a/src/gateway/testing/TestGateway.ts
+++ b/src/gateway/testing/TestGateway.ts
@@ -4,7 +4,7 @@
  */
 import { clockMs } from '../../common/clockMs.js'
 import { Logger } from '../../common/Logger.js'
-import type { RouteWire } from '../../adapters/RouteWire.js'
+import type { RouteCodec } from '../../adapters/RouteCodec.js'
 import type { Message } from '../../transport/Message.js'
 import { CallersDesk } from '../CallersDesk.js'
 import { GatewayStartup } from '../GatewayStartup.js'
@@ -33,7 +33,7 @@
     this.#hear = hear
   }
 
-  static async open(wire: RouteWire, more: object = {}): Promise<TestGateway> {
+  static async open(wire: RouteCodec, more: object = {}): Promise<TestGateway> {
     const startup = GatewayStartup.parse({
       name: 'j-1',
       zone: 'a',
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 /**
- * The developers' program: runs whole deployments against stand-ins and judges what was seen from
+ * The developers' program: runs whole deployments against stand-ins and checks what was observed from
  * outside. Exit code 1 when a rule was broken, 2 for a name it does not know.
  */
+import '../common/checkNode.js'
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -10,6 +11,9 @@
 import { runCommand } from '../common/runCommand.js'
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
+import { explore } from './explorer/explore.js'
+import { generateSchedule } from './explorer/generateSchedule.js'
+import { shrinkSchedule } from './explorer/shrinkSchedule.js'
 import { runFleet } from './runFleet.js'
 import { SimFault } from './SimFault.js'
 import { scale } from './scale.js'
@@ -30,7 +34,7 @@
 
 const fleet = command({
   name: 'fleet',
-  description: 'Runs a deployment as real processes on loopback and judges it.',
+  description: 'Runs a deployment as real processes on loopback and checks its invariants.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
@@ -42,6 +46,7 @@
     }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1 }),
     safety: flag({ long: 'safety', description: 'bounds of time are told, but only safety rules decide: for machines that may be slow' }),
+    noVisitors: flag({ long: 'no-visitors', description: 'every request that no caller of the run sent breaks the rule stray' }),
     folder: option({ long: 'folder', type: optional(string), description: 'where startup files, logs and data go' }),
   },
   handler: async (given) => {
@@ -60,6 +65,7 @@
         faults,
         seed: given.seed,
         safety: given.safety,
+        visitors: !given.noVisitors,
         say,
       })
       process.exitCode = passes ? 0 : 1
@@ -68,7 +74,7 @@
 })
 const sim = command({
   name: 'sim',
-  description: 'Runs a deployment under virtual time, one run a seed, and judges each.',
+  description: 'Runs a deployment under virtual time, one run a seed, and checks each.',
   args: {
     deployment: positional({ type: string, displayName: 'deployment' }),
     seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
@@ -151,11 +157,34 @@
     else slopes.run(names, sizes, say)
   },
 })
+const exploreRaft = command({
+  name: 'explore',
+  description: 'Runs the consensus log and its state through short seeded schedules of faults, and checks invariants at each step.',
+  args: {
+    schedules: option({ long: 'schedules', type: number, defaultValue: () => 1000, description: 'how many' }),
+    seed: option({ long: 'seed', type: number, defaultValue: () => 1, description: 'the first seed' }),
+    findings: option({ long: 'findings', type: number, defaultValue: () => 1, description: 'ends after so many' }),
+    shrink: flag({ long: 'shrink', description: 'prints each finding as a schedule made as small as it gets' }),
+  },
+  handler: (given) => {
+    const fromMs = performance.now()
+    let findings = 0
+    const ran = explore(given.seed, given.schedules, (finding) => {
+      findings += 1
+      process.exitCode = 1
+      say(`seed ${String(finding.seed)} at ${finding.atMs.toFixed(1)} ms, ${finding.invariant}: ${finding.detail}`)
+      if (given.shrink) say(JSON.stringify(shrinkSchedule(generateSchedule(finding.seed), finding.invariant)))
+      return findings < given.findings
+    })
+    const spanS = (performance.now() - fromMs) / 1000
+    say(`${String(ran)} schedules, ${String(findings)} findings, ${(ran / spanS).toFixed(0)} a second`)
+  },
+})
 await runCommand(
   subcommands({
     name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes },
+    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes, explore: exploreRaft },
   }),
   process.argv.slice(2),
 )
--- a/src/transport/Message.ts
+++ b/src/transport/Message.ts
@@ -35,6 +35,8 @@
     lastIndex: z.number(),
     lastTerm: z.number(),
     pre: z.boolean(),
+    /** The leader asked for this election: it goes before the trust in that leader. */
+    transfer: z.boolean().optional(),
   }),
   kind('voteReply', { to: z.string(), from: z.string(), term: z.number(), given: z.boolean(), pre: z.boolean() }),
   kind('appendEntries', {
@@ -56,7 +58,10 @@
     lastTerm: z.number(),
     round: z.number(),
     members: z.string(),
+    /** One chunk of the state, from an offset on. */
     state: Bytes,
+    offset: z.number(),
+    totalBytes: z.number(),
   }),
   kind('propose', { id: z.string(), command: Bytes }),
   // Leases.
@@ -133,6 +138,18 @@
   kind('outlook', {
     models: z.array(z.object({ model: z.string(), adapter: z.string(), readyInMs: z.number(), neverBeforeMs: z.number() })),
   }),
+  // Snapshots in chunks, and members that go.
+  kind('snapshotReply', {
+    to: z.string(),
+    from: z.string(),
+    term: z.number(),
+    round: z.number(),
+    index: z.number(),
+    receivedBytes: z.number(),
+  }),
+  kind('timeoutNow', { to: z.string(), from: z.string(), term: z.number() }),
+  kind('leaving', { identity: z.string() }),
+  kind('leavingReply', { identity: z.string(), released: z.boolean() }),
 ] as const
 
 export const Message = { schema: z.discriminatedUnion('kind', options), options }
