--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -2,118 +2,24 @@
  * The byte path of a gateway over real sockets: a task fed with news as its core would, a row of scripted
  * servers behind it and plain callers before it. What callers see is held against what it must be, byte by byte.
  */
-import { once } from 'node:events'
 import { deepStrictEqual, match, ok, strictEqual } from 'node:assert'
-import { connect, createServer, type Server as Listener, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { test, type TestContext } from 'node:test'
-import { clockMs } from '../common/clockMs.js'
-import { Logger } from '../common/Logger.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
-import type { Message } from '../transport/Message.js'
-import { CallersDesk } from './CallersDesk.js'
-import { GatewayStartup } from './GatewayStartup.js'
-import { GatewayTask } from './GatewayTask.js'
-
-interface Heard {
-  line: string
-  headers: Record<string, string>
-  body: string
-}
-type Script = (heard: Heard, socket: Socket, run: number) => void
+import type { GatewayTask } from './GatewayTask.js'
+import { RawCaller } from './testing/RawCaller.js'
+import { RawServer } from './testing/RawServer.js'
+import { TestGateway } from './testing/TestGateway.js'
+
+type Script = ConstructorParameters<typeof RawServer>[0]
 
 const date = 'date: Thu, 01 Jan 2026 00:00:00 GMT\r\n'
 const bodyLimit = 100_000
 
-/** A server that reads requests off raw sockets and answers as its script says. */
-class StandIn {
-  readonly heard: Heard[] = []
-  connections = 0
-  readonly #script: Script
-  readonly #sockets = new Set<Socket>()
-  readonly #listener: Listener
-
-  constructor(script: Script) {
-    this.#script = script
-    this.#listener = createServer((socket) => {
-      this.connections += 1
-      this.#sockets.add(socket)
-      socket.on('close', () => this.#sockets.delete(socket))
-      socket.on('error', () => socket.destroy())
-      let rest = ''
-      socket.on('data', (chunk) => {
-        rest = this.#take(rest + chunk.toString('latin1'), socket)
-      })
-    })
-  }
-
-  async open(): Promise<string> {
-    this.#listener.listen(0, '127.0.0.1')
-    await once(this.#listener, 'listening')
-    const bound = this.#listener.address()
-    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
-  }
-
-  close(): void {
-    this.#listener.close()
-    for (const socket of this.#sockets) socket.destroy()
-  }
-
-  #take(text: string, socket: Socket): string {
-    const end = text.indexOf('\r\n\r\n')
-    if (end < 0) return text
-    const [line = '', ...lines] = text.slice(0, end).split('\r\n')
-    const headers = Object.fromEntries(
-      lines.map((one) => [one.slice(0, one.indexOf(':')).toLowerCase(), one.slice(one.indexOf(':') + 1).trim()]),
-    )
-    const whole = end + 4 + Number(headers['content-length'] ?? 0)
-    if (text.length < whole) return text
-    const heard = { line, headers, body: text.slice(end + 4, whole) }
-    this.heard.push(heard)
-    this.#script(heard, socket, this.heard.length)
-    return this.#take(text.slice(whole), socket)
-  }
-}
-
-/** A caller's connection and all that came over it. */
-class Caller {
-  text = ''
-  closed = false
-  readonly #socket: Socket
-
-  constructor(address: string, sent: string) {
-    const cut = address.lastIndexOf(':')
-    this.#socket = connect(Number(address.slice(cut + 1)), address.slice(0, cut))
-    this.#socket.on('data', (chunk) => {
-      this.text += chunk.toString('latin1')
-    })
-    this.#socket.on('error', () => undefined)
-    this.#socket.on('close', () => {
-      this.closed = true
-    })
-    this.#socket.write(sent)
-  }
-
-  /** Waits until a part has come; false if the connection closed without it. */
-  async until(part: string): Promise<boolean> {
-    while (!this.text.includes(part) && !this.closed)
-      await Promise.race([once(this.#socket, 'data'), once(this.#socket, 'close')]).catch(() => undefined)
-    return this.text.includes(part)
-  }
-
-  async whole(): Promise<string> {
-    if (!this.closed) await once(this.#socket, 'close')
-    return this.text
-  }
-
-  leave(): void {
-    this.#socket.destroy()
-  }
-}
-
 interface Scene {
-  servers: StandIn[]
-  call: (path: string, more?: string, body?: string) => Caller
-  raw: (sent: string) => Caller
+  servers: RawServer[]
+  call: (path: string, more?: string, body?: string) => RawCaller
+  raw: (sent: string) => RawCaller
   task: GatewayTask
 }
 
@@ -131,7 +37,7 @@
 
 /** A gateway with one server for each script, which it takes in that order. */
 async function scene(t: TestContext, scripts: Script[], told = true): Promise<Scene> {
-  const servers = scripts.map((script) => new StandIn(script))
+  const servers = scripts.map((script) => new RawServer(script))
   const addresses = await Promise.all(servers.map((one) => one.open()))
   const values: [string, object][] = [
     ['network', { revision: 1, limits: { headerBytes: 16_384, bodyBytes: bodyLimit, headerMs: 5000, idleMs: 5000 } }],
@@ -144,61 +50,19 @@
       { name: `s-${String(at)}`, address, zone: at === 0 ? 'a' : 'b', service: 'app', capacity: 8 },
     ]),
   ]
-  const rows = values.map(([key, value]) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) }))
-  const startup = GatewayStartup.parse({
-    name: 'j-1',
-    zone: 'a',
-    transport: '127.0.0.1:0',
-    callers: '127.0.0.1:0',
-    seeds: ['127.0.0.1:1'],
-    graceMs: 1000,
-    leaveMs: 0,
-    logLevel: 'silent',
-  })
-  let hear: (from: string, fromAddress: string, message: Message) => void = () => undefined
-  const transport = {
-    address: '127.0.0.1:2',
-    send: () => undefined,
-    hear: (listener: typeof hear) => {
-      hear = listener
-    },
-    close: () => Promise.resolve(),
-  }
-  const outside = {
-    list: () => Promise.resolve(undefined),
-    holds: () => Promise.resolve(undefined),
-    order: () => Promise.resolve('unknown' as const),
-  }
-  const task = new GatewayTask(startup, new Logger('gateway', 'j-1', 'silent'), transport, RouteFormat, outside)
-  const desk = new CallersDesk(startup, task, '/ready')
-  const address = await desk.open()
-  if (told) {
-    hear('box-1', '127.0.0.1:1', { kind: 'news', stamp: 1, since: 0, rows })
-    hear('box-1', '127.0.0.1:1', {
-      kind: 'lease',
-      sentMs: clockMs(),
-      forMs: 60_000,
-      stamp: 1,
-      peers: [],
-      serial: 1,
-      shares: [],
-      again: [],
-      platformAgeMs: 0,
-      system: 'x',
-      peersSum: 0,
-    })
-  }
-  const callers: Caller[] = []
+  const gateway = await TestGateway.open(RouteFormat)
+  const { address, task } = gateway
+  if (told) gateway.tell(values)
+  const callers: RawCaller[] = []
   const raw = (sent: string) => {
-    const caller = new Caller(address, sent)
+    const caller = new RawCaller(address, sent)
     callers.push(caller)
     return caller
   }
   t.after(async () => {
     for (const caller of callers) caller.leave()
     for (const server of servers) server.close()
-    await desk.drain()
-    await task.stop()
+    await gateway.stop()
   })
   return {
     servers,
@@ -466,3 +330,56 @@
   strictEqual(await call('/once/x').whole(), seen('next'))
   ok(left)
 })
+
+const spoiled: [string, string][] = [
+  ['a control byte in the head', answer('x', 'x-own: a\x01b\r\n')],
+  ['a status below all that there are', answer('x').replace('200', '099')],
+  ['a status of four digits', answer('x').replace('200', '1200')],
+  ['a status that asks for another protocol', answer('x').replace('200 OK', '101 Switching Protocols')],
+  ['another protocol', answer('x').replace('HTTP/1.1', 'HTTP/7.1')],
+  ['a length below nothing', answer('x').replace('content-length: 1', 'content-length: -1')],
+  ['two lengths', answer('x', 'content-length: 2\r\n')],
+  ['chunks and a length', answer('x', 'transfer-encoding: chunked\r\n')],
+  ['a chunk without a size', answer('x').replace('content-length: 1\r\n\r\nx', 'transfer-encoding: chunked\r\n\r\nz\r\nx\r\n0\r\n\r\n')],
+  ['no answer at all', 'x'.repeat(300)],
+]
+for (const [said, text] of spoiled) {
+  test(`an answer with ${said} never shows, ends its connection and leaves the next request alone`, async (t) => {
+    const { call, servers } = await scene(t, [
+      (_heard, socket, run) => {
+        socket.write(run === 1 ? text : answer('next'), 'latin1')
+      },
+    ])
+    match(await call('/once/x').whole(), /^HTTP\/1\.1 502 /)
+    const { text: next } = await later(() => call('/once/x'))
+    strictEqual(next, seen('next'))
+    deepStrictEqual([servers[0]?.heard.length, servers[0]?.connections], [2, 2])
+  })
+}
+
+/** Calls until it is not refused: a server that failed is left alone for a moment. */
+async function later(call: () => RawCaller): Promise<RawCaller> {
+  for (;;) {
+    const caller = call()
+    if (!(await caller.whole()).startsWith('HTTP/1.1 503 ')) return caller
+  }
+}
+
+test('a stream is not continued by an answer that is no stream, nor by events that the caller has already', async (t) => {
+  for (const second of [answer('no stream'), streamHead('other') + chunk(event(2)) + chunk(event(3)) + lastChunk]) {
+    const first = dying()
+    const { call } = await scene(t, [first.script, answers(second)])
+    const caller = call('/stream/x')
+    ok(await caller.until('token 2\n\n'))
+    first.die()
+    strictEqual(await caller.whole(), streamSeen + chunk(event(1)) + chunk(event(2)))
+  }
+})
+
+test('a large answer to a route of streams is not continued by another run', async (t) => {
+  const large = 'abcdefgh'.repeat(200_000)
+  const { call, servers } = await scene(t, [(_heard, socket) => socket.end(answer(large).slice(0, -1)), answers(answer(large))])
+  const text = await call('/stream/x').whole()
+  ok(seen(large).startsWith(text) && text.length < seen(large).length)
+  strictEqual(servers[1]?.heard.length, 0)
+})
