Gateway: a stream refused midway goes back to a server that it was sent to

Change: while the last server refused it unrun, such a stream may go back to the servers that it was sent to, three times its attempts at most and within the budget. No further server gets it.

--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -314,3 +314,24 @@
   step({ kind: 'flow', id: '1', attempt: 1, blocked: false })
   strictEqual(only(pass(1000), 'attempt')[0]?.attempt, 2)
 })
+
+test('a stream under way that its last server refuses unrun goes back to one that it was sent to, and to no third', () => {
+  const { arrive, step, pass, set } = given()
+  set('server/llm-2', { name: 'llm-2', address: '10.0.1.3:1', zone: 'a', service: 'llm', capacity: 8 })
+  set('binding/llm-2', { incarnation: 'llm-2', models: ['llm:m'], adapters: ['llm:m/a1'] })
+  const [first] = only(arrive('1', '/stream/x', { model: 'm' }), 'attempt')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '1', attempt: 1, event: '4', data: true })
+  const [second] = only(step({ kind: 'defect', id: '1', attempt: 1, verdict: Verdict.mayHaveRun, why: 'reset' }), 'attempt')
+  const tried = new Set([first?.server, second?.server])
+  deepStrictEqual([tried.size, second?.attempt], [2, 2])
+  let effects: GatewayEffect[] = []
+  for (let attempt = 2; attempt <= 3; attempt++) {
+    step({ kind: 'sent', id: '1', attempt })
+    effects = [...step({ kind: 'head', id: '1', attempt, status: 503, notRun: true }), ...pass(700)]
+    strictEqual(only(effects, 'breakOff').length, 0, `attempt ${String(attempt)}`)
+    const [next] = only(effects, 'attempt')
+    ok(next !== undefined && tried.has(next.server) && next.resumeAfter === '4')
+  }
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -143,6 +143,8 @@
       attempt: 0,
       server: '',
       sends: 0,
+      tried: new Set(),
+      refused: false,
       avoid: new Set(),
       mayHaveRun: false,
       heldMs: nowMs,
@@ -383,6 +385,7 @@
         if (passage.phase !== 'connecting') break
         this.#to(passage, 'sent')
         passage.sends += 1
+        passage.tried.add(passage.server)
         passage.sentMs = nowMs
         passage.movedMs = nowMs
         if (server === undefined) break
@@ -445,14 +448,16 @@
       this.servers.suspect(server, nowMs)
       passage.avoid.add(server.name)
     }
-    if (verdict !== Verdict.notRun) passage.mayHaveRun = true
+    passage.refused = verdict === Verdict.notRun
+    if (!passage.refused) passage.mayHaveRun = true
     if (!RetryPolicy.maySend(passage)) {
       this.#end(passage, nowMs)
       return
     }
     this.#to(passage, 'held')
     passage.heldMs = nowMs
-    if (this.servers.holders(passage).every((one) => passage.avoid.has(one.name))) passage.avoid.clear()
+    if (RetryPolicy.mayOnlyReturn(passage) || this.servers.holders(passage).every((one) => passage.avoid.has(one.name)))
+      passage.avoid.clear()
     this.#bind(passage, nowMs)
     this.#giveUpOne(passage, nowMs)
   }
--- a/src/gateway/Passage.ts
+++ b/src/gateway/Passage.ts
@@ -44,8 +44,12 @@
   server: string
   /** Servers that were sent it, and those that failed it. */
   sends: number
+  /** Names of the servers that it was sent to. */
+  tried: Set<string>
   avoid: Set<string>
   mayHaveRun: boolean
+  /** True if the last server that it was sent to surely did not run it. */
+  refused: boolean
   heldMs: number
   boundMs: number
   sentMs: number
--- a/src/gateway/RetryPolicy.ts
+++ b/src/gateway/RetryPolicy.ts
@@ -4,6 +4,9 @@
  */
 import type { Passage } from './Passage.js'
 
+/** A stream is sent at most so many times its attempts, however often it goes back. */
+const returnsRatio = 3
+
 export const RetryPolicy = {
   /** True of a request that may run more than once. */
   repeatable(passage: Passage): boolean {
@@ -29,9 +32,20 @@
     return passage.route?.kind === 'stream' && passage.route.resumable && passage.resumePoint
   },
 
-  /** True if the request may be sent to one more server. */
+  /**
+   * True of a stream in the midst of its answer that was sent to as many servers as it may be, the last of which did not run
+   * it: it may go back to one of these, which is no further server.
+   */
+  mayOnlyReturn(passage: Passage): boolean {
+    return (
+      RetryPolicy.exhausted(passage) && passage.begun && passage.refused && passage.sends < returnsRatio * RetryPolicy.attempts(passage)
+    )
+  },
+
+  /** True if the request may be sent once more. */
   maySend(passage: Passage): boolean {
-    if (RetryPolicy.exhausted(passage) || !RetryPolicy.continuable(passage)) return false
+    if (RetryPolicy.exhausted(passage) && !RetryPolicy.mayOnlyReturn(passage)) return false
+    if (!RetryPolicy.continuable(passage)) return false
     return !passage.mayHaveRun || RetryPolicy.repeatable(passage)
   },
 } as const
--- a/src/gateway/ServerTable.test.ts
+++ b/src/gateway/ServerTable.test.ts
@@ -56,6 +56,8 @@
     attempt: 0,
     server: '',
     sends: 0,
+    tried: new Set(),
+    refused: false,
     avoid: new Set(),
     mayHaveRun: false,
     heldMs: startMs,
--- a/src/gateway/ServerTable.ts
+++ b/src/gateway/ServerTable.ts
@@ -14,6 +14,7 @@
 import type { Row } from '../consensus/Row.js'
 import { namesUnder } from '../consensus/namesUnder.js'
 import type { Passage } from './Passage.js'
+import { RetryPolicy } from './RetryPolicy.js'
 import type { Server } from './Server.js'
 
 type Service = Network['services'][number]
@@ -244,8 +245,10 @@
     let bestMs = Infinity
     const group = this.#byService.get(passage.service) ?? []
     const home = this.#home(passage, group)
+    const onlyTried = RetryPolicy.mayOnlyReturn(passage)
     for (const server of group) {
       if (!this.open(server) || !this.holds(server, passage) || passage.avoid.has(server.name)) continue
+      if (onlyTried && !passage.tried.has(server.name)) continue
       if (nowMs < server.suspectUntilMs || server.flights >= Math.min(this.limit(server), this.connections(server))) continue
       if (server.flights + server.others >= fullRatio * server.capacity && server.flights > 0) continue
       if (this.#isCold(server, nowMs) && !this.#coldToken(server, nowMs)) continue
