Gateway: a faulty server of the schedules does not write into its own later answers

Found with a planted variant that resends: in one of 240 schedules a surplus answer of an earlier request filled the last bytes of a later, short one on the same connection, which no reader can tell from a whole answer.

--- a/src/gateway/testing/FaultyServer.ts
+++ b/src/gateway/testing/FaultyServer.ts
@@ -200,12 +200,14 @@
 export class FaultyServer extends RawServer {
   constructor(name: string, seed: number, log: RunLog) {
     const seen = new Map<string, number>()
+    const writers = new WeakMap<Socket, number>()
     super((heard, socket) => {
       const id = heard.headers['request-id'] ?? ''
       const turn = (seen.get(id) ?? 0) + 1
       seen.set(id, turn)
       const random = new Random(digest(`${String(seed)}/${name}/${id}/${String(turn)}`))
       const seal = `${name}.${String(log.runs.length)}`
+      const order = log.runs.length
       const line = inTurn()
       const request: Request = {
         id,
@@ -217,7 +219,10 @@
         then: line.then,
         send: (text, afterMs = 0) => {
           line.then(afterMs, () => {
-            if (!socket.destroyed) socket.write(text, 'latin1')
+            // Surplus bytes amid a later answer would be part of that answer to any reader.
+            if (socket.destroyed || (writers.get(socket) ?? 0) > order) return
+            writers.set(socket, order)
+            socket.write(text, 'latin1')
           })
         },
         head: (more, status = '200 OK', ownId = id, ownSeal = seal) =>
