Reset connections that a cut holds up, and drop what is not of this cluster

A connection into a cut kept up to 16 MB and delivered it after the heal, a connect to a dark machine hung, and TCP's own backoff kept a healed connection silent. Receivers now greet and acknowledge bytes, at most twice in the dead time; senders reset what shows nothing for the dead time (0.08 of the bound of recovery) and dial again, at most once in 0.01 of it; incoming connections close after two dead times of silence, also when bytes come then. A process speaks over its newest connection alone. Frames that are malformed, of an unknown kind or of another cluster are dropped, counted and told once a connection; a large frame in many chunks is read in linear time (it was copied whole for each chunk). Excluded: a timer for each message, and TCP_USER_TIMEOUT, which the runtime can't set.

--- a/src/agent/AgentMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -110,6 +110,11 @@
     return this.#sure
   }
 
+  /** The system that this machine follows; empty while it may follow any. */
+  get system(): string {
+    return this.#system
+  }
+
   /** When a lease last came. */
   get heardCoreMs(): number {
     return this.#heardCoreMs
--- a/src/agent/AgentTask.ts
+++ b/src/agent/AgentTask.ts
@@ -56,7 +56,7 @@
   }
 
   get figures(): Record<string, number> {
-    return this.machine.figures(clockMs())
+    return { ...this.machine.figures(clockMs()), ...this.#transport.figures }
   }
 
   get current(): boolean {
@@ -64,7 +64,9 @@
   }
 
   #step(input: AgentInput): void {
-    for (const effect of this.machine.step(input, clockMs())) {
+    const effects = this.machine.step(input, clockMs())
+    this.#transport.cluster = this.machine.system
+    for (const effect of effects) {
       if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
       else if (effect.kind === 'askPlatform') void this.#readPlatform()
--- a/src/agent/WatchDesk.ts
+++ b/src/agent/WatchDesk.ts
@@ -9,6 +9,7 @@
 import { Meters } from '../common/Meters.js'
 import type { Startup } from '../common/Startup.js'
 import { watchRoutes } from '../common/watchRoutes.js'
+import { transportHelps } from '../transport/transportHelps.js'
 import { AgentTask } from './AgentTask.js'
 
 @singleton()
@@ -26,6 +27,7 @@
         stamp: 'the stamp of the copy',
         core_stamp: 'the newest stamp that was told of',
         barred: "servers that the platform's list takes away while the core is silent",
+        ...transportHelps,
       },
       () => task.figures,
     )
--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -9,6 +9,7 @@
 import { HttpOutside } from '../adapters/HttpOutside.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { Meters } from '../common/Meters.js'
+import { Timings } from '../common/Timings.js'
 import { AgentTask } from './AgentTask.js'
 import { WatchDesk } from './WatchDesk.js'
 
@@ -29,7 +30,7 @@
   container.registerInstance('logger', logger)
   container.registerInstance(Meters, new Meters('agent', startup.name))
   container.registerInstance('outside', new HttpOutside(startup.platform))
-  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
+  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
   const task = container.resolve(AgentTask)
   logger.say('agent', `Listens on ${startup.transport}.`)
   const desk = container.resolve(WatchDesk)
--- a/src/common/Timings.ts
+++ b/src/common/Timings.ts
@@ -37,6 +37,10 @@
   deliverMs: number
   /** A core machine that has been silent for so long is given up. */
   memberGoneMs: number
+  /** A connection whose other end shows nothing of what it was sent for so long is made anew. */
+  connectionDeadMs: number
+  /** The shortest time between two attempts to connect to the same address. */
+  redialMs: number
 }
 
 export function Timings(bounds: Bounds): Timings {
@@ -69,5 +73,7 @@
     frozenMs: 0.4 * leaseMs,
     deliverMs: 0.4 * bounds.charterMs,
     memberGoneMs: 0.67 * bounds.recoverMs,
+    connectionDeadMs: 0.08 * bounds.recoverMs,
+    redialMs: 0.01 * bounds.recoverMs,
   }
 }
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -13,6 +13,7 @@
 import type { Startup } from '../common/Startup.js'
 import type { Outside } from '../adapters/Outside.js'
 import type { Transport } from '../transport/Transport.js'
+import { transportHelps } from '../transport/transportHelps.js'
 import type { WriteAheadLog } from '../storage/WriteAheadLog.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
 import type { ControlEffect } from './ControlEffect.js'
@@ -65,6 +66,7 @@
       },
       () => this.machine.figures(clockMs()),
     )
+    meters.gauges(transportHelps, () => transport.figures)
     this.machine = new ControlMachine(
       {
         name: startup.name,
@@ -94,6 +96,7 @@
 
   step(input: ControlInput): void {
     this.#carryOut(this.machine.step(input, clockMs()))
+    this.#transport.cluster = this.machine.raft.system
   }
 
   async stop(): Promise<void> {
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -8,6 +8,7 @@
 import { Meters } from '../common/Meters.js'
 import { startDaemon } from '../common/startDaemon.js'
 import { Startup } from '../common/Startup.js'
+import { Timings } from '../common/Timings.js'
 import { HttpOutside } from '../adapters/HttpOutside.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
@@ -40,7 +41,7 @@
     container.registerInstance(Meters, new Meters('control', startup.name))
     container.registerInstance('writeAheadLog', writeAheadLog)
     container.registerInstance('outside', new HttpOutside(startup.platform))
-    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
+    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
     const task = container.resolve(ControlTask)
     const desk = container.resolve(OperatorsDesk)
     logger.say('control', `Listens for operators on ${await desk.open()}.`)
--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -158,6 +158,8 @@
   let hear: (from: string, fromAddress: string, message: Message) => void = () => undefined
   const transport = {
     address: '127.0.0.1:2',
+    cluster: '',
+    figures: {},
     send: () => undefined,
     hear: (listener: typeof hear) => {
       hear = listener
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -162,7 +162,9 @@
   }
 
   #agent(input: AgentInput): void {
-    for (const effect of this.agent.step(input, clockMs())) {
+    const effects = this.agent.step(input, clockMs())
+    this.#transport.cluster = this.agent.system
+    for (const effect of effects) {
       if (effect.kind === 'send') this.#transport.send(effect.toAddress, effect.message)
       else if (effect.kind === 'say') this.#logger.say(effect.part, effect.sentence)
       else if (effect.kind === 'adopted') this.step({ kind: 'adopted' })
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -3,6 +3,7 @@
  * The proxy of a network: callers of routes on one side, servers on the other, an agent's machine inside.
  */
 import { startDaemon } from '../common/startDaemon.js'
+import { Timings } from '../common/Timings.js'
 import { HttpOutside } from '../adapters/HttpOutside.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
@@ -23,7 +24,7 @@
 }
 
 await startDaemon('gateway', 'The proxy of a network.', GatewayStartup, fields, async (startup, logger) => {
-  const transport = await TcpTransport.open(startup.name, startup.transport, logger)
+  const transport = await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger)
   const task = new GatewayTask(startup, logger, transport, RouteFormat, new HttpOutside(startup.platform))
   const desk = new CallersDesk(startup, task, '/ready')
   logger.say('gateway', `Listens for callers on ${await desk.open()}.`)
--- a/src/proxy/ProxyTask.ts
+++ b/src/proxy/ProxyTask.ts
@@ -17,6 +17,7 @@
 import { Verdict } from '../common/Verdict.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import type { Transport } from '../transport/Transport.js'
+import { transportHelps } from '../transport/transportHelps.js'
 import { Line } from './Line.js'
 import type { ProxyEffect } from './ProxyEffect.js'
 import type { ProxyInput } from './ProxyInput.js'
@@ -70,6 +71,7 @@
     this.#outcome = meters.counter('requests', 'final answers, by outcome, status and verdict', ['outcome', 'status', 'verdict'])
     this.#tried = meters.counter('attempts', 'attempts at servers, by server', ['server'])
     this.#took = meters.span('request', 'from the arrival of a request to its final answer')
+    meters.gauges(transportHelps, () => transport.figures)
     this.machine = new ProxyMachine(
       { name: startup.name, seat: startup.seat, zone: startup.zone, agent: startup.agent },
       this.timings,
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -7,6 +7,7 @@
 import { Meters } from '../common/Meters.js'
 import { startDaemon } from '../common/startDaemon.js'
 import { Startup } from '../common/Startup.js'
+import { Timings } from '../common/Timings.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { CallersDesk } from './CallersDesk.js'
 import { ProxyTask } from './ProxyTask.js'
@@ -26,7 +27,7 @@
   container.registerInstance('startup', startup)
   container.registerInstance('logger', logger)
   container.registerInstance(Meters, new Meters('proxy', startup.name))
-  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
+  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
   const task = container.resolve(ProxyTask)
   const desk = container.resolve(CallersDesk)
   logger.say('proxy', `Listens for callers on ${await desk.open()}.`)
--- a/src/simulator/SimNetwork.test.ts
+++ b/src/simulator/SimNetwork.test.ts
@@ -17,6 +17,8 @@
       })
       const transport: Transport = {
         address,
+        cluster: '',
+        figures: {},
         send: (toAddress, message) => {
           network.send(name, name, address, toAddress, message)
         },
--- a/src/simulator/proxyProof.test.ts
+++ b/src/simulator/proxyProof.test.ts
@@ -13,10 +13,12 @@
 import { Meters } from '../common/Meters.js'
 import { Startup } from '../common/Startup.js'
 import { ServerFormat } from '../adapters/ServerFormat.js'
+import { Timings } from '../common/Timings.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { CallersDesk } from '../proxy/CallersDesk.js'
 import { ProxyTask } from '../proxy/ProxyTask.js'
 
+const timings = Timings({ charterMs: 2000, drainMs: 3000, emptyMs: 5000, recoverMs: 12_000 })
 interface Scene {
   address: string
   runs: () => number
@@ -47,7 +49,7 @@
   await once(server, 'listening')
   const bound = server.address()
   const address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
-  const agent = await TcpTransport.open('post', '127.0.0.1:0')
+  const agent = await TcpTransport.open('post', '127.0.0.1:0', timings)
   const row = (key: string, value: unknown) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) })
   const charter = {
     defaults: {
@@ -107,7 +109,12 @@
     logLevel: 'silent',
   })
   const meters = new Meters('proxy', 'post')
-  const task = new ProxyTask(startup, new Logger('proxy', 'post', 'silent'), await TcpTransport.open('post-proxy', '127.0.0.1:0'), meters)
+  const task = new ProxyTask(
+    startup,
+    new Logger('proxy', 'post', 'silent'),
+    await TcpTransport.open('post-proxy', '127.0.0.1:0', timings),
+    meters,
+  )
   const desk = new CallersDesk(startup, task, meters)
   return {
     address: await desk.open(),
--- a/src/transport/Frame.test.ts
+++ b/src/transport/Frame.test.ts
@@ -1,7 +1,8 @@
 import { test } from 'node:test'
-import { strictEqual } from 'node:assert'
+import { ok, strictEqual } from 'node:assert'
 import { Frame } from './Frame.js'
 import { carriers } from './carriers.js'
+import { Random } from '../common/Random.js'
 
 test('frames are read however the bytes are cut', () => {
   const frame = new Frame()
@@ -28,3 +29,51 @@
   strictEqual(typeof new Frame().read(Buffer.from([255, 255, 255, 255])), 'string')
   strictEqual(typeof new Frame().read(Buffer.from([0, 0, 0, 2, 9, 9])), 'string')
 })
+
+test('a large frame in many chunks is read in time linear in its length', () => {
+  const readMs = (megabytes: number) => {
+    const bytes = Frame.write('a', 'x', { kind: 'propose', id: '', command: new Uint8Array(megabytes * 2 ** 20) })
+    const frame = new Frame()
+    const fromMs = performance.now()
+    let seen = 0
+    for (let at = 0; at < bytes.length; at += 1400) {
+      const read = frame.read(bytes.subarray(at, at + 1400))
+      if (typeof read === 'string') throw new Error(read)
+      seen += read.length
+    }
+    strictEqual(seen, 1)
+    return performance.now() - fromMs
+  }
+  readMs(1)
+  const small = Math.min(readMs(4), readMs(4), readMs(4))
+  const large = Math.min(readMs(16), readMs(16), readMs(16))
+  ok(large < 10 * small + 20, `4 MB took ${String(small)} ms, 16 MB ${String(large)} ms`)
+})
+
+test('a length that no bytes follow takes no room', () => {
+  const frame = new Frame()
+  const before = process.memoryUsage().arrayBuffers
+  strictEqual(frame.read(Buffer.from([1, 255, 255, 255])).length, 0)
+  strictEqual(frame.read(Buffer.alloc(1000)).length, 0)
+  ok(process.memoryUsage().arrayBuffers - before < 1_000_000)
+})
+
+test('the cluster of the sender comes with the frame that says it', () => {
+  const read = new Frame().read(
+    Buffer.concat([
+      Frame.write('a', 'x', { kind: 'peerTell', sentMs: 1, stamp: 5 }, 'c-1'),
+      Frame.write('a', 'x', { kind: 'peerTell', sentMs: 2, stamp: 5 }),
+    ]),
+  )
+  strictEqual(typeof read === 'string' ? read : read.map((one) => one.cluster).join(), 'c-1,')
+})
+
+test('random bytes never throw, and never make up a message', () => {
+  const random = new Random(7)
+  for (let round = 0; round < 3000; round++) {
+    const body = Uint8Array.from({ length: random.below(60) }, () => random.below(256))
+    const frame = new Frame()
+    const read = frame.read(Buffer.concat([Buffer.from([0, 0, 0, body.length]), body]))
+    ok(typeof read === 'string' || read.length === 0)
+  }
+})
--- a/src/transport/Frame.ts
+++ b/src/transport/Frame.ts
@@ -1,46 +1,85 @@
 /**
- * A frame on a transport line: four bytes of length, then a sender (name and address, so that the
- * other end can write back) and a message. The reader takes any cut of the byte stream and stops at
- * the first frame that is too long or carries nothing. A message of a kind that only another version knows
- * is passed by.
+ * A frame on a connection: four bytes of length, then a sender (name and address, so that the other
+ * end can write back), a message and, where the sender says it, the cluster that it belongs to. The
+ * reader takes any cut of the byte stream. It ends the connection at the first frame that is too long
+ * or carries nothing; a message of a kind that only another version knows is passed by.
  */
 import { carriers } from './carriers.js'
 import { Codec } from './Codec.js'
 import { Message } from './Message.js'
 
+interface Received {
+  from: string
+  fromAddress: string
+  message: Message
+  /** Empty where the sender did not say it in this frame. */
+  cluster: string
+}
 const messages = new Codec<Message>(Message.schema, Message.options)
-const limitBytes = 64 * 1024 * 1024
+const headerBytes = 4
+const limitBytes = 32 * 1024 * 1024
 
 export class Frame {
+  /** Bytes of a frame that is not whole yet, with room to grow; never used again once a frame was read from it. */
   #rest: Buffer = Buffer.alloc(0)
+  #restBytes = 0
+  /** How many bytes must be there before there is anything to read. */
+  #neededBytes = headerBytes
   /** Messages of a kind that this version does not know: told by whoever reads, never guessed at. */
   passedBy = 0
 
-  static write(from: string, fromAddress: string, message: Message): Buffer {
-    const body = carriers.encode({ kind: 'carry', from, fromAddress, body: messages.encode(message) })
-    const frame = Buffer.alloc(4 + body.length)
+  static write(from: string, fromAddress: string, message: Message, cluster = ''): Buffer {
+    const sender = { kind: 'carry' as const, from, fromAddress, body: messages.encode(message) }
+    const body = carriers.encode(cluster === '' ? sender : { ...sender, cluster })
+    const frame = Buffer.alloc(headerBytes + body.length)
     frame.writeUInt32BE(body.length, 0)
-    frame.set(body, 4)
+    frame.set(body, headerBytes)
     return frame
   }
 
-  /** Gives the whole frames so far, or the reason why this line must be closed. */
-  read(chunk: Uint8Array): { from: string; fromAddress: string; message: Message }[] | string {
-    this.#rest = this.#rest.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.#rest, chunk])
-    const read: { from: string; fromAddress: string; message: Message }[] = []
+  /** Gives the whole frames so far, or the reason why this connection must be closed. */
+  read(chunk: Uint8Array): Received[] | string {
+    const bytes = this.#gather(chunk)
+    if (bytes.length < this.#neededBytes) {
+      if (this.#restBytes === 0) this.#keep(bytes)
+      return []
+    }
+    const received: Received[] = []
     let at = 0
-    while (this.#rest.length - at >= 4) {
-      const length = this.#rest.readUInt32BE(at)
+    this.#neededBytes = headerBytes
+    while (bytes.length - at >= headerBytes) {
+      const length = bytes.readUInt32BE(at)
       if (length > limitBytes) return `a frame of ${String(length)} bytes is over the limit`
-      if (this.#rest.length - at - 4 < length) break
-      const carried = carriers.decode(this.#rest.subarray(at + 4, at + 4 + length))
+      this.#neededBytes = headerBytes + length
+      if (bytes.length - at < this.#neededBytes) break
+      const carried = carriers.decode(bytes.subarray(at + headerBytes, at + this.#neededBytes))
       if (carried === undefined) return 'a frame holds no message'
       const message = messages.decode(carried.body)
       if (message === undefined) this.passedBy += 1
-      else read.push({ from: carried.from, fromAddress: carried.fromAddress, message })
-      at += 4 + length
+      else received.push({ from: carried.from, fromAddress: carried.fromAddress, message, cluster: carried.cluster ?? '' })
+      at += this.#neededBytes
+      this.#neededBytes = headerBytes
+    }
+    this.#keep(bytes.subarray(at))
+    return received
+  }
+
+  #keep(rest: Buffer): void {
+    this.#rest = Buffer.from(rest)
+    this.#restBytes = rest.length
+  }
+
+  /** What there is to read. The room doubles as bytes come, so it stays within twice of what really came, and each byte is copied a bounded number of times. */
+  #gather(chunk: Uint8Array): Buffer {
+    if (this.#restBytes === 0) return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength)
+    const filledBytes = this.#restBytes + chunk.length
+    if (filledBytes > this.#rest.length) {
+      const larger = Buffer.allocUnsafeSlow(Math.max(filledBytes, 2 * this.#rest.length))
+      larger.set(this.#rest.subarray(0, this.#restBytes))
+      this.#rest = larger
     }
-    this.#rest = this.#rest.subarray(at)
-    return read
+    this.#rest.set(chunk, this.#restBytes)
+    this.#restBytes = filledBytes
+    return this.#rest.subarray(0, filledBytes)
   }
 }
--- a/src/transport/Transport.ts
+++ b/src/transport/Transport.ts
@@ -7,6 +7,10 @@
 
 export interface Transport {
   readonly address: string
+  /** The cluster that this process belongs to, once it knows; what comes from another one is dropped. */
+  cluster: string
+  /** Counts of what was dropped, reset and is open, for the meters. */
+  readonly figures: Record<string, number>
   send(toAddress: string, message: Message): void
   hear(listener: (from: string, fromAddress: string, message: Message) => void): void
   close(): Promise<void>
--- /dev/null
+++ b/src/transport/TransportTimings.ts
@@ -0,0 +1,6 @@
+/**
+ * What the transport goes by of the timings.
+ */
+import type { Timings } from '../common/Timings.js'
+
+export type TransportTimings = Pick<Timings, 'connectionDeadMs' | 'redialMs'>
