Count an adoption only from a renewal that echoes this leader's lease

A renewal of an earlier life of a node that arrived after the new life's counted an adoption that isn't so, and could let a configuration be acknowledged early; a lease that answered an earlier life gave the new one a lease of that life's whole uptime, since monotonic clocks begin with the process. Leases now carry session, term and the leader's time; a renewal echoes them while they are fresh. Without an echo of this term it is granted and not credited; with an old or overtaken one it is ignored. The agent echoes the first lease of a term at once, so a new node is credited one round trip later. A permit or a peer's word about a time that has not come by the receiver's own clock is ignored as well.

--- a/src/agent/AgentMachine.network.test.ts
+++ b/src/agent/AgentMachine.network.test.ts
@@ -121,3 +121,60 @@
   core.tell('edge', { kind: 'tally', seat: 'edge', session: 's', adopted: 3, atMs: 0, arrivals: [], held: [], flights: [] })
   strictEqual(core.sent.at(-1)?.toAddress, 'b:7')
 })
+
+void test('the first lease of a term is echoed at once, later ones with the next renewal, and none once it is old', () => {
+  const core = new Core()
+  core.silent.add('a')
+  core.run(500)
+  const renewals = () => core.sent.flatMap(({ message }) => (message.kind === 'renew' ? [message] : []))
+  const session = renewals()[0]?.session ?? ''
+  core.silent.add('b')
+  core.run(timings.leaseMs)
+  const lease = (term: number, grantedMs: number, of = session): Message => ({
+    kind: 'lease',
+    sentMs: core.nowMs,
+    forMs: timings.leaseMs,
+    stamp: 3,
+    peers: core.peers,
+    serial: 0,
+    shares: [],
+    again: [],
+    platformAgeMs: 0,
+    system: 's',
+    peersSum: 1,
+    session: of,
+    term,
+    grantedMs,
+  })
+  const told = (message: Message) => {
+    const before = renewals().length
+    core.tell('b', message)
+    return renewals()
+      .slice(before)
+      .map((one) => [one.leaseTerm, one.leaseGrantedMs])
+  }
+  deepStrictEqual(told(lease(4, 900)), [[4, 900]])
+  deepStrictEqual(told(lease(4, 950)), [])
+  deepStrictEqual(told(lease(5, 20)), [[5, 20]])
+  deepStrictEqual(told(lease(4, 990)), [])
+  deepStrictEqual(told(lease(5, 10)), [])
+  deepStrictEqual(told(lease(6, 30, 'another')), [])
+  core.run(timings.renewMs + 2 * timings.tickMs)
+  deepStrictEqual([renewals().at(-1)?.leaseTerm, renewals().at(-1)?.leaseGrantedMs], [5, 20])
+  core.run(timings.echoMs)
+  core.run(timings.renewMs)
+  deepStrictEqual([renewals().at(-1)?.leaseTerm, renewals().at(-1)?.leaseGrantedMs], [undefined, undefined])
+})
+
+void test("a lease that answers an earlier life is not this life's, whatever its clock said", () => {
+  const core = new Core()
+  core.silent.add('a').add('b')
+  core.run(300)
+  const lease = { forMs: 800, stamp: 3, peers: [], serial: 0, shares: [], again: [], platformAgeMs: 0, system: 's', peersSum: 0 }
+  core.tell('b', { kind: 'lease', sentMs: 1e7, ...lease })
+  strictEqual(core.machine.current(core.nowMs), false)
+  core.tell('b', { kind: 'lease', sentMs: core.nowMs, ...lease, session: 'another', term: 1, grantedMs: 1 })
+  strictEqual(core.machine.current(core.nowMs), false)
+  core.tell('b', { kind: 'peerTell', sentMs: 1e7, stamp: 3 })
+  strictEqual(core.machine.current(core.nowMs), false)
+})
--- a/src/agent/AgentMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -64,6 +64,8 @@
   #ask: Extract<Message, { kind: 'ask' }> = { kind: 'ask', asks: [], echo: 0, again: [], firsts: [] }
   #firsts = new Map<string, number>()
   #lent: Pick<Extract<Message, { kind: 'lease' }>, 'serial' | 'shares' | 'again'> = { serial: 0, shares: [], again: [] }
+  /** The newest lease of this life: the leader that granted it, when by that leader's clock, and when it came. */
+  #newestLease = { term: -1, grantedMs: -Infinity, heardMs: -Infinity }
   #renewedMs = -Infinity
   #probeAtMs = -Infinity
   #renewAtMs = -Infinity
@@ -195,10 +197,32 @@
       again,
       firsts,
       peersSum: this.#peersSum,
+      ...this.#leaseEcho(nowMs),
     })
     if (!this.#alone && nowMs >= this.#leaseUntilMs - 2 * this.#timings.renewMs) this.#askPeers(nowMs)
   }
 
+  /** Shows the leader that this renewal was made after a lease that it granted not long ago. */
+  #leaseEcho(nowMs: number): { leaseTerm?: number; leaseGrantedMs?: number } {
+    const { term, grantedMs, heardMs } = this.#newestLease
+    return nowMs - heardMs > this.#timings.echoMs ? {} : { leaseTerm: term, leaseGrantedMs: grantedMs }
+  }
+
+  /** True of a lease that answers an earlier life of this process, or that a newer one has overtaken. */
+  #outdated(lease: Extract<Message, { kind: 'lease' }>, nowMs: number): boolean {
+    if ((lease.session ?? this.#session) !== this.#session || lease.sentMs > nowMs) return true
+    if (lease.term === undefined || lease.grantedMs === undefined) return false
+    const { term, grantedMs } = this.#newestLease
+    return lease.term < term || (lease.term === term && lease.grantedMs < grantedMs)
+  }
+
+  /** The first lease of a term is echoed at once: only then does the leader credit what this seat works by. */
+  #noteLease(term: number, grantedMs: number, nowMs: number): void {
+    const first = term !== this.#newestLease.term
+    this.#newestLease = { term, grantedMs, heardMs: nowMs }
+    if (first) this.#renew(nowMs)
+  }
+
   /** What this seat as a whole works by: the proxy's stamp for as long as the proxy may be at work. */
   #adopted(nowMs: number): number {
     return nowMs < this.#proxy.permitUntilMs ? Math.min(this.copy.stamp, this.#proxy.stamp) : this.copy.stamp
@@ -317,7 +341,7 @@
         break
       }
       case 'lease': {
-        if (this.#strange(message.system)) break
+        if (this.#strange(message.system) || this.#outdated(message, nowMs)) break
         if (this.#system === '') this.#system = message.system
         this.#leaseUntilMs = Math.max(this.#leaseUntilMs, message.sentMs + message.forMs)
         this.#coreStamp = Math.max(this.#coreStamp, message.stamp)
@@ -333,13 +357,14 @@
         if (message.forMs > 0) this.#lent = message
         this.#barrier.core(message.sentMs - message.platformAgeMs, message.stamp)
         this.#permit(nowMs)
+        if (message.term !== undefined && message.grantedMs !== undefined) this.#noteLease(message.term, message.grantedMs, nowMs)
         break
       }
       case 'peerAsk':
         if (this.#sure) this.#send(fromAddress, { kind: 'peerTell', sentMs: message.sentMs, stamp: this.copy.stampOf('charter') })
         break
       case 'peerTell':
-        this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
+        if (message.sentMs <= nowMs) this.#peerTold(from, message.sentMs, message.stamp, fromAddress)
         break
       case 'ask': {
         if (fromAddress !== this.#plan.proxy) break
--- a/src/common/Timings.ts
+++ b/src/common/Timings.ts
@@ -14,6 +14,8 @@
   diskStallMs: number
   leaseMs: number
   renewMs: number
+  /** A lease that came longer ago is not echoed any more. */
+  echoMs: number
   adoptMs: number
   probeMs: number
   operateMs: number
@@ -53,6 +55,7 @@
     diskStallMs: 0.09 * bounds.recoverMs,
     leaseMs,
     renewMs: leaseMs / 4,
+    echoMs: 0.5 * leaseMs,
     adoptMs: 0.25 * bounds.charterMs,
     probeMs: 0.02 * bounds.recoverMs,
     operateMs: 0.75 * bounds.recoverMs,
--- a/src/consensus/Leases.ts
+++ b/src/consensus/Leases.ts
@@ -2,11 +2,38 @@
  * The leader's account of who holds a lease and which stamp each seat has adopted. It lives in
  * memory only: a new leader knows nothing of what its predecessor granted, so it treats no lease
  * as lost until that predecessor's last one must have run out.
+ *
+ * A renewal echoes the newest lease of this leader that its session got, and what it says of adoption
+ * counts only then: a renewal that was held up on its way can't count for the life that came after it.
+ * Sessions of a seat follow one another, so the lease that a later one echoes was granted after all that
+ * an earlier one can echo.
  */
 import { Timings } from '../common/Timings.js'
 
+interface Echo {
+  term: number
+  grantedMs: number
+}
+interface Renewal {
+  seat: string
+  session: string
+  address: string
+  zone: string
+  adopted: number
+  /** By the seat's own clock. */
+  sentMs: number
+  /** The newest lease that the session got, if it was not long ago. */
+  echo: Echo | undefined
+}
 interface Held {
+  /** The session that showed last that it had a lease, and when it sent its newest renewal. */
   session: string
+  sentMs: number
+  /** When the newest lease was granted that was echoed. */
+  echoedMs: number
+  /** A session that was heard without an echo, and since when: until an echo of a later lease nothing is credited. */
+  unproven: string
+  unprovenMs: number
   address: string
   zone: string
   adopted: number
@@ -21,18 +48,25 @@
   readonly #held = new Map<string, Held>()
   #behindSince = new Map<number, number>()
   #graceUntilMs = Infinity
+  #term = -1
 
   constructor(timings: Timings) {
     this.#timings = timings
   }
 
   /** A new leader starts over, and waits until no lease of an earlier one can be alive. */
-  begin(nowMs: number): void {
+  begin(term: number, nowMs: number): void {
+    this.#term = term
     this.#held.clear()
     this.#behindSince.clear()
     this.#graceUntilMs = nowMs + this.#timings.electionMs + margin * this.#timings.leaseMs
   }
 
+  /** The term whose leases are echoed. */
+  get term(): number {
+    return this.#term
+  }
+
   /** Until then a lease of an earlier leader may be alive. */
   get graceUntilMs(): number {
     return this.#graceUntilMs
@@ -52,13 +86,47 @@
     return held !== undefined && nowMs - held.heardMs <= margin * this.#timings.leaseMs
   }
 
-  /** Grants a lease, unless the seat has been behind a charter for too long. */
-  renew(seat: string, session: string, address: string, zone: string, adopted: number, nowMs: number): boolean {
-    const old = this.#held.get(seat)
-    let granted = true
-    for (const [stamp, sinceMs] of this.#behindSince) if (adopted < stamp && nowMs - sinceMs > this.#timings.adoptMs) granted = false
-    this.#held.set(seat, { session, address, zone, adopted, grantedMs: granted ? nowMs : (old?.grantedMs ?? -Infinity), heardMs: nowMs })
-    return granted
+  /** Grants a lease, unless the seat has been behind a charter for too long, or the renewal is later than its purpose. */
+  renew(renewal: Renewal, nowMs: number): 'granted' | 'behind' | 'ignored' {
+    const old = this.#held.get(renewal.seat)
+    const echoedMs = renewal.echo?.term === this.#term ? renewal.echo.grantedMs : undefined
+    if (this.#late(renewal, echoedMs, old, nowMs)) return 'ignored'
+    const behind = this.#behind(renewal.adopted, nowMs)
+    const { address, zone } = renewal
+    const grantedMs = behind ? (old?.grantedMs ?? -Infinity) : nowMs
+    this.#held.set(renewal.seat, { ...this.#credit(renewal, echoedMs, old, nowMs), address, zone, grantedMs, heardMs: nowMs })
+    return behind ? 'behind' : 'granted'
+  }
+
+  #behind(adopted: number, nowMs: number): boolean {
+    for (const [stamp, sinceMs] of this.#behindSince) if (adopted < stamp && nowMs - sinceMs > this.#timings.adoptMs) return true
+    return false
+  }
+
+  /** True of a renewal that was held up, that a later one of its session overtook, or whose session is over. */
+  #late(renewal: Renewal, echoedMs: number | undefined, old: Held | undefined, nowMs: number): boolean {
+    if (echoedMs !== undefined && (nowMs - echoedMs > this.#timings.leaseMs || echoedMs > nowMs)) return true
+    if (old === undefined) return false
+    if (renewal.session === old.session) return renewal.sentMs < old.sentMs || (echoedMs !== undefined && echoedMs < old.echoedMs)
+    return echoedMs !== undefined && echoedMs <= old.echoedMs
+  }
+
+  /** What is known of the seat's sessions and adoption after a renewal that is not late. */
+  #credit(
+    renewal: Renewal,
+    echoedMs: number | undefined,
+    old: Held | undefined,
+    nowMs: number,
+  ): Pick<Held, 'session' | 'sentMs' | 'echoedMs' | 'unproven' | 'unprovenMs' | 'adopted'> {
+    const { session, sentMs } = renewal
+    const known = old ?? { session: '', sentMs: -Infinity, echoedMs: -Infinity, unproven: '', unprovenMs: -Infinity, adopted: 0 }
+    const { unproven, unprovenMs, adopted } = known
+    if (echoedMs !== undefined && echoedMs >= unprovenMs)
+      return { session, sentMs, echoedMs, unproven: '', unprovenMs: -Infinity, adopted: renewal.adopted }
+    if (session === known.session)
+      return { session, sentMs, echoedMs: known.echoedMs, unproven, unprovenMs, adopted: Math.min(adopted, renewal.adopted) }
+    const since = session === unproven ? unprovenMs : nowMs
+    return { session: known.session, sentMs: known.sentMs, echoedMs: known.echoedMs, unproven: session, unprovenMs: since, adopted: 0 }
   }
 
   /** Forgets seats that are long gone, where they come and go. */
--- a/src/control/ControlMachine.network.test.ts
+++ b/src/control/ControlMachine.network.test.ts
@@ -254,8 +254,12 @@
   let stamp = 0
   world.run(3000)
   const leases: number[] = []
+  let newest: { leaseTerm?: number; leaseGrantedMs?: number } = {}
   world.heard.set('edge:7', (message) => {
-    if (message.kind === 'lease') leases.push(message.forMs, message.peers.length)
+    if (message.kind !== 'lease') return
+    leases.push(message.forMs, message.peers.length)
+    if (message.term !== undefined && message.grantedMs !== undefined)
+      newest = { leaseTerm: message.term, leaseGrantedMs: message.grantedMs }
   })
   const renew = () => {
     world.tell('edge', 'edge:7', address, {
@@ -271,6 +275,7 @@
       again: [],
       firsts: [],
       peersSum: 0,
+      ...newest,
     })
   }
   renew()
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -640,7 +640,10 @@
       return
     }
     const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
-    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.replicatedState.copy, ageMs, nowMs, this.#dispatcher?.loads(nowMs)))
+    const loads = this.#dispatcher?.loads(nowMs)
+    const lease = this.#desk.renew(renew, fromAddress, this.replicatedState.copy, ageMs, nowMs, loads)
+    if (lease === undefined) return
+    this.#send(fromAddress, lease)
     this.#book.finish(nowMs)
   }
 
--- a/src/control/SeatDesk.ts
+++ b/src/control/SeatDesk.ts
@@ -30,16 +30,26 @@
   }
 
   begin(term: number, nowMs: number): void {
-    this.leases.begin(nowMs)
+    this.leases.begin(term, nowMs)
     this.#shares.begin(term, this.leases.graceUntilMs)
     this.#retries.begin()
   }
 
-  /** The lease for a renewal; a seat that may not have one is lent nothing. */
-  renew(renew: Renew, fromAddress: string, copy: ReplicaTable, platformAgeMs: number, nowMs: number, loads: Lease['loads'] = []): Lease {
+  /** The lease for a renewal, if it is not too late to answer; a seat that may not have one is lent nothing. */
+  renew(
+    renew: Renew,
+    fromAddress: string,
+    copy: ReplicaTable,
+    platformAgeMs: number,
+    nowMs: number,
+    loads: Lease['loads'] = [],
+  ): Lease | undefined {
     this.#reader.follow(copy)
     this.#seats = copy.under('seat/').length
-    const granted = this.leases.renew(renew.seat, renew.session, fromAddress, renew.zone, renew.adopted, nowMs)
+    const { seat, session, zone, adopted, sentMs, leaseTerm: term, leaseGrantedMs: grantedMs } = renew
+    const echo = term === undefined || grantedMs === undefined ? undefined : { term, grantedMs }
+    const outcome = this.leases.renew({ seat, session, address: fromAddress, zone, adopted, sentMs, echo }, nowMs)
+    if (outcome === 'ignored') return undefined
     const alive = this.leases.seats
       .filter(([seat]) => this.leases.alive(seat, nowMs))
       .map(([name, held]) => ({ name, address: held.address, role: 'agent' as const, zone: held.zone }))
@@ -55,8 +65,11 @@
       system: copy.get('system') ?? '',
       peersSum,
       loads,
+      session,
+      term: this.leases.term,
+      grantedMs: nowMs,
     }
-    if (!granted) return { ...lease, forMs: 0, serial: 0, shares: [], again: [] }
+    if (outcome === 'behind') return { ...lease, forMs: 0, serial: 0, shares: [], again: [] }
     for (const { key, count } of renew.firsts) {
       const limits = this.#reader.terms.get(key)?.limits
       if (limits !== undefined) this.#retries.earn(key, count, limits.retryRatio, limits.retryAllowance, nowMs)
--- a/src/proxy/ProxyMachine.ts
+++ b/src/proxy/ProxyMachine.ts
@@ -133,7 +133,7 @@
   #message(message: Message, nowMs: number): void {
     switch (message.kind) {
       case 'permit':
-        this.#permit(message)
+        if (message.sentMs <= nowMs) this.#permit(message)
         break
       case 'outlook':
         for (const { model, adapter, readyInMs, neverBeforeMs } of message.models) {
--- a/src/simulator/slopes.ts
+++ b/src/simulator/slopes.ts
@@ -168,6 +168,11 @@
   return copy
 }
 
+function granted(lease: ReturnType<SeatDesk['renew']>): Extract<Message, { kind: 'lease' }> {
+  if (lease === undefined) throw new Error('a renewal got no lease')
+  return lease
+}
+
 function renewal(seat: string, peersSum: number): Extract<Message, { kind: 'renew' }> {
   const rest = { asks: [], echo: 0, again: [], firsts: [], peersSum }
   return { kind: 'renew', seat, role: 'agent', zone: 'z1', session: 's', sentMs: 1e6, adopted: 1e6, ...rest }
@@ -179,7 +184,7 @@
   const seats = new SeatDesk(timings)
   seats.begin(1, 0)
   const name = (at: number) => `n${String(at).padStart(4, '0')}`
-  const renew = (at: number, sum: number) => seats.renew(renewal(name(at), sum), `10.1.0.${String(at)}:7`, copy, 0, 1000)
+  const renew = (at: number, sum: number) => granted(seats.renew(renewal(name(at), sum), `10.1.0.${String(at)}:7`, copy, 0, 1000))
   for (let at = 0; at < size.nodes; at++) renew(at, 0)
   const lease = renew(0, 0)
   const whole = Frame.write('box-01', '10.0.0.1:7', lease).length
@@ -253,7 +258,7 @@
   const loads = dispatcher.loads(1000)
   const seats = new SeatDesk(timings)
   seats.begin(1, 0)
-  const lease = seats.renew(renewal('n0000', 0), '10.1.0.1:7', new ReplicaTable(), 0, 1000, loads)
+  const lease = granted(seats.renew(renewal('n0000', 0), '10.1.0.1:7', new ReplicaTable(), 0, 1000, loads))
   const frame = Frame.write('box-01', '10.0.0.1:7', lease)
   const machine = new GatewayMachine(plan, table({ ...base, servers: busyServers, routes: 1 }), new Random(1))
   machine.step({ kind: 'adopted' }, 1000)
@@ -337,7 +342,10 @@
   members: (count: number): Figures => ({
     'heap: bytes of the leader for its members': heldBytes(() => {
       const leases = new Leases(timings)
-      for (let at = 0; at < count; at++) leases.renew(`n${String(at)}`, `s${String(at)}`, `10.1.0.${String(at)}:7`, 'z1', 1, 1000)
+      for (let at = 0; at < count; at++) {
+        const [seat, session, address] = [`n${String(at)}`, `s${String(at)}`, `10.1.0.${String(at)}:7`]
+        leases.renew({ seat, session, address, zone: 'z1', adopted: 1, sentMs: 1000, echo: undefined }, 1000)
+      }
       return leases
     }),
   }),
--- a/src/transport/Message.ts
+++ b/src/transport/Message.ts
@@ -72,6 +72,9 @@
     again: z.array(Again),
     firsts: z.array(Count),
     peersSum: z.number(),
+    /** Term and time, by the leader's clock, of the newest lease that this session got a moment ago. */
+    leaseTerm: z.number().optional(),
+    leaseGrantedMs: z.number().optional(),
   }),
   kind('lease', {
     sentMs: z.number(),
@@ -86,6 +89,11 @@
     peersSum: z.number(),
     /** Requests that all gateways together have at each server. */
     loads: z.array(Count).optional(),
+    /** The session whose renewal this answers; another one takes nothing from it. */
+    session: z.string().optional(),
+    /** The leader's term, and its time when it granted this. */
+    term: z.number().optional(),
+    grantedMs: z.number().optional(),
   }),
   // Duties.
   kind('stand', { duty: z.string(), vacancy: z.number(), round: z.number() }),
