Simulator: cuts hold bytes up, one way too, with hanging connections and resets

A cut dropped what it met, so nothing of what a real one delivers at its heal was ever played. It now holds messages and lets them through in order; the model of the transport drops what a reset drops. Two new rules: overdue and formerLife; the variants without resets and with stale renewals accepted break them, and pass unbroken.

--- a/src/agent/AgentMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -112,6 +112,11 @@
     return this.#sure
   }
 
+  /** This life of the seat. */
+  get session(): string {
+    return this.#session
+  }
+
   /** The system that this machine follows; empty while it may follow any. */
   get system(): string {
     return this.#system
--- a/src/consensus/Leases.ts
+++ b/src/consensus/Leases.ts
@@ -81,6 +81,12 @@
     return [...this.#held]
   }
 
+  /** The session whose adoption is counted; empty while another one was heard that has not shown a lease. */
+  creditedSession(seat: string): string {
+    const held = this.#held.get(seat)
+    return held?.unproven === '' ? held.session : ''
+  }
+
   alive(seat: string, nowMs: number): boolean {
     const held = this.#held.get(seat)
     return held !== undefined && nowMs - held.heardMs <= margin * this.#timings.leaseMs
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -173,6 +173,11 @@
     return sinceMs !== undefined && this.#desk.leases.adopted(stamp, sinceMs, nowMs)
   }
 
+  /** The session of a seat whose adoption this leader counts; empty while none is proven. */
+  creditedSession(seat: string): string {
+    return this.#desk.leases.creditedSession(seat)
+  }
+
   get dispatcher(): Dispatcher | undefined {
     return this.#dispatcher
   }
--- a/src/simulator/Sighting.ts
+++ b/src/simulator/Sighting.ts
@@ -46,5 +46,9 @@
   | { kind: 'history'; atMs: number; entries: readonly { stamp: number; operation: string }[] }
   | { kind: 'coreDown'; atMs: number; fromMs: number }
   | { kind: 'serverUp'; atMs: number; server: string; zone: string }
+  /** The network handed a message over that was sent so long ago. */
+  | { kind: 'overdue'; atMs: number; message: string; ageMs: number }
+  /** The leader counted what a life of a seat works by that had ended before the present one got its lease. */
+  | { kind: 'formerLife'; atMs: number; seat: string }
   | { kind: 'faultBegan'; atMs: number; fault: string }
   | { kind: 'faultClosed'; atMs: number; fault: string }
--- a/src/simulator/Simulation.ts
+++ b/src/simulator/Simulation.ts
@@ -82,7 +82,11 @@
   constructor(options: SimOptions) {
     this.options = options
     this.random = new Random(options.seed)
-    this.network = new SimNetwork(this.clock, this.random.fork())
+    this.network = new SimNetwork(this.clock, this.random.fork(), this.timings.connectionDeadMs)
+    this.network.resets = options.broken !== 'resets' && options.broken !== 'staleRenewals'
+    this.network.overdue = (message, ageMs) => {
+      this.see({ kind: 'overdue', atMs: this.clock.nowMs, message: message.kind, ageMs })
+    }
     this.network.meter = options.meter
     this.callers = new SimCallers(this)
     this.operators = new SimOperators(this)
@@ -209,11 +213,25 @@
       box.process.nowMs,
     )
     this.network.open(box.address, box.process.host, (from, fromAddress, message) => {
-      box.process.deliver({ kind: 'message', from, fromAddress, message })
+      box.process.deliver({ kind: 'message', from, fromAddress, message: this.#forBox(message, machine, box.process.nowMs) })
+      if (message.kind === 'renew') this.#watchCredit(machine, message.seat, message.session)
     })
     box.process.start(machine, machine.begin())
   }
 
+  /** Where a run is to take stale renewals for fresh ones, each seems to echo a lease of this moment. */
+  #forBox(message: Message, machine: ControlMachine, nowMs: number): Message {
+    if (this.options.broken !== 'staleRenewals' || message.kind !== 'renew') return message
+    return { ...message, leaseTerm: machine.raft.term, leaseGrantedMs: nowMs }
+  }
+
+  /** Sees whether a renewal was counted that a former life sent, while the present one has had a lease. */
+  #watchCredit(machine: ControlMachine, seat: string, session: string): void {
+    const present = this.agents.get(seat)?.process.machine
+    if (present === undefined || present.session === session || present.heardCoreMs === -Infinity) return
+    if (machine.creditedSession(seat) === session) this.see({ kind: 'formerLife', atMs: this.clock.nowMs, seat })
+  }
+
   killBox(name: string, power: boolean): void {
     const box = this.boxes.get(name)
     if (box === undefined) return
--- a/src/simulator/judge.ts
+++ b/src/simulator/judge.ts
@@ -87,6 +87,8 @@
     flights: [],
     store: [],
     controllers: [],
+    overdue: [],
+    formerLife: [],
     recovery: [],
   }
   const tell = (rule: string, what: string) => {
@@ -228,6 +230,8 @@
       tell('controllers', `${order.server} took an order of epoch ${String(order.epoch)} after a newer one`)
     epochs.set(order.server, order.epoch)
   }
+  for (const one of of('overdue')) tell('overdue', `${one.message} came ${String(Math.round(one.ageMs))} ms after it was sent`)
+  for (const one of of('formerLife')) tell('formerLife', `a renewal of a former life of ${one.seat} was counted for the present one`)
   const closed = of('faultClosed')
   closed.forEach((fault, at) => {
     const fromMs = fault.atMs + bounds.recoverMs
--- a/src/simulator/keptSeeds.test.ts
+++ b/src/simulator/keptSeeds.test.ts
@@ -75,6 +75,15 @@
     together: false,
     was: 'seats that had forgotten an acknowledged charter vouched for an older one',
   },
+  ...[
+    'control-cut-both',
+    'control-cut-outward',
+    'control-cut-inward',
+    'control-cut-restarted',
+    'control-cut-outward-restarted',
+    'leader-cut-from-voters',
+    'post-cut-restarted',
+  ].flatMap((name) => [1, 2].map((seed) => ({ seed, faults: [`${name}@500+20000`], together: false, was: '' }))),
 ]
 
 for (const { seed, faults, together, was, unchecked, deployment: where } of keptSeeds) {
--- a/src/simulator/simFaults.ts
+++ b/src/simulator/simFaults.ts
@@ -4,6 +4,7 @@
  */
 import { callerFaults } from './callerFaults.js'
 import { charterFaults } from './charterFaults.js'
+import { cutFaults } from './cutFaults.js'
 import type { Fault } from './Fault.js'
 import { serverFaults } from './serverFaults.js'
 import type { Simulation } from './Simulation.js'
@@ -302,4 +303,10 @@
   },
 }
 
-export const simFaults: Readonly<Record<string, Fault>> = { ...systemFaults, ...serverFaults, ...callerFaults, ...charterFaults }
+export const simFaults: Readonly<Record<string, Fault>> = {
+  ...systemFaults,
+  ...cutFaults,
+  ...serverFaults,
+  ...callerFaults,
+  ...charterFaults,
+}
