--- a/src/common/Timings.ts
+++ b/src/common/Timings.ts
@@ -14,6 +14,8 @@
   diskStallMs: number
   leaseMs: number
   renewMs: number
+  /** A lease that came longer ago is not echoed any more. */
+  echoMs: number
   adoptMs: number
   probeMs: number
   operateMs: number
@@ -37,6 +39,10 @@
   deliverMs: number
   /** A core machine that has been silent for so long is given up. */
   memberGoneMs: number
+  /** A connection whose other end shows nothing of what it was sent for so long is made anew. */
+  connectionDeadMs: number
+  /** The shortest time between two attempts to connect to the same address. */
+  redialMs: number
   /** The longest that a control node which is stopped waits for others to take over from it. */
   leaveMs: number
 }
@@ -51,6 +57,7 @@
     diskStallMs: 0.09 * bounds.recoverMs,
     leaseMs,
     renewMs: leaseMs / 4,
+    echoMs: 0.5 * leaseMs,
     adoptMs: 0.25 * bounds.charterMs,
     probeMs: 0.02 * bounds.recoverMs,
     operateMs: 0.75 * bounds.recoverMs,
@@ -71,6 +78,8 @@
     frozenMs: 0.4 * leaseMs,
     deliverMs: 0.4 * bounds.charterMs,
     memberGoneMs: 0.67 * bounds.recoverMs,
+    connectionDeadMs: 0.08 * bounds.recoverMs,
+    redialMs: 0.01 * bounds.recoverMs,
     leaveMs: 0.1 * bounds.recoverMs,
   }
 }
--- a/src/consensus/Leases.adopted.test.ts
+++ b/src/consensus/Leases.adopted.test.ts
@@ -21,19 +21,22 @@
   for (let seed = 1; seed <= 30; seed++) {
     const random = new Random(seed)
     const leases = new Leases(timings)
-    leases.begin(0)
+    leases.begin(1, 0)
     let nowMs = leases.graceUntilMs + 1
     for (let turn = 1; turn <= 400; turn++) {
       nowMs += random.between(0, random.hit(0.02) ? 3 * timings.leaseMs : timings.renewMs / 8)
-      leases.renew(`n-${String(random.below(8))}`, 's', 'x', 'z', random.hit(0.03) ? 0 : turn, nowMs)
+      const seat = `n-${String(random.below(8))}`
+      const adopted = random.hit(0.03) ? 0 : turn
+      const echo = random.hit(0.05) ? undefined : { term: 1, grantedMs: nowMs }
+      leases.renew({ seat, session: 's', address: 'x', zone: 'z', adopted, sentMs: nowMs, echo }, nowMs)
       if (random.hit(0.05)) leases.forget(nowMs)
-      if (random.hit(0.005)) leases.begin(nowMs)
+      if (random.hit(0.005)) leases.begin(1, nowMs)
       for (let count = 0; count < 3; count++) {
         const stamp = Math.max(1, turn - random.below(40))
         const sinceMs = nowMs - random.between(0, 1.1 * timings.deliverMs)
-        const adopted = leases.adopted(stamp, sinceMs, nowMs)
-        strictEqual(adopted, scanned(leases, stamp, sinceMs, nowMs))
-        if (adopted) yes += 1
+        const verdict = leases.adopted(stamp, sinceMs, nowMs)
+        strictEqual(verdict, scanned(leases, stamp, sinceMs, nowMs))
+        if (verdict) yes += 1
         else no += 1
       }
     }
--- a/src/control/AliveNodes.test.ts
+++ b/src/control/AliveNodes.test.ts
@@ -31,12 +31,12 @@
       const address = `10.0.0.${String(random.hit(0.05) ? 2 : 1)}:7`
       const zone = random.hit(0.05) ? 'b' : 'a'
       if (random.hit(0.9)) {
-        leases.renew(name, 's', address, zone, 1, nowMs)
+        leases.renew({ seat: name, session: 's', address, zone, adopted: 1, sentMs: nowMs, echo: { term: 1, grantedMs: nowMs } }, nowMs)
         alive.heard(name, address, zone)
       }
       if (random.hit(0.05)) leases.forget(nowMs)
       if (random.hit(0.01)) {
-        leases.begin(nowMs)
+        leases.begin(1, nowMs)
         alive.clear()
       }
       const { nodes, sum } = alive.list(nowMs)
--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -186,6 +186,11 @@
     return sinceMs !== undefined && this.#desk.leases.adopted(stamp, sinceMs, nowMs)
   }
 
+  /** The session of a seat whose adoption this leader counts; empty while none is proven. */
+  creditedSession(seat: string): string {
+    return this.#desk.leases.creditedSession(seat)
+  }
+
   get dispatcher(): Dispatcher | undefined {
     return this.#dispatcher
   }
@@ -559,7 +564,10 @@
       return
     }
     const ageMs = Math.min(nowMs - this.#platformFreshMs, unreadMs)
-    this.#send(fromAddress, this.#desk.renew(renew, fromAddress, this.replicatedState.copy, ageMs, nowMs, this.#dispatcher?.loads(nowMs)))
+    const loads = this.#dispatcher?.loads(nowMs)
+    const lease = this.#desk.renew(renew, fromAddress, this.replicatedState.copy, ageMs, nowMs, loads)
+    if (lease === undefined) return
+    this.#send(fromAddress, lease)
     this.#requests.finish(nowMs)
   }
 
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -14,6 +14,7 @@
 import type { Startup } from '../common/Startup.js'
 import type { PlatformClient } from '../adapters/PlatformClient.js'
 import type { Transport } from '../transport/Transport.js'
+import { transportHelps } from '../transport/transportHelps.js'
 import type { WriteAheadLog } from '../storage/WriteAheadLog.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
 import type { ControlEffect } from './ControlEffect.js'
@@ -66,6 +67,7 @@
       },
       () => this.machine.figures(clockMs()),
     )
+    meters.gauges(transportHelps, () => transport.figures)
     this.machine = new ControlMachine(
       {
         name: startup.name,
@@ -96,6 +98,7 @@
 
   step(input: ControlInput): void {
     this.#carryOut(this.machine.step(input, clockMs()))
+    this.#transport.cluster = this.machine.raft.system
   }
 
   /** Hands over what this node does for the core, within a bounded time. */
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -9,6 +9,7 @@
 import { Meters } from '../common/Meters.js'
 import { startDaemon } from '../common/startDaemon.js'
 import { Startup } from '../common/Startup.js'
+import { Timings } from '../common/Timings.js'
 import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { exitOnStorageError } from '../storage/exitOnStorageError.js'
@@ -42,7 +43,7 @@
     container.registerInstance(Meters, new Meters('control', startup.name))
     container.registerInstance('writeAheadLog', writeAheadLog)
     container.registerInstance('outside', new HttpPlatformClient(startup.platform))
-    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, logger))
+    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
     const task = container.resolve(ControlTask)
     const desk = container.resolve(OperatorsDesk)
     logger.say('control', `Listens for operators on ${await desk.open()}.`)
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -4,6 +4,7 @@
  */
 import '../common/checkNode.js'
 import { startDaemon } from '../common/startDaemon.js'
+import { Timings } from '../common/Timings.js'
 import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { RouteFormat } from '../adapters/RouteFormat.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
@@ -24,7 +25,7 @@
 }
 
 await startDaemon('gateway', 'The proxy of a network.', GatewayStartup, fields, async (startup, logger) => {
-  const transport = await TcpTransport.open(startup.name, startup.transport, logger)
+  const transport = await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger)
   const task = new GatewayTask(startup, logger, transport, RouteFormat, new HttpPlatformClient(startup.platform))
   const desk = new CallersDesk(startup, task, '/ready')
   logger.say('gateway', `Listens for callers on ${await desk.open()}.`)
--- a/src/gateway/testing/TestGateway.ts
+++ b/src/gateway/testing/TestGateway.ts
@@ -48,6 +48,8 @@
     let hear: Listener = () => undefined
     const transport = {
       address: '127.0.0.1:2',
+      cluster: '',
+      figures: {},
       send: () => undefined,
       hear: (listener: Listener) => {
         hear = listener
