--- a/src/adapters/postAlone.ts
+++ b/src/adapters/postAlone.ts
@@ -3,7 +3,7 @@
  * late or surplus answer to an earlier call could be taken for an order's own. Nothing is sent twice; without
  * a whole answer in time the outcome is unknown.
  */
-import { Client } from 'undici'
+import { Client, request } from 'undici'
 
 export async function postAlone(
   address: string,
@@ -14,9 +14,9 @@
 ): Promise<number | undefined> {
   const client = new Client(`http://${address}`, { pipelining: 1, connect: { timeout: waitMs } })
   try {
-    const reply = await client.request({
+    const reply = await request(`http://${address}${path}`, {
+      dispatcher: client,
       method: 'POST',
-      path,
       body,
       headers: { 'content-type': 'application/json', ...headers },
       reset: true,
