--- a/tools/undici.mjs
+++ b/tools/undici.mjs
@@ -6,7 +6,7 @@
 import util from '../node_modules/undici/lib/core/util.js'
 
 /** The library's own `request`, for an agent that is always given. */
-export function request(url, { dispatcher, ...options }) {
+export function request(url, { dispatcher, method = 'GET', ...options }) {
   const { origin, pathname, search } = util.parseURL(url)
-  return api.call(dispatcher, { ...options, origin, path: search ? `${pathname}${search}` : pathname })
+  return api.call(dispatcher, { ...options, method, origin, path: search ? `${pathname}${search}` : pathname })
 }
