Gateway: a refusal before the last send does not let a stream that ran go back

Cause: 'refused' stayed set while a later server ran the stream; when that fell silent it went back for a third run. The new test fails without the mend.

--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -335,3 +335,17 @@
     ok(next !== undefined && tried.has(next.server) && next.resumeAfter === '4')
   }
 })
+
+test('a stream that ran where it may last be sent is not sent again for an earlier refusal', () => {
+  const { arrive, step, pass, set, drop } = given()
+  drop('binding/llm-1')
+  strictEqual(only(arrive('1', '/stream/x', { model: 'm' }), 'attempt')[0]?.server, 'llm-0')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 503, notRun: true })
+  // It goes to the new holder as soon as that is adopted.
+  set('binding/llm-1', { incarnation: 'llm-1', models: ['llm:m'], adapters: ['llm:m/a1'] })
+  step({ kind: 'sent', id: '1', attempt: 2 })
+  step({ kind: 'head', id: '1', attempt: 2, status: 200, notRun: false })
+  step({ kind: 'event', id: '1', attempt: 2, event: '1', data: true })
+  strictEqual(only(pass(3000), 'attempt').length, 0)
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -386,6 +386,7 @@
         this.#to(passage, 'sent')
         passage.sends += 1
         passage.tried.add(passage.server)
+        passage.refused = false
         passage.sentMs = nowMs
         passage.movedMs = nowMs
         if (server === undefined) break
