--- a/src/agent/AgentMachine.network.test.ts
+++ b/src/agent/AgentMachine.network.test.ts
@@ -178,3 +178,21 @@
   core.tell('b', { kind: 'peerTell', sentMs: 1e7, stamp: 3 })
   strictEqual(core.machine.current(core.nowMs), false)
 })
+
+void test('it is up to date while its lease runs and it has what the core told of, and not when either fails', () => {
+  const core = new Core()
+  strictEqual(core.machine.upToDate(core.nowMs), false)
+  ok(core.run(2000, () => core.machine.upToDate(core.nowMs)))
+  core.stamp = 9
+  core.tell('b', {
+    kind: 'news',
+    stamp: 9,
+    since: 8,
+    rows: [],
+  })
+  strictEqual(core.machine.upToDate(core.nowMs), false)
+  ok(core.run(2000, () => core.machine.upToDate(core.nowMs)))
+  core.silent.add('a').add('b')
+  core.run(1.1 * timings.leaseMs)
+  strictEqual(core.machine.upToDate(core.nowMs), false)
+})
--- a/src/agent/AgentMachine.ts
+++ b/src/agent/AgentMachine.ts
@@ -93,6 +93,11 @@
     return nowMs < this.#leaseUntilMs || nowMs < this.#peerUntilMs
   }
 
+  /** True while the lease runs and all that the core told of is here. */
+  upToDate(nowMs: number): boolean {
+    return this.current(nowMs) && this.copy.stamp >= this.#coreStamp
+  }
+
   /** Servers that the platform's list takes away while the core is silent about them. */
   barred(nowMs: number): string[] {
     return this.#barrier.barred(this.copy, nowMs)
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -349,3 +349,13 @@
   step({ kind: 'event', id: '1', attempt: 2, event: '1', data: true })
   strictEqual(only(pass(3000), 'attempt').length, 0)
 })
+
+test('out of touch with the core, a request that no known route takes is told to come back; in touch it gets its 404', () => {
+  const { machine, arrive } = given()
+  strictEqual(only(arrive('1', '/nowhere/x'), 'turnAway')[0]?.status, 404)
+  machine.inTouch = false
+  const [told] = only(arrive('2', '/nowhere/x'), 'turnAway')
+  strictEqual(told?.status, 503)
+  ok((told.comeBackMs ?? 0) > 0)
+  strictEqual(only(arrive('3', '/once/x'), 'attempt').length, 1)
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -57,6 +57,9 @@
   #urgent = false
   #toldEmpty = false
 
+  /** False while this node's lease has run out, so that a newer network may be in force than the one it holds. */
+  inTouch = true
+
   constructor(plan: Plan, copy: ReplicaTable, random: Random) {
     this.#plan = plan
     this.copy = copy
@@ -164,11 +167,15 @@
     this.#bind(passage, nowMs)
   }
 
-  /** Finds the route and the service by the network in force now; a request without one gets its 404. */
+  /**
+   * Finds the route and the service by the network in force now. A request without a route gets its 404, unless this node
+   * is out of touch with the core: then a newer network may have one, and the caller is to come back.
+   */
   #find(passage: Passage): boolean {
     const route = this.routes.find(passage.host, passage.path)
     if (route === undefined) {
-      this.#turnAway(passage, 404, undefined, 'no route leads there')
+      if (this.inTouch || passage.mayHaveRun) this.#turnAway(passage, 404, undefined, 'no route leads there')
+      else this.#turnAway(passage, 503, this.#plan.suspectMs / 4, 'no route leads there, as far as is known out of touch with the core')
       return false
     }
     passage.route = route
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -102,6 +102,7 @@
       return () => undefined
     }
     if (arrival.dueInMs !== undefined) arrival.dueInMs -= waitedMs
+    this.machine.inTouch = this.agent.upToDate(clockMs())
     this.#count += 1
     const id = String(this.#count)
     this.#tickets.set(id, {
@@ -163,6 +164,7 @@
   #tick(): void {
     this.#agent({ kind: 'tick' })
     this.machine.servers.members = this.agent.memberNames
+    this.machine.inTouch = this.agent.upToDate(clockMs())
     if (this.#loads !== this.agent.loads) {
       this.#loads = this.agent.loads
       this.machine.servers.told(this.#loads)
