Placement says what was asked for and is held nowhere, and why

Change, no logic: unmet demand is kept per model and adapter with its age and the reason why it is not being loaded; figures of the placement; one line a second at info while something is held nowhere.

--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -660,6 +660,7 @@
     if (out.rows.length > 0) this.#propose({ kind: 'dispatch', epoch: dispatcher.epoch, rows: out.rows }, nowMs)
     for (const ask of out.asks) this.#effects.push({ kind: 'ask', ...ask, epoch: dispatcher.epoch, askedMs: nowMs })
     for (const order of out.orders) this.#effects.push({ kind: 'order', ...order })
+    for (const sentence of out.says) this.#say('placement', sentence)
   }
 
   /** A dispatcher that hears no servers leaves the duty to another core machine, and does not stand for a while. */
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -16,6 +16,7 @@
 import type { Want } from './Want.js'
 import { ModelServer } from './ModelServer.js'
 import type { ServerInventory } from './ServerInventory.js'
+import { UnmetDemand } from './UnmetDemand.js'
 
 type Relaxed = NonNullable<ModelServer['plan']>['relaxed']
 
@@ -64,6 +65,7 @@
   #onDisk = new Map<string, Set<string>>()
   #places = 1
   #wants: readonly Want[] = []
+  readonly #unmet = new UnmetDemand()
   #countedMs = -Infinity
   #countedTurn = -1
   #urged = false
@@ -80,6 +82,23 @@
     return this.#wants
   }
 
+  /** What was asked for while no server held it. */
+  get unmet(): UnmetDemand {
+    return this.#unmet
+  }
+
+  /** Models that some server holds, and the copies of them beyond each one's first. */
+  get copies(): { first: number; further: number } {
+    let first = 0
+    let further = 0
+    for (const [key, modelServers] of this.#holders) {
+      if (key.includes('/')) continue
+      first += 1
+      further += modelServers.length - 1
+    }
+    return { first, further }
+  }
+
   /** Counts at the next tick, as some request waits. */
   urge(): void {
     this.#urged = true
@@ -90,6 +109,8 @@
       this.#predictor.arrived(key, count, atMs)
       this.#load(key, atMs).arrived(count, atMs)
     }
+    const asked = keyOf(model, adapter)
+    if (this.#surveyed && !this.#holders.has(asked)) this.#unmet.asked(asked, count, atMs)
     if (adapter !== '') this.#adapterSet(model).add(adapter)
   }
 
@@ -203,6 +224,7 @@
       for (const one of modelServer.report?.models ?? []) known.add(one.model)
     }
     this.#surveyed = true
+    this.#unmet.settle((key) => this.#holders.has(key), nowMs)
     this.#busy = new Map()
     this.#flights = new Map()
     const atOnce = new Map<string, number>()
@@ -366,6 +388,7 @@
       const first = !this.#holders.has(want.model)
       const key = first ? want.model : keyOf(want.model, want.adapter)
       if ((coming.get(key) ?? 0) > 0) {
+        this.#unmet.blocked(keyOf(want.model, want.adapter), 'coming')
         if (!first) comes(key, -1)
         continue
       }
@@ -394,6 +417,7 @@
           : modelServer.roomMb >= plan.sizeMb && !modelServer.report.models.some((one) => one.model === want.model)),
     )
     const size = attach ? 1 : plan.sizeMb
+    this.#unmet.blocked(keyOf(want.model, want.adapter), fitting.length === 0 ? 'noIdleServer' : 'noVictim')
     if (!attach && this.#roomSoon(plan))
       return this.#choose(
         step,
@@ -449,6 +473,7 @@
           ? `${want.why}; a spare makes way`
           : `${want.why}; last resort, lets go of ${relaxed}`
     best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    this.#unmet.blocked(keyOf(want.model, want.adapter), 'coming')
     return true
   }
 
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -16,10 +16,13 @@
 import type { DispatcherOut } from './DispatcherOut.js'
 import { keyOf } from './keyOf.js'
 import { OrderReasons } from './OrderReasons.js'
+import type { PlacementFigures } from './PlacementFigures.js'
 import type { Placer } from './Placer.js'
 import { Planner } from './Planner.js'
 import type { Policy } from './Policy.js'
+import { summaryOf } from './summaryOf.js'
 import type { Tally } from './Tally.js'
+import type { Want } from './Want.js'
 import { ModelServer } from './ModelServer.js'
 import { ServerInventory } from './ServerInventory.js'
 
@@ -34,6 +37,8 @@
 const refusedMs = 100
 const againMs = 60
 const followsMs = 3000
+/** How often the placement says in the log what it cannot place. */
+const summaryMs = 1000
 
 export class Dispatcher {
   readonly #timings: Timings
@@ -48,6 +53,10 @@
   #deafSinceMs: number | undefined
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
+  #summarizedMs = -Infinity
+  #loadsStarted = 0
+  #loadsDone = 0
+  #unloadsStarted = 0
 
   constructor(timings: Timings, epoch: number, first: boolean, policy: Policy, nowMs: number) {
     this.#timings = timings
@@ -83,6 +92,46 @@
       .map(({ model, adapter, why }) => ({ model, adapter, why }))
   }
 
+  /** Figures of a placement on servers that count their orders; the product's own planner keeps none. */
+  figures(nowMs: number): PlacementFigures | undefined {
+    if (!this.#counts) return undefined
+    const { wants, unmet, copies } = this.#demand
+    const wanted = (...kinds: Want['kind'][]) => wants.filter((want) => kinds.includes(want.kind)).length
+    const doing = (...kinds: Order['kind'][]) =>
+      this.#inventory.all.filter(({ task }) => task !== undefined && kinds.includes(task.order.kind)).length
+    return {
+      wantsHeld: wanted('held'),
+      wantsBusy: wanted('busy'),
+      wantsForecast: wanted('forecast', 'hours'),
+      wantsSpare: wanted('spare'),
+      modelsHeldNowhere: unmet.size,
+      oldestUnmetWantMs: unmet.oldestMs(nowMs),
+      unmetComing: unmet.count('coming'),
+      unmetNoIdleServer: unmet.count('noIdleServer'),
+      unmetNoVictim: unmet.count('noVictim'),
+      unmetStorePace: unmet.count('storePace'),
+      unmetStoreConcurrency: unmet.count('storeConcurrency'),
+      firstCopies: copies.first,
+      furtherCopies: copies.further,
+      serversIdle: this.#inventory.all.filter(({ task, open }) => open && task === undefined).length,
+      serversUnloading: doing('unload', 'detach'),
+      serversLoading: doing('load'),
+      serversAttaching: doing('attach'),
+      loadsStarted: this.#loadsStarted,
+      loadsDone: this.#loadsDone,
+      unloadsStarted: this.#unloadsStarted,
+      invariantViolations: 0,
+    }
+  }
+
+  /** Once a second, while something that was asked for is held nowhere, one line for the log that tells why. */
+  #summarize(out: DispatcherOut, nowMs: number): void {
+    if (!this.#counts || this.#demand.unmet.size === 0 || nowMs - this.#summarizedMs < summaryMs) return
+    this.#summarizedMs = nowMs
+    const figures = this.figures(nowMs)
+    if (figures !== undefined) out.says.push(summaryOf(figures))
+  }
+
   /** True once most servers have been silent for long: another core machine may hear them. */
   deaf(nowMs: number): boolean {
     if (!this.#inventory.deaf(nowMs)) this.#deafSinceMs = undefined
@@ -198,6 +247,7 @@
     if (sure) {
       this.#placer.tick(hour, nowMs)
       this.#order(copy, out, nowMs)
+      this.#summarize(out, nowMs)
     }
     return out
   }
@@ -290,6 +340,7 @@
           : report.adapters.some((one) => one.model === order.model && one.adapter === order.adapter)
       const done = there === (order.kind === 'load' || order.kind === 'attach')
       if (report.sequence > expected) {
+        if (done && order.kind === 'load') this.#loadsDone += 1
         if (done && order.kind === 'load' && order.epoch === this.#epoch) this.#demand.learn(order.model, report.heardMs - task.sentMs)
         this.#reasons.add(modelServer.name, order, done ? 'done' : 'the server could not', nowMs)
         this.#drop(modelServer, nowMs, done)
@@ -393,9 +444,16 @@
     const { store } = fleet
     const kind = attach ? 'attach' : 'load'
     const sizeMb = attach ? model.adapterMb : model.sizeMb
-    if (kind === 'load' && this.#loading(nowMs) >= store.atOnce) return
+    const wanted = keyOf(plan.model, plan.adapter)
+    if (kind === 'load' && this.#loading(nowMs) >= store.atOnce) {
+      this.#demand.unmet.blocked(wanted, 'storeConcurrency')
+      return
+    }
     const drawn = store.draw({ kind, sizeMb })
-    if ((drawn > 0 || !this.#counts) && !this.#bucket.reserve(drawn, store.perS, store.burst, nowMs)) return
+    if ((drawn > 0 || !this.#counts) && !this.#bucket.reserve(drawn, store.perS, store.burst, nowMs)) {
+      this.#demand.unmet.blocked(wanted, 'storePace')
+      return
+    }
     this.#begin(modelServer, kind, plan.model, plan.adapter, sizeMb, plan.why, nowMs)
     modelServer.plan = undefined
   }
@@ -421,6 +479,8 @@
       ...(modelServer.sequence === undefined ? {} : { expected: modelServer.sequence }),
     }
     const takesAway = kind === 'unload' || kind === 'detach'
+    if (kind === 'load') this.#loadsStarted += 1
+    if (kind === 'unload') this.#unloadsStarted += 1
     modelServer.task = {
       order,
       phase: takesAway ? 'withdrawing' : 'proposed',
