--- a/src/simulator/placementWorld/DemandPattern.ts
+++ b/src/simulator/placementWorld/DemandPattern.ts
@@ -3,24 +3,9 @@
  * A kind with `activeAtOnce` draws from that many of its models at a time, and a shift replaces some of them.
  */
 import type { Random } from '../../common/Random.js'
+import type { RequestKind } from './RequestKind.js'
 
-export interface RequestKind {
-  name: string
-  perS: number
-  models: readonly string[]
-  activeAtOnce: number
-  /** Weight of the model at place n among the active ones is 1 / (n + 1) ** skew. */
-  skew: number
-  adapterShare: number
-  adapters: readonly string[]
-  aimMs: number
-  dueMs: number
-  attempts: number
-  resumable: boolean
-  runMs: number
-}
-
-export interface Shift {
+interface Shift {
   atMs: number
   count: number
 }
--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -14,7 +14,8 @@
 import { edgeMulti } from '../../placement/edgeMulti.js'
 import { SimClock } from '../SimClock.js'
 import { CountingServer } from './CountingServer.js'
-import type { DemandPattern, RequestKind } from './DemandPattern.js'
+import type { DemandPattern } from './DemandPattern.js'
+import type { RequestKind } from './RequestKind.js'
 import { ServiceRecord } from './ServiceRecord.js'
 
 interface Plan {
--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -5,8 +5,9 @@
 import { ok } from 'node:assert'
 import { test } from 'node:test'
 import { Random } from '../../common/Random.js'
-import { DemandPattern, type RequestKind } from './DemandPattern.js'
+import { DemandPattern } from './DemandPattern.js'
 import { PlacementWorld } from './PlacementWorld.js'
+import type { RequestKind } from './RequestKind.js'
 
 const popular = Array.from({ length: 50 }, (_, at) => `popular-${String(at)}`)
 const rare = Array.from({ length: 150 }, (_, at) => `rare-${String(at)}`)
