Loads at once follow from the store's pace and the time that a load takes

Cause: the bound of loads at once was 0.6 times the store's pace a second, which is the pace times a load's time where a load takes 0.6 s. Where it takes 2.7 s the bound let through less than a quarter of the pace: 8 loads at once, 3 a second of 14, with 31 of 42 servers idle. Excluded: the pace itself (no model waited for it), servers' orders (idle). Change: Little's law, the pace times the mean planned time of a load. Conclusion: the first cause; a share of noVictim remains.

--- a/src/placement/FleetPlan.ts
+++ b/src/placement/FleetPlan.ts
@@ -30,6 +30,13 @@
   return (key) => byKey.get(key)
 }
 
+/** By Little's law: loads that begin at the store's pace and take as long as planned are so many at once. */
+function loadsAtOnce(perS: number, models: readonly { loadMs: number }[]): number {
+  if (models.length === 0) return 1
+  const meanMs = models.reduce((sum, one) => sum + one.loadMs, 0) / models.length
+  return Math.max(1, Math.round((perS * meanMs) / 1000))
+}
+
 export const FleetPlan = {
   ofCharter(charter: Charter): FleetPlan {
     const models = Object.entries(charter.partners).flatMap(([owner, branch]) =>
@@ -96,7 +103,7 @@
       store: {
         perS,
         burst: Math.max(2, Math.floor(perS * loadsWindowS * loadsOverage + loadsBeyond - 0.5)),
-        atOnce: Math.max(1, Math.floor(0.6 * perS)),
+        atOnce: loadsAtOnce(perS, models),
         draw: (order) => (order.kind === 'load' ? 1 : 0),
       },
     }
