--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -258,7 +258,7 @@
         })
         break
       case 'turnAway':
-        this.#refused(effect.id, effect.comeBackMs ?? 0)
+        this.#refused(effect.id, effect.comeBackMs ?? 0, effect.why)
         break
       case 'breakOff':
         this.#left(effect.id)
@@ -326,8 +326,9 @@
   }
 
   /** A client that is refused comes back once, when it was told to but within a third of the time that it has left. */
-  #refused(id: string, comeBackMs: number): void {
+  #refused(id: string, comeBackMs: number, why: string): void {
     const one = this.#tries.get(id)
+    if (one !== undefined) this.record.refused(`${one.kind.name} try ${String(one.number)}`, why, this.nowMs - one.firstMs)
     this.#left(id)
     const leftMs = (one?.dueMs ?? 0) - this.nowMs
     if (one === undefined || one.number > 1 || leftMs <= 0) return
--- a/src/simulator/placementWorld/ServiceRecord.ts
+++ b/src/simulator/placementWorld/ServiceRecord.ts
@@ -15,6 +15,8 @@
 
 export class ServiceRecord {
   readonly #keys = new Map<string, Asked>()
+  /** Final refusals by kind and reason. */
+  readonly refusals = new Map<string, number>()
   readonly #kinds = new Map<string, { asked: number; served: number; inTime: number }>()
 
   asked(kind: string, model: string, adapter: string, nowMs: number): void {
@@ -39,6 +41,11 @@
     }
   }
 
+  refused(kind: string, why: string, afterMs: number): void {
+    const key = `${kind}: ${why}, ${afterMs < 3000 ? 'early' : 'late'}`
+    this.refusals.set(key, (this.refusals.get(key) ?? 0) + 1)
+  }
+
   get steadilyAsked(): string[] {
     return [...this.#keys].flatMap(([key, one]) => (one.asked >= leastAsked && one.lastMs - one.firstMs >= leastSpanMs ? [key] : []))
   }
