--- a/src/control/CoreAccount.ts
+++ b/src/control/CoreAccount.ts
@@ -1,33 +1,25 @@
 /**
- * What a core machine tells operators of nodes, servers, the charter's leaves and the placement.
+ * What a control node tells operators of nodes, servers, the charter's leaves and the placement.
  */
 import { Charter } from '../common/Charter.js'
-import type { Timings } from '../common/Timings.js'
 import { PlatformServer } from '../common/PlatformServer.js'
 import { Tree } from '../common/Tree.js'
-import type { Raft } from '../consensus/Raft.js'
-import type { ReplicatedState } from '../consensus/ReplicatedState.js'
 import type { Dispatcher } from '../placement/Dispatcher.js'
+import type { ControlContext } from './ControlContext.js'
 import type { SeatDesk } from './SeatDesk.js'
 
 export class CoreAccount {
-  readonly #timings: Timings
-  readonly #raft: Raft
+  readonly #context: ControlContext
   readonly #desk: SeatDesk
-  readonly #addressOf: (identity: string) => string
-  readonly #lifeOf: (seat: string) => number
   jumped: { atMs: number; byMs: number } | undefined
 
-  constructor(timings: Timings, raft: Raft, desk: SeatDesk, addressOf: (identity: string) => string, lifeOf: (seat: string) => number) {
-    this.#timings = timings
-    this.#raft = raft
+  constructor(context: ControlContext, desk: SeatDesk) {
+    this.#context = context
     this.#desk = desk
-    this.#addressOf = addressOf
-    this.#lifeOf = lifeOf
   }
 
-  placement(replicatedState: ReplicatedState, dispatcher: Dispatcher | undefined, nowMs: number): unknown {
-    const duty = replicatedState.duty('dispatcher')
+  placement(dispatcher: Dispatcher | undefined, nowMs: number): unknown {
+    const duty = this.#context.replicatedState.duty('dispatcher')
     return {
       epoch: duty?.epoch ?? 0,
       holder: duty?.holder ?? '',
@@ -36,8 +28,8 @@
     }
   }
 
-  leaves(replicatedState: ReplicatedState): { path: string; value: Tree; from: string }[] {
-    const tree = Tree.read(replicatedState.copy.get('charter') ?? 'null') ?? null
+  leaves(): { path: string; value: Tree; from: string }[] {
+    const tree = Tree.read(this.#context.replicatedState.copy.get('charter') ?? 'null') ?? null
     const charter = Charter.check(tree).toMaybe().extractNullable()
     const leaves = Tree.leaves(tree).map(([path, value]) => ({ path, value, from: path }))
     for (const partner of Object.keys(charter?.partners ?? {})) {
@@ -49,17 +41,18 @@
     return leaves
   }
 
-  nodes(replicatedState: ReplicatedState, names: readonly string[], nowMs: number): unknown {
+  nodes(names: readonly string[], nowMs: number): unknown {
+    const { raft, replicatedState, timings } = this.#context
     const seats = new Map(this.#desk.leases.seats)
     return {
-      leader: this.#raft.leader,
-      term: this.#raft.term,
-      commit: this.#raft.commit,
-      core: this.#raft.members.map((one) => ({
+      leader: raft.leader,
+      term: raft.term,
+      commit: raft.commit,
+      core: raft.members.map((one) => ({
         ...one,
-        address: this.#addressOf(one.identity),
+        address: this.#context.addressOf(one.identity),
         session: String(this.#lifeOf(one.seat)),
-        alive: one.identity === this.#raft.identity || nowMs - this.#raft.heardMs(one.identity) < this.#timings.electionMs,
+        alive: one.identity === raft.identity || nowMs - raft.heardMs(one.identity) < timings.electionMs,
       })),
       dispatcher: replicatedState.duty('dispatcher') ?? null,
       seats: names.map((seat) => ({
@@ -71,15 +64,15 @@
         alive: this.#desk.leases.alive(seat, nowMs),
       })),
       stamp: replicatedState.copy.stamp,
-      system: this.#raft.system,
+      system: raft.system,
       exhausted: this.#desk.exhausted,
-      syncMs: this.#raft.syncMs,
+      syncMs: raft.syncMs,
       jumped: this.jumped === undefined ? null : { byMs: this.jumped.byMs, agoMs: Math.round(nowMs - this.jumped.atMs) },
     }
   }
 
-  servers(replicatedState: ReplicatedState): unknown {
-    const { copy } = replicatedState
+  servers(): unknown {
+    const { copy } = this.#context.replicatedState
     return copy.under('server/').map(([name, value]) => {
       const binding = copy.get(`binding/${name}`)
       const order = copy.get(`order/${name}`)
@@ -88,4 +81,10 @@
       return { ...PlatformServer.parse(JSON.parse(value)), binding: binds, order: under }
     })
   }
+
+  /** The nonce of a control node's life; 0 while it was not heard. */
+  #lifeOf(seat: string): number {
+    const { plan, nonce, directory } = this.#context
+    return seat === plan.name ? nonce : (directory.lives.get(seat) ?? 0)
+  }
 }
--- a/src/control/OperatorRequests.ts
+++ b/src/control/OperatorRequests.ts
@@ -9,13 +9,11 @@
  */
 import type { Timings } from '../common/Timings.js'
 import { Tree } from '../common/Tree.js'
-import type { Raft } from '../consensus/Raft.js'
 import type { Command } from '../consensus/Command.js'
 import type { Outcome } from '../consensus/Outcome.js'
-import type { ReplicatedState } from '../consensus/ReplicatedState.js'
-import type { PeerDirectory } from '../consensus/PeerDirectory.js'
 import type { Settlement } from '../consensus/Settlement.js'
 import type { Message } from '../transport/Message.js'
+import type { ControlContext } from './ControlContext.js'
 import type { Operation } from './Operation.js'
 
 interface Pending {
@@ -37,19 +35,11 @@
   leaderlessMs: number | undefined
 }
 type Operate = Extract<Message, { kind: 'operate' }>
-/** What the requests need of the machine that they come to. */
-interface Host {
-  readonly raft: Raft
-  readonly replicatedState: ReplicatedState
-  readonly directory: PeerDirectory
-  /** The last log index that is applied here. */
-  readonly applied: number
-  readonly leading: boolean
-  readonly leaderAddress: string
+/** What a node knows that answers depend on. */
+interface Reports {
+  /** True while this node runs the placement scheduler. */
   readonly dispatches: boolean
-  propose: (command: Command, nowMs: number) => void
-  send: (toAddress: string, message: Message) => void
-  respond: (id: string, status: number, stamp: number, text: string) => void
+  /** True once all who must adopt a change have adopted it, or surely stopped. */
   delivered: (outcome: Outcome, nowMs: number) => boolean
   nodes: (nowMs: number) => unknown
   servers: () => unknown
@@ -61,12 +51,14 @@
 
 export class OperatorRequests {
   readonly #timings: Timings
-  readonly #host: Host
+  readonly #context: ControlContext
+  readonly #reports: Reports
   readonly #pending = new Map<string, Pending>()
 
-  constructor(timings: Timings, host: Host) {
-    this.#timings = timings
-    this.#host = host
+  constructor(context: ControlContext, reports: Reports) {
+    this.#context = context
+    this.#reports = reports
+    this.#timings = context.timings
   }
 
   get open(): number {
@@ -81,7 +73,7 @@
   }
 
   get #leaderless(): boolean {
-    return !this.#host.leading && this.#host.leaderAddress === ''
+    return !this.#context.leading && this.#context.leaderAddress === ''
   }
 
   #ends(pending: Pending, nowMs: number): boolean {
@@ -101,8 +93,17 @@
   }
 
   /** The caller is gone: what was not yet put to the log never will be by this node. */
-  cancel(id: string): void {
-    this.#pending.delete(id)
+  cancel(callerId: string): void {
+    this.#pending.delete(this.#requestIdOf(callerId))
+  }
+
+  /** The name of a caller's request among all nodes and their lives. */
+  #requestIdOf(callerId: string): string {
+    return `${this.#context.life}/${callerId}`
+  }
+
+  #callerIdOf(requestId: string): string {
+    return requestId.slice(this.#context.life.length + 1)
   }
 
   /** Another core machine answered what was passed on to it. */
@@ -114,8 +115,8 @@
   }
 
   /** A caller's request came in at this node. */
-  operate(id: string, operation: Operation, nowMs: number): void {
-    this.#begin(id, operation, this.#host.applied, undefined, nowMs)
+  operate(callerId: string, operation: Operation, nowMs: number): void {
+    this.#begin(this.#requestIdOf(callerId), operation, this.#context.applied, undefined, nowMs)
   }
 
   /** Another node passed a request on. */
@@ -123,12 +124,12 @@
     const { id, basis } = message
     if (this.#pending.has(id)) return
     if (operation.branch === 'passed on') {
-      this.#host.send(fromAddress, {
+      this.#context.send(fromAddress, {
         kind: 'operated',
         id,
         status: 200,
-        stamp: this.#host.replicatedState.charterStamp,
-        text: JSON.stringify(this.#host.placement(nowMs)),
+        stamp: this.#context.replicatedState.charterStamp,
+        text: JSON.stringify(this.#reports.placement(nowMs)),
       })
       return
     }
@@ -155,7 +156,7 @@
 
   /** Takes a pending request one step on: to the log or a read here, or to the leader. */
   #push(id: string, pending: Pending, nowMs: number): void {
-    if (!this.#host.leading) {
+    if (!this.#context.leading) {
       this.#passOn(id, pending, nowMs)
       return
     }
@@ -176,7 +177,7 @@
       default:
         if (pending.proposed) break
         pending.proposed = true
-        this.#host.raft.read(id, nowMs)
+        this.#context.raft.read(id, nowMs)
     }
   }
 
@@ -186,35 +187,35 @@
       this.#pending.delete(id)
       return
     }
-    const { leaderAddress } = this.#host
+    const { leaderAddress } = this.#context
     if (leaderAddress === '') return
     const silenceMs = pending.operation.text.length > largeBytes ? this.#timings.electionMs : this.#timings.heartbeatMs
     if (leaderAddress === pending.askedAddress && nowMs - pending.askedMs < silenceMs) return
     pending.askedMs = nowMs
     pending.askedAddress = leaderAddress
     const { operation, basis, dueMs } = pending
-    this.#host.send(leaderAddress, { kind: 'operate', id, basis, ...operation, waitMs: dueMs - nowMs })
+    this.#context.send(leaderAddress, { kind: 'operate', id, basis, ...operation, waitMs: dueMs - nowMs })
   }
 
   /** An operation that its caller named is put to the log unless its outcome is known. */
   #proposeNamed(pending: Pending, nowMs: number): void {
     const { action, operation, branch, text, ifMatch } = pending.operation
-    if (pending.proposed || this.#host.replicatedState.outcome(operation) !== undefined) return
+    if (pending.proposed || this.#context.replicatedState.outcome(operation) !== undefined) return
     pending.proposed = true
     if (action === 'seat.retire') {
-      this.#host.propose({ kind: 'seat', name: text, role: '', zone: '', retired: true, operation }, nowMs)
+      this.#context.propose({ kind: 'seat', name: text, role: '', zone: '', retired: true, operation }, nowMs)
       return
     }
     const charterAction = action === 'charter.put' ? 'put' : action === 'charter.patch' ? 'patch' : 'rollback'
-    this.#host.propose({ kind: 'charter', operation, action: charterAction, branch, text, ifMatch }, nowMs)
+    this.#context.propose({ kind: 'charter', operation, action: charterAction, branch, text, ifMatch }, nowMs)
   }
 
   /** A write to the network or a zone is put to the log once a term, until its outcome is known. */
   #proposeOnce(id: string, pending: Pending, nowMs: number): void {
-    if (pending.proposedTerm === this.#host.raft.term || this.#outcome(pending) !== undefined) return
+    if (pending.proposedTerm === this.#context.raft.term || this.#outcome(pending) !== undefined) return
     pending.proposed = true
-    pending.proposedTerm = this.#host.raft.term
-    this.#host.propose(OperatorRequests.#command(id, pending), nowMs)
+    pending.proposedTerm = this.#context.raft.term
+    this.#context.propose(OperatorRequests.#command(id, pending), nowMs)
   }
 
   static #command(request: string, { operation: asked, basis }: Pending): Command {
@@ -237,10 +238,10 @@
       case 'charter.patch':
       case 'charter.rollback':
       case 'seat.retire':
-        return this.#host.replicatedState.outcome(operation)
+        return this.#context.replicatedState.outcome(operation)
       case 'network.put':
       case 'network.patch':
-        return this.#host.replicatedState.networkTaken(operation) ?? outcome
+        return this.#context.replicatedState.networkTaken(operation) ?? outcome
       default:
         return outcome
     }
@@ -248,16 +249,16 @@
 
   /** Answers the writes whose outcome is known and, where they took effect, obeyed everywhere. */
   finish(nowMs: number): void {
-    if (!this.#host.leading || !this.#host.raft.settled) return
+    if (!this.#context.leading || !this.#context.raft.settled) return
     for (const [id, pending] of this.#pending) {
       const { operation } = pending
       const outcome = this.#outcome(pending)
       if (outcome === undefined) continue
       const { status, stamp, errors } = outcome
-      const revision = operation.action.startsWith('network.') ? (this.#host.replicatedState.network?.revision ?? 0) : undefined
+      const revision = operation.action.startsWith('network.') ? (this.#context.replicatedState.network?.revision ?? 0) : undefined
       if (status === 503) this.#leaveUndecided(id, operation)
       else if (status !== 200) this.#respond(id, status, stamp, JSON.stringify({ errors, stamp, revision }))
-      else if (operation.action === 'seat.retire' || this.#host.delivered(outcome, nowMs))
+      else if (operation.action === 'seat.retire' || this.#reports.delivered(outcome, nowMs))
         this.#respond(id, 200, stamp, JSON.stringify({ stamp, operation: operation.operation }))
     }
   }
@@ -266,14 +267,14 @@
     const pending = this.#pending.get(id)
     if (pending === undefined) return
     this.#pending.delete(id)
-    if (pending.respondTo === undefined) this.#host.respond(id, status, stamp, text)
-    else this.#host.send(pending.respondTo, { kind: 'operated', id, status, stamp, text })
+    if (pending.respondTo === undefined) this.#context.emit({ kind: 'respond', id: this.#callerIdOf(id), status, stamp, text })
+    else this.#context.send(pending.respondTo, { kind: 'operated', id, status, stamp, text })
   }
 
   readable(id: string, nowMs: number): void {
     const operation = this.#pending.get(id)?.operation
     if (operation === undefined) return
-    const stamp = this.#host.replicatedState.charterStamp
+    const stamp = this.#context.replicatedState.charterStamp
     const json = (status: number, value: unknown) => {
       this.#respond(id, status, stamp, JSON.stringify(value))
     }
@@ -281,20 +282,20 @@
       case 'charter.get': {
         const wanted =
           operation.text === ''
-            ? this.#host.replicatedState.texts.at(-1)
-            : this.#host.replicatedState.texts.find((one) => one.stamp === Number(operation.text))
+            ? this.#context.replicatedState.texts.at(-1)
+            : this.#context.replicatedState.texts.find((one) => one.stamp === Number(operation.text))
         if (wanted === undefined) json(404, { errors: ['no charter is kept under this stamp'] })
         else if (operation.branch === 'sent') this.#respond(id, 200, wanted.stamp, wanted.text)
-        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.#host.replicatedState.whole(wanted.stamp) ?? '')
+        else if (operation.branch === '') this.#respond(id, 200, wanted.stamp, this.#context.replicatedState.whole(wanted.stamp) ?? '')
         else {
-          const branch = Tree.at(Tree.read(this.#host.replicatedState.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
+          const branch = Tree.at(Tree.read(this.#context.replicatedState.whole(wanted.stamp) ?? ''), operation.branch.split('.'))
           if (branch === undefined) json(404, { errors: [`${operation.branch}: not in the charter`] })
           else this.#respond(id, 200, wanted.stamp, `${JSON.stringify(branch, null, 2)}\n`)
         }
         break
       }
       case 'network.get': {
-        const { network, copy } = this.#host.replicatedState
+        const { network, copy } = this.#context.replicatedState
         if (network === undefined) json(404, { errors: ['there is no network yet'] })
         else this.#respond(id, 200, copy.stampOf('network'), JSON.stringify(network))
         break
@@ -302,7 +303,7 @@
       case 'charter.history':
         json(
           200,
-          this.#host.replicatedState.texts.map(({ stamp: at, action, branch, operation: name }) => ({
+          this.#context.replicatedState.texts.map(({ stamp: at, action, branch, operation: name }) => ({
             stamp: at,
             action,
             branch,
@@ -311,34 +312,34 @@
         )
         break
       case 'charter.leaves':
-        json(200, this.#host.leaves())
+        json(200, this.#reports.leaves())
         break
       case 'outcome': {
-        const outcome = this.#host.replicatedState.outcome(operation.text)
+        const outcome = this.#context.replicatedState.outcome(operation.text)
         if (outcome === undefined) json(404, { outcome: 'unknown', operation: operation.text })
         else
           json(200, {
-            outcome: outcome.status !== 200 ? 'turnedAway' : this.#host.delivered(outcome, nowMs) ? 'done' : 'undecided',
+            outcome: outcome.status !== 200 ? 'turnedAway' : this.#reports.delivered(outcome, nowMs) ? 'done' : 'undecided',
             ...outcome,
           })
         break
       }
       case 'nodes':
-        json(200, this.#host.nodes(nowMs))
+        json(200, this.#reports.nodes(nowMs))
         break
       case 'servers':
-        json(200, this.#host.servers())
+        json(200, this.#reports.servers())
         break
       case 'placement': {
-        const duty = this.#host.replicatedState.duty('dispatcher')
-        if (duty !== undefined && !this.#host.dispatches && operation.branch !== 'passed on') {
-          const holder = this.#host.directory.get(duty.holder)
+        const duty = this.#context.replicatedState.duty('dispatcher')
+        if (duty !== undefined && !this.#reports.dispatches && operation.branch !== 'passed on') {
+          const holder = this.#context.directory.get(duty.holder)
           if (holder !== undefined) {
-            this.#host.send(holder.address, { kind: 'operate', id, basis: this.#host.applied, ...operation, branch: 'passed on' })
+            this.#context.send(holder.address, { kind: 'operate', id, basis: this.#context.applied, ...operation, branch: 'passed on' })
             break
           }
         }
-        json(200, this.#host.placement(nowMs))
+        json(200, this.#reports.placement(nowMs))
         break
       }
       default:
