--- a/src/simulator/Deployment.ts
+++ b/src/simulator/Deployment.ts
@@ -19,7 +19,7 @@
 interface Shape {
   partner: string
   other: string
-  boxes: number
+  controlNodes: number
   proxies: number
   modelServers: number
   serviceServers: number
@@ -40,7 +40,7 @@
 export interface Deployment {
   name: string
   zones: string[]
-  boxes: { name: string; zone: string }[]
+  controlNodes: { name: string; zone: string }[]
   proxies: { name: string; zone: string }[]
   servers: { name: string; zone: string; kind: 'model' | 'service'; roomMb: number; places: number }[]
   charter: Charter
@@ -55,7 +55,7 @@
   partner: 'cascade',
   coldLimit: 4,
   other: 'gopherline',
-  boxes: 3,
+  controlNodes: 3,
   proxies: 4,
   modelServers: 2,
   serviceServers: 2,
@@ -77,7 +77,7 @@
     partner: 'gopherline',
     coldLimit: 2,
     other: 'cascade',
-    boxes: 3,
+    controlNodes: 3,
     proxies: 5,
     modelServers: 4,
     serviceServers: 3,
@@ -99,7 +99,7 @@
     partner: 'gopherline',
     coldLimit: 2,
     other: 'cascade',
-    boxes: 3,
+    controlNodes: 3,
     proxies: 9,
     modelServers: 8,
     serviceServers: 3,
@@ -119,7 +119,7 @@
     partner: 'cascade',
     coldLimit: 4,
     other: 'gopherline',
-    boxes: 3,
+    controlNodes: 3,
     proxies: 8,
     modelServers: 13,
     serviceServers: 3,
@@ -206,7 +206,7 @@
     return {
       name,
       zones,
-      boxes: list(shape.boxes, 'box'),
+      controlNodes: list(shape.controlNodes, 'box'),
       proxies: list(shape.proxies, 'post'),
       servers,
       courses,
--- a/src/simulator/Fleet.ts
+++ b/src/simulator/Fleet.ts
@@ -31,7 +31,7 @@
   readonly folder: string
   readonly observations: Observation[] = []
   readonly servers: StandInHttp[]
-  readonly boxes: Daemon[] = []
+  readonly controlNodes: Daemon[] = []
   readonly agents: Daemon[] = []
   readonly proxies: Daemon[] = []
   readonly callerAddresses = new Map<string, string>()
@@ -59,49 +59,49 @@
   }
 
   async start(): Promise<void> {
-    const { boxes, proxies } = this.deployment
+    const { controlNodes, proxies } = this.deployment
     await mkdir(this.folder, { recursive: true })
     for (const server of this.servers) await server.open()
-    const ports = (await freePorts(1 + 2 * boxes.length + 4 * proxies.length)).map((port) => `127.0.0.1:${String(port)}`)
+    const ports = (await freePorts(1 + 2 * controlNodes.length + 4 * proxies.length)).map((port) => `127.0.0.1:${String(port)}`)
     const port = () => ports.pop() ?? ''
     const platform = port()
     await this.#openPlatform(platform)
-    const boxAddresses = boxes.map(() => port())
-    boxes.forEach((box, at) => {
+    const controlAddresses = controlNodes.map(() => port())
+    controlNodes.forEach((node, at) => {
       const operators = port()
-      this.operatorAddresses.set(box.name, operators)
-      this.boxes.push(
+      this.operatorAddresses.set(node.name, operators)
+      this.controlNodes.push(
         new Daemon('control', this.folder, {
-          ...box,
-          transport: boxAddresses[at],
+          ...node,
+          transport: controlAddresses[at],
           operators,
-          seeds: boxAddresses,
-          seats: boxes.map((one) => one.name),
-          data: join(this.folder, box.name),
+          seeds: controlAddresses,
+          seats: controlNodes.map((one) => one.name),
+          data: join(this.folder, node.name),
           platform,
         }),
       )
     })
-    for (const post of proxies) {
+    for (const node of proxies) {
       const [agent, proxy, callers, watch] = [port(), port(), port(), port()]
-      this.callerAddresses.set(`${post.name}-proxy`, callers)
-      this.agents.push(new Daemon('agent', this.folder, { ...post, transport: agent, proxy, seeds: boxAddresses, platform, watch }))
+      this.callerAddresses.set(`${node.name}-proxy`, callers)
+      this.agents.push(new Daemon('agent', this.folder, { ...node, transport: agent, proxy, seeds: controlAddresses, platform, watch }))
       this.proxies.push(
         new Daemon('proxy', this.folder, {
-          name: `${post.name}-proxy`,
-          seat: post.name,
-          zone: post.zone,
+          name: `${node.name}-proxy`,
+          seat: node.name,
+          zone: node.zone,
           transport: proxy,
           agent,
           callers,
         }),
       )
     }
-    for (const daemon of [...this.boxes, ...this.agents, ...this.proxies]) await daemon.start()
+    for (const daemon of [...this.controlNodes, ...this.agents, ...this.proxies]) await daemon.start()
   }
 
   async stop(): Promise<void> {
-    await Promise.all([...this.proxies, ...this.agents, ...this.boxes].map((daemon) => daemon.stop('SIGKILL')))
+    await Promise.all([...this.proxies, ...this.agents, ...this.controlNodes].map((daemon) => daemon.stop('SIGKILL')))
     for (const server of this.servers) await server.crash()
     this.#platform?.close()
     this.#platform?.closeAllConnections()
--- a/src/simulator/HollowNetwork.ts
+++ b/src/simulator/HollowNetwork.ts
@@ -56,7 +56,7 @@
   readonly clock = new SimClock()
   readonly timings = Timings(Bounds.parse({}))
   readonly accounts = new Map<string, Account>()
-  readonly boxes = new Map<string, ControlMachine>()
+  readonly controlNodes = new Map<string, ControlMachine>()
   readonly edges: Edge[] = []
   /** How long each write of operators took until all who may be at work had adopted it. */
   readonly ackMs: number[] = []
@@ -86,20 +86,20 @@
       this.#servers.set(listed.name, { listed, models, sequence: 0, busy: false })
     }
     seeds.forEach((address, at) => {
-      this.#box(`box-${String(at + 1).padStart(2, '0')}`, address, `z${String(at % zones)}`, seeds)
+      this.#addControlNode(`box-${String(at + 1).padStart(2, '0')}`, address, `z${String(at % zones)}`, seeds)
     })
-    for (let at = 0; at < size.nodes; at++) this.#edge(at, seeds)
+    for (let at = 0; at < size.nodes; at++) this.#addEdge(at, seeds)
   }
 
   get leader(): string {
-    const found = [...this.boxes].find(([, one]) => one.raft.settled && one.raft.surelyLeads(this.clock.nowMs))
+    const found = [...this.controlNodes].find(([, one]) => one.raft.settled && one.raft.surelyLeads(this.clock.nowMs))
     return found?.[0] ?? ''
   }
 
   /** A core machine that follows, the first edge machine of a zone, and the last of all. */
   get roles(): { leader: string; follower: string; parent: string; leaf: string } {
     const { leader } = this
-    const follower = [...this.boxes.keys()].find((name) => name !== leader) ?? ''
+    const follower = [...this.controlNodes.keys()].find((name) => name !== leader) ?? ''
     return { leader, follower, parent: this.edges[0]?.name ?? '', leaf: this.edges.at(-1)?.name ?? '' }
   }
 
@@ -184,7 +184,7 @@
     return first
   }
 
-  #box(name: string, address: string, zone: string, seeds: readonly string[]): void {
+  #addControlNode(name: string, address: string, zone: string, seeds: readonly string[]): void {
     const { clock } = this
     const plan = {
       name,
@@ -200,7 +200,7 @@
       targetVoters: 3,
     }
     const machine = new ControlMachine(plan, this.timings, this.#random.fork(), [], clock.nowMs)
-    this.boxes.set(name, machine)
+    this.controlNodes.set(name, machine)
     this.#zoneOf.set(address, zone)
     const step = (input: ControlInput) => {
       this.#spend(name, () => {
@@ -262,7 +262,7 @@
     this.#operators.get(this.leader)?.({ kind: 'operate', id: given.operation, operation })
   }
 
-  #edge(at: number, seeds: readonly string[]): void {
+  #addEdge(at: number, seeds: readonly string[]): void {
     const { clock } = this
     const name = `n${String(at).padStart(4, '0')}`
     const address = `10.1.${String(Math.floor(at / 200))}.${String(1 + (at % 200))}:7`
--- a/src/simulator/SimCallers.ts
+++ b/src/simulator/SimCallers.ts
@@ -44,8 +44,8 @@
   }
 
   ask(course: Course, random = this.#sim.random, runMs?: number): void {
-    const { clock, options, see, proxies } = this.#sim
-    const [name, proxy] = random.pick([...proxies].filter(([, one]) => one.process.alive)) ?? []
+    const { clock, options, see, dataPlane } = this.#sim
+    const [name, proxy] = random.pick([...dataPlane.proxies].filter(([, one]) => one.process.alive)) ?? []
     if (name === undefined || proxy === undefined) return
     this.#asked += 1
     this.longestRunMs = Math.max(this.longestRunMs, runMs ?? 0)
@@ -89,14 +89,14 @@
     const leavesMs = this.manner.leavesAfterMs?.()
     if (leavesMs !== undefined)
       clock.after(leavesMs, () => {
-        this.#sim.leave(name, id)
+        dataPlane.leave(name, id)
       })
   }
 
   #countCold(model: string, adapter: string): void {
-    const { clock, servers } = this.#sim
+    const { clock, fleet } = this.#sim
     this.modelAsks += 1
-    if ([...servers.values()].some((one) => one.kind === 'model' && one.state?.allows(model, adapter, clock.nowMs) === true)) return
+    if ([...fleet.servers.values()].some((one) => one.kind === 'model' && one.state?.allows(model, adapter, clock.nowMs) === true)) return
     this.coldAsks += 1
     if (clock.nowMs >= this.hurtFromMs) this.hurtColdAsks += 1
   }
--- a/src/simulator/SimOperators.ts
+++ b/src/simulator/SimOperators.ts
@@ -1,5 +1,5 @@
 /**
- * The operators of a simulated run: they write and read at any core machine, ask again by the same
+ * The operators of a simulated run: they write and read at any control node, ask again by the same
  * operation id until told how a write ended, and note what they saw.
  */
 import type { Operation } from '../control/Operation.js'
@@ -31,40 +31,40 @@
     return `fault-${String(this.#named)}`
   }
 
-  /** A core machine responded. */
+  /** A control node responded. */
   responded(id: string, status: number, stamp: number, text: string): void {
     this.#open.get(id)?.(status, stamp, text)
     this.#open.delete(id)
   }
 
-  operate(box: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
-    const { clock, boxes } = this.#sim
+  operate(node: string, operation: Operation, done: (status: number, stamp: number, text: string) => void): void {
+    const { clock, controlPlane } = this.#sim
     this.#operated += 1
     const id = `${operation.operation}-${String(this.#operated)}`
     this.#open.set(id, done)
-    clock.after(boxes.get(box)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
+    clock.after(controlPlane.nodes.get(node)?.process.alive === true ? operation.waitMs + 200 : 20, () => {
       if (this.#open.delete(id)) done(504, 0, '')
     })
     clock.after(1, () => {
-      boxes.get(box)?.process.deliver({ kind: 'operate', id, operation })
+      controlPlane.nodes.get(node)?.process.deliver({ kind: 'operate', id, operation })
     })
   }
 
-  /** Reads the charter at some core machine; notes nothing when it could not tell in time. */
+  /** Reads the charter at some control node; notes nothing when it could not tell in time. */
   read(): void {
-    const { boxes, random, clock, options, timings, see } = this.#sim
+    const { controlPlane, random, clock, options, timings, see } = this.#sim
     const fromMs = clock.nowMs
-    const box = random.pick([...boxes.keys()]) ?? ''
+    const node = random.pick([...controlPlane.nodes.keys()]) ?? ''
     const got = (stamp: number, text: string) => {
       see({ kind: 'read', fromMs, atMs: clock.nowMs, stamp, sum: digest(text) })
     }
     if (options.broken === 'reads') {
-      const replicatedState = boxes.get(box)?.process.machine?.replicatedState
+      const replicatedState = controlPlane.nodes.get(node)?.process.machine?.replicatedState
       if (replicatedState !== undefined) got(replicatedState.charterStamp, replicatedState.whole(replicatedState.charterStamp) ?? '')
       return
     }
     this.operate(
-      box,
+      node,
       { action: 'charter.get', branch: '', text: '', ifMatch: -1, operation: '', waitMs: timings.askMs, leaderMs: timings.askMs },
       (status, stamp, text) => {
         if (status === 200) got(stamp, text)
@@ -73,10 +73,10 @@
   }
 
   write(write: Write, settled: (status: number, stamp: number) => void): void {
-    const { boxes, random, clock, timings, see } = this.#sim
+    const { controlPlane, random, clock, timings, see } = this.#sim
     see({ kind: 'wrote', atMs: clock.nowMs, ...write })
     const { operation } = write
-    const names = [...boxes.keys()]
+    const names = [...controlPlane.nodes.keys()]
     let at = random.below(names.length)
     const again = () => {
       at += 1
--- a/src/simulator/SimProcess.ts
+++ b/src/simulator/SimProcess.ts
@@ -96,6 +96,13 @@
     for (const effect of this.machine.step(input, this.nowMs)) if (life === this.life) this.#perform(effect, life)
   }
 
+  /** Delivers after a time, unless the process has ended its life by then. */
+  deliverLater(waitMs: number, input: Input, life: number): void {
+    this.#clock.after(waitMs, () => {
+      if (this.life === life) this.deliver(input)
+    })
+  }
+
   #next(life: number, waitMs: number): void {
     this.#clock.after(waitMs, () => {
       if (life !== this.life) return
--- a/src/simulator/runFleet.ts
+++ b/src/simulator/runFleet.ts
@@ -31,14 +31,14 @@
   [
     /^Stop the control at (\S+) /,
     async (fleet, name) => {
-      await fleet.boxes.find((one) => one.name === name)?.stop('SIGKILL')
+      await fleet.controlNodes.find((one) => one.name === name)?.stop('SIGKILL')
     },
   ],
   [
     /^Start a control named (\S+) with an empty/,
     async (fleet, name) => {
       await rm(join(fleet.folder, name), { recursive: true, force: true })
-      await fleet.boxes.find((one) => one.name === name)?.start()
+      await fleet.controlNodes.find((one) => one.name === name)?.start()
     },
   ],
   [/^Mark (\S+) as draining/, (fleet, name) => Promise.resolve(fleet.drain(name, true))],
@@ -55,21 +55,21 @@
   [
     /^Restart the control at (\S+)\./,
     async (fleet, name) => {
-      const box = fleet.boxes.find((one) => one.name === name)
-      await box?.stop('SIGTERM')
-      await box?.start()
+      const node = fleet.controlNodes.find((one) => one.name === name)
+      await node?.stop('SIGTERM')
+      await node?.start()
     },
   ],
-  [/^Restart the proxy and the agent of (\S+)\./, (fleet, name) => restartPost(fleet, name)],
+  [/^Restart the proxy and the agent of (\S+)\./, (fleet, name) => restartDataNode(fleet, name)],
   [
     /^Restart every agent/,
     async (fleet) => {
-      for (const one of fleet.agents) await restartPost(fleet, one.name)
+      for (const one of fleet.agents) await restartDataNode(fleet, one.name)
     },
   ],
 ]
 
-async function restartPost(fleet: Fleet, name: string): Promise<void> {
+async function restartDataNode(fleet: Fleet, name: string): Promise<void> {
   const proxy = fleet.proxies.find((one) => one.name === `${name}-proxy`)
   const agent = fleet.agents.find((one) => one.name === name)
   await proxy?.stop('SIGTERM')
@@ -116,10 +116,10 @@
 const faultsByName: Record<string, (fleet: Fleet, say: (line: string) => void) => Promise<void>> = {
   'kill-leader': async (fleet) => {
     const nodes = await fleet.nodes()
-    const box = fleet.boxes.find((one) => nodes !== undefined && one.name === fleet.leader(nodes))
-    await box?.stop('SIGKILL')
+    const node = fleet.controlNodes.find((one) => nodes !== undefined && one.name === fleet.leader(nodes))
+    await node?.stop('SIGKILL')
     await pause(2000)
-    await box?.start()
+    await node?.start()
   },
   'kill-proxy': async (fleet) => {
     const [proxy, agent] = [fleet.proxies[0], fleet.agents[0]]
@@ -132,10 +132,10 @@
   },
   'freeze-leader': async (fleet) => {
     const nodes = await fleet.nodes()
-    const box = fleet.boxes.find((one) => nodes !== undefined && one.name === fleet.leader(nodes))
-    box?.signal('SIGSTOP')
+    const node = fleet.controlNodes.find((one) => nodes !== undefined && one.name === fleet.leader(nodes))
+    node?.signal('SIGSTOP')
     await pause(3000)
-    box?.signal('SIGCONT')
+    node?.signal('SIGCONT')
   },
   'crash-server': async (fleet) => {
     const server = fleet.servers[0]
@@ -158,7 +158,7 @@
     await pause(3000)
     fleet.see({ kind: 'emptied', atMs: clockMs(), zone: 'c', emptied: false, ackedMs: 0 })
     await run('refill-zone', '--set', 'zone=c')
-    await run('replace-core', '--set', `seat=${fleet.boxes[2]?.name ?? ''}`)
+    await run('replace-core', '--set', `seat=${fleet.controlNodes[2]?.name ?? ''}`)
     await run('replace-server', '--set', `server=${fleet.servers[2]?.name ?? ''}`)
     const stamp = fleet.observations.find((one) => one.kind === 'acknowledged')?.stamp ?? 0
     await run('roll-back-charter', '--set', `stamp=${String(stamp)}`)
@@ -168,20 +168,20 @@
     await runbook(fleet, say, 'restart-system', [])
   },
   'lose-disk': async (fleet, say) => {
-    const box = fleet.boxes[1]
-    await box?.stop('SIGKILL')
-    await rm(join(fleet.folder, box?.name ?? ''), { recursive: true })
-    await runbook(fleet, say, 'recover-disk', ['--set', `seat=${box?.name ?? ''}`])
+    const node = fleet.controlNodes[1]
+    await node?.stop('SIGKILL')
+    await rm(join(fleet.folder, node?.name ?? ''), { recursive: true })
+    await runbook(fleet, say, 'recover-disk', ['--set', `seat=${node?.name ?? ''}`])
   },
   'lose-two-disks': async (fleet, say) => {
-    const [survivor, one, other] = fleet.boxes
+    const [survivor, one, other] = fleet.controlNodes
     if (survivor === undefined || one === undefined || other === undefined) return
-    for (const box of fleet.boxes) await box.stop('SIGKILL')
-    for (const box of [one, other]) await rm(join(fleet.folder, box.name), { recursive: true })
+    for (const node of fleet.controlNodes) await node.stop('SIGKILL')
+    for (const node of [one, other]) await rm(join(fleet.folder, node.name), { recursive: true })
     const told = await survivor.once('refound', '--yes')
     const system = /as system (\S+)\./.exec(told)?.[1] ?? ''
     say(`refound: system ${system}`)
-    for (const daemon of [...fleet.boxes, ...fleet.agents]) daemon.startup['system'] = system
+    for (const daemon of [...fleet.controlNodes, ...fleet.agents]) daemon.startup['system'] = system
     await survivor.start()
     await fleet.until('the survivor leads', async () => (await fleet.nodes())?.leader !== undefined)
     await runbook(fleet, say, 'after-refound', [
@@ -232,7 +232,7 @@
           nodes.seats.every((seat) => seat.alive)
         )
       })
-      say(`${deployment.name}: ${String(fleet.boxes.length + fleet.agents.length + fleet.proxies.length)} processes are up`)
+      say(`${deployment.name}: ${String(fleet.controlNodes.length + fleet.agents.length + fleet.proxies.length)} processes are up`)
       const text = `${JSON.stringify(deployment.charter, null, 2)}\n`
       fleet.see({ kind: 'wrote', atMs: clockMs(), operation: 'first', text, branch: '', action: 'charter.put', ifMatch: -1 })
       const put = await fleet.operate(['charter', 'put', fleet.inputFile, '--operation', 'first', '--json'], text)
--- a/src/simulator/runSimulation.ts
+++ b/src/simulator/runSimulation.ts
@@ -236,7 +236,7 @@
     let got: string | undefined
     let open = true
     sim.operators.operate(
-      sim.random.pick([...sim.boxes.keys()]) ?? '',
+      sim.random.pick([...sim.controlPlane.nodes.keys()]) ?? '',
       {
         action,
         branch,
--- a/src/simulator/simFaults.ts
+++ b/src/simulator/simFaults.ts
@@ -12,17 +12,17 @@
 const nothing = () => undefined
 
 function leader(sim: Simulation): string {
-  let best = { name: [...sim.boxes.keys()][0] ?? '', term: -1 }
-  for (const [name, { process }] of sim.boxes) {
+  let best = { name: [...sim.controlPlane.nodes.keys()][0] ?? '', term: -1 }
+  for (const [name, { process }] of sim.controlPlane.nodes) {
     const raft = process.machine?.raft
     if (raft?.phase === 'leader' && raft.term > best.term) best = { name, term: raft.term }
   }
   return best.name
 }
 const dispatcher = (sim: Simulation): string =>
-  [...sim.boxes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
-const anyBox = (sim: Simulation): string => sim.random.pick([...sim.boxes.keys()]) ?? ''
-const anyPost = (sim: Simulation): string => sim.random.pick([...sim.proxies.keys()]) ?? ''
+  [...sim.controlPlane.nodes].find(([, { process }]) => process.machine?.dispatcher !== undefined)?.[0] ?? leader(sim)
+const anyControlNode = (sim: Simulation): string => sim.random.pick([...sim.controlPlane.nodes.keys()]) ?? ''
+const anyDataNode = (sim: Simulation): string => sim.random.pick([...sim.dataPlane.proxies.keys()]) ?? ''
 function cutWays(sim: Simulation, ways: readonly (readonly [string, string])[]): () => void {
   const mends = ways.map(([from, to]) => sim.network.cut(from, to))
   return () => {
@@ -36,15 +36,15 @@
   )
 }
 const hosts = (sim: Simulation): string[] => [
-  ...sim.boxes.keys(),
-  ...[...sim.agents.keys()].map((name) => `host-${name}`),
-  ...sim.servers.keys(),
+  ...sim.controlPlane.nodes.keys(),
+  ...[...sim.dataPlane.agents.keys()].map((name) => `host-${name}`),
+  ...sim.fleet.servers.keys(),
 ]
 
-function killed(sim: Simulation, box: string, power: boolean): () => void {
-  sim.killBox(box, power)
+function killed(sim: Simulation, controlNode: string, power: boolean): () => void {
+  sim.controlPlane.kill(controlNode, power)
   return () => {
-    sim.startBox(box)
+    sim.controlPlane.start(controlNode)
   }
 }
 function frozen(process: { freeze: () => void; wake: () => void } | undefined): () => void {
@@ -56,52 +56,51 @@
 
 const systemFaults: Record<string, Fault> = {
   'jump-clocks': (sim) => {
-    for (const box of sim.boxes.keys()) sim.hoursOff.set(box, sim.random.between(-30, 30))
+    for (const controlNode of sim.controlPlane.nodes.keys()) sim.controlPlane.hoursOff.set(controlNode, sim.random.between(-30, 30))
     return () => {
-      sim.hoursOff.clear()
+      sim.controlPlane.hoursOff.clear()
     }
   },
-  'cut-dispatcher-from-servers': (sim) => cutBoth(sim, [dispatcher(sim)], [...sim.servers.keys()]),
+  'cut-dispatcher-from-servers': (sim) => cutBoth(sim, [dispatcher(sim)], [...sim.fleet.servers.keys()]),
   'cut-posts-from-core': (sim) => {
-    const posts = [...sim.agents.keys()].map((name) => `host-${name}`)
+    const dataNodes = [...sim.dataPlane.agents.keys()].map((name) => `host-${name}`)
     return cutBoth(
       sim,
-      posts.filter((_, at) => at * 2 <= posts.length),
-      [...sim.boxes.keys()],
+      dataNodes.filter((_, at) => at * 2 <= dataNodes.length),
+      [...sim.controlPlane.nodes.keys()],
     )
   },
   'swap-seeds': (sim) => {
-    const box = anyBox(sim)
-    sim.replaceBox(box)
-    const [post, agent] = sim.random.pick([...sim.agents]) ?? []
-    if (post === undefined || agent === undefined) return nothing
-    const others = [...sim.agents].filter(([name]) => name !== post).map(([, one]) => one.address)
+    const controlNode = anyControlNode(sim)
+    sim.controlPlane.replace(controlNode)
+    const [dataNode, agent] = sim.random.pick([...sim.dataPlane.agents]) ?? []
+    if (dataNode === undefined || agent === undefined) return nothing
+    const others = [...sim.dataPlane.agents].filter(([name]) => name !== dataNode).map(([, one]) => one.address)
     sim.seeds = others.slice(0, 3)
-    sim.killProxy(post)
-    sim.killAgent(post)
+    sim.dataPlane.kill(dataNode)
     sim.clock.after(sim.options.faultMs / 4, () => {
-      sim.startPost(post)
-      sim.startBox(box)
+      sim.dataPlane.start(dataNode)
+      sim.controlPlane.start(controlNode)
     })
     return () => {
-      sim.startPost(post)
-      sim.startBox(box)
+      sim.dataPlane.start(dataNode)
+      sim.controlPlane.start(controlNode)
     }
   },
   'power-at-write': (sim) => {
     let open = true
-    for (const [name, box] of sim.boxes) {
+    for (const [name, controlNode] of sim.controlPlane.nodes) {
       let left = sim.random.below(12)
-      box.disk.watch = () => {
+      controlNode.disk.watch = () => {
         left -= 1
         if (!open || left >= 0) return
-        box.disk.watch = undefined
-        const alive = [...sim.boxes.values()].filter((one) => one.process.alive).length
-        if (alive < sim.boxes.size) return
+        controlNode.disk.watch = undefined
+        const alive = [...sim.controlPlane.nodes.values()].filter((one) => one.process.alive).length
+        if (alive < sim.controlPlane.nodes.size) return
         sim.clock.after(sim.random.hit(0.3) ? 0 : sim.random.between(0, 4), () => {
-          sim.killBox(name, true)
+          sim.controlPlane.kill(name, true)
           sim.clock.after(sim.random.between(100, 900), () => {
-            sim.startBox(name)
+            sim.controlPlane.start(name)
           })
         })
       }
@@ -111,37 +110,36 @@
     }
   },
   'fail-disk': (sim) => {
-    const name = sim.random.hit(0.5) ? leader(sim) : anyBox(sim)
-    const box = sim.boxes.get(name)
-    if (box === undefined) return nothing
-    box.disk.watch = () => {
-      box.disk.watch = undefined
-      sim.killBox(name, false)
+    const name = sim.random.hit(0.5) ? leader(sim) : anyControlNode(sim)
+    const controlNode = sim.controlPlane.nodes.get(name)
+    if (controlNode === undefined) return nothing
+    controlNode.disk.watch = () => {
+      controlNode.disk.watch = undefined
+      sim.controlPlane.kill(name, false)
     }
     return () => {
-      box.disk.watch = undefined
-      sim.startBox(name)
+      controlNode.disk.watch = undefined
+      sim.controlPlane.start(name)
     }
   },
   'lose-two-disks': (sim) => {
     const survivor = leader(sim)
-    const lost = [...sim.boxes.keys()].filter((name) => name !== survivor)
-    const kept = lost.map((name) => ({ name, records: sim.boxes.get(name)?.disk.records ?? [] }))
-    for (const name of lost) sim.replaceBox(name)
-    sim.killBox(survivor, false)
+    const lost = [...sim.controlPlane.nodes.keys()].filter((name) => name !== survivor)
+    const kept = lost.map((name) => ({ name, records: sim.controlPlane.nodes.get(name)?.disk.records ?? [] }))
+    for (const name of lost) sim.controlPlane.replace(name)
+    sim.controlPlane.kill(survivor, false)
     return () => {
-      sim.refoundBox(survivor)
-      for (const name of sim.agents.keys()) {
-        sim.killProxy(name)
-        sim.killAgent(name)
-        sim.startPost(name)
+      sim.controlPlane.refound(survivor)
+      for (const name of sim.dataPlane.agents.keys()) {
+        sim.dataPlane.kill(name)
+        sim.dataPlane.start(name)
       }
-      for (const name of sim.boxes.keys()) sim.startBox(name)
-      if (sim.random.hit(0.7)) for (const old of kept) sim.wakeOld(old.name, old.records)
+      for (const name of sim.controlPlane.nodes.keys()) sim.controlPlane.start(name)
+      if (sim.random.hit(0.7)) for (const old of kept) sim.controlPlane.wakeReplaced(old.name, old.records)
     }
   },
   'roll-processes': (sim) => {
-    const waitMs = sim.options.faultMs / (sim.boxes.size + sim.agents.size)
+    const waitMs = sim.options.faultMs / (sim.controlPlane.nodes.size + sim.dataPlane.agents.size)
     let atMs = 0
     const next = (stop: () => void, start: () => void) => {
       sim.clock.after(atMs, () => {
@@ -150,55 +148,54 @@
       })
       atMs += waitMs
     }
-    for (const box of sim.boxes.keys())
+    for (const controlNode of sim.controlPlane.nodes.keys())
       next(
         () => {
-          sim.killBox(box, false)
+          sim.controlPlane.kill(controlNode, false)
         },
         () => {
-          sim.startBox(box)
+          sim.controlPlane.start(controlNode)
         },
       )
-    for (const post of sim.agents.keys()) {
+    for (const dataNode of sim.dataPlane.agents.keys()) {
       next(
         () => {
-          sim.killProxy(post)
-          sim.killAgent(post)
+          sim.dataPlane.kill(dataNode)
         },
         () => {
-          sim.startPost(post)
+          sim.dataPlane.start(dataNode)
         },
       )
     }
     return nothing
   },
   'kill-leader': (sim) => killed(sim, leader(sim), true),
-  'kill-box': (sim) => killed(sim, anyBox(sim), sim.random.hit(0.5)),
-  'freeze-leader': (sim) => frozen(sim.boxes.get(leader(sim))?.process),
-  'freeze-box': (sim) => frozen(sim.boxes.get(anyBox(sim))?.process),
-  'freeze-dispatcher': (sim) => frozen(sim.boxes.get(dispatcher(sim))?.process),
+  'kill-box': (sim) => killed(sim, anyControlNode(sim), sim.random.hit(0.5)),
+  'freeze-leader': (sim) => frozen(sim.controlPlane.nodes.get(leader(sim))?.process),
+  'freeze-box': (sim) => frozen(sim.controlPlane.nodes.get(anyControlNode(sim))?.process),
+  'freeze-dispatcher': (sim) => frozen(sim.controlPlane.nodes.get(dispatcher(sim))?.process),
   'kill-dispatcher': (sim) => killed(sim, dispatcher(sim), false),
   'lose-disk': (sim) => {
-    const box = sim.random.hit(0.5) ? leader(sim) : anyBox(sim)
-    sim.replaceBox(box)
+    const controlNode = sim.random.hit(0.5) ? leader(sim) : anyControlNode(sim)
+    sim.controlPlane.replace(controlNode)
     return () => {
-      sim.startBox(box)
+      sim.controlPlane.start(controlNode)
     }
   },
   'stall-disk': (sim) => {
-    const disk = sim.boxes.get(leader(sim))?.disk
+    const disk = sim.controlPlane.nodes.get(leader(sim))?.disk
     if (disk !== undefined) disk.stalledUntilMs = sim.clock.nowMs + sim.options.faultMs
     return nothing
   },
   'slow-disks': (sim) => {
-    for (const { disk } of sim.boxes.values()) disk.stalledUntilMs = sim.clock.nowMs + sim.options.faultMs / 4
+    for (const { disk } of sim.controlPlane.nodes.values()) disk.stalledUntilMs = sim.clock.nowMs + sim.options.faultMs / 4
     return nothing
   },
   'split-core': (sim) =>
     cutBoth(
       sim,
       [leader(sim)],
-      [...sim.boxes.keys()].filter((one) => one !== leader(sim)),
+      [...sim.controlPlane.nodes.keys()].filter((one) => one !== leader(sim)),
     ),
   'cut-leader-off': (sim) =>
     cutBoth(
@@ -209,8 +206,8 @@
   'cut-core-off': (sim) =>
     cutBoth(
       sim,
-      [...sim.boxes.keys()],
-      hosts(sim).filter((one) => !sim.boxes.has(one)),
+      [...sim.controlPlane.nodes.keys()],
+      hosts(sim).filter((one) => !sim.controlPlane.nodes.has(one)),
     ),
   'cut-one-way': (sim) => {
     const from = sim.random.hit(0.5) ? leader(sim) : (sim.random.pick(hosts(sim)) ?? '')
@@ -222,20 +219,20 @@
     )
   },
   'cut-post': (sim) => {
-    const post = `host-${anyPost(sim)}`
+    const dataNode = `host-${anyDataNode(sim)}`
     return cutBoth(
       sim,
-      [post],
-      hosts(sim).filter((one) => one !== post),
+      [dataNode],
+      hosts(sim).filter((one) => one !== dataNode),
     )
   },
-  'cut-post-from-core': (sim) => cutBoth(sim, [`host-${anyPost(sim)}`], [...sim.boxes.keys()]),
+  'cut-post-from-core': (sim) => cutBoth(sim, [`host-${anyDataNode(sim)}`], [...sim.controlPlane.nodes.keys()]),
   'cut-post-from-system': (sim) => {
-    const post = `host-${anyPost(sim)}`
+    const dataNode = `host-${anyDataNode(sim)}`
     return cutBoth(
       sim,
-      [post],
-      hosts(sim).filter((one) => one !== post && !sim.servers.has(one)),
+      [dataNode],
+      hosts(sim).filter((one) => one !== dataNode && !sim.fleet.servers.has(one)),
     )
   },
   'slow-links': (sim) => {
@@ -251,54 +248,52 @@
     }
   },
   'kill-proxy': (sim) => {
-    const post = anyPost(sim)
-    sim.killProxy(post)
+    const dataNode = anyDataNode(sim)
+    sim.dataPlane.killProxy(dataNode)
     return () => {
-      sim.startPost(post)
+      sim.dataPlane.start(dataNode)
     }
   },
   'kill-agent': (sim) => {
-    const post = anyPost(sim)
-    sim.killAgent(post)
+    const dataNode = anyDataNode(sim)
+    sim.dataPlane.killAgent(dataNode)
     return () => {
-      sim.startPost(post)
+      sim.dataPlane.start(dataNode)
     }
   },
-  'freeze-proxy': (sim) => frozen(sim.proxies.get(anyPost(sim))?.process),
-  'freeze-agent': (sim) => frozen(sim.agents.get(anyPost(sim))?.process),
+  'freeze-proxy': (sim) => frozen(sim.dataPlane.proxies.get(anyDataNode(sim))?.process),
+  'freeze-agent': (sim) => frozen(sim.dataPlane.agents.get(anyDataNode(sim))?.process),
   'freeze-post': (sim) => {
-    const post = anyPost(sim)
-    const ends = [frozen(sim.proxies.get(post)?.process), frozen(sim.agents.get(post)?.process)]
+    const dataNode = anyDataNode(sim)
+    const ends = [frozen(sim.dataPlane.proxies.get(dataNode)?.process), frozen(sim.dataPlane.agents.get(dataNode)?.process)]
     return () => {
       for (const end of ends) end()
     }
   },
   'lose-zone': (sim) => {
     const zone = sim.random.pick(sim.options.deployment.zones) ?? ''
-    const boxes = [...sim.boxes].filter(([, box]) => box.zone === zone).map(([name]) => name)
-    const posts = [...sim.agents].filter(([, post]) => post.zone === zone).map(([name]) => name)
-    const servers = [...sim.servers.values()].filter((one) => one.zone === zone).map((one) => one.name)
-    for (const box of boxes) sim.killBox(box, true)
-    for (const post of posts) {
-      sim.killProxy(post)
-      sim.killAgent(post)
+    const controlNodes = [...sim.controlPlane.nodes].filter(([, controlNode]) => controlNode.zone === zone).map(([name]) => name)
+    const dataNodes = [...sim.dataPlane.agents].filter(([, dataNode]) => dataNode.zone === zone).map(([name]) => name)
+    const servers = [...sim.fleet.servers.values()].filter((one) => one.zone === zone).map((one) => one.name)
+    for (const controlNode of controlNodes) sim.controlPlane.kill(controlNode, true)
+    for (const dataNode of dataNodes) {
+      sim.dataPlane.kill(dataNode)
     }
-    for (const server of servers) sim.crashServer(server)
+    for (const server of servers) sim.fleet.crash(server)
     return () => {
-      for (const box of boxes) sim.startBox(box)
-      for (const post of posts) sim.startPost(post)
-      for (const server of servers) sim.startServer(server)
+      for (const controlNode of controlNodes) sim.controlPlane.start(controlNode)
+      for (const dataNode of dataNodes) sim.dataPlane.start(dataNode)
+      for (const server of servers) sim.fleet.start(server)
     }
   },
   'stop-all': (sim) => {
-    for (const box of sim.boxes.keys()) sim.killBox(box, true)
-    for (const post of sim.proxies.keys()) {
-      sim.killProxy(post)
-      sim.killAgent(post)
+    for (const controlNode of sim.controlPlane.nodes.keys()) sim.controlPlane.kill(controlNode, true)
+    for (const dataNode of sim.dataPlane.proxies.keys()) {
+      sim.dataPlane.kill(dataNode)
     }
     return () => {
-      for (const box of sim.boxes.keys()) sim.startBox(box)
-      for (const post of sim.proxies.keys()) sim.startPost(post)
+      for (const controlNode of sim.controlPlane.nodes.keys()) sim.controlPlane.start(controlNode)
+      for (const dataNode of sim.dataPlane.proxies.keys()) sim.dataPlane.start(dataNode)
     }
   },
 }
--- a/src/simulator/slopes.ts
+++ b/src/simulator/slopes.ts
@@ -160,7 +160,7 @@
     if (network.leader === '') unled += 1
     if (inside.some((one) => one.gateway.routes.find('h.example', HollowSize.path(0)) === undefined)) bare += 1
   }
-  const stamp = Math.max(...[...network.boxes.values()].map((one) => one.replicatedState.copy.stamp))
+  const stamp = Math.max(...[...network.controlNodes.values()].map((one) => one.replicatedState.copy.stamp))
   const behind = inside.filter((one) => one.agent.copy.stamp < stamp).length
   network.cutOff = new Set()
   network.measure(0)
