A gateway counts how its requests end and gives its figures

Cause: a gateway had no figures at all; what it refused and why stood only in the log at level info. Change: GatewayTask counts answers by outcome and status, refusals by a closed set of reasons and first and further tries, as plain numbers; gatewayMetrics shows these and what the machines know, read when asked for. GatewayMachine is not changed: a sentence that RefusalReason doesn't know counts as other.

--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -134,6 +134,38 @@
   strictEqual(text, refused('503 Service Unavailable', 'has no network in force yet', 'retry-after: 1.440\r\n'))
 })
 
+test('requests are counted by how they ended, refusals by their reason, tries by whether they are further ones', async (t) => {
+  const refuses = answers(`HTTP/1.1 503 Busy\r\nrequest-id: r-1\r\nverdict: NotRun\r\n${date}content-length: 0\r\n\r\n`)
+  const { call, task } = await scene(t, [refuses, answers(answer('ok'))])
+  await call('/often/x').whole()
+  await call('/none/x').whole()
+  await call('/none/x').whole()
+  const counted = (samples: { labels: Record<string, string>; value: number }[]) =>
+    samples.map(({ labels, value }) => [...Object.values(labels), value].join(' ')).sort()
+  deepStrictEqual(counted(task.counts.requests), ['refused 404 2', 'served 200 1'])
+  deepStrictEqual(counted(task.counts.refusals), ['no_route 2'])
+  deepStrictEqual(counted(task.counts.attempts), ['first 1', 'further 1'])
+  const { ready, in_touch: inTouch, requests_open: open, requests_held: held, servers_known: servers } = task.figures
+  deepStrictEqual({ ready, inTouch, open, held, servers }, { ready: 1, inTouch: 1, open: 0, held: 0, servers: 2 })
+})
+
+test('a caller that leaves, and an answer that is cut, are counted as such', async (t) => {
+  const { call, task } = await scene(t, [
+    (heard, socket) => {
+      if (heard.line.includes('/single/')) socket.end(`${streamHead()}${chunk(event(1))}`)
+    },
+  ])
+  await call('/single/x').whole()
+  const caller = call('/once/x')
+  while (task.machine.open === 0) await new Promise((resolve) => setImmediate(resolve))
+  caller.leave()
+  while (task.machine.open > 0) await new Promise((resolve) => setImmediate(resolve))
+  deepStrictEqual(task.counts.requests, [
+    { labels: { outcome: 'broken_off', status: '' }, value: 1 },
+    { labels: { outcome: 'caller_gone', status: '' }, value: 1 },
+  ])
+})
+
 test('events go on as they come, each once it is whole', async (t) => {
   const steps: ((text: string) => void)[] = []
   const { call } = await scene(t, [
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -16,6 +16,7 @@
 import type { Row } from '../consensus/Row.js'
 import type { Transport } from '../transport/Transport.js'
 import { Attempt } from './Attempt.js'
+import { GatewayCounts } from './GatewayCounts.js'
 import type { GatewayEffect } from './GatewayEffect.js'
 import type { GatewayInput } from './GatewayInput.js'
 import { GatewayMachine } from './GatewayMachine.js'
@@ -29,6 +30,7 @@
   readonly machine: GatewayMachine
   readonly agent: AgentMachine
   readonly timings: Timings
+  readonly counts = new GatewayCounts()
   readonly #startup: GatewayStartup
   readonly #logger: Logger
   readonly #transport: Transport
@@ -85,6 +87,21 @@
     return this.#tickets.size
   }
 
+  /** What this gateway is doing now, by the names of its metrics. */
+  get figures(): Record<string, number> {
+    const nowMs = clockMs()
+    return {
+      ready: this.ready ? 1 : 0,
+      in_touch: this.agent.upToDate(nowMs) ? 1 : 0,
+      requests_open: this.machine.open,
+      requests_held: this.machine.held,
+      servers_known: [...this.machine.servers.all].length,
+      members_known: this.agent.memberNames.length,
+      ...this.agent.figures(nowMs),
+      ...this.#transport.figures,
+    }
+  }
+
   /**
    * Takes a request on its way; the ticket is kept until the caller has its final answer. What it gives back
    * is to be called when the caller leaves before its turn on the connection has come.
@@ -121,6 +138,7 @@
     })
     const leave = () => {
       if (!this.#tickets.has(id)) return
+      this.counts.callerGone()
       this.step({ kind: 'callerGone', id })
       this.#tickets.delete(id)
     }
@@ -136,6 +154,7 @@
   }
 
   answer(response: ServerResponse, id: string, status: number, comeBackMs: number | undefined, why: string): void {
+    this.counts.refused(status, why)
     if (response.headersSent || response.destroyed) return
     const body = JSON.stringify({ why })
     response.writeHead(status, {
@@ -231,6 +250,7 @@
         const ticket = this.#tickets.get(effect.id)
         this.#tickets.delete(effect.id)
         ticket?.response.destroy()
+        this.counts.brokenOff()
         this.#logger.say('gateway', `Broke off the answer to ${ticket?.requestId ?? ''}: ${effect.why}.`)
         break
       }
@@ -244,6 +264,7 @@
     const { id, attempt, server, address } = effect
     const ticket = this.#tickets.get(id)
     if (ticket === undefined) return
+    this.counts.attempted(attempt)
     ticket.attempt = attempt
     ticket.controller = undefined
     ticket.relaying = false
@@ -257,6 +278,7 @@
       ticket,
       isOpen: () => this.#tickets.get(id) === ticket,
       close: () => {
+        this.counts.served(ticket.head?.status ?? ticket.response.statusCode)
         this.#tickets.delete(id)
       },
       step: (input: GatewayInput) => {
