A control node's figures: the log, members, servers, unmet wants, and a seam for placement

Cause: why models were not served could not be told from a control node's figures. Change: log index, members, voters, servers known and unmet wants beside the figures that were there.

--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -204,6 +204,11 @@
       seats_alive: this.#seats.filter((seat) => this.#desk.leases.alive(seat, nowMs)).length,
       operations_open: this.#requests.open,
       log_bytes: this.#logBytes,
+      log_index: this.raft.lastIndex,
+      members: this.raft.members.length,
+      voters: this.raft.members.filter((one) => one.voter).length,
+      servers_known: this.replicatedState.copy.under('server/').length,
+      ...(this.#dispatcher === undefined ? {} : { unmet_wants: this.#dispatcher.unmet.length }),
     }
   }
 
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -17,9 +17,11 @@
 import { transportHelps } from '../transport/transportHelps.js'
 import type { WriteAheadLog } from '../storage/WriteAheadLog.js'
 import { edgeMulti } from '../placement/edgeMulti.js'
+import type { PlacementSource } from '../placement/PlacementSource.js'
 import type { ControlEffect } from './ControlEffect.js'
 import type { ControlInput } from './ControlInput.js'
 import { ControlMachine } from './ControlMachine.js'
+import { placementMetrics } from './placementMetrics.js'
 
 interface ControlEvents {
   responded: { id: string; status: number; stamp: number; text: string }
@@ -64,10 +66,21 @@
         seats_alive: 'seats whose lease is alive, as the leader sees them',
         operations_open: 'operations of operators under way',
         log_bytes: 'size of the log since it was last rewritten',
+        log_index: 'the last index of the log',
+        members: 'members of the core',
+        voters: 'members of the core that vote',
+        servers_known: "servers that the core's table lists",
+        unmet_wants: 'models and adapters that requests wait for, held nowhere and not on their way, as the dispatcher sees it',
       },
       () => this.machine.figures(clockMs()),
     )
     meters.gauges(transportHelps, () => transport.figures)
+    const source = (): PlacementSource | undefined => this.machine.dispatcher
+    placementMetrics(
+      meters,
+      () => source()?.figures,
+      () => source()?.orderFigures,
+    )
     this.machine = new ControlMachine(
       {
         name: startup.name,
--- /dev/null
+++ b/src/control/placementMetrics.ts
@@ -0,0 +1,43 @@
+/**
+ * The placement's figures among a control node's metrics. A node without the dispatcher duty has none, and then
+ * they are left out rather than told as 0.
+ */
+import type { Meters } from '../common/Meters.js'
+import type { OrderFigures } from '../placement/OrderFigures.js'
+import type { PlacementFigures } from '../placement/PlacementFigures.js'
+
+const helps: Readonly<Record<keyof PlacementFigures, string>> = {
+  wantsHeld: 'models and adapters wanted because requests wait for them',
+  wantsBusy: 'further copies wanted because those there bear no more',
+  wantsForecast: 'models and adapters wanted because requests are forecast',
+  wantsSpare: 'second copies wanted in another zone',
+  modelsHeldNowhere: 'models that no server holds and no order brings',
+  oldestUnmetWantMs: 'how long the want unmet for longest has been so',
+  firstCopies: 'loads ordered of models that no server held',
+  furtherCopies: 'loads ordered of models that some server held already',
+  serversIdle: 'servers that take orders and have none under way',
+  serversLoading: 'servers with a load under way',
+  invariantViolations: "failed checks of the placement's invariants",
+}
+
+function nameOf(field: string): string {
+  return `placement_${field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}`
+}
+
+function named<T>(values: Readonly<Record<string, T>>): Record<string, T> {
+  return Object.fromEntries(Object.entries(values).map(([field, value]) => [nameOf(field), value]))
+}
+
+export function placementMetrics(
+  meters: Meters,
+  figures: () => PlacementFigures | undefined,
+  orders: () => OrderFigures | undefined,
+): void {
+  meters.gauges(named(helps), () => named({ ...figures() }))
+  meters.readGauge('tasks', 'orders under way, by phase and kind', ['phase', 'kind'], () =>
+    (orders()?.tasks ?? []).map(({ phase, kind, count }) => ({ labels: { phase, kind }, value: count })),
+  )
+  meters.readCounter('order_stages', 'orders since the duty was taken, by kind and stage', ['kind', 'stage'], () =>
+    (orders()?.orders ?? []).map(({ kind, stage, count }) => ({ labels: { kind, stage }, value: count })),
+  )
+}
