--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -85,6 +85,11 @@
       seats_alive: this.#parts.nodeLeases.countAlive(nowMs),
       operations_open: this.#parts.requests.open,
       log_bytes: this.#parts.output.logBytes,
+      log_index: this.raft.lastIndex,
+      members: this.raft.members.length,
+      voters: this.raft.members.filter((one) => one.voter).length,
+      servers_known: this.replicatedState.copy.under('server/').length,
+      ...(this.dispatcher === undefined ? {} : { unmet_wants: this.dispatcher.unmet.length }),
     }
   }
 
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -15,6 +15,7 @@
 import { Demand } from './Demand.js'
 import type { DispatcherOut } from './DispatcherOut.js'
 import { keyOf } from './keyOf.js'
+import { OrderFigures } from './OrderFigures.js'
 import { OrderReasons } from './OrderReasons.js'
 import type { PlacementFigures } from './PlacementFigures.js'
 import type { Placer } from './Placer.js'
@@ -53,6 +54,7 @@
   #deafSinceMs: number | undefined
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
+  #tickedMs: number
   #summarizedMs = -Infinity
   #loadsStarted = 0
   #loadsDone = 0
@@ -62,6 +64,7 @@
     this.#timings = timings
     this.#epoch = epoch
     this.#beganMs = nowMs
+    this.#tickedMs = nowMs
     this.#inventory = new ServerInventory(timings, epoch, first, nowMs)
     this.#planner = new Planner(timings, policy, this.#inventory)
     this.#demand = new Demand(timings, policy, this.#inventory, this.#planner.tallies, nowMs)
@@ -93,8 +96,9 @@
   }
 
   /** Figures of a placement on servers that count their orders; the product's own planner keeps none. */
-  figures(nowMs: number): PlacementFigures | undefined {
+  get figures(): PlacementFigures | undefined {
     if (!this.#counts) return undefined
+    const nowMs = this.#tickedMs
     const { wants, unmet, copies } = this.#demand
     const wanted = (...kinds: Want['kind'][]) => wants.filter((want) => kinds.includes(want.kind)).length
     const doing = (...kinds: Order['kind'][]) =>
@@ -124,11 +128,15 @@
     }
   }
 
+  get orderFigures(): OrderFigures {
+    return OrderFigures.of(this.#inventory.all, this.#reasons.counts)
+  }
+
   /** Once a second, while something that was asked for is held nowhere, one line for the log that tells why. */
   #summarize(out: DispatcherOut, nowMs: number): void {
     if (!this.#counts || this.#demand.unmet.size === 0 || nowMs - this.#summarizedMs < summaryMs) return
     this.#summarizedMs = nowMs
-    const figures = this.figures(nowMs)
+    const { figures } = this
     if (figures !== undefined) out.says.push(summaryOf(figures))
   }
 
@@ -234,6 +242,7 @@
 
   tick(copy: ReplicaTable, sure: boolean, hour: number, nowMs: number): DispatcherOut {
     const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [] }
+    this.#tickedMs = nowMs
     const joins = (modelServer: ModelServer) => {
       this.#adoptOrder(modelServer, copy, nowMs)
     }
