--- a/src/simulator/keptSeeds.test.ts
+++ b/src/simulator/keptSeeds.test.ts
@@ -17,6 +17,7 @@
   was: string
   unchecked?: boolean
   deployment?: string
+  crowd?: number
 }
 
 const keptSeeds: readonly KeptSeed[] = [
@@ -63,6 +64,13 @@
   },
   { seed: 105, faults: ['break-runs', 'freeze-proxy'], together: true, was: 'the checker held a frozen proxy to its dues' },
   { seed: 200, faults: ['cut-core-off', 'drain-server'], together: true, was: 'the checker wanted a drain obeyed that no core could tell' },
+  {
+    seed: 45,
+    faults: ['crowd', 'break-runs'],
+    together: true,
+    crowd: 400,
+    was: 'grants of further tries were kept until servers were trusted again, and all used at once',
+  },
   {
     seed: 16,
     faults: ['swap-seeds@1539+1507', 'stop-all@5255+3027'],
@@ -86,7 +94,7 @@
   ].flatMap((name) => [1, 2].map((seed) => ({ seed, faults: [`${name}@500+20000`], together: false, was: '' }))),
 ]
 
-for (const { seed, faults, together, was, unchecked, deployment: where } of keptSeeds) {
+for (const { seed, faults, together, was, unchecked, deployment: where, crowd } of keptSeeds) {
   test(`${faults.join(together ? ' with ' : ' then ')}, seed ${String(seed)}${was === '' ? '' : `: once ${was}`}`, () => {
     const deployment = Deployment.of(where ?? 'small')
     if (deployment === undefined) throw new Error(`no ${where ?? 'small'}`)
@@ -100,7 +108,7 @@
       faultMs: 4000,
       quietMs: 22_000,
       broken: '',
-      crowd: 150,
+      crowd: crowd ?? 150,
       grows: 400,
       together,
       uncheckedEpoch: unchecked ?? false,
