--- a/src/common/Timings.ts
+++ b/src/common/Timings.ts
@@ -32,6 +32,8 @@
   firstByteMs: number
   streamIdleMs: number
   retryWindowMs: number
+  /** How long after it was asked for a further try may begin by its grant. */
+  grantMs: number
   recoverMs: number
   parentSilentMs: number
   frozenMs: number
@@ -73,6 +75,7 @@
     firstByteMs: 0.2 * bounds.recoverMs,
     streamIdleMs: 0.5 * bounds.recoverMs,
     retryWindowMs: bounds.emptyMs,
+    grantMs: 0.04 * bounds.emptyMs,
     recoverMs: bounds.recoverMs,
     parentSilentMs: 0.3 * leaseMs,
     frozenMs: 0.4 * leaseMs,
--- a/src/proxy/ProxyMachine.ts
+++ b/src/proxy/ProxyMachine.ts
@@ -120,7 +120,7 @@
     const terms = this.#termsOf(request)
     if (backend !== undefined && nowMs >= backend.suspectUntilMs) this.#backends.suspect(backend, nowMs)
     request.impatient = terms?.repeatable === true
-    if (terms === undefined || !request.impatient || !request.pass) return
+    if (terms === undefined || !request.impatient || nowMs >= request.grantedUntilMs) return
     if (this.#backends.choose(request.target, terms, nowMs) === undefined) return
     request.mayHaveRun = true
     this.#effects.push({ kind: 'release', id: request.id, attempt: request.attempt })
@@ -152,19 +152,37 @@
     this.#backends.barred = new Set(permit.barred)
     this.#backends.lent.take(permit.serial, permit.sentMs + permit.lentMs, permit.shares)
     const granted = new Set(permit.again)
-    for (const request of this.#requests.values()) if (request.sends > 0 && granted.has(this.#tryOf(request))) request.pass = true
+    const untilMs = permit.sentMs + permit.lentMs - this.#timings.leaseMs + this.#timings.grantMs
+    for (const request of this.#requests.values())
+      if (request.sends > 0 && granted.has(this.#tryOf(request))) request.grantedUntilMs = Math.max(request.grantedUntilMs, untilMs)
   }
 
+  /** The name under which a further try is granted: each is granted once, and one that was not used in time under a new name. */
   #tryOf(request: RequestState): string {
-    return `${this.#session}.${request.id}.${String(request.sends)}`
+    return `${this.#session}.${request.id}.${String(request.sends)}.${String(request.lapses)}`
+  }
+
+  /** The further tries to ask for: those for which a server is trusted now or by the time that the answer is here. */
+  #wanted(nowMs: number): RequestState[] {
+    const byMs = nowMs + this.#timings.renewMs / 4
+    const wanted: RequestState[] = []
+    for (const request of this.#requests.values()) {
+      if (request.sends === 0 || nowMs < request.grantedUntilMs || !(request.phase === 'held' || request.impatient)) continue
+      if (request.grantedUntilMs !== -Infinity) {
+        request.grantedUntilMs = -Infinity
+        request.lapses += 1
+      }
+      const terms = this.#termsOf(request)
+      const trustedAtMs = terms === undefined ? undefined : this.#backends.trustedAtMs(request.target, terms)
+      if (trustedAtMs !== undefined && trustedAtMs <= byMs && request.notBeforeMs <= byMs) wanted.push(request)
+    }
+    return wanted
   }
 
   /** Tells the agent what this proxy wants of shared limits, at once when it wants more than it said. */
   #ask(nowMs: number, tell: boolean): void {
     const asks = this.#backends.asks(nowMs)
-    const again = [...this.#requests.values()]
-      .filter((one) => one.sends > 0 && !one.pass && (one.phase === 'held' || one.impatient))
-      .map((one) => ({ id: this.#tryOf(one), key: `${one.target.kind} ${one.target.name}` }))
+    const again = this.#wanted(nowMs).map((one) => ({ id: this.#tryOf(one), key: `${one.target.kind} ${one.target.name}` }))
     const asked = JSON.stringify([asks.map((one) => [one.key, one.want]), again])
     if (!tell && asked === this.#asked) return
     if (!tell && again.length === 0 && asks.every((one) => one.want <= one.held)) return
@@ -199,7 +217,8 @@
       server: '',
       sends: 0,
       mayHaveRun: false,
-      pass: false,
+      grantedUntilMs: -Infinity,
+      lapses: 0,
       impatient: false,
       notBeforeMs: 0,
       boundMs: 0,
@@ -304,7 +323,7 @@
       this.#turnAway(request, 413, Verdict.notRun, `the body is over ${String(terms.limits.bodyLimitBytes)} bytes`, nowMs)
       return
     }
-    if (nowMs >= request.dueMs || nowMs < request.notBeforeMs || (request.sends > 0 && !request.pass)) {
+    if (nowMs >= request.dueMs || nowMs < request.notBeforeMs || (request.sends > 0 && nowMs >= request.grantedUntilMs)) {
       this.#hold(request)
       return
     }
@@ -404,13 +423,17 @@
       return
     }
     if (nowMs >= request.dueMs) return
+    if (request.sends > 0 && nowMs >= request.grantedUntilMs) {
+      release('the grant of a further try has run out')
+      return
+    }
     if (backend.flights > this.#backends.limit(backend, terms, nowMs)) {
       release('the server is still cold')
       return
     }
     const key = `${request.target.kind} ${request.target.name}`
     if (request.sends === 0) this.#firsts.set(key, (this.#firsts.get(key) ?? 0) + 1)
-    request.pass = false
+    request.grantedUntilMs = -Infinity
     request.impatient = false
     request.sentMs = nowMs
     request.sends += 1
--- a/src/proxy/RequestState.ts
+++ b/src/proxy/RequestState.ts
@@ -16,8 +16,10 @@
   server: string
   sends: number
   mayHaveRun: boolean
-  /** A further try has been granted. */
-  pass: boolean
+  /** Until when a further try may begin by the grant that it has. */
+  grantedUntilMs: number
+  /** Grants for the next try that were not used in time. */
+  lapses: number
   /** Sent, may be repeated, and without a first byte for too long. */
   impatient: boolean
   notBeforeMs: number
