--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -317,6 +317,10 @@
 
 test('a stream under way that its last server refuses unrun goes back to one that it was sent to, and to no third', () => {
   const { arrive, step, pass, set } = given()
+  // A gateway that has just started has hardly any further tries yet.
+  arrive('0', '/once/x')
+  step({ kind: 'callerGone', id: '0' })
+  pass(10_000)
   set('server/llm-2', { name: 'llm-2', address: '10.0.1.3:1', zone: 'a', service: 'llm', capacity: 8 })
   set('binding/llm-2', { incarnation: 'llm-2', models: ['llm:m'], adapters: ['llm:m/a1'] })
   const [first] = only(arrive('1', '/stream/x', { model: 'm' }), 'attempt')
