Core: a group short of a voter takes its stand-in before it loses another

Cause: with six machines and five voters, a cut of two voters made the leader remove both, one after the other, as a stand-in for either was ready; the stand-in's vote waited until every voter was heard. For the rest of the cut three or four voters were left, so that two disks, as many as may be lost, could hold the only copies of what was acknowledged.

Excluded: reads.

Change: planMembership gives a ready learner its vote first where the group is short, and does so also with a silent voter where those that were heard are a majority of the larger group without the newcomer.

--- a/src/consensus/planMembership.ts
+++ b/src/consensus/planMembership.ts
@@ -3,7 +3,8 @@
  * join as learners. A voter that is lost, is leaving or came back with an empty disk is removed before the
  * learner that stands in for it gets its vote: an even group would need one more live member for its
  * majority, and would be stuck for good if the newcomer were lost too. Without a learner that has caught up, no
- * voter is removed from a group of the target size or below it.
+ * voter is removed from a group of the target size or below it. A group below its size takes a stand-in before it
+ * loses another voter, so that its majority is always more disks than may be lost at once.
  *
  * Single-server changes as in Ongaro, "Consensus: Bridging Theory and Practice" (2014), section 4.1 to 4.3, with
  * the leader's empty entry committed first.
@@ -39,6 +40,18 @@
   const goneLearner = learners.find((one) => silent(one, limits.goneMs) || health.leaving(one.identity))
   if (goneLearner !== undefined) return removal(goneLearner, 'is gone as a learner')
 
+  const heard = voters.filter((one) => !silent(one, limits.doubtfulMs))
+  const allHeard = heard.length === voters.length
+  const short = voters.length < limits.targetVoters
+  /** True when those that were heard just now are a majority of the group with one voter more, also without that one. */
+  const bearsNewcomer = allHeard || heard.length * 2 > voters.length + 1
+  const promoted = ready.find((one) => !voters.some((voter) => voter.seat === one.seat)) ?? ready[0]
+  const promotion = (one: Member): MembershipChange => ({
+    reason: `Gives ${one.seat} its vote.`,
+    members: members.map((member) => (member === one ? { ...member, voter: true } : member)),
+  })
+  if (promoted !== undefined && short && bearsNewcomer && voters.length < limits.maxVoters) return promotion(promoted)
+
   const wiped = voters.find((one) => ready.some((learner) => learner.seat === one.seat) && silent(one, limits.doubtfulMs))
   if (wiped !== undefined && bearable(wiped)) return removal(wiped, 'came back under another identity')
 
@@ -50,16 +63,8 @@
     if (leaving !== undefined) return removal(leaving, 'is leaving')
   }
 
-  const allHeard = voters.every((one) => !silent(one, limits.doubtfulMs))
-  const short = voters.length < limits.targetVoters
   const evenOut = voters.length % 2 === 0 || ready.length > 1
-  const promoted = ready[0]
-  if (promoted !== undefined && allHeard && voters.length < limits.maxVoters && (short || evenOut)) {
-    return {
-      reason: `Gives ${promoted.seat} its vote.`,
-      members: members.map((one) => (one === promoted ? { ...one, voter: true } : one)),
-    }
-  }
+  if (promoted !== undefined && allHeard && voters.length < limits.maxVoters && evenOut) return promotion(promoted)
 
   for (const candidate of candidates) {
     if (members.some((one) => one.identity === candidate.identity)) continue
--- a/src/control/CoreTestWorld.ts
+++ b/src/control/CoreTestWorld.ts
@@ -32,11 +32,12 @@
   rewriteBytes = 1e6
   seeds = ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.3:7']
   readonly boxes = new Map<string, Box>()
-  readonly heard = new Map<string, (message: Message) => void>()
+  readonly heard = new Map<string, (message: Message, from: string, fromAddress: string) => void>()
   /** Told of each message between core machines. */
   watch: ((message: Message) => void) | undefined
   readonly responses = new Map<string, { status: number; stamp: number; text: string }>()
   delays: { random: Random; messageMs: number; syncMs: number; bytesPerMs?: number } | undefined
+  /** What is cut: all from a machine (`a>`), all to one (`>b`), or all from one to another (`a>b`). */
   readonly cuts = new Set<string>()
   readonly #due: Due[] = []
   readonly #lastMs = new Map<string, number>()
@@ -145,8 +146,8 @@
 
   #deliver(from: string, fromAddress: string, toAddress: string, message: Message): void {
     const to = [...this.boxes].find(([, one]) => one.address === toAddress)
-    if (this.cuts.has(`${from}>`) || (to !== undefined && this.cuts.has(`>${to[0]}`))) return
-    if (to === undefined) this.heard.get(toAddress)?.(message)
+    if (this.cuts.has(`${from}>`) || (to !== undefined && (this.cuts.has(`>${to[0]}`) || this.cuts.has(`${from}>${to[0]}`)))) return
+    if (to === undefined) this.heard.get(toAddress)?.(message, from, fromAddress)
     else this.#carryOut(to[0], to[1], to[1].machine.step({ kind: 'message', from, fromAddress, message }, this.nowMs))
   }
 
