--- a/src/gateway/testing/RawCaller.ts
+++ b/src/gateway/testing/RawCaller.ts
@@ -46,6 +46,11 @@
     this.#socket.resume()
   }
 
+  /** Ends the sending half of the connection. */
+  finish(): void {
+    this.#socket.end()
+  }
+
   leave(): void {
     this.#socket.destroy()
   }
