Gateway: before a network is known here, every refusal is a 503

Cause: a machine that knows no configuration yet judged a body by limits of its own and a method by its list first, and answered 413 and 405; a client ends on 413, though the limits in force may allow the body.

Excluded: passing a body on that was not kept: the two checks are in one turn.

--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -16,6 +16,7 @@
 import type { GatewayTask } from './GatewayTask.js'
 
 const headerBytes = 65_536
+const noBody = Buffer.alloc(0)
 const statuses: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
@@ -134,10 +135,12 @@
     if (this.#draining) this.#connections.endAfter(request.socket)
     const arrivedMs = clockMs()
     const body = await readBody(request, this.#limits.bodyBytes)
-    if (body === undefined) {
-      if (!request.destroyed) this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
+    if (body === undefined && request.destroyed) return
+    // Before a network is in force here its limits aren't known, and no request is refused for good.
+    if (body === undefined && this.#task.ready) {
+      this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
       return
     }
-    this.#connections.onLeave(request, response, this.#task.allow(request, response, body, clockMs() - arrivedMs))
+    this.#connections.onLeave(request, response, this.#task.allow(request, response, body ?? noBody, clockMs() - arrivedMs))
   }
 }
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -93,14 +93,14 @@
     const arrival = this.#wire.arrival(request.headers)
     const method = methods.find((one) => one === request.method)
     const path = request.url ?? '/'
-    if (method === undefined) {
-      this.answer(response, arrival.id, 405, undefined, 'method: not allowed here')
-      return () => undefined
-    }
     if (!this.ready) {
       this.answer(response, arrival.id, 503, 2 * this.timings.electionMs, 'has no network in force yet')
       return () => undefined
     }
+    if (method === undefined) {
+      this.answer(response, arrival.id, 405, undefined, 'method: not allowed here')
+      return () => undefined
+    }
     if (arrival.dueInMs !== undefined) arrival.dueInMs -= waitedMs
     this.machine.inTouch = this.agent.upToDate(clockMs())
     this.#count += 1
