--- a/src/gateway/EventScanner.test.ts
+++ b/src/gateway/EventScanner.test.ts
@@ -49,3 +49,21 @@
     ],
   )
 })
+
+test('an event that begins with another line is told by its id wherever that stands, and goes on as it came', () => {
+  const text = `weight-versions: 7\nid: 5\ndata: x\n\n${event(6)}weight-versions: 8\nevent: token\ndata: y\nid: 9\n\n`
+  for (let size = 1; size <= text.length; size++) {
+    const scanner = new EventScanner('4')
+    const events = []
+    for (let at = 0; at < text.length; at += size) events.push(...scanner.take(Buffer.from(text.slice(at, at + size))))
+    deepStrictEqual(
+      events.map(({ id, data }) => [id, data]),
+      [
+        ['5', true],
+        ['6', true],
+        ['9', true],
+      ],
+    )
+    strictEqual(events.map((one) => one.text).join(''), text)
+  }
+})
--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -274,6 +274,32 @@
   strictEqual(servers[0]?.heard[0]?.headers['resume-after'], undefined)
 })
 
+test('a stream whose weights change goes on elsewhere with the head of its first server, wherever that broke off', async (t) => {
+  const changed = (id: number) => `weight-versions: 8\n${event(id)}`
+  const head = (version: number, seal: string) => streamHead(seal).replace(date, `${date}weight-versions: ${String(version)}\r\n`)
+  for (let kept = 0; kept <= changed(3).length; kept += 4) {
+    let first: Socket | undefined
+    const { call, servers } = await scene(t, [
+      (_heard, socket) => {
+        first = socket
+        const part = changed(3).slice(0, kept)
+        socket.write(head(7, 'z9') + chunk(event(1)) + chunk(event(2)) + (part === '' ? '' : chunk(part)))
+      },
+      answers(head(8, 'other') + chunk(changed(3)) + chunk(event(4)) + lastChunk),
+    ])
+    const caller = call('/stream/x')
+    ok(await caller.until('token 2\n\n'))
+    if (kept >= changed(3).length) ok(await caller.until('token 3\n\n'))
+    first?.destroy()
+    // A whole third event went on already, and the second server's third is then one that the caller has.
+    const third = kept >= changed(3).length
+    const expected = streamSeen.replace(date, `${date}weight-versions: 7\r\n`)
+    const events = third ? [event(1), event(2), changed(3)] : [event(1), event(2), changed(3), event(4)]
+    strictEqual(await caller.whole(), expected + events.map((one) => chunk(one)).join('') + (third ? '' : lastChunk), String(kept))
+    strictEqual(servers[1]?.heard[0]?.headers['resume-after'], third ? '3' : '2')
+  }
+})
+
 test("a caller's own last event is what its first server resumes after", async (t) => {
   const { call, servers } = await scene(t, [answers(streamHead() + chunk(event(8)) + lastChunk)])
   strictEqual(await call('/stream/x', 'resume-after: 7\r\n').whole(), streamSeen + chunk(event(8)) + lastChunk)
