--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -156,3 +156,18 @@
   const text = await caller.whole()
   for (const id of ids) ok(text.includes(body + id), `${id} is not whole`)
 })
+
+test('a stop waits for what servers are at work on until the last sixth of its time', async (t) => {
+  const graceMs = 2400
+  const { call, waiting, gateway } = await scene(t, { graceMs, leaveMs: 100 })
+  const caller = call(request('r-1'))
+  await until(() => waiting.has('r-1'))
+  let ended = false
+  const stopped = gateway.desk.drain().then(() => (ended = true))
+  await pause((5 / 6) * graceMs + 20)
+  // The process ends as soon as the stop does.
+  strictEqual(ended, false)
+  waiting.get('r-1')?.write(answer('r-1', 'late'))
+  ok((await caller.whole()).endsWith('late'), caller.text)
+  await stopped
+})
