--- a/src/simulator/cutFaults.ts
+++ b/src/simulator/cutFaults.ts
@@ -2,14 +2,11 @@
  * Cuts of one machine that last, as real ones do: both ways or one, the process restarted meanwhile.
  */
 import type { Fault } from './Fault.js'
+import { hostsOf } from './hostsOf.js'
 import type { Simulation } from './Simulation.js'
 
 type Direction = 'both' | 'outward' | 'inward'
 
-function hosts(sim: Simulation): string[] {
-  return [...sim.controlPlane.nodes.keys(), ...[...sim.dataPlane.agents.keys()].map((name) => `host-${name}`), ...sim.fleet.servers.keys()]
-}
-
 function leader(sim: Simulation): string | undefined {
   return [...sim.controlPlane.nodes].find(([, { process }]) => process.machine?.raft.phase === 'leader')?.[0]
 }
@@ -47,11 +44,11 @@
 const controlNodes = (sim: Simulation): string[] => [...sim.controlPlane.nodes.keys()]
 
 export const cutFaults: Readonly<Record<string, Fault>> = {
-  'control-cut-both': controlNodeCut('both', hosts, false),
-  'control-cut-outward': controlNodeCut('outward', hosts, false),
-  'control-cut-inward': controlNodeCut('inward', hosts, false),
-  'control-cut-restarted': controlNodeCut('both', hosts, true),
-  'control-cut-outward-restarted': controlNodeCut('outward', hosts, true),
+  'control-cut-both': controlNodeCut('both', hostsOf, false),
+  'control-cut-outward': controlNodeCut('outward', hostsOf, false),
+  'control-cut-inward': controlNodeCut('inward', hostsOf, false),
+  'control-cut-restarted': controlNodeCut('both', hostsOf, true),
+  'control-cut-outward-restarted': controlNodeCut('outward', hostsOf, true),
   /** A leader in the minority that gateways still reach. */
   'leader-cut-from-voters': (sim) => {
     const controlNode = leader(sim) ?? controlNodes(sim)[0] ?? ''
--- a/src/simulator/simFaults.ts
+++ b/src/simulator/simFaults.ts
@@ -6,6 +6,7 @@
 import { charterFaults } from './charterFaults.js'
 import { cutFaults } from './cutFaults.js'
 import type { Fault } from './Fault.js'
+import { hostsOf } from './hostsOf.js'
 import { serverFaults } from './serverFaults.js'
 import type { Simulation } from './Simulation.js'
 
@@ -35,12 +36,6 @@
     some.flatMap((one) => others.flatMap((other) => [[one, other] as const, [other, one] as const])),
   )
 }
-const hosts = (sim: Simulation): string[] => [
-  ...sim.controlPlane.nodes.keys(),
-  ...[...sim.dataPlane.agents.keys()].map((name) => `host-${name}`),
-  ...sim.fleet.servers.keys(),
-]
-
 function killed(sim: Simulation, controlNode: string, power: boolean): () => void {
   sim.controlPlane.kill(controlNode, power)
   return () => {
@@ -201,19 +196,19 @@
     cutBoth(
       sim,
       [leader(sim)],
-      hosts(sim).filter((one) => one !== leader(sim)),
+      hostsOf(sim).filter((one) => one !== leader(sim)),
     ),
   'cut-core-off': (sim) =>
     cutBoth(
       sim,
       [...sim.controlPlane.nodes.keys()],
-      hosts(sim).filter((one) => !sim.controlPlane.nodes.has(one)),
+      hostsOf(sim).filter((one) => !sim.controlPlane.nodes.has(one)),
     ),
   'cut-one-way': (sim) => {
-    const from = sim.random.hit(0.5) ? leader(sim) : (sim.random.pick(hosts(sim)) ?? '')
+    const from = sim.random.hit(0.5) ? leader(sim) : (sim.random.pick(hostsOf(sim)) ?? '')
     return cutWays(
       sim,
-      hosts(sim)
+      hostsOf(sim)
         .filter((other) => other !== from)
         .map((other) => [from, other] as const),
     )
@@ -223,7 +218,7 @@
     return cutBoth(
       sim,
       [dataNode],
-      hosts(sim).filter((one) => one !== dataNode),
+      hostsOf(sim).filter((one) => one !== dataNode),
     )
   },
   'cut-post-from-core': (sim) => cutBoth(sim, [`host-${anyDataNode(sim)}`], [...sim.controlPlane.nodes.keys()]),
@@ -232,11 +227,11 @@
     return cutBoth(
       sim,
       [dataNode],
-      hosts(sim).filter((one) => one !== dataNode && !sim.fleet.servers.has(one)),
+      hostsOf(sim).filter((one) => one !== dataNode && !sim.fleet.servers.has(one)),
     )
   },
   'slow-links': (sim) => {
-    for (const host of hosts(sim)) if (sim.random.hit(0.4)) sim.network.slowMs.set(host, sim.random.between(5, 60))
+    for (const host of hostsOf(sim)) if (sim.random.hit(0.4)) sim.network.slowMs.set(host, sim.random.between(5, 60))
     return () => {
       sim.network.slowMs.clear()
     }
