A request waits on for a load that is under way and likely ends in time

Cause: a request was refused at 0.45 of its time whatever was under way for it, so that rare models were loaded for requests that had just been refused. Excluded: an early certain end (no refusal came of neverBefore). Change: the dispatcher's outlook says whether a server is loading the model; while a fresh outlook says so and the load likely ends within 0.8 of the request's time, the request is held.

--- a/src/gateway/GatewayInput.ts
+++ b/src/gateway/GatewayInput.ts
@@ -7,11 +7,12 @@
 import type { Verdict } from '../common/Verdict.js'
 import type { Arrival } from '../adapters/Arrival.js'
 import type { Row } from '../consensus/Row.js'
+import type { Message } from '../transport/Message.js'
 
 export type GatewayInput =
   | { kind: 'tick' }
   | { kind: 'adopted'; rows?: readonly Row[] }
-  | { kind: 'outlook'; models: readonly { model: string; adapter: string; readyInMs: number; neverBeforeMs: number }[] }
+  | { kind: 'outlook'; models: Extract<Message, { kind: 'outlook' }>['models'] }
   | { kind: 'arrived'; id: string; host: string; path: string; arrival: Arrival }
   | { kind: 'sent'; id: string; attempt: number }
   | { kind: 'head'; id: string; attempt: number; status: number; notRun: boolean }
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -363,3 +363,32 @@
   ok((told.comeBackMs ?? 0) > 0)
   strictEqual(only(arrive('3', '/once/x'), 'attempt').length, 1)
 })
+
+test('a request is held past half of its time while its model is being loaded, and refused as soon as it is not', () => {
+  const waits = { model: 'llm:rare', adapter: '', readyInMs: 700, neverBeforeMs: 0 }
+  const tell = (loading: boolean) => ({ kind: 'outlook' as const, models: [{ ...waits, loading }] })
+  const held = (loads: (step: number) => boolean) => {
+    const { arrive, pass, step } = given()
+    const refusals = only(arrive('1', '/stream/x', { model: 'rare' }), 'turnAway')
+    for (let at = 0; at < 12; at++) {
+      refusals.push(...only(step(tell(loads(at))), 'turnAway'), ...only(pass(200), 'turnAway'))
+      if (refusals.length > 0) return 200 * (at + 1)
+    }
+    return Infinity
+  }
+  ok(held(() => false) <= 2000, 'nothing loads it')
+  strictEqual(
+    held(() => true),
+    Infinity,
+    'something loads it all the while',
+  )
+  const stopped = held((at) => at < 11)
+  ok(stopped > 2000 && stopped <= 2400, `the load ends without it at 2200 ms; refused at ${String(stopped)} ms`)
+})
+
+test('a load that is no longer told of does not hold a request past half of its time', () => {
+  const { arrive, pass, step } = given()
+  arrive('1', '/stream/x', { model: 'rare' })
+  step({ kind: 'outlook', models: [{ model: 'llm:rare', adapter: '', readyInMs: 1500, neverBeforeMs: 0, loading: true }] })
+  strictEqual(only(pass(2400), 'turnAway').length, 1)
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -27,12 +27,23 @@
   refillMs: number
   tallyMs: number
 }
+/** What the dispatcher expects of a model that requests wait for. */
+interface Outlook {
+  heardMs: number
+  readyAtMs: number
+  neverBeforeMs: number
+  loading: boolean
+}
 type Attempted = Exclude<GatewayInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
 
 const defaultDueMs = 30_000
 /** Ratios of a request's aim or of the time that it has. */
 const holdRatio = 0.45
 const roomRatio = 0.2
+/** A request waits for a load that is under way and likely ends by then. */
+const loadedByRatio = 0.8
+/** How many tallies long the dispatcher's word on a load counts. */
+const freshOutlookTallies = 3
 const connectRatio = 0.5
 const silentRatio = 0.7
 const gapRatio = 0.75
@@ -50,7 +61,7 @@
   readonly #budget: TryBudget
   readonly #passages = new Map<string, Passage>()
   readonly #held = new Set<Passage>()
-  readonly #outlooks = new Map<string, { heardMs: number; readyAtMs: number; neverBeforeMs: number }>()
+  readonly #outlooks = new Map<string, Outlook>()
   #arrivals = new Map<string, { model: string; adapter: string; count: number; lastMs: number }>()
   #effects: GatewayEffect[] = []
   #tallyAtMs = 0
@@ -92,6 +103,7 @@
             heardMs: nowMs,
             readyAtMs: nowMs + one.readyInMs,
             neverBeforeMs: nowMs + one.neverBeforeMs,
+            loading: one.loading === true,
           })
         this.#giveUp(nowMs)
         break
@@ -289,7 +301,7 @@
     this.#effects.push({ kind: 'turnAway', id: passage.id, status, comeBackMs, why })
   }
 
-  #outlook(passage: Passage, nowMs: number): { readyAtMs: number; neverBeforeMs: number } | undefined {
+  #outlook(passage: Passage, nowMs: number): Outlook | undefined {
     const outlook = this.#outlooks.get(`${passage.model}/${passage.adapter}`)
     return outlook !== undefined && nowMs - outlook.heardMs < 2 * this.#plan.suspectMs ? outlook : undefined
   }
@@ -318,6 +330,7 @@
     else if (holders === 0 && passage.model !== '') {
       patienceMs = holdRatio * hadMs
       if (outlook !== undefined && outlook.neverBeforeMs > passage.dueMs) patienceMs = 0
+      else if (outlook !== undefined && this.#loadsInTime(outlook, passage, nowMs)) patienceMs = Infinity
     }
     if (late || waitedMs >= patienceMs) {
       if (passage.lastWhy === '') passage.lastWhy = holders === 0 ? 'no server holds what it needs' : 'no place is free'
@@ -325,6 +338,13 @@
     }
   }
 
+  /** True while a server loads the model, by a fresh word of the dispatcher, and is likely done well before the request is due. */
+  #loadsInTime(outlook: Outlook, passage: Passage, nowMs: number): boolean {
+    const isFresh = nowMs - outlook.heardMs < freshOutlookTallies * this.#plan.tallyMs
+    const byMs = passage.arrivedMs + loadedByRatio * (passage.dueMs - passage.arrivedMs)
+    return outlook.loading && isFresh && outlook.readyAtMs < byMs
+  }
+
   /** Attempts that are silent for too long: connecting, before the first byte, in the midst of a stream. */
   #watch(passage: Passage, nowMs: number): void {
     const { phase } = passage
--- a/src/placement/AvailabilityEstimate.ts
+++ b/src/placement/AvailabilityEstimate.ts
@@ -12,6 +12,7 @@
   adapter: string
   readyInMs: number
   neverBeforeMs: number
+  loading: boolean
 }
 /** How long attaching an adapter likely takes at a server that holds its model. */
 const attachMs = 200
@@ -39,7 +40,8 @@
       if (plan === undefined) return []
       const certain = this.#nowhere(model, nowMs)
       const neverBeforeMs = certain ? this.#bucket.earliestMs(draw({ kind: 'load', sizeMb: plan.sizeMb }), perS, burst, nowMs) : 0
-      return [{ model, adapter, neverBeforeMs, readyInMs: Math.max(neverBeforeMs, this.#readyInMs(model, adapter, plan.sizeMb, nowMs)) }]
+      const readyInMs = Math.max(neverBeforeMs, this.#readyInMs(model, adapter, plan.sizeMb, nowMs))
+      return [{ model, adapter, neverBeforeMs, readyInMs, loading: this.#loading(model) }]
     })
   }
 
@@ -56,6 +58,11 @@
     )
   }
 
+  /** True when a server has been sent the order to load the model and the order has not ended. */
+  #loading(model: string): boolean {
+    return this.#inventory.all.some(({ task }) => task?.phase === 'sent' && task.order.kind === 'load' && task.order.model === model)
+  }
+
   /** The order under way, else the wants before it at the store's pace, else the first window to close. */
   #readyInMs(model: string, adapter: string, sizeMb: number, nowMs: number): number {
     const modelServers = this.#inventory.all.filter((modelServer) => modelServer.open)
--- a/src/transport/Message.ts
+++ b/src/transport/Message.ts
@@ -146,7 +146,16 @@
   // Shares of limits, and what waiting requests may expect.
   kind('ask', { asks: z.array(Ask), echo: z.number(), again: z.array(Again), firsts: z.array(Count) }),
   kind('outlook', {
-    models: z.array(z.object({ model: z.string(), adapter: z.string(), readyInMs: z.number(), neverBeforeMs: z.number() })),
+    models: z.array(
+      z.object({
+        model: z.string(),
+        adapter: z.string(),
+        readyInMs: z.number(),
+        neverBeforeMs: z.number(),
+        /** A server is loading it now. */
+        loading: z.boolean().optional(),
+      }),
+    ),
   }),
   // Snapshots in chunks, and members that go.
   kind('snapshotReply', {
