A second copy for safety comes after first copies, and makes way for them

Cause: the floor of two copies of whatever is asked for steadily was wanted as if its one copy bore no more (rank busy, before requests that wait), and held even in the last resort, so that second copies kept first copies out. Excluded: copies in use that others bear (taking these too changed background by less than 0.05 and cost live requests on long loads). Change: only what the requests at once call for ranks as busy; the floor is wanted as a spare and does not hold in the last resort.

--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -248,14 +248,26 @@
     }
   }
 
-  /** Copies that the requests at once call for, two at least of what is asked for steadily. */
+  /** Copies that the requests at once call for, two at least of what is asked for steadily; in the last resort only what bears them. */
   #needed(model: string, adapter: string, ratio: number): number {
+    const steady = ratio > spareRatio && this.#isSteady(model, adapter, ratio)
+    return Math.max(steady ? 2 : 1, this.#bearing(model, adapter, ratio))
+  }
+
+  #isSteady(model: string, adapter: string, ratio: number): boolean {
+    const load = this.#loads.get(keyOf(model, adapter))
+    if (load === undefined) return false
+    const kept = ratio > reserveRatio
+    return Math.max(load.steadyPerS, kept ? 0 : load.perS * 0.5) > steadyFromPerS * (kept ? 0.5 : 1)
+  }
+
+  /** Copies that bear the requests at once, and have places for the adapters. */
+  #bearing(model: string, adapter: string, ratio: number): number {
     const load = this.#loads.get(keyOf(model, adapter))
     if (load === undefined) return 1
     const capacity = this.#capacities.get(this.#inventory.planOf(model)?.owner ?? '') ?? 1
     const byCount = Math.ceil((ratio * load.expected) / Math.min(bearsAtOnce, bearsRatio * capacity))
-    const steady = Math.max(load.steadyPerS, ratio > reserveRatio ? 0 : load.perS * 0.5) > steadyFromPerS * (ratio > reserveRatio ? 0.5 : 1)
-    return Math.max(1, steady ? 2 : 1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
+    return Math.max(1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
   }
 
   /** Copies of a model that have places for all of its adapters that are asked for steadily. */
@@ -335,8 +347,9 @@
           const missing = Math.min(needed, roof) - copies.length
           const urgency = perS / copies.length
           const elsewhere = zones.length < allZones.size
-          if (missing > 0 && perS > crowdPerS)
-            for (let n = 0; n < Math.min(missing, copiesAtOnce); n++)
+          const crowded = Math.min(this.#bearing(plan.key, adapter, reserveRatio), roof) - copies.length
+          if (crowded > 0 && perS > crowdPerS)
+            for (let n = 0; n < Math.min(crowded, copiesAtOnce); n++)
               wants.push({ ...base(plan, adapter), kind: 'busy', urgency, why: 'more requests than its copies bear' })
           else if (missing > 0 || (needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
             wants.push({
