What has waited two loads' time takes its turn, whoever is inside a window

Cause: the last resort ended at copies that another server holds too. A model asked for again within its load's time is always inside its window, so once the places were full of such models nothing ever made way and whoever came first stayed: starvation by design. Change: a further last resort, turns: a model that was asked for and held nowhere for two loads' time takes the place of the one that scores highest among those that had a load's time themselves, are not in use and are asked for less than three times a second.

--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -12,14 +12,13 @@
 import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tally } from './Tally.js'
+import type { Relaxation } from './Relaxation.js'
 import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
 import { ModelServer } from './ModelServer.js'
 import type { ServerInventory } from './ServerInventory.js'
 import { UnmetDemand } from './UnmetDemand.js'
 
-type Relaxed = NonNullable<ModelServer['plan']>['relaxed']
-
 const countMs = 100
 const unforeseenMs = 24 * 3_600_000
 const forgetMs = 600_000
@@ -34,6 +33,8 @@
 const keptRatio = 1.5
 /** In the last resort a copy makes way where those that stay bear the requests with nothing to spare. */
 const spareRatio = 0.5
+/** After so many loads' time without a copy it is a model's turn, whoever is inside a window. */
+const turnLoads = 2
 const rareRatio = 0.25
 const crowdedMs = 400
 /** Requests a second from which a missing copy goes before a request that waits for a rare model. */
@@ -167,11 +168,12 @@
     return nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
   }
 
-  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
+  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxation, nowMs: number): boolean {
     const resident = this.residents(modelServer, adapters, nowMs, relaxed === 'spares').find((one) => one.key === key)
     if (resident === undefined) return false
     if (!this.#policy.foresees) return true
     if (relaxed === 'spares') return resident.doubled
+    if (relaxed === 'turns') return true
     const outside = nowMs < resident.windowFromMs || nowMs > resident.windowToMs || (relaxed === 'doubles' && resident.doubled)
     return outside && (relaxed !== 'nothing' || nowMs - resident.lastMs > this.#predictor.historyMs)
   }
@@ -445,7 +447,19 @@
     if (want.dueInMs > this.#timings.makeRoomMs + 2 * this.thetaMs(want.model)) return false
     for (const relaxed of ['history', 'overlap', 'doubles'] as const)
       if (this.#choose(step, plan, fitting, size, relaxed, nowMs)) return true
-    return false
+    return !attach && this.#isItsTurn(want, nowMs) && this.#choose(step, plan, fitting, size, 'turns', nowMs)
+  }
+
+  /** True of a model that was asked for so long ago, and that no server has held since, that another is to make way for it. */
+  #isItsTurn(want: Want, nowMs: number): boolean {
+    const entry = this.#unmet.entries.get(keyOf(want.model, want.adapter))
+    return entry !== undefined && nowMs - entry.sinceMs > turnLoads * this.thetaMs(want.model)
+  }
+
+  /** What may make way when it is another's turn: had a turn itself, and is asked for seldom enough to be missed little. */
+  #hadItsTurn(modelServer: ModelServer, one: ResidentModel, nowMs: number): boolean {
+    const heldMs = nowMs - (this.#sinceMs.get(`${modelServer.name} ${one.key}`) ?? -Infinity)
+    return heldMs > this.thetaMs(one.key) && (this.#loads.get(one.key)?.perS ?? 0) < crowdPerS
   }
 
   /** A server that an order keeps busy has room left for it: better to wait a moment than to take memory from another. */
@@ -459,14 +473,15 @@
     })
   }
 
-  #choose(want: Want, plan: ModelPlan, modelServers: readonly ModelServer[], size: number, relaxed: Relaxed, nowMs: number): boolean {
+  #choose(want: Want, plan: ModelPlan, modelServers: readonly ModelServer[], size: number, relaxed: Relaxation, nowMs: number): boolean {
     let best: { modelServer: ModelServer; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
     const adapters = want.adapter !== ''
     for (const modelServer of modelServers) {
       const byRoom = plan.adapterMb > 0 ? Math.floor(ModelServer.freeMb(modelServer) / plan.adapterMb) : Infinity
       const free = adapters ? Math.min(ModelServer.freePlaces(modelServer), byRoom) : ModelServer.freeMb(modelServer)
-      const residents = free >= size ? [] : this.#mayLeave(want, this.residents(modelServer, adapters, nowMs, relaxed === 'spares'))
+      const mayLeave = free >= size ? [] : this.#mayLeave(want, this.residents(modelServer, adapters, nowMs, relaxed === 'spares'))
+      const residents = relaxed === 'turns' ? mayLeave.filter((one) => this.#hadItsTurn(modelServer, one, nowMs)) : mayLeave
       const victims = this.#policy.evict(newcomer, residents, free, this.#historyMs, nowMs, relaxed)
       if (victims === undefined) continue
       const calm = 1 - Math.min(1, (this.#busy.get(modelServer.name) ?? 0) / Math.max(1, modelServer.capacity))
--- a/src/placement/ModelServer.ts
+++ b/src/placement/ModelServer.ts
@@ -4,6 +4,7 @@
  */
 import type { Order } from '../common/Order.js'
 import type { Report } from '../common/Report.js'
+import type { Relaxation } from './Relaxation.js'
 
 export interface ModelServer {
   name: string
@@ -37,9 +38,7 @@
         withdrawnMs?: number
       }
     | undefined
-  plan:
-    | { model: string; adapter: string; victims: string[]; why: string; relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' }
-    | undefined
+  plan: { model: string; adapter: string; victims: string[]; why: string; relaxed: Relaxation } | undefined
   backoffUntilMs: number
   /** Orders that it had taken when it was last read; unknown until then, and where a list differs from it. */
   sequence: number | undefined
--- a/src/placement/Placer.ts
+++ b/src/placement/Placer.ts
@@ -2,6 +2,7 @@
  * What the dispatcher asks of its planner: the wants of the moment, which it enacts server by server, what a
  * load is likely to take, and whether a victim may still make way when its turn comes.
  */
+import type { Relaxation } from './Relaxation.js'
 import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
 import type { ModelServer } from './ModelServer.js'
@@ -13,11 +14,5 @@
   thetaMs: (model: string, sizeMb: number) => number
   tick: (hour: number, nowMs: number) => void
   residents: (modelServer: ModelServer, adapters: boolean, nowMs: number) => ResidentModel[]
-  stillMakesWay: (
-    modelServer: ModelServer,
-    key: string,
-    adapters: boolean,
-    relaxed: NonNullable<ModelServer['plan']>['relaxed'],
-    nowMs: number,
-  ) => boolean
+  stillMakesWay: (modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxation, nowMs: number) => boolean
 }
--- a/src/placement/Planner.ts
+++ b/src/placement/Planner.ts
@@ -10,12 +10,12 @@
 import type { Policy } from './Policy.js'
 import { Predictor } from './Predictor.js'
 import type { Tally } from './Tally.js'
+import type { Relaxation } from './Relaxation.js'
 import type { ResidentModel } from './ResidentModel.js'
 import type { Want } from './Want.js'
 import { ModelServer } from './ModelServer.js'
 import type { ServerInventory } from './ServerInventory.js'
 
-type Relaxed = NonNullable<ModelServer['plan']>['relaxed']
 const spareFrom = 4
 const unforeseenMs = 24 * 3_600_000
 
@@ -190,7 +190,7 @@
     return after.some((free) => free >= largest)
   }
 
-  #choose(want: Want, modelServers: readonly ModelServer[], size: number, relaxed: Relaxed, nowMs: number): boolean {
+  #choose(want: Want, modelServers: readonly ModelServer[], size: number, relaxed: Relaxation, nowMs: number): boolean {
     let best: { modelServer: ModelServer; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
     for (const modelServer of modelServers) {
@@ -246,7 +246,7 @@
   }
 
   /** Between the count and the enacting a victim may have been requested, or its window may have opened. */
-  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxed, nowMs: number): boolean {
+  stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxation, nowMs: number): boolean {
     const resident = this.residents(modelServer, adapters, nowMs).find((one) => one.key === key)
     if (resident === undefined) return false
     if (!this.#policy.foresees) return true
--- a/src/placement/evict.ts
+++ b/src/placement/evict.ts
@@ -6,9 +6,11 @@
  * does not fit: then no one leaves. Each replacement is an unload, as a server holds one version.
  * `relaxed` is never for the ordinary path. When nothing fits there, `spares` takes only what another
  * server holds too, so that no model loses its last copy; the last resort lets go of the history window,
- * then of the overlap too, then takes even from within a window what another server holds too.
+ * then of the overlap too, then takes even from within a window what another server holds too. `turns`, for what has
+ * waited for long, takes from within any window, in score order too.
  */
 import { Heap } from './Heap.js'
+import type { Relaxation } from './Relaxation.js'
 import type { ResidentModel } from './ResidentModel.js'
 
 export function evict(
@@ -17,15 +19,16 @@
   free: number,
   historyMs: number,
   nowMs: number,
-  relaxed: 'nothing' | 'spares' | 'history' | 'overlap' | 'doubles' = 'nothing',
+  relaxed: Relaxation = 'nothing',
 ): { key: string; score: number }[] | undefined {
   const spares = relaxed === 'spares'
+  const turns = relaxed === 'turns'
   const minimalist = residents.filter((one) =>
-    spares ? one.doubled : nowMs < one.windowFromMs || nowMs > one.windowToMs || (relaxed === 'doubles' && one.doubled),
+    turns ? true : spares ? one.doubled : nowMs < one.windowFromMs || nowMs > one.windowToMs || (relaxed === 'doubles' && one.doubled),
   )
   const unrequested = relaxed === 'nothing' ? minimalist.filter((one) => nowMs - one.lastMs > historyMs) : minimalist
   const apart =
-    spares || relaxed === 'overlap' || relaxed === 'doubles'
+    spares || turns || relaxed === 'overlap' || relaxed === 'doubles'
       ? unrequested
       : unrequested.filter((one) => one.windowFromMs > newcomer.windowToMs || one.windowToMs < newcomer.windowFromMs)
   const farthest = Math.max(...apart.map((one) => one.nextMs - newcomer.nextMs))
