--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -7,6 +7,7 @@
 import { mkdtemp } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { runCommand } from '../common/runCommand.js'
 import { compare } from './compare.js'
@@ -19,6 +20,8 @@
 import { scale } from './scale.js'
 import { simFaults } from './simFaults.js'
 import { slopes } from './slopes.js'
+import { readSeeds } from './soak/readSeeds.js'
+import { soak } from './soak/soak.js'
 import { sweep } from './sweep.js'
 
 const say = (line: string) => {
@@ -180,11 +183,36 @@
     say(`${String(ran)} schedules, ${String(findings)} findings, ${(ran / spanS).toFixed(0)} a second`)
   },
 })
+const soaked = command({
+  name: 'soak',
+  description: 'Runs gateways and control nodes as real processes under overlapping troubles, a fleet a seed, and judges each.',
+  args: {
+    seeds: option({ long: 'seeds', type: string, defaultValue: () => '1', description: 'as 7, or 1..20, or 3,5..8' }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
+    parallel: option({ long: 'parallel', type: number, defaultValue: () => 1, description: 'how many seeds at a time, at most 4' }),
+    dialect: option({
+      long: 'dialect',
+      type: string,
+      defaultValue: () => fileURLToPath(new URL('../platform-check/platform/soak/PlatformDialect.js', import.meta.url)),
+      description: 'the module with the formats of a platform',
+    }),
+    entry: option({ long: 'entry', type: optional(string), description: "another build of the product's program" }),
+    keep: flag({ long: 'keep', description: 'keeps the logs of runs that pass, too' }),
+  },
+  handler: async (given) => {
+    const seeds = readSeeds(given.seeds)
+    if (seeds === undefined) unknown(`${given.seeds}: not seeds`, ['7', '1..20', '3,5..8'])
+    else {
+      const bounded = { seconds: Math.min(given.seconds, 600), parallel: Math.max(1, Math.min(given.parallel, 4)) }
+      if (!(await soak({ ...given, ...bounded, seeds, say }))) process.exitCode = 1
+    }
+  },
+})
 await runCommand(
   subcommands({
     name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes, explore: exploreRaft },
+    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes, explore: exploreRaft, soak: soaked },
   }),
   process.argv.slice(2),
 )
--- /dev/null
+++ b/src/simulator/soak/SoakFleet.ts
@@ -0,0 +1,126 @@
+/**
+ * The processes, servers, list, clients and operator of one soak, each on loopback addresses of this run alone,
+ * and the troubles that befall them.
+ */
+import { join } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
+import { clockMs } from '../../common/clockMs.js'
+import { SoakClients } from './SoakClients.js'
+import type { SoakDialect } from './SoakDialect.js'
+import { SoakList } from './SoakList.js'
+import type { SoakLog } from './SoakLog.js'
+import { SoakNode } from './SoakNode.js'
+import { SoakOperator } from './SoakOperator.js'
+import { SoakScene } from './SoakScene.js'
+import type { SoakSeat } from './SoakSeat.js'
+import { SoakServer } from './SoakServer.js'
+import type { Trouble } from './Trouble.js'
+
+const listHost = 2
+const firstControl = 10
+const firstGateway = 20
+const firstEngine = 40
+const firstPlain = 60
+const firstNet = 64
+const nets = 128
+const hosts = 256
+
+export class SoakFleet {
+  readonly nodes: readonly SoakNode[]
+  readonly servers: readonly SoakServer[]
+  readonly list: SoakList
+  readonly clients: SoakClients
+  readonly operator: SoakOperator
+  readonly #log: SoakLog
+  readonly #cuts = new Map<string, Trouble['kind']>()
+
+  constructor(seed: number, folder: string, entry: string, dialect: SoakDialect, log: SoakLog) {
+    this.#log = log
+    // A part of loopback that belongs to this process alone, so that soaks may run beside each other.
+    const net = `127.${String(firstNet + (Math.floor(process.pid / hosts) % nets))}.${String(process.pid % hosts)}`
+    const ip = (host: number) => `${net}.${String(host)}`
+    this.servers = [
+      ...SoakScene.servers.map((one, at) => new SoakServer({ ...one, ip: ip(firstEngine + at) }, dialect, log)),
+      ...SoakScene.plain.map((one, at) => new SoakServer({ ...one, ip: ip(firstPlain + at), holds: undefined }, dialect, log)),
+    ]
+    this.list = new SoakList(ip(listHost), this.servers, dialect)
+    const seeds = SoakScene.controls.map((_, at) => ip(firstControl + at))
+    const common = { zones: SoakScene.zones, seeds, list: this.list.address }
+    const controls = SoakScene.controls.map((one, at): SoakSeat => {
+      return { ...common, ...one, role: 'control', ip: ip(firstControl + at), data: join(folder, one.name), bootstrap: true }
+    })
+    const gateways = SoakScene.gateways.map((one, at): SoakSeat => {
+      return { ...common, ...one, role: 'gateway', ip: ip(firstGateway + at), data: '', bootstrap: true }
+    })
+    this.nodes = [...controls, ...gateways].map((seat) => new SoakNode(seat, dialect, entry, folder, log))
+    this.clients = new SoakClients(seed, gateways, dialect, log)
+    this.operator = new SoakOperator(seed + 1, controls, dialect, log)
+  }
+
+  async start(): Promise<void> {
+    for (const server of this.servers) await server.open()
+    await this.list.open()
+    for (const node of this.nodes) await node.start()
+  }
+
+  async stop(): Promise<void> {
+    this.operator.stop()
+    await Promise.all(this.nodes.map((node) => node.kill()))
+    for (const server of this.servers) await server.crash()
+    this.list.close()
+  }
+
+  /** Brings the troubles about at their times, and takes each away again. */
+  async suffer(troubles: readonly Trouble[], fromMs: number): Promise<void> {
+    await Promise.all(
+      troubles.map(async (trouble) => {
+        await pause(Math.max(0, fromMs + trouble.fromMs - clockMs()))
+        const span = { who: trouble.target, kind: trouble.kind, fromMs: clockMs(), toMs: Infinity }
+        this.#log.spans.push(span)
+        await this.#begin(trouble)
+        await pause(Math.max(0, fromMs + trouble.toMs - clockMs()))
+        await this.#end(trouble)
+        span.toMs = clockMs()
+      }),
+    )
+  }
+
+  async #begin({ kind, target }: Trouble): Promise<void> {
+    const node = this.nodes.find((one) => one.seat.name === target)
+    const server = this.servers.find((one) => one.plan.name === target)
+    if (kind === 'kill') await node?.kill()
+    else if (kind === 'freeze') node?.signal('SIGSTOP')
+    else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, kind)
+    else if (kind === 'crashServer') await server?.crash()
+    else if (kind === 'slowServer') {
+      if (server !== undefined) server.slow = true
+    } else if (kind === 'loseOrders') for (const one of this.servers) one.losesAnswers = true
+    else this.operator.losesAnswers = true
+  }
+
+  async #end({ kind, target }: Trouble): Promise<void> {
+    const node = this.nodes.find((one) => one.seat.name === target)
+    const server = this.servers.find((one) => one.plan.name === target)
+    if (kind === 'kill') await node?.start()
+    else if (kind === 'freeze') node?.signal('SIGCONT')
+    else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, undefined)
+    else if (kind === 'crashServer') await server?.open()
+    else if (kind === 'slowServer') {
+      if (server !== undefined) server.slow = false
+    } else if (kind === 'loseOrders') for (const one of this.servers) one.losesAnswers = false
+    else this.operator.losesAnswers = false
+  }
+
+  /** A cut node reaches nobody, and unless only its ways out are cut, no other node reaches it. */
+  #setCut(target: string, kind: Trouble['kind'] | undefined): void {
+    if (kind === undefined) this.#cuts.delete(target)
+    else this.#cuts.set(target, kind)
+    const everyone = [
+      ...this.nodes.map((one) => one.seat.ip),
+      ...this.servers.map((one) => one.plan.ip),
+      this.list.address.slice(0, this.list.address.lastIndexOf(':')),
+    ]
+    const away = this.nodes.filter((one) => this.#cuts.get(one.seat.name) === 'cut').map((one) => one.seat.ip)
+    for (const node of this.nodes) node.cut(this.#cuts.has(node.seat.name) ? everyone : away)
+  }
+}
--- /dev/null
+++ b/src/simulator/soak/SoakLog.ts
@@ -0,0 +1,23 @@
+/**
+ * All that was seen from outside in one run, for the judges and for whoever looks into a failure.
+ */
+import type { SoakChange } from './SoakChange.js'
+import type { SoakOrderSeen } from './SoakOrderSeen.js'
+import type { SoakReading } from './SoakReading.js'
+import type { SoakRun } from './SoakRun.js'
+import type { SoakSpan } from './SoakSpan.js'
+import type { SoakTry } from './SoakTry.js'
+
+export interface SoakLog {
+  /** When traffic began and ended. */
+  fromMs: number
+  toMs: number
+  tries: SoakTry[]
+  runs: SoakRun[]
+  orders: SoakOrderSeen[]
+  changes: SoakChange[]
+  readings: SoakReading[]
+  spans: SoakSpan[]
+  /** Processes that ended though nobody ended them. */
+  ended: string[]
+}
--- /dev/null
+++ b/src/simulator/soak/heldNode.ts
@@ -0,0 +1,28 @@
+/**
+ * Starts a program of the product as the soak's child: its links obey the soak, then its own entry is run, with
+ * the arguments that it is given. The soak says which addresses are cut off over the channel to its child.
+ */
+import { pathToFileURL } from 'node:url'
+import { z } from 'zod'
+import { clockMs } from '../../common/clockMs.js'
+import { HeldLinks } from './HeldLinks.js'
+
+const watchMs = 50
+const lateMs = 400
+const Told = z.object({ cut: z.array(z.string()) })
+const links = new HeldLinks()
+links.install()
+process.on('message', (message) => {
+  const told = Told.safeParse(message)
+  if (told.success) links.cut(told.data.cut)
+})
+process.channel?.unref()
+let lastMs = clockMs()
+setInterval(() => {
+  const nowMs = clockMs()
+  if (nowMs - lastMs > lateMs && process.connected) process.send?.({ lateMs: nowMs - lastMs })
+  lastMs = nowMs
+}, watchMs).unref()
+const [, , entry = ''] = process.argv
+process.argv.splice(1, 1)
+await import(pathToFileURL(entry).href)
--- /dev/null
+++ b/src/simulator/soak/judgeSoak.test.ts
@@ -0,0 +1,194 @@
+/**
+ * Each judge of a soak passes a sound log, and fails on one that is broken on purpose in just its rule.
+ */
+import { deepStrictEqual, strictEqual } from 'node:assert'
+import { test } from 'node:test'
+import type { SoakLog } from './SoakLog.js'
+import type { SoakOrderSeen } from './SoakOrderSeen.js'
+import type { SoakTry } from './SoakTry.js'
+import { judgeSoak } from './judgeSoak.js'
+import { soakEvents } from './soakEvents.js'
+
+const rareModels = 20
+const asksEach = 6
+const betweenMs = 2000
+const order: SoakOrderSeen = {
+  kind: 'load',
+  model: 'm1',
+  adapter: '',
+  owner: 'core-1',
+  fence: 5,
+  expected: 0,
+  server: 'engine-1.1',
+  atMs: 1000,
+  status: 202,
+  fillsMb: 210_000,
+  fillsPlaces: 0,
+  fromStore: true,
+}
+
+/** Twenty models, each asked for six times over ten seconds and served at the last, and a booking a second. */
+function sound(): SoakLog {
+  const log: SoakLog = { fromMs: 0, toMs: 20_000, tries: [], runs: [], orders: [order], changes: [], readings: [], spans: [], ended: [] }
+  const add = (route: SoakTry['route'], model: string, sentMs: number, status: number) => {
+    const ask = log.tries.length + 1
+    const id = `t${String(ask)}-1`
+    const seal = `s${String(ask)}`
+    const ran = status === 200
+    const body = !ran ? '' : model === '' ? `${id} done ${seal}` : soakEvents.of(id, seal, 0).join('')
+    const head = { seal: ran ? seal : '', answeredId: id, gateway: 'gate-1', adapter: '', why: '' }
+    log.tries.push({ ...head, id, ask, route, model, sentMs, endMs: sentMs + 100, status, body, whole: true })
+    if (ran) log.runs.push({ id, server: 'engine-1.1', seal, atMs: sentMs, resumeAfter: 0, body, stray: false })
+  }
+  for (let turn = 0; turn < asksEach; turn++) {
+    for (let at = 0; at < rareModels; at++) add('live', `m${String(at)}`, turn * betweenMs + at, turn === asksEach - 1 ? 200 : 503)
+    for (let at = 0; at < rareModels; at++) add('book', '', turn * betweenMs + at, 200)
+  }
+  const change = { taken: true, refused: undefined }
+  log.changes.push({ ...change, revision: 3, text: '{"revision":3}', sentMs: 0, acknowledgedMs: 100 })
+  log.changes.push({ ...change, revision: 5, text: '{"revision":5}', sentMs: 3000, acknowledgedMs: 3100 })
+  log.readings.push({ askedMs: 3200, text: '{ "revision": 5 }', revision: 5, final: true })
+  return log
+}
+
+function broken(log: SoakLog): string[] {
+  return Object.entries(judgeSoak(log)).flatMap(([name, faults]) => (faults.length > 0 ? [name] : []))
+}
+
+const trials: [string, string, (log: SoakLog) => void][] = [
+  [
+    'starved',
+    'a sixth of the models is never served',
+    (log) => {
+      log.tries = log.tries.filter((one) => !['m1', 'm2', 'm3', 'm4'].includes(one.model) || one.status !== 200)
+      const ids = new Set(log.tries.map((one) => one.id))
+      log.runs = log.runs.filter((one) => ids.has(one.id))
+    },
+  ],
+  [
+    'answers',
+    'a booking runs twice',
+    (log) => {
+      const run = log.runs.find((one) => one.body.includes('done'))
+      if (run !== undefined) log.runs.push({ ...run, server: 'desk-2.1', seal: 'again' })
+    },
+  ],
+  [
+    'answers',
+    "a booking gets another's answer",
+    (log) => {
+      const [one, other] = log.tries.filter(({ route }) => route === 'book')
+      if (one !== undefined && other !== undefined) Object.assign(one, { body: other.body, seal: other.seal, answeredId: other.id })
+    },
+  ],
+  [
+    'answers',
+    'a success has no seal',
+    (log) => {
+      for (const one of log.tries.slice(-1)) one.seal = ''
+    },
+  ],
+  [
+    'answers',
+    'a stream that lacks its end looks whole',
+    (log) => {
+      const one = log.tries.find(({ model, status }) => model !== '' && status === 200)
+      if (one !== undefined) one.body = one.body.slice(0, one.body.indexOf('id: 6'))
+    },
+  ],
+  [
+    'answers',
+    'a stream repeats an event',
+    (log) => {
+      const one = log.tries.find(({ model, status }) => model !== '' && status === 200)
+      if (one !== undefined) one.body = one.body.slice(0, one.body.indexOf('id: 2')) + one.body
+    },
+  ],
+  [
+    'answers',
+    'a request runs at a server that it was not meant for',
+    (log) => {
+      for (const one of log.runs.slice(0, 1)) one.stray = true
+    },
+  ],
+  ['orders', 'an order beyond the memory', (log) => log.orders.push({ ...order, fillsMb: 280_000 })],
+  ['orders', 'an order beyond the places', (log) => log.orders.push({ ...order, fillsPlaces: 9 })],
+  ['orders', 'two owners of one fence', (log) => log.orders.push({ ...order, owner: 'core-2', atMs: 9000, status: 409 })],
+  [
+    'orders',
+    'a lower fence is taken',
+    (log) => log.orders.push({ ...order, owner: 'core-2', fence: 9, atMs: 9000 }, { ...order, atMs: 19_000 }),
+  ],
+  [
+    'orders',
+    'two holders in touch take turns',
+    (log) => log.orders.push({ ...order, owner: 'core-2', fence: 9, atMs: 1500 }, { ...order, fence: 11, atMs: 2000 }),
+  ],
+  [
+    'configurations',
+    'an older configuration is read back',
+    (log) => log.readings.push({ askedMs: 4000, text: '{"revision":3}', revision: 3, final: false }),
+  ],
+  [
+    'configurations',
+    'it is not read back as it was sent',
+    (log) => log.readings.push({ askedMs: 4000, text: '{"revision":5,"more":1}', revision: 5, final: false }),
+  ],
+  ['configurations', 'nothing is read back', (log) => (log.readings = [])],
+  [
+    'configurations',
+    'a change that was taken is refused',
+    (log) => {
+      for (const one of log.changes) one.refused = 412
+    },
+  ],
+  [
+    'store',
+    'too many loads in five seconds',
+    (log) => {
+      for (let at = 0; at < 60; at++) log.orders.push({ ...order, atMs: 2000 + 50 * at, server: `engine-${String(at % 8)}.1` })
+    },
+  ],
+  [
+    'promises',
+    'a refused request runs later',
+    (log) => {
+      const one = log.tries.find(({ status }) => status === 503)
+      if (one !== undefined) log.runs.push({ id: one.id, server: 'e', seal: 'late', atMs: 15_000, resumeAfter: 0, body: '', stray: false })
+    },
+  ],
+  [
+    'served',
+    'a calm day serves a third',
+    (log) => {
+      for (const one of log.tries) if (one.route === 'book' && one.ask % 3 > 0) one.status = 502
+    },
+  ],
+  ['served', 'a process ends by itself', (log) => log.ended.push('gate-1: exit 1')],
+]
+
+test('a sound log passes every judge', () => {
+  deepStrictEqual(broken(sound()), [])
+})
+for (const [name, what, breaks] of trials)
+  test(`the judge of ${name} fails when ${what}`, () => {
+    const log = sound()
+    breaks(log)
+    deepStrictEqual(broken(log), [name])
+  })
+
+test('what was asked for in trouble alone, or too seldom, need not be served', () => {
+  const log = sound()
+  log.tries = log.tries.map((one) => (one.model === '' ? one : { ...one, status: 503, body: '', seal: '' }))
+  log.runs = log.runs.filter((one) => one.body.includes('done'))
+  strictEqual(broken(log).includes('starved'), true)
+  log.spans.push({ who: 'core-1', kind: 'freeze', fromMs: 1000, toMs: 4000 })
+  strictEqual(broken(log).includes('starved'), false)
+})
+
+test('a node that came out of trouble is not in touch, so its turn counts for nothing', () => {
+  const log = sound()
+  log.orders.push({ ...order, owner: 'core-2', fence: 9, atMs: 1500 }, { ...order, fence: 11, atMs: 2000 })
+  log.spans.push({ who: 'core-1', kind: 'freeze', fromMs: 1100, toMs: 1900 })
+  deepStrictEqual(broken(log), [])
+})
--- /dev/null
+++ b/src/simulator/soak/planTroubles.ts
@@ -0,0 +1,47 @@
+/**
+ * The troubles of a seed: episodes of two or three that overlap, with calm between them. No more than one
+ * control node is in trouble at a time, as that is what the scene tolerates.
+ */
+import { Random } from '../../common/Random.js'
+import { SoakScene } from './SoakScene.js'
+import type { Trouble } from './Trouble.js'
+
+const firstMs = 5000
+const calmMs = 5500
+const lastCalmMs = 5000
+const leastMs = 1000
+const mostMs = 4000
+const staggerMs = 1000
+const leastAtOnce = 2
+const mostAtOnce = 3
+const troublesOfNodes: readonly Trouble['kind'][] = ['kill', 'freeze', 'cut', 'cutOut']
+const troublesOfServers: readonly Trouble['kind'][] = ['crashServer', 'slowServer']
+const troublesOfAnswers: readonly Trouble['kind'][] = ['loseOrders', 'loseOperators']
+
+function drawTarget(random: Random, kind: Trouble['kind'], control: string): string {
+  if (troublesOfAnswers.includes(kind)) return ''
+  if (troublesOfServers.includes(kind)) return random.pick(SoakScene.servers)?.name ?? ''
+  return random.hit(0.5) ? control : (random.pick(SoakScene.gateways)?.name ?? '')
+}
+
+export function planTroubles(seed: number, lengthMs: number): Trouble[] {
+  const random = new Random(seed)
+  const troubles: Trouble[] = []
+  let atMs = firstMs
+  while (atMs + staggerMs + mostMs + lastCalmMs <= lengthMs) {
+    const control = random.pick(SoakScene.controls)?.name ?? ''
+    const count = leastAtOnce + random.below(mostAtOnce - leastAtOnce + 1)
+    const episode: Trouble[] = []
+    while (episode.length < count) {
+      const group = random.pick([troublesOfNodes, troublesOfNodes, troublesOfServers, troublesOfAnswers])
+      const kind = random.pick(group ?? []) ?? 'kill'
+      const target = drawTarget(random, kind, control)
+      const fromMs = atMs + random.between(0, staggerMs)
+      const trouble = { kind, target, fromMs, toMs: fromMs + random.between(leastMs, mostMs) }
+      if (!episode.some((one) => one.target === target && (target !== '' || one.kind === kind))) episode.push(trouble)
+    }
+    troubles.push(...episode)
+    atMs = Math.max(...episode.map((one) => one.toMs)) + calmMs
+  }
+  return troubles.sort((one, other) => one.fromMs - other.fromMs)
+}
--- /dev/null
+++ b/src/simulator/soak/runSoak.ts
@@ -0,0 +1,81 @@
+/**
+ * One seed of a soak from start to verdict: processes and stand-ins come up, a configuration is put, traffic runs while
+ * troubles come and go, and all that was seen from outside is judged.
+ */
+import { rm, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { clockMs } from '../../common/clockMs.js'
+import type { SoakDialect } from './SoakDialect.js'
+import { SoakFleet } from './SoakFleet.js'
+import type { SoakLog } from './SoakLog.js'
+import { judgeSoak } from './judgeSoak.js'
+import { planTroubles } from './planTroubles.js'
+import { tellSoak } from './tellSoak.js'
+
+interface Soak {
+  seed: number
+  seconds: number
+  folder: string
+  entry: string
+  dialect: SoakDialect
+  /** Whether the logs of a run that passes are kept too. */
+  keep: boolean
+  say: (line: string) => void
+}
+
+const startsMs = 30_000
+const readBackMs = 15_000
+/** The soak itself is late when its own timer is; the spans are no calm. */
+const watchMs = 50
+const lateMs = 400
+const shownFaults = 3
+
+function watchLateness(log: SoakLog): NodeJS.Timeout {
+  let lastMs = clockMs()
+  return setInterval(() => {
+    const nowMs = clockMs()
+    if (nowMs - lastMs > lateMs) log.spans.push({ who: 'soak', kind: 'late', fromMs: lastMs, toMs: nowMs })
+    lastMs = nowMs
+  }, watchMs)
+}
+
+async function play(fleet: SoakFleet, log: SoakLog, seed: number, lengthMs: number): Promise<void> {
+  await fleet.start()
+  await fleet.operator.change(clockMs() + startsMs)
+  if (log.changes[0]?.acknowledgedMs === undefined) throw new Error('the first configuration was not acknowledged')
+  if (!(await fleet.clients.ready(startsMs))) throw new Error('not every gateway became ready')
+  log.fromMs = clockMs()
+  log.toMs = log.fromMs + lengthMs
+  const suffering = fleet.suffer(planTroubles(seed, lengthMs), log.fromMs)
+  const operating = fleet.operator.run(log.toMs)
+  await fleet.clients.run(lengthMs)
+  await suffering
+  await operating
+  await fleet.operator.readBack(readBackMs)
+}
+
+export async function runSoak({ seed, seconds, folder, entry, dialect, keep, say }: Soak): Promise<boolean> {
+  const beganMs = clockMs()
+  const log: SoakLog = { fromMs: 0, toMs: 0, tries: [], runs: [], orders: [], changes: [], readings: [], spans: [], ended: [] }
+  const fleet = new SoakFleet(seed, folder, entry, dialect, log)
+  const watch = watchLateness(log)
+  const faults: [string, string[]][] = []
+  try {
+    await play(fleet, log, seed, 1000 * seconds)
+    faults.push(...Object.entries(judgeSoak(log)))
+  } catch (error) {
+    faults.push(['run', [error instanceof Error ? error.message : String(error)]])
+  } finally {
+    clearInterval(watch)
+    await fleet.stop()
+  }
+  await writeFile(join(folder, 'seen.json'), JSON.stringify(log))
+  const passes = faults.every(([, found]) => found.length === 0)
+  const verdicts = faults.map(([name, found]) => `${name} ${found.length === 0 ? 'ok' : `FAIL ${String(found.length)}`}`).join(', ')
+  say(`seed ${String(seed)} ${passes ? 'passes' : 'FAILS'} in ${((clockMs() - beganMs) / 1000).toFixed(1)} s: ${verdicts}`)
+  say(`  ${tellSoak(log)}`)
+  for (const [name, found] of faults) for (const fault of found.slice(0, shownFaults)) say(`  ${name}: ${fault}`)
+  if (!passes) say(`  logs: ${folder}; replay: simulator soak --seeds ${String(seed)} --seconds ${String(seconds)}`)
+  else if (!keep) await rm(folder, { recursive: true, force: true })
+  return passes
+}
