--- a/src/simulator/soak/judgeSoak.test.ts
+++ b/src/simulator/soak/judgeSoak.test.ts
@@ -186,6 +186,16 @@
   strictEqual(broken(log).includes('starved'), false)
 })
 
+test('a run whose control nodes had no turn for long says nothing of starving, one with a freeze does', () => {
+  const log = sound()
+  log.tries = log.tries.filter((one) => one.model === '' || one.status !== 200)
+  log.runs = log.runs.filter((one) => one.body.includes('done'))
+  log.spans.push({ who: 'core-1', kind: 'late', fromMs: 12_000, toMs: 15_000 })
+  strictEqual(broken(log).includes('starved'), false)
+  log.spans.push({ who: 'core-1', kind: 'freeze', fromMs: 12_000, toMs: 15_000 })
+  strictEqual(broken(log).includes('starved'), true)
+})
+
 test('a node that came out of trouble is not in touch, so its turn counts for nothing', () => {
   const log = sound()
   log.orders.push({ ...order, owner: 'core-2', fence: 9, atMs: 1500 }, { ...order, fence: 11, atMs: 2000 })
