--- a/src/simulator/soak/heldNode.ts
+++ b/src/simulator/soak/heldNode.ts
@@ -18,6 +18,10 @@
   if (told.success) links.cut(told.data.cut)
 })
 process.channel?.unref()
+// A soak that was ended leaves no process behind.
+process.on('disconnect', () => {
+  process.exit(0)
+})
 let last = { atMs: clockMs(), cpu: process.cpuUsage() }
 setInterval(() => {
   const now = { atMs: clockMs(), cpu: process.cpuUsage() }
--- a/src/simulator/soak/runSoak.ts
+++ b/src/simulator/soak/runSoak.ts
@@ -30,6 +30,7 @@
 const watchMs = 50
 const lateMs = 400
 const shownFaults = 3
+const signals: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGHUP']
 
 function watchLateness(log: SoakLog): NodeJS.Timeout {
   let lastMs = clockMs()
@@ -60,6 +61,10 @@
   const log: SoakLog = { fromMs: 0, toMs: 0, tries: [], runs: [], orders: [], changes: [], readings: [], spans: [], ended: [] }
   const fleet = new SoakFleet(seed, folder, entry, dialect, log)
   const watch = watchLateness(log)
+  const end = () => {
+    void fleet.stop().finally(() => process.exit(1))
+  }
+  for (const signal of signals) process.once(signal, end)
   const faults: [string, string[]][] = []
   try {
     await play(fleet, log, seed, 1000 * seconds)
@@ -69,6 +74,7 @@
   } finally {
     clearInterval(watch)
     await fleet.stop()
+    for (const signal of signals) process.off(signal, end)
   }
   await writeFile(join(folder, 'seen.json'), JSON.stringify(log))
   const passes = faults.every(([, found]) => found.length === 0)
--- a/src/simulator/soak/soak.ts
+++ b/src/simulator/soak/soak.ts
@@ -20,16 +20,21 @@
   say: (line: string) => void
 }
 
+const signals: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGHUP']
+
 async function alone(seed: number, { seconds, dialect, entry, keep }: Asked): Promise<{ passes: boolean; text: string }> {
   const own = process.argv[1] ?? ''
   const flags = ['--seeds', String(seed), '--seconds', String(seconds), '--dialect', dialect]
   const more = [...(entry === undefined ? [] : ['--entry', entry]), ...(keep ? ['--keep'] : [])]
   const child = spawn(process.execPath, [own, 'soak', ...flags, ...more], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const end = () => child.kill('SIGTERM')
+  for (const signal of signals) process.once(signal, end)
   let text = ''
   child.stdout.setEncoding('utf8').on('data', (part) => {
     text += String(part)
   })
   await once(child, 'close')
+  for (const signal of signals) process.off(signal, end)
   return { passes: child.exitCode === 0, text: text.trimEnd() }
 }
 
@@ -43,6 +48,10 @@
   }
   const waiting = [...seeds]
   const failed: number[] = []
+  const end = () => {
+    waiting.length = 0
+  }
+  for (const signal of signals) process.once(signal, end)
   const worker = async () => {
     for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
       const { passes, text } = await alone(seed, asked)
@@ -51,6 +60,7 @@
     }
   }
   await Promise.all(Array.from({ length: asked.parallel }, worker))
+  for (const signal of signals) process.off(signal, end)
   const failures = failed.length === 0 ? '' : `: ${failed.join(', ')}`
   say(`${String(seeds.length)} seeds, ${String(failed.length)} failed${failures}`)
   return failed.length === 0
