--- a/src/simulator/soak/SoakFleet.ts
+++ b/src/simulator/soak/SoakFleet.ts
@@ -94,6 +94,8 @@
     else if (kind === 'crashServer') await server?.crash()
     else if (kind === 'slowServer') {
       if (server !== undefined) server.slow = true
+    } else if (kind === 'breakAnswers') {
+      if (server !== undefined) server.breaksAnswers = true
     } else if (kind === 'loseOrders') for (const one of this.servers) one.losesAnswers = true
     else this.operator.losesAnswers = true
   }
@@ -107,6 +109,8 @@
     else if (kind === 'crashServer') await server?.open()
     else if (kind === 'slowServer') {
       if (server !== undefined) server.slow = false
+    } else if (kind === 'breakAnswers') {
+      if (server !== undefined) server.breaksAnswers = false
     } else if (kind === 'loseOrders') for (const one of this.servers) one.losesAnswers = false
     else this.operator.losesAnswers = false
   }
--- a/src/simulator/soak/SoakScene.ts
+++ b/src/simulator/soak/SoakScene.ts
@@ -45,7 +45,7 @@
   plainService: 'desk',
   host: 'soak.example',
   dueMs: 5000,
-  plainPerS: 4,
+  plainPerS: 12,
   modelCapacity: 8,
   plainCapacity: 8,
   waitingMost: 6,
--- a/src/simulator/soak/SoakServer.ts
+++ b/src/simulator/soak/SoakServer.ts
@@ -41,6 +41,8 @@
   /** Whether answers to orders are lost on their way, and whether it is slow. */
   losesAnswers = false
   slow = false
+  /** Whether every other request runs, and its connection ends without an answer. */
+  breaksAnswers = false
   readonly #dialect: SoakDialect
   readonly #log: SoakLog
   readonly #disk = new Set<string>()
@@ -203,6 +205,11 @@
       body: parts.join(''),
       stray: arrival.target !== '' && arrival.target !== this.life,
     })
+    if (this.breaksAnswers && this.#runs % 2 === 0) {
+      await pause(plainMs)
+      response.destroy()
+      return
+    }
     const factor = this.slow ? slowFactor : 1
     const head = this.#dialect.answerHead(arrival.id, seal)
     if (!stream) {
--- a/src/simulator/soak/planTroubles.test.ts
+++ b/src/simulator/soak/planTroubles.test.ts
@@ -34,5 +34,15 @@
 
 test('each kind of trouble comes up', () => {
   const kinds = new Set(seeds.flatMap((seed) => planTroubles(seed, lengthMs).map((one) => one.kind)))
-  deepStrictEqual([...kinds].sort(), ['crashServer', 'cut', 'cutOut', 'freeze', 'kill', 'loseOperators', 'loseOrders', 'slowServer'])
+  deepStrictEqual([...kinds].sort(), [
+    'breakAnswers',
+    'crashServer',
+    'cut',
+    'cutOut',
+    'freeze',
+    'kill',
+    'loseOperators',
+    'loseOrders',
+    'slowServer',
+  ])
 })
--- a/src/simulator/soak/planTroubles.ts
+++ b/src/simulator/soak/planTroubles.ts
@@ -14,13 +14,14 @@
 const staggerMs = 1000
 const leastAtOnce = 2
 const mostAtOnce = 3
+const plainRatio = 0.4
 const troublesOfNodes: readonly Trouble['kind'][] = ['kill', 'freeze', 'cut', 'cutOut']
-const troublesOfServers: readonly Trouble['kind'][] = ['crashServer', 'slowServer']
+const troublesOfServers: readonly Trouble['kind'][] = ['crashServer', 'slowServer', 'breakAnswers', 'breakAnswers']
 const troublesOfAnswers: readonly Trouble['kind'][] = ['loseOrders', 'loseOperators']
 
 function drawTarget(random: Random, kind: Trouble['kind'], control: string): string {
   if (troublesOfAnswers.includes(kind)) return ''
-  if (troublesOfServers.includes(kind)) return random.pick(SoakScene.servers)?.name ?? ''
+  if (troublesOfServers.includes(kind)) return random.pick(random.hit(plainRatio) ? SoakScene.plain : SoakScene.servers)?.name ?? ''
   return random.hit(0.5) ? control : (random.pick(SoakScene.gateways)?.name ?? '')
 }
 
