Invariants of the placement run in the code: turns are taken, and the store's pace is used

Checked anew from the tables once a second and counted (metrics, log): a model that requests wait for, held nowhere and whose turn has come, is not left out while a server free of orders holds enough that had its turn; and the bound of loads at once does not hold loads up for five seconds in which less than half of the pace has begun. On in all tests of the simulated fleet: 0 violations. Adapters take turns too. What was asked for and is held nowhere for over five seconds is a warning each three, which is the level that deploys.

--- a/src/control/ControlContext.ts
+++ b/src/control/ControlContext.ts
@@ -88,6 +88,10 @@
     this.emit({ kind: 'say', part, sentence })
   }
 
+  warn(part: string, sentence: string): void {
+    this.emit({ kind: 'warn', part, sentence })
+  }
+
   emit(effect: ControlEffect): void {
     this.#effects.push(effect)
   }
--- a/src/control/ControlEffect.ts
+++ b/src/control/ControlEffect.ts
@@ -12,4 +12,4 @@
   | { kind: 'askPlatform'; askedMs: number }
   | { kind: 'ask'; server: string; address: string; epoch: number; askedMs: number }
   | { kind: 'order'; server: string; address: string; order: Order }
-  | { kind: 'say'; part: string; sentence: string }
+  | { kind: 'say' | 'warn'; part: string; sentence: string }
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -160,6 +160,9 @@
           })
           break
         }
+        case 'warn':
+          this.#logger.warn(effect.part, effect.sentence)
+          break
         case 'say':
           this.#logger.say(effect.part, effect.sentence)
           break
--- a/src/control/SchedulerRole.ts
+++ b/src/control/SchedulerRole.ts
@@ -158,6 +158,7 @@
     for (const ask of out.asks) this.#context.emit({ kind: 'ask', ...ask, epoch, askedMs: nowMs })
     for (const order of out.orders) this.#context.emit({ kind: 'order', ...order })
     for (const sentence of out.says) this.#context.say('placement', sentence)
+    for (const sentence of out.warns) this.#context.warn('placement', sentence)
   }
 
   /** In a network a node that lost the lead gives the role up. */
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -35,6 +35,7 @@
 const spareRatio = 0.5
 /** After so many loads' time without a copy it is a model's turn, whoever is inside a window. */
 const turnLoads = 2
+const adapterTurnMs = 1000
 const rareRatio = 0.25
 const crowdedMs = 400
 /** Requests a second from which a missing copy goes before a request that waits for a rare model. */
@@ -447,19 +448,26 @@
     if (want.dueInMs > this.#timings.makeRoomMs + 2 * this.thetaMs(want.model)) return false
     for (const relaxed of ['history', 'overlap', 'doubles'] as const)
       if (this.#choose(step, plan, fitting, size, relaxed, nowMs)) return true
-    return !attach && this.#isItsTurn(want, nowMs) && this.#choose(step, plan, fitting, size, 'turns', nowMs)
+    return this.isItsTurn(step, nowMs) && this.#choose(step, plan, fitting, size, 'turns', nowMs)
   }
 
-  /** True of a model that was asked for so long ago, and that no server has held since, that another is to make way for it. */
-  #isItsTurn(want: Want, nowMs: number): boolean {
+  /** True of what was asked for so long ago, and that no server has held since, that another is to make way for it. */
+  isItsTurn(want: Pick<Want, 'model' | 'adapter'>, nowMs: number): boolean {
     const entry = this.#unmet.entries.get(keyOf(want.model, want.adapter))
-    return entry !== undefined && nowMs - entry.sinceMs > turnLoads * this.thetaMs(want.model)
+    return entry !== undefined && nowMs - entry.sinceMs > turnLoads * this.#turnMs(want.model, want.adapter)
   }
 
-  /** What may make way when it is another's turn: had a turn itself, and is asked for seldom enough to be missed little. */
-  #hadItsTurn(modelServer: ModelServer, one: ResidentModel, nowMs: number): boolean {
-    const heldMs = nowMs - (this.#sinceMs.get(`${modelServer.name} ${one.key}`) ?? -Infinity)
-    return heldMs > this.thetaMs(one.key) && (this.#loads.get(one.key)?.perS ?? 0) < crowdPerS
+  /** What may make way on a server when it is another's turn: had a turn itself, and is asked for seldom enough to be missed little. */
+  hadTheirTurn(modelServer: ModelServer, adapters: boolean, nowMs: number): ResidentModel[] {
+    return this.residents(modelServer, adapters, nowMs).filter((one) => {
+      const heldMs = nowMs - (this.#sinceMs.get(`${modelServer.name} ${one.key}`) ?? -Infinity)
+      const [model = '', adapter = ''] = one.key.split('/')
+      return heldMs > this.#turnMs(model, adapter) && (this.#loads.get(one.key)?.perS ?? 0) < crowdPerS
+    })
+  }
+
+  #turnMs(model: string, adapter: string): number {
+    return adapter === '' ? this.thetaMs(model) : adapterTurnMs
   }
 
   /** A server that an order keeps busy has room left for it: better to wait a moment than to take memory from another. */
@@ -480,8 +488,11 @@
     for (const modelServer of modelServers) {
       const byRoom = plan.adapterMb > 0 ? Math.floor(ModelServer.freeMb(modelServer) / plan.adapterMb) : Infinity
       const free = adapters ? Math.min(ModelServer.freePlaces(modelServer), byRoom) : ModelServer.freeMb(modelServer)
-      const mayLeave = free >= size ? [] : this.#mayLeave(want, this.residents(modelServer, adapters, nowMs, relaxed === 'spares'))
-      const residents = relaxed === 'turns' ? mayLeave.filter((one) => this.#hadItsTurn(modelServer, one, nowMs)) : mayLeave
+      const mayMakeWay = () =>
+        relaxed === 'turns'
+          ? this.hadTheirTurn(modelServer, adapters, nowMs)
+          : this.residents(modelServer, adapters, nowMs, relaxed === 'spares')
+      const residents = free >= size ? [] : this.#mayLeave(want, mayMakeWay())
       const victims = this.#policy.evict(newcomer, residents, free, this.#historyMs, nowMs, relaxed)
       if (victims === undefined) continue
       const calm = 1 - Math.min(1, (this.#busy.get(modelServer.name) ?? 0) / Math.max(1, modelServer.capacity))
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -18,6 +18,7 @@
 import { OrderFigures } from './OrderFigures.js'
 import { OrderReasons } from './OrderReasons.js'
 import type { PlacementFigures } from './PlacementFigures.js'
+import { PlacementInvariants } from './PlacementInvariants.js'
 import type { Placer } from './Placer.js'
 import { Planner } from './Planner.js'
 import type { Policy } from './Policy.js'
@@ -40,6 +41,9 @@
 const followsMs = 3000
 /** How often the placement says in the log what it cannot place. */
 const summaryMs = 1000
+/** From when on it warns of it, and how often. */
+const lastsMs = 5000
+const warningMs = 3000
 
 export class Dispatcher {
   readonly #timings: Timings
@@ -48,6 +52,7 @@
   readonly #inventory: ServerInventory
   readonly #planner: Planner
   readonly #demand: Demand
+  readonly #invariants: PlacementInvariants
   readonly #bucket: Bucket
   readonly #estimate: AvailabilityEstimate
   readonly #reasons = new OrderReasons()
@@ -68,6 +73,7 @@
     this.#inventory = new ServerInventory(timings, epoch, first, nowMs)
     this.#planner = new Planner(timings, policy, this.#inventory)
     this.#demand = new Demand(timings, policy, this.#inventory, this.#planner.tallies, nowMs)
+    this.#invariants = new PlacementInvariants(this.#inventory, this.#demand)
     this.#bucket = new Bucket(nowMs)
     this.#estimate = new AvailabilityEstimate(timings, this.#inventory, this.#bucket, () => this.#placer)
   }
@@ -124,7 +130,7 @@
       loadsStarted: this.#loadsStarted,
       loadsDone: this.#loadsDone,
       unloadsStarted: this.#unloadsStarted,
-      invariantViolations: 0,
+      invariantViolations: this.#invariants.violations,
     }
   }
 
@@ -132,12 +138,15 @@
     return OrderFigures.of(this.#inventory.all, this.#reasons.counts)
   }
 
-  /** Once a second, while something that was asked for is held nowhere, one line for the log that tells why. */
+  /** While something that was asked for is held nowhere, a line for the log that tells why; a warning where that lasts. */
   #summarize(out: DispatcherOut, nowMs: number): void {
-    if (!this.#counts || this.#demand.unmet.size === 0 || nowMs - this.#summarizedMs < summaryMs) return
+    const { unmet } = this.#demand
+    if (!this.#counts || unmet.size === 0) return
+    const lasts = unmet.oldestMs(nowMs) > lastsMs
+    if (nowMs - this.#summarizedMs < (lasts ? warningMs : summaryMs)) return
     this.#summarizedMs = nowMs
     const { figures } = this
-    if (figures !== undefined) out.says.push(summaryOf(figures))
+    if (figures !== undefined) (lasts ? out.warns : out.says).push(summaryOf(figures))
   }
 
   /** True once most servers have been silent for long: another core machine may hear them. */
@@ -241,7 +250,7 @@
   }
 
   tick(copy: ReplicaTable, sure: boolean, hour: number, nowMs: number): DispatcherOut {
-    const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [] }
+    const out: DispatcherOut = { rows: [], asks: [], orders: [], says: [], warns: [] }
     this.#tickedMs = nowMs
     const joins = (modelServer: ModelServer) => {
       this.#adoptOrder(modelServer, copy, nowMs)
@@ -256,6 +265,7 @@
     if (sure) {
       this.#placer.tick(hour, nowMs)
       this.#order(copy, out, nowMs)
+      if (this.#counts) out.warns.push(...this.#invariants.check(this.#loadsStarted, nowMs))
       this.#summarize(out, nowMs)
     }
     return out
--- a/src/simulator/SimControlEffects.ts
+++ b/src/simulator/SimControlEffects.ts
@@ -58,6 +58,7 @@
         this.#order(node, effect, life)
         break
       case 'say':
+      case 'warn':
         clock.note(effect.sentence)
         break
     }
--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -12,6 +12,7 @@
 import { GatewayMachine } from '../../gateway/GatewayMachine.js'
 import { Dispatcher } from '../../placement/Dispatcher.js'
 import { edgeMulti } from '../../placement/edgeMulti.js'
+import type { Policy } from '../../placement/Policy.js'
 import { SimClock } from '../SimClock.js'
 import { CountingServer } from './CountingServer.js'
 import type { DemandPattern } from './DemandPattern.js'
@@ -31,6 +32,7 @@
   loadMs: number
   loadsPerS: number
   kinds: readonly RequestKind[]
+  policy?: Policy
 }
 interface Try {
   kind: RequestKind
@@ -78,7 +80,7 @@
     this.#plan = plan
     this.#random = new Random(plan.seed)
     const timings = Timings({ charterMs: 2500, recoverMs: 15_000, drainMs: 4000, emptyMs: 5000 })
-    this.dispatcher = new Dispatcher(timings, 1, true, edgeMulti, 0)
+    this.dispatcher = new Dispatcher(timings, 1, true, plan.policy ?? edgeMulti, 0)
     const names = Array.from({ length: plan.gateways }, (_, at) => `gateway-${String(at)}`)
     for (const name of names) this.#gateways.push(this.#gateway(name, names))
     this.#configure()
--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -2,9 +2,11 @@
  * More models are asked for than the fleet has places, the popular ones change, and a rare model is asked for every few
  * seconds. What clients are served is judged from outside.
  */
-import { ok } from 'node:assert'
+import { ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
 import { Random } from '../../common/Random.js'
+import { evict } from '../../placement/evict.js'
+import type { Policy } from '../../placement/Policy.js'
 import { DemandPattern } from './DemandPattern.js'
 import { PlacementWorld } from './PlacementWorld.js'
 import type { RequestKind } from './RequestKind.js'
@@ -47,6 +49,7 @@
   loadsPerS: number
   kinds: readonly [RequestKind, RequestKind]
   shiftedAtOnce: number
+  policy?: Policy
 }
 const places = 3
 
@@ -77,6 +80,7 @@
 function assertFewStarved(world: PlacementWorld): void {
   const { starved, steadilyAsked } = world.record
   ok(starved.length <= 1 + 0.1 * steadilyAsked.length, `${String(starved.length)} of ${String(steadilyAsked.length)} were never served`)
+  strictEqual(world.dispatcher.figures?.invariantViolations, 0)
 }
 
 const large = { servers: 42, loadsPerS: 14, kinds: [live, background] as const, shiftedAtOnce: 10 }
@@ -101,3 +105,16 @@
 test('few models that are asked for steadily are never served, where each is asked for again within the time of a load', () => {
   for (const seed of [2, 4]) assertFewStarved(played({ ...small, seed, loadMs: 2400 }))
 })
+
+/** Victims by every rule but the turns. */
+const withoutTurns: Policy = {
+  foresees: true,
+  evict: (newcomer, residents, free, historyMs, nowMs, relaxed) =>
+    relaxed === 'turns' ? undefined : evict(newcomer, residents, free, historyMs, nowMs, relaxed),
+}
+
+test('a placement without turns breaks the invariant of turns, and starves', () => {
+  const world = played({ ...small, seed: 2, loadMs: 2400, policy: withoutTurns })
+  ok((world.dispatcher.figures?.invariantViolations ?? 0) > 0)
+  ok(world.record.starved.length > 1 + 0.1 * world.record.steadilyAsked.length)
+})
