Each test process and each fleet has a loopback address of its own

Cause: tests in different files ran side by side and each found a "free" port on 127.0.0.1 by listening on 0 and closing, to bind it later or hand it to a process. Between the two another process could be given the same port: EADDRINUSE in ControlDesk.test, and a request of invalidOrders.test that a server of exactlyOnce.test answered. The tests were wrong: what they found was not theirs. Excluded: only checking more often, which leaves the gap; a lock between processes, which outgoing connections don't heed. Servers that keep their port listen there too, so that a late dial to a closed one meets nobody else. Free ports are counted from 20001, below those that the system gives out, so one process is given none twice either. Every assertion stays. Conclusion: no two test processes can meet on a port.

--- a/src/common/MetricsServer.test.ts
+++ b/src/common/MetricsServer.test.ts
@@ -1,13 +1,13 @@
 import { match, notStrictEqual, ok, strictEqual } from 'node:assert'
-import { once } from 'node:events'
 import { createServer } from 'node:net'
 import { test, type TestContext } from 'node:test'
 import { request } from 'undici'
 import { Logger } from './Logger.js'
 import { Meters } from './Meters.js'
 import { MetricsServer } from './MetricsServer.js'
+import { OwnLoopback } from './testing/OwnLoopback.js'
 
-const host = '127.0.0.1'
+const { host } = OwnLoopback
 
 class WarningLogger extends Logger {
   readonly warnings: string[] = []
@@ -68,15 +68,13 @@
 })
 
 test('a port that is taken is a warning and nothing more', async (t) => {
-  const other = createServer().listen(0, host)
-  await once(other, 'listening')
+  const other = createServer()
+  const port = OwnLoopback.portOf(await OwnLoopback.listen(other))
   t.after(() => other.close())
-  const bound = other.address()
-  const port = typeof bound === 'object' && bound !== null ? bound.port : 0
   notStrictEqual(port, 0)
   const logger = new WarningLogger()
   const meters = () => Promise.resolve(new Meters('gateway', 'edge-1', 'read'))
   strictEqual(await MetricsServer.open({ host, port, path: '/metrics' }, meters, logger), undefined)
   strictEqual(logger.warnings.length, 1)
-  match(logger.warnings[0] ?? '', new RegExp(`^metrics: Can't be served on 127\\.0\\.0\\.1:${String(port)}: .*EADDRINUSE`))
+  match(logger.warnings[0] ?? '', new RegExp(`^metrics: Can't be served on ${host.replaceAll('.', '\\.')}:${String(port)}: .*EADDRINUSE`))
 })
--- a/src/control/dataFolder.test.ts
+++ b/src/control/dataFolder.test.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { procProcessTable } from '../storage/procProcessTable.js'
 
 const main = fileURLToPath(new URL('main.js', import.meta.url))
@@ -15,8 +16,8 @@
   const flags = {
     name: 'node-1',
     zone: 'a',
-    transport: '127.0.0.1:0',
-    operators: '127.0.0.1:0',
+    transport: OwnLoopback.anyPort,
+    operators: OwnLoopback.anyPort,
     seeds: '127.0.0.1:1',
     seats: 'node-1',
     data,
--- a/src/gateway/testing/NaiveGateway.ts
+++ b/src/gateway/testing/NaiveGateway.ts
@@ -2,9 +2,9 @@
  * A gateway for tests that is wrong in one way, to show that the judge of a schedule notices it. Without a
  * fault it passes each request to one server and its answer back.
  */
-import { once } from 'node:events'
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { readBody } from '../../common/readBody.js'
+import { OwnLoopback } from '../../common/testing/OwnLoopback.js'
 
 type Fault =
   'swaps' | 'resends' | 'promises' | 'strips' | 'cuts' | 'changes' | 'joins' | 'repeats' | 'holds' | 'spreads' | 'alters' | 'adds'
@@ -30,11 +30,8 @@
     })
   }
 
-  async open(): Promise<string> {
-    this.#listener.listen(0, '127.0.0.1')
-    await once(this.#listener, 'listening')
-    const bound = this.#listener.address()
-    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  open(): Promise<string> {
+    return OwnLoopback.listen(this.#listener)
   }
 
   stop(): Promise<void> {
--- a/src/gateway/testing/RawServer.ts
+++ b/src/gateway/testing/RawServer.ts
@@ -1,8 +1,8 @@
 /**
  * A server for tests that reads requests off raw sockets and answers, byte by byte, as its script says.
  */
-import { once } from 'node:events'
 import { createServer, type Server as Listener, type Socket } from 'node:net'
+import { OwnLoopback } from '../../common/testing/OwnLoopback.js'
 
 interface Heard {
   line: string
@@ -32,11 +32,8 @@
     })
   }
 
-  async open(): Promise<string> {
-    this.#listener.listen(0, '127.0.0.1')
-    await once(this.#listener, 'listening')
-    const bound = this.#listener.address()
-    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  open(): Promise<string> {
+    return OwnLoopback.listen(this.#listener)
   }
 
   close(): void {
--- a/src/gateway/testing/TestGateway.ts
+++ b/src/gateway/testing/TestGateway.ts
@@ -4,6 +4,7 @@
  */
 import { clockMs } from '../../common/clockMs.js'
 import { Logger } from '../../common/Logger.js'
+import { OwnLoopback } from '../../common/testing/OwnLoopback.js'
 import type { RouteCodec } from '../../adapters/RouteCodec.js'
 import type { Message } from '../../transport/Message.js'
 import { CallersDesk } from '../CallersDesk.js'
@@ -37,8 +38,8 @@
     const startup = GatewayStartup.parse({
       name: 'j-1',
       zone: 'a',
-      transport: '127.0.0.1:0',
-      callers: '127.0.0.1:0',
+      transport: OwnLoopback.anyPort,
+      callers: OwnLoopback.anyPort,
       seeds: ['127.0.0.1:1'],
       graceMs: 1000,
       leaveMs: 0,
--- a/src/simulator/Fleet.ts
+++ b/src/simulator/Fleet.ts
@@ -5,7 +5,6 @@
  */
 import { execFile } from 'node:child_process'
 import { createServer, type Server } from 'node:http'
-import { once } from 'node:events'
 import { mkdir, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -13,9 +12,9 @@
 import { request as call } from 'undici'
 import { z } from 'zod'
 import { clockMs } from '../common/clockMs.js'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { Daemon } from './Daemon.js'
 import type { Deployment } from './Deployment.js'
-import { freePorts } from './freePorts.js'
 import type { Observation } from './Observation.js'
 import { StandInHttp } from './StandInHttp.js'
 
@@ -62,13 +61,12 @@
     const { controlNodes, proxies } = this.deployment
     await mkdir(this.folder, { recursive: true })
     for (const server of this.servers) await server.open()
-    const ports = (await freePorts(1 + 2 * controlNodes.length + 4 * proxies.length)).map((port) => `127.0.0.1:${String(port)}`)
-    const port = () => ports.pop() ?? ''
-    const platform = port()
+    const address = () => OwnLoopback.freeAddress()
+    const platform = await address()
     await this.#openPlatform(platform)
-    const controlAddresses = controlNodes.map(() => port())
-    controlNodes.forEach((node, at) => {
-      const operators = port()
+    const controlAddresses = await Promise.all(controlNodes.map(address))
+    for (const [at, node] of controlNodes.entries()) {
+      const operators = await address()
       this.operatorAddresses.set(node.name, operators)
       this.controlNodes.push(
         new Daemon('control', this.folder, {
@@ -81,9 +79,9 @@
           platform,
         }),
       )
-    })
+    }
     for (const node of proxies) {
-      const [agent, proxy, callers, watch] = [port(), port(), port(), port()]
+      const [agent, proxy, callers, watch] = [await address(), await address(), await address(), await address()]
       this.callerAddresses.set(`${node.name}-proxy`, callers)
       this.agents.push(new Daemon('agent', this.folder, { ...node, transport: agent, proxy, seeds: controlAddresses, platform, watch }))
       this.proxies.push(
@@ -114,8 +112,7 @@
         .map((one) => ({ name: one.name, address: one.address, zone: one.state.plan.zone, draining: this.draining.has(one.name) }))
       response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify({ servers }))
     })
-    server.listen(Number(address.split(':')[1]), '127.0.0.1')
-    await once(server, 'listening')
+    await OwnLoopback.listen(server, OwnLoopback.portOf(address))
     this.#platform = server
   }
 
--- a/src/simulator/StandInHttp.ts
+++ b/src/simulator/StandInHttp.ts
@@ -11,6 +11,7 @@
 import { digest } from '../common/digest.js'
 import { Order } from '../common/Order.js'
 import { readBody } from '../common/readBody.js'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { Verdict } from '../common/Verdict.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import { ModelServerFormat } from '../adapters/ModelServerFormat.js'
@@ -48,10 +49,7 @@
     const server = createServer((request, response) => {
       void this.#serve(request, response)
     })
-    server.listen(port, '127.0.0.1')
-    await once(server, 'listening')
-    const bound = server.address()
-    this.address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+    this.address = await OwnLoopback.listen(server, port)
     this.#server = server
     this.#see({ kind: 'serverUp', atMs: clockMs(), server: this.name, zone: this.#plan.zone })
   }
--- a/src/simulator/proxyProof.test.ts
+++ b/src/simulator/proxyProof.test.ts
@@ -14,6 +14,7 @@
 import { Startup } from '../common/Startup.js'
 import { ServerFormat } from '../adapters/ServerFormat.js'
 import { Timings } from '../common/Timings.js'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { CallersDesk } from '../proxy/CallersDesk.js'
 import { ProxyTask } from '../proxy/ProxyTask.js'
@@ -45,11 +46,9 @@
     runs += 1
     request.resume()
     script(request, response, runs)
-  }).listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const bound = server.address()
-  const address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
-  const agent = await TcpTransport.open('post', '127.0.0.1:0', timings)
+  })
+  const address = await OwnLoopback.listen(server)
+  const agent = await TcpTransport.open('post', OwnLoopback.anyPort, timings)
   const row = (key: string, value: unknown) => ({ key, stamp: 1, gone: false, value: JSON.stringify(value) })
   const charter = {
     defaults: {
@@ -103,16 +102,16 @@
     name: 'post-proxy',
     seat: 'post',
     zone: 'a',
-    transport: '127.0.0.1:0',
+    transport: OwnLoopback.anyPort,
     agent: agent.address,
-    callers: '127.0.0.1:0',
+    callers: OwnLoopback.anyPort,
     logLevel: 'silent',
   })
   const meters = new Meters('proxy', 'post')
   const task = new ProxyTask(
     startup,
     new Logger('proxy', 'post', 'silent'),
-    await TcpTransport.open('post-proxy', '127.0.0.1:0', timings),
+    await TcpTransport.open('post-proxy', OwnLoopback.anyPort, timings),
     meters,
   )
   const desk = new CallersDesk(startup, task, meters)
@@ -242,8 +241,7 @@
       gone = true
     })
   })
-  const cut = scene.address.lastIndexOf(':')
-  const socket = connect(Number(scene.address.slice(cut + 1)), '127.0.0.1')
+  const socket = connect(OwnLoopback.portOf(scene.address), OwnLoopback.host)
   socket.write('POST /v1/services/s/x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n')
   await once(socket, 'data')
   socket.destroy()
--- a/src/simulator/requestMark.test.ts
+++ b/src/simulator/requestMark.test.ts
@@ -1,10 +1,10 @@
-import { once } from 'node:events'
 import { createServer } from 'node:http'
 import { test } from 'node:test'
 import { deepStrictEqual, ok } from 'node:assert'
 import { request as call } from 'undici'
 import { clockMs } from '../common/clockMs.js'
 import { readBody } from '../common/readBody.js'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
 import { Callers } from './Callers.js'
 import { Deployment } from './Deployment.js'
@@ -53,10 +53,7 @@
       response.end(answer)
     })()
   })
-  proxy.listen(0, '127.0.0.1')
-  await once(proxy, 'listening')
-  const bound = proxy.address()
-  const address = `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  const address = await OwnLoopback.listen(proxy)
   const deployment = Deployment.of('gopherline')
   ok(deployment !== undefined)
   const callers = new Callers(
--- a/src/transport/TcpTransport.test.ts
+++ b/src/transport/TcpTransport.test.ts
@@ -3,10 +3,11 @@
  */
 import { test, type TestContext } from 'node:test'
 import { ok, strictEqual } from 'node:assert'
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+import { connect, createServer, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Logger } from '../common/Logger.js'
+import { OwnLoopback } from '../common/testing/OwnLoopback.js'
 import { Frame } from './Frame.js'
 import type { Message } from './Message.js'
 import { TcpTransport } from './TcpTransport.js'
@@ -34,7 +35,7 @@
 }
 
 async function opened(t: TestContext, name: string, logger?: Logger): Promise<{ transport: TcpTransport; heard: number[] }> {
-  const transport = await TcpTransport.open(name, '127.0.0.1:0', timings, logger)
+  const transport = await TcpTransport.open(name, OwnLoopback.anyPort, timings, logger)
   const heard: number[] = []
   transport.hear((_from, _address, message) => {
     if (message.kind === 'peerTell') heard.push(message.sentMs)
@@ -68,12 +69,7 @@
 
   static async to(t: TestContext, target: string): Promise<Relay> {
     const relay = new Relay(target)
-    relay.#server.listen(0, '127.0.0.1')
-    await once(relay.#server, 'listening')
-    const bound = relay.#server.address()
-    if (bound === null || typeof bound === 'string') throw new Error('no port')
-    const at: AddressInfo = bound
-    relay.address = `127.0.0.1:${String(at.port)}`
+    relay.address = await OwnLoopback.listen(relay.#server)
     t.after(() => {
       for (const socket of relay.open) socket.destroy()
       relay.#server.close()
@@ -142,7 +138,7 @@
 
 test('passes the contract of transports', async () => {
   await transportContract(
-    (name) => TcpTransport.open(name, '127.0.0.1:0', timings),
+    (name) => TcpTransport.open(name, OwnLoopback.anyPort, timings),
     async (ready) => {
       while (!ready()) await new Promise((resolve) => setImmediate(resolve))
     },
@@ -206,9 +202,7 @@
 
 test('a process that refuses connections is asked at most once in the shortest time between attempts', async (t) => {
   const a = await opened(t, 'a')
-  const b = await TcpTransport.open('b', '127.0.0.1:0', timings)
-  const { address } = b
-  await b.close()
+  const address = await OwnLoopback.freeAddress()
   const flow = stream(a.transport, address)
   t.after(flow.stop)
   await pause(300)
@@ -327,12 +321,9 @@
     socket.on('data', (chunk) => (bytes += chunk.length))
     socket.on('error', () => socket.destroy())
   })
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
+  const address = await OwnLoopback.listen(server)
   t.after(() => server.close())
-  const bound = server.address()
-  if (bound === null || typeof bound === 'string') throw new Error('no port')
-  const flow = stream(a.transport, `127.0.0.1:${String(bound.port)}`)
+  const flow = stream(a.transport, address)
   t.after(flow.stop)
   await until(() => (a.transport.figures['transport_resets'] ?? 0) >= 2, 2000)
   strictEqual(bytes, 0)
