exactlyOnce.test judges lateness by the turns that its process had

Cause: the judge bounded by how long in real time a request was held past its due, and forgave three times the longest single stall; on a busy machine many short stalls add up to more ("held 2 s past due"). The old allowance forgave the process's own long work too, so turns alone forgive nothing of a new kind. Change: lateness past 250 ms and the callers' patience count on TurnClock.turnsAlone, without the threefold stall on top; the naive gateway that holds does so by the same clock, so that the judge still has to notice it. Conclusion: the verdict no longer hangs on the load as far as tried; a whole run of all tests was not made here.

--- a/src/gateway/testing/NaiveGateway.ts
+++ b/src/gateway/testing/NaiveGateway.ts
@@ -5,6 +5,7 @@
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { readBody } from '../../common/readBody.js'
 import { OwnLoopback } from '../../common/testing/OwnLoopback.js'
+import { TurnClock } from '../../common/testing/TurnClock.js'
 
 type Fault =
   'swaps' | 'resends' | 'promises' | 'strips' | 'cuts' | 'changes' | 'joins' | 'repeats' | 'holds' | 'spreads' | 'alters' | 'adds'
@@ -57,7 +58,7 @@
     if (this.#fault === 'changes' && reply.status >= 500) reply.status = 404
     if (this.#fault === 'cuts') reply = { ...reply, body: reply.body.slice(0, -5), whole: true }
     if (this.#fault === 'promises' && !reply.whole) reply = { status: 503, headers: { 'request-id': id }, body: '', whole: true }
-    if (this.#fault === 'holds') await new Promise((resolve) => setTimeout(resolve, 1000))
+    if (this.#fault === 'holds') await TurnClock.turnsAlone.pass(1000)
     if (response.destroyed) return
     if (!reply.whole) {
       response.destroy()
--- a/src/gateway/testing/ScheduledCaller.ts
+++ b/src/gateway/testing/ScheduledCaller.ts
@@ -5,6 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { clockMs } from '../../common/clockMs.js'
 import type { Random } from '../../common/Random.js'
+import { TurnClock } from '../../common/testing/TurnClock.js'
 import { AnswerReader } from './AnswerReader.js'
 import type { Call } from './Call.js'
 import { RawCaller } from './RawCaller.js'
@@ -46,7 +47,7 @@
     let sent = 0
     let base = 0
     const startedMs = clockMs()
-    while (clockMs() - startedMs < patienceMs * this.calls.length) {
+    while (TurnClock.turnsAlone.betweenMs(startedMs, clockMs()) < patienceMs * this.calls.length) {
       if (connection === undefined || connection.closed) {
         if (connection !== undefined) this.#take(connection, base, sent)
         base = this.calls.filter((call) => call.endMs > 0).length
--- a/src/gateway/testing/judgeCalls.ts
+++ b/src/gateway/testing/judgeCalls.ts
@@ -1,6 +1,7 @@
 /**
  * Judges what callers got by what servers saw and sent, without a word from the gateway between them.
  */
+import { TurnClock } from '../../common/testing/TurnClock.js'
 import type { Call } from './Call.js'
 import type { RunLog } from './RunLog.js'
 
@@ -57,7 +58,7 @@
     const ran = runs.filter((run) => run.ran).length
     if (servers > most || ran > most || runs.length > mostSendsRatio * most) found.push('was sent to too many servers')
     if (runs.length > most && call.route !== 'stream') found.push('was sent too often')
-    const lateMs = Math.round(call.endMs - call.sentMs - call.dueMs)
+    const lateMs = Math.round(TurnClock.turnsAlone.betweenMs(call.sentMs + call.dueMs, call.endMs))
     if (!call.left && lateMs > slackMs)
       found.push(`was held ${String(lateMs)} ms past its due of ${String(call.dueMs)} ms, and ended with ${String(call.status)}`)
     faults.push(...found.map((fault) => `${call.id} (${call.route}): ${fault}`))
