--- a/src/gateway/testing/NaiveGateway.ts
+++ b/src/gateway/testing/NaiveGateway.ts
@@ -2,9 +2,10 @@
  * A gateway for tests that is wrong in one way, to show that the judge of a schedule notices it. Without a
  * fault it passes each request to one server and its answer back.
  */
-import { once } from 'node:events'
 import { createServer, request, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { readBody } from '../../common/readBody.js'
+import { OwnLoopback } from '../../common/testing/OwnLoopback.js'
+import { TurnClock } from '../../common/testing/TurnClock.js'
 
 type Fault =
   'swaps' | 'resends' | 'promises' | 'strips' | 'cuts' | 'changes' | 'joins' | 'repeats' | 'holds' | 'spreads' | 'alters' | 'adds'
@@ -30,11 +31,8 @@
     })
   }
 
-  async open(): Promise<string> {
-    this.#listener.listen(0, '127.0.0.1')
-    await once(this.#listener, 'listening')
-    const bound = this.#listener.address()
-    return `127.0.0.1:${String(typeof bound === 'object' && bound !== null ? bound.port : 0)}`
+  open(): Promise<string> {
+    return OwnLoopback.listen(this.#listener)
   }
 
   stop(): Promise<void> {
@@ -60,7 +58,7 @@
     if (this.#fault === 'changes' && reply.status >= 500) reply.status = 404
     if (this.#fault === 'cuts') reply = { ...reply, body: reply.body.slice(0, -5), whole: true }
     if (this.#fault === 'promises' && !reply.whole) reply = { status: 503, headers: { 'request-id': id }, body: '', whole: true }
-    if (this.#fault === 'holds') await new Promise((resolve) => setTimeout(resolve, 1000))
+    if (this.#fault === 'holds') await TurnClock.turnsAlone.pass(1000)
     if (response.destroyed) return
     if (!reply.whole) {
       response.destroy()
