--- a/src/placement/AvailabilityEstimate.ts
+++ b/src/placement/AvailabilityEstimate.ts
@@ -16,6 +16,8 @@
 }
 /** How long attaching an adapter likely takes at a server that holds its model. */
 const attachMs = 200
+/** A load that takes that many times as long as others is not counted on any more. */
+const overrunRatio = 1.5
 
 export class AvailabilityEstimate {
   readonly #timings: Timings
@@ -41,7 +43,7 @@
       const certain = this.#nowhere(model, nowMs)
       const neverBeforeMs = certain ? this.#bucket.earliestMs(draw({ kind: 'load', sizeMb: plan.sizeMb }), perS, burst, nowMs) : 0
       const readyInMs = Math.max(neverBeforeMs, this.#readyInMs(model, adapter, plan.sizeMb, nowMs))
-      return [{ model, adapter, neverBeforeMs, readyInMs, loading: this.#loading(model) }]
+      return [{ model, adapter, neverBeforeMs, readyInMs, loading: this.#loading(model, adapter, plan.sizeMb, nowMs) }]
     })
   }
 
@@ -58,9 +60,15 @@
     )
   }
 
-  /** True when a server has been sent the order to load the model and the order has not ended. */
-  #loading(model: string): boolean {
-    return this.#inventory.all.some(({ task }) => task?.phase === 'sent' && task.order.kind === 'load' && task.order.model === model)
+  /** True while an open server carries out the load of the model, as far as is known, for not much longer than loads take. */
+  #loading(model: string, adapter: string, sizeMb: number, nowMs: number): boolean {
+    const open = this.#inventory.all.filter((modelServer) => modelServer.open)
+    if (adapter !== '' && open.some((modelServer) => ModelServer.holds(modelServer, model, ''))) return false
+    const mostMs = overrunRatio * this.#placer().thetaMs(model, sizeMb)
+    return open.some(({ task }) => {
+      if (task?.phase !== 'sent' || task.order.kind !== 'load' || task.order.model !== model) return false
+      return task.unansweredMs === undefined && task.againMs === undefined && nowMs - task.sinceMs < mostMs
+    })
   }
 
   /** The order under way, else the wants before it at the store's pace, else the first window to close. */
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -112,7 +112,8 @@
       this.#load(key, atMs).arrived(count, atMs)
     }
     const asked = keyOf(model, adapter)
-    if (this.#surveyed && !this.#holders.has(asked)) this.#unmet.asked(asked, count, atMs)
+    const isKnown = this.#inventory.planOf(model) !== undefined
+    if (this.#surveyed && isKnown && !this.#holders.has(asked)) this.#unmet.asked(asked, count, atMs)
     if (adapter !== '') this.#adapterSet(model).add(adapter)
   }
 
@@ -174,7 +175,7 @@
     if (resident === undefined) return false
     if (!this.#policy.foresees) return true
     if (relaxed === 'spares') return resident.doubled
-    if (relaxed === 'turns') return true
+    if (relaxed === 'turns') return this.hadTheirTurn(modelServer, adapters, nowMs).some((one) => one.key === key)
     const outside = nowMs < resident.windowFromMs || nowMs > resident.windowToMs || (relaxed === 'doubles' && resident.doubled)
     return outside && (relaxed !== 'nothing' || nowMs - resident.lastMs > this.#predictor.historyMs)
   }
@@ -434,7 +435,7 @@
     )
     const size = attach ? 1 : plan.sizeMb
     this.#unmet.blocked(keyOf(want.model, want.adapter), fitting.length === 0 ? 'noIdleServer' : 'noVictim')
-    if (!attach && this.#roomSoon(plan))
+    if (!attach && this.#awaitsRoom(step, plan, nowMs))
       return this.#choose(
         step,
         plan,
@@ -470,15 +471,20 @@
     return adapter === '' ? this.thetaMs(model) : adapterTurnMs
   }
 
-  /** A server that an order keeps busy has room left for it: better to wait a moment than to take memory from another. */
-  #roomSoon(plan: ModelPlan): boolean {
-    return this.#inventory.all.some((modelServer) => {
-      if (!modelServer.open || modelServer.owner !== plan.owner || (modelServer.task === undefined && modelServer.plan === undefined))
-        return false
-      if (modelServer.report === undefined || modelServer.report.models.some((one) => one.model === plan.key)) return false
-      const planned = modelServer.plan?.adapter === '' ? (this.#inventory.planOf(modelServer.plan.model)?.sizeMb ?? 0) : 0
-      return ModelServer.freeMb(modelServer) - planned >= plan.sizeMb
-    })
+  /**
+   * True if a server that an order keeps busy will have room left for it: better to wait a moment than to take memory from
+   * another, unless it waited for long.
+   */
+  #awaitsRoom(want: Want, plan: ModelPlan, nowMs: number): boolean {
+    return !this.isItsTurn(want, nowMs) && this.#inventory.all.some((one) => this.#hasRoomSoon(one, plan))
+  }
+
+  #hasRoomSoon(modelServer: ModelServer, plan: ModelPlan): boolean {
+    if (!modelServer.open || modelServer.owner !== plan.owner || (modelServer.task === undefined && modelServer.plan === undefined))
+      return false
+    if (modelServer.report === undefined || modelServer.report.models.some((one) => one.model === plan.key)) return false
+    const planned = modelServer.plan?.adapter === '' ? (this.#inventory.planOf(modelServer.plan.model)?.sizeMb ?? 0) : 0
+    return ModelServer.freeMb(modelServer) - planned >= plan.sizeMb
   }
 
   #choose(want: Want, plan: ModelPlan, modelServers: readonly ModelServer[], size: number, relaxed: Relaxation, nowMs: number): boolean {
@@ -511,7 +517,7 @@
         : relaxed === 'spares'
           ? `${want.why}; a spare makes way`
           : `${want.why}; last resort, lets go of ${relaxed}`
-    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed, sinceMs: nowMs }
     this.#unmet.blocked(keyOf(want.model, want.adapter), 'coming')
     return true
   }
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -378,8 +378,8 @@
   }
 
   #order(copy: ReplicaTable, out: DispatcherOut, nowMs: number): void {
+    for (const modelServer of this.#planned()) this.#next(modelServer, nowMs)
     for (const modelServer of this.#inventory.all) {
-      if (modelServer.task === undefined && modelServer.plan !== undefined) this.#next(modelServer, nowMs)
       const { task } = modelServer
       if (task === undefined || task.order.epoch !== this.#epoch) continue
       if (task.phase === 'withdrawing') {
@@ -415,6 +415,12 @@
     }
   }
 
+  /** Servers whose next order is due, the oldest plan first: else those early in the table would take all that the store gives. */
+  #planned(): ModelServer[] {
+    const planned = this.#inventory.all.filter(({ task, plan }) => task === undefined && plan !== undefined)
+    return planned.sort((a, b) => (a.plan?.sinceMs ?? 0) - (b.plan?.sinceMs ?? 0))
+  }
+
   #send(modelServer: ModelServer, out: DispatcherOut, nowMs: number): void {
     if (modelServer.task === undefined) return
     modelServer.task.phase = 'sent'
--- a/src/placement/ModelServer.ts
+++ b/src/placement/ModelServer.ts
@@ -38,7 +38,7 @@
         withdrawnMs?: number
       }
     | undefined
-  plan: { model: string; adapter: string; victims: string[]; why: string; relaxed: Relaxation } | undefined
+  plan: { model: string; adapter: string; victims: string[]; why: string; relaxed: Relaxation; sinceMs: number } | undefined
   backoffUntilMs: number
   /** Orders that it had taken when it was last read; unknown until then, and where a list differs from it. */
   sequence: number | undefined
--- a/src/placement/Planner.ts
+++ b/src/placement/Planner.ts
@@ -210,7 +210,7 @@
         : relaxed === 'spares'
           ? `${want.why}; a spare makes way`
           : `${want.why}; last resort, lets go of ${relaxed}`
-    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed }
+    best.modelServer.plan = { model: want.model, adapter: want.adapter, victims: best.victims, why, relaxed, sinceMs: nowMs }
     return true
   }
 
--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -27,7 +27,7 @@
   capacity: number
   models: readonly string[]
   adapters: readonly string[]
-  modelMb: number
+  modelMb: (model: string) => number
   roomMb: number
   loadMs: number
   loadsPerS: number
@@ -127,7 +127,7 @@
       roomMb,
       adapterPlaces: 8,
       loadsPerS,
-      models: models.map((name) => ({ name, sizeMb: modelMb, loadMs, adapters, adapterMb: 10 })),
+      models: models.map((name) => ({ name, sizeMb: modelMb(name), loadMs, adapters, adapterMb: 10 })),
     }
     this.#put('network', '{"revision":1}')
     this.#put(`service/${service}`, JSON.stringify({ name: service, connections: 500, warmMs: 0, coldPerS: 0, batch }))
--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -66,7 +66,7 @@
   const [first, second] = scene.kinds
   const models = [...first.models, ...second.models]
   const holds = firstHoldings(scene.servers, models.slice(0, first.activeAtOnce), models.slice(first.activeAtOnce))
-  const plan = { zones: 4, gateways: 6, capacity: 24, models, adapters, modelMb: 70_000, roomMb: 220_000 }
+  const plan = { zones: 4, gateways: 6, capacity: 24, models, adapters, modelMb: () => 70_000, roomMb: 220_000 }
   const world = new PlacementWorld({ ...plan, ...scene }, holds)
   world.run(4000)
   const random = new Random(scene.seed)
