--- a/src/placement/Dispatcher.test.ts
+++ b/src/placement/Dispatcher.test.ts
@@ -387,3 +387,79 @@
   stand.run(500)
   ok(stand.copy.get('binding/i1')?.includes('"s:m0"'))
 })
+
+/** One request waits for m0 until its load has begun; gives the server that loads it. */
+function loadsFirst(stand: Stand): string {
+  stand.run(2000)
+  stand.request('m0', '', 1, true)
+  stand.run(400)
+  const [loading] = [...stand.servers].flatMap(([name, one]) => (one.doing?.order.kind === 'load' ? [name] : []))
+  ok(loading !== undefined, 'a load has begun')
+  return loading
+}
+
+void test('a load that has taken three times as long as planned no longer counts as one that ends soon', () => {
+  const stand = new Stand(2, 2)
+  const held = stand.servers.get(loadsFirst(stand))
+  if (held?.doing !== undefined) held.doing.untilMs = Infinity
+  stand.run(3 * loadMs, () => {
+    if (stand.nowMs % 250 === 0) stand.request('m0', '', 0, true)
+  })
+  const [outlook] = stand.dispatcher.outlook([{ model: 's:m0', adapter: '' }], stand.nowMs)
+  ok(outlook !== undefined && !outlook.loading, `loading, ready in ${String(outlook?.readyInMs)} ms`)
+})
+
+void test('a load at a server that no request may go to does not count as one to wait for', () => {
+  const stand = new Stand(2, 2)
+  const name = loadsFirst(stand)
+  const row = { name, address: '127.0.0.1:1', zone: 'z0', service: 's', draining: true, capacity: 32, cold: false }
+  stand.put(`server/${name}`, JSON.stringify(row))
+  stand.run(100)
+  const [outlook] = stand.dispatcher.outlook([{ model: 's:m0', adapter: '' }], stand.nowMs)
+  ok(outlook !== undefined && !outlook.loading, `loading, ready in ${String(outlook?.readyInMs)} ms`)
+})
+
+void test('a request for an adapter does not wait on for a further copy of a model that is there', () => {
+  const stand = new Stand(1, 2)
+  stand.start('i0', 'z0', ['m0'])
+  stand.run(2000)
+  stand.list()
+  stand.run(1000)
+  const busy = () => {
+    stand.request('m0', '', 10, false, [{ server: 'i0', count: 40 }])
+  }
+  stand.run(400, () => {
+    if (stand.nowMs % 100 === 0) busy()
+  })
+  ok(
+    [...stand.servers.values()].some((one) => one.doing?.order.kind === 'load'),
+    'a further copy is being loaded',
+  )
+  const [outlook] = stand.dispatcher.outlook([{ model: 's:m0', adapter: 'a1' }], stand.nowMs)
+  ok(outlook !== undefined && !outlook.loading, `loading, ready in ${String(outlook?.readyInMs)} ms`)
+})
+
+void test('a copy makes way only when the load that it makes way for can begin', () => {
+  const stand = new Stand(48, 12)
+  for (let at = 0; at < 12; at++)
+    stand.start(
+      `i${String(at)}`,
+      `z${String(at % 3)}`,
+      [0, 1, 2].map((place) => `m${String(3 * at + place)}`),
+    )
+  stand.run(4000)
+  const emptySinceMs = new Map<string, number>()
+  let longestMs = 0
+  stand.run(4000, () => {
+    if (stand.nowMs % 250 === 0) {
+      const held = Array.from({ length: 12 }, (_, at) => ({ model: `s:m${String(36 + at)}`, adapter: '', count: 1, dueInMs: 5000 }))
+      stand.dispatcher.tally('edge', { session: 'x', adopted: 0, held, flights: [] }, [], stand.nowMs)
+    }
+    for (const [name, one] of stand.servers) {
+      if (one.models.size === 3 || one.doing?.order.kind === 'load') emptySinceMs.delete(name)
+      else if (!emptySinceMs.has(name)) emptySinceMs.set(name, stand.nowMs)
+      longestMs = Math.max(longestMs, stand.nowMs - (emptySinceMs.get(name) ?? stand.nowMs))
+    }
+  })
+  ok(longestMs < loadMs / 2, `a place stood empty for ${String(longestMs)} ms while the load was held up by the store`)
+})
