--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -59,7 +59,7 @@
   })
 }
 
-function played(scene: Scene): PlacementWorld {
+function played(scene: Scene, each: (world: PlacementWorld) => void = () => undefined): PlacementWorld {
   const [first, second] = scene.kinds
   const models = [...first.models, ...second.models]
   const holds = firstHoldings(scene.servers, models.slice(0, first.activeAtOnce), models.slice(first.activeAtOnce))
@@ -69,7 +69,9 @@
   const random = new Random(scene.seed)
   const shifts = [1000, 14_000].map((atMs) => ({ atMs, count: scene.shiftedAtOnce }))
   const firstPattern = new DemandPattern(first, shifts, random.fork(), world.nowMs)
-  world.run(34_000, [firstPattern, new DemandPattern(second, [], random.fork(), world.nowMs)])
+  world.run(34_000, [firstPattern, new DemandPattern(second, [], random.fork(), world.nowMs)], () => {
+    each(world)
+  })
   return world
 }
 
@@ -101,3 +103,21 @@
 test('few models that are asked for steadily are never served, where each is asked for again within the time of a load', () => {
   for (const seed of [2, 4]) assertFewStarved(played({ ...small, seed, loadMs: 2400 }))
 })
+
+test('no server waits for its turn at the store for ever while others load again and again', () => {
+  const kinds = [live, { ...background, perS: 31 }] as const
+  const emptySinceMs = new Map<string, number>()
+  let longestMs = 0
+  const world = played({ ...large, kinds, seed: 1, loadMs: 600 }, ({ servers, nowMs }) => {
+    for (const { name, models, loading } of servers.values()) {
+      if (models.size >= places || loading) emptySinceMs.delete(name)
+      else if (!emptySinceMs.has(name)) emptySinceMs.set(name, nowMs)
+      longestMs = Math.max(longestMs, nowMs - (emptySinceMs.get(name) ?? nowMs))
+    }
+  })
+  const { served } = world.record.share(live.name)
+  ok(
+    longestMs < 10_000,
+    `a server stood with an emptied place for ${String(longestMs)} ms; ${served.toFixed(3)} of the live requests were served`,
+  )
+})
