A gateway that stops refuses what still waits before it closes

Change: on a stop nothing waits past 0.75 of the grace time; what does is refused as not run. Test: GatewayMachine.test.

--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -16,6 +16,8 @@
 import type { GatewayTask } from './GatewayTask.js'
 
 const headerBytes = 65_536
+/** On a stop requests that wait for a server do so for this part of the grace time, so that their refusal still gets out. */
+const holdRatio = 0.75
 const noBody = Buffer.alloc(0)
 const statuses: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
@@ -82,6 +84,7 @@
   async drain(): Promise<void> {
     const { graceMs, leaveMs } = this.#startup
     const endMs = clockMs() + 0.92 * graceMs
+    this.#task.machine.holdUntilMs = clockMs() + holdRatio * graceMs
     this.#draining = true
     this.#connections.endAfterOpen()
     await pause(leaveMs)
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -392,3 +392,13 @@
   step({ kind: 'outlook', models: [{ model: 'llm:rare', adapter: '', readyInMs: 1500, neverBeforeMs: 0, loading: true }] })
   strictEqual(only(pass(2400), 'turnAway').length, 1)
 })
+
+test('a gateway that stops refuses what still waits in time, and lets nothing wait after that', () => {
+  const { arrive, machine, pass } = given()
+  strictEqual(only(arrive('1', '/stream/x', { model: 'rare' }), 'turnAway').length, 0)
+  machine.holdUntilMs = 1400
+  const refused = only(pass(500), 'turnAway')
+  strictEqual(refused.length, 1)
+  strictEqual(refused[0]?.status, 503)
+  strictEqual(only(arrive('2', '/stream/x', { model: 'rare' }), 'turnAway')[0]?.status, 503)
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -68,6 +68,9 @@
   #urgent = false
   #toldEmpty = false
 
+  /** Until when requests may wait here; a gateway that stops gives those that still wait their answer before it closes. */
+  holdUntilMs = Infinity
+
   /** False while this node's lease has run out, so that a newer network may be in force than the one it holds. */
   inTouch = true
 
@@ -332,7 +335,7 @@
       if (outlook !== undefined && outlook.neverBeforeMs > passage.dueMs) patienceMs = 0
       else if (outlook !== undefined && this.#loadsInTime(outlook, passage, nowMs)) patienceMs = Infinity
     }
-    if (late || waitedMs >= patienceMs) {
+    if (late || waitedMs >= patienceMs || nowMs >= this.holdUntilMs) {
       if (passage.lastWhy === '') passage.lastWhy = holders === 0 ? 'no server holds what it needs' : 'no place is free'
       this.#end(passage, nowMs)
     }
