--- a/src/common/Startup.ts
+++ b/src/common/Startup.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod'
 import { Address } from './Address.js'
 import { Bounds } from './Bounds.js'
+import { Mechanism } from './Mechanism.js'
 
 const Name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes')
 
@@ -33,6 +34,8 @@
   /** Control nodes whose loss at once must be borne; the core keeps twice as many voters and one. */
   tolerated: z.number().int().min(1).max(4).default(1),
   system: z.string().default(''),
+  /** Mechanisms that are switched off, to measure what they are worth. */
+  without: z.array(Mechanism).default([]),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
 })
 const agent = z.strictObject({
--- a/src/common/startDaemon.ts
+++ b/src/common/startDaemon.ts
@@ -10,7 +10,7 @@
 import { untilSignal } from './untilSignal.js'
 
 const flag = (long: string, description: string) => option({ long, type: optional(string), description })
-const lists = ['seeds', 'seats']
+const lists = ['seeds', 'seats', 'without']
 
 /** A command beside `run`, that a stopped daemon is asked to do once; gives the exit code. */
 interface Once<T> {
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -10,6 +10,7 @@
 import { clockMs } from '../common/clockMs.js'
 import { Logger } from '../common/Logger.js'
 import { Meters } from '../common/Meters.js'
+import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
 import type { Startup } from '../common/Startup.js'
 import type { PlatformClient } from '../adapters/PlatformClient.js'
@@ -55,6 +56,7 @@
     this.#writeAheadLog = writeAheadLog
     this.#outside = outside
     this.timings = Timings(startup.bounds)
+    if (startup.without.length > 0) logger.warn('control', `Switched off: ${startup.without.join(', ')}.`)
     this.#ordered = meters.counter('orders', 'orders sent to servers, by kind', ['kind'])
     this.#synced = meters.span('sync', 'how long a write took to be synced')
     meters.gauges(
@@ -91,7 +93,7 @@
         bootstrap: startup.bootstrap,
         rewriteBytes: startup.rewriteBytes,
         fenced: startup.fenced,
-        policy: edgeMulti,
+        policy: { ...edgeMulti, mechanisms: Mechanisms.without(startup.without) },
         system: startup.system,
         targetVoters: 2 * startup.tolerated + 1,
       },
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -28,6 +28,7 @@
   data: 'data folder',
   platform: "the platform's address",
   system: 'the system that an empty machine may join, once a core was founded again',
+  without: 'mechanisms to switch off, comma-separated',
   logLevel: 'how much to log',
 }
 
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -6,8 +6,11 @@
  * for what is expected in time; one that is given up gets its final answer at once.
  */
 import type { Random } from '../common/Random.js'
+import { Mechanisms } from '../common/Mechanisms.js'
 import { Verdict } from '../common/Verdict.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { DelayAccount } from './DelayAccount.js'
+import { DelayCounts } from './DelayCounts.js'
 import type { GatewayEffect } from './GatewayEffect.js'
 import type { GatewayInput } from './GatewayInput.js'
 import { Passage } from './Passage.js'
@@ -37,6 +40,7 @@
 type Attempted = Exclude<GatewayInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
 
 const defaultDueMs = 30_000
+const defaultUrgency = 5
 /** Ratios of a request's aim or of the time that it has. */
 const holdRatio = 0.45
 const roomRatio = 0.2
@@ -56,7 +60,9 @@
   readonly copy: ReplicaTable
   readonly servers: ServerTable
   readonly routes = new RouteTable()
+  readonly delays = new DelayCounts()
   readonly #plan: Plan
+  readonly #mechanisms: Mechanisms
   readonly #session: string
   readonly #budget: TryBudget
   readonly #passages = new Map<string, Passage>()
@@ -74,10 +80,11 @@
   /** False while this node's lease has run out, so that a newer network may be in force than the one it holds. */
   inTouch = true
 
-  constructor(plan: Plan, copy: ReplicaTable, random: Random) {
+  constructor(plan: Plan, copy: ReplicaTable, random: Random, mechanisms = Mechanisms.all) {
     this.#plan = plan
     this.copy = copy
-    this.servers = new ServerTable(plan, random)
+    this.servers = new ServerTable(plan, random, mechanisms)
+    this.#mechanisms = mechanisms
     this.#budget = new TryBudget(plan.retryRatio, plan.retryAllowance, plan.retryWindowMs)
     this.#session = random.below(4294967296).toString(36)
   }
@@ -174,6 +181,7 @@
       resumePoint: false,
       lastEvent: arrival.resumeAfter,
       lastWhy: '',
+      delays: new DelayAccount('no_place', nowMs),
     }
     this.#passages.set(id, passage)
     if (!this.#find(passage)) return
@@ -219,8 +227,11 @@
 
   #bindAll(nowMs: number): void {
     if (this.#held.size === 0) return
+    const ranked = this.#mechanisms.has('urgency-order')
     const waiting = [...this.#held].sort(
-      (a, b) => (a.route?.urgency ?? 5) - (b.route?.urgency ?? 5) || a.arrivedMs + this.#aimMs(a) - (b.arrivedMs + this.#aimMs(b)),
+      (a, b) =>
+        (ranked ? (a.route?.urgency ?? defaultUrgency) - (b.route?.urgency ?? defaultUrgency) : 0) ||
+        a.arrivedMs + this.#aimMs(a) - (b.arrivedMs + this.#aimMs(b)),
     )
     for (const passage of waiting) {
       if (passage.phase !== 'held' || (!passage.begun && !this.#find(passage))) continue
@@ -235,6 +246,7 @@
     }
     const server = nowMs < passage.dueMs ? this.servers.choose(passage, nowMs) : undefined
     if (server === undefined) {
+      passage.delays.enter(this.servers.hindrance(passage, nowMs), nowMs)
       if (passage.phase !== 'held') {
         this.#to(passage, 'held')
         passage.heldMs = nowMs
@@ -253,6 +265,7 @@
 
   #send(passage: Passage, server: Server, nowMs: number): void {
     this.#to(passage, 'connecting')
+    passage.delays.enter('connecting', nowMs)
     server.flights += 1
     passage.server = server.name
     passage.blocked = false
@@ -266,7 +279,7 @@
       server: server.name,
       address: server.address,
       leftMs: passage.dueMs - nowMs,
-      urgency: route?.urgency ?? 5,
+      urgency: route?.urgency ?? defaultUrgency,
       resumeAfter: route?.resumable === true ? passage.lastEvent : undefined,
       model: passage.model !== '',
       connections: this.servers.connections(server),
@@ -286,9 +299,27 @@
     this.#unbind(passage)
   }
 
+  /** The caller gets the first byte of its answer now. */
+  #countFirstByte(passage: Passage, nowMs: number): void {
+    const beyondAimMs = nowMs - passage.arrivedMs - this.#aimMs(passage)
+    this.delays.add(
+      beyondAimMs > 0 ? 'late' : 'in_time',
+      passage.delays.longest(nowMs),
+      passage.route?.urgency ?? defaultUrgency,
+      beyondAimMs,
+    )
+  }
+
   /** The final answer, as far as one can be given: a stream that began can only be broken off. */
   #end(passage: Passage, nowMs: number): void {
     this.#release(passage)
+    if (!passage.begun)
+      this.delays.add(
+        'refused',
+        passage.delays.longest(nowMs),
+        passage.route?.urgency ?? defaultUrgency,
+        nowMs - passage.arrivedMs - this.#aimMs(passage),
+      )
     if (passage.begun) {
       this.#to(passage, 'defected')
       this.#effects.push({ kind: 'breakOff', id: passage.id, why: passage.lastWhy })
@@ -343,6 +374,7 @@
 
   /** True while a server loads the model, by a fresh word of the dispatcher, and is likely done well before the request is due. */
   #loadsInTime(outlook: Outlook, passage: Passage, nowMs: number): boolean {
+    if (!this.#mechanisms.has('hold-for-load')) return false
     const isFresh = nowMs - outlook.heardMs < freshOutlookTallies * this.#plan.tallyMs
     const byMs = passage.arrivedMs + loadedByRatio * (passage.dueMs - passage.arrivedMs)
     return outlook.loading && isFresh && outlook.readyAtMs < byMs
@@ -372,6 +404,7 @@
    */
   #leaveSilent(passage: Passage, nowMs: number): void {
     const server = this.servers.get(passage.server)
+    if (!this.#mechanisms.has('leave-silent')) return
     if (server === undefined || passage.blocked || !RetryPolicy.repeatable(passage) || !RetryPolicy.maySend(passage)) return
     const gapMs = passage.route?.gapMs
     const most =
@@ -384,6 +417,7 @@
       return
     }
     this.#release(passage)
+    passage.delays.failed(nowMs)
     this.servers.suspect(server, nowMs)
     passage.mayHaveRun = true
     passage.lastWhy = 'the server fell silent'
@@ -414,6 +448,7 @@
       case 'sent':
         if (passage.phase !== 'connecting') break
         this.#to(passage, 'sent')
+        passage.delays.enter(server === undefined ? 'server_time' : this.servers.delayAt(server, passage, nowMs), nowMs)
         passage.sends += 1
         passage.tried.add(passage.server)
         passage.refused = false
@@ -428,6 +463,7 @@
         break
       case 'event':
         passage.movedMs = nowMs
+        if (!passage.begun) this.#countFirstByte(passage, nowMs)
         passage.begun = true
         if (input.event !== undefined) passage.lastEvent = input.event
         if (input.data) passage.resumePoint = input.event !== undefined
@@ -438,6 +474,7 @@
         break
       case 'ended':
         this.#unbind(passage)
+        if (!passage.begun) this.#countFirstByte(passage, nowMs)
         this.#to(passage, 'responded')
         break
       case 'defect':
@@ -474,6 +511,7 @@
   #failed(passage: Passage, verdict: Verdict, why: string, nowMs: number): void {
     const server = this.servers.get(passage.server)
     this.#release(passage)
+    passage.delays.failed(nowMs)
     passage.lastWhy = why
     if (server !== undefined) {
       this.servers.suspect(server, nowMs)
@@ -481,7 +519,7 @@
     }
     passage.refused = verdict === Verdict.notRun
     if (!passage.refused) passage.mayHaveRun = true
-    if (!RetryPolicy.maySend(passage)) {
+    if (!RetryPolicy.maySend(passage) || !this.#mechanisms.has('further-tries')) {
       this.#end(passage, nowMs)
       return
     }
--- a/src/gateway/GatewayStartup.ts
+++ b/src/gateway/GatewayStartup.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod'
 import { Address } from '../common/Address.js'
 import { Bounds } from '../common/Bounds.js'
+import { Mechanism } from '../common/Mechanism.js'
 
 export const GatewayStartup = z.strictObject({
   name: z.string().min(1),
@@ -23,6 +24,8 @@
   /** How long a stop may take, and how long callers may still come in after it was asked for. */
   graceMs: z.number().positive().default(8000),
   leaveMs: z.number().nonnegative().default(2500),
+  /** Mechanisms that are switched off, to measure what they are worth. */
+  without: z.array(Mechanism).default([]),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
 })
 export type GatewayStartup = z.infer<typeof GatewayStartup>
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -8,6 +8,7 @@
 import { Random } from '../common/Random.js'
 import { clockMs } from '../common/clockMs.js'
 import type { Logger } from '../common/Logger.js'
+import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
 import type { AgentInput } from '../agent/AgentInput.js'
@@ -51,6 +52,7 @@
     this.#wire = wire
     this.#outside = outside
     this.timings = Timings(startup.bounds)
+    if (startup.without.length > 0) logger.warn('gateway', `Switched off: ${startup.without.join(', ')}.`)
     const random = new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     const { name, zone, seeds, system, retryRatio, retryAllowance, retryWindowMs } = startup
     this.agent = new AgentMachine({ name, zone, address: transport.address, seeds, proxy: '', system }, this.timings, random, clockMs())
@@ -67,6 +69,7 @@
       },
       this.agent.copy,
       random,
+      Mechanisms.without(startup.without),
     )
     this.#upstream = new Upstream({ connectMs: 0.75 * startup.bounds.charterMs, idleMs: 0.5 * startup.bounds.charterMs })
     transport.hear((from, fromAddress, message) => {
--- a/src/gateway/Passage.ts
+++ b/src/gateway/Passage.ts
@@ -5,6 +5,7 @@
  */
 import type { Network } from '../common/Network.js'
 import type { Arrival } from '../adapters/Arrival.js'
+import type { DelayAccount } from './DelayAccount.js'
 
 const next = {
   arrived: ['held', 'connecting', 'turnedAway'],
@@ -62,4 +63,6 @@
   resumePoint: boolean
   lastEvent: string | undefined
   lastWhy: string
+  /** What it has spent its time on until the first byte of its answer. */
+  delays: DelayAccount
 }
--- a/src/gateway/ServerTable.test.ts
+++ b/src/gateway/ServerTable.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { Random } from '../common/Random.js'
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { DelayAccount } from './DelayAccount.js'
 import type { Passage } from './Passage.js'
 import type { Server } from './Server.js'
 import { ServerTable } from './ServerTable.js'
@@ -69,6 +70,7 @@
     resumePoint: false,
     lastEvent: undefined,
     lastWhy: '',
+    delays: new DelayAccount('no_place', startMs),
     ...more,
   }
 }
--- a/src/gateway/ServerTable.ts
+++ b/src/gateway/ServerTable.ts
@@ -7,12 +7,14 @@
  */
 import type { Random } from '../common/Random.js'
 import { digest } from '../common/digest.js'
+import { Mechanisms } from '../common/Mechanisms.js'
 import { Network } from '../common/Network.js'
 import { PlatformServer } from '../common/PlatformServer.js'
 import { BindingRow } from '../consensus/BindingRow.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
 import type { Row } from '../consensus/Row.js'
 import { namesUnder } from '../consensus/namesUnder.js'
+import type { DelayCause } from './DelayCause.js'
 import type { Passage } from './Passage.js'
 import { RetryPolicy } from './RetryPolicy.js'
 import type { Server } from './Server.js'
@@ -34,12 +36,15 @@
 const keptMs = 20_000
 /** Over all gateways no more is sent to a server than it runs at once and a few behind. */
 const fullRatio = 1.25
+/** A server that runs more than this part of what it can at once counts as crowded, for the figures. */
+const crowdedRatio = 0.3
 
 export class ServerTable {
   /** Servers that the platform's own list takes away while the core is out of reach. */
   barred: ReadonlySet<string> = new Set()
   members: readonly string[] = []
   readonly #plan: Plan
+  readonly #mechanisms: Mechanisms
   readonly #random: Random
   readonly #table = new Map<string, Server>()
   readonly #byService = new Map<string, Server[]>()
@@ -49,8 +54,9 @@
   #emptied = new Set<string>()
   readonly #refilledMs = new Map<string, number>()
 
-  constructor(plan: Plan, random: Random) {
+  constructor(plan: Plan, random: Random, mechanisms = Mechanisms.all) {
     this.#plan = plan
+    this.#mechanisms = mechanisms
     this.#random = random
   }
 
@@ -194,11 +200,13 @@
 
   /** What all gateways together have at each server, this one's own last word taken off. */
   told(loads: readonly { key: string; count: number }[]): void {
+    if (!this.#mechanisms.has('shared-loads')) return
     const counts = new Map(loads.map((one) => [one.key, one.count]))
     for (const server of this.#table.values()) server.others = Math.max(0, (counts.get(server.name) ?? 0) - server.toldFlights)
   }
 
   suspect(server: Server, nowMs: number): void {
+    if (!this.#mechanisms.has('suspects')) return
     server.defects += 1
     const waitMs = (this.#plan.suspectMs / 8) * 2 ** Math.min(server.defects - 1, 3) * (0.75 + 0.5 * this.#random.next())
     server.suspectUntilMs = nowMs + waitMs
@@ -207,6 +215,7 @@
   trust(server: Server, firstByteMs: number): void {
     server.defects = 0
     server.suspectUntilMs = 0
+    if (!this.#mechanisms.has('latency-estimate')) return
     server.firstByteMs += 0.15 * (firstByteMs - server.firstByteMs)
   }
 
@@ -262,12 +271,40 @@
     return best
   }
 
+  /** Why no server takes the request now. */
+  hindrance(passage: Passage, nowMs: number): DelayCause {
+    const holders = this.holders(passage)
+    if (holders.length === 0) {
+      const holdsModel = (server: Server) => this.open(server) && server.models.has(passage.model)
+      const group = this.#byService.get(passage.service) ?? []
+      if (passage.model === '') return 'no_place'
+      return passage.adapter !== '' && group.some(holdsModel) ? 'adapter_absent' : 'model_absent'
+    }
+    const trusted = holders.filter((server) => nowMs >= server.suspectUntilMs && !passage.avoid.has(server.name))
+    if (trusted.length === 0) return 'suspect_server'
+    return trusted.every((server) => this.#isCold(server, nowMs)) ? 'cold_server' : 'no_place'
+  }
+
+  /** What the time at a server is put down to that the request is sent to now. */
+  delayAt(server: Server, passage: Passage, nowMs: number): DelayCause {
+    if (this.#isCold(server, nowMs)) return 'cold_server'
+    const loads = this.holders(passage).map((one) => this.#running(one))
+    const least = Math.min(...loads)
+    return this.#running(server) > Math.max(crowdedRatio * server.capacity, 2 * least) ? 'crowded_copy' : 'server_time'
+  }
+
+  /** Requests at a server over all gateways, as far as is known here. */
+  #running(server: Server): number {
+    return Math.max(server.flights + server.others, server.flights * Math.sqrt(Math.max(1, this.members.length)))
+  }
+
   #expectedMs(server: Server, passage: Passage, home: Server | undefined, nowMs: number): number {
     const members = Math.max(1, this.members.length)
-    let costMs = server.firstByteMs + (server.zone === this.#plan.zone ? 0 : crossZoneMs)
+    let costMs = server.firstByteMs + (server.zone === this.#plan.zone || !this.#mechanisms.has('zone-affinity') ? 0 : crossZoneMs)
     if (passage.model === '') return costMs + ((server.flights * members) / server.capacity) * Math.max(20, server.firstByteMs)
-    costMs += perFlightMs * Math.max(server.flights + server.others, server.flights * Math.sqrt(members))
+    costMs += perFlightMs * this.#running(server)
     let unkept = passage.arrival.promptTokens
+    if (!this.#mechanisms.has('prefix-affinity')) return costMs + unkept / tokensPerMs
     let chain = passage.model + passage.adapter
     const { parts } = passage.arrival
     for (const [at, part] of parts.entries()) {
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -19,10 +19,22 @@
   barred: "servers that the platform's list takes away while the core is silent",
 }
 
+const delayLabels = ['outcome', 'cause', 'urgency']
+
+function labelsOf(count: { outcome: string; cause: string; urgency: number }): Record<string, string> {
+  return { outcome: count.outcome, cause: count.cause, urgency: String(count.urgency) }
+}
+
 export function gatewayMetrics(meters: Meters, task: GatewayTask): void {
   const { counts } = task
   meters.readCounter('requests', 'requests that ended, by outcome and status', ['outcome', 'status'], () => counts.requests)
   meters.readCounter('refusals', 'requests that the gateway refused itself, by reason', ['reason'], () => counts.refusals)
   meters.readCounter('attempts', 'tries of requests at servers, the first of each or a further one', ['kind'], () => counts.attempts)
+  meters.readCounter('first_bytes', 'first bytes of answers and refusals, by what most of the time until then went to', delayLabels, () =>
+    [...task.machine.delays.all].map((one) => ({ labels: labelsOf(one), value: one.requests })),
+  )
+  meters.readCounter('first_bytes_beyond_aim_ms', "time until then beyond the route's aim, in sum", delayLabels, () =>
+    [...task.machine.delays.all].map((one) => ({ labels: labelsOf(one), value: one.beyondAimMs })),
+  )
   meters.gauges({ ...helps, ...transportHelps }, () => task.figures)
 }
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -21,6 +21,7 @@
   seeds: 'transport addresses of core machines, comma-separated',
   platform: "the platform's address, read only while the core is silent",
   system: 'the system to follow, once a core was founded again',
+  without: 'mechanisms to switch off, comma-separated',
   logLevel: 'how much to log',
 }
 
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -4,6 +4,7 @@
  * forecast windows. A copy makes way by the three rules; then one beyond what its model needs; the last
  * resorts are for requests that wait. The wants are counted anew when something changed, or every 100 ms.
  */
+import type { Mechanism } from '../common/Mechanism.js'
 import type { Timings } from '../common/Timings.js'
 import { keyOf } from './keyOf.js'
 import { Load } from './Load.js'
@@ -167,7 +168,7 @@
   /** Requests run or wait for it, or it has only just come. */
   #inUse(modelServer: ModelServer, key: string, nowMs: number): boolean {
     if ((this.#flights.get(`${modelServer.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
-    return nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
+    return this.#has('fresh-copies') && nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
   }
 
   stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxation, nowMs: number): boolean {
@@ -254,7 +255,7 @@
 
   /** Copies that the requests at once call for, two at least of what is asked for steadily; in the last resort only what bears them. */
   #needed(model: string, adapter: string, ratio: number): number {
-    const steady = ratio > spareRatio && this.#isSteady(model, adapter, ratio)
+    const steady = this.#has('zone-spares') && ratio > spareRatio && this.#isSteady(model, adapter, ratio)
     return Math.max(steady ? 2 : 1, this.#bearing(model, adapter, ratio))
   }
 
@@ -269,11 +270,16 @@
   #bearing(model: string, adapter: string, ratio: number): number {
     const load = this.#loads.get(keyOf(model, adapter))
     if (load === undefined) return 1
-    const capacity = this.#capacities.get(this.#inventory.planOf(model)?.owner ?? '') ?? 1
-    const byCount = Math.ceil((ratio * load.expected) / Math.min(bearsAtOnce, bearsRatio * capacity))
+    const byCount = Math.ceil((ratio * load.expected) / this.#bears(model))
     return Math.max(1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
   }
 
+  /** Requests at once that one copy of a model bears. */
+  #bears(model: string): number {
+    const capacity = this.#capacities.get(this.#inventory.planOf(model)?.owner ?? '') ?? 1
+    return Math.min(bearsAtOnce, bearsRatio * capacity)
+  }
+
   /** Copies of a model that have places for all of its adapters that are asked for steadily. */
   #byAdapters(model: string, ratio: number): number {
     const places = Math.max(1, this.#places)
@@ -322,7 +328,13 @@
       if (copies.length > 0 && !(waited && settled && copies.length >= this.#needed(one.model, one.adapter, reserveRatio))) continue
       urgent.add(key)
       const why = copies.length === 0 ? 'a request waits' : 'requests wait although a copy is there'
-      wants.push({ ...base(plan, one.adapter), kind: 'held', dueInMs: one.dueInMs, urgency: one.count / (1 + copies.length), why })
+      wants.push({
+        ...base(plan, one.adapter),
+        kind: 'held',
+        dueInMs: one.dueInMs,
+        urgency: one.count / (1 + copies.length),
+        why,
+      })
     }
     if (this.#policy.foresees)
       for (const plan of this.#inventory.fleet?.models ?? [])
@@ -341,7 +353,7 @@
                 urgency: perS,
                 why: 'busy, and no copy is left',
               })
-            else if (forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
+            else if (this.#has('forecast-loads') && forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
               wants.push({ ...base(plan, adapter), kind: 'forecast', nextMs: forecast.nextMs, urgency: perS, why: 'a request is forecast' })
             continue
           }
@@ -352,10 +364,15 @@
           const urgency = perS / copies.length
           const elsewhere = zones.length < allZones.size
           const crowded = Math.min(this.#bearing(plan.key, adapter, reserveRatio), roof) - copies.length
-          if (crowded > 0 && perS > crowdPerS)
+          if (crowded > 0 && perS > crowdPerS && this.#has('crowd-copies'))
             for (let n = 0; n < Math.min(crowded, copiesAtOnce); n++)
-              wants.push({ ...base(plan, adapter), kind: 'busy', urgency, why: 'more requests than its copies bear' })
-          else if (missing > 0 || (needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
+              wants.push({
+                ...base(plan, adapter),
+                kind: 'busy',
+                urgency,
+                why: 'more requests than its copies bear',
+              })
+          else if (missing > 0 || (this.#has('zone-spares') && needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
             wants.push({
               ...base(plan, adapter),
               kind: 'spare',
@@ -363,7 +380,7 @@
               urgency,
               why: 'a spare in another zone',
             })
-          else if (adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
+          else if (this.#has('idle-server-copies') && adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
             wants.push({ ...base(plan, adapter), kind: 'spare', zones: [], urgency: urgency / 100, why: 'a server stands empty' })
         }
     const rank = { busy: 4, held: 3, hours: 2, forecast: 2, spare: 1 }
@@ -452,10 +469,14 @@
     return this.isItsTurn(step, nowMs) && this.#choose(step, plan, fitting, size, 'turns', nowMs)
   }
 
+  #has(mechanism: Mechanism): boolean {
+    return this.#policy.mechanisms.has(mechanism)
+  }
+
   /** True of what was asked for so long ago, and that no server has held since, that another is to make way for it. */
   isItsTurn(want: Pick<Want, 'model' | 'adapter'>, nowMs: number): boolean {
     const entry = this.#unmet.entries.get(keyOf(want.model, want.adapter))
-    return entry !== undefined && nowMs - entry.sinceMs > turnLoads * this.#turnMs(want.model, want.adapter)
+    return this.#has('turns') && entry !== undefined && nowMs - entry.sinceMs > turnLoads * this.#turnMs(want.model, want.adapter)
   }
 
   /** What may make way on a server when it is another's turn: had a turn itself, and is asked for seldom enough to be missed little. */
@@ -476,7 +497,7 @@
    * another, unless it waited for long.
    */
   #awaitsRoom(want: Want, plan: ModelPlan, nowMs: number): boolean {
-    return !this.isItsTurn(want, nowMs) && this.#inventory.all.some((one) => this.#hasRoomSoon(one, plan))
+    return this.#has('wait-for-room') && !this.isItsTurn(want, nowMs) && this.#inventory.all.some((one) => this.#hasRoomSoon(one, plan))
   }
 
   #hasRoomSoon(modelServer: ModelServer, plan: ModelPlan): boolean {
@@ -523,7 +544,7 @@
   }
 
   #again(modelServer: ModelServer, want: Want): number {
-    return this.#onDisk.get(modelServer.name)?.has(want.model) === true ? 0.25 : 0
+    return this.#has('disk-affinity') && this.#onDisk.get(modelServer.name)?.has(want.model) === true ? 0.25 : 0
   }
 
   /** A copy in a zone that has none yet is worth something. */
--- a/src/simulator/lru.ts
+++ b/src/simulator/lru.ts
@@ -2,10 +2,12 @@
  * The baseline that measurements compare with: the least recently requested makes way, nothing is
  * loaded ahead.
  */
+import { Mechanisms } from '../common/Mechanisms.js'
 import type { Policy } from '../placement/Policy.js'
 
 export const lru: Policy = {
   foresees: false,
+  mechanisms: Mechanisms.all,
   evict: (newcomer, residents, free) => {
     const victims: { key: string; score: number }[] = []
     let room = free
--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -10,6 +10,9 @@
 import { fileURLToPath } from 'node:url'
 import { command, flag, number, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { runCommand } from '../common/runCommand.js'
+import { Mechanism } from '../common/Mechanism.js'
+import { ablate } from './ablate.js'
+import { ablationScenes } from './ablationScenes.js'
 import { compare } from './compare.js'
 import { Deployment } from './Deployment.js'
 import { explore } from './explorer/explore.js'
@@ -125,6 +128,36 @@
       )
   },
 })
+const ablation = command({
+  name: 'ablate',
+  description: 'What each mechanism of placement and routing is worth: the same seeded scenes with all of them and without one.',
+  args: {
+    seeds: option({ long: 'seeds', type: string, defaultValue: () => '1..3', description: 'as 7, or 1..20, or 3,5..8' }),
+    scenes: option({
+      long: 'scenes',
+      type: string,
+      defaultValue: () => '',
+      description: `comma-separated: ${Object.keys(ablationScenes).join(', ')}`,
+    }),
+    mechanisms: option({
+      long: 'mechanisms',
+      type: string,
+      defaultValue: () => '',
+      description: `comma-separated: ${Mechanism.options.join(', ')}`,
+    }),
+  },
+  handler: (given) => {
+    const seeds = readSeeds(given.seeds)
+    const scenes = given.scenes === '' ? Object.keys(ablationScenes) : given.scenes.split(',')
+    const strangeScene = scenes.find((one) => ablationScenes[one] === undefined)
+    const named = given.mechanisms === '' ? Mechanism.options : given.mechanisms.split(',')
+    const strange = named.find((one) => !Mechanism.safeParse(one).success)
+    if (seeds === undefined) unknown(`${given.seeds}: not seeds`, ['7', '1..20', '3,5..8'])
+    else if (strangeScene !== undefined) unknown(`no scene is named ${strangeScene}`, Object.keys(ablationScenes))
+    else if (strange !== undefined) unknown(`no mechanism is named ${strange}`, Mechanism.options)
+    else ablate(seeds, scenes, Mechanism.array().parse(named), say)
+  },
+})
 const scaled = command({
   name: 'scale',
   description: 'What the control plane costs as the system grows, without traffic.',
@@ -212,7 +245,7 @@
   subcommands({
     name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, scale: scaled, slopes: measuredSlopes, explore: exploreRaft, soak: soaked },
+    cmds: { fleet, sim, compare: versus, ablate: ablation, scale: scaled, slopes: measuredSlopes, explore: exploreRaft, soak: soaked },
   }),
   process.argv.slice(2),
 )
--- a/src/simulator/placementWorld/CountingServer.ts
+++ b/src/simulator/placementWorld/CountingServer.ts
@@ -1,10 +1,13 @@
 /**
  * A model server of the simulated fleet that counts the orders it takes. It carries out one order at a time, refuses
- * one that it did not expect, and unloads a model only once the requests that run on it have ended.
+ * one that it did not expect, and unloads a model only once the requests that run on it have ended. It reads prompts one
+ * after the other, and keeps the shared parts that it has read.
  */
 import type { Order } from '../../common/Order.js'
 import type { Report } from '../../common/Report.js'
 
+const tokensPerMs = 30
+
 interface Work {
   order: Order
   untilMs: number
@@ -16,10 +19,17 @@
   readonly models = new Map<string, Set<string>>()
   readonly onDisk = new Set<string>()
   readonly #running = new Map<string, number>()
+  /** How much slower than others it reads. */
+  readonly slowness: number
+  /** The share of requests that it refuses, though it would have places. */
+  refusesRatio = 0
+  readonly #keptChains = new Set<string>()
+  #readUntilMs = 0
   #sequence = 0
   #work: Work | undefined
 
-  constructor(name: string, zone: string, models: readonly string[]) {
+  constructor(name: string, zone: string, models: readonly string[], slowness = 1) {
+    this.slowness = slowness
     this.name = name
     this.zone = zone
     for (const model of models) this.#loaded(model)
@@ -42,6 +52,15 @@
     return adapters !== undefined && (adapter === '' || adapters.has(adapter))
   }
 
+  /** Reads a prompt behind those that came before it; gives how long that takes from now on. */
+  read(chain: string, sharedTokens: number, ownTokens: number, nowMs: number): number {
+    const isKept = this.#keptChains.has(chain)
+    this.#keptChains.add(chain)
+    const tookMs = (this.slowness * (ownTokens + (isKept ? 0 : sharedTokens))) / tokensPerMs
+    this.#readUntilMs = Math.max(this.#readUntilMs, nowMs) + tookMs
+    return this.#readUntilMs - nowMs
+  }
+
   started(model: string): void {
     this.#running.set(model, (this.#running.get(model) ?? 0) + 1)
   }
@@ -65,7 +84,7 @@
     if (order.kind === 'unload' && (this.#running.get(order.model) ?? 0) > 0) return
     this.#work = undefined
     if (order.kind === 'load') this.#loaded(order.model)
-    if (order.kind === 'unload') this.models.delete(order.model)
+    if (order.kind === 'unload') this.#unloaded(order.model)
     if (order.kind === 'attach') this.models.get(order.model)?.add(order.adapter)
     if (order.kind === 'detach') this.models.get(order.model)?.delete(order.adapter)
   }
@@ -85,6 +104,11 @@
     }
   }
 
+  #unloaded(model: string): void {
+    this.models.delete(model)
+    for (const chain of this.#keptChains) if (chain.startsWith(`${model}/`)) this.#keptChains.delete(chain)
+  }
+
   #loaded(model: string): void {
     this.models.set(model, new Set())
     this.onDisk.add(model)
--- a/src/simulator/placementWorld/DemandPattern.ts
+++ b/src/simulator/placementWorld/DemandPattern.ts
@@ -5,6 +5,12 @@
 import type { Random } from '../../common/Random.js'
 import type { RequestKind } from './RequestKind.js'
 
+interface Draw {
+  model: string
+  adapter: string
+  /** Which of the kind's chains of shared prompt parts it begins with. */
+  chain: number
+}
 interface Shift {
   atMs: number
   count: number
@@ -33,9 +39,9 @@
   }
 
   /** The requests that arrive up to a moment. */
-  due(nowMs: number, fromMs: number): { model: string; adapter: string }[] {
+  due(nowMs: number, fromMs: number): Draw[] {
     this.#shift(nowMs - fromMs)
-    const requests: { model: string; adapter: string }[] = []
+    const requests: Draw[] = []
     while (this.#nextMs <= nowMs) {
       requests.push(this.#draw())
       this.#nextMs += this.#random.exponential(1000 / this.kind.perS)
@@ -53,7 +59,7 @@
     this.#waiting = [...this.#waiting.slice(count), ...gone]
   }
 
-  #draw(): { model: string; adapter: string } {
+  #draw(): Draw {
     const weights = this.#active.map((_, at) => 1 / (at + 1) ** this.kind.skew)
     let left = this.#random.next() * weights.reduce((sum, weight) => sum + weight, 0)
     let at = 0
@@ -62,6 +68,6 @@
       at += 1
     }
     const adapter = this.#random.hit(this.kind.adapterShare) ? (this.#random.pick(this.kind.adapters) ?? '') : ''
-    return { model: this.#active[at] ?? '', adapter }
+    return { model: this.#active[at] ?? '', adapter, chain: this.#random.below(Math.max(1, this.kind.chains)) }
   }
 }
--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -5,9 +5,11 @@
  */
 import { Random } from '../../common/Random.js'
 import { Timings } from '../../common/Timings.js'
+import { Verdict } from '../../common/Verdict.js'
 import type { Order } from '../../common/Order.js'
 import { ReplicaTable } from '../../consensus/ReplicaTable.js'
 import type { Row } from '../../consensus/Row.js'
+import { DelayCounts } from '../../gateway/DelayCounts.js'
 import type { GatewayEffect } from '../../gateway/GatewayEffect.js'
 import { GatewayMachine } from '../../gateway/GatewayMachine.js'
 import { Dispatcher } from '../../placement/Dispatcher.js'
@@ -33,11 +35,14 @@
   loadsPerS: number
   kinds: readonly RequestKind[]
   policy?: Policy
+  /** How much slower than the fastest a server reads prompts, by its place. */
+  slowness?: (at: number) => number
 }
 interface Try {
   kind: RequestKind
   model: string
   adapter: string
+  chain: number
   firstMs: number
   dueMs: number
   number: number
@@ -58,6 +63,7 @@
 const warmRatio = 0.15
 const firstTokenMs = 40
 const queueRatio = 3
+const crossZoneMs = 1
 
 export class PlacementWorld {
   readonly dispatcher: Dispatcher
@@ -65,6 +71,7 @@
   readonly servers = new Map<string, CountingServer>()
   loads = 0
   readonly #plan: Plan
+  readonly #policy: Policy
   readonly #copy = new ReplicaTable()
   readonly #gateways: GatewayMachine[] = []
   readonly #clock = new SimClock()
@@ -80,7 +87,8 @@
     this.#plan = plan
     this.#random = new Random(plan.seed)
     const timings = Timings({ charterMs: 2500, recoverMs: 15_000, drainMs: 4000, emptyMs: 5000 })
-    this.dispatcher = new Dispatcher(timings, 1, true, plan.policy ?? edgeMulti, 0)
+    this.#policy = plan.policy ?? edgeMulti
+    this.dispatcher = new Dispatcher(timings, 1, true, this.#policy, 0)
     const names = Array.from({ length: plan.gateways }, (_, at) => `gateway-${String(at)}`)
     for (const name of names) this.#gateways.push(this.#gateway(name, names))
     this.#configure()
@@ -93,8 +101,7 @@
     while (this.nowMs < fromMs + forMs) {
       this.#clock.until(this.nowMs + stepMs)
       for (const server of this.servers.values()) server.advance(this.nowMs)
-      for (const pattern of patterns)
-        for (const { model, adapter } of pattern.due(this.nowMs, fromMs)) this.#ask(pattern.kind, model, adapter)
+      for (const pattern of patterns) for (const draw of pattern.due(this.nowMs, fromMs)) this.#ask(pattern.kind, draw)
       if (this.nowMs % dispatchMs === 0) this.#dispatch()
       if (this.nowMs % listMs === 0) this.#list()
       if (this.nowMs % tellLoadsMs === 0) for (const gateway of this.#gateways) gateway.servers.told(this.dispatcher.loads(this.nowMs))
@@ -106,7 +113,7 @@
   #gateway(name: string, members: readonly string[]): GatewayMachine {
     const plan = {
       name,
-      zone: `zone-${String(this.#gateways.length % this.#plan.zones)}`,
+      zone: this.#zoneOf(this.#gateways.length),
       retryRatio: 0.2,
       retryAllowance: 100,
       retryWindowMs: 10_000,
@@ -114,7 +121,7 @@
       refillMs: 2000,
       tallyMs: 250,
     }
-    const machine = new GatewayMachine(plan, this.#copy, this.#random.fork())
+    const machine = new GatewayMachine(plan, this.#copy, this.#random.fork(), this.#policy.mechanisms)
     machine.servers.members = members
     return machine
   }
@@ -142,6 +149,7 @@
         attempts: kind.attempts,
         resumable: kind.resumable,
         gapMs: 600,
+        urgency: kind.urgency,
         services: [{ service, weight: 1 }],
       }
       this.#put(`route/${kind.name}`, JSON.stringify(route))
@@ -149,7 +157,8 @@
   }
 
   #start(name: string, zone: string, models: readonly string[]): void {
-    this.servers.set(name, new CountingServer(name, zone, models))
+    const at = this.servers.size
+    this.servers.set(name, new CountingServer(name, zone, models, this.#plan.slowness?.(at)))
     const row = { name, address: '127.0.0.1:1', zone, service, draining: false, capacity: this.#plan.capacity, cold: false }
     this.#put(`server/${name}`, JSON.stringify(row))
   }
@@ -217,12 +226,13 @@
     return loadMs * Math.max(1, atOnce / ((loadsPerS * loadMs) / 1000))
   }
 
-  #ask(kind: RequestKind, model: string, adapter: string): void {
+  #ask(kind: RequestKind, { model, adapter, chain }: { model: string; adapter: string; chain: number }): void {
     this.record.asked(kind.name, model, adapter, this.nowMs)
     this.#try({
       kind,
       model,
       adapter,
+      chain,
       firstMs: this.nowMs,
       dueMs: this.nowMs + kind.dueMs,
       number: 1,
@@ -242,8 +252,8 @@
       resumeAfter: undefined,
       model: one.model,
       adapter: one.adapter,
-      promptTokens: 500,
-      parts: [],
+      promptTokens: one.kind.promptTokens,
+      parts: one.kind.sharedTokens > 0 ? [{ id: `chain-${String(one.chain)}`, tokens: one.kind.sharedTokens }] : [],
     }
     this.#step(one.gateway, { kind: 'arrived', id, host: 'h.example', path: `/${one.kind.name}/x`, arrival })
   }
@@ -292,7 +302,7 @@
     const server = this.servers.get(name)
     if (one === undefined || server === undefined) return
     this.#step(at, { kind: 'sent', id, attempt })
-    const full = server.running >= queueRatio * this.#plan.capacity
+    const full = server.running >= queueRatio * this.#plan.capacity || this.#random.hit(server.refusesRatio)
     if (full || !server.holds(one.model, one.adapter)) {
       this.#step(at, { kind: 'head', id, attempt, status: full ? 503 : 421, notRun: true })
       return
@@ -301,20 +311,52 @@
     one.server = name
     server.started(one.model)
     const crowd = Math.max(1, server.running / this.#plan.capacity)
-    this.#after(firstTokenMs * crowd, () => {
+    const { kind } = one
+    const chain = `${one.model}/${one.adapter}/${kind.name}/${String(one.chain)}`
+    const readMs = server.read(chain, kind.sharedTokens, kind.promptTokens - kind.sharedTokens, this.nowMs)
+    const firstMs = this.#wayMs(at, server) + readMs + firstTokenMs * crowd
+    this.#after(firstMs, () => {
       if (this.#tries.get(id)?.attempt !== attempt) return
       this.#step(at, { kind: 'head', id, attempt, status: 200, notRun: false })
+      this.#step(at, { kind: 'event', id, attempt, event: '1', data: true })
     })
-    this.#after(one.kind.runMs * crowd, () => {
+    this.#after(firstMs + kind.runMs * crowd, () => {
       if (this.#tries.get(id)?.attempt !== attempt) return
       this.#step(at, { kind: 'ended', id, attempt })
       this.#leave(one)
       this.#tries.delete(id)
-      const firstByteMs = this.nowMs - one.kind.runMs * crowd + firstTokenMs * crowd
-      this.record.served(one.kind.name, one.model, one.adapter, firstByteMs - one.firstMs <= one.kind.aimMs)
+      const firstByteMs = this.nowMs - kind.runMs * crowd
+      this.record.served(kind.name, one.model, one.adapter, firstByteMs - one.firstMs <= kind.aimMs)
     })
   }
 
+  /** What the way to a server and back takes beyond that of a server in the gateway's own zone. */
+  #wayMs(at: number, server: CountingServer): number {
+    return server.zone === this.#zoneOf(at) ? 0 : 2 * crossZoneMs
+  }
+
+  #zoneOf(gateway: number): string {
+    return `zone-${String(gateway % this.#plan.zones)}`
+  }
+
+  /** Takes servers away for good, with what they hold. */
+  crash(names: readonly string[]): void {
+    for (const name of names) {
+      this.servers.delete(name)
+      this.#put(`server/${name}`, undefined)
+      for (const [id, one] of [...this.#tries])
+        if (one.server === name)
+          this.#step(one.gateway, { kind: 'defect', id, attempt: one.attempt, verdict: Verdict.mayHaveRun, why: 'reset' })
+    }
+  }
+
+  /** What all gateways together count of the time until first bytes. */
+  get delays(): DelayCounts {
+    const sum = new DelayCounts()
+    for (const gateway of this.#gateways) for (const count of gateway.delays.all) sum.merge(count)
+    return sum
+  }
+
   #leave(one: Try): void {
     if (one.server !== '') this.servers.get(one.server)?.ended(one.model)
     one.server = ''
--- a/src/simulator/placementWorld/RequestKind.ts
+++ b/src/simulator/placementWorld/RequestKind.ts
@@ -14,5 +14,15 @@
   dueMs: number
   attempts: number
   resumable: boolean
+  /** 0 is the most urgent. */
+  urgency: number
+  /** What a request in time is worth, and one that is served late. */
+  worth: number
+  lateWorth: number
+  /** Tokens of its prompt, and those of them that it shares with the other requests of its chain. */
+  promptTokens: number
+  sharedTokens: number
+  /** How many chains of shared prompt parts its requests are drawn from. */
+  chains: number
   runMs: number
 }
--- a/src/simulator/placementWorld/ServiceRecord.ts
+++ b/src/simulator/placementWorld/ServiceRecord.ts
@@ -3,6 +3,7 @@
  * asked for at least four times over eight seconds and was never served.
  */
 import { keyOf } from '../../placement/keyOf.js'
+import type { RequestKind } from './RequestKind.js'
 
 interface Asked {
   firstMs: number
@@ -54,6 +55,18 @@
     return this.steadilyAsked.filter((key) => this.#keys.get(key)?.served === 0)
   }
 
+  /** What was earned of what requests of these kinds were worth: all of it in time, a part late, nothing if never served. */
+  worth(kinds: readonly Pick<RequestKind, 'name' | 'worth' | 'lateWorth'>[]): number {
+    let earned = 0
+    let owed = 0
+    for (const { name, worth, lateWorth } of kinds) {
+      const { asked, served, inTime } = this.#kind(name)
+      earned += worth * inTime + lateWorth * (served - inTime)
+      owed += worth * asked
+    }
+    return owed === 0 ? 0 : earned / owed
+  }
+
   /** The share of a kind's requests that were served, and that were served in time. */
   share(kind: string): { served: number; inTime: number } {
     const { asked, served, inTime } = this.#kind(kind)
--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -4,11 +4,11 @@
  */
 import { ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
-import { Random } from '../../common/Random.js'
+import { edgeMulti } from '../../placement/edgeMulti.js'
 import { evict } from '../../placement/evict.js'
 import type { Policy } from '../../placement/Policy.js'
-import { DemandPattern } from './DemandPattern.js'
-import { PlacementWorld } from './PlacementWorld.js'
+import { FleetScene } from './FleetScene.js'
+import type { PlacementWorld } from './PlacementWorld.js'
 import type { RequestKind } from './RequestKind.js'
 
 const popular = Array.from({ length: 50 }, (_, at) => `popular-${String(at)}`)
@@ -26,6 +26,12 @@
   dueMs: 5000,
   attempts: 2,
   resumable: true,
+  urgency: 0,
+  worth: 1,
+  lateWorth: 0.5,
+  promptTokens: 0,
+  sharedTokens: 0,
+  chains: 0,
   runMs: 250,
 }
 const background: RequestKind = {
@@ -42,42 +48,6 @@
   resumable: false,
 }
 
-interface Scene {
-  seed: number
-  servers: number
-  loadMs: number
-  loadsPerS: number
-  kinds: readonly [RequestKind, RequestKind]
-  shiftedAtOnce: number
-  policy?: Policy
-}
-const places = 3
-
-/** Popular models have two copies each at first, as far as there are places, and the others one. */
-function firstHoldings(servers: number, popularNow: readonly string[], others: readonly string[]): string[][] {
-  const first = [...popularNow, ...popularNow, ...others]
-  return Array.from({ length: servers }, (_, at) => {
-    const names = Array.from({ length: places }, (_place, place) => first[at + place * servers])
-    return [...new Set(names.flatMap((name) => (name === undefined ? [] : [name])))]
-  })
-}
-
-function played(scene: Scene, each: (world: PlacementWorld) => void = () => undefined): PlacementWorld {
-  const [first, second] = scene.kinds
-  const models = [...first.models, ...second.models]
-  const holds = firstHoldings(scene.servers, models.slice(0, first.activeAtOnce), models.slice(first.activeAtOnce))
-  const plan = { zones: 4, gateways: 6, capacity: 24, models, adapters, modelMb: () => 70_000, roomMb: 220_000 }
-  const world = new PlacementWorld({ ...plan, ...scene }, holds)
-  world.run(4000)
-  const random = new Random(scene.seed)
-  const shifts = [1000, 14_000].map((atMs) => ({ atMs, count: scene.shiftedAtOnce }))
-  const firstPattern = new DemandPattern(first, shifts, random.fork(), world.nowMs)
-  world.run(34_000, [firstPattern, new DemandPattern(second, [], random.fork(), world.nowMs)], () => {
-    each(world)
-  })
-  return world
-}
-
 /** What users bear: one in ten, and one. */
 function assertFewStarved(world: PlacementWorld): void {
   const { starved, steadilyAsked } = world.record
@@ -85,7 +55,7 @@
   strictEqual(world.dispatcher.figures?.invariantViolations, 0)
 }
 
-const large = { servers: 42, loadsPerS: 14, kinds: [live, background] as const, shiftedAtOnce: 10 }
+const large = { servers: 42, loadsPerS: 14, kinds: [live, background] as const, shiftsMs: [1000, 14_000], shiftedAtOnce: 10 }
 const small = {
   servers: 8,
   loadsPerS: 3,
@@ -93,30 +63,31 @@
     { ...live, perS: 40, models: popular.slice(0, 14), activeAtOnce: 6 },
     { ...background, models: rare.slice(0, 28), activeAtOnce: 28 },
   ] as const,
+  shiftsMs: [1000, 14_000],
   shiftedAtOnce: 3,
 }
 
 test('few models that are asked for steadily are never served, where loads take far longer than the store needs between two', () => {
-  for (const seed of [1, 2]) assertFewStarved(played({ ...large, seed, loadMs: 2700 }))
+  for (const seed of [1, 2]) assertFewStarved(FleetScene.play({ ...large, seed, loadMs: 2700 }))
 })
 
 test('few models that are asked for steadily are never served, where loads are short', () => {
-  for (const seed of [1, 2]) assertFewStarved(played({ ...large, seed, loadMs: 600 }))
+  for (const seed of [1, 2]) assertFewStarved(FleetScene.play({ ...large, seed, loadMs: 600 }))
 })
 
 test('few models that are asked for steadily are never served, where each is asked for again within the time of a load', () => {
-  for (const seed of [2, 4]) assertFewStarved(played({ ...small, seed, loadMs: 2400 }))
+  for (const seed of [2, 4]) assertFewStarved(FleetScene.play({ ...small, seed, loadMs: 2400 }))
 })
 
 /** Victims by every rule but the turns. */
 const withoutTurns: Policy = {
-  foresees: true,
+  ...edgeMulti,
   evict: (newcomer, residents, free, historyMs, nowMs, relaxed) =>
     relaxed === 'turns' ? undefined : evict(newcomer, residents, free, historyMs, nowMs, relaxed),
 }
 
 test('a placement without turns breaks the invariant of turns, and starves', () => {
-  const world = played({ ...small, seed: 2, loadMs: 2400, policy: withoutTurns })
+  const world = FleetScene.play({ ...small, seed: 2, loadMs: 2400, policy: withoutTurns })
   ok((world.dispatcher.figures?.invariantViolations ?? 0) > 0)
   ok(world.record.starved.length > 1 + 0.1 * world.record.steadilyAsked.length)
 })
@@ -125,9 +96,9 @@
   const kinds = [live, { ...background, perS: 31 }] as const
   const emptySinceMs = new Map<string, number>()
   let longestMs = 0
-  const world = played({ ...large, kinds, seed: 1, loadMs: 600 }, ({ servers, nowMs }) => {
+  const world = FleetScene.play({ ...large, kinds, seed: 1, loadMs: 600 }, ({ servers, nowMs }) => {
     for (const { name, models, loading } of servers.values()) {
-      if (models.size >= places || loading) emptySinceMs.delete(name)
+      if (models.size >= FleetScene.places || loading) emptySinceMs.delete(name)
       else if (!emptySinceMs.has(name)) emptySinceMs.set(name, nowMs)
       longestMs = Math.max(longestMs, nowMs - (emptySinceMs.get(name) ?? nowMs))
     }
