--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -25,9 +25,10 @@
 const forgetMs = 600_000
 const steadyFromPerS = 0.3
 const reserveRatio = 1.15
-/** What a copy bears: a few requests at once that are read in, however many places the server has for those that run. */
-const bearsAtOnce = 14
-const bearsRatio = 0.3
+/** The part of a server's places that the requests of one copy may take. */
+const bearsRatio = 0.6
+/** A request that waits is not served at all without a load, one beyond what the copies bear is only slowed: it counts for less. */
+const waitingWeight = 10
 /** How long a copy that came for a request is left to it. */
 const freshMs = 700
 /** A copy is beyond need only where that many times the requests would still fit. */
@@ -72,6 +73,7 @@
   #countedMs = -Infinity
   #countedTurn = -1
   #urged = false
+  #keptResidents: { atMs: number; turn: number; lists: Map<string, ResidentModel[]> } = { atMs: -Infinity, turn: -1, lists: new Map() }
 
   constructor(timings: Timings, policy: Policy, inventory: ServerInventory, tallies: ReadonlyMap<string, Tally>, nowMs: number) {
     this.#timings = timings
@@ -135,6 +137,7 @@
     this.#countedTurn = this.#inventory.turn
     this.#countedMs = nowMs
     this.#survey(open, nowMs)
+    this.#keptResidents.lists.clear()
     this.#wants = this.#count(nowMs)
     this.#plan(nowMs)
   }
@@ -165,6 +168,19 @@
       })
   }
 
+  /** What `residents` gives, kept until time passes or the servers are surveyed anew: many wants ask for it in one plan. */
+  #residentsNow(modelServer: ModelServer, adapters: boolean, beyondNeed: boolean, nowMs: number): readonly ResidentModel[] {
+    if (this.#keptResidents.atMs !== nowMs || this.#keptResidents.turn !== this.#inventory.turn)
+      this.#keptResidents = { atMs: nowMs, turn: this.#inventory.turn, lists: new Map() }
+    const key = `${modelServer.name} ${String(adapters)} ${String(beyondNeed)}`
+    let kept = this.#keptResidents.lists.get(key)
+    if (kept === undefined) {
+      kept = this.residents(modelServer, adapters, nowMs, beyondNeed)
+      this.#keptResidents.lists.set(key, kept)
+    }
+    return kept
+  }
+
   /** Requests run or wait for it, or it has only just come. */
   #inUse(modelServer: ModelServer, key: string, nowMs: number): boolean {
     if ((this.#flights.get(`${modelServer.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
@@ -274,10 +290,17 @@
     return Math.max(1, byCount, adapter === '' ? this.#byAdapters(model, ratio) : 1)
   }
 
+  /** Requests at once that one more copy would bear, of those beyond what so many copies bear. */
+  #beyond(model: string, adapter: string, copies: number): number {
+    const expected = reserveRatio * (this.#loads.get(keyOf(model, adapter))?.expected ?? 0)
+    const bears = this.#bears(model)
+    return Math.max(0, Math.min(bears, expected - bears * copies))
+  }
+
   /** Requests at once that one copy of a model bears. */
   #bears(model: string): number {
     const capacity = this.#capacities.get(this.#inventory.planOf(model)?.owner ?? '') ?? 1
-    return Math.min(bearsAtOnce, bearsRatio * capacity)
+    return bearsRatio * capacity
   }
 
   /** Copies of a model that have places for all of its adapters that are asked for steadily. */
@@ -332,7 +355,7 @@
         ...base(plan, one.adapter),
         kind: 'held',
         dueInMs: one.dueInMs,
-        urgency: one.count / (1 + copies.length),
+        urgency: (waitingWeight * one.count) / (1 + copies.length),
         why,
       })
     }
@@ -350,7 +373,7 @@
               wants.push({
                 ...base(plan, adapter),
                 kind: load.steadyPerS > crowdPerS ? 'busy' : 'hours',
-                urgency: perS,
+                urgency: Math.max(1, load.expected),
                 why: 'busy, and no copy is left',
               })
             else if (this.#has('forecast-loads') && forecast !== undefined && this.#opens(forecast, plan.key, adapter, nowMs))
@@ -369,7 +392,7 @@
               wants.push({
                 ...base(plan, adapter),
                 kind: 'busy',
-                urgency,
+                urgency: this.#beyond(plan.key, adapter, copies.length + n),
                 why: 'more requests than its copies bear',
               })
           else if (missing > 0 || (this.#has('zone-spares') && needed > 1 && zones.length === 1 && elsewhere && adapter === ''))
@@ -383,7 +406,7 @@
           else if (this.#has('idle-server-copies') && adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
             wants.push({ ...base(plan, adapter), kind: 'spare', zones: [], urgency: urgency / 100, why: 'a server stands empty' })
         }
-    const rank = { busy: 4, held: 3, hours: 2, forecast: 2, spare: 1 }
+    const rank = { busy: 3, held: 3, hours: 2, forecast: 2, spare: 1 }
     return wants.sort((a, b) => rank[b.kind] - rank[a.kind] || b.urgency - a.urgency || a.nextMs - b.nextMs)
   }
 
@@ -463,7 +486,7 @@
       )
     if (this.#choose(step, plan, fitting, size, 'nothing', nowMs)) return true
     if (this.#choose(step, plan, fitting, size, 'spares', nowMs)) return true
-    if (want.dueInMs > this.#timings.makeRoomMs + 2 * this.thetaMs(want.model)) return false
+    if (want.kind !== 'held') return false
     for (const relaxed of ['history', 'overlap', 'doubles'] as const)
       if (this.#choose(step, plan, fitting, size, relaxed, nowMs)) return true
     return this.isItsTurn(step, nowMs) && this.#choose(step, plan, fitting, size, 'turns', nowMs)
@@ -481,7 +504,7 @@
 
   /** What may make way on a server when it is another's turn: had a turn itself, and is asked for seldom enough to be missed little. */
   hadTheirTurn(modelServer: ModelServer, adapters: boolean, nowMs: number): ResidentModel[] {
-    return this.residents(modelServer, adapters, nowMs).filter((one) => {
+    return this.#residentsNow(modelServer, adapters, false, nowMs).filter((one) => {
       const heldMs = nowMs - (this.#sinceMs.get(`${modelServer.name} ${one.key}`) ?? -Infinity)
       const [model = '', adapter = ''] = one.key.split('/')
       return heldMs > this.#turnMs(model, adapter) && (this.#loads.get(one.key)?.perS ?? 0) < crowdPerS
@@ -518,7 +541,7 @@
       const mayMakeWay = () =>
         relaxed === 'turns'
           ? this.hadTheirTurn(modelServer, adapters, nowMs)
-          : this.residents(modelServer, adapters, nowMs, relaxed === 'spares')
+          : this.#residentsNow(modelServer, adapters, relaxed === 'spares', nowMs)
       const residents = free >= size ? [] : this.#mayLeave(want, mayMakeWay())
       const victims = this.#policy.evict(newcomer, residents, free, this.#historyMs, nowMs, relaxed)
       if (victims === undefined) continue
