--- a/src/common/Mechanism.ts
+++ b/src/common/Mechanism.ts
@@ -11,16 +11,10 @@
   'crowd-copies',
   /** Placement: a second copy, in another zone, of what is asked for steadily. */
   'zone-spares',
-  /** Placement: a server that stands empty gets a copy of what is asked for steadily. */
-  'idle-server-copies',
   /** Placement: a model that has waited for two loads' time takes its turn, whoever is inside a window. */
   'turns',
-  /** Placement: a load waits for room that an order under way leaves, before another model makes way. */
-  'wait-for-room',
   /** Placement: a server that has held the model before is preferred, as it loads it from its own disk. */
   'disk-affinity',
-  /** Placement: a copy that has only just come does not make way. */
-  'fresh-copies',
   /** Routing: a request goes where the shared parts of its prompt are likely kept. */
   'prefix-affinity',
   /** Routing: what all gateways have at a server counts, as far as it was told, not only this one's own requests. */
--- a/src/common/Network.ts
+++ b/src/common/Network.ts
@@ -18,6 +18,8 @@
   aimMs: z.number().optional(),
   /** The longest pause between events with which a stream is in time. */
   gapMs: z.number().optional(),
+  /** Callers leave a stream that has been silent for so long, also before its first event. */
+  silenceMs: z.number().optional(),
   /** 0 is the most urgent. */
   urgency: z.number().default(5),
   /** The greatest number of servers that one request may be sent to. */
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -402,3 +402,28 @@
   strictEqual(refused[0]?.status, 503)
   strictEqual(only(arrive('2', '/stream/x', { model: 'rare' }), 'turnAway')[0]?.status, 503)
 })
+
+test('a request that waits for its model is refused before its caller leaves, when that is sooner than its due', () => {
+  const { set, arrive, pass } = given()
+  const route = { name: 'short', host: 'h.example', prefix: '/short/', kind: 'stream', timeoutMs: 5000, aimMs: 500, attempts: 1 }
+  set('route/short', { ...route, services: [{ service: 'llm', weight: 1 }], silenceMs: 1000 })
+  strictEqual(only(arrive('1', '/short/x', { model: 'absent' }), 'turnAway').length, 0)
+  const [refusal] = only(pass(900), 'turnAway')
+  strictEqual(refusal?.status, 503)
+  ok((refusal.comeBackMs ?? 0) > 0)
+})
+
+test('what most of the time until a first byte went to is counted', () => {
+  const { machine, set, arrive, step, pass } = given()
+  arrive('1', '/stream/x', { model: 'new' })
+  pass(700)
+  set('binding/llm-0', { incarnation: 'llm-0', models: ['llm:m', 'llm:new'], adapters: [] })
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: '1', attempt: 1, event: '1', data: true })
+  const counts = [...machine.delays.all]
+  deepStrictEqual(
+    counts.map(({ outcome, cause, requests }) => [outcome, cause, requests]),
+    [['late', 'model_absent', 1]],
+  )
+})
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -354,7 +354,7 @@
   /** Ends a held request that is due, or for which nothing is expected in time. */
   #giveUpOne(passage: Passage, nowMs: number): void {
     if (passage.phase !== 'held') return
-    const hadMs = passage.dueMs - passage.arrivedMs
+    const hadMs = this.#staysMs(passage)
     const waitedMs = nowMs - passage.heldMs
     const late = nowMs >= passage.arrivedMs + 0.9 * hadMs
     const holders = passage.model === '' ? this.servers.openServers(passage.service) : this.servers.holders(passage).length
@@ -363,7 +363,7 @@
     if (passage.begun) patienceMs = holdRatio * hadMs
     else if (holders === 0 && passage.model !== '') {
       patienceMs = holdRatio * hadMs
-      if (outlook !== undefined && outlook.neverBeforeMs > passage.dueMs) patienceMs = 0
+      if (outlook !== undefined && this.#comesTooLate(outlook, passage)) patienceMs = 0
       else if (outlook !== undefined && this.#loadsInTime(outlook, passage, nowMs)) patienceMs = Infinity
     }
     if (late || waitedMs >= patienceMs || nowMs >= this.holdUntilMs) {
@@ -372,11 +372,22 @@
     }
   }
 
+  /** How long after its arrival the caller stays, while nothing of an answer has come. */
+  #staysMs(passage: Passage): number {
+    const dueInMs = passage.dueMs - passage.arrivedMs
+    return passage.begun ? dueInMs : Math.min(dueInMs, passage.route?.silenceMs ?? Infinity)
+  }
+
+  /** True if there surely is no copy before the caller leaves. */
+  #comesTooLate(outlook: Outlook, passage: Passage): boolean {
+    return outlook.neverBeforeMs > passage.arrivedMs + this.#staysMs(passage)
+  }
+
   /** True while a server loads the model, by a fresh word of the dispatcher, and is likely done well before the request is due. */
   #loadsInTime(outlook: Outlook, passage: Passage, nowMs: number): boolean {
     if (!this.#mechanisms.has('hold-for-load')) return false
     const isFresh = nowMs - outlook.heardMs < freshOutlookTallies * this.#plan.tallyMs
-    const byMs = passage.arrivedMs + loadedByRatio * (passage.dueMs - passage.arrivedMs)
+    const byMs = passage.arrivedMs + loadedByRatio * this.#staysMs(passage)
     return outlook.loading && isFresh && outlook.readyAtMs < byMs
   }
 
--- a/src/placement/Bucket.ts
+++ b/src/placement/Bucket.ts
@@ -24,6 +24,12 @@
     return true
   }
 
+  /** How long until an order's draw can be borne, if those under way are settled no sooner. */
+  bearsInMs(mb: number, perS: number, burst: number, nowMs: number): number {
+    this.#leak(perS, burst, nowMs)
+    return Math.max(0, ((this.#level + this.#reserved + mb - burst) * 1000) / perS)
+  }
+
   /** An order that an earlier dispatcher sent and that has not ended. */
   inherit(mb: number): void {
     this.#reserved += mb
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -109,6 +109,10 @@
     this.#urged = true
   }
 
+  get isUrged(): boolean {
+    return this.#urged
+  }
+
   arrived(model: string, adapter: string, count: number, atMs: number): void {
     for (const key of adapter === '' ? [model] : [model, keyOf(model, adapter)]) {
       this.#predictor.arrived(key, count, atMs)
@@ -184,7 +188,7 @@
   /** Requests run or wait for it, or it has only just come. */
   #inUse(modelServer: ModelServer, key: string, nowMs: number): boolean {
     if ((this.#flights.get(`${modelServer.name} ${key}`) ?? 0) > 0 || this.#heldSinceMs.has(key)) return true
-    return this.#has('fresh-copies') && nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
+    return nowMs - (this.#sinceMs.get(`${modelServer.name} ${key}`) ?? -Infinity) < freshMs
   }
 
   stillMakesWay(modelServer: ModelServer, key: string, adapters: boolean, relaxed: Relaxation, nowMs: number): boolean {
@@ -403,20 +407,11 @@
               urgency,
               why: 'a spare in another zone',
             })
-          else if (this.#has('idle-server-copies') && adapter === '' && needed > 1 && copies.length === needed && this.#idles(plan))
-            wants.push({ ...base(plan, adapter), kind: 'spare', zones: [], urgency: urgency / 100, why: 'a server stands empty' })
         }
     const rank = { busy: 3, held: 3, hours: 2, forecast: 2, spare: 1 }
     return wants.sort((a, b) => rank[b.kind] - rank[a.kind] || b.urgency - a.urgency || a.nextMs - b.nextMs)
   }
 
-  #idles(plan: ModelPlan): boolean {
-    return this.#inventory.all.some(
-      (modelServer) =>
-        modelServer.open && modelServer.owner === plan.owner && modelServer.report?.models.length === 0 && modelServer.task === undefined,
-    )
-  }
-
   #opens(forecast: { nextMs: number; deltaMs: number }, model: string, adapter: string, nowMs: number): boolean {
     const thetaMs = adapter === '' ? this.thetaMs(model) : attachMs
     return nowMs >= forecast.nextMs - forecast.deltaMs - thetaMs && nowMs <= forecast.nextMs + forecast.deltaMs
@@ -475,15 +470,6 @@
     )
     const size = attach ? 1 : plan.sizeMb
     this.#unmet.blocked(keyOf(want.model, want.adapter), fitting.length === 0 ? 'noIdleServer' : 'noVictim')
-    if (!attach && this.#awaitsRoom(step, plan, nowMs))
-      return this.#choose(
-        step,
-        plan,
-        fitting.filter((modelServer) => ModelServer.freeMb(modelServer) >= size),
-        size,
-        'nothing',
-        nowMs,
-      )
     if (this.#choose(step, plan, fitting, size, 'nothing', nowMs)) return true
     if (this.#choose(step, plan, fitting, size, 'spares', nowMs)) return true
     if (want.kind !== 'held') return false
@@ -515,22 +501,6 @@
     return adapter === '' ? this.thetaMs(model) : adapterTurnMs
   }
 
-  /**
-   * True if a server that an order keeps busy will have room left for it: better to wait a moment than to take memory from
-   * another, unless it waited for long.
-   */
-  #awaitsRoom(want: Want, plan: ModelPlan, nowMs: number): boolean {
-    return this.#has('wait-for-room') && !this.isItsTurn(want, nowMs) && this.#inventory.all.some((one) => this.#hasRoomSoon(one, plan))
-  }
-
-  #hasRoomSoon(modelServer: ModelServer, plan: ModelPlan): boolean {
-    if (!modelServer.open || modelServer.owner !== plan.owner || (modelServer.task === undefined && modelServer.plan === undefined))
-      return false
-    if (modelServer.report === undefined || modelServer.report.models.some((one) => one.model === plan.key)) return false
-    const planned = modelServer.plan?.adapter === '' ? (this.#inventory.planOf(modelServer.plan.model)?.sizeMb ?? 0) : 0
-    return ModelServer.freeMb(modelServer) - planned >= plan.sizeMb
-  }
-
   #choose(want: Want, plan: ModelPlan, modelServers: readonly ModelServer[], size: number, relaxed: Relaxation, nowMs: number): boolean {
     let best: { modelServer: ModelServer; victims: string[]; rank: number } | undefined
     const newcomer = { nextMs: want.nextMs, windowFromMs: want.nextMs - want.deltaMs, windowToMs: want.nextMs + want.deltaMs, size }
--- a/src/placement/Dispatcher.test.ts
+++ b/src/placement/Dispatcher.test.ts
@@ -6,6 +6,8 @@
 import { test } from 'node:test'
 import { Random } from '../common/Random.js'
 import type { Order } from '../common/Order.js'
+import type { Mechanism } from '../common/Mechanism.js'
+import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
 import { ReplicaTable } from '../consensus/ReplicaTable.js'
 import { Dispatcher } from './Dispatcher.js'
@@ -39,8 +41,8 @@
   readonly #random = new Random(7)
   readonly #later: { atMs: number; run: () => void }[] = []
 
-  constructor(models: number, servers: number) {
-    this.dispatcher = new Dispatcher(Timings({ charterMs: 5000, recoverMs: 5000, drainMs: 5000, emptyMs: 10_000 }), 1, true, edgeMulti, 0)
+  constructor(models: number, servers: number, policy = edgeMulti) {
+    this.dispatcher = new Dispatcher(Timings({ charterMs: 5000, recoverMs: 5000, drainMs: 5000, emptyMs: 10_000 }), 1, true, policy, 0)
     this.put('network', '{"revision":1}')
     const batch = {
       capacity: 32,
@@ -305,9 +307,8 @@
   strictEqual(stand.copy.get(`binding/${lost}`), undefined)
 })
 
-void test('a crowd gets more copies, and once they are there no order follows', () => {
-  const stand = new Stand(6, 6)
-  const crowd = () => {
+function crowded(stand: Stand): () => void {
+  return () => {
     if (stand.nowMs % 250 !== 0) return
     const holders = stand.holders('m0')
     if (holders.length === 0) stand.request('m0', '', 20, true)
@@ -317,9 +318,14 @@
         '',
         20,
         false,
-        holders.map((server) => ({ server, count: Math.ceil(60 / holders.length) })),
+        holders.map((server) => ({ server, count: Math.ceil(120 / holders.length) })),
       )
   }
+}
+
+void test('a crowd gets more copies, and once they are there no order follows', () => {
+  const stand = new Stand(6, 6)
+  const crowd = crowded(stand)
   stand.run(20_000, crowd)
   ok(stand.holders('m0').length >= 5)
   const orders = stand.sent.length
@@ -463,3 +469,62 @@
   })
   ok(longestMs < loadMs / 2, `a place stood empty for ${String(longestMs)} ms while the load was held up by the store`)
 })
+
+void test('crowd-copies: a crowd has its copies at once, not one after the other', () => {
+  const copiesAfter = (without: readonly Mechanism[]) => {
+    const stand = new Stand(6, 6, { ...edgeMulti, mechanisms: Mechanisms.without(without) })
+    stand.run(4000, crowded(stand))
+    return stand.holders('m0').length
+  }
+  ok(copiesAfter([]) > copiesAfter(['crowd-copies']), `${String(copiesAfter([]))} and ${String(copiesAfter(['crowd-copies']))} copies`)
+})
+
+/** Why loads were begun in the course of a crowd for one model, a steady use of another, and one that comes back at even times. */
+function reasonsOfLoads(without: readonly Mechanism[]): Set<string> {
+  const stand = new Stand(12, 4, { ...edgeMulti, mechanisms: Mechanisms.without(without) })
+  const course = () => {
+    const at = stand.nowMs
+    if (at % 250 !== 0) return
+    for (const [model, count] of [
+      ['m0', 40],
+      ['m1', 1],
+    ] as const) {
+      const holders = stand.holders(model)
+      const flights = holders.map((server) => ({ server, count: Math.ceil((2 * count) / holders.length) }))
+      stand.request(model, '', count, holders.length === 0, flights)
+    }
+    if (at % 3000 === 0) stand.request('m2', '', 1, stand.holders('m2').length === 0)
+    for (const [place, model] of ['m3', 'm4', 'm5', 'm6', 'm7', 'm8', 'm9'].entries())
+      if (at % 1500 === 250 * (place % 6)) stand.request(model, '', 1, stand.holders(model).length === 0)
+  }
+  const seen = new Set<string>()
+  stand.run(40_000, () => {
+    course()
+    for (const { kind, why } of stand.dispatcher.reasons) if (kind === 'load') seen.add(why.split(';')[0] ?? '')
+  })
+  return seen
+}
+
+for (const [mechanism, why] of [
+  ['zone-spares', 'a spare in another zone'],
+  ['forecast-loads', 'a request is forecast'],
+] as const)
+  void test(`${mechanism}: a load is begun as ${why}, unless it is switched off`, () => {
+    ok(reasonsOfLoads([]).has(why))
+    ok(!reasonsOfLoads([mechanism]).has(why))
+  })
+
+void test('disk-affinity: a model goes back to a server that has held it, unless that is switched off', () => {
+  const placedAt = (without: readonly Mechanism[]) => {
+    const stand = new Stand(12, 3, { ...edgeMulti, mechanisms: Mechanisms.without(without) })
+    stand.start('i2', 'z2', ['m0'])
+    stand.run(4000)
+    stand.servers.get('i2')?.models.delete('m0')
+    stand.run(4000)
+    stand.request('m0', '', 1, true)
+    stand.run(1000)
+    return stand.holders('m0')
+  }
+  strictEqual(placedAt([]).join(), 'i2')
+  ok(!placedAt(['disk-affinity']).includes('i2'))
+})
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -34,9 +34,14 @@
 const listLagMs = 800
 const reportLagMs = 500
 const spreadMs = 30
+/** Until a server's reports tell of an adapter that it attaches, to begin with; what is seen corrects it. */
 const attachAskMs = 50
+const attachWeight = 0.3
+const attachEarlyRatio = 0.9
 const unloadAskMs = 100
 const refusedMs = 100
+/** What withdrawing and unloading a model usually takes. */
+const makesWayMs = 200
 const againMs = 60
 const followsMs = 3000
 /** How often the placement says in the log what it cannot place. */
@@ -60,10 +65,12 @@
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
   #tickedMs: number
+  #tickedTurn = -1
   #summarizedMs = -Infinity
   #loadsStarted = 0
   #loadsDone = 0
   #unloadsStarted = 0
+  #attachSeenMs = attachAskMs / attachEarlyRatio
 
   constructor(timings: Timings, epoch: number, first: boolean, policy: Policy, nowMs: number) {
     this.#timings = timings
@@ -149,6 +156,15 @@
     if (figures !== undefined) (lasts ? out.warns : out.says).push(summaryOf(figures))
   }
 
+  /** True while an order is put to the log or a server has told something new: the next step need not wait for a tick. */
+  get hasNextStep(): boolean {
+    return (
+      this.#inventory.all.some(({ task }) => task?.phase === 'proposed') ||
+      this.#demand.isUrged ||
+      this.#inventory.turn !== this.#tickedTurn
+    )
+  }
+
   /** True once most servers have been silent for long: another core machine may hear them. */
   deaf(nowMs: number): boolean {
     if (!this.#inventory.deaf(nowMs)) this.#deafSinceMs = undefined
@@ -259,6 +275,7 @@
       this.#drop(modelServer, nowMs)
     })
     if (this.#inventory.fleet === undefined) return out
+    this.#tickedTurn = this.#inventory.turn
     this.#inventory.read(out, (modelServer) => this.#settlesInMs(modelServer), nowMs)
     this.#settle(copy, out, nowMs)
     this.#inventory.bind(copy, out, nowMs)
@@ -340,7 +357,11 @@
   #settlesInMs({ task }: ModelServer): number {
     const order = task?.order
     if (order === undefined) return 0
-    return order.kind === 'load' ? 0.8 * this.#demand.thetaMs(order.model) : order.kind === 'unload' ? unloadAskMs : attachAskMs
+    return order.kind === 'load'
+      ? 0.8 * this.#demand.thetaMs(order.model)
+      : order.kind === 'unload'
+        ? unloadAskMs
+        : attachEarlyRatio * this.#attachSeenMs
   }
 
   /**
@@ -360,6 +381,8 @@
       const done = there === (order.kind === 'load' || order.kind === 'attach')
       if (report.sequence > expected) {
         if (done && order.kind === 'load') this.#loadsDone += 1
+        if (done && order.kind === 'attach' && task.takenMs !== undefined)
+          this.#attachSeenMs += attachWeight * (report.askedMs - task.takenMs - this.#attachSeenMs)
         if (done && order.kind === 'load' && order.epoch === this.#epoch) this.#demand.learn(order.model, report.heardMs - task.sentMs)
         this.#reasons.add(modelServer.name, order, done ? 'done' : 'the server could not', nowMs)
         this.#drop(modelServer, nowMs, done)
@@ -433,6 +456,7 @@
     const { plan } = modelServer
     if (plan === undefined || !this.#inventory.known(modelServer, nowMs) || nowMs < modelServer.backoffUntilMs) return
     if (this.#counts && modelServer.sequence === undefined) return
+    if (plan.victims.length > 0 && plan.adapter === '' && !this.#mayLoadSoon(plan.model, nowMs)) return
     const victim = plan.victims.shift()
     if (victim !== undefined) {
       const [model = '', adapter = ''] = victim.split('/')
@@ -483,6 +507,24 @@
     modelServer.plan = undefined
   }
 
+  /** True if the store will likely let a load begin once what is to make way for it is gone, after those that are as far. */
+  #mayLoadSoon(model: string, nowMs: number): boolean {
+    const { fleet } = this.#inventory
+    if (!this.#counts || fleet === undefined) return true
+    const { perS, burst, atOnce } = fleet.store
+    const ahead = this.#inventory.all.filter(({ task, plan }) => {
+      if (plan === undefined || plan.adapter !== '') return false
+      return task === undefined ? plan.victims.length === 0 : task.order.kind === 'unload'
+    }).length
+    if (this.#loading(nowMs + makesWayMs) + ahead >= atOnce) {
+      this.#demand.unmet.blocked(model, 'storeConcurrency')
+      return false
+    }
+    if (this.#bucket.bearsInMs(ahead + 1, perS, burst, nowMs) <= makesWayMs) return true
+    this.#demand.unmet.blocked(model, 'storePace')
+    return false
+  }
+
   /** Loads that the store is giving now: what was taken a load's time ago is there, though no report has told so yet. */
   #loading(nowMs: number): number {
     return this.#inventory.all.filter(({ task }) => {
--- a/src/placement/ServerInventory.ts
+++ b/src/placement/ServerInventory.ts
@@ -21,6 +21,8 @@
 /** In a network: how long after the epoch's begin or the last asking a server is asked for its report. */
 const unlistedMs = 300
 const askAgainMs = 150
+/** An adapter comes within some ms, and requests with an aim shorter than a report's lag wait for it. */
+const attachAgainMs = 30
 const silentMs = 1000
 const Emptied = z.object({ emptied: z.boolean() })
 const noneMb: ReadonlyMap<string, number> = new Map()
@@ -197,8 +199,9 @@
   /** Only where something hangs on it: each reading of a counting server is paid for. */
   #readCounting(out: DispatcherOut, settlesInMs: (modelServer: ModelServer) => number, nowMs: number): void {
     for (const modelServer of this.#table.values()) {
-      if (nowMs - modelServer.askedMs < (modelServer.answeredMs < modelServer.askedMs ? silentMs : askAgainMs)) continue
       const { task, report } = modelServer
+      const againMs = task?.order.kind === 'attach' ? attachAgainMs : askAgainMs
+      if (nowMs - modelServer.askedMs < (modelServer.answeredMs < modelServer.askedMs ? silentMs : againMs)) continue
       const settles =
         task?.phase === 'sent' &&
         (task.unansweredMs !== undefined || nowMs - Math.max(task.sentMs, task.takenMs ?? 0) >= settlesInMs(modelServer))
--- a/src/simulator/closingFault.test.ts
+++ b/src/simulator/closingFault.test.ts
@@ -122,6 +122,25 @@
     return `${[...lost].join(' and ')} wiped, others ${othersLosePower ? 'without power' : 'at work'}`
   }
 
+  /** All processes of the core die at one moment and are back within a second, with their disks; the gateways go on. */
+  killCore(): void {
+    const gone = [...this.world.boxes].map(([name, { address }]) => ({ name, address, disk: this.world.kill(name) }))
+    const starts = gone.map((one) => ({ ...one, atMs: this.world.nowMs + this.random.between(300, 1000) }))
+    for (const { name, address, disk, atMs } of starts.sort((a, b) => a.atMs - b.atMs)) {
+      this.run(atMs - this.world.nowMs)
+      this.world.start(name, address, false, disk)
+    }
+  }
+
+  /** How long after the machines are back a leader is settled, and every gateway's agent works by what was acknowledged. */
+  recovery(): { ledMs: number; servedMs: number } {
+    const backMs = this.world.nowMs
+    this.run(timings.recoverMs, () => this.world.leader !== undefined)
+    const ledMs = this.world.nowMs - backMs
+    this.run(timings.recoverMs, () => this.served)
+    return { ledMs, servedMs: this.world.nowMs - backMs }
+  }
+
   /** What is not as it must be after the fault. */
   defect(): string {
     const backMs = this.world.nowMs
@@ -165,6 +184,43 @@
   })
 }
 
+for (const [machines, targetVoters] of [
+  [3, 3],
+  [6, 5],
+] as const)
+  test(`the whole core of ${String(machines)} dies and is back within a second with its disks: all that was acknowledged is in force`, () => {
+    for (let seed = firstSeed; seed < firstSeed + schedules; seed++) {
+      const site = new Site(seed, machines, targetVoters)
+      ok(
+        site.run(8000, () => site.founded && site.served),
+        `seed ${String(seed)}: not founded`,
+      )
+      for (let round = 0; round < 3; round++) ok(site.write(4000), `seed ${String(seed)}: no write is acknowledged before the fault`)
+      site.killCore()
+      const defect = site.defect()
+      ok(defect === '', `seed ${String(seed)}: ${defect}`)
+    }
+  })
+
+test('after a loss of power of everything a leader is settled and every gateway serves again within a third of the bound', (context) => {
+  const parts = Array.from({ length: schedules }, (_, at) => {
+    const site = new Site(firstSeed + at, 6, 5)
+    site.run(8000, () => site.founded && site.served)
+    site.write(4000)
+    site.close(0, true)
+    return site.recovery()
+  })
+  const longest = (values: number[]) => Math.max(...values)
+  const ledMs = longest(parts.map((one) => one.ledMs))
+  const servedMs = longest(parts.map((one) => one.servedMs))
+  const meanMs = (values: number[]) => Math.round(values.reduce((sum, one) => sum + one, 0) / values.length)
+  context.diagnostic(
+    `leader settled after ${String(meanMs(parts.map((one) => one.ledMs)))} ms (${String(Math.round(ledMs))} at most), ` +
+      `gateways served after ${String(meanMs(parts.map((one) => one.servedMs)))} ms (${String(Math.round(servedMs))} at most)`,
+  )
+  ok(servedMs < timings.recoverMs / 3, `gateways serve only after ${String(servedMs)} ms`)
+})
+
 test('found out: more disks are lost than must be borne', () => {
   let found = ''
   for (let seed = 1; seed <= 10 && found === ''; seed++) found = play(seed, 3, 3, 2)
--- a/src/simulator/placementWorld/PlacementWorld.ts
+++ b/src/simulator/placementWorld/PlacementWorld.ts
@@ -77,6 +77,8 @@
   readonly #clock = new SimClock()
   readonly #random: Random
   readonly #tries = new Map<string, Try>()
+  /** Tries that got the first byte of an answer. */
+  readonly #answered = new Set<string>()
   #number = 0
 
   get nowMs(): number {
@@ -149,6 +151,7 @@
         attempts: kind.attempts,
         resumable: kind.resumable,
         gapMs: 600,
+        silenceMs: kind.silenceMs,
         urgency: kind.urgency,
         services: [{ service, weight: 1 }],
       }
@@ -255,6 +258,11 @@
       promptTokens: one.kind.promptTokens,
       parts: one.kind.sharedTokens > 0 ? [{ id: `chain-${String(one.chain)}`, tokens: one.kind.sharedTokens }] : [],
     }
+    this.#after(one.kind.silenceMs, () => {
+      if (this.#tries.get(id) !== one || this.#answered.has(id)) return
+      this.#step(one.gateway, { kind: 'callerGone', id })
+      this.#left(id)
+    })
     this.#step(one.gateway, { kind: 'arrived', id, host: 'h.example', path: `/${one.kind.name}/x`, arrival })
   }
 
@@ -318,6 +326,7 @@
     this.#after(firstMs, () => {
       if (this.#tries.get(id)?.attempt !== attempt) return
       this.#step(at, { kind: 'head', id, attempt, status: 200, notRun: false })
+      this.#answered.add(id)
       this.#step(at, { kind: 'event', id, attempt, event: '1', data: true })
     })
     this.#after(firstMs + kind.runMs * crowd, () => {
--- a/src/simulator/placementWorld/RequestKind.ts
+++ b/src/simulator/placementWorld/RequestKind.ts
@@ -12,6 +12,8 @@
   adapters: readonly string[]
   aimMs: number
   dueMs: number
+  /** Its clients leave after so long without a byte. */
+  silenceMs: number
   attempts: number
   resumable: boolean
   /** 0 is the most urgent. */
--- a/src/simulator/placementWorld/placementWorld.test.ts
+++ b/src/simulator/placementWorld/placementWorld.test.ts
@@ -4,6 +4,7 @@
  */
 import { ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
+import { Mechanisms } from '../../common/Mechanisms.js'
 import { edgeMulti } from '../../placement/edgeMulti.js'
 import { evict } from '../../placement/evict.js'
 import type { Policy } from '../../placement/Policy.js'
@@ -24,6 +25,7 @@
   adapters,
   aimMs: 500,
   dueMs: 5000,
+  silenceMs: 60_000,
   attempts: 2,
   resumable: true,
   urgency: 0,
@@ -86,10 +88,22 @@
     relaxed === 'turns' ? undefined : evict(newcomer, residents, free, historyMs, nowMs, relaxed),
 }
 
-test('a placement without turns breaks the invariant of turns, and starves', () => {
-  const world = FleetScene.play({ ...small, seed: 2, loadMs: 2400, policy: withoutTurns })
+const scarce = {
+  ...small,
+  loadMs: 2400,
+  kinds: [
+    { ...live, perS: 20, models: popular.slice(0, 14), activeAtOnce: 6 },
+    { ...background, perS: 30, models: rare.slice(0, 40), activeAtOnce: 40, skew: 0.3 },
+  ] as const,
+}
+
+test('a placement without turns breaks the invariant of turns, and starves what is served with them', () => {
+  assertFewStarved(FleetScene.play({ ...scarce, seed: 1 }))
+  const world = FleetScene.play({ ...scarce, seed: 1, policy: withoutTurns })
   ok((world.dispatcher.figures?.invariantViolations ?? 0) > 0)
   ok(world.record.starved.length > 1 + 0.1 * world.record.steadilyAsked.length)
+  const switchedOff = FleetScene.play({ ...scarce, seed: 1, policy: { ...edgeMulti, mechanisms: Mechanisms.without(['turns']) } })
+  ok(switchedOff.record.starved.length > 1 + 0.1 * switchedOff.record.steadilyAsked.length)
 })
 
 test('no server waits for its turn at the store for ever while others load again and again', () => {
