--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -354,9 +354,9 @@
   /** Ends a held request that is due, or for which nothing is expected in time. */
   #giveUpOne(passage: Passage, nowMs: number): void {
     if (passage.phase !== 'held') return
-    const hadMs = this.#staysMs(passage)
+    const hadMs = passage.dueMs - passage.arrivedMs
     const waitedMs = nowMs - passage.heldMs
-    const late = nowMs >= passage.arrivedMs + 0.9 * hadMs
+    const late = nowMs >= passage.arrivedMs + 0.9 * this.#staysMs(passage)
     const holders = passage.model === '' ? this.servers.openServers(passage.service) : this.servers.holders(passage).length
     const outlook = passage.model === '' || holders > 0 ? undefined : this.#outlook(passage, nowMs)
     let patienceMs = roomRatio * this.#aimMs(passage)
--- a/src/storage/scanLog.test.ts
+++ b/src/storage/scanLog.test.ts
@@ -139,9 +139,11 @@
     file.copy(large)
     fill(large.subarray(file.length))
     large.fill(0xff, file.length, file.length + 1)
-    const fromMs = performance.now()
+    // The processor time of this process, as a busy machine makes a search last longer without more work.
+    const from = process.cpuUsage()
     const scan = scanLog(large, header)
-    const tookMs = performance.now() - fromMs
+    const { user, system } = process.cpuUsage(from)
+    const tookMs = (user + system) / 1000
     deepStrictEqual([scan.end, scan.damagedAt, scan.records.length], [file.length, undefined, 2])
     ok(tookMs < 20_000, `${name}: ${String(Math.round(tookMs))} ms`)
     console.log(`100 MB of ${name}: ${String(Math.round(tookMs))} ms`)
