--- a/src/control/ControlMachine.ts
+++ b/src/control/ControlMachine.ts
@@ -19,9 +19,6 @@
 import type { ControlPlan } from './ControlPlan.js'
 import { WallClockMonitor } from './WallClockMonitor.js'
 
-/** Inputs after which the scheduler may have a next step to take. */
-const hastening: ReadonlySet<ControlInput['kind']> = new Set(['message', 'written', 'reported', 'replied'])
-
 export class ControlMachine {
   readonly #parts: ControlParts
   readonly #context: ControlContext
@@ -130,10 +127,6 @@
         break
     }
     this.#collect(nowMs)
-    if (hastening.has(input.kind)) {
-      this.#parts.schedulerRole.hasten(nowMs)
-      this.#collect(nowMs)
-    }
     return this.#context.takeEffects()
   }
 
--- a/src/control/SchedulerRole.ts
+++ b/src/control/SchedulerRole.ts
@@ -19,8 +19,6 @@
 type LoadReport = Extract<Message, { kind: 'tally' }>
 
 const renewalsALease = 6
-/** The scheduler runs at most so many times a tick. */
-const stepsATick = 4
 /** A node that heard no servers leaves the role to others for so many leases. */
 const standsAsideLeases = 4
 
@@ -35,8 +33,6 @@
   #standsFromMs = -Infinity
   #leaderStandsAtMs = -Infinity
   #vacateAtMs = -Infinity
-  #scheduledMs = -Infinity
-  #hour = 0
 
   constructor(context: ControlContext, leases: SchedulerLeases, random: Random) {
     this.#context = context
@@ -70,15 +66,7 @@
     }
   }
 
-  /** Takes the scheduler's next step between ticks, where there is one; not more often than so many times a tick. */
-  hasten(nowMs: number): void {
-    if (!this.#context.isNetwork || this.#scheduler?.hasNextStep !== true) return
-    if (nowMs - this.#scheduledMs < this.#context.timings.tickMs / stepsATick) return
-    this.#schedule(this.#scheduler, this.#hour, nowMs)
-  }
-
   tick(hour: number, nowMs: number): void {
-    this.#hour = hour
     if (this.#context.isNetwork) this.#standAsLeader(nowMs)
     else this.#standAsVoter(nowMs)
     if (this.#scheduler !== undefined) this.#schedule(this.#scheduler, hour, nowMs)
@@ -162,7 +150,6 @@
       this.#vacateAfterLeading(epoch, nowMs)
       return
     }
-    this.#scheduledMs = nowMs
     this.#renewLease(epoch, nowMs)
     const isLeased = this.#isLeased(nowMs)
     if (isLeased && !isNetwork && scheduler.deaf(nowMs)) this.#standAside(epoch, nowMs)
--- a/src/placement/Demand.ts
+++ b/src/placement/Demand.ts
@@ -109,10 +109,6 @@
     this.#urged = true
   }
 
-  get isUrged(): boolean {
-    return this.#urged
-  }
-
   arrived(model: string, adapter: string, count: number, atMs: number): void {
     for (const key of adapter === '' ? [model] : [model, keyOf(model, adapter)]) {
       this.#predictor.arrived(key, count, atMs)
--- a/src/placement/Dispatcher.ts
+++ b/src/placement/Dispatcher.ts
@@ -65,7 +65,6 @@
   #loads: { atMs: number; counts: { key: string; count: number }[] } = { atMs: -Infinity, counts: [] }
   #number = 0
   #tickedMs: number
-  #tickedTurn = -1
   #summarizedMs = -Infinity
   #loadsStarted = 0
   #loadsDone = 0
@@ -156,15 +155,6 @@
     if (figures !== undefined) (lasts ? out.warns : out.says).push(summaryOf(figures))
   }
 
-  /** True while an order is put to the log or a server has told something new: the next step need not wait for a tick. */
-  get hasNextStep(): boolean {
-    return (
-      this.#inventory.all.some(({ task }) => task?.phase === 'proposed') ||
-      this.#demand.isUrged ||
-      this.#inventory.turn !== this.#tickedTurn
-    )
-  }
-
   /** True once most servers have been silent for long: another core machine may hear them. */
   deaf(nowMs: number): boolean {
     if (!this.#inventory.deaf(nowMs)) this.#deafSinceMs = undefined
@@ -275,7 +265,6 @@
       this.#drop(modelServer, nowMs)
     })
     if (this.#inventory.fleet === undefined) return out
-    this.#tickedTurn = this.#inventory.turn
     this.#inventory.read(out, (modelServer) => this.#settlesInMs(modelServer), nowMs)
     this.#settle(copy, out, nowMs)
     this.#inventory.bind(copy, out, nowMs)
