--- a/review/stand-ins/Deployment.mjs
+++ b/review/stand-ins/Deployment.mjs
@@ -35,7 +35,9 @@
       const chunks = []
       answer.on('data', (chunk) => chunks.push(chunk))
       answer.on('end', () => {
-        resolve(answer.complete ? { status: answer.statusCode, headers: answer.headers, body: Buffer.concat(chunks).toString() } : undefined)
+        resolve(
+          answer.complete ? { status: answer.statusCode, headers: answer.headers, body: Buffer.concat(chunks).toString() } : undefined,
+        )
       })
       answer.on('error', () => resolve(undefined))
     })
--- a/review/stand-ins/ModelServer.mjs
+++ b/review/stand-ins/ModelServer.mjs
@@ -10,7 +10,20 @@
 
 export class ModelServer {
   /** `memory`: what a `ServerMemory` is made of; nothing for a server without models. */
-  constructor({ name, service, ip, port = 8080, zone, capacity = 64, memory, events = 12, firstMs = 200, gapMs = 380, workMs = 60, answer }) {
+  constructor({
+    name,
+    service,
+    ip,
+    port = 8080,
+    zone,
+    capacity = 64,
+    memory,
+    events = 12,
+    firstMs = 200,
+    gapMs = 380,
+    workMs = 60,
+    answer,
+  }) {
     Object.assign(this, { name, service, ip, port, zone, capacity, events, firstMs, gapMs, workMs, answer })
     this.runs = []
     this.orders = []
@@ -96,7 +109,17 @@
     if (this.memory?.concerns(model)) return refuse(503)
     if (this.memory !== undefined && !this.memory.models.has(model)) return refuse(421)
     if (this.active.length >= this.capacity) return refuse(503)
-    const run = { id, model, server: this.name, method: request.method, url: request.url, body: body.toString('latin1'), atMs: Date.now(), endMs: undefined, ended: '' }
+    const run = {
+      id,
+      model,
+      server: this.name,
+      method: request.method,
+      url: request.url,
+      body: body.toString('latin1'),
+      atMs: Date.now(),
+      endMs: undefined,
+      ended: '',
+    }
     this.runs.push(run)
     this.active.push(run)
     response.once('close', () => {
--- a/review/stand-ins/configuration.mjs
+++ b/review/stand-ins/configuration.mjs
@@ -4,7 +4,16 @@
 export const host = 'grid.example'
 export const model = 'daka510000'
 /** MB of each model. */
-const sizes = { [model]: 72700, rada7437b5: 72700, ravo486f6a: 72700, nymi57a71f: 72700, gopu49ded4: 72700, base151689: 72700, xada684e3e: 72700, nyti185f3: 72700 }
+const sizes = {
+  [model]: 72700,
+  rada7437b5: 72700,
+  ravo486f6a: 72700,
+  nymi57a71f: 72700,
+  gopu49ded4: 72700,
+  base151689: 72700,
+  xada684e3e: 72700,
+  nyti185f3: 72700,
+}
 export const models = Object.keys(sizes)
 const roomMb = 220000
 const loadS = 0.6
@@ -58,4 +67,5 @@
   const id = `${Date.now().toString(16)}${(count + 0x10000).toString(16)}`
   return { host, 'attempt-id': id, ...extra }
 }
-export const modelHeaders = (extra = {}) => headers({ 'model-name': model, 'token-count': '646,72', 'prompt-prefix': '5c1e07a2:155,91bd3f06:491', ...extra })
+export const modelHeaders = (extra = {}) =>
+  headers({ 'model-name': model, 'token-count': '646,72', 'prompt-prefix': '5c1e07a2:155,91bd3f06:491', ...extra })
--- a/review/stand-ins/send.mjs
+++ b/review/stand-ins/send.mjs
@@ -5,7 +5,17 @@
 import { request } from 'node:http'
 
 export function send({ url, agent, headers, body = '{}', waitMs }) {
-  const tried = { id: headers['attempt-id'], url, sentMs: Date.now(), reused: false, status: 0, bytes: 0, complete: false, endMs: Infinity, error: '' }
+  const tried = {
+    id: headers['attempt-id'],
+    url,
+    sentMs: Date.now(),
+    reused: false,
+    status: 0,
+    bytes: 0,
+    complete: false,
+    endMs: Infinity,
+    error: '',
+  }
   tried.done = new Promise((resolve) => {
     const sent = request(url, { method: 'POST', agent, headers: { 'content-type': 'application/json', ...headers } }, (reply) => {
       tried.status = reply.statusCode
