A stopping gateway no longer sends on what it can't finish

Cause: the stop bounded how long requests may wait for a server and when the process ends, not what is still begun. A stream whose head left before the SIGTERM can't tell its caller to leave the connection.

The machine had no input that told it of the stop.

Change: the machine is told the times of the stop. StopPolicy admits a request that has not run only if its deadline comes before the end, or, while callers may still come in, if its route's usual answer does. All else gets 503 with when to come back. At 0.9 of the grace time what has no answer yet gets one. Nothing behind an answer that says Connection: close is passed on. It works because whatever is still sent late ends, by its own deadline, before the process does.

Tests: CallersDesk.test 'a stop passes on nothing that comes late on a kept connection ...' failed on the sources before (run there); GatewayMachine.test, four more.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -11,13 +11,15 @@
   readonly open: Map<ServerResponse, () => void>
   /** What had been read when the last answer was done; undefined before the first. */
   restedBytes: number | undefined
+  /** True once it was found with nobody waiting on it since its last request. */
+  foundRested: boolean
 }
 
 export class CallerConnections {
   readonly #connections = new Map<Duplex, Connection>()
 
   add(socket: Socket): void {
-    const connection: Connection = { open: new Map(), restedBytes: undefined }
+    const connection: Connection = { open: new Map(), restedBytes: undefined, foundRested: false }
     this.#connections.set(socket, connection)
     socket.once('close', () => {
       this.#connections.delete(socket)
@@ -31,6 +33,7 @@
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
     connection.open.set(response, () => undefined)
+    connection.foundRested = false
     response.once('close', () => {
       connection.open.delete(response)
       if (connection.open.size === 0) connection.restedBytes = socket.bytesRead
@@ -56,10 +59,26 @@
     if (connection !== undefined) CallerConnections.#endAfter(connection.open)
   }
 
-  /** Closes the connections on which an answer was given, none is waited for and no request has begun to come. */
+  /** True if the caller has the head of an answer that says that it is the last on this connection. */
+  isEnding(socket: Duplex): boolean {
+    const open = this.#connections.get(socket)?.open.keys() ?? []
+    return [...open].some((response) => response.headersSent && response.getHeader('connection') === 'close')
+  }
+
+  /**
+   * Closes the connections on which an answer was given, none is waited for and no request has begun to come. A caller that sends
+   * its next request at once is not cut: a connection is closed only when it is found so for the second time in a row.
+   */
   closeRested(): void {
-    for (const [socket, { open, restedBytes }] of this.#connections)
-      if (open.size === 0 && restedBytes !== undefined && 'bytesRead' in socket && socket.bytesRead === restedBytes) socket.destroy()
+    for (const [socket, connection] of this.#connections) {
+      if (!CallerConnections.#isRested(socket, connection)) continue
+      if (connection.foundRested) socket.destroy()
+      connection.foundRested = true
+    }
+  }
+
+  static #isRested(socket: Duplex, { open, restedBytes }: Connection): boolean {
+    return open.size === 0 && restedBytes !== undefined && 'bytesRead' in socket && socket.bytesRead === restedBytes
   }
 
   static #endAfter(open: Connection['open']): void {
--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -171,3 +171,94 @@
   ok((await caller.whole()).endsWith('late'), caller.text)
   await stopped
 })
+
+const streamHead = (id: string) =>
+  `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: z9\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`
+const event = (id: number) => {
+  const whole = `id: ${String(id)}\ndata: x\n\n`
+  return `${whole.length.toString(16)}\r\n${whole}\r\n`
+}
+
+/** A caller with a stream whose head it has before the stop, so that nobody can tell it to leave its connection. */
+async function streamBeforeStop(of: Scene, sent = request('s-1')): Promise<{ caller: RawCaller; server: Socket }> {
+  const caller = of.call(sent)
+  await until(() => of.waiting.has('s-1'))
+  const server = of.waiting.get('s-1')
+  ok(server !== undefined)
+  server.write(streamHead('s-1') + event(1))
+  ok(await caller.until('id: 1'))
+  return { caller, server }
+}
+
+/** Waits until the connection has ended, or the stop is over and what it sent has come. */
+async function endOf(caller: RawCaller, stopped: Promise<void>): Promise<void> {
+  await Promise.race([caller.whole(), stopped.then(() => pause(100))])
+}
+
+// Guards against requests that are taken late in a stop on a kept connection, passed on, and cut when the process ends.
+test('a stop passes on nothing that comes late on a kept connection, and refuses it with when to come back', async (t) => {
+  const of = await scene(t, { graceMs: 2400, leaveMs: 400 })
+  const { caller, server } = await streamBeforeStop(of)
+  const stopped = of.gateway.desk.drain()
+  await pause(600)
+  server.write(`${event(2)}0\r\n\r\n`)
+  ok(await caller.until('0\r\n\r\n'))
+  caller.send(request('late'))
+  await endOf(caller, stopped)
+  const text = caller.text.slice(caller.text.indexOf('0\r\n\r\n') + 5)
+  ok(text.startsWith('HTTP/1.1 503 '), text)
+  ok(/retry-after: /i.test(text) && /connection: close/i.test(text), text)
+  ok(!of.waiting.has('late'))
+  await stopped
+})
+
+test('a stop passes on what comes late with a deadline before its end', async (t) => {
+  const of = await scene(t, { graceMs: 2400, leaveMs: 400 })
+  const { caller, server } = await streamBeforeStop(of)
+  const stopped = of.gateway.desk.drain()
+  await pause(600)
+  server.write(`${event(2)}0\r\n\r\n`)
+  ok(await caller.until('0\r\n\r\n'))
+  caller.send(request('late').replace('\r\n\r\n', '\r\ndue-ms: 800\r\n\r\n'))
+  await until(() => of.waiting.has('late'))
+  of.waiting.get('late')?.write(answer('late', 'in time'))
+  ok((await caller.whole()).endsWith('in time'))
+  await stopped
+})
+
+test('a body that is half read when the stop comes, and whole only late in it, is refused', async (t) => {
+  const of = await scene(t, { graceMs: 2400, leaveMs: 400 })
+  const caller = of.call('POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: slow\r\ncontent-length: 10\r\n\r\nhalf ')
+  await pause(50)
+  const stopped = of.gateway.desk.drain()
+  await pause(600)
+  caller.send('whole')
+  await endOf(caller, stopped)
+  const { text } = caller
+  ok(text.startsWith('HTTP/1.1 503 ') && /connection: close/i.test(text), text)
+  ok(!of.waiting.has('slow'))
+  await stopped
+})
+
+test('what comes behind an answer that says it is the last is not passed on', async (t) => {
+  const of = await scene(t, { graceMs: 2400, leaveMs: 400 })
+  const stopped = of.gateway.desk.drain()
+  const { caller, server } = await streamBeforeStop(of)
+  ok(/connection: close/i.test(caller.text), caller.text)
+  caller.send(request('behind'))
+  await pause(50)
+  server.write(`${event(2)}0\r\n\r\n`)
+  ok((await caller.whole()).endsWith('0\r\n\r\n'), caller.text)
+  ok(!of.waiting.has('behind'))
+  await stopped
+})
+
+test('a request without an answer at the end of a stop gets one before its connection ends', async (t) => {
+  const of = await scene(t, { graceMs: 1200, leaveMs: 400 })
+  const caller = of.call(request('r-1'))
+  await until(() => of.waiting.has('r-1'))
+  const stopped = of.gateway.desk.drain()
+  await endOf(caller, stopped)
+  ok(caller.text.startsWith('HTTP/1.1 502 '), caller.text)
+  await stopped
+})
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -2,6 +2,7 @@
  * The callers' side of a gateway, and where it says whether it is ready for them. Requests are read whole,
  * within the limits of the network in force, and handed to the task. On a stop it first says that it is not
  * ready, goes on taking who still comes while it sends each on after its answer, then closes and waits for the last.
+ * The machine refuses what the stop leaves no time for.
  */
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -16,8 +17,12 @@
 import type { GatewayTask } from './GatewayTask.js'
 
 const headerBytes = 65_536
-/** On a stop requests that wait for a server do so for this part of the grace time, so that their refusal still gets out. */
+/** Parts of the grace time after which requests no longer wait for a server, those without an answer get one, and the process ends. */
 const holdRatio = 0.75
+const answerRatio = 0.9
+const endRatio = 0.92
+/** How often connections on which nobody waits are looked for, as a part of the time in which callers may still come in. */
+const sweepRatio = 0.05
 const noBody = Buffer.alloc(0)
 const statuses: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
@@ -83,11 +88,15 @@
 
   async drain(): Promise<void> {
     const { graceMs, leaveMs } = this.#startup
-    const endMs = clockMs() + 0.92 * graceMs
-    this.#task.machine.holdUntilMs = clockMs() + holdRatio * graceMs
+    const askedMs = clockMs()
     this.#draining = true
     this.#connections.endAfterOpen()
-    await pause(leaveMs)
+    const answerByMs = askedMs + answerRatio * graceMs
+    this.#task.step({
+      kind: 'stop',
+      times: { leaveByMs: askedMs + leaveMs, holdUntilMs: askedMs + holdRatio * graceMs, endMs: answerByMs },
+    })
+    await pause(Math.min(leaveMs, answerRatio * graceMs))
     const closed = new Promise<void>((resolve) => {
       // The HTTP server's own way of closing also cuts answers that have ended but are not yet sent.
       NetServer.prototype.close.call(this.#callers, () => {
@@ -97,9 +106,12 @@
     this.#connections.closeRested()
     const sweep = setInterval(() => {
       this.#connections.closeRested()
-    }, leaveMs / 20)
-    await Promise.race([closed, pause(Math.max(0, endMs - clockMs()))])
+    }, leaveMs * sweepRatio)
+    await Promise.race([closed, pause(Math.max(0, answerByMs - clockMs()))])
+    this.#task.step({ kind: 'stopEnd' })
+    await Promise.race([closed, pause((endRatio - answerRatio) * graceMs)])
     clearInterval(sweep)
+    this.#task.tellCut()
     this.#watch?.close()
     this.#watch?.closeAllConnections()
   }
@@ -134,6 +146,8 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // A caller that was told that an answer is the last on its connection has no claim to another.
+    if (this.#connections.isEnding(request.socket)) return
     this.#connections.open(request, response)
     if (this.#draining) this.#connections.endAfter(request.socket)
     const arrivedMs = clockMs()
--- a/src/gateway/GatewayMachine.test.ts
+++ b/src/gateway/GatewayMachine.test.ts
@@ -394,15 +394,69 @@
 })
 
 test('a gateway that stops refuses what still waits in time, and lets nothing wait after that', () => {
-  const { arrive, machine, pass } = given()
+  const { arrive, step, pass } = given()
   strictEqual(only(arrive('1', '/stream/x', { model: 'rare' }), 'turnAway').length, 0)
-  machine.holdUntilMs = 1400
+  step({ kind: 'stop', times: { leaveByMs: 4000, holdUntilMs: 1400, endMs: 8000 } })
   const refused = only(pass(500), 'turnAway')
   strictEqual(refused.length, 1)
   strictEqual(refused[0]?.status, 503)
   strictEqual(only(arrive('2', '/stream/x', { model: 'rare' }), 'turnAway')[0]?.status, 503)
 })
 
+// Guards against requests that a stopping gateway takes on kept connections and then cuts.
+test('a stop sends on only what its end leaves time for, and says of the rest at once that it did not run', () => {
+  const { arrive, step, pass } = given()
+  step({ kind: 'stop', times: { leaveByMs: 2000, holdUntilMs: 5000, endMs: 6000 } })
+  strictEqual(only(arrive('early', '/often/x', { dueInMs: 9000 }), 'attempt').length, 1)
+  pass(1500)
+  const [refused] = only(arrive('late', '/often/x', { dueInMs: 4000 }), 'turnAway')
+  deepStrictEqual([refused?.status, refused?.comeBackMs], [503, 0])
+  strictEqual(only(arrive('short', '/often/x', { dueInMs: 3000 }), 'attempt').length, 1)
+})
+
+test('while callers may still come in, a stop refuses what usually takes longer than the stop', () => {
+  const { arrive, step, pass } = given()
+  arrive('1', '/once/x', { dueInMs: 9000 })
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  pass(3000)
+  step({ kind: 'head', id: '1', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'ended', id: '1', attempt: 1 })
+  step({ kind: 'stop', times: { leaveByMs: 6000, holdUntilMs: 6000, endMs: 6900 } })
+  strictEqual(only(arrive('slow', '/once/x'), 'turnAway')[0]?.status, 503)
+  strictEqual(only(arrive('other', '/often/x'), 'attempt').length, 1)
+})
+
+test('a further try that a stop leaves no time for is not begun', () => {
+  const { arrive, step, pass } = given()
+  arrive('1', '/once/x')
+  step({ kind: 'sent', id: '1', attempt: 1 })
+  step({ kind: 'stop', times: { leaveByMs: 1050, holdUntilMs: 5000, endMs: 1050 } })
+  pass(100)
+  const after = step({ kind: 'head', id: '1', attempt: 1, status: 503, notRun: true })
+  strictEqual(only(after, 'attempt').length, 0)
+  strictEqual(only(after, 'turnAway')[0]?.status, 503)
+})
+
+test('at its end a stop answers every request of whose answer nothing has gone out', () => {
+  const { machine, arrive, step } = given()
+  arrive('connecting', '/once/x')
+  arrive('sent', '/once/x')
+  step({ kind: 'sent', id: 'sent', attempt: 1 })
+  arrive('held', '/stream/x', { model: 'rare' })
+  arrive('begun', '/stream/x', { model: 'm' })
+  step({ kind: 'sent', id: 'begun', attempt: 1 })
+  step({ kind: 'head', id: 'begun', attempt: 1, status: 200, notRun: false })
+  step({ kind: 'event', id: 'begun', attempt: 1, event: '1', data: true })
+  step({ kind: 'stop', times: { leaveByMs: 2000, holdUntilMs: 5000, endMs: 6000 } })
+  const answered = only(step({ kind: 'stopEnd' }), 'turnAway').map(({ id, status }) => [id, status])
+  deepStrictEqual(answered, [
+    ['connecting', 503],
+    ['sent', 502],
+    ['held', 503],
+  ])
+  strictEqual(machine.open, 1)
+})
+
 test('a request that waits for its model is refused before its caller leaves, when that is sooner than its due', () => {
   const { set, arrive, pass } = given()
   const route = { name: 'short', host: 'h.example', prefix: '/short/', kind: 'stream', timeoutMs: 5000, aimMs: 500, attempts: 1 }
--- a/src/gateway/GatewayMachine.ts
+++ b/src/gateway/GatewayMachine.ts
@@ -9,6 +9,7 @@
 import { Mechanisms } from '../common/Mechanisms.js'
 import { Verdict } from '../common/Verdict.js'
 import type { ReplicaTable } from '../consensus/ReplicaTable.js'
+import { AnswerTimes } from './AnswerTimes.js'
 import { DelayAccount } from './DelayAccount.js'
 import { DelayCounts } from './DelayCounts.js'
 import type { GatewayEffect } from './GatewayEffect.js'
@@ -18,6 +19,8 @@
 import { RouteTable } from './RouteTable.js'
 import type { Server } from './Server.js'
 import { ServerTable } from './ServerTable.js'
+import { StopPolicy } from './StopPolicy.js'
+import type { StopTimes } from './StopTimes.js'
 import { TryBudget } from './TryBudget.js'
 
 interface Plan {
@@ -37,7 +40,7 @@
   neverBeforeMs: number
   loading: boolean
 }
-type Attempted = Exclude<GatewayInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' }>
+type Attempted = Exclude<GatewayInput, { kind: 'tick' | 'adopted' | 'outlook' | 'arrived' | 'callerGone' | 'stop' | 'stopEnd' }>
 
 const defaultDueMs = 30_000
 const defaultUrgency = 5
@@ -55,6 +58,7 @@
 const overdueRatio = 1 / 16
 /** Statuses that promise a caller that its request has not run and never will. */
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503])
+const stopsEarlier = 'the gateway stops before this could be answered'
 
 export class GatewayMachine {
   readonly copy: ReplicaTable
@@ -65,6 +69,7 @@
   readonly #mechanisms: Mechanisms
   readonly #session: string
   readonly #budget: TryBudget
+  readonly #answerTimes = new AnswerTimes()
   readonly #passages = new Map<string, Passage>()
   readonly #held = new Set<Passage>()
   readonly #outlooks = new Map<string, Outlook>()
@@ -73,9 +78,8 @@
   #tallyAtMs = 0
   #urgent = false
   #toldEmpty = false
-
-  /** Until when requests may wait here; a gateway that stops gives those that still wait their answer before it closes. */
-  holdUntilMs = Infinity
+  /** Set once this gateway was asked to stop. */
+  #stopTimes: StopTimes | undefined
 
   /** False while this node's lease has run out, so that a newer network may be in force than the one it holds. */
   inTouch = true
@@ -104,6 +108,7 @@
         break
       case 'adopted':
         this.routes.adopt(this.copy, input.rows)
+        this.#answerTimes.keep((route) => this.routes.has(route))
         this.servers.adopt(this.copy, nowMs, input.rows)
         this.#bindAll(nowMs)
         break
@@ -123,6 +128,13 @@
       case 'callerGone':
         this.#callerGone(input.id)
         break
+      case 'stop':
+        this.#stopTimes = input.times
+        this.#bindAll(nowMs)
+        break
+      case 'stopEnd':
+        this.#endUnanswered(nowMs)
+        break
       default:
         this.#attempted(input, nowMs)
     }
@@ -244,6 +256,11 @@
       this.#end(passage, nowMs)
       return
     }
+    if (!this.#fitsStop(passage, nowMs)) {
+      passage.lastWhy = stopsEarlier
+      this.#end(passage, nowMs, 0)
+      return
+    }
     const server = nowMs < passage.dueMs ? this.servers.choose(passage, nowMs) : undefined
     if (server === undefined) {
       passage.delays.enter(this.servers.hindrance(passage, nowMs), nowMs)
@@ -310,8 +327,29 @@
     )
   }
 
-  /** The final answer, as far as one can be given: a stream that began can only be broken off. */
-  #end(passage: Passage, nowMs: number): void {
+  /** False for a request that has not run and could be cut by the end of the stop under way: another gateway can still serve it. */
+  #fitsStop(passage: Passage, nowMs: number): boolean {
+    if (this.#stopTimes === undefined || passage.begun || passage.mayHaveRun) return true
+    const { arrivedMs, dueMs, route } = passage
+    const usualMs = route === undefined ? undefined : this.#answerTimes.usualMs(route.name)
+    return StopPolicy.admits(this.#stopTimes, { arrivedMs, dueMs, usualMs }, nowMs)
+  }
+
+  /** Gives their final answer to all requests of whose answer nothing has gone out. */
+  #endUnanswered(nowMs: number): void {
+    for (const passage of [...this.#passages.values()]) {
+      if (passage.begun) continue
+      passage.mayHaveRun ||= passage.phase === 'sent' || passage.phase === 'streaming'
+      passage.lastWhy = stopsEarlier
+      this.#end(passage, nowMs, 0)
+    }
+  }
+
+  /**
+   * The final answer, as far as one can be given: a stream that began can only be broken off. A caller whose request did not run
+   * may come back after `comeBackMs`.
+   */
+  #end(passage: Passage, nowMs: number, comeBackMs = this.#comeBackMs(passage, nowMs)): void {
     this.#release(passage)
     if (!passage.begun)
       this.delays.add(
@@ -327,7 +365,7 @@
     }
     const why = passage.lastWhy === '' ? 'no server can take it in time' : passage.lastWhy
     if (passage.mayHaveRun) this.#turnAway(passage, nowMs >= passage.dueMs ? 504 : 502, undefined, why)
-    else this.#turnAway(passage, 503, this.#comeBackMs(passage, nowMs), why)
+    else this.#turnAway(passage, 503, comeBackMs, why)
   }
 
   #turnAway(passage: Passage, status: number, comeBackMs: number | undefined, why: string): void {
@@ -366,7 +404,7 @@
       if (outlook !== undefined && this.#comesTooLate(outlook, passage)) patienceMs = 0
       else if (outlook !== undefined && this.#loadsInTime(outlook, passage, nowMs)) patienceMs = Infinity
     }
-    if (late || waitedMs >= patienceMs || nowMs >= this.holdUntilMs) {
+    if (late || waitedMs >= patienceMs || nowMs >= (this.#stopTimes?.holdUntilMs ?? Infinity)) {
       if (passage.lastWhy === '') passage.lastWhy = holders === 0 ? 'no server holds what it needs' : 'no place is free'
       this.#end(passage, nowMs)
     }
@@ -486,6 +524,7 @@
       case 'ended':
         this.#unbind(passage)
         if (!passage.begun) this.#countFirstByte(passage, nowMs)
+        if (passage.route !== undefined) this.#answerTimes.add(passage.route.name, nowMs - passage.boundMs)
         this.#to(passage, 'responded')
         break
       case 'defect':
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -168,6 +168,12 @@
     response.end(body)
   }
 
+  /** Logs how many requests are under way; the end of the process cuts them. */
+  tellCut(): void {
+    const open = this.#tickets.size
+    if (open > 0) this.#logger.warn('gateway', `Stops with ${String(open)} requests under way.`)
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
     this.#upstream.close()
--- a/src/gateway/RefusalReason.test.ts
+++ b/src/gateway/RefusalReason.test.ts
@@ -19,6 +19,7 @@
   'the server answered 500': 'server_error',
   'the server answered 503 and did not say that it had not run it': 'server_error',
   'the server fell silent': 'server_silent',
+  'the gateway stops before this could be answered': 'stopping',
   'connect ECONNREFUSED 10.0.0.1:80': 'other',
   '': 'other',
 }
--- a/src/gateway/RefusalReason.ts
+++ b/src/gateway/RefusalReason.ts
@@ -17,6 +17,7 @@
   | 'server_refused'
   | 'server_error'
   | 'server_silent'
+  | 'stopping'
   | 'other'
 
 /** The first pattern that a sentence matches tells its code. */
@@ -35,6 +36,7 @@
   [/^the server turned it away with /, 'server_refused'],
   [/^the server answered /, 'server_error'],
   [/^the server fell silent$/, 'server_silent'],
+  [/^the gateway stops /, 'stopping'],
 ]
 
 export const RefusalReason = {
--- a/src/gateway/RouteTable.ts
+++ b/src/gateway/RouteTable.ts
@@ -54,6 +54,10 @@
     this.#hosts.set(host, prefixes)
   }
 
+  has(name: string): boolean {
+    return this.#byName.has(name)
+  }
+
   find(host: string, path: string): Route | undefined {
     const prefixes = this.#hosts.get(host.toLowerCase()) ?? this.#hosts.get(host.toLowerCase().replace(/:\d+$/, ''))
     if (prefixes === undefined) return undefined
