--- a/src/common/startDaemon.ts
+++ b/src/common/startDaemon.ts
@@ -55,9 +55,10 @@
     handler: (given) =>
       withStartup({ ...given }, async (startup) => {
         const logger = new Logger(program, startup.name, startup.logLevel)
+        const asked = untilSignal()
         try {
           const daemon = await start(startup, logger)
-          const signal = await untilSignal()
+          const signal = await asked
           logger.say(program, `Got ${signal}; drains and stops.`)
           await daemon.stop()
           process.exit(0)
