A control node that stops answers the operators whose orders it took

What callers saw: an operator's connection was cut in the stop of a control node, also with an order under way, and got no answer.

Cause: the desks closed all connections as soon as the node had handed over.

--- a/src/control/OperatorsDesk.ts
+++ b/src/control/OperatorsDesk.ts
@@ -4,11 +4,12 @@
  * operation id, never as turned away.
  */
 import 'reflect-metadata'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { App } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
 import { listen } from '../common/listen.js'
 import { Meters } from '../common/Meters.js'
+import { ServerDrain } from '../common/ServerDrain.js'
 import { readBody } from '../common/readBody.js'
 import type { Startup } from '../common/Startup.js'
 import { watchRoutes } from '../common/watchRoutes.js'
@@ -23,7 +24,7 @@
   readonly #task: ControlTask
   readonly #waiting = new Map<string, ServerResponse>()
   readonly #app: App
-  #server: Server | undefined
+  #drain: ServerDrain | undefined
   readonly #life = crypto.randomUUID().slice(0, 8)
   #count = 0
 
@@ -85,13 +86,18 @@
 
   async open(): Promise<string> {
     const { server, address } = await listen(this.#app, this.#startup.operators)
-    this.#server = server
+    this.#drain = new ServerDrain(server)
     return address
   }
 
-  close(): void {
-    this.#server?.close()
-    this.#server?.closeAllConnections()
+  /** From now on callers are told to go on to other nodes after their answers. */
+  beginDrain(): void {
+    this.#drain?.begin()
+  }
+
+  /** Refuses what still comes, and ends when what was taken is answered, each within the time that its caller told. */
+  async close(): Promise<void> {
+    await this.#drain?.close(this.#task.timings.operateMs)
   }
 
   #reply(response: ServerResponse, status: number, stamp: number, body: string): void {
@@ -147,6 +153,10 @@
   }
 
   #ask(request: IncomingMessage, response: ServerResponse, operation: Operation): void {
+    if (this.#drain?.isClosing === true) {
+      this.#reply(response, 503, 0, JSON.stringify({ errors: ['this node stops; ask another'] }))
+      return
+    }
     this.#count += 1
     const id = `${this.#startup.name}-${this.#life}-${String(this.#count)}`
     this.#waiting.set(id, response)
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -50,8 +50,9 @@
     logger.say('control', `Listens for operators on ${await desk.open()}.`)
     return {
       stop: async () => {
+        desk.beginDrain()
         await task.leave()
-        desk.close()
+        await desk.close()
         await task.stop()
       },
     }
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -12,7 +12,7 @@
 import { readBody } from '../common/readBody.js'
 import { Network } from '../common/Network.js'
 import { clockMs } from '../common/clockMs.js'
-import { CallerConnections } from './CallerConnections.js'
+import { CallerConnections } from '../common/CallerConnections.js'
 import type { GatewayStartup } from './GatewayStartup.js'
 import type { GatewayTask } from './GatewayTask.js'
 
