--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -24,6 +24,8 @@
 import { simFaults } from './simFaults.js'
 import { slopes } from './slopes.js'
 import { readSeeds } from './soak/readSeeds.js'
+import { soakJudges } from './soak/soakJudges.js'
+import { troubleKinds } from './soak/troubleKinds.js'
 import { soak } from './soak/soak.js'
 import { sweep } from './sweep.js'
 
@@ -216,13 +218,17 @@
     say(`${String(ran)} schedules, ${String(findings)} findings, ${(ran / spanS).toFixed(0)} a second`)
   },
 })
+/** Eight processes a seed: about a hundred at once. */
+const mostSeedsAtOnce = 12
 const soaked = command({
   name: 'soak',
-  description: 'Runs gateways and control nodes as real processes under overlapping troubles, a fleet a seed, and judges each.',
+  description:
+    'Runs gateways and control nodes as real processes under overlapping troubles, a fleet a seed, and judges each. ' +
+    `Troubles: ${troubleKinds.join(', ')}. Judges: ${Object.keys(soakJudges).join(', ')}.`,
   args: {
     seeds: option({ long: 'seeds', type: string, defaultValue: () => '1', description: 'as 7, or 1..20, or 3,5..8' }),
     seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
-    parallel: option({ long: 'parallel', type: number, defaultValue: () => 1, description: 'how many seeds at a time, at most 4' }),
+    parallel: option({ long: 'parallel', type: number, defaultValue: () => 1, description: 'how many seeds at a time, at most 12' }),
     dialect: option({
       long: 'dialect',
       type: string,
@@ -236,7 +242,7 @@
     const seeds = readSeeds(given.seeds)
     if (seeds === undefined) unknown(`${given.seeds}: not seeds`, ['7', '1..20', '3,5..8'])
     else {
-      const bounded = { seconds: Math.min(given.seconds, 600), parallel: Math.max(1, Math.min(given.parallel, 4)) }
+      const bounded = { seconds: Math.min(given.seconds, 600), parallel: Math.max(1, Math.min(given.parallel, mostSeedsAtOnce)) }
       if (!(await soak({ ...given, ...bounded, seeds, say }))) process.exitCode = 1
     }
   },
--- a/src/simulator/soak/SoakClients.ts
+++ b/src/simulator/soak/SoakClients.ts
@@ -8,6 +8,7 @@
 import { clockMs } from '../../common/clockMs.js'
 import { Random } from '../../common/Random.js'
 import type { SoakDialect } from './SoakDialect.js'
+import { SoakKeptClients } from './SoakKeptClients.js'
 import type { SoakLog } from './SoakLog.js'
 import { SoakScene } from './SoakScene.js'
 import { soakPromises } from './soakPromises.js'
@@ -75,7 +76,8 @@
       this.#ask({ route: random.hit(bookRatio) ? 'book' : 'check', model: '', adapter: '' })
       return SoakScene.plainPerS
     })
-    await Promise.all([...streams, plain])
+    const kept = new SoakKeptClients(this.#dialect, this.#log, () => this.#pick()).run(fromMs + lengthMs)
+    await Promise.all([...streams, plain, kept])
     await Promise.all(this.#underWay)
     this.#ends.abort()
     await Promise.all(probes)
@@ -115,14 +117,15 @@
     dueMs: number,
     kept: Agent | undefined,
   ): Promise<{ seen: SoakTry; comeBackMs: number }> {
-    const ready = this.#seats.filter((seat) => (this.#misses.get(seat.name) ?? 0) < missesToLeave)
-    const seat = this.#random.pick(ready.length > 0 ? ready : this.#seats)
+    const seat = this.#pick()
     const id = `t${String(ask)}-${String(turn)}`
     const seen: SoakTry = {
       ...asked,
       id,
       ask,
       gateway: seat?.name ?? '',
+      reused: false,
+      dueMs,
       sentMs: clockMs(),
       endMs: 0,
       status: 0,
@@ -159,9 +162,18 @@
     return { seen, comeBackMs: Number.isFinite(comeBackMs) ? comeBackMs : 0 }
   }
 
+  /** One of the gateways that say they are ready, or any while none does. */
+  #pick(): SoakSeat | undefined {
+    const ready = this.#seats.filter((seat) => (this.#misses.get(seat.name) ?? 0) < missesToLeave)
+    return this.#random.pick(ready.length > 0 ? ready : this.#seats)
+  }
+
   async #probe(seat: SoakSeat): Promise<void> {
     while (!this.#ends.signal.aborted) {
-      this.#misses.set(seat.name, (await this.#isReady(seat)) ? 0 : (this.#misses.get(seat.name) ?? 0) + 1)
+      const askedMs = clockMs()
+      const ready = await this.#isReady(seat)
+      if (ready) this.#log.ready.push({ gateway: seat.name, atMs: askedMs })
+      this.#misses.set(seat.name, ready ? 0 : (this.#misses.get(seat.name) ?? 0) + 1)
       await pause(probeMs, undefined, { signal: this.#ends.signal }).catch(() => undefined)
     }
   }
--- a/src/simulator/soak/SoakFleet.ts
+++ b/src/simulator/soak/SoakFleet.ts
@@ -21,6 +21,7 @@
 const firstGateway = 20
 const firstEngine = 40
 const firstPlain = 60
+const firstScroll = 70
 const firstNet = 64
 const nets = 128
 const hosts = 256
@@ -40,8 +41,15 @@
     const net = `127.${String(firstNet + (Math.floor(process.pid / hosts) % nets))}.${String(process.pid % hosts)}`
     const ip = (host: number) => `${net}.${String(host)}`
     this.servers = [
-      ...SoakScene.servers.map((one, at) => new SoakServer({ ...one, ip: ip(firstEngine + at) }, dialect, log)),
-      ...SoakScene.plain.map((one, at) => new SoakServer({ ...one, ip: ip(firstPlain + at), holds: undefined }, dialect, log)),
+      ...SoakScene.servers.map((one, at) => {
+        return new SoakServer({ ...one, ip: ip(firstEngine + at), service: SoakScene.modelService }, dialect, log)
+      }),
+      ...SoakScene.plain.map((one, at) => {
+        return new SoakServer({ ...one, ip: ip(firstPlain + at), service: SoakScene.plainService, holds: [] }, dialect, log)
+      }),
+      ...SoakScene.scrolls.map((one, at) => {
+        return new SoakServer({ ...one, ip: ip(firstScroll + at), service: SoakScene.scrollService, holds: [] }, dialect, log)
+      }),
     ]
     this.list = new SoakList(ip(listHost), this.servers, dialect)
     const seeds = SoakScene.controls.map((_, at) => ip(firstControl + at))
@@ -78,7 +86,8 @@
         const span = { who: trouble.target, kind: trouble.kind, fromMs: clockMs(), toMs: Infinity }
         this.#log.spans.push(span)
         await this.#begin(trouble)
-        await pause(Math.max(0, fromMs + trouble.toMs - clockMs()))
+        // A process that was stopped is started again as soon as it has ended.
+        if (trouble.kind !== 'stop') await pause(Math.max(0, fromMs + trouble.toMs - clockMs()))
         await this.#end(trouble)
         span.toMs = clockMs()
       }),
@@ -89,6 +98,8 @@
     const node = this.nodes.find((one) => one.seat.name === target)
     const server = this.servers.find((one) => one.plan.name === target)
     if (kind === 'kill') await node?.kill()
+    else if (kind === 'stop') await node?.stop()
+    else if (kind === 'reload') await node?.reload()
     else if (kind === 'freeze') node?.signal('SIGSTOP')
     else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, kind)
     else if (kind === 'crashServer') await server?.crash()
@@ -103,7 +114,8 @@
   async #end({ kind, target }: Trouble): Promise<void> {
     const node = this.nodes.find((one) => one.seat.name === target)
     const server = this.servers.find((one) => one.plan.name === target)
-    if (kind === 'kill') await node?.start()
+    if (kind === 'kill' || kind === 'stop') await node?.start()
+    else if (kind === 'reload') return
     else if (kind === 'freeze') node?.signal('SIGCONT')
     else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, undefined)
     else if (kind === 'crashServer') await server?.open()
--- a/src/simulator/soak/SoakLog.ts
+++ b/src/simulator/soak/SoakLog.ts
@@ -3,9 +3,11 @@
  */
 import type { SoakChange } from './SoakChange.js'
 import type { SoakOrderSeen } from './SoakOrderSeen.js'
+import type { SoakReadiness } from './SoakReadiness.js'
 import type { SoakReading } from './SoakReading.js'
 import type { SoakRun } from './SoakRun.js'
 import type { SoakSpan } from './SoakSpan.js'
+import type { SoakStop } from './SoakStop.js'
 import type { SoakTry } from './SoakTry.js'
 
 export interface SoakLog {
@@ -18,6 +20,8 @@
   changes: SoakChange[]
   readings: SoakReading[]
   spans: SoakSpan[]
+  stops: SoakStop[]
+  ready: SoakReadiness[]
   /** Processes that ended though nobody ended them. */
   ended: string[]
 }
--- a/src/simulator/soak/SoakNode.ts
+++ b/src/simulator/soak/SoakNode.ts
@@ -5,16 +5,20 @@
 import { once } from 'node:events'
 import { closeSync, openSync } from 'node:fs'
 import { writeFile } from 'node:fs/promises'
+import { setTimeout as pause } from 'node:timers/promises'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { z } from 'zod'
 import { clockMs } from '../../common/clockMs.js'
 import type { SoakDialect } from './SoakDialect.js'
 import type { SoakLog } from './SoakLog.js'
+import { SoakScene } from './SoakScene.js'
 import type { SoakSeat } from './SoakSeat.js'
 
 const wrapper = fileURLToPath(new URL('heldNode.js', import.meta.url))
 const memoryMb = 180
+/** How long after its start a process may be without ears for signals: until its runtime is up, any signal ends it. */
+const deafMs = 1000
 const Told = z.object({ lateMs: z.number() })
 
 export class SoakNode {
@@ -27,6 +31,7 @@
   #cut: readonly string[] = []
   #mayEnd = false
   #starts = 0
+  #startedMs = 0
 
   constructor(seat: SoakSeat, dialect: SoakDialect, entry: string, folder: string, log: SoakLog) {
     this.seat = seat
@@ -44,6 +49,7 @@
     const { name, role, bootstrap } = this.seat
     const file = join(this.#folder, `${name}.toml`)
     this.#starts += 1
+    this.#startedMs = clockMs()
     await writeFile(file, this.#dialect.settings({ ...this.seat, bootstrap: bootstrap && this.#starts === 1 }))
     const log = openSync(join(this.#folder, `${name}.log`), 'a')
     const child = spawn(process.execPath, [`--max-old-space-size=${String(memoryMb)}`, wrapper, this.#entry, role], {
@@ -71,6 +77,13 @@
     if (this.running) this.#child?.kill(signal)
   }
 
+  /** Says that its settings have changed; a process that was just started hears of it a moment later. */
+  async reload(): Promise<void> {
+    const child = this.#child
+    await pause(Math.max(0, this.#startedMs + deafMs - clockMs()))
+    if (child === this.#child && this.running) child?.kill('SIGHUP')
+  }
+
   async kill(): Promise<void> {
     const child = this.#child
     if (child === undefined || !this.running) return
@@ -80,6 +93,23 @@
     await gone
   }
 
+  /** Asks it to end, and ends it when its time for that is over. */
+  async stop(): Promise<void> {
+    const child = this.#child
+    if (child === undefined || !this.running) return
+    this.#mayEnd = true
+    const gone = once(child, 'exit')
+    const stopped = { who: this.seat.name, termMs: clockMs(), endMs: Infinity, killed: false, code: undefined }
+    child.kill('SIGTERM')
+    const over = new AbortController()
+    const late = pause(SoakScene.graceMs, true, { signal: over.signal }).catch(() => false)
+    const killed = await Promise.race([gone.then(() => false), late])
+    over.abort()
+    if (killed) child.kill('SIGKILL')
+    await gone
+    this.#log.stops.push({ ...stopped, endMs: clockMs(), killed, code: child.exitCode ?? undefined })
+  }
+
   /** Cuts it off from these addresses, also when it is started anew. */
   cut(hosts: readonly string[]): void {
     this.#cut = hosts
--- a/src/simulator/soak/SoakOperator.ts
+++ b/src/simulator/soak/SoakOperator.ts
@@ -3,7 +3,7 @@
  * unchanged and at any node, and reads back what is in force.
  */
 import { setTimeout as pause } from 'node:timers/promises'
-import { Client, request } from 'undici'
+import { Agent, Client, request } from 'undici'
 import { clockMs } from '../../common/clockMs.js'
 import { Random } from '../../common/Random.js'
 import type { SoakChange } from './SoakChange.js'
@@ -35,6 +35,8 @@
   readonly #log: SoakLog
   readonly #seats: readonly SoakSeat[]
   readonly #random: Random
+  /** What is read back is asked for on connections that are kept until a node closes them. */
+  readonly #kept = new Agent({ connections: 1, pipelining: 1, connect: { timeout: silenceMs } })
   #revision = 0
   #over = false
 
@@ -85,6 +87,7 @@
 
   stop(): void {
     this.#over = true
+    void this.#kept.destroy().catch(() => undefined)
   }
 
   /** Reads back, again and again, until some node is sure of what is in force. */
@@ -123,10 +126,10 @@
   }
 
   async #once(address: string, method: 'GET' | 'PUT', body: string | undefined, match: string | undefined): Promise<Said | undefined> {
-    const client = new Client(`http://${address}`, { connect: { timeout: silenceMs } })
+    const client = method === 'GET' ? undefined : new Client(`http://${address}`, { connect: { timeout: silenceMs } })
     try {
       const reply = await request(`http://${address}${this.#dialect.paths.configuration}`, {
-        dispatcher: client,
+        dispatcher: client ?? this.#kept,
         method,
         headers: { ...(match === undefined ? {} : { 'if-match': match }), 'content-type': 'application/json' },
         body: body ?? null,
@@ -138,7 +141,7 @@
     } catch {
       return undefined
     } finally {
-      void client.destroy().catch(() => undefined)
+      void client?.destroy().catch(() => undefined)
     }
   }
 }
--- a/src/simulator/soak/SoakRun.ts
+++ b/src/simulator/soak/SoakRun.ts
@@ -6,6 +6,10 @@
   server: string
   seal: string
   atMs: number
+  /** When the server had sent its whole answer, broke it off, or found its caller gone. */
+  endMs: number
+  /** True if the server broke its answer off itself. */
+  brokenOff: boolean
   resumeAfter: number
   body: string
   /** Another server was named as the only one that may run it. */
--- a/src/simulator/soak/SoakScene.ts
+++ b/src/simulator/soak/SoakScene.ts
@@ -21,6 +21,7 @@
 const models = 40
 const heldAtOnce = 3
 const plainServers = 2
+const scrollServers = 3
 const popularModels = 6
 /** The first of the models that are popular after the shift. */
 const shiftedFrom = 20
@@ -43,11 +44,19 @@
   zones,
   modelService: 'engines',
   plainService: 'desk',
+  /** Streams that last for seconds, for clients that keep their connections. */
+  scrollService: 'scrolls',
+  scrollDueMs: 6000,
+  /** Clients that keep a connection for as long as they may. */
+  keptClients: 16,
+  /** How long after SIGTERM a process that still runs is ended. */
+  graceMs: 8000,
   host: 'soak.example',
   dueMs: 5000,
   plainPerS: 12,
   modelCapacity: 8,
   plainCapacity: 8,
+  scrollCapacity: 32,
   waitingMost: 6,
   roomMb,
   adapterMb: 50,
@@ -62,6 +71,7 @@
     holds: Array.from({ length: heldAtOnce }, (_one, nth) => model(at + nth * modelServers)),
   })),
   plain: Array.from({ length: plainServers }, (_, at) => ({ name: `desk-${String(at + 1)}`, zone: zone(at) })),
+  scrolls: Array.from({ length: scrollServers }, (_, at) => ({ name: `scroll-${String(at + 1)}`, zone: zone(at) })),
   models: new Map(
     Array.from({ length: models }, (_, at) => [model(at), { sizeMb: modelMb, loadMs: loadMs(at), adapters: adaptersOf(at) }]),
   ),
@@ -85,10 +95,12 @@
         { ...stream, name: 'long', prefix: '/long/', kind: 'resumable' },
         { ...stream, name: 'check', prefix: '/check/', kind: 'repeatable', service: SoakScene.plainService, timeoutMs: 3000 },
         { ...stream, name: 'book', prefix: '/book/', kind: 'once', service: SoakScene.plainService, timeoutMs: 3000 },
+        { ...stream, name: 'scroll', prefix: '/scroll/', kind: 'stream', service: SoakScene.scrollService, timeoutMs: 6000 },
         { ...stream, name: 'idle', prefix: `/idle-${String(revision)}/`, kind: 'repeatable', service: SoakScene.plainService },
       ],
       services: [
         { name: SoakScene.plainService, capacity: SoakScene.plainCapacity, connections: 200 },
+        { name: SoakScene.scrollService, capacity: SoakScene.scrollCapacity, connections: 200 },
         { name: service, capacity: SoakScene.modelCapacity, connections: 400 },
       ],
       batch: {
--- a/src/simulator/soak/SoakServer.ts
+++ b/src/simulator/soak/SoakServer.ts
@@ -13,6 +13,7 @@
 import type { SoakListed } from './SoakListed.js'
 import type { SoakLog } from './SoakLog.js'
 import { SoakMemory } from './SoakMemory.js'
+import type { SoakRun } from './SoakRun.js'
 import { SoakScene } from './SoakScene.js'
 import { soakEvents } from './soakEvents.js'
 
@@ -20,8 +21,9 @@
   name: string
   zone: string
   ip: string
-  /** What it holds at the start; nothing for a server without models. */
-  holds: readonly string[] | undefined
+  service: string
+  /** The models that it holds at the start. */
+  holds: readonly string[]
 }
 interface Place {
   arrival: SoakArrival
@@ -33,6 +35,8 @@
 const tickMs = 5
 const firstEventMs = 40
 const nextEventMs = 15
+/** Streams of the service for kept connections come an event at a time, of six, within four seconds and a little. */
+const scrollEventMs = 800
 const plainMs = 20
 const slowFactor = 12
 
@@ -57,7 +61,7 @@
     this.plan = plan
     this.#dialect = dialect
     this.#log = log
-    this.#memory = new SoakMemory(plan.holds ?? [], this.#disk, clockMs())
+    this.#memory = new SoakMemory(plan.holds, this.#disk, clockMs())
   }
 
   get life(): string {
@@ -70,15 +74,14 @@
 
   get listed(): SoakListed | undefined {
     if (this.#server === undefined) return undefined
-    const { holds, zone } = this.plan
-    const engine = holds !== undefined
+    const { service, zone } = this.plan
     return {
       server: this.life,
-      service: engine ? SoakScene.modelService : SoakScene.plainService,
+      service,
       address: this.address,
       zone,
       capacity: this.#capacity,
-      models: engine ? this.#memory.told(clockMs()).models : undefined,
+      models: this.#isEngine ? this.#memory.told(clockMs()).models : undefined,
     }
   }
 
@@ -110,7 +113,12 @@
   }
 
   get #capacity(): number {
-    return this.plan.holds === undefined ? SoakScene.plainCapacity : SoakScene.modelCapacity
+    if (this.#isEngine) return SoakScene.modelCapacity
+    return this.plan.service === SoakScene.scrollService ? SoakScene.scrollCapacity : SoakScene.plainCapacity
+  }
+
+  get #isEngine(): boolean {
+    return this.plan.service === SoakScene.modelService
   }
 
   #running(model: string, adapter: string): number {
@@ -159,7 +167,7 @@
       const head = { ...this.#dialect.notRunHead(arrival.id), 'content-length': '0' }
       response.writeHead(status, head).end()
     }
-    const engine = this.plan.holds !== undefined
+    const engine = this.#isEngine
     if (arrival.target !== '' && arrival.target !== this.life) return refuse(421)
     if (engine && this.#memory.concerned(model, adapter)) return refuse(503)
     if (engine && !this.#memory.holds(model, adapter)) return refuse(421)
@@ -194,25 +202,38 @@
   async #run(url: string, arrival: SoakArrival, response: ServerResponse, here: () => boolean): Promise<void> {
     this.#runs += 1
     const seal = `${this.life}-${String(this.#runs)}`
-    const stream = this.plan.holds !== undefined
+    const stream = this.plan.service !== SoakScene.plainService
     const parts = stream ? soakEvents.of(arrival.id, seal, arrival.resumeAfter) : [`${arrival.id} ${url} ${seal}`]
-    this.#log.runs.push({
+    const run: SoakRun = {
       id: arrival.id,
       server: this.life,
       seal,
       atMs: clockMs(),
+      endMs: Infinity,
+      brokenOff: false,
       resumeAfter: arrival.resumeAfter,
       body: parts.join(''),
       stray: arrival.target !== '' && arrival.target !== this.life,
-    })
+    }
+    this.#log.runs.push(run)
+    try {
+      await this.#answer(run, arrival.id, parts, response, here)
+    } finally {
+      run.endMs = clockMs()
+    }
+  }
+
+  async #answer(run: SoakRun, id: string, parts: readonly string[], response: ServerResponse, here: () => boolean): Promise<void> {
+    const { seal } = run
     if (this.breaksAnswers && this.#runs % 2 === 0) {
       await pause(plainMs)
+      run.brokenOff = true
       response.destroy()
       return
     }
     const factor = this.slow ? slowFactor : 1
-    const head = this.#dialect.answerHead(arrival.id, seal)
-    if (!stream) {
+    const head = this.#dialect.answerHead(id, seal)
+    if (this.plan.service === SoakScene.plainService) {
       await pause(factor * plainMs)
       if (here()) response.writeHead(200, { ...head, 'content-length': String(Buffer.byteLength(parts.join(''))) }).end(parts.join(''))
       return
@@ -223,7 +244,7 @@
     for (const part of parts) {
       if (!here()) return
       response.write(part)
-      await pause(factor * nextEventMs)
+      await pause(factor * (this.plan.service === SoakScene.scrollService ? scrollEventMs : nextEventMs))
     }
     if (here()) response.end()
   }
--- a/src/simulator/soak/SoakTry.ts
+++ b/src/simulator/soak/SoakTry.ts
@@ -5,10 +5,13 @@
   id: string
   /** What was asked for in all its tries. */
   ask: number
-  route: 'live' | 'long' | 'check' | 'book'
+  route: 'live' | 'long' | 'check' | 'book' | 'scroll'
   model: string
   adapter: string
   gateway: string
+  /** True of a request on a connection that its client had used before. */
+  reused: boolean
+  dueMs: number
   sentMs: number
   endMs: number
   /** 0 when no head came. */
--- a/src/simulator/soak/judgeAnswers.ts
+++ b/src/simulator/soak/judgeAnswers.ts
@@ -7,7 +7,7 @@
 import type { SoakTry } from './SoakTry.js'
 import { soakEvents } from './soakEvents.js'
 
-const once: ReadonlySet<string> = new Set(['live', 'book'])
+const once: ReadonlySet<string> = new Set(['live', 'book', 'scroll'])
 
 function judgeStream(one: SoakTry): string[] {
   const events = soakEvents.read(one.body)
@@ -16,7 +16,7 @@
   if (events.some(({ id }) => id !== one.id)) faults.push("its stream holds another's event")
   if (events.some(({ number }, at) => number !== at + 1)) faults.push('its stream misses or repeats an event')
   if (one.whole && events.length !== soakEvents.count) faults.push('its stream looks whole and is not')
-  if (one.route === 'live' && events.some(({ seal }) => seal !== one.seal)) faults.push('its stream joins two runs')
+  if (once.has(one.route) && events.some(({ seal }) => seal !== one.seal)) faults.push('its stream joins two runs')
   return faults
 }
 
@@ -29,7 +29,7 @@
   if (one.seal === '') return [...faults, `got a ${String(one.status)} without a seal`]
   const source = runs.find((run) => run.seal === one.seal)
   if (source === undefined) return [...faults, 'got an answer whose seal none of its runs has']
-  if (one.model !== '') return [...faults, ...judgeStream(one)]
+  if (one.model !== '' || one.route === 'scroll') return [...faults, ...judgeStream(one)]
   if (one.whole && one.body !== source.body) faults.push('got a body that its server did not send')
   return faults
 }
--- a/src/simulator/soak/judgeSoak.test.ts
+++ b/src/simulator/soak/judgeSoak.test.ts
@@ -5,7 +5,9 @@
 import { test } from 'node:test'
 import type { SoakLog } from './SoakLog.js'
 import type { SoakOrderSeen } from './SoakOrderSeen.js'
+import type { SoakRun } from './SoakRun.js'
 import type { SoakTry } from './SoakTry.js'
+import type { SoakStop } from './SoakStop.js'
 import { judgeSoak } from './judgeSoak.js'
 import { soakEvents } from './soakEvents.js'
 
@@ -27,18 +29,42 @@
   fromStore: true,
 }
 
+const sentRun = (atMs: number): SoakRun => ({
+  id: '',
+  server: 'engine-1.1',
+  seal: '',
+  atMs,
+  endMs: atMs + 50,
+  brokenOff: false,
+  resumeAfter: 0,
+  body: '',
+  stray: false,
+})
+
 /** Twenty models, each asked for six times over ten seconds and served at the last, and a booking a second. */
 function sound(): SoakLog {
-  const log: SoakLog = { fromMs: 0, toMs: 20_000, tries: [], runs: [], orders: [order], changes: [], readings: [], spans: [], ended: [] }
+  const log: SoakLog = {
+    fromMs: 0,
+    toMs: 20_000,
+    tries: [],
+    runs: [],
+    orders: [order],
+    changes: [],
+    readings: [],
+    spans: [],
+    stops: [],
+    ready: [],
+    ended: [],
+  }
   const add = (route: SoakTry['route'], model: string, sentMs: number, status: number) => {
     const ask = log.tries.length + 1
     const id = `t${String(ask)}-1`
     const seal = `s${String(ask)}`
     const ran = status === 200
     const body = !ran ? '' : model === '' ? `${id} done ${seal}` : soakEvents.of(id, seal, 0).join('')
-    const head = { seal: ran ? seal : '', answeredId: id, gateway: 'gate-1', adapter: '', why: '' }
+    const head = { seal: ran ? seal : '', answeredId: id, gateway: 'gate-1', adapter: '', reused: false, dueMs: 5000, why: '' }
     log.tries.push({ ...head, id, ask, route, model, sentMs, endMs: sentMs + 100, status, body, whole: true })
-    if (ran) log.runs.push({ id, server: 'engine-1.1', seal, atMs: sentMs, resumeAfter: 0, body, stray: false })
+    if (ran) log.runs.push({ ...sentRun(sentMs), id, seal, body })
   }
   for (let turn = 0; turn < asksEach; turn++) {
     for (let at = 0; at < rareModels; at++) add('live', `m${String(at)}`, turn * betweenMs + at, turn === asksEach - 1 ? 200 : 503)
@@ -55,6 +81,20 @@
   return Object.entries(judgeSoak(log)).flatMap(([name, faults]) => (faults.length > 0 ? [name] : []))
 }
 
+const stop: SoakStop = { who: 'gate-1', termMs: 2000, endMs: 9000, killed: false, code: 0 }
+
+/** Adds a request that was passed on, and whose connection ended within its answer. */
+function cut(log: SoakLog, sentMs: number, endMs: number, route: SoakTry['route'] = 'scroll'): void {
+  const [one] = log.tries
+  if (one === undefined) return
+  const id = `k${String(log.tries.length)}`
+  const seal = `seal of ${id}`
+  const body = soakEvents.of(id, seal, 0).slice(0, 2).join('')
+  const more = { id, ask: log.tries.length + 1, route, model: '', reused: true, dueMs: 6000, status: 200, seal, body, answeredId: id }
+  log.tries.push({ ...one, ...more, sentMs, endMs, whole: false })
+  log.runs.push({ ...sentRun(sentMs), id, seal, endMs, body: soakEvents.of(id, seal, 0).join('') })
+}
+
 const trials: [string, string, (log: SoakLog) => void][] = [
   [
     'starved',
@@ -154,7 +194,7 @@
     'a refused request runs later',
     (log) => {
       const one = log.tries.find(({ status }) => status === 503)
-      if (one !== undefined) log.runs.push({ id: one.id, server: 'e', seal: 'late', atMs: 15_000, resumeAfter: 0, body: '', stray: false })
+      if (one !== undefined) log.runs.push({ ...sentRun(15_000), id: one.id, seal: 'late' })
     },
   ],
   [
@@ -165,6 +205,40 @@
     },
   ],
   ['served', 'a process ends by itself', (log) => log.ended.push('gate-1: exit 1')],
+  [
+    'lost',
+    'a request that was sent late in a stop is cut at its server',
+    (log) => {
+      log.spans.push({ who: 'gate-1', kind: 'stop', fromMs: 2000, toMs: 9500 })
+      cut(log, 5500, 9400)
+    },
+  ],
+  [
+    'lost',
+    'a request that was sent early in a stop is cut in its middle',
+    (log) => {
+      log.spans.push({ who: 'gate-1', kind: 'stop', fromMs: 2000, toMs: 6000 })
+      cut(log, 2500, 5500)
+    },
+  ],
+  [
+    'lost',
+    'a request around a reload is cut',
+    (log) => {
+      log.spans.push({ who: 'gate-1', kind: 'reload', fromMs: 2000, toMs: 2000 })
+      cut(log, 1500, 2500)
+    },
+  ],
+  ['stops', 'a process outlasts its grace time', (log) => log.stops.push({ ...stop, endMs: 10_010, killed: true })],
+  ['stops', 'a stop ends with a failure', (log) => log.stops.push({ ...stop, code: 1 })],
+  [
+    'stops',
+    'a gateway that stops says for too long that it is ready',
+    (log) => {
+      log.stops.push(stop)
+      log.ready.push({ gateway: 'gate-1', atMs: 6500 })
+    },
+  ],
 ]
 
 test('a sound log passes every judge', () => {
@@ -202,3 +276,36 @@
   log.spans.push({ who: 'core-1', kind: 'freeze', fromMs: 1100, toMs: 1900 })
   deepStrictEqual(broken(log), [])
 })
+
+const excuses: [string, (log: SoakLog) => void][] = [
+  ['its deadline had passed', (log) => cut(log, 2500, 8600)],
+  ['it was sent early and its server was at work late in the stop', (log) => cut(log, 4900, 9400)],
+  [
+    'another trouble fell between',
+    (log) => {
+      log.spans.push({ who: 'engine-1', kind: 'crashServer', fromMs: 3000, toMs: 4000 })
+      cut(log, 5500, 9400)
+    },
+  ],
+  [
+    'its server broke it off',
+    (log) => {
+      cut(log, 5500, 6000)
+      for (const run of log.runs.slice(-1)) run.brokenOff = true
+    },
+  ],
+]
+for (const [what, breaks] of excuses)
+  test(`a request that is cut in a stop is not lost when ${what}`, () => {
+    const log = sound()
+    log.spans.push({ who: 'gate-1', kind: 'stop', fromMs: 2000, toMs: 9500 })
+    breaks(log)
+    deepStrictEqual(judgeSoak(log)['lost'], [])
+  })
+
+test('a stop that a freeze held up is not judged', () => {
+  const log = sound()
+  log.stops.push({ ...stop, killed: true })
+  log.spans.push({ who: 'gate-1', kind: 'freeze', fromMs: 3000, toMs: 4000 })
+  deepStrictEqual(judgeSoak(log)['stops'], [])
+})
--- a/src/simulator/soak/planTroubles.test.ts
+++ b/src/simulator/soak/planTroubles.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import { SoakScene } from './SoakScene.js'
 import { planTroubles } from './planTroubles.js'
+import { troubleKinds } from './troubleKinds.js'
 
 const lengthMs = 30_000
 const seeds = Array.from({ length: 200 }, (_, at) => at + 1)
@@ -24,7 +25,9 @@
   for (const seed of seeds) {
     const troubles = planTroubles(seed, lengthMs)
     troubles.forEach((one, at) => {
-      for (const other of troubles.slice(at + 1).filter((later) => later.fromMs <= one.toMs)) {
+      // A reload is no absence: it may come to a process that is being stopped.
+      if (one.kind === 'reload') return
+      for (const other of troubles.slice(at + 1).filter((later) => later.kind !== 'reload' && later.fromMs <= one.toMs)) {
         ok(!(controls.includes(one.target) && controls.includes(other.target)))
         ok(one.target === '' || one.target !== other.target)
       }
@@ -34,15 +37,23 @@
 
 test('each kind of trouble comes up', () => {
   const kinds = new Set(seeds.flatMap((seed) => planTroubles(seed, lengthMs).map((one) => one.kind)))
-  deepStrictEqual([...kinds].sort(), [
-    'breakAnswers',
-    'crashServer',
-    'cut',
-    'cutOut',
-    'freeze',
-    'kill',
-    'loseOperators',
-    'loseOrders',
-    'slowServer',
-  ])
+  deepStrictEqual([...kinds].sort(), [...troubleKinds].sort())
+})
+
+test('stops come in series, each before the last one is back, with reloads within them', () => {
+  const all = seeds.map((seed) => planTroubles(seed, lengthMs))
+  const series = all.filter((troubles) => troubles.some((one) => one.kind === 'stop'))
+  ok(series.length > seeds.length / 4, `${String(series.length)} of ${String(seeds.length)} seeds stop a process`)
+  for (const troubles of series) {
+    const stops = troubles.filter((one) => one.kind === 'stop')
+    ok(stops.some((one) => stops.some((other) => other !== one && other.fromMs > one.fromMs && other.fromMs < one.toMs)))
+    ok(stops.every((one) => one.toMs <= lengthMs - 5000))
+  }
+  const within = (one: { target: string; fromMs: number }, other: { target: string; fromMs: number; toMs: number }) =>
+    one.target === other.target && one.fromMs > other.fromMs && one.fromMs < other.toMs
+  ok(
+    series.some((troubles) =>
+      troubles.some((one) => one.kind === 'reload' && troubles.some((other) => other.kind === 'stop' && within(one, other))),
+    ),
+  )
 })
--- a/src/simulator/soak/planTroubles.ts
+++ b/src/simulator/soak/planTroubles.ts
@@ -1,10 +1,11 @@
 /**
- * The troubles of a seed: episodes of two or three that overlap, with calm between them. No more than one
- * control node is in trouble at a time, as that is what the scene tolerates.
+ * The troubles of a seed: episodes of two or three that overlap, or series of planned stops and reloads, with calm between them.
+ * No more than one control node is in trouble at a time, as that is what the scene tolerates.
  */
 import { Random } from '../../common/Random.js'
 import { SoakScene } from './SoakScene.js'
 import type { Trouble } from './Trouble.js'
+import { planStops } from './planStops.js'
 
 const firstMs = 5000
 const calmMs = 5500
@@ -15,6 +16,9 @@
 const leastAtOnce = 2
 const mostAtOnce = 3
 const plainRatio = 0.4
+const stopsRatio = 0.6
+/** How often a series of stops has another trouble beside it. */
+const mixedRatio = 0.3
 const troublesOfNodes: readonly Trouble['kind'][] = ['kill', 'freeze', 'cut', 'cutOut']
 const troublesOfServers: readonly Trouble['kind'][] = ['crashServer', 'slowServer', 'breakAnswers', 'breakAnswers']
 const troublesOfAnswers: readonly Trouble['kind'][] = ['loseOrders', 'loseOperators']
@@ -25,12 +29,29 @@
   return random.hit(0.5) ? control : (random.pick(SoakScene.gateways)?.name ?? '')
 }
 
+/** A trouble of a gateway that the series leaves alone, or of a server. */
+function drawBeside(random: Random, series: readonly Trouble[], atMs: number): Trouble {
+  const free = SoakScene.gateways.filter((gateway) => !series.some((one) => one.target === gateway.name))
+  const ofNode = random.hit(0.5)
+  const kind = random.pick(ofNode ? troublesOfNodes : troublesOfServers) ?? 'kill'
+  const target = ofNode ? (random.pick(free)?.name ?? '') : drawTarget(random, kind, '')
+  const fromMs = atMs + random.between(0, mostMs)
+  return { kind, target, fromMs, toMs: fromMs + random.between(leastMs, mostMs) }
+}
+
 export function planTroubles(seed: number, lengthMs: number): Trouble[] {
   const random = new Random(seed)
   const troubles: Trouble[] = []
   let atMs = firstMs
   while (atMs + staggerMs + mostMs + lastCalmMs <= lengthMs) {
     const control = random.pick(SoakScene.controls)?.name ?? ''
+    if (atMs + planStops.mostMs + lastCalmMs <= lengthMs && random.hit(stopsRatio)) {
+      const series = planStops.draw(random, control, atMs)
+      if (random.hit(mixedRatio)) series.push(drawBeside(random, series, atMs))
+      troubles.push(...series)
+      atMs = Math.max(...series.map((one) => one.toMs)) + calmMs
+      continue
+    }
     const count = leastAtOnce + random.below(mostAtOnce - leastAtOnce + 1)
     const episode: Trouble[] = []
     while (episode.length < count) {
--- a/src/simulator/soak/runSoak.ts
+++ b/src/simulator/soak/runSoak.ts
@@ -58,7 +58,19 @@
 
 export async function runSoak({ seed, seconds, folder, entry, dialect, keep, say }: Soak): Promise<boolean> {
   const beganMs = clockMs()
-  const log: SoakLog = { fromMs: 0, toMs: 0, tries: [], runs: [], orders: [], changes: [], readings: [], spans: [], ended: [] }
+  const log: SoakLog = {
+    fromMs: 0,
+    toMs: 0,
+    tries: [],
+    runs: [],
+    orders: [],
+    changes: [],
+    readings: [],
+    spans: [],
+    stops: [],
+    ready: [],
+    ended: [],
+  }
   const fleet = new SoakFleet(seed, folder, entry, dialect, log)
   const watch = watchLateness(log)
   const end = () => {
