A message in many pieces takes no more memory than its bytes ask for

What callers saw: a gateway ran out of memory by one client's body of 4 MB in chunks of one byte, or by one server's endless answer in such chunks; all its other requests lost their connections.

Cause: each piece was kept as a buffer of its own; answers without a length, reports, lists and the answers that the command line reads had no bound.

Change: ByteBuffer, one growing buffer with a limit, wherever a message is read whole; an answer without a length is gathered up to 1 MB and then goes on as it comes.

--- a/src/adapters/HttpPlatformClient.ts
+++ b/src/adapters/HttpPlatformClient.ts
@@ -10,6 +10,10 @@
 import type { PlatformClient } from './PlatformClient.js'
 import { postAlone } from './postAlone.js'
 import { readPlatform } from './readPlatform.js'
+import { readText } from './readText.js'
+
+/** Of a server's report. */
+const reportBytes = 8_000_000
 
 export class HttpPlatformClient implements PlatformClient {
   readonly #platform: string | undefined
@@ -41,7 +45,7 @@
   async #read(address: string, path: string, waitMs: number): Promise<{ status: number; body: string } | undefined> {
     try {
       const reply = await request(`http://${address}${path}`, { signal: AbortSignal.timeout(waitMs) })
-      return { status: reply.statusCode, body: await reply.body.text() }
+      return { status: reply.statusCode, body: await readText(reply.body, reportBytes) }
     } catch {
       return undefined
     }
--- a/src/cli/CoreClient.ts
+++ b/src/cli/CoreClient.ts
@@ -5,6 +5,10 @@
  */
 import { setTimeout as pause } from 'node:timers/promises'
 import { request } from 'undici'
+import { readText } from '../adapters/readText.js'
+
+/** The largest that a control node keeps is a whole charter or network. */
+const answerBytes = 64_000_000
 
 export class CoreClient {
   readonly #addresses: readonly string[]
@@ -37,7 +41,7 @@
             signal: AbortSignal.timeout(leftMs + 200),
           })
           const stamp = Number(String(reply.headers['etag'] ?? '').replaceAll('"', ''))
-          const answered = { status: reply.statusCode, stamp, body: await reply.body.text() }
+          const answered = { status: reply.statusCode, stamp, body: await readText(reply.body, answerBytes) }
           if (answered.status !== 504) return answered
           undecided = answered
         } catch (error) {
--- a/src/common/readBody.ts
+++ b/src/common/readBody.ts
@@ -2,21 +2,22 @@
  * Reads an HTTP body whole, or gives nothing once it is over a limit or breaks off.
  */
 import type { IncomingMessage } from 'node:http'
+import { ByteBuffer } from './ByteBuffer.js'
 
 export function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
+    const body = new ByteBuffer(limitBytes)
+    let whole = true
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes > limitBytes) {
-        resolve(undefined)
-        request.removeAllListeners('data')
-        request.resume()
-      } else chunks.push(chunk)
+      if (body.append(chunk)) return
+      whole = false
+      body.clear()
+      resolve(undefined)
+      request.removeAllListeners('data')
+      request.resume()
     })
     request.on('end', () => {
-      resolve(bytes > limitBytes ? undefined : Buffer.concat(chunks))
+      resolve(whole ? body.bytes : undefined)
     })
     request.on('error', () => {
       resolve(undefined)
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
+import { ByteBuffer } from '../common/ByteBuffer.js'
 import { Verdict } from '../common/Verdict.js'
 import { passedOn } from '../adapters/passedOn.js'
 import type { RouteCodec } from '../adapters/RouteCodec.js'
@@ -67,7 +68,7 @@
     const length = headers['content-length']
     const events = isStream(status, headers)
     if (events) ticket.scanner = new EventScanner(this.#place.resumeAfter)
-    else if (length === undefined || Number(length) <= gatheredBytes) ticket.parts = []
+    else if (length === undefined || Number(length) <= gatheredBytes) ticket.gathered = new ByteBuffer(gatheredBytes)
     if (ticket.response.headersSent) return
     ticket.head = { status, headers: passedOn(headers) }
     if (!events && typeof length === 'string') ticket.head.headers['content-length'] = length
@@ -77,7 +78,7 @@
     const { ticket } = this.#place
     if (!ticket.relaying || !this.#isLive()) return
     if (ticket.scanner !== undefined) this.#passEvents(ticket.scanner, controller, chunk)
-    else if (ticket.parts !== undefined) ticket.parts.push(chunk)
+    else if (ticket.gathered !== undefined) this.#gather(ticket.gathered, controller, chunk)
     else this.#pass(controller, chunk, undefined, true)
   }
 
@@ -90,7 +91,7 @@
     }
     close()
     this.#writeHead()
-    ticket.response.end(ticket.parts === undefined ? undefined : Buffer.concat(ticket.parts))
+    ticket.response.end(ticket.gathered?.bytes)
     step({ kind: 'ended', id, attempt })
   }
 
@@ -113,6 +114,15 @@
     return undefined
   }
 
+  /** An answer that turns out to be long goes on as it comes, like one that told its length. */
+  #gather(gathered: ByteBuffer, controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (gathered.append(chunk)) return
+    const { ticket } = this.#place
+    ticket.gathered = undefined
+    this.#pass(controller, gathered.bytes, undefined, true)
+    if (this.#isLive()) this.#pass(controller, chunk, undefined, true)
+  }
+
   #passEvents(scanner: EventScanner, controller: Dispatcher.DispatchController, chunk: Buffer): void {
     for (const event of scanner.take(chunk)) this.#pass(controller, Buffer.from(event.text, 'latin1'), event.id, event.data)
     if (scanner.rewound && this.#isLive()) this.#defect(Verdict.mayHaveRun, 'the events of the stream do not rise')
--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -262,3 +262,23 @@
   ok(caller.text.startsWith('HTTP/1.1 502 '), caller.text)
   await stopped
 })
+
+// Guards against a gateway that gathers an endless answer without a length until its memory is full.
+test('an answer without a length is gathered up to a bound, and goes on as it comes beyond it', async (t) => {
+  const { call, waiting } = await scene(t)
+  const caller = call(request('r-1'))
+  await until(() => waiting.has('r-1'))
+  const server = waiting.get('r-1')
+  server?.write('HTTP/1.1 200 OK\r\nrequest-id: r-1\r\nseal: z9\r\ntransfer-encoding: chunked\r\n\r\n')
+  const piece = `64\r\n${'x'.repeat(100)}\r\n`.repeat(1000)
+  const received = () => caller.text.match(/x/g)?.length ?? 0
+  for (let sent = 0; sent < 9; sent++) server?.write(piece)
+  await pause(100)
+  strictEqual(received(), 0)
+  for (let sent = 0; sent < 3; sent++) server?.write(piece)
+  const leftAt = performance.now() + 3000
+  while (received() < 1_200_000 && performance.now() < leftAt) await pause(10)
+  strictEqual(received(), 1_200_000)
+  server?.write('0\r\n\r\n')
+  ok(await caller.until('\r\n0\r\n\r\n'))
+})
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -137,7 +137,7 @@
       head: undefined,
       relaying: false,
       scanner: undefined,
-      parts: undefined,
+      gathered: undefined,
     })
     const leave = () => {
       if (!this.#tickets.has(id)) return
@@ -278,7 +278,7 @@
     ticket.controller = undefined
     ticket.relaying = false
     ticket.scanner = undefined
-    ticket.parts = undefined
+    ticket.gathered = undefined
     if (!ticket.response.headersSent) ticket.head = undefined
     const place = {
       id,
--- a/src/gateway/Ticket.ts
+++ b/src/gateway/Ticket.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import type { Dispatcher } from 'undici'
+import type { ByteBuffer } from '../common/ByteBuffer.js'
 import type { EventScanner } from './EventScanner.js'
 
 export interface Ticket {
@@ -19,5 +20,6 @@
   head: { status: number; headers: Record<string, string | string[]> } | undefined
   relaying: boolean
   scanner: EventScanner | undefined
-  parts: Buffer[] | undefined
+  /** A short answer, until it is whole. */
+  gathered: ByteBuffer | undefined
 }
--- a/src/proxy/ServerConnection.ts
+++ b/src/proxy/ServerConnection.ts
@@ -4,8 +4,11 @@
  */
 import { buildConnector, Client } from 'undici'
 import type { Dispatcher } from 'undici'
+import { readText } from '../adapters/readText.js'
 import { ServerFormat } from '../adapters/ServerFormat.js'
 
+const identityBytes = 100_000
+
 export class ServerConnection {
   readonly address: string
   readonly #client: Client
@@ -40,7 +43,7 @@
 
   async identify(waitMs: number): Promise<ServerFormat> {
     const reply = await this.#client.request({ path: ServerFormat.identityPath, method: 'GET', signal: AbortSignal.timeout(waitMs) })
-    const body = await reply.body.text()
+    const body = await readText(reply.body, identityBytes)
     const identity = reply.statusCode === 200 ? ServerFormat.identity(body) : undefined
     if (identity === undefined) throw new Error('the server did not say who it is')
     this.identity = identity
