Each byte of a stream is looked at once, and an event has a bound

What callers saw: after two or three spoiled streams gateways did nothing for seconds, and requests had no final answer 0.5 s after their timeout.

Cause: the scanner joined each piece to the rest of the event and searched it all anew, so the work grew with the square of an event's length.

--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -126,6 +126,7 @@
   #passEvents(scanner: EventScanner, controller: Dispatcher.DispatchController, chunk: Buffer): void {
     for (const event of scanner.take(chunk)) this.#pass(controller, Buffer.from(event.text, 'latin1'), event.id, event.data)
     if (scanner.rewound && this.#isLive()) this.#defect(Verdict.mayHaveRun, 'the events of the stream do not rise')
+    if (scanner.overlong && this.#isLive()) this.#defect(Verdict.mayHaveRun, 'an event of the stream is too long')
   }
 
   #pass(controller: Dispatcher.DispatchController, bytes: Buffer, event: string | undefined, data: boolean): void {
--- a/src/gateway/EventScanner.test.ts
+++ b/src/gateway/EventScanner.test.ts
@@ -1,5 +1,6 @@
 import { deepStrictEqual, strictEqual } from 'node:assert'
 import { test } from 'node:test'
+import { Random } from '../common/Random.js'
 import { EventScanner } from './EventScanner.js'
 
 test('events come whole with their ids, whatever the cut of the bytes', () => {
@@ -67,3 +68,42 @@
     strictEqual(events.map((one) => one.text).join(''), text)
   }
 })
+
+test('any cut of a stream into pieces gives the same events', () => {
+  const random = new Random(11)
+  const parts = ['id: 1\n', 'data: a\n', '\n', '\r\n', '\r', ': told\n\n', 'id: 2\r\n\r\n', 'data: \r\r\n', 'id: 3\ndata\n\n', '\n\n', 'x']
+  for (let turn = 0; turn < 500; turn++) {
+    const text = Array.from({ length: 1 + random.below(12) }, () => random.pick(parts) ?? '').join('')
+    const bytes = Buffer.from(text, 'latin1')
+    const whole = new EventScanner(undefined)
+    const expected = whole.take(bytes)
+    const pieces = new EventScanner(undefined)
+    const events: typeof expected = []
+    for (let at = 0; at < bytes.length;) {
+      const end = at + 1 + random.below(4)
+      events.push(...pieces.take(bytes.subarray(at, end)))
+      at = end
+    }
+    deepStrictEqual(events, expected, JSON.stringify(text))
+    deepStrictEqual([pieces.partial, pieces.rewound], [whole.partial, whole.rewound], JSON.stringify(text))
+    const ends = [...text.matchAll(/[^]*?\r?\n\r?\n/g)].map(([event]) => event)
+    if (!whole.rewound)
+      deepStrictEqual(
+        expected.map((one) => one.text),
+        ends,
+        JSON.stringify(text),
+      )
+  }
+})
+
+// Guards against a stream of one endless event, whose every piece was searched from its beginning.
+test('an event without an end is given up when it is too long, and each piece costs the same until then', () => {
+  const scanner = new EventScanner(undefined)
+  const piece = Buffer.from('x')
+  let taken = 0
+  while (!scanner.overlong && taken < 4_000_000) {
+    deepStrictEqual(scanner.take(piece), [])
+    taken += 1
+  }
+  strictEqual(taken, 1_000_001)
+})
