The soak has a size, and clients whose bodies take seconds to come

Cause: the soak played eight processes at most a seed, and no stop met a body that was half read.

SoakSlowClients send bodies in eight pieces over two seconds; such a try counts from its last byte. A length or a number at a time that is not allowed gets one line and exit 2 instead of being bent.

--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -25,8 +25,10 @@
 import { slopes } from './slopes.js'
 import { readSeeds } from './soak/readSeeds.js'
 import { soakJudges } from './soak/soakJudges.js'
+import { soakSizes } from './soak/soakSizes.js'
 import { troubleKinds } from './soak/troubleKinds.js'
 import { soak } from './soak/soak.js'
+import type { SoakSize } from './soak/SoakSize.js'
 import { sweep } from './sweep.js'
 
 const say = (line: string) => {
@@ -218,8 +220,24 @@
     say(`${String(ran)} schedules, ${String(findings)} findings, ${(ran / spanS).toFixed(0)} a second`)
   },
 })
-/** Eight processes a seed: about a hundred at once. */
-const mostSeedsAtOnce = 12
+/** What a machine of eight cores and 24 GB bears. */
+const mostProcesses = 100
+const controlNodes = 3
+
+/** How many fleets of a size may run at a time. */
+function mostAtOnce({ gateways }: SoakSize): number {
+  return Math.max(1, Math.floor(mostProcesses / (gateways + controlNodes)))
+}
+
+function sizeNamed(name: string): keyof typeof soakSizes | undefined {
+  return name === 'small' || name === 'large' ? name : undefined
+}
+
+const leastSoakS = 20
+const mostSoakS = 600
+const sizesTold = Object.entries(soakSizes)
+  .map(([name, one]) => `${name} (${String(one.gateways + controlNodes)} processes, ${String(mostAtOnce(one))} at a time)`)
+  .join(', ')
 const soaked = command({
   name: 'soak',
   description:
@@ -227,8 +245,14 @@
     `Troubles: ${troubleKinds.join(', ')}. Judges: ${Object.keys(soakJudges).join(', ')}.`,
   args: {
     seeds: option({ long: 'seeds', type: string, defaultValue: () => '1', description: 'as 7, or 1..20, or 3,5..8' }),
-    seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, at most 600' }),
-    parallel: option({ long: 'parallel', type: number, defaultValue: () => 1, description: 'how many seeds at a time, at most 12' }),
+    size: option({ long: 'size', type: string, defaultValue: () => 'small', description: sizesTold }),
+    seconds: option({ long: 'seconds', type: number, defaultValue: () => 30, description: 'how long to drive traffic, 20 to 600' }),
+    parallel: option({
+      long: 'parallel',
+      type: number,
+      defaultValue: () => 1,
+      description: 'how many seeds at a time, as far as the size allows',
+    }),
     dialect: option({
       long: 'dialect',
       type: string,
@@ -240,11 +264,14 @@
   },
   handler: async (given) => {
     const seeds = readSeeds(given.seeds)
+    const size = sizeNamed(given.size)
+    const { seconds, parallel } = given
     if (seeds === undefined) unknown(`${given.seeds}: not seeds`, ['7', '1..20', '3,5..8'])
-    else {
-      const bounded = { seconds: Math.min(given.seconds, 600), parallel: Math.max(1, Math.min(given.parallel, mostSeedsAtOnce)) }
-      if (!(await soak({ ...given, ...bounded, seeds, say }))) process.exitCode = 1
-    }
+    else if (size === undefined) unknown(`no size is named ${given.size}`, Object.keys(soakSizes))
+    else if (!(seconds >= leastSoakS && seconds <= mostSoakS)) unknown(`${String(seconds)}: no length of a soak`, ['20 to 600 seconds'])
+    else if (!(Number.isInteger(parallel) && parallel >= 1 && parallel <= mostAtOnce(soakSizes[size])))
+      unknown(`${String(parallel)}: not so many at a time`, [`1 to ${String(mostAtOnce(soakSizes[size]))} of this size`])
+    else if (!(await soak({ ...given, size, seeds, say }))) process.exitCode = 1
   },
 })
 await runCommand(
--- a/src/simulator/soak/SoakClients.ts
+++ b/src/simulator/soak/SoakClients.ts
@@ -3,6 +3,7 @@
  * when to come back, and try again once on a new connection: after a promise, or after any failure of a request
  * that may be repeated.
  */
+import { setMaxListeners } from 'node:events'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Agent, Client, request, type Dispatcher } from 'undici'
 import { clockMs } from '../../common/clockMs.js'
@@ -12,6 +13,8 @@
 import type { SoakLog } from './SoakLog.js'
 import { SoakScene } from './SoakScene.js'
 import { soakPromises } from './soakPromises.js'
+import type { SoakSize } from './SoakSize.js'
+import { SoakSlowClients } from './SoakSlowClients.js'
 import type { SoakSeat } from './SoakSeat.js'
 import type { SoakTry } from './SoakTry.js'
 
@@ -33,6 +36,7 @@
 export class SoakClients {
   readonly #dialect: SoakDialect
   readonly #log: SoakLog
+  readonly #size: SoakSize
   readonly #seats: readonly SoakSeat[]
   readonly #random: Random
   readonly #misses = new Map<string, number>()
@@ -41,8 +45,9 @@
   #ends = new AbortController()
   #asks = 0
 
-  constructor(seed: number, seats: readonly SoakSeat[], dialect: SoakDialect, log: SoakLog) {
+  constructor(seed: number, size: SoakSize, seats: readonly SoakSeat[], dialect: SoakDialect, log: SoakLog) {
     this.#random = new Random(seed)
+    this.#size = size
     this.#seats = seats
     this.#dialect = dialect
     this.#log = log
@@ -62,6 +67,8 @@
   async run(lengthMs: number): Promise<void> {
     const fromMs = clockMs()
     this.#ends = new AbortController()
+    // Every gateway's probe waits on it.
+    setMaxListeners(this.#seats.length + 1, this.#ends.signal)
     const probes = this.#seats.map((seat) => this.#probe(seat))
     const over = (atMs: number) => atMs - fromMs >= lengthMs
     const late = () => clockMs() - fromMs >= lengthMs / 2
@@ -76,8 +83,9 @@
       this.#ask({ route: random.hit(bookRatio) ? 'book' : 'check', model: '', adapter: '' })
       return SoakScene.plainPerS
     })
-    const kept = new SoakKeptClients(this.#dialect, this.#log, () => this.#pick()).run(fromMs + lengthMs)
-    await Promise.all([...streams, plain, kept])
+    const kept = new SoakKeptClients(this.#dialect, this.#log, () => this.#pick()).run(this.#size.keptClients, fromMs + lengthMs)
+    const slow = new SoakSlowClients(this.#dialect, this.#log, () => this.#pick()).run(this.#size.slowClients, fromMs + lengthMs)
+    await Promise.all([...streams, plain, kept, slow])
     await Promise.all(this.#underWay)
     this.#ends.abort()
     await Promise.all(probes)
--- a/src/simulator/soak/SoakFleet.ts
+++ b/src/simulator/soak/SoakFleet.ts
@@ -14,11 +14,12 @@
 import { SoakScene } from './SoakScene.js'
 import type { SoakSeat } from './SoakSeat.js'
 import { SoakServer } from './SoakServer.js'
+import type { SoakSize } from './SoakSize.js'
 import type { Trouble } from './Trouble.js'
 
 const listHost = 2
 const firstControl = 10
-const firstGateway = 20
+const firstGateway = 100
 const firstEngine = 40
 const firstPlain = 60
 const firstScroll = 70
@@ -35,7 +36,7 @@
   readonly #log: SoakLog
   readonly #cuts = new Map<string, Trouble['kind']>()
 
-  constructor(seed: number, folder: string, entry: string, dialect: SoakDialect, log: SoakLog) {
+  constructor(seed: number, size: SoakSize, folder: string, entry: string, dialect: SoakDialect, log: SoakLog) {
     this.#log = log
     // A part of loopback that belongs to this process alone, so that soaks may run beside each other.
     const net = `127.${String(firstNet + (Math.floor(process.pid / hosts) % nets))}.${String(process.pid % hosts)}`
@@ -47,7 +48,7 @@
       ...SoakScene.plain.map((one, at) => {
         return new SoakServer({ ...one, ip: ip(firstPlain + at), service: SoakScene.plainService, holds: [] }, dialect, log)
       }),
-      ...SoakScene.scrolls.map((one, at) => {
+      ...SoakScene.scrolls(size).map((one, at) => {
         return new SoakServer({ ...one, ip: ip(firstScroll + at), service: SoakScene.scrollService, holds: [] }, dialect, log)
       }),
     ]
@@ -57,11 +58,11 @@
     const controls = SoakScene.controls.map((one, at): SoakSeat => {
       return { ...common, ...one, role: 'control', ip: ip(firstControl + at), data: join(folder, one.name), bootstrap: true }
     })
-    const gateways = SoakScene.gateways.map((one, at): SoakSeat => {
+    const gateways = SoakScene.gateways(size).map((one, at): SoakSeat => {
       return { ...common, ...one, role: 'gateway', ip: ip(firstGateway + at), data: '', bootstrap: true }
     })
     this.nodes = [...controls, ...gateways].map((seat) => new SoakNode(seat, dialect, entry, folder, log))
-    this.clients = new SoakClients(seed, gateways, dialect, log)
+    this.clients = new SoakClients(seed, size, gateways, dialect, log)
     this.operator = new SoakOperator(seed + 1, controls, dialect, log)
   }
 
--- a/src/simulator/soak/SoakKeptClients.ts
+++ b/src/simulator/soak/SoakKeptClients.ts
@@ -2,7 +2,7 @@
  * Clients of a soak that keep their connection until they are told to leave it or it is gone: each sends its next request as soon
  * as the last answer has ended. Their answers are streams that last for seconds, so that their heads are out before many a stop.
  */
-import { Agent, request, type IncomingMessage } from 'node:http'
+import { Agent, request } from 'node:http'
 import { setTimeout as pause } from 'node:timers/promises'
 import { clockMs } from '../../common/clockMs.js'
 import type { SoakDialect } from './SoakDialect.js'
@@ -10,6 +10,7 @@
 import { SoakScene } from './SoakScene.js'
 import type { SoakSeat } from './SoakSeat.js'
 import type { SoakTry } from './SoakTry.js'
+import { readAnswer } from './readAnswer.js'
 
 const route = 'scroll'
 /** Numbers of asks that no other client uses. */
@@ -31,8 +32,8 @@
     this.#pick = pick
   }
 
-  async run(untilMs: number): Promise<void> {
-    await Promise.all(Array.from({ length: SoakScene.keptClients }, (_, at) => this.#client(at * betweenMs, untilMs)))
+  async run(clients: number, untilMs: number): Promise<void> {
+    await Promise.all(Array.from({ length: clients }, (_, at) => this.#client(at * betweenMs, untilMs)))
   }
 
   async #client(offsetMs: number, untilMs: number): Promise<void> {
@@ -64,7 +65,7 @@
         `http://${seat.ip}:${String(this.#dialect.ports.callers)}/${route}/${id}`,
         { agent, method: 'POST', headers: { host: SoakScene.host, ...head, 'content-length': Buffer.byteLength(id) } },
         (answer) => {
-          this.#read(seen, answer)
+          readAnswer(this.#dialect, seen, answer)
           answer.once('end', () => {
             mayStay = answer.headers.connection !== 'close'
           })
@@ -85,21 +86,6 @@
     })
   }
 
-  #read(seen: SoakTry, answer: IncomingMessage): void {
-    seen.status = answer.statusCode ?? 0
-    seen.seal = this.#dialect.seal(answer.headers) ?? ''
-    seen.answeredId = this.#dialect.answeredId(answer.headers) ?? ''
-    answer.setEncoding('utf8').on('data', (text) => {
-      seen.body += String(text)
-    })
-    answer.once('end', () => {
-      seen.whole = answer.complete
-    })
-    answer.once('error', (error) => {
-      seen.why = error.message
-    })
-  }
-
   #seen(seat: SoakSeat): SoakTry {
     this.#asks += 1
     return {
--- a/src/simulator/soak/SoakScene.ts
+++ b/src/simulator/soak/SoakScene.ts
@@ -3,6 +3,7 @@
  * places for twenty-four, most of them rare, and the popular ones change midway.
  */
 import type { SoakNetwork } from './SoakNetwork.js'
+import type { SoakSize } from './SoakSize.js'
 
 interface Asked {
   model: string
@@ -16,12 +17,10 @@
 
 const zones = ['a', 'b', 'c']
 const controls = 3
-const gateways = 5
 const modelServers = 8
 const models = 40
 const heldAtOnce = 3
 const plainServers = 2
-const scrollServers = 3
 const popularModels = 6
 /** The first of the models that are popular after the shift. */
 const shiftedFrom = 20
@@ -47,8 +46,6 @@
   /** Streams that last for seconds, for clients that keep their connections. */
   scrollService: 'scrolls',
   scrollDueMs: 6000,
-  /** Clients that keep a connection for as long as they may. */
-  keptClients: 16,
   /** How long after SIGTERM a process that still runs is ended. */
   graceMs: 8000,
   host: 'soak.example',
@@ -64,14 +61,15 @@
   loadsPerS: 6,
 
   controls: Array.from({ length: controls }, (_, at) => ({ name: `core-${String(at + 1)}`, zone: zone(at) })),
-  gateways: Array.from({ length: gateways }, (_, at) => ({ name: `gate-${String(at + 1)}`, zone: zone(at) })),
+  gateways: ({ gateways }: SoakSize) => Array.from({ length: gateways }, (_, at) => ({ name: `gate-${String(at + 1)}`, zone: zone(at) })),
   servers: Array.from({ length: modelServers }, (_, at) => ({
     name: `engine-${String(at + 1)}`,
     zone: zone(at),
     holds: Array.from({ length: heldAtOnce }, (_one, nth) => model(at + nth * modelServers)),
   })),
   plain: Array.from({ length: plainServers }, (_, at) => ({ name: `desk-${String(at + 1)}`, zone: zone(at) })),
-  scrolls: Array.from({ length: scrollServers }, (_, at) => ({ name: `scroll-${String(at + 1)}`, zone: zone(at) })),
+  scrolls: ({ scrollServers }: SoakSize) =>
+    Array.from({ length: scrollServers }, (_, at) => ({ name: `scroll-${String(at + 1)}`, zone: zone(at) })),
   models: new Map(
     Array.from({ length: models }, (_, at) => [model(at), { sizeMb: modelMb, loadMs: loadMs(at), adapters: adaptersOf(at) }]),
   ),
--- /dev/null
+++ b/src/simulator/soak/SoakSlowClients.ts
@@ -0,0 +1,108 @@
+/**
+ * Clients of a soak whose bodies take seconds to come, a piece at a time, so that many a stop finds them half read. A try is noted
+ * once its last byte was sent: before that no process can have read the whole request.
+ */
+import { Agent, request, type ClientRequest } from 'node:http'
+import { setTimeout as pause } from 'node:timers/promises'
+import { clockMs } from '../../common/clockMs.js'
+import type { SoakDialect } from './SoakDialect.js'
+import type { SoakLog } from './SoakLog.js'
+import { SoakScene } from './SoakScene.js'
+import type { SoakSeat } from './SoakSeat.js'
+import type { SoakTry } from './SoakTry.js'
+import { readAnswer } from './readAnswer.js'
+
+const route = 'check'
+/** Numbers of asks that no other client uses. */
+const firstAsk = 2_000_000
+const pieces = 8
+const pieceMs = 300
+const piece = Buffer.alloc(512, 'x')
+/** How long a client waits beyond its deadline, and before its next request. */
+const slackMs = 500
+const betweenMs = 200
+
+export class SoakSlowClients {
+  readonly #dialect: SoakDialect
+  readonly #log: SoakLog
+  readonly #pick: () => SoakSeat | undefined
+  #asks = firstAsk
+
+  /** `pick` chooses among the gateways that are ready. */
+  constructor(dialect: SoakDialect, log: SoakLog, pick: () => SoakSeat | undefined) {
+    this.#dialect = dialect
+    this.#log = log
+    this.#pick = pick
+  }
+
+  async run(clients: number, untilMs: number): Promise<void> {
+    await Promise.all(Array.from({ length: clients }, (_, at) => this.#client(at * betweenMs, untilMs)))
+  }
+
+  async #client(offsetMs: number, untilMs: number): Promise<void> {
+    await pause(offsetMs)
+    while (clockMs() < untilMs) {
+      const seat = this.#pick()
+      if (seat !== undefined) await this.#send(seat)
+      await pause(betweenMs)
+    }
+  }
+
+  #send(seat: SoakSeat): Promise<void> {
+    this.#asks += 1
+    const id = `b${String(this.#asks)}`
+    const seen: SoakTry = {
+      id,
+      ask: this.#asks,
+      route,
+      model: '',
+      adapter: '',
+      gateway: seat.name,
+      reused: false,
+      dueMs: SoakScene.dueMs,
+      sentMs: Infinity,
+      endMs: 0,
+      status: 0,
+      seal: '',
+      answeredId: '',
+      body: '',
+      whole: false,
+      why: '',
+    }
+    const head = this.#dialect.requestHead({ id, model: '', adapter: '', dueMs: SoakScene.dueMs, resumeAfter: 0 })
+    const agent = new Agent()
+    return new Promise((resolve) => {
+      const sent = request(
+        `http://${seat.ip}:${String(this.#dialect.ports.callers)}/${route}/${id}`,
+        { agent, method: 'POST', headers: { host: SoakScene.host, ...head, 'content-length': pieces * piece.length } },
+        (answer) => {
+          readAnswer(this.#dialect, seen, answer)
+        },
+      )
+      const timer = setTimeout(() => sent.destroy(new Error('the client left')), SoakScene.dueMs + slackMs)
+      sent.once('error', (error) => {
+        seen.why = error.message
+      })
+      sent.once('close', () => {
+        clearTimeout(timer)
+        seen.endMs = clockMs()
+        agent.destroy()
+        resolve()
+      })
+      void this.#writeSlowly(sent, seen)
+    })
+  }
+
+  async #writeSlowly(sent: ClientRequest, seen: SoakTry): Promise<void> {
+    for (let at = 1; at < pieces; at++) {
+      if (sent.destroyed) return
+      sent.write(piece)
+      await pause(pieceMs)
+    }
+    if (sent.destroyed) return
+    sent.end(piece, () => {
+      seen.sentMs = clockMs()
+      this.#log.tries.push(seen)
+    })
+  }
+}
--- a/src/simulator/soak/planStops.ts
+++ b/src/simulator/soak/planStops.ts
@@ -4,21 +4,19 @@
  */
 import type { Random } from '../../common/Random.js'
 import { SoakScene } from './SoakScene.js'
+import type { SoakSize } from './SoakSize.js'
 import type { Trouble } from './Trouble.js'
 
-const leastStops = 2
-const mostStops = 3
-const leastGapMs = 500
-const mostGapMs = 2000
 const reloads = 3
 const controlRatio = 0.5
 
 export const planStops = {
   /** The longest that a series lasts, in milliseconds. */
-  mostMs: (mostStops - 1) * mostGapMs + SoakScene.graceMs,
+  mostMs: ({ mostStops, mostGapMs }: SoakSize) => (mostStops - 1) * mostGapMs + SoakScene.graceMs,
 
-  draw(random: Random, control: string, startMs: number): Trouble[] {
-    const left = SoakScene.gateways.map((one) => one.name)
+  draw(random: Random, size: SoakSize, control: string, startMs: number): Trouble[] {
+    const { leastStops, mostStops, leastGapMs, mostGapMs } = size
+    const left = SoakScene.gateways(size).map((one) => one.name)
     const count = leastStops + random.below(mostStops - leastStops + 1)
     const stops: Trouble[] = []
     let fromMs = startMs
--- a/src/simulator/soak/planTroubles.test.ts
+++ b/src/simulator/soak/planTroubles.test.ts
@@ -1,21 +1,23 @@
-import { deepStrictEqual, ok } from 'node:assert'
+import { deepStrictEqual, ok, strictEqual } from 'node:assert'
 import { test } from 'node:test'
 import { SoakScene } from './SoakScene.js'
 import { planTroubles } from './planTroubles.js'
+import { soakSizes } from './soakSizes.js'
 import { troubleKinds } from './troubleKinds.js'
 
+const { small, large } = soakSizes
 const lengthMs = 30_000
 const seeds = Array.from({ length: 200 }, (_, at) => at + 1)
 const controls = SoakScene.controls.map((one) => one.name)
 
 test('a seed always brings the same troubles, and others bring others', () => {
-  deepStrictEqual(planTroubles(7, lengthMs), planTroubles(7, lengthMs))
-  ok(new Set(seeds.map((seed) => JSON.stringify(planTroubles(seed, lengthMs)))).size === seeds.length)
+  deepStrictEqual(planTroubles(7, small, lengthMs), planTroubles(7, small, lengthMs))
+  ok(new Set(seeds.map((seed) => JSON.stringify(planTroubles(seed, small, lengthMs)))).size === seeds.length)
 })
 
 test('every seed has troubles that overlap, and calm before and after', () => {
   for (const seed of seeds) {
-    const troubles = planTroubles(seed, lengthMs)
+    const troubles = planTroubles(seed, small, lengthMs)
     ok(troubles.some((one, at) => troubles.slice(at + 1).some((other) => other.fromMs < one.toMs)))
     ok(troubles.every((one) => one.fromMs >= 5000 && one.toMs <= lengthMs - 5000))
   }
@@ -23,7 +25,7 @@
 
 test('no two control nodes are in trouble at once, and no one is twice', () => {
   for (const seed of seeds) {
-    const troubles = planTroubles(seed, lengthMs)
+    const troubles = planTroubles(seed, small, lengthMs)
     troubles.forEach((one, at) => {
       // A reload is no absence: it may come to a process that is being stopped.
       if (one.kind === 'reload') return
@@ -36,12 +38,12 @@
 })
 
 test('each kind of trouble comes up', () => {
-  const kinds = new Set(seeds.flatMap((seed) => planTroubles(seed, lengthMs).map((one) => one.kind)))
+  const kinds = new Set(seeds.flatMap((seed) => planTroubles(seed, small, lengthMs).map((one) => one.kind)))
   deepStrictEqual([...kinds].sort(), [...troubleKinds].sort())
 })
 
 test('stops come in series, each before the last one is back, with reloads within them', () => {
-  const all = seeds.map((seed) => planTroubles(seed, lengthMs))
+  const all = seeds.map((seed) => planTroubles(seed, small, lengthMs))
   const series = all.filter((troubles) => troubles.some((one) => one.kind === 'stop'))
   ok(series.length > seeds.length / 4, `${String(series.length)} of ${String(seeds.length)} seeds stop a process`)
   for (const troubles of series) {
@@ -57,3 +59,14 @@
     ),
   )
 })
+
+test('in the large scene a series takes many gateways, each once, and ends before the run does', () => {
+  const stops = seeds.map((seed) => planTroubles(seed, large, lengthMs).filter((one) => one.kind === 'stop'))
+  const series = stops.filter((all) => all.length > 0)
+  ok(series.length > seeds.length / 4)
+  for (const all of series) {
+    ok(all.length >= large.leastStops)
+    strictEqual(new Set(all.map((one) => one.target)).size, all.length)
+    ok(all.every((one) => one.toMs <= lengthMs - 5000))
+  }
+})
--- a/src/simulator/soak/planTroubles.ts
+++ b/src/simulator/soak/planTroubles.ts
@@ -4,6 +4,7 @@
  */
 import { Random } from '../../common/Random.js'
 import { SoakScene } from './SoakScene.js'
+import type { SoakSize } from './SoakSize.js'
 import type { Trouble } from './Trouble.js'
 import { planStops } from './planStops.js'
 
@@ -23,31 +24,31 @@
 const troublesOfServers: readonly Trouble['kind'][] = ['crashServer', 'slowServer', 'breakAnswers', 'breakAnswers']
 const troublesOfAnswers: readonly Trouble['kind'][] = ['loseOrders', 'loseOperators']
 
-function drawTarget(random: Random, kind: Trouble['kind'], control: string): string {
+function drawTarget(random: Random, size: SoakSize, kind: Trouble['kind'], control: string): string {
   if (troublesOfAnswers.includes(kind)) return ''
   if (troublesOfServers.includes(kind)) return random.pick(random.hit(plainRatio) ? SoakScene.plain : SoakScene.servers)?.name ?? ''
-  return random.hit(0.5) ? control : (random.pick(SoakScene.gateways)?.name ?? '')
+  return random.hit(0.5) ? control : (random.pick(SoakScene.gateways(size))?.name ?? '')
 }
 
 /** A trouble of a gateway that the series leaves alone, or of a server. */
-function drawBeside(random: Random, series: readonly Trouble[], atMs: number): Trouble {
-  const free = SoakScene.gateways.filter((gateway) => !series.some((one) => one.target === gateway.name))
+function drawBeside(random: Random, size: SoakSize, series: readonly Trouble[], atMs: number): Trouble {
+  const free = SoakScene.gateways(size).filter((gateway) => !series.some((one) => one.target === gateway.name))
   const ofNode = random.hit(0.5)
   const kind = random.pick(ofNode ? troublesOfNodes : troublesOfServers) ?? 'kill'
-  const target = ofNode ? (random.pick(free)?.name ?? '') : drawTarget(random, kind, '')
+  const target = ofNode ? (random.pick(free)?.name ?? '') : drawTarget(random, size, kind, '')
   const fromMs = atMs + random.between(0, mostMs)
   return { kind, target, fromMs, toMs: fromMs + random.between(leastMs, mostMs) }
 }
 
-export function planTroubles(seed: number, lengthMs: number): Trouble[] {
+export function planTroubles(seed: number, size: SoakSize, lengthMs: number): Trouble[] {
   const random = new Random(seed)
   const troubles: Trouble[] = []
   let atMs = firstMs
   while (atMs + staggerMs + mostMs + lastCalmMs <= lengthMs) {
     const control = random.pick(SoakScene.controls)?.name ?? ''
-    if (atMs + planStops.mostMs + lastCalmMs <= lengthMs && random.hit(stopsRatio)) {
-      const series = planStops.draw(random, control, atMs)
-      if (random.hit(mixedRatio)) series.push(drawBeside(random, series, atMs))
+    if (atMs + planStops.mostMs(size) + lastCalmMs <= lengthMs && random.hit(stopsRatio)) {
+      const series = planStops.draw(random, size, control, atMs)
+      if (random.hit(mixedRatio)) series.push(drawBeside(random, size, series, atMs))
       troubles.push(...series)
       atMs = Math.max(...series.map((one) => one.toMs)) + calmMs
       continue
@@ -57,7 +58,7 @@
     while (episode.length < count) {
       const group = random.pick([troublesOfNodes, troublesOfNodes, troublesOfServers, troublesOfAnswers])
       const kind = random.pick(group ?? []) ?? 'kill'
-      const target = drawTarget(random, kind, control)
+      const target = drawTarget(random, size, kind, control)
       const fromMs = atMs + random.between(0, staggerMs)
       const trouble = { kind, target, fromMs, toMs: fromMs + random.between(leastMs, mostMs) }
       if (!episode.some((one) => one.target === target && (target !== '' || one.kind === kind))) episode.push(trouble)
--- a/src/simulator/soak/runSoak.ts
+++ b/src/simulator/soak/runSoak.ts
@@ -11,10 +11,13 @@
 import { canJudgeStarved } from './canJudgeStarved.js'
 import { judgeSoak } from './judgeSoak.js'
 import { planTroubles } from './planTroubles.js'
+import { soakSizes } from './soakSizes.js'
 import { tellSoak } from './tellSoak.js'
+import type { Trouble } from './Trouble.js'
 
 interface Soak {
   seed: number
+  size: keyof typeof soakSizes
   seconds: number
   folder: string
   entry: string
@@ -41,14 +44,14 @@
   }, watchMs)
 }
 
-async function play(fleet: SoakFleet, log: SoakLog, seed: number, lengthMs: number): Promise<void> {
+async function play(fleet: SoakFleet, log: SoakLog, troubles: readonly Trouble[], lengthMs: number): Promise<void> {
   await fleet.start()
   await fleet.operator.change(clockMs() + startsMs)
   if (log.changes[0]?.acknowledgedMs === undefined) throw new Error('the first configuration was not acknowledged')
   if (!(await fleet.clients.ready(startsMs))) throw new Error('not every gateway became ready')
   log.fromMs = clockMs()
   log.toMs = log.fromMs + lengthMs
-  const suffering = fleet.suffer(planTroubles(seed, lengthMs), log.fromMs)
+  const suffering = fleet.suffer(troubles, log.fromMs)
   const operating = fleet.operator.run(log.toMs)
   await fleet.clients.run(lengthMs)
   await suffering
@@ -56,7 +59,7 @@
   await fleet.operator.readBack(readBackMs)
 }
 
-export async function runSoak({ seed, seconds, folder, entry, dialect, keep, say }: Soak): Promise<boolean> {
+export async function runSoak({ seed, size, seconds, folder, entry, dialect, keep, say }: Soak): Promise<boolean> {
   const beganMs = clockMs()
   const log: SoakLog = {
     fromMs: 0,
@@ -71,7 +74,7 @@
     ready: [],
     ended: [],
   }
-  const fleet = new SoakFleet(seed, folder, entry, dialect, log)
+  const fleet = new SoakFleet(seed, soakSizes[size], folder, entry, dialect, log)
   const watch = watchLateness(log)
   const end = () => {
     void fleet.stop().finally(() => process.exit(1))
@@ -79,7 +82,7 @@
   for (const signal of signals) process.once(signal, end)
   const faults: [string, string[]][] = []
   try {
-    await play(fleet, log, seed, 1000 * seconds)
+    await play(fleet, log, planTroubles(seed, soakSizes[size], 1000 * seconds), 1000 * seconds)
     faults.push(...Object.entries(judgeSoak(log)))
   } catch (error) {
     faults.push(['run', [error instanceof Error ? error.message : String(error)]])
@@ -98,7 +101,7 @@
   say(`seed ${String(seed)} ${passes ? 'passes' : 'FAILS'} in ${((clockMs() - beganMs) / 1000).toFixed(1)} s: ${verdicts}`)
   say(`  ${tellSoak(log)}`)
   for (const [name, found] of faults) for (const fault of found.slice(0, shownFaults)) say(`  ${name}: ${fault}`)
-  if (!passes) say(`  logs: ${folder}; replay: simulator soak --seeds ${String(seed)} --seconds ${String(seconds)}`)
+  if (!passes) say(`  logs: ${folder}; replay: simulator soak --size ${size} --seeds ${String(seed)} --seconds ${String(seconds)}`)
   else if (!keep) await rm(folder, { recursive: true, force: true })
   return passes
 }
--- a/src/simulator/soak/soak.ts
+++ b/src/simulator/soak/soak.ts
@@ -8,9 +8,11 @@
 import { join } from 'node:path'
 import { loadDialect } from './loadDialect.js'
 import { runSoak } from './runSoak.js'
+import type { soakSizes } from './soakSizes.js'
 
 interface Asked {
   seeds: readonly number[]
+  size: keyof typeof soakSizes
   seconds: number
   parallel: number
   dialect: string
@@ -22,9 +24,9 @@
 
 const signals: readonly NodeJS.Signals[] = ['SIGTERM', 'SIGINT', 'SIGHUP']
 
-async function alone(seed: number, { seconds, dialect, entry, keep }: Asked): Promise<{ passes: boolean; text: string }> {
+async function alone(seed: number, { size, seconds, dialect, entry, keep }: Asked): Promise<{ passes: boolean; text: string }> {
   const own = process.argv[1] ?? ''
-  const flags = ['--seeds', String(seed), '--seconds', String(seconds), '--dialect', dialect]
+  const flags = ['--seeds', String(seed), '--size', size, '--seconds', String(seconds), '--dialect', dialect]
   const more = [...(entry === undefined ? [] : ['--entry', entry]), ...(keep ? ['--keep'] : [])]
   const child = spawn(process.execPath, [own, 'soak', ...flags, ...more], { stdio: ['ignore', 'pipe', 'inherit'] })
   const end = () => child.kill('SIGTERM')
@@ -39,12 +41,12 @@
 }
 
 export async function soak(asked: Asked): Promise<boolean> {
-  const { seeds, seconds, keep, say } = asked
+  const { seeds, size, seconds, keep, say } = asked
   const [only] = seeds
   if (only !== undefined && seeds.length === 1) {
     const dialect = await loadDialect(asked.dialect)
     const folder = await mkdtemp(join(tmpdir(), `soak-${String(only)}-`))
-    return runSoak({ seed: only, seconds, folder, entry: asked.entry ?? dialect.entry, dialect, keep, say })
+    return runSoak({ seed: only, size, seconds, folder, entry: asked.entry ?? dialect.entry, dialect, keep, say })
   }
   const waiting = [...seeds]
   const failed: number[] = []
