The scene of the byte path takes its servers in order, however slow the machine

Trace: the second request went to the other server, as the first answer of the first one took longer than 4 ms / 0.15 = 27 ms: the gateway prefers whoever answered sooner.

Change: the scene, which promises the order of its servers, switches off the latency estimate, which has tests of its own.

--- a/src/gateway/GatewayTask.test.ts
+++ b/src/gateway/GatewayTask.test.ts
@@ -50,7 +50,8 @@
       { name: `s-${String(at)}`, address, zone: at === 0 ? 'a' : 'b', service: 'app', capacity: 8 },
     ]),
   ]
-  const gateway = await TestGateway.open(RouteFormat)
+  // The order of the servers must not depend on how fast the first answers come on this machine.
+  const gateway = await TestGateway.open(RouteFormat, { without: ['latency-estimate'] })
   const { address, task } = gateway
   if (told) gateway.tell(values)
   const callers: RawCaller[] = []
