A control node that stopped begins no write when its last one ends

Cause: ControlTask.stop closed the log while a write was under way; when that ended, the machine's next step wrote again, to the closed log, which counted as a failed disk and ended the process with 1. A stop of the product could end so too; nothing acknowledged was lost.

Change: a task that stopped takes no further step.

--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -41,6 +41,7 @@
   readonly #ordered: (values: Record<string, string>) => void
   readonly #synced: (spanMs: number) => void
   readonly #ticker: NodeJS.Timeout
+  #isStopped = false
 
   constructor(
     @inject('startup') startup: Startup['control'],
@@ -111,7 +112,9 @@
     }, this.timings.tickMs)
   }
 
+  /** Has no effect once the node stopped: what still ends then, as a write or a call, must begin nothing new. */
   step(input: ControlInput): void {
+    if (this.#isStopped) return
     this.#carryOut(this.machine.step(input, clockMs()))
     this.#transport.cluster = this.machine.raft.system
   }
@@ -123,6 +126,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#isStopped = true
     clearInterval(this.#ticker)
     await this.#transport.close()
     await this.#writeAheadLog.close()
