--- a/src/common/testing/OwnLoopback.ts
+++ b/src/common/testing/OwnLoopback.ts
@@ -6,7 +6,9 @@
 import { once } from 'node:events'
 import { createServer, type Server } from 'node:net'
 
-const host = `127.${String(64 + (process.pid >> 16))}.${String((process.pid >> 8) & 255)}.${String(process.pid & 255)}`
+const hostFrom = (first: number) =>
+  `127.${String(first + (process.pid >> 16))}.${String((process.pid >> 8) & 255)}.${String(process.pid & 255)}`
+const host = hostFrom(64)
 /** Ports are counted from here, below those that the system gives out by itself, and none is given twice. */
 let lastPort = 20_000
 
@@ -35,6 +37,8 @@
 
 export const OwnLoopback = {
   host,
+  /** Another address of this process's own, for a second machine with the same ports. */
+  secondHost: hostFrom(128),
   /** For what listens on a port that the system chooses and keeps it. */
   anyPort: `${host}:0`,
   /** Opens a server, on a port that the system chooses if none is given; gives its address. */
