A start waits for an address, a folder or settings that are not free yet

What was seen: a process that was started beside a taken address ended with 1, beside a predecessor that still held its folder with 75, and while its settings were being written with 2 (seven of seven; all eight gateways of a fleet that was started again at its SIGTERM). Cause: each step of a start gave up at its first failure. What is wrong ends at once as before.

--- a/src/agent/WatchDesk.ts
+++ b/src/agent/WatchDesk.ts
@@ -6,6 +6,7 @@
 import { App } from '@tinyhttp/app'
 import { inject, singleton } from 'tsyringe'
 import { listen } from '../common/listen.js'
+import type { StartWait } from '../common/StartWait.js'
 import { Meters } from '../common/Meters.js'
 import type { Startup } from '../common/Startup.js'
 import { watchRoutes } from '../common/watchRoutes.js'
@@ -34,9 +35,9 @@
     watchRoutes(this.#app, meters, () => ({ well: task.current, name: startup.name, ...task.figures }))
   }
 
-  async open(): Promise<string | undefined> {
+  async open(wait: StartWait): Promise<string | undefined> {
     if (this.#address === undefined) return undefined
-    const { server, address } = await listen(this.#app, this.#address)
+    const { server, address } = await listen(this.#app, this.#address, wait)
     this.#server = server
     return address
   }
--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -26,16 +26,16 @@
   logLevel: 'how much to log',
 }
 
-await startDaemon('agent', 'The agent beside a proxy.', Startup.agent, fields, async (startup, logger) => {
+await startDaemon('agent', 'The agent beside a proxy.', Startup.agent, fields, async (startup, logger, wait) => {
   container.registerInstance('startup', startup)
   container.registerInstance('logger', logger)
   container.registerInstance(Meters, new Meters('agent', startup.name))
   container.registerInstance('outside', new HttpPlatformClient(startup.platform))
-  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
+  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger, wait))
   const task = container.resolve(AgentTask)
   logger.say('agent', `Listens on ${startup.transport}.`)
   const desk = container.resolve(WatchDesk)
-  const watched = await desk.open()
+  const watched = await desk.open(wait)
   if (watched !== undefined) logger.say('agent', `Tells its health on ${watched}.`)
   return {
     stop: async () => {
--- a/src/common/startDaemon.ts
+++ b/src/common/startDaemon.ts
@@ -7,6 +7,8 @@
 import { Logger } from './Logger.js'
 import { runCommand } from './runCommand.js'
 import { Startup } from './Startup.js'
+import { StartWait } from './StartWait.js'
+import { StopAskedError } from './StopAskedError.js'
 import { untilSignal } from './untilSignal.js'
 
 const flag = (long: string, description: string) => option({ long, type: optional(string), description })
@@ -23,7 +25,7 @@
   description: string,
   schema: z.ZodType<T>,
   fields: Record<string, string>,
-  start: (startup: T, logger: Logger) => Promise<{ stop: () => Promise<void> }>,
+  start: (startup: T, logger: Logger, wait: StartWait) => Promise<{ stop: () => Promise<void> }>,
   others: Record<string, Once<T>> = {},
 ): Promise<void> {
   const args = {
@@ -56,8 +58,15 @@
       withStartup({ ...given }, async (startup) => {
         const logger = new Logger(program, startup.name, startup.logLevel)
         const asked = untilSignal()
+        const stop = new AbortController()
+        void asked.then(() => {
+          stop.abort()
+        })
+        const warn = (sentence: string) => {
+          logger.warn(program, sentence)
+        }
         try {
-          const daemon = await start(startup, logger)
+          const daemon = await start(startup, logger, new StartWait(warn, stop.signal))
           const signal = await asked
           logger.say(program, `Got ${signal}; drains and stops.`)
           await daemon.stop()
@@ -65,8 +74,8 @@
         } catch (error) {
           const why = error instanceof Error ? error.message : String(error)
           logger.fatal(program, why)
-          fail(why, 1)
-          process.exit(1)
+          fail(why, error instanceof StopAskedError ? 0 : 1)
+          process.exit()
         }
       }),
   })
--- a/src/control/OperatorsDesk.ts
+++ b/src/control/OperatorsDesk.ts
@@ -12,6 +12,7 @@
 import { ServerDrain } from '../common/ServerDrain.js'
 import { readBody } from '../common/readBody.js'
 import type { Startup } from '../common/Startup.js'
+import { StartWait } from '../common/StartWait.js'
 import { watchRoutes } from '../common/watchRoutes.js'
 import type { Operation } from './Operation.js'
 import { ControlTask } from './ControlTask.js'
@@ -84,8 +85,8 @@
     })
   }
 
-  async open(): Promise<string> {
-    const { server, address } = await listen(this.#app, this.#startup.operators)
+  async open(wait: StartWait = StartWait.none): Promise<string> {
+    const { server, address } = await listen(this.#app, this.#startup.operators, wait)
     this.#drain = new ServerDrain(server)
     return address
   }
--- a/src/control/main.ts
+++ b/src/control/main.ts
@@ -13,7 +13,7 @@
 import { HttpPlatformClient } from '../adapters/HttpPlatformClient.js'
 import { TcpTransport } from '../transport/TcpTransport.js'
 import { exitOnStorageError } from '../storage/exitOnStorageError.js'
-import { FileWriteAheadLog } from '../storage/FileWriteAheadLog.js'
+import { openLog } from '../storage/openLog.js'
 import { foundAgain } from './foundAgain.js'
 import { OperatorsDesk } from './OperatorsDesk.js'
 import { ControlTask } from './ControlTask.js'
@@ -37,17 +37,17 @@
   'A core machine of springpaddle.',
   Startup.control,
   fields,
-  async (startup, logger) => {
-    const writeAheadLog = await FileWriteAheadLog.open(startup.data).catch(exitOnStorageError('control', logger))
+  async (startup, logger, wait) => {
+    const writeAheadLog = await openLog(startup.data, wait).catch(exitOnStorageError('control', logger))
     container.registerInstance('startup', startup)
     container.registerInstance('logger', logger)
     container.registerInstance(Meters, new Meters('control', startup.name))
     container.registerInstance('writeAheadLog', writeAheadLog)
     container.registerInstance('outside', new HttpPlatformClient(startup.platform))
-    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
+    container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger, wait))
     const task = container.resolve(ControlTask)
     const desk = container.resolve(OperatorsDesk)
-    logger.say('control', `Listens for operators on ${await desk.open()}.`)
+    logger.say('control', `Listens for operators on ${await desk.open(wait)}.`)
     return {
       stop: async () => {
         desk.beginDrain()
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -4,12 +4,13 @@
  * ready, goes on taking who still comes while it sends each on after its answer, then closes and waits for the last.
  * The machine refuses what the stop leaves no time for.
  */
-import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as pause } from 'node:timers/promises'
+import { listenOn } from '../common/listenOn.js'
 import { readBody } from '../common/readBody.js'
+import { StartWait } from '../common/StartWait.js'
 import { Network } from '../common/Network.js'
 import { clockMs } from '../common/clockMs.js'
 import { CallerConnections } from '../common/CallerConnections.js'
@@ -66,24 +67,23 @@
     })
   }
 
-  async open(): Promise<string> {
-    const { port, host } = place(this.#startup.callers)
-    this.#callers.listen({ port, host, backlog: 1024 })
-    await once(this.#callers, 'listening')
+  /** Says first that it is not ready, so that this is told while it waits for the callers' address. */
+  async open(wait: StartWait = StartWait.none): Promise<string> {
     if (this.#startup.readiness !== undefined) {
       this.#watch = createServer((request, response) => {
         const known = request.url === this.#readyPath
         response.writeHead(!known ? 404 : this.ready ? 200 : 503, { 'content-length': 0 }).end()
       })
-      this.#watch.listen(place(this.#startup.readiness))
-      await once(this.#watch, 'listening')
+      await listenOn(this.#watch, place(this.#startup.readiness), wait)
     }
+    const { port, host } = place(this.#startup.callers)
+    await listenOn(this.#callers, { port, host, backlog: 1024 }, wait)
     const bound = this.#callers.address()
     return `${host}:${String(typeof bound === 'object' && bound !== null ? bound.port : port)}`
   }
 
   get ready(): boolean {
-    return this.#task.ready && !this.#draining
+    return this.#task.ready && !this.#draining && this.#callers.listening
   }
 
   async drain(): Promise<void> {
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -25,11 +25,11 @@
   logLevel: 'how much to log',
 }
 
-await startDaemon('gateway', 'The proxy of a network.', GatewayStartup, fields, async (startup, logger) => {
-  const transport = await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger)
+await startDaemon('gateway', 'The proxy of a network.', GatewayStartup, fields, async (startup, logger, wait) => {
+  const transport = await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger, wait)
   const task = new GatewayTask(startup, logger, transport, RouteFormat, new HttpPlatformClient(startup.platform))
   const desk = new CallersDesk(startup, task, '/ready')
-  logger.say('gateway', `Listens for callers on ${await desk.open()}.`)
+  logger.say('gateway', `Listens for callers on ${await desk.open(wait)}.`)
   return {
     stop: async () => {
       await desk.drain()
--- a/src/proxy/CallersDesk.ts
+++ b/src/proxy/CallersDesk.ts
@@ -13,6 +13,7 @@
 import { Meters } from '../common/Meters.js'
 import { readBody } from '../common/readBody.js'
 import type { Startup } from '../common/Startup.js'
+import { StartWait } from '../common/StartWait.js'
 import { Verdict } from '../common/Verdict.js'
 import { watchRoutes } from '../common/watchRoutes.js'
 import { CallerFormat } from '../adapters/CallerFormat.js'
@@ -71,8 +72,8 @@
     this.#app = app
   }
 
-  async open(): Promise<string> {
-    const { server, address } = await listen(this.#app, this.#startup.callers)
+  async open(wait: StartWait = StartWait.none): Promise<string> {
+    const { server, address } = await listen(this.#app, this.#startup.callers, wait)
     server.requestTimeout = 0
     this.#server = server
     return address
--- a/src/proxy/main.ts
+++ b/src/proxy/main.ts
@@ -24,14 +24,14 @@
   logLevel: 'how much to log',
 }
 
-await startDaemon('proxy', 'A proxy of springpaddle.', Startup.proxy, fields, async (startup, logger) => {
+await startDaemon('proxy', 'A proxy of springpaddle.', Startup.proxy, fields, async (startup, logger, wait) => {
   container.registerInstance('startup', startup)
   container.registerInstance('logger', logger)
   container.registerInstance(Meters, new Meters('proxy', startup.name))
-  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger))
+  container.registerInstance('transport', await TcpTransport.open(startup.name, startup.transport, Timings(startup.bounds), logger, wait))
   const task = container.resolve(ProxyTask)
   const desk = container.resolve(CallersDesk)
-  logger.say('proxy', `Listens for callers on ${await desk.open()}.`)
+  logger.say('proxy', `Listens for callers on ${await desk.open(wait)}.`)
   return {
     stop: async () => {
       await desk.drain()
--- a/src/transport/TcpTransport.ts
+++ b/src/transport/TcpTransport.ts
@@ -7,7 +7,9 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { clockMs } from '../common/clockMs.js'
+import { listenOn } from '../common/listenOn.js'
 import type { Logger } from '../common/Logger.js'
+import { StartWait } from '../common/StartWait.js'
 import { Frame } from './Frame.js'
 import { IncomingConnection } from './IncomingConnection.js'
 import type { Message } from './Message.js'
@@ -63,12 +65,17 @@
     }, this.#roundMs)
   }
 
-  static async open(name: string, address: string, timings: TransportTimings, logger?: Logger): Promise<TcpTransport> {
+  static async open(
+    name: string,
+    address: string,
+    timings: TransportTimings,
+    logger?: Logger,
+    wait: StartWait = StartWait.none,
+  ): Promise<TcpTransport> {
     const cut = address.lastIndexOf(':')
     const host = address.slice(0, cut).replace(/^\[|\]$/g, '')
     const server = createServer()
-    server.listen(Number(address.slice(cut + 1)), host)
-    await once(server, 'listening')
+    await listenOn(server, { host, port: Number(address.slice(cut + 1)) }, wait)
     const bound = server.address()
     const port = typeof bound === 'object' && bound !== null ? bound.port : 0
     return new TcpTransport(name, `${address.slice(0, cut)}:${String(port)}`, server, timings, logger)
