A caller that leaves within its body leaves no connection and no bytes behind

What was seen: a gateway kept the connection of a caller that ended it in the middle of a body, and the bytes that had come, for as long as it lived; each such caller took a descriptor and up to the limit of a body. A body that stopped being well formed half-way got no answer either. Cause: the HTTP server tells both as a client error; the desk left the connection alone as it counted the request as waiting for its answer, which it never can. Change: the request of which the rest can't come is given up; requests before it get their answers, and the connection then ends, with 400 where nobody waits. Tests: two in CallersDesk.test; both ran into their time limit before.

--- a/src/common/CallerConnections.ts
+++ b/src/common/CallerConnections.ts
@@ -6,9 +6,16 @@
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 
+/** A request without its whole answer. */
+interface OpenRequest {
+  readonly request: IncomingMessage
+  /** What is to be done when its caller leaves. */
+  leave: () => void
+}
+
 interface Connection {
-  /** In the order of their requests, each with what is to be done when its caller leaves. */
-  readonly open: Map<ServerResponse, () => void>
+  /** In the order of their requests. */
+  readonly open: Map<ServerResponse, OpenRequest>
   /** What had been read when the last answer was done; undefined before the first. */
   restedBytes: number | undefined
   /** True once it was found with nobody waiting on it since its last request. */
@@ -23,7 +30,7 @@
     this.#connections.set(socket, connection)
     socket.once('close', () => {
       this.#connections.delete(socket)
-      for (const leave of connection.open.values()) leave()
+      for (const one of connection.open.values()) one.leave()
     })
   }
 
@@ -32,7 +39,7 @@
     const { socket } = request
     const connection = this.#connections.get(socket)
     if (connection === undefined) return
-    connection.open.set(response, () => undefined)
+    connection.open.set(response, { request, leave: () => undefined })
     connection.foundRested = false
     response.once('close', () => {
       connection.open.delete(response)
@@ -41,8 +48,18 @@
   }
 
   onLeave(request: IncomingMessage, response: ServerResponse, leave: () => void): void {
-    const connection = this.#connections.get(request.socket)
-    if (connection?.open.has(response) === true) connection.open.set(response, leave)
+    const one = this.#connections.get(request.socket)?.open.get(response)
+    if (one !== undefined) one.leave = leave
+  }
+
+  /** Gives up the request of which the rest can no longer come; it gets no answer, those before it do. */
+  dropIncomplete(socket: Duplex): void {
+    const open = this.#connections.get(socket)?.open ?? new Map<ServerResponse, OpenRequest>()
+    for (const [response, { request, leave }] of open) {
+      if (request.complete) continue
+      open.delete(response)
+      leave()
+    }
   }
 
   isBusy(socket: Duplex): boolean {
--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -282,3 +282,30 @@
   server?.write('0\r\n\r\n')
   ok(await caller.until('\r\n0\r\n\r\n'))
 })
+
+const post = (id: string, bytes: number, sent: number) =>
+  `POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: ${id}\r\ncontent-length: ${String(bytes)}\r\n\r\n${'x'.repeat(sent)}`
+
+// Guards against bytes and connections that are kept for ever of callers that left within their bodies.
+test('a caller that leaves in the middle of its body leaves nothing behind', { timeout: 10_000 }, async (t) => {
+  const { call, waiting } = await scene(t)
+  const alone = call(post('r-1', 50_000, 20_000))
+  await pause(50)
+  alone.finish()
+  await alone.whole()
+  const behind = call(request('r-2') + post('r-3', 50_000, 20_000))
+  await until(() => waiting.has('r-2'))
+  behind.finish()
+  await pause(50)
+  waiting.get('r-2')?.write(answer('r-2', 'mine'))
+  const text = await behind.whole()
+  ok(text.startsWith('HTTP/1.1 200 ') && text.endsWith('mine'), text)
+  strictEqual(waiting.size, 1)
+})
+
+test('a body that is no longer well formed half-way is refused', { timeout: 10_000 }, async (t) => {
+  const { call } = await scene(t)
+  const head = 'POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: r-1\r\ntransfer-encoding: chunked\r\n\r\n'
+  const caller = call(`${head}5\r\nhello\r\nthis is no length\r\n`)
+  ok((await caller.whole()).startsWith('HTTP/1.1 400 '), caller.text)
+})
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -122,6 +122,7 @@
       socket.destroy()
       return
     }
+    this.#connections.dropIncomplete(socket)
     if (this.#connections.isBusy(socket)) {
       this.#connections.endAfter(socket)
       return
