What a gateway holds of requests and answers is bounded in sum

What was seen: a hundred bodies of 4 MB, each within max_body_bytes, took a gateway to 495 to 511 MB of its 350. Cause: each message was bounded, their sum was not; nothing in the process knew limits.memory_mb. Change: MemoryBudget, a quarter of the process's memory; a body's buffer grows only within it, and no further than the length that the caller told. What finds no room is refused at once with 503, to come back in 0.5 s; an eighth is kept for messages up to 64 KiB. A gathered answer that finds no room goes on as it comes. Held, peak and refusals by part are metrics.

--- a/src/common/ByteBuffer.ts
+++ b/src/common/ByteBuffer.ts
@@ -1,18 +1,25 @@
 /**
  * Bytes that come in pieces, gathered in one growing buffer up to a limit: what it holds depends on the number of bytes, not on that
- * of the pieces.
+ * of the pieces. What it holds is taken from a memory budget where a reservation is given.
  */
+import type { MemoryReservation } from './MemoryReservation.js'
+
 const leastCapacity = 4096
 
 export class ByteBuffer {
   readonly #limitBytes: number
+  readonly #memory: MemoryReservation | undefined
+  readonly #expectedBytes: number
   #buffer: Buffer = Buffer.alloc(0)
   #length = 0
   /** How much the buffer of its own has room for; 0 while it holds a piece of somebody else's. */
   #capacity = 0
 
-  constructor(limitBytes: number) {
+  /** `expectedBytes` is the length that the sender told, if it did: the buffer grows no further while no more come. */
+  constructor(limitBytes: number, memory?: MemoryReservation, expectedBytes = limitBytes) {
     this.#limitBytes = limitBytes
+    this.#memory = memory
+    this.#expectedBytes = Math.min(expectedBytes, limitBytes)
   }
 
   get length(): number {
@@ -24,14 +31,16 @@
     return this.#buffer.subarray(0, this.#length)
   }
 
-  /** Takes the piece over, or gives false and takes nothing of it if that would go beyond the limit. */
+  /** Takes the piece over, or gives false and takes nothing of it if that would go beyond the limit or the memory budget. */
   append(piece: Buffer): boolean {
     const length = this.#length + piece.length
     if (length > this.#limitBytes) return false
     // A message of one piece, as most are, is not copied.
-    if (this.#length === 0 && this.#capacity === 0) this.#buffer = piece
-    else {
-      this.#reserve(length)
+    if (this.#length === 0 && this.#capacity === 0) {
+      if (this.#memory?.resize(piece.length) === false) return false
+      this.#buffer = piece
+    } else {
+      if (!this.#reserve(length)) return false
       piece.copy(this.#buffer, this.#length)
     }
     this.#length = length
@@ -43,13 +52,17 @@
     this.#buffer = Buffer.alloc(0)
     this.#length = 0
     this.#capacity = 0
+    this.#memory?.resize(0)
   }
 
-  #reserve(length: number): void {
-    if (length <= this.#capacity) return
-    this.#capacity = Math.min(Math.max(2 * length, leastCapacity), this.#limitBytes)
-    const grown = Buffer.allocUnsafeSlow(this.#capacity)
+  #reserve(length: number): boolean {
+    if (length <= this.#capacity) return true
+    const capacity = Math.max(length, Math.min(Math.max(2 * length, leastCapacity), this.#expectedBytes))
+    if (this.#memory?.resize(capacity) === false) return false
+    const grown = Buffer.allocUnsafeSlow(capacity)
     this.bytes.copy(grown)
     this.#buffer = grown
+    this.#capacity = capacity
+    return true
   }
 }
--- a/src/gateway/Attempt.ts
+++ b/src/gateway/Attempt.ts
@@ -68,7 +68,7 @@
     const length = headers['content-length']
     const events = isStream(status, headers)
     if (events) ticket.scanner = new EventScanner(this.#place.resumeAfter)
-    else if (length === undefined || Number(length) <= gatheredBytes) ticket.gathered = new ByteBuffer(gatheredBytes)
+    else if (length === undefined || Number(length) <= gatheredBytes) ticket.gathered = this.#gatherer(length)
     if (ticket.response.headersSent) return
     ticket.head = { status, headers: passedOn(headers) }
     if (!events && typeof length === 'string') ticket.head.headers['content-length'] = length
@@ -114,7 +114,14 @@
     return undefined
   }
 
-  /** An answer that turns out to be long goes on as it comes, like one that told its length. */
+  /** Starts anew with the memory that an earlier attempt gathered its answer in. */
+  #gatherer(length: string | string[] | undefined): ByteBuffer {
+    const { answerMemory } = this.#place.ticket
+    answerMemory.resize(0)
+    return new ByteBuffer(gatheredBytes, answerMemory, length === undefined ? gatheredBytes : Number(length))
+  }
+
+  /** An answer that turns out to be long, or finds no memory, goes on as it comes, like one that told its length. */
   #gather(gathered: ByteBuffer, controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (gathered.append(chunk)) return
     const { ticket } = this.#place
--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -283,9 +283,60 @@
   ok(await caller.until('\r\n0\r\n\r\n'))
 })
 
+/** A gateway of 8 MB: its requests may hold 2 MB, large ones 1.75 MB of it. */
+const smallMemory = { memoryMb: 8 }
 const post = (id: string, bytes: number, sent: number) =>
   `POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: ${id}\r\ncontent-length: ${String(bytes)}\r\n\r\n${'x'.repeat(sent)}`
 
+// Guards against bodies that are each within the limit and together end a gateway.
+test('bodies that the memory budget has no room for are refused at once, to come back, and small requests go on', async (t) => {
+  const { call, waiting, gateway } = await scene(t, smallMemory)
+  const held = Array.from({ length: 17 }, (_, at) => call(post(`r-${String(at)}`, 100_000, 99_999)))
+  await until(() => gateway.task.memory.bytes >= 1_700_000)
+  const refused = call(post('r-17', 100_000, 100_000) + post('r-18', 100_000, 100_000))
+  ok(await refused.until('HTTP/1.1 503 '))
+  ok(refused.text.includes('request-id: r-17') && refused.text.includes('retry-after: 0.5'), refused.text)
+  strictEqual(waiting.size, 0)
+  call(request('r-19'))
+  await until(() => waiting.has('r-19'))
+  for (const caller of held) caller.leave()
+  await until(() => gateway.task.memory.bytes === 0)
+  call(post('r-20', 100_000, 100_000))
+  await until(() => waiting.has('r-20'))
+})
+
+test('what a request and its answer held is given back when the answer ends, when its caller leaves, and when it waits behind another', async (t) => {
+  const { call, waiting, gateway } = await scene(t, smallMemory)
+  const { memory } = gateway.task
+  const served = call(post('r-1', 50_000, 50_000))
+  await until(() => waiting.has('r-1'))
+  ok(memory.bytes >= 50_000, String(memory.bytes))
+  waiting.get('r-1')?.write(answer('r-1', 'y'.repeat(30_000)))
+  ok(await served.until('yyy'))
+  await until(() => memory.bytes === 0)
+  const gone = call(post('r-2', 50_000, 50_000) + post('r-3', 50_000, 50_000) + post('r-4', 50_000, 10))
+  await until(() => waiting.has('r-2') && waiting.has('r-3'))
+  gone.leave()
+  await until(() => memory.bytes === 0)
+})
+
+// Guards against answers that are each short enough to be gathered and together end a gateway.
+test('an answer that the memory budget has no room for goes on as it comes', async (t) => {
+  const { call, waiting, gateway } = await scene(t, smallMemory)
+  const holder = gateway.task.memory.reserve('requests')
+  holder.resize(1_750_000)
+  const caller = call(request('r-1'))
+  await until(() => waiting.has('r-1'))
+  const body = 'z'.repeat(400_000)
+  const whole = answer('r-1', body)
+  waiting.get('r-1')?.write(whole.slice(0, 300_000))
+  ok(await caller.until('zzz'), 'the first part went on before the rest came')
+  waiting.get('r-1')?.write(whole.slice(300_000))
+  await until(() => caller.text.length > 400_000)
+  ok(caller.text.endsWith(body))
+  holder.release()
+})
+
 // Guards against bytes and connections that are kept for ever of callers that left within their bodies.
 test('a caller that leaves in the middle of its body leaves nothing behind', { timeout: 10_000 }, async (t) => {
   const { call, waiting } = await scene(t)
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -152,13 +152,27 @@
     this.#connections.open(request, response)
     if (this.#draining) this.#connections.endAfter(request.socket)
     const arrivedMs = clockMs()
-    const body = await readBody(request, this.#limits.bodyBytes)
+    const memory = this.#task.memory.reserve('requests')
+    const release = () => {
+      memory.release()
+    }
+    response.once('close', release)
+    this.#connections.onLeave(request, response, release)
+    const body = await readBody(request, this.#limits.bodyBytes, memory)
     if (body === undefined && request.destroyed) return
+    if (body === undefined && memory.isRefused) {
+      this.#task.refuseForMemory(request, response)
+      return
+    }
     // Before a network is in force here its limits aren't known, and no request is refused for good.
     if (body === undefined && this.#task.ready) {
       this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
       return
     }
-    this.#connections.onLeave(request, response, this.#task.allow(request, response, body ?? noBody, clockMs() - arrivedMs))
+    const leave = this.#task.allow(request, response, body ?? noBody, clockMs() - arrivedMs)
+    this.#connections.onLeave(request, response, () => {
+      release()
+      leave()
+    })
   }
 }
--- a/src/gateway/GatewayStartup.ts
+++ b/src/gateway/GatewayStartup.ts
@@ -24,6 +24,8 @@
   /** How long a stop may take, and how long callers may still come in after it was asked for. */
   graceMs: z.number().positive().default(8000),
   leaveMs: z.number().nonnegative().default(2500),
+  /** The memory that the process may take, in megabytes. */
+  memoryMb: z.number().positive().default(512),
   /** Mechanisms that are switched off, to measure what they are worth. */
   without: z.array(Mechanism).default([]),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -8,6 +8,7 @@
 import { Random } from '../common/Random.js'
 import { clockMs } from '../common/clockMs.js'
 import type { Logger } from '../common/Logger.js'
+import { MemoryBudget } from '../common/MemoryBudget.js'
 import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
@@ -25,6 +26,12 @@
 import type { Ticket } from './Ticket.js'
 import { Upstream } from './Upstream.js'
 
+/** The part of the process's memory for bodies of requests and gathered answers; the heap and the runtime take the rest. */
+const heldRatio = 0.25
+const bytesPerMb = 1_000_000
+/** When callers whose bodies found no memory are to come back. */
+const memoryComeBackMs = 500
+
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 
 export class GatewayTask {
@@ -32,6 +39,8 @@
   readonly agent: AgentMachine
   readonly timings: Timings
   readonly counts = new GatewayCounts()
+  /** What is held of requests and answers. */
+  readonly memory: MemoryBudget
   readonly #startup: GatewayStartup
   readonly #logger: Logger
   readonly #transport: Transport
@@ -52,6 +61,7 @@
     this.#wire = wire
     this.#outside = outside
     this.timings = Timings(startup.bounds)
+    this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
     if (startup.without.length > 0) logger.warn('gateway', `Switched off: ${startup.without.join(', ')}.`)
     const random = new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     const { name, zone, seeds, system, retryRatio, retryAllowance, retryWindowMs } = startup
@@ -125,6 +135,7 @@
     this.machine.inTouch = this.agent.upToDate(clockMs())
     this.#count += 1
     const id = String(this.#count)
+    const answerMemory = this.memory.reserve('answers')
     this.#tickets.set(id, {
       requestId: arrival.id,
       response,
@@ -138,8 +149,10 @@
       relaying: false,
       scanner: undefined,
       gathered: undefined,
+      answerMemory,
     })
     const leave = () => {
+      answerMemory.release()
       if (!this.#tickets.has(id)) return
       this.counts.callerGone()
       this.step({ kind: 'callerGone', id })
@@ -156,6 +169,11 @@
     return leave
   }
 
+  /** Refuses a request whose body found no memory; it has not run. */
+  refuseForMemory(request: IncomingMessage, response: ServerResponse): void {
+    this.answer(response, this.#wire.arrival(request.headers).id, 503, memoryComeBackMs, 'has no memory for the body now')
+  }
+
   answer(response: ServerResponse, id: string, status: number, comeBackMs: number | undefined, why: string): void {
     this.counts.refused(status, why)
     if (response.headersSent || response.destroyed) return
--- a/src/gateway/RefusalReason.ts
+++ b/src/gateway/RefusalReason.ts
@@ -8,6 +8,7 @@
   | 'not_ready'
   | 'method'
   | 'body_size'
+  | 'memory'
   | 'retry_budget'
   | 'no_holder'
   | 'no_place'
@@ -28,6 +29,7 @@
   [/^has no network in force yet$/, 'not_ready'],
   [/^method: /, 'method'],
   [/^the body is over /, 'body_size'],
+  [/^has no memory for the body now$/, 'memory'],
   [/^no server holds what it needs$/, 'no_holder'],
   [/^no place is free$/, 'no_place'],
   [/^no server can take it in time$/, 'no_server_in_time'],
--- a/src/gateway/Ticket.ts
+++ b/src/gateway/Ticket.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import type { Dispatcher } from 'undici'
 import type { ByteBuffer } from '../common/ByteBuffer.js'
+import type { MemoryReservation } from '../common/MemoryReservation.js'
 import type { EventScanner } from './EventScanner.js'
 
 export interface Ticket {
@@ -22,4 +23,6 @@
   scanner: EventScanner | undefined
   /** A short answer, until it is whole. */
   gathered: ByteBuffer | undefined
+  /** What the gathered answer takes of the memory budget, until the caller has it. */
+  answerMemory: MemoryReservation
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * A gateway's figures, read from its task when they are asked for.
  */
+import { memoryMetrics } from '../common/memoryMetrics.js'
 import type { Meters } from '../common/Meters.js'
 import { transportHelps } from '../transport/transportHelps.js'
 import type { GatewayTask } from './GatewayTask.js'
@@ -36,5 +37,6 @@
   meters.readCounter('first_bytes_beyond_aim_ms', "time until then beyond the route's aim, in sum", delayLabels, () =>
     [...task.machine.delays.all].map((one) => ({ labels: labelsOf(one), value: one.beyondAimMs })),
   )
+  memoryMetrics(meters, task.memory)
   meters.gauges({ ...helps, ...transportHelps }, () => task.figures)
 }
