What a control node holds of operators' changes is bounded in sum

What was seen (three control nodes, peak of the node that was asked, MB of 346): twelve changes of 17 MB at once 631 and an end with SIGABRT; twelve of 4.4 MB 397; forty stale ones of 1.1 MB 369, 503 to 31 of 40, readings meanwhile 1.2 to 3.3 s late. Cause: each body was read and parsed at once, also those that a newer revision had long made void; a body of 32 MB was let in though judging it takes many times its bytes. A change on an old revision that was not taken is refused by its hash before it is parsed (ReplicatedState.supersededBy says why that is final). An answer that ends its connection waits until the body has been read, as a reset would lose it.

--- a/src/common/Startup.ts
+++ b/src/common/Startup.ts
@@ -34,6 +34,8 @@
   /** Control nodes whose loss at once must be borne; the core keeps twice as many voters and one. */
   tolerated: z.number().int().min(1).max(4).default(1),
   system: z.string().default(''),
+  /** The memory that the process may take, in megabytes. */
+  memoryMb: z.number().positive().default(512),
   /** Mechanisms that are switched off, to measure what they are worth. */
   without: z.array(Mechanism).default([]),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
--- a/src/consensus/NetworkOutcomes.ts
+++ b/src/consensus/NetworkOutcomes.ts
@@ -56,6 +56,11 @@
     return revision > 0 && revision <= this.#forgotten
   }
 
+  /** True where it is known which operation, if any, was taken on top of this revision. */
+  knowsSuccessor(revision: number): boolean {
+    return revision >= this.#forgotten
+  }
+
   /** Notes a refusal that a later state might overturn; false when there is no room to note it. */
   noteRefusal(operation: string, index: number, ifMatch: number): boolean {
     if (!this.#refusals.has(operation) && this.#refusals.size >= keptRefusals) return false
--- a/src/consensus/ReplicatedState.network.test.ts
+++ b/src/consensus/ReplicatedState.network.test.ts
@@ -249,3 +249,23 @@
   const unguarded = seeds.filter((seed) => !zoneIsKept(seed, () => Number.MAX_SAFE_INTEGER))
   ok(unguarded.length > 100, `orders without a basis fail in ${String(unguarded.length)} runs`)
 })
+
+// Guards against a refusal, without the log's judgement, of a change that was taken or may yet be.
+void test('whatever is told to be superseded is refused by the log, and nothing else that it refuses for its base is missed', () => {
+  const replicatedState = new ReplicatedState()
+  const write = writer(replicatedState)
+  const taken: string[] = []
+  strictEqual(replicatedState.supersededBy(0, 'made-1'), undefined)
+  for (let revision = 1; revision <= 1100; revision++) {
+    const operation = `made-${String(revision)}`
+    strictEqual(write(operation, 'put', network(revision, ['one']), revision - 1)?.status, 200)
+    taken.push(operation)
+  }
+  strictEqual(replicatedState.supersededBy(1099, 'another'), 1100)
+  strictEqual(write('another', 'put', network(1101, ['one']), 1099)?.status, 412)
+  for (const [at, operation] of taken.entries()) strictEqual(replicatedState.supersededBy(at, operation), undefined, operation)
+  // Which operation was taken on top of the oldest ones was forgotten.
+  strictEqual(replicatedState.supersededBy(10, 'another'), undefined)
+  strictEqual(replicatedState.supersededBy(200, 'another'), 1100)
+  for (const open of [-1, 1100, 1101]) strictEqual(replicatedState.supersededBy(open, 'another'), undefined)
+})
--- a/src/consensus/ReplicatedState.ts
+++ b/src/consensus/ReplicatedState.ts
@@ -148,6 +148,16 @@
     return this.#networkOutcomes.taken(operation)
   }
 
+  /**
+   * The current revision of the network, where a write on top of a lower one was not taken and never can be: revisions only rise, and
+   * the operation that was taken on top of that one is known. Undefined where only the log can judge the write.
+   */
+  supersededBy(ifMatch: number, operation: string): number | undefined {
+    const current = this.#configuration?.revision ?? 0
+    if (ifMatch < 0 || ifMatch >= current || !this.#networkOutcomes.knowsSuccessor(ifMatch)) return undefined
+    return this.networkTaken(operation) === undefined ? current : undefined
+  }
+
   duty(duty: string): (DutyRow & { epoch: number }) | undefined {
     const value = this.copy.get(`duty/${duty}`)
     if (value === undefined) return undefined
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -9,6 +9,8 @@
 import { Random } from '../common/Random.js'
 import { clockMs } from '../common/clockMs.js'
 import { Logger } from '../common/Logger.js'
+import { MemoryBudget } from '../common/MemoryBudget.js'
+import { memoryMetrics } from '../common/memoryMetrics.js'
 import { Meters } from '../common/Meters.js'
 import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
@@ -24,6 +26,10 @@
 import { ControlMachine } from './ControlMachine.js'
 import { placementMetrics } from './placementMetrics.js'
 
+/** The part of the process's memory for bodies of operators' requests and for answers to them; judging one takes a multiple of it. */
+const heldRatio = 0.1
+const bytesPerMb = 1_000_000
+
 interface ControlEvents {
   responded: { id: string; status: number; stamp: number; text: string }
 }
@@ -33,6 +39,8 @@
   readonly emitter = new Emitter<ControlEvents>()
   readonly machine: ControlMachine
   readonly timings: Timings
+  /** What is held of operators' requests and of answers to them. */
+  readonly memory: MemoryBudget
   readonly #startup: Startup['control']
   readonly #logger: Logger
   readonly #transport: Transport
@@ -57,6 +65,7 @@
     this.#writeAheadLog = writeAheadLog
     this.#outside = outside
     this.timings = Timings(startup.bounds)
+    this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
     if (startup.without.length > 0) logger.warn('control', `Switched off: ${startup.without.join(', ')}.`)
     this.#ordered = meters.counter('orders', 'orders sent to servers, by kind', ['kind'])
     this.#synced = meters.span('sync', 'how long a write took to be synced')
@@ -78,6 +87,7 @@
       () => this.machine.figures(clockMs()),
     )
     meters.gauges(transportHelps, () => transport.figures)
+    memoryMetrics(meters, this.memory)
     const source = (): PlacementSource | undefined => this.machine.dispatcher
     placementMetrics(
       meters,
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -8,6 +8,7 @@
 import { Server as NetServer } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as pause } from 'node:timers/promises'
+import { dropBody } from '../common/dropBody.js'
 import { listenOn } from '../common/listenOn.js'
 import { readBody } from '../common/readBody.js'
 import { StartWait } from '../common/StartWait.js'
@@ -159,7 +160,8 @@
     response.once('close', release)
     this.#connections.onLeave(request, response, release)
     const body = await readBody(request, this.#limits.bodyBytes, memory)
-    if (body === undefined && request.destroyed) return
+    if (body === undefined) await dropBody(request, response)
+    if (response.destroyed) return
     if (body === undefined && memory.isRefused) {
       this.#task.refuseForMemory(request, response)
       return
