An end of a process says why, and memory near its limit is told beforehand

Cause: an exception that nobody caught ended a process with Node.js's own output and the code of a failed start, as did a refused write; nothing told what memory went to before a process was ended for it.

--- a/src/common/startDaemon.ts
+++ b/src/common/startDaemon.ts
@@ -4,6 +4,8 @@
  */
 import { command, flag as yesFlag, option, optional, string, subcommands } from 'cmd-ts'
 import type { z } from 'zod'
+import { endOnDefect } from './endOnDefect.js'
+import { exitCodes } from './exitCodes.js'
 import { Logger } from './Logger.js'
 import { runCommand } from './runCommand.js'
 import { Startup } from './Startup.js'
@@ -44,7 +46,7 @@
     }
     await Startup.read(schema, given['startup'], flags).caseOf({
       Left: (errors) => {
-        for (const error of errors) fail(error, 2)
+        for (const error of errors) fail(error, exitCodes.wrongSettings)
         return Promise.resolve()
       },
       Right: then,
@@ -57,6 +59,9 @@
     handler: (given) =>
       withStartup({ ...given }, async (startup) => {
         const logger = new Logger(program, startup.name, startup.logLevel)
+        endOnDefect((line) => {
+          logger.fatal(program, line)
+        })
         const asked = untilSignal()
         const stop = new AbortController()
         void asked.then(() => {
@@ -74,7 +79,7 @@
         } catch (error) {
           const why = error instanceof Error ? error.message : String(error)
           logger.fatal(program, why)
-          fail(why, error instanceof StopAskedError ? 0 : 1)
+          fail(why, error instanceof StopAskedError ? exitCodes.stopped : exitCodes.startFailed)
           process.exit()
         }
       }),
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -8,8 +8,10 @@
 import { Emitter } from '../common/Emitter.js'
 import { Random } from '../common/Random.js'
 import { clockMs } from '../common/clockMs.js'
+import { exitCodes } from '../common/exitCodes.js'
 import { Logger } from '../common/Logger.js'
 import { MemoryBudget } from '../common/MemoryBudget.js'
+import { MemoryWatch } from '../common/MemoryWatch.js'
 import { memoryMetrics } from '../common/memoryMetrics.js'
 import { Meters } from '../common/Meters.js'
 import { Mechanisms } from '../common/Mechanisms.js'
@@ -48,6 +50,7 @@
   readonly #outside: PlatformClient
   readonly #ordered: (values: Record<string, string>) => void
   readonly #synced: (spanMs: number) => void
+  readonly #memoryWatch: MemoryWatch
   readonly #ticker: NodeJS.Timeout
   #isStopped = false
 
@@ -66,6 +69,9 @@
     this.#outside = outside
     this.timings = Timings(startup.bounds)
     this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
+    this.#memoryWatch = new MemoryWatch(startup.memoryMb, this.memory, (sentence) => {
+      logger.warn('memory', `${sentence}.`)
+    })
     if (startup.without.length > 0) logger.warn('control', `Switched off: ${startup.without.join(', ')}.`)
     this.#ordered = meters.counter('orders', 'orders sent to servers, by kind', ['kind'])
     this.#synced = meters.span('sync', 'how long a write took to be synced')
@@ -138,6 +144,7 @@
   async stop(): Promise<void> {
     this.#isStopped = true
     clearInterval(this.#ticker)
+    this.#memoryWatch.close()
     await this.#transport.close()
     await this.#writeAheadLog.close()
   }
@@ -197,7 +204,7 @@
       },
       (error: unknown) => {
         this.#logger.fatal('storage', `The disk failed: ${error instanceof Error ? error.message : String(error)}.`)
-        process.exit(1)
+        process.exit(exitCodes.storageFailed)
       },
     )
   }
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -9,6 +9,7 @@
 import { clockMs } from '../common/clockMs.js'
 import type { Logger } from '../common/Logger.js'
 import { MemoryBudget } from '../common/MemoryBudget.js'
+import { MemoryWatch } from '../common/MemoryWatch.js'
 import { Mechanisms } from '../common/Mechanisms.js'
 import { Timings } from '../common/Timings.js'
 import { AgentMachine } from '../agent/AgentMachine.js'
@@ -48,6 +49,7 @@
   readonly #outside: PlatformClient
   readonly #upstream: Upstream
   readonly #tickets = new Map<string, Ticket>()
+  readonly #memoryWatch: MemoryWatch
   readonly #ticker: NodeJS.Timeout
   #onAdopted: () => void = () => undefined
   #count = 0
@@ -62,6 +64,9 @@
     this.#outside = outside
     this.timings = Timings(startup.bounds)
     this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
+    this.#memoryWatch = new MemoryWatch(startup.memoryMb, this.memory, (sentence) => {
+      logger.warn('memory', `${sentence}.`)
+    })
     if (startup.without.length > 0) logger.warn('gateway', `Switched off: ${startup.without.join(', ')}.`)
     const random = new Random(crypto.getRandomValues(new Uint32Array(1))[0] ?? 0)
     const { name, zone, seeds, system, retryRatio, retryAllowance, retryWindowMs } = startup
@@ -194,6 +199,7 @@
 
   async stop(): Promise<void> {
     clearInterval(this.#ticker)
+    this.#memoryWatch.close()
     this.#upstream.close()
     await this.#transport.close()
   }
