--- a/src/simulator/soak/SoakDialect.ts
+++ b/src/simulator/soak/SoakDialect.ts
@@ -18,6 +18,9 @@
   readonly entry: string
   readonly settingsVariable: string
   readonly paths: { readiness: string; configuration: string; list: string; report: string; orders: string; health: string }
+  /** The memory that a process may take by its settings, in megabytes, and the flags of its runtime. */
+  readonly memoryMb: Record<SoakSeat['role'], number>
+  readonly runtimeFlags: Record<SoakSeat['role'], readonly string[]>
   readonly ports: { callers: number; readiness: number; operators: number }
   /** The text of a process's settings file. */
   settings(seat: SoakSeat): string
--- a/src/simulator/soak/SoakFleet.ts
+++ b/src/simulator/soak/SoakFleet.ts
@@ -5,16 +5,19 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { clockMs } from '../../common/clockMs.js'
+import { SoakBursts } from './SoakBursts.js'
 import { SoakClients } from './SoakClients.js'
 import type { SoakDialect } from './SoakDialect.js'
 import { SoakList } from './SoakList.js'
 import type { SoakLog } from './SoakLog.js'
+import { SoakMemoryWatch } from './SoakMemoryWatch.js'
 import { SoakNode } from './SoakNode.js'
 import { SoakOperator } from './SoakOperator.js'
 import { SoakScene } from './SoakScene.js'
 import type { SoakSeat } from './SoakSeat.js'
 import { SoakServer } from './SoakServer.js'
 import type { SoakSize } from './SoakSize.js'
+import { holdAddress } from './holdAddress.js'
 import type { Trouble } from './Trouble.js'
 
 const listHost = 2
@@ -34,6 +37,10 @@
   readonly clients: SoakClients
   readonly operator: SoakOperator
   readonly #log: SoakLog
+  readonly #bursts: SoakBursts
+  readonly #memoryWatch: SoakMemoryWatch
+  readonly #dialect: SoakDialect
+  readonly #releases = new Map<string, () => Promise<void>>()
   readonly #cuts = new Map<string, Trouble['kind']>()
 
   constructor(seed: number, size: SoakSize, folder: string, entry: string, dialect: SoakDialect, log: SoakLog) {
@@ -62,6 +69,9 @@
       return { ...common, ...one, role: 'gateway', ip: ip(firstGateway + at), data: '', bootstrap: true }
     })
     this.nodes = [...controls, ...gateways].map((seat) => new SoakNode(seat, dialect, entry, folder, log))
+    this.#dialect = dialect
+    this.#bursts = new SoakBursts(dialect, log)
+    this.#memoryWatch = new SoakMemoryWatch(this.nodes, log)
     this.clients = new SoakClients(seed, size, gateways, dialect, log)
     this.operator = new SoakOperator(seed + 1, controls, dialect, log)
   }
@@ -70,10 +80,13 @@
     for (const server of this.servers) await server.open()
     await this.list.open()
     for (const node of this.nodes) await node.start()
+    void this.#memoryWatch.run()
   }
 
   async stop(): Promise<void> {
+    this.#memoryWatch.stop()
     this.operator.stop()
+    for (const release of this.#releases.values()) await release()
     await Promise.all(this.nodes.map((node) => node.kill()))
     for (const server of this.servers) await server.crash()
     this.list.close()
@@ -84,7 +97,9 @@
     await Promise.all(
       troubles.map(async (trouble) => {
         await pause(Math.max(0, fromMs + trouble.fromMs - clockMs()))
-        const span = { who: trouble.target, kind: trouble.kind, fromMs: clockMs(), toMs: Infinity }
+        // A successor that is started at its predecessor's SIGTERM makes that no other stop.
+        const kind = trouble.kind === 'overlapStart' ? 'stop' : trouble.kind
+        const span = { who: trouble.target, kind, fromMs: clockMs(), toMs: Infinity }
         this.#log.spans.push(span)
         await this.#begin(trouble)
         // A process that was stopped is started again as soon as it has ended.
@@ -101,7 +116,13 @@
     if (kind === 'kill') await node?.kill()
     else if (kind === 'stop') await node?.stop()
     else if (kind === 'reload') await node?.reload()
-    else if (kind === 'freeze') node?.signal('SIGSTOP')
+    else if (kind === 'holdAddress') await this.#startBesideHolder(node)
+    else if (kind === 'overlapStart') await this.#startBesidePredecessor(node)
+    else if (kind === 'burstBodies') {
+      if (node !== undefined) await this.#bursts.sendBodies(node.seat)
+    } else if (kind === 'burstChanges') {
+      if (node !== undefined) await this.#bursts.sendChanges(node.seat)
+    } else if (kind === 'freeze') node?.signal('SIGSTOP')
     else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, kind)
     else if (kind === 'crashServer') await server?.crash()
     else if (kind === 'slowServer') {
@@ -116,7 +137,8 @@
     const node = this.nodes.find((one) => one.seat.name === target)
     const server = this.servers.find((one) => one.plan.name === target)
     if (kind === 'kill' || kind === 'stop') await node?.start()
-    else if (kind === 'reload') return
+    else if (kind === 'reload' || kind === 'burstBodies' || kind === 'burstChanges') return
+    else if (kind === 'holdAddress' || kind === 'overlapStart') await this.#releases.get(target)?.()
     else if (kind === 'freeze') node?.signal('SIGCONT')
     else if (kind === 'cut' || kind === 'cutOut') this.#setCut(target, undefined)
     else if (kind === 'crashServer') await server?.open()
@@ -128,6 +150,23 @@
     else this.operator.losesAnswers = false
   }
 
+  /** Kills a node and starts it anew while somebody else has one of its addresses. */
+  async #startBesideHolder(node: SoakNode | undefined): Promise<void> {
+    if (node === undefined) return
+    await node.kill()
+    const { callers, operators } = this.#dialect.ports
+    this.#releases.set(node.seat.name, await holdAddress(node.seat.ip, node.seat.role === 'control' ? operators : callers))
+    await node.start()
+  }
+
+  /** Asks a node to stop and starts its successor at once. */
+  async #startBesidePredecessor(node: SoakNode | undefined): Promise<void> {
+    if (node === undefined) return
+    const stopped = node.stop()
+    this.#releases.set(node.seat.name, () => stopped)
+    await node.start()
+  }
+
   /** A cut node reaches nobody, and unless only its ways out are cut, no other node reaches it. */
   #setCut(target: string, kind: Trouble['kind'] | undefined): void {
     if (kind === undefined) this.#cuts.delete(target)
--- a/src/simulator/soak/SoakNode.ts
+++ b/src/simulator/soak/SoakNode.ts
@@ -16,7 +16,6 @@
 import type { SoakSeat } from './SoakSeat.js'
 
 const wrapper = fileURLToPath(new URL('heldNode.js', import.meta.url))
-const memoryMb = 180
 /** How long after its start a process may be without ears for signals: until its runtime is up, any signal ends it. */
 const deafMs = 1000
 const Told = z.object({ lateMs: z.number() })
@@ -45,14 +44,24 @@
     return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null
   }
 
+  /** Of the newest process, while it runs. */
+  get pid(): number | undefined {
+    return this.running ? this.#child?.pid : undefined
+  }
+
+  get memoryMb(): number {
+    return this.#dialect.memoryMb[this.seat.role]
+  }
+
   async start(): Promise<void> {
     const { name, role, bootstrap } = this.seat
     const file = join(this.#folder, `${name}.toml`)
     this.#starts += 1
     this.#startedMs = clockMs()
+    this.#log.starts.push({ who: name, atMs: this.#startedMs })
     await writeFile(file, this.#dialect.settings({ ...this.seat, bootstrap: bootstrap && this.#starts === 1 }))
     const log = openSync(join(this.#folder, `${name}.log`), 'a')
-    const child = spawn(process.execPath, [`--max-old-space-size=${String(memoryMb)}`, wrapper, this.#entry, role], {
+    const child = spawn(process.execPath, [...this.#dialect.runtimeFlags[role], wrapper, this.#entry, role], {
       stdio: ['ignore', log, log, 'ipc'],
       env: { PATH: process.env['PATH'], HOME: process.env['HOME'], [this.#dialect.settingsVariable]: file },
     })
--- a/src/simulator/soak/SoakSlowClients.ts
+++ b/src/simulator/soak/SoakSlowClients.ts
@@ -15,21 +15,31 @@
 const route = 'check'
 /** Numbers of asks that no other client uses. */
 const firstAsk = 2_000_000
-const pieces = 8
-const pieceMs = 300
-const piece = Buffer.alloc(512, 'x')
+const slowly: BodyShape = { pieces: 8, pieceBytes: 512, pieceMs: 300 }
 /** How long a client waits beyond its deadline, and before its next request. */
 const slackMs = 500
 const betweenMs = 200
 
+/** How a body comes: a piece at a time, with a pause after each. */
+interface BodyShape {
+  pieces: number
+  pieceBytes: number
+  pieceMs: number
+}
+
 export class SoakSlowClients {
   readonly #dialect: SoakDialect
   readonly #log: SoakLog
   readonly #pick: () => SoakSeat | undefined
-  #asks = firstAsk
+  readonly #shape: BodyShape
+  readonly #piece: Buffer
+  #asks: number
 
   /** `pick` chooses among the gateways that are ready. */
-  constructor(dialect: SoakDialect, log: SoakLog, pick: () => SoakSeat | undefined) {
+  constructor(dialect: SoakDialect, log: SoakLog, pick: () => SoakSeat | undefined, shape = slowly, asksFrom = firstAsk) {
+    this.#shape = shape
+    this.#piece = Buffer.alloc(shape.pieceBytes, 'x')
+    this.#asks = asksFrom
     this.#dialect = dialect
     this.#log = log
     this.#pick = pick
@@ -43,12 +53,13 @@
     await pause(offsetMs)
     while (clockMs() < untilMs) {
       const seat = this.#pick()
-      if (seat !== undefined) await this.#send(seat)
+      if (seat !== undefined) await this.send(seat)
       await pause(betweenMs)
     }
   }
 
-  #send(seat: SoakSeat): Promise<void> {
+  /** Sends one request, and resolves at its end. */
+  send(seat: SoakSeat): Promise<void> {
     this.#asks += 1
     const id = `b${String(this.#asks)}`
     const seen: SoakTry = {
@@ -74,7 +85,7 @@
     return new Promise((resolve) => {
       const sent = request(
         `http://${seat.ip}:${String(this.#dialect.ports.callers)}/${route}/${id}`,
-        { agent, method: 'POST', headers: { host: SoakScene.host, ...head, 'content-length': pieces * piece.length } },
+        { agent, method: 'POST', headers: { host: SoakScene.host, ...head, 'content-length': this.#shape.pieces * this.#piece.length } },
         (answer) => {
           readAnswer(this.#dialect, seen, answer)
         },
@@ -94,13 +105,13 @@
   }
 
   async #writeSlowly(sent: ClientRequest, seen: SoakTry): Promise<void> {
-    for (let at = 1; at < pieces; at++) {
+    for (let at = 1; at < this.#shape.pieces; at++) {
       if (sent.destroyed) return
-      sent.write(piece)
-      await pause(pieceMs)
+      sent.write(this.#piece)
+      await pause(this.#shape.pieceMs)
     }
     if (sent.destroyed) return
-    sent.end(piece, () => {
+    sent.end(this.#piece, () => {
       seen.sentMs = clockMs()
       this.#log.tries.push(seen)
     })
--- /dev/null
+++ b/src/simulator/soak/SoakStart.ts
@@ -0,0 +1,7 @@
+/**
+ * One start of a process in a soak.
+ */
+export interface SoakStart {
+  who: string
+  atMs: number
+}
--- a/src/simulator/soak/judgeSoak.test.ts
+++ b/src/simulator/soak/judgeSoak.test.ts
@@ -55,6 +55,9 @@
     stops: [],
     ready: [],
     ended: [],
+    starts: [],
+    memory: [{ who: 'gate-1', pid: 1, peakMb: 200, limitMb: 350 }],
+    staleAnswers: [412, 503],
   }
   const add = (route: SoakTry['route'], model: string, sentMs: number, status: number) => {
     const ask = log.tries.length + 1
@@ -204,7 +207,21 @@
       for (const one of log.tries) if (one.route === 'book' && one.ask % 3 > 0) one.status = 502
     },
   ],
-  ['served', 'a process ends by itself', (log) => log.ended.push('gate-1: exit 1')],
+  ['ended', 'a process ends by itself', (log) => log.ended.push('gate-1: exit 1')],
+  [
+    'memory',
+    'a process takes more than its settings allow',
+    (log) => log.memory.push({ who: 'gate-2', pid: 2, peakMb: 351, limitMb: 350 }),
+  ],
+  ['stale', 'a change on an old revision is acknowledged', (log) => log.staleAnswers.push(200)],
+  [
+    'starts',
+    'a gateway is started and never says that it is ready',
+    (log) => {
+      log.ready.push({ gateway: 'gate-1', atMs: 1000 })
+      log.starts.push({ who: 'gate-1', atMs: 2000 })
+    },
+  ],
   [
     'lost',
     'a request that was sent late in a stop is cut at its server',
@@ -309,3 +326,11 @@
   log.spans.push({ who: 'gate-1', kind: 'freeze', fromMs: 3000, toMs: 4000 })
   deepStrictEqual(judgeSoak(log)['stops'], [])
 })
+
+test('a start that another trouble meets, or that ends well, is no fault', () => {
+  const log = sound()
+  log.ready.push({ gateway: 'gate-1', atMs: 1000 }, { gateway: 'gate-2', atMs: 6000 })
+  log.starts.push({ who: 'gate-1', atMs: 2000 }, { who: 'gate-2', atMs: 2000 }, { who: 'core-1', atMs: 2000 })
+  log.spans.push({ who: 'gate-1', kind: 'kill', fromMs: 4000, toMs: 5000 })
+  deepStrictEqual(broken(log), [])
+})
--- a/src/simulator/soak/planTroubles.ts
+++ b/src/simulator/soak/planTroubles.ts
@@ -6,6 +6,7 @@
 import { SoakScene } from './SoakScene.js'
 import type { SoakSize } from './SoakSize.js'
 import type { Trouble } from './Trouble.js'
+import { planPressure } from './planPressure.js'
 import { planStops } from './planStops.js'
 
 const firstMs = 5000
@@ -30,6 +31,9 @@
   return random.hit(0.5) ? control : (random.pick(SoakScene.gateways(size))?.name ?? '')
 }
 
+/** Seeds of a course of their own, so that what a seed brought before stays as it was. */
+const pressureSeeds = 1_000_000
+
 /** A trouble of a gateway that the series leaves alone, or of a server. */
 function drawBeside(random: Random, size: SoakSize, series: readonly Trouble[], atMs: number): Trouble {
   const free = SoakScene.gateways(size).filter((gateway) => !series.some((one) => one.target === gateway.name))
@@ -66,5 +70,6 @@
     troubles.push(...episode)
     atMs = Math.max(...episode.map((one) => one.toMs)) + calmMs
   }
+  troubles.push(...planPressure(new Random(seed + pressureSeeds), size, lengthMs, troubles))
   return troubles.sort((one, other) => one.fromMs - other.fromMs)
 }
--- a/src/simulator/soak/runSoak.ts
+++ b/src/simulator/soak/runSoak.ts
@@ -73,6 +73,9 @@
     stops: [],
     ready: [],
     ended: [],
+    starts: [],
+    memory: [],
+    staleAnswers: [],
   }
   const fleet = new SoakFleet(seed, soakSizes[size], folder, entry, dialect, log)
   const watch = watchLateness(log)
--- a/src/simulator/soak/tellSoak.ts
+++ b/src/simulator/soak/tellSoak.ts
@@ -44,6 +44,7 @@
       .filter((one) => one.kind !== 'late')
       .map((one) => `${one.kind}${one.who === '' ? '' : ` ${one.who}`}`)
       .join(', ')}`,
+    `memory at most ${Math.max(0, ...log.memory.map((one) => one.peakMb)).toFixed(0)} MB`,
     `late: ${String(spans.filter((one) => one.kind === 'late').length)} times`,
   ].join('; ')
 }
--- a/src/simulator/soak/troubleKinds.ts
+++ b/src/simulator/soak/troubleKinds.ts
@@ -13,4 +13,8 @@
   'crashServer',
   'slowServer',
   'breakAnswers',
+  'burstBodies',
+  'burstChanges',
+  'holdAddress',
+  'overlapStart',
 ] as const
