simulator bursts: a table of what large messages that come together take

Told are the peak memory of both roles, the longest turn of an event loop, ends, answers, and small requests beside them. The stand-in servers of the soak take bodies of 5 MB, so that its bursts can be served.

--- a/src/simulator/main.ts
+++ b/src/simulator/main.ts
@@ -23,6 +23,8 @@
 import { scale } from './scale.js'
 import { simFaults } from './simFaults.js'
 import { slopes } from './slopes.js'
+import { runBursts } from './bursts/runBursts.js'
+import { loadDialect } from './soak/loadDialect.js'
 import { readSeeds } from './soak/readSeeds.js'
 import { soakJudges } from './soak/soakJudges.js'
 import { soakSizes } from './soak/soakSizes.js'
@@ -238,6 +240,15 @@
 const sizesTold = Object.entries(soakSizes)
   .map(([name, one]) => `${name} (${String(one.gateways + controlNodes)} processes, ${String(mostAtOnce(one))} at a time)`)
   .join(', ')
+const platformOptions = {
+  dialect: option({
+    long: 'dialect',
+    type: string,
+    defaultValue: () => fileURLToPath(new URL('../platform-check/platform/soak/PlatformDialect.js', import.meta.url)),
+    description: 'the module with the formats of a platform',
+  }),
+  entry: option({ long: 'entry', type: optional(string), description: "another build of the product's program" }),
+}
 const soaked = command({
   name: 'soak',
   description:
@@ -253,13 +264,7 @@
       defaultValue: () => 1,
       description: 'how many seeds at a time, as far as the size allows',
     }),
-    dialect: option({
-      long: 'dialect',
-      type: string,
-      defaultValue: () => fileURLToPath(new URL('../platform-check/platform/soak/PlatformDialect.js', import.meta.url)),
-      description: 'the module with the formats of a platform',
-    }),
-    entry: option({ long: 'entry', type: optional(string), description: "another build of the product's program" }),
+    ...platformOptions,
     keep: flag({ long: 'keep', description: 'keeps the logs of runs that pass, too' }),
   },
   handler: async (given) => {
@@ -274,11 +279,30 @@
     else if (!(await soak({ ...given, size, seeds, say }))) process.exitCode = 1
   },
 })
+const bursts = command({
+  name: 'bursts',
+  description: 'Plays bursts of large messages on fleets of real processes, and prints what each process took as a table.',
+  args: platformOptions,
+  handler: async ({ dialect: module, entry }) => {
+    const dialect = await loadDialect(module)
+    await runBursts({ dialect, entry: entry ?? dialect.entry, say })
+  },
+})
 await runCommand(
   subcommands({
     name: 'simulator',
     description: 'Tries springpaddle out against stand-ins.',
-    cmds: { fleet, sim, compare: versus, ablate: ablation, scale: scaled, slopes: measuredSlopes, explore: exploreRaft, soak: soaked },
+    cmds: {
+      fleet,
+      sim,
+      compare: versus,
+      ablate: ablation,
+      scale: scaled,
+      slopes: measuredSlopes,
+      explore: exploreRaft,
+      soak: soaked,
+      bursts,
+    },
   }),
   process.argv.slice(2),
 )
--- a/src/simulator/soak/SoakLog.ts
+++ b/src/simulator/soak/SoakLog.ts
@@ -10,6 +10,7 @@
 import type { SoakSpan } from './SoakSpan.js'
 import type { SoakStart } from './SoakStart.js'
 import type { SoakStop } from './SoakStop.js'
+import type { SoakTurn } from './SoakTurn.js'
 import type { SoakTry } from './SoakTry.js'
 
 export interface SoakLog {
@@ -26,6 +27,8 @@
   ready: SoakReadiness[]
   /** Processes that ended though nobody ended them. */
   ended: string[]
+  /** The longest turns that processes told of. */
+  turns: SoakTurn[]
   /** What changes on a revision that is no longer the current one were answered with. */
   staleAnswers: number[]
   /** Each process that was started, and when. */
--- a/src/simulator/soak/SoakNode.ts
+++ b/src/simulator/soak/SoakNode.ts
@@ -18,7 +18,8 @@
 const wrapper = fileURLToPath(new URL('heldNode.js', import.meta.url))
 /** How long after its start a process may be without ears for signals: until its runtime is up, any signal ends it. */
 const deafMs = 1000
-const Told = z.object({ lateMs: z.number() })
+const Late = z.object({ lateMs: z.number() })
+const Turn = z.object({ longestMs: z.number() })
 
 export class SoakNode {
   readonly seat: SoakSeat
@@ -75,7 +76,9 @@
       if (this.#child === child && !this.#mayEnd) this.#log.ended.push(`${name}: exit ${String(code ?? signal)}`)
     })
     child.on('message', (message) => {
-      const told = Told.safeParse(message)
+      const turn = Turn.safeParse(message)
+      if (turn.success) this.#log.turns.push({ who: name, longestMs: turn.data.longestMs })
+      const told = Late.safeParse(message)
       const toMs = clockMs()
       if (told.success) this.#log.spans.push({ who: name, kind: 'late', fromMs: toMs - told.data.lateMs, toMs })
     })
--- a/src/simulator/soak/SoakOperator.ts
+++ b/src/simulator/soak/SoakOperator.ts
@@ -47,6 +47,11 @@
     this.#log = log
   }
 
+  /** The newest revision that was acknowledged. */
+  get revision(): number {
+    return this.#revision
+  }
+
   /** Sends the next configuration until it is taken, refused, or `untilMs` has come. */
   async change(untilMs: number): Promise<void> {
     const base = this.#revision
--- a/src/simulator/soak/SoakServer.ts
+++ b/src/simulator/soak/SoakServer.ts
@@ -31,7 +31,7 @@
 }
 
 const firstPort = 8080
-const bodyBytes = 1_000_000
+const bodyBytes = 5_000_000
 const tickMs = 5
 const firstEventMs = 40
 const nextEventMs = 15
--- a/src/simulator/soak/judgeSoak.test.ts
+++ b/src/simulator/soak/judgeSoak.test.ts
@@ -8,6 +8,7 @@
 import type { SoakRun } from './SoakRun.js'
 import type { SoakTry } from './SoakTry.js'
 import type { SoakStop } from './SoakStop.js'
+import { emptySoakLog } from './emptySoakLog.js'
 import { judgeSoak } from './judgeSoak.js'
 import { soakEvents } from './soakEvents.js'
 
@@ -44,18 +45,9 @@
 /** Twenty models, each asked for six times over ten seconds and served at the last, and a booking a second. */
 function sound(): SoakLog {
   const log: SoakLog = {
-    fromMs: 0,
+    ...emptySoakLog(),
     toMs: 20_000,
-    tries: [],
-    runs: [],
     orders: [order],
-    changes: [],
-    readings: [],
-    spans: [],
-    stops: [],
-    ready: [],
-    ended: [],
-    starts: [],
     memory: [{ who: 'gate-1', pid: 1, peakMb: 200, limitMb: 350 }],
     staleAnswers: [412, 503],
   }
--- a/src/simulator/soak/runSoak.ts
+++ b/src/simulator/soak/runSoak.ts
@@ -8,6 +8,7 @@
 import type { SoakDialect } from './SoakDialect.js'
 import { SoakFleet } from './SoakFleet.js'
 import type { SoakLog } from './SoakLog.js'
+import { emptySoakLog } from './emptySoakLog.js'
 import { canJudgeStarved } from './canJudgeStarved.js'
 import { judgeSoak } from './judgeSoak.js'
 import { planTroubles } from './planTroubles.js'
@@ -61,22 +62,7 @@
 
 export async function runSoak({ seed, size, seconds, folder, entry, dialect, keep, say }: Soak): Promise<boolean> {
   const beganMs = clockMs()
-  const log: SoakLog = {
-    fromMs: 0,
-    toMs: 0,
-    tries: [],
-    runs: [],
-    orders: [],
-    changes: [],
-    readings: [],
-    spans: [],
-    stops: [],
-    ready: [],
-    ended: [],
-    starts: [],
-    memory: [],
-    staleAnswers: [],
-  }
+  const log = emptySoakLog()
   const fleet = new SoakFleet(seed, soakSizes[size], folder, entry, dialect, log)
   const watch = watchLateness(log)
   const end = () => {
