One admission at the doors of HTTP: connections, requests, work, progress, garbage

Callers saw: no answers for minutes beside bodies in chunks of 1 byte; an abort by pipelined requests; a request of 1 MB refused for ever beside silent senders; a process over its memory beside large bodies. Causes: each chunk is an event, and all connections were read in each turn, refused ones too; each pipelined request was begun at once; a body that did not go on had no end; V8 lets 64 MB outside its heap become garbage before it looks. Change: HttpDoor (src/common/admission) decides at callers', readiness and operators' doors. Connections within the descriptors, the one that rested longest makes way; 16 requests under way a connection, the rest wait unread or are closed over a sum; a turn that brought too many pieces holds up the other connections, which take turns; four bodies in tiny pieces at a time, others get 503; a body that brings nothing for the idle time, or too little, gets 408; silent bodies make way where memory is wanting; what is refused isn't parsed on; the garbage of inputs is collected by its amount. The budget is a part of what the runtime leaves of the memory. The test of the gateway's budget tells the memory that gives the same 2 MB of budget as before.

--- a/src/common/Startup.ts
+++ b/src/common/Startup.ts
@@ -36,6 +36,8 @@
   system: z.string().default(''),
   /** The memory that the process may take, in megabytes. */
   memoryMb: z.number().positive().default(512),
+  /** The descriptors that the process may have open. */
+  fileDescriptors: z.number().int().positive().default(4096),
   /** Mechanisms that are switched off, to measure what they are worth. */
   without: z.array(Mechanism).default([]),
   rewriteBytes: z.number().int().min(4096).default(4_000_000),
--- a/src/control/ControlTask.ts
+++ b/src/control/ControlTask.ts
@@ -10,6 +10,8 @@
 import { clockMs } from '../common/clockMs.js'
 import { exitCodes } from '../common/exitCodes.js'
 import { Logger } from '../common/Logger.js'
+import { GarbagePacer } from '../common/admission/GarbagePacer.js'
+import { freeMemoryBytes } from '../common/freeMemoryBytes.js'
 import { MemoryBudget } from '../common/MemoryBudget.js'
 import { MemoryWatch } from '../common/MemoryWatch.js'
 import { memoryMetrics } from '../common/memoryMetrics.js'
@@ -28,9 +30,8 @@
 import { ControlMachine } from './ControlMachine.js'
 import { placementMetrics } from './placementMetrics.js'
 
-/** The part of the process's memory for bodies of operators' requests and for answers to them; judging one takes a multiple of it. */
-const heldRatio = 0.1
-const bytesPerMb = 1_000_000
+/** The part of the memory that the runtime leaves for bodies of operators' requests and answers; judging one takes a multiple of it. */
+const heldRatio = 0.125
 
 interface ControlEvents {
   responded: { id: string; status: number; stamp: number; text: string }
@@ -43,6 +44,7 @@
   readonly timings: Timings
   /** What is held of operators' requests and of answers to them. */
   readonly memory: MemoryBudget
+  readonly garbage: GarbagePacer
   readonly #startup: Startup['control']
   readonly #logger: Logger
   readonly #transport: Transport
@@ -68,7 +70,8 @@
     this.#writeAheadLog = writeAheadLog
     this.#outside = outside
     this.timings = Timings(startup.bounds)
-    this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
+    this.memory = new MemoryBudget(heldRatio * freeMemoryBytes(startup.memoryMb))
+    this.garbage = new GarbagePacer(startup.memoryMb)
     this.#memoryWatch = new MemoryWatch(startup.memoryMb, this.memory, (sentence) => {
       logger.warn('memory', `${sentence}.`)
     })
--- a/src/gateway/CallersDesk.test.ts
+++ b/src/gateway/CallersDesk.test.ts
@@ -283,8 +283,8 @@
   ok(await caller.until('\r\n0\r\n\r\n'))
 })
 
-/** A gateway of 8 MB: its requests may hold 2 MB, large ones 1.75 MB of it. */
-const smallMemory = { memoryMb: 8 }
+/** A gateway whose requests may hold 2 MB, large ones 1.75 MB of it. */
+const smallMemory = { memoryMb: 100 + 2 / 0.3 }
 const post = (id: string, bytes: number, sent: number) =>
   `POST /once/x HTTP/1.1\r\nhost: h.example\r\nrequest-id: ${id}\r\ncontent-length: ${String(bytes)}\r\n\r\n${'x'.repeat(sent)}`
 
--- a/src/gateway/CallersDesk.ts
+++ b/src/gateway/CallersDesk.ts
@@ -8,9 +8,10 @@
 import { Server as NetServer } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as pause } from 'node:timers/promises'
-import { dropBody } from '../common/dropBody.js'
 import { listenOn } from '../common/listenOn.js'
-import { readBody } from '../common/readBody.js'
+import { AdmissionLimits } from '../common/admission/AdmissionLimits.js'
+import type { BodyOutcome } from '../common/admission/BodyOutcome.js'
+import { HttpDoor } from '../common/admission/HttpDoor.js'
 import { StartWait } from '../common/StartWait.js'
 import { Network } from '../common/Network.js'
 import { clockMs } from '../common/clockMs.js'
@@ -25,7 +26,6 @@
 const endRatio = 0.92
 /** How often connections on which nobody waits are looked for, as a part of the time in which callers may still come in. */
 const sweepRatio = 0.05
-const noBody = Buffer.alloc(0)
 const statuses: ReadonlyMap<string, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
@@ -42,6 +42,8 @@
   readonly #task: GatewayTask
   readonly #readyPath: string
   readonly #callers: Server
+  readonly #admission: AdmissionLimits
+  readonly #door: HttpDoor
   #watch: Server | undefined
   readonly #connections = new CallerConnections()
   #draining = false
@@ -52,8 +54,17 @@
     this.#startup = startup
     this.#task = task
     this.#readyPath = readyPath
-    this.#callers = createServer({ maxHeaderSize: headerBytes, noDelay: true }, (request, response) => {
-      void this.#serve(request, response)
+    this.#admission = new AdmissionLimits(startup.memoryMb, startup.fileDescriptors)
+    const { callerConnections: connections, openRequests, waitingRequests } = this.#admission
+    this.#callers = createServer({ maxHeaderSize: headerBytes, noDelay: true })
+    this.#door = new HttpDoor(this.#callers, { connections, openRequests, waitingRequests }, task.garbage, {
+      serve: (request, response) => {
+        void this.#serve(request, response)
+      },
+      refuse: (request, response) => {
+        response.shouldKeepAlive = false
+        task.refuseForNow(request, response, 'has too many requests under way')
+      },
     })
     this.#callers.requestTimeout = 0
     this.#callers.keepAliveTimeout = fallback.idleMs
@@ -71,10 +82,7 @@
   /** Says first that it is not ready, so that this is told while it waits for the callers' address. */
   async open(wait: StartWait = StartWait.none): Promise<string> {
     if (this.#startup.readiness !== undefined) {
-      this.#watch = createServer((request, response) => {
-        const known = request.url === this.#readyPath
-        response.writeHead(!known ? 404 : this.ready ? 200 : 503, { 'content-length': 0 }).end()
-      })
+      this.#watch = this.#readinessServer()
       await listenOn(this.#watch, place(this.#startup.readiness), wait)
     }
     const { port, host } = place(this.#startup.callers)
@@ -117,6 +125,22 @@
     this.#watch?.closeAllConnections()
   }
 
+  #readinessServer(): Server {
+    const server = createServer()
+    const { probeConnections: connections } = this.#admission
+    const answer = (request: IncomingMessage, response: ServerResponse) => {
+      // A probe has no body; one that has isn't read.
+      response.shouldKeepAlive &&= request.headers['transfer-encoding'] === undefined && !Number(request.headers['content-length'] ?? 0)
+      const known = request.url === this.#readyPath
+      response.writeHead(!known ? 404 : this.ready ? 200 : 503, { 'content-length': 0 }).end()
+    }
+    new HttpDoor(server, { connections, openRequests: connections, waitingRequests: connections }, this.#task.garbage, {
+      serve: answer,
+      refuse: answer,
+    })
+    return server
+  }
+
   /** Answers what is no request, unless an earlier request waits on that connection: to its caller it would be the answer. */
   #fault(error: NodeJS.ErrnoException, socket: Duplex): void {
     if (!socket.writable) {
@@ -159,22 +183,38 @@
     }
     response.once('close', release)
     this.#connections.onLeave(request, response, release)
-    const body = await readBody(request, this.#limits.bodyBytes, memory)
-    if (body === undefined) await dropBody(request, response)
+    const { bodyBytes: bytes, idleMs } = this.#limits
+    const body = await this.#door.readBody(request, response, { bytes, idleMs }, memory)
     if (response.destroyed) return
-    if (body === undefined && memory.isRefused) {
-      this.#task.refuseForMemory(request, response)
+    if (body.kind !== 'whole') {
+      this.#refuseBody(request, response, body.kind)
       return
     }
-    // Before a network is in force here its limits aren't known, and no request is refused for good.
-    if (body === undefined && this.#task.ready) {
-      this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
-      return
-    }
-    const leave = this.#task.allow(request, response, body ?? noBody, clockMs() - arrivedMs)
+    const leave = this.#task.allow(request, response, body.bytes, clockMs() - arrivedMs)
     this.#connections.onLeave(request, response, () => {
       release()
       leave()
     })
   }
+
+  #refuseBody(request: IncomingMessage, response: ServerResponse, kind: Exclude<BodyOutcome['kind'], 'whole'>): void {
+    switch (kind) {
+      case 'tooLong':
+        // Before a network is in force here its limits aren't known, and no request is refused for good.
+        if (!this.#task.ready) this.#task.refuseForNow(request, response, 'has no network in force yet')
+        else this.#task.answer(response, '', 413, undefined, `the body is over ${String(this.#limits.bodyBytes)} bytes`)
+        break
+      case 'noMemory':
+        this.#task.refuseForNow(request, response, 'has no memory for the body now')
+        break
+      case 'tooCostly':
+        this.#task.refuseForNow(request, response, 'has too many bodies in small pieces now')
+        break
+      case 'tooSlow':
+        this.#task.answer(response, '', 408, undefined, 'the body does not go on')
+        break
+      case 'gone':
+        break
+    }
+  }
 }
--- a/src/gateway/GatewayStartup.ts
+++ b/src/gateway/GatewayStartup.ts
@@ -26,6 +26,8 @@
   leaveMs: z.number().nonnegative().default(2500),
   /** The memory that the process may take, in megabytes. */
   memoryMb: z.number().positive().default(512),
+  /** The descriptors that the process may have open. */
+  fileDescriptors: z.number().int().positive().default(4096),
   /** Mechanisms that are switched off, to measure what they are worth. */
   without: z.array(Mechanism).default([]),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'fatal', 'silent']).default('info'),
--- a/src/gateway/GatewayTask.ts
+++ b/src/gateway/GatewayTask.ts
@@ -8,6 +8,8 @@
 import { Random } from '../common/Random.js'
 import { clockMs } from '../common/clockMs.js'
 import type { Logger } from '../common/Logger.js'
+import { GarbagePacer } from '../common/admission/GarbagePacer.js'
+import { freeMemoryBytes } from '../common/freeMemoryBytes.js'
 import { MemoryBudget } from '../common/MemoryBudget.js'
 import { MemoryWatch } from '../common/MemoryWatch.js'
 import { Mechanisms } from '../common/Mechanisms.js'
@@ -27,11 +29,10 @@
 import type { Ticket } from './Ticket.js'
 import { Upstream } from './Upstream.js'
 
-/** The part of the process's memory for bodies of requests and gathered answers; the heap and the runtime take the rest. */
-const heldRatio = 0.25
-const bytesPerMb = 1_000_000
-/** When callers whose bodies found no memory are to come back. */
-const memoryComeBackMs = 500
+/** The part of the memory that the runtime leaves which is for bodies of requests and gathered answers. */
+const heldRatio = 0.3
+/** When callers whose requests can't be taken on now are to come back. */
+const comeBackMs = 500
 
 const methods: readonly Dispatcher.HttpMethod[] = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 
@@ -42,6 +43,7 @@
   readonly counts = new GatewayCounts()
   /** What is held of requests and answers. */
   readonly memory: MemoryBudget
+  readonly garbage: GarbagePacer
   readonly #startup: GatewayStartup
   readonly #logger: Logger
   readonly #transport: Transport
@@ -63,7 +65,8 @@
     this.#wire = wire
     this.#outside = outside
     this.timings = Timings(startup.bounds)
-    this.memory = new MemoryBudget(heldRatio * startup.memoryMb * bytesPerMb)
+    this.memory = new MemoryBudget(heldRatio * freeMemoryBytes(startup.memoryMb))
+    this.garbage = new GarbagePacer(startup.memoryMb)
     this.#memoryWatch = new MemoryWatch(startup.memoryMb, this.memory, (sentence) => {
       logger.warn('memory', `${sentence}.`)
     })
@@ -174,9 +177,9 @@
     return leave
   }
 
-  /** Refuses a request whose body found no memory; it has not run. */
-  refuseForMemory(request: IncomingMessage, response: ServerResponse): void {
-    this.answer(response, this.#wire.arrival(request.headers).id, 503, memoryComeBackMs, 'has no memory for the body now')
+  /** Refuses a request that can't be taken on now; it has not run. */
+  refuseForNow(request: IncomingMessage, response: ServerResponse, why: string): void {
+    this.answer(response, this.#wire.arrival(request.headers).id, 503, comeBackMs, why)
   }
 
   answer(response: ServerResponse, id: string, status: number, comeBackMs: number | undefined, why: string): void {
