Frames of strangers are bounded in sum, and connections of other nodes in number

Seen: 200 connections with the head of a large frame and 4 MB each took a gateway to 543 and a control node to 710 of 160 MB; 700 silent connections took 661 and 717 of 400 descriptors. Cause: a frame was gathered up to 32 MiB for whoever connected, and connections were not counted.

--- a/src/transport/Frame.ts
+++ b/src/transport/Frame.ts
@@ -4,6 +4,7 @@
  * reader takes any cut of the byte stream. It ends the connection at the first frame that is too long
  * or carries nothing; a message of a kind that only another version knows is passed by.
  */
+import { ByteBuffer } from '../common/ByteBuffer.js'
 import { carriers } from './carriers.js'
 import { Codec } from './Codec.js'
 import { Message } from './Message.js'
@@ -20,11 +21,15 @@
 const limitBytes = 32 * 1024 * 1024
 
 export class Frame {
-  /** Bytes of a frame that is not whole yet, with room to grow; never used again once a frame was read from it. */
-  #rest: Buffer = Buffer.alloc(0)
-  #restBytes = 0
+  /** Bytes of a frame that is not whole yet. */
+  readonly #rest = new ByteBuffer(Infinity)
   /** How many bytes must be there before there is anything to read. */
   #neededBytes = headerBytes
+  /** What is held of a frame that is not whole yet, in bytes. */
+  get heldBytes(): number {
+    return this.#rest.length
+  }
+
   /** Messages of a kind that this version does not know: told by whoever reads, never guessed at. */
   passedBy = 0
 
@@ -40,10 +45,7 @@
   /** Gives the whole frames so far, or the reason why this connection must be closed. */
   read(chunk: Uint8Array): Received[] | string {
     const bytes = this.#gather(chunk)
-    if (bytes.length < this.#neededBytes) {
-      if (this.#restBytes === 0) this.#keep(bytes)
-      return []
-    }
+    if (bytes === undefined) return []
     const received: Received[] = []
     let at = 0
     this.#neededBytes = headerBytes
@@ -64,22 +66,21 @@
     return received
   }
 
+  /** Forgets what is held. */
+  clear(): void {
+    this.#rest.clear()
+  }
+
+  /** Copies what is left, as the chunk that it came in is larger. */
   #keep(rest: Buffer): void {
-    this.#rest = Buffer.from(rest)
-    this.#restBytes = rest.length
+    if (rest.length > 0) this.#rest.append(Buffer.from(rest))
   }
 
-  /** What there is to read. The room doubles as bytes come, so it stays within twice of what really came, and each byte is copied a bounded number of times. */
-  #gather(chunk: Uint8Array): Buffer {
-    if (this.#restBytes === 0) return Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength)
-    const filledBytes = this.#restBytes + chunk.length
-    if (filledBytes > this.#rest.length) {
-      const larger = Buffer.allocUnsafeSlow(Math.max(filledBytes, 2 * this.#rest.length))
-      larger.set(this.#rest.subarray(0, this.#restBytes))
-      this.#rest = larger
-    }
-    this.#rest.set(chunk, this.#restBytes)
-    this.#restBytes = filledBytes
-    return this.#rest.subarray(0, filledBytes)
+  /** What there is to read, once a frame is whole. */
+  #gather(chunk: Uint8Array): Buffer | undefined {
+    const bytes = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength)
+    if (this.#rest.length === 0) return bytes
+    this.#rest.append(bytes)
+    return this.#rest.length < this.#neededBytes ? undefined : this.#rest.take()
   }
 }
--- a/src/transport/IncomingConnection.ts
+++ b/src/transport/IncomingConnection.ts
@@ -8,6 +8,8 @@
 import { Frame } from './Frame.js'
 import type { Message } from './Message.js'
 
+type Dropped = 'malformed' | 'unknownKind' | 'foreign'
+
 interface Owner {
   clockMs: () => number
   /** The longest silence after which what comes is still taken. */
@@ -15,8 +17,14 @@
   /** The cluster of this process; empty while it belongs to none. */
   cluster: () => string
   heard: (connection: IncomingConnection, from: string, fromAddress: string, message: Message) => void
+  /** Bytes came. */
+  received: (bytes: number) => void
+  /** A connection that has brought no message yet holds so many bytes of its first frame. */
+  strangerHolds: (connection: IncomingConnection, bytes: number) => void
+  /** Its first message of this cluster came. */
+  recognized: (connection: IncomingConnection) => void
   /** Something was dropped; the reason is told once a connection and kind. */
-  dropped: (kind: 'malformed' | 'unknownKind' | 'foreign', first: boolean, why: string) => void
+  dropped: (kind: Dropped, first: boolean, why: string) => void
   ended: () => void
 }
 
@@ -34,6 +42,8 @@
   #acknowledgedBytes = 0
   #cluster = ''
   readonly #told = new Set<string>()
+  /** True until it has brought a message of this cluster. */
+  #isStranger = true
 
   constructor(socket: Socket, number: number, owner: Owner) {
     this.number = number
@@ -41,7 +51,10 @@
     this.#owner = owner
     this.heardMs = owner.clockMs()
     socket.on('error', () => socket.destroy())
-    socket.on('close', owner.ended)
+    socket.on('close', () => {
+      this.#frame.clear()
+      owner.ended()
+    })
     socket.on('data', (chunk) => {
       this.#read(chunk)
     })
@@ -67,6 +80,8 @@
     }
     this.heardMs = nowMs
     this.#receivedBytes += chunk.length
+    this.#owner.received(chunk.length)
+    if (this.#isStranger) this.#owner.strangerHolds(this, this.#frame.heldBytes + chunk.length)
     const unknownBefore = this.#frame.passedBy
     const received = this.#frame.read(chunk)
     if (typeof received === 'string') {
@@ -81,17 +96,24 @@
       if (cluster !== '') this.#cluster = cluster
       if (this.#foreign) this.#drop('foreign', `Drops messages of ${from} (${fromAddress}), which belongs to another cluster.`)
       else {
+        this.#recognize()
         this.#owner.heard(this, from, fromAddress, message)
       }
     }
   }
 
+  #recognize(): void {
+    if (!this.#isStranger) return
+    this.#isStranger = false
+    this.#owner.recognized(this)
+  }
+
   get #foreign(): boolean {
     const own = this.#owner.cluster()
     return own !== '' && this.#cluster !== '' && this.#cluster !== own
   }
 
-  #drop(kind: 'malformed' | 'unknownKind' | 'foreign', why: string): void {
+  #drop(kind: Dropped, why: string): void {
     this.#owner.dropped(kind, !this.#told.has(kind), why)
     this.#told.add(kind)
   }
--- a/src/transport/TcpTransport.ts
+++ b/src/transport/TcpTransport.ts
@@ -7,6 +7,8 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { clockMs } from '../common/clockMs.js'
+import type { GarbagePacer } from '../common/admission/GarbagePacer.js'
+import { RestingOrder } from '../common/admission/RestingOrder.js'
 import { listenOn } from '../common/listenOn.js'
 import type { Logger } from '../common/Logger.js'
 import { StartWait } from '../common/StartWait.js'
@@ -15,6 +17,8 @@
 import type { Message } from './Message.js'
 import { OutgoingConnection } from './OutgoingConnection.js'
 import type { Transport } from './Transport.js'
+import { Strangers } from './Strangers.js'
+import type { TransportAdmission } from './TransportAdmission.js'
 import type { TransportTimings } from './TransportTimings.js'
 
 type Listener = (from: string, fromAddress: string, message: Message) => void
@@ -34,7 +38,9 @@
   readonly #logger: Logger | undefined
   readonly #outgoing = new Map<string, OutgoingConnection>()
   readonly #dialledMs = new Map<string, number>()
-  readonly #incoming = new Set<IncomingConnection>()
+  readonly #incoming: RestingOrder<IncomingConnection>
+  readonly #strangers: Strangers
+  readonly #garbage: GarbagePacer | undefined
   /** The newest connection of each process that spoke. */
   readonly #newest = new Map<string, IncomingConnection>()
   readonly #listeners: Listener[] = []
@@ -44,11 +50,21 @@
   #roundAtMs = clockMs()
   /** Silence counts from here: before, this process may itself have stood still. */
   #attentiveFromMs = clockMs()
-  readonly #counts = { malformed: 0, unknownKind: 0, foreign: 0, resets: 0, backedUp: 0 }
+  readonly #counts = { malformed: 0, unknownKind: 0, foreign: 0, crowded: 0, resets: 0, backedUp: 0 }
   #accepted = 0
   #closed = false
 
-  private constructor(name: string, address: string, server: Server, timings: TransportTimings, logger: Logger | undefined) {
+  private constructor(
+    name: string,
+    address: string,
+    server: Server,
+    timings: TransportTimings,
+    logger: Logger | undefined,
+    admission: TransportAdmission | undefined,
+  ) {
+    this.#incoming = new RestingOrder(admission?.connections ?? Infinity)
+    this.#strangers = new Strangers(admission?.strangersBytes ?? Infinity)
+    this.#garbage = admission?.garbage
     this.#name = name
     this.address = address
     this.#server = server
@@ -71,6 +87,7 @@
     timings: TransportTimings,
     logger?: Logger,
     wait: StartWait = StartWait.none,
+    admission?: TransportAdmission,
   ): Promise<TcpTransport> {
     const cut = address.lastIndexOf(':')
     const host = address.slice(0, cut).replace(/^\[|\]$/g, '')
@@ -78,7 +95,7 @@
     await listenOn(server, { host, port: Number(address.slice(cut + 1)) }, wait)
     const bound = server.address()
     const port = typeof bound === 'object' && bound !== null ? bound.port : 0
-    return new TcpTransport(name, `${address.slice(0, cut)}:${String(port)}`, server, timings, logger)
+    return new TcpTransport(name, `${address.slice(0, cut)}:${String(port)}`, server, timings, logger, admission)
   }
 
   get figures(): Record<string, number> {
@@ -86,6 +103,7 @@
       transport_malformed: this.#counts.malformed,
       transport_unknown_kind: this.#counts.unknownKind,
       transport_foreign: this.#counts.foreign,
+      transport_crowded: this.#counts.crowded,
       transport_resets: this.#counts.resets,
       transport_backed_up: this.#counts.backedUp,
       transport_connections: this.#incoming.size + this.#outgoing.size,
@@ -111,7 +129,7 @@
     this.#closed = true
     clearInterval(this.#rounds)
     for (const connection of this.#outgoing.values()) connection.reset()
-    for (const connection of this.#incoming) connection.close()
+    for (const connection of this.#incoming.all) connection.close()
     this.#server.close()
     await once(this.#server, 'close')
   }
@@ -151,7 +169,7 @@
     this.#notice(nowMs)
     this.#roundAtMs = nowMs
     const { connectionDeadMs, redialMs } = this.#timings
-    for (const connection of this.#incoming) {
+    for (const connection of this.#incoming.all) {
       connection.acknowledge()
       const silentMs = nowMs - Math.max(connection.heardMs, this.#attentiveFromMs)
       if (silentMs > this.#silentMs) connection.close()
@@ -175,16 +193,30 @@
       heard: (one, from, fromAddress, message) => {
         if (this.#supersedes(one, `${from} ${fromAddress}`)) for (const listener of this.#listeners) listener(from, fromAddress, message)
       },
+      received: (bytes) => {
+        this.#garbage?.arrived(bytes)
+      },
+      strangerHolds: (one, bytes) => {
+        this.#strangers.hold(one, bytes)
+      },
+      recognized: (one) => {
+        this.#strangers.delete(one)
+        this.#incoming.begin(one)
+      },
       dropped: (kind, first, why) => {
         this.#counts[kind] += 1
         if (first) this.#logger?.warn('transport', why)
       },
       ended: () => {
         this.#incoming.delete(connection)
+        this.#strangers.delete(connection)
         if (this.#newest.get(connection.sender) === connection) this.#newest.delete(connection.sender)
       },
     })
-    this.#incoming.add(connection)
+    const closed = this.#incoming.add(connection)
+    if (closed === undefined) return
+    this.#counts.crowded += 1
+    closed.close()
   }
 
   /** A process speaks over its newest connection alone: what an older one still holds was given up by its sender. */
