--- a/tools/knownRed.test.mjs
+++ b/tools/knownRed.test.mjs
@@ -51,3 +51,16 @@
     ['failed as a file: /x', 'registers no test: /y', 'known red, but there is no such test: /x'],
   )
 })
+
+test('an unsteady test may fail or pass, is told either way, and must exist', () => {
+  const unsteady = knownRed.read('unsteady | u | 160 to 163 of 160 MB | 36')
+  deepStrictEqual(knownRed.judge(unsteady, [ran('u', false)]), {
+    passedOver: ['known red, unsteady, failed here: u | 160 to 163 of 160 MB | 36'],
+    wrong: [],
+  })
+  deepStrictEqual(knownRed.judge(unsteady, [ran('u', true)]), {
+    passedOver: ['known red, unsteady, passed here: u | 160 to 163 of 160 MB | 36'],
+    wrong: [],
+  })
+  deepStrictEqual(knownRed.judge(unsteady, [ran('d', true)]).wrong, ['known red, but there is no such test: u'])
+})
